--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,23 @@
+// Bundles the product and the playground programs to CommonJS files under dist/.
+import { existsSync, readdirSync, readFileSync } from 'node:fs'
+import { build } from 'esbuild'
+
+const version = JSON.parse(readFileSync('package.json', 'utf8')).version
+const shared = {
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  logLevel: 'warning',
+  define: { __VERSION__: JSON.stringify(version) },
+  // protobufjs probes for optional packages with an indirect require; they are not needed.
+  external: ['bufferutil', 'utf-8-validate']
+}
+
+const product = 'src/node/cli/index.ts'
+const programs = readdirSync('playground').filter(name => existsSync(`playground/${name}/main.ts`))
+await Promise.all([
+  existsSync(product) && build({ ...shared, entryPoints: [product], outfile: 'dist/lycheetrack.cjs' }),
+  ...programs.map(name => build({ ...shared, entryPoints: [`playground/${name}/main.ts`], outfile: `dist/playground/${name}.cjs` }))
+])
+if (!process.argv.includes('--quiet')) console.log(`bundled dist/lycheetrack.cjs and ${programs.length} playground programs`)
--- /dev/null
+++ b/src/node/cli/index.ts
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runCommandLine } from './runCommandLine.js'
+
+runCommandLine(process.argv)
--- /dev/null
+++ b/src/shared/lycheetrackError.ts
@@ -0,0 +1,15 @@
+import type { RanState } from '../types/ranState.js'
+
+/** Base of all failures. `code` is stable and documented in docs/guide/errors.md. */
+export abstract class LycheetrackError extends Error {
+  abstract readonly code: string
+  /** HTTP status with which the caller and administration APIs report the failure. */
+  readonly httpStatus: number = 500
+  /** What is known about execution when a request fails with this error. */
+  readonly ran: RanState = 'unknown'
+
+  constructor (message: string, options?: ErrorOptions) {
+    super(message, options)
+    this.name = new.target.name
+  }
+}
--- /dev/null
+++ b/src/types/hostState.ts
@@ -0,0 +1,2 @@
+/** State of an entry host as its peers see it. */
+export type HostState = 'live' | 'suspect' | 'dead' | 'leaving'
--- /dev/null
+++ b/src/types/requestKindSpec.ts
@@ -0,0 +1,13 @@
+import type { Objective } from './objective.js'
+import type { StageSpec } from './stageSpec.js'
+
+/** What a contract promises for one kind of request. */
+export interface RequestKindSpec {
+  readonly stages: readonly StageSpec[]
+  readonly deadlineMs: number
+  /** 0 is the lowest priority, 9 the highest. */
+  readonly priority: number
+  /** False for calls that run at most once. */
+  readonly idempotent: boolean
+  readonly objective: Objective
+}
