--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -11,6 +11,7 @@
   {
     files: ['src/**/*.ts', 'playground/**/*.ts'],
     rules: {
+      'no-void': ['error', { allowAsStatement: true }],
       'no-restricted-syntax': ['error',
         { selector: 'Program > :matches(ExportNamedDeclaration, ExportDefaultDeclaration) ~ :matches(ExportNamedDeclaration, ExportDefaultDeclaration)', message: 'One export per file.' },
         { selector: 'ThrowStatement > :matches(Literal, TemplateLiteral)', message: 'Throw a typed error.' },
--- /dev/null
+++ b/src/types/claimDecision.ts
@@ -0,0 +1,17 @@
+import type { ClaimOutcome } from './claimOutcome.js'
+import type { RanState } from './ranState.js'
+
+/**
+ * Result of claiming the single execution of a call. Only the holder of a `held` claim may send the call.
+ */
+export type ClaimDecision =
+  | {
+    readonly kind: 'held'
+    /** False when the call must not be sent any more; to be asked right before the first byte. */
+    isFresh (): boolean
+    /** Stores the outcome; rejects with a `LycheetrackError` when it could not be stored in time. */
+    recordOutcome (outcome: ClaimOutcome): Promise<void>
+  }
+  | { readonly kind: 'recorded', readonly outcome: ClaimOutcome }
+  | { readonly kind: 'pending', readonly holderId: string }
+  | { readonly kind: 'refused', readonly code: string, readonly message: string, readonly ran: RanState }
--- /dev/null
+++ b/src/types/claimOutcome.ts
@@ -0,0 +1,10 @@
+import type { RanState } from './ranState.js'
+
+/** Recorded outcome of a call that runs at most once. */
+export interface ClaimOutcome {
+  readonly ran: RanState
+  /** HTTP status of the answer to the caller. */
+  readonly status: number
+  /** JSON body of the answer to the caller. */
+  readonly body: string
+}
