feat(placement): lease with fencing numbers and choice of orders to model runners

Some engines refuse an old fencing number, others ignore it. One host holds a lease; it stops sending 1 s before the lease can lapse on its own clock and a new holder waits out the longest order delay of 5 s. One order at a time, the load interval bounds the weight store's rate across all runners. Weighed: computing a whole target placement and sending all orders at once; one order at a time needs no rollback when a runner fails in between.

--- /dev/null
+++ b/src/node/placement/placementController.ts
@@ -0,0 +1,61 @@
+import { LycheetrackError } from '../../shared/lycheetrackError.js'
+import type { Clock } from '../../types/clock.js'
+import type { Logger } from '../../types/logger.js'
+import { choosePlacementOrder } from './choosePlacementOrder.js'
+import { placementConstants } from './constants.js'
+import type { EngineOrders } from './engineOrders.js'
+import type { PlacementLease } from './placementLease.js'
+
+interface PlacementControllerParts {
+  readonly lease: PlacementLease
+  readonly orders: EngineOrders
+  readonly clock: Clock
+  readonly logger: Logger
+  /** Demand by model over all hosts, in generated tokens a second. */
+  readonly readDemand: () => Promise<ReadonlyMap<string, number>>
+}
+
+/** Sends the orders of the placement while this host holds the lease. */
+export class PlacementController {
+  private lastLoadMs: number
+
+  constructor (private readonly parts: PlacementControllerParts) {
+    // The predecessor's last load is unknown, so the first own load waits a whole interval.
+    this.lastLoadMs = parts.clock.readMonotonicMs()
+  }
+
+  /** Renews or acquires the lease; failures leave the host a follower. */
+  async updateLease (): Promise<void> {
+    const wasHolder = this.parts.lease.getFencing() !== undefined
+    try {
+      await this.parts.lease.update()
+    } catch (error) {
+      if (!(error instanceof LycheetrackError)) throw error
+      this.parts.logger.recordDebug('placement lease not renewed', { code: error.code })
+    }
+    const isHolder = this.parts.lease.getFencing() !== undefined
+    if (isHolder && !wasHolder) this.lastLoadMs = this.parts.clock.readMonotonicMs()
+  }
+
+  /** Sends at most one order. */
+  async runPlan (): Promise<void> {
+    if (this.parts.lease.getFencing() === undefined) return
+    const order = choosePlacementOrder(this.parts.orders.listRunners(), await this.parts.readDemand())
+    if (order === undefined || !this.isLoadPermitted(order.order)) return
+    const fencing = this.parts.lease.getFencing()
+    if (fencing === undefined) return
+    if (order.order === 'load') this.lastLoadMs = this.parts.clock.readMonotonicMs()
+    try {
+      await this.parts.orders.send(order, fencing)
+      this.parts.logger.recordInfo('order sent', { upstream: order.upstreamId, order: order.order, model: order.model, fencing })
+    } catch (error) {
+      if (!(error instanceof LycheetrackError)) throw error
+      this.parts.logger.recordWarning('order failed', { upstream: order.upstreamId, order: order.order, model: order.model, code: error.code })
+    }
+  }
+
+  private isLoadPermitted (order: 'load' | 'unload'): boolean {
+    if (order === 'unload') return true
+    return this.parts.clock.readMonotonicMs() - this.lastLoadMs >= placementConstants.LOAD_INTERVAL_MS
+  }
+}
--- /dev/null
+++ b/src/node/placement/placementLease.ts
@@ -0,0 +1,120 @@
+import { createActor } from 'xstate'
+import { KeyValueUncertainError } from '../../shared/keyValueUncertainError.js'
+import type { Clock } from '../../types/clock.js'
+import type { KeyValueService } from '../../types/keyValueService.js'
+import { placementConstants } from './constants.js'
+import { leaseMachine } from './leaseMachine.js'
+
+interface HolderRecord {
+  readonly hostId: string
+  readonly token: string
+}
+
+interface FencingRecord {
+  readonly number: number
+  readonly token: string
+}
+
+const LEASE_KEY = 'placement/lease'
+const FENCING_KEY = 'placement/fencing'
+
+/**
+ * The lease that makes one host the only sender of orders to model engines, with a fencing number that rises
+ * with each new holder. Validity is judged on the host's monotonic clock from before each renewal was sent,
+ * so a paused host finds its lease lapsed when it resumes.
+ */
+export class PlacementLease {
+  private readonly life = createActor(leaseMachine).start()
+  private leaseId: string | undefined
+  private validUntilMs = -Infinity
+  private acquiredAtMs = -Infinity
+  private fencing = 0
+
+  constructor (
+    private readonly hostId: string,
+    private readonly keyValue: KeyValueService,
+    private readonly clock: Clock,
+    private readonly createToken: () => string
+  ) {}
+
+  /** The fencing number to send with an order now, or undefined when this host must not send orders. */
+  getFencing (): number | undefined {
+    this.observeTime()
+    return this.life.getSnapshot().value === 'holder' ? this.fencing : undefined
+  }
+
+  /** Renews the lease or tries to acquire it; to be called every RENEW_INTERVAL_MS. */
+  async update (): Promise<void> {
+    this.observeTime()
+    if (this.leaseId !== undefined) return await this.updateLease(this.leaseId)
+    await this.takeLease()
+  }
+
+  /** Gives the lease up so that another host can take over at once. */
+  async close (): Promise<void> {
+    const leaseId = this.leaseId
+    this.setLost()
+    if (leaseId !== undefined) await this.keyValue.removeLease(leaseId)
+  }
+
+  private observeTime (): void {
+    const nowMs = this.clock.readMonotonicMs()
+    if (nowMs >= this.validUntilMs - placementConstants.STOP_BEFORE_LAPSE_MS) return this.setLost()
+    if (nowMs >= this.acquiredAtMs + placementConstants.LONGEST_ORDER_DELAY_MS) this.life.send({ type: 'settle' })
+  }
+
+  private async updateLease (leaseId: string): Promise<void> {
+    const startMs = this.clock.readMonotonicMs()
+    const renewed = await this.keyValue.updateLease(leaseId)
+    if (!renewed) return this.setLost()
+    // A renewal that returns after the lease was given up must not revive it.
+    if (this.leaseId === leaseId) this.validUntilMs = startMs + placementConstants.LEASE_TTL_MS
+  }
+
+  private async takeLease (): Promise<void> {
+    const holder = await this.keyValue.read(LEASE_KEY)
+    if (holder !== undefined) return
+    const startMs = this.clock.readMonotonicMs()
+    const leaseId = await this.keyValue.grantLease(placementConstants.LEASE_TTL_MS)
+    const record: HolderRecord = { hostId: this.hostId, token: this.createToken() }
+    if (!await this.writeHolder(record, leaseId)) return
+    const fencing = await this.takeFencing(record.token)
+    if (fencing === undefined) return await this.keyValue.removeLease(leaseId)
+    this.fencing = fencing
+    this.leaseId = leaseId
+    this.validUntilMs = startMs + placementConstants.LEASE_TTL_MS
+    this.acquiredAtMs = this.clock.readMonotonicMs()
+    this.life.send({ type: 'acquire' })
+  }
+
+  private async writeHolder (record: HolderRecord, leaseId: string): Promise<boolean> {
+    try {
+      return (await this.keyValue.compareAndSwap(LEASE_KEY, 0, JSON.stringify(record), leaseId)).swapped
+    } catch (error) {
+      if (!(error instanceof KeyValueUncertainError)) throw error
+      const stored = await this.keyValue.read(LEASE_KEY)
+      return stored !== undefined && (JSON.parse(stored.value) as HolderRecord).token === record.token
+    }
+  }
+
+  /** Undefined when another host raised the number meanwhile: then this host's lease has lapsed. */
+  private async takeFencing (token: string): Promise<number | undefined> {
+    const entry = await this.keyValue.read(FENCING_KEY)
+    const number = (entry === undefined ? 0 : (JSON.parse(entry.value) as FencingRecord).number) + 1
+    try {
+      const result = await this.keyValue.compareAndSwap(FENCING_KEY, entry?.version ?? 0, JSON.stringify({ number, token }))
+      return result.swapped ? number : undefined
+    } catch (error) {
+      if (!(error instanceof KeyValueUncertainError)) throw error
+      const stored = await this.keyValue.read(FENCING_KEY)
+      const record = stored === undefined ? undefined : JSON.parse(stored.value) as FencingRecord
+      return record?.token === token ? record.number : undefined
+    }
+  }
+
+  private setLost (): void {
+    this.leaseId = undefined
+    this.validUntilMs = -Infinity
+    this.life.send({ type: 'lose' })
+  }
+}
