--- /dev/null
+++ b/playground/prove/history/checkRequests.ts
@@ -0,0 +1,44 @@
+import type { ExecutionHistory } from './executionHistory.js'
+import type { History } from './history.js'
+import type { Invariant } from './invariant.js'
+import type { RequestHistory } from './requestHistory.js'
+import type { Violation } from './violation.js'
+
+/**
+ * Checks each request against what the upstreams ran.
+ */
+export function checkRequests (history: History): readonly Violation[] {
+  const executions = new Map<string, ExecutionHistory[]>()
+  for (const execution of history.executions) {
+    const key = `${execution.account}/${execution.requestId}`
+    executions.set(key, [...executions.get(key) ?? [], execution])
+  }
+  return history.requests.flatMap(request => {
+    const ran = executions.get(`${request.account}/${request.requestId}`) ?? []
+    return [...checkAnswer(request, ran), ...checkRefusal(request, ran), ...checkSingleRun(request, ran)]
+  })
+}
+
+function checkAnswer (request: RequestHistory, ran: readonly ExecutionHistory[]): readonly Violation[] {
+  if (request.contentFault !== undefined) return [createViolation('whole_own_answer', request, ran, request.contentFault)]
+  if (request.outcome === 'lost') return [createViolation('no_answer_lost', request, ran, 'the caller got neither an answer nor a typed error')]
+  if (request.outcome === 'answered' && ran.length === 0) return [createViolation('whole_own_answer', request, ran, 'answered, but no upstream ran it')]
+  return []
+}
+
+function checkRefusal (request: RequestHistory, ran: readonly ExecutionHistory[]): readonly Violation[] {
+  if (request.outcome !== 'refused' || request.ran !== 'not_run' || ran.length === 0) return []
+  return [createViolation('not_run_is_true', request, ran, `refused as not run, but ran ${ran.length} times`)]
+}
+
+function checkSingleRun (request: RequestHistory, ran: readonly ExecutionHistory[]): readonly Violation[] {
+  if (!request.atMostOnce || ran.length <= 1) return []
+  return [createViolation('at_most_once', request, ran, `ran ${ran.length} times`)]
+}
+
+function createViolation (invariant: Invariant, request: RequestHistory, ran: readonly ExecutionHistory[], detail: string): Violation {
+  const own = { atMs: request.endMs, line: `caller ${request.kind}: ${request.outcome} ${request.ran ?? ''} ${request.code ?? ''}`.trim() }
+  const runs = ran.map(execution => ({ atMs: execution.startMs, line: `${execution.upstreamId} started ${execution.stage}` }))
+  const trace = [...runs, own].sort((a, b) => a.atMs - b.atMs).map(({ atMs, line }) => `+${Math.round(atMs - request.startMs)} ms ${line}`)
+  return { invariant, subject: `${request.account}/${request.requestId}`, detail, trace }
+}
--- /dev/null
+++ b/playground/prove/history/checkRevisions.ts
@@ -0,0 +1,50 @@
+import type { AcceptedChange } from './acceptedChange.js'
+import type { History } from './history.js'
+import type { RevisionObservation } from './revisionObservation.js'
+import type { Violation } from './violation.js'
+
+/**
+ * Checks contract revisions: an accepted change raises its base by one and no two changes are accepted with
+ * one revision; accepted revisions follow the real-time order of changes that do not overlap; no host goes
+ * back to an older revision during its life.
+ */
+export function checkRevisions (history: History): readonly Violation[] {
+  return [...checkAccepted(history.changes), ...checkMonotonic(history.revisions)]
+}
+
+function checkAccepted (changes: readonly AcceptedChange[]): readonly Violation[] {
+  const accepted = changes.filter(change => change.acceptedRevision !== undefined)
+  const violations: Violation[] = []
+  for (const change of accepted) {
+    if (change.acceptedRevision !== change.baseRevision + 1) violations.push(createViolation(change, change, 'accepted on a base that was not current'))
+    const twin = accepted.find(other => other !== change && other.account === change.account && other.acceptedRevision === change.acceptedRevision)
+    if (twin !== undefined) violations.push(createViolation(change, twin, 'two changes accepted with one revision'))
+    const later = accepted.find(other => other.account === change.account && other.endMs < change.startMs && other.acceptedRevision! > change.acceptedRevision!)
+    if (later !== undefined) violations.push(createViolation(change, later, 'accepted after a change with a higher revision had ended'))
+  }
+  return violations
+}
+
+function createViolation (change: AcceptedChange, other: AcceptedChange, detail: string): Violation {
+  const trace = [change, other].map(({ operator, baseRevision, acceptedRevision, startMs, endMs }) => `${operator}: ${baseRevision} -> ${acceptedRevision} from ${startMs} to ${endMs}`)
+  return { invariant: 'revisions_linearizable', subject: change.account, detail, trace }
+}
+
+function checkMonotonic (revisions: readonly RevisionObservation[]): readonly Violation[] {
+  const highest = new Map<string, RevisionObservation>()
+  const violations: Violation[] = []
+  for (const observation of [...revisions].sort((a, b) => a.atMs - b.atMs)) {
+    const key = `${observation.hostId}/${observation.incarnation}/${observation.account}`
+    const before = highest.get(key)
+    if (before !== undefined && observation.revision < before.revision) {
+      violations.push({
+        invariant: 'revisions_monotonic',
+        subject: `${observation.hostId} ${observation.account}`,
+        detail: `went back from revision ${before.revision} to ${observation.revision}`,
+        trace: [before, observation].map(({ revision, atMs }) => `revision ${revision} at ${atMs}`)
+      })
+    }
+    if (before === undefined || observation.revision > before.revision) highest.set(key, observation)
+  }
+  return violations
+}
--- /dev/null
+++ b/playground/prove/history/leavingUpstream.ts
@@ -0,0 +1,5 @@
+/** An upstream told to leave at `leavingAtMs`. */
+export interface LeavingUpstream {
+  readonly upstreamId: string
+  readonly leavingAtMs: number
+}
--- /dev/null
+++ b/playground/prove/history/violation.ts
@@ -0,0 +1,9 @@
+import type { Invariant } from './invariant.js'
+
+/** A broken promise with the shortest part of the history that shows it. */
+export interface Violation {
+  readonly invariant: Invariant
+  readonly subject: string
+  readonly detail: string
+  readonly trace: readonly string[]
+}
