--- /dev/null
+++ b/src/node/settings/listUnknownVariables.ts
@@ -0,0 +1,8 @@
+import { settingDefinitions } from './settingDefinitions.js'
+import { settingsConstants } from './constants.js'
+
+/** Names of variables with the product's prefix that no setting has, most likely misspelt. */
+export function listUnknownVariables (environment: Readonly<Record<string, string | undefined>>): readonly string[] {
+  const known = new Set([...settingDefinitions.map(definition => definition.variable), ...settingsConstants.clientVariables])
+  return Object.keys(environment).filter(name => name.startsWith(settingsConstants.variablePrefix) && !known.has(name))
+}
