--- /dev/null
+++ b/src/node/logging/constants.ts
@@ -0,0 +1,10 @@
+/** Parameters of the logger. */
+export const loggingConstants = {
+  levels: { debug: 20, info: 30, warning: 40, error: 50 },
+  /** Fields whose name matches are never written. */
+  secretField: /(token|secret|authorization|password|cookie)$/i,
+  /** A longer field is cut, so that no caller can inflate the log. */
+  maximumFieldLength: 2000,
+  /** Lines are dropped and counted while more than this waits for a slow reader of standard error. */
+  maximumBufferedBytes: 4_194_304
+} as const
