feat(platform): HTTP adapters of the key-value service and host list, gRPC peer transport

The application needs the outside systems and its peers behind interfaces. Connections that go silent are replaced after a timeout, lost write answers are told apart from writes without effect, and hosts prove a shared secret to each other by HMAC in the call metadata.

--- /dev/null
+++ b/src/node/peers/grpcPeerTransport.ts
@@ -0,0 +1,64 @@
+import { Server, ServerCredentials } from '@grpc/grpc-js'
+import type { Clock } from '../../types/clock.js'
+import type { Metrics } from '../../types/metrics.js'
+import type { PeerMethod } from '../../types/peerMethod.js'
+import type { PeerTransport } from '../../types/peerTransport.js'
+import { PeerUnavailableError } from '../../shared/peerUnavailableError.js'
+import { peerConstants } from './constants.js'
+import { PeerAuthenticator } from './peerAuthenticator.js'
+import { PeerCaller } from './peerCaller.js'
+import { PeerLinks } from './peerLinks.js'
+import { PeerReceiver } from './peerReceiver.js'
+import { PeerTraffic } from './peerTraffic.js'
+
+/** `PeerTransport` over gRPC without TLS; hosts authenticate each other by a shared secret. */
+export class GrpcPeerTransport implements PeerTransport {
+  private readonly server = new Server({
+    'grpc.keepalive_time_ms': peerConstants.serverKeepaliveMs,
+    'grpc.keepalive_timeout_ms': peerConstants.serverKeepaliveTimeoutMs,
+    'grpc.max_receive_message_length': peerConstants.maxMessageBytes
+  })
+
+  private readonly links = new PeerLinks()
+  private readonly caller: PeerCaller
+  private readonly receiver: PeerReceiver
+
+  constructor (hostId: string, secret: string, clock: Clock, metrics: Metrics) {
+    const authenticator = new PeerAuthenticator(hostId, secret, clock)
+    const traffic = new PeerTraffic(metrics)
+    this.caller = new PeerCaller(this.links, authenticator, traffic)
+    this.receiver = new PeerReceiver(this.server, authenticator, traffic)
+  }
+
+  /** Listens on `listenAddress` (`ip:port`); resolves to the bound port. */
+  async start (listenAddress: string): Promise<number> {
+    return await new Promise((resolve, reject) => {
+      this.server.bindAsync(listenAddress, ServerCredentials.createInsecure(), (error, port) => {
+        if (error) reject(new PeerUnavailableError(`cannot listen on ${listenAddress}`, { cause: error }))
+        else resolve(port)
+      })
+    })
+  }
+
+  /** Ends the calls in progress and closes all connections. */
+  async stop (): Promise<void> {
+    this.server.forceShutdown()
+    this.links.closeAll()
+  }
+
+  async send<Request, Response> (peerAddress: string, method: PeerMethod<Request, Response>, request: Request, timeoutMs: number): Promise<Response> {
+    return await this.caller.send(peerAddress, method, request, timeoutMs)
+  }
+
+  openStream<Request, Response> (peerAddress: string, method: PeerMethod<Request, Response>, request: Request, silenceMs: number, signal: AbortSignal): AsyncIterable<Response> {
+    return this.caller.openStream(peerAddress, method, request, silenceMs, signal)
+  }
+
+  handle<Request, Response> (method: PeerMethod<Request, Response>, handler: (request: Request, peerId: string) => Promise<Response> | Response): void {
+    this.receiver.handle(method, handler)
+  }
+
+  handleStream<Request, Response> (method: PeerMethod<Request, Response>, handler: (request: Request, peerId: string, signal: AbortSignal) => AsyncIterable<Response>): void {
+    this.receiver.handleStream(method, handler)
+  }
+}
--- /dev/null
+++ b/src/node/peers/peerAuthenticator.ts
@@ -0,0 +1,71 @@
+import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto'
+import { Metadata } from '@grpc/grpc-js'
+import type { Clock } from '../../types/clock.js'
+import { peerConstants } from './constants.js'
+import { PeerUnauthenticatedError } from './peerUnauthenticatedError.js'
+
+const hostKey = 'x-lt-host'
+const timeKey = 'x-lt-time'
+const nonceKey = 'x-lt-nonce'
+const proofKey = 'x-lt-proof'
+
+/**
+ * Mutual authentication of hosts by a shared secret that never leaves the host. The caller proves the
+ * secret by an HMAC-SHA256 over its host id, the time, a nonce and the method; the called host proves
+ * it by an HMAC over its own id and the caller's proof.
+ */
+export class PeerAuthenticator {
+  constructor (private readonly hostId: string, private readonly secret: string, private readonly clock: Clock) {}
+
+  /** Metadata of a call of `path`. */
+  createCallMetadata (path: string): Metadata {
+    const time = String(Math.round(this.clock.readWallMs()))
+    const nonce = randomBytes(peerConstants.nonceBytes).toString('base64')
+    const metadata = new Metadata()
+    metadata.set(hostKey, this.hostId)
+    metadata.set(timeKey, time)
+    metadata.set(nonceKey, nonce)
+    metadata.set(proofKey, this.hashFields('call', this.hostId, time, nonce, path))
+    return metadata
+  }
+
+  /** The host id of the caller; throws `PeerUnauthenticatedError` when its proof is wrong or too old. */
+  parseCallMetadata (metadata: Metadata, path: string): string {
+    const [hostId, time, nonce, proof] = [hostKey, timeKey, nonceKey, proofKey].map(key => findField(metadata, key))
+    if (hostId === '' || hostId === undefined) throw new PeerUnauthenticatedError('the call names no host')
+    const ageMs = Math.abs(this.clock.readWallMs() - Number(time))
+    if (!(ageMs <= peerConstants.authenticationAgeMs)) throw new PeerUnauthenticatedError(`the proof of host ${hostId} is too old`)
+    if (!isEqual(proof, this.hashFields('call', hostId, time ?? '', nonce ?? '', path))) {
+      throw new PeerUnauthenticatedError(`the proof of host ${hostId} is wrong`)
+    }
+    return hostId
+  }
+
+  /** Metadata of the answer to an authenticated call. */
+  createAnswerMetadata (call: Metadata): Metadata {
+    const metadata = new Metadata()
+    metadata.set(hostKey, this.hostId)
+    metadata.set(proofKey, this.hashFields('answer', this.hostId, findField(call, proofKey)))
+    return metadata
+  }
+
+  /** Whether the answer comes from a host that knows the secret. */
+  isAnswerAuthentic (call: Metadata, answer: Metadata): boolean {
+    const hostId = findField(answer, hostKey)
+    return isEqual(findField(answer, proofKey), this.hashFields('answer', hostId, findField(call, proofKey)))
+  }
+
+  private hashFields (...fields: readonly string[]): string {
+    return createHmac('sha256', this.secret).update(JSON.stringify(fields)).digest('base64')
+  }
+}
+
+function findField (metadata: Metadata, key: string): string {
+  return String(metadata.get(key)[0] ?? '')
+}
+
+function isEqual (given: string | undefined, expected: string): boolean {
+  const a = Buffer.from(given ?? '')
+  const b = Buffer.from(expected)
+  return a.length === b.length && timingSafeEqual(a, b)
+}
--- /dev/null
+++ b/src/node/peers/peerReceiver.ts
@@ -0,0 +1,63 @@
+import { once } from 'node:events'
+import type { Metadata, Server, sendUnaryData, ServerUnaryCall, ServerWritableStream, ServiceError } from '@grpc/grpc-js'
+import { Metadata as GrpcMetadata, status } from '@grpc/grpc-js'
+import { LycheetrackError } from '../../shared/lycheetrackError.js'
+import type { PeerMethod } from '../../types/peerMethod.js'
+import type { PeerAuthenticator } from './peerAuthenticator.js'
+import type { PeerTraffic } from './peerTraffic.js'
+
+/** Server side of the calls between hosts: authentication, handlers and typed refusals. */
+export class PeerReceiver {
+  constructor (private readonly server: Server, private readonly authenticator: PeerAuthenticator, private readonly traffic: PeerTraffic) {}
+
+  handle<Request, Response> (method: PeerMethod<Request, Response>, handler: (request: Request, peerId: string) => Promise<Response> | Response): void {
+    const serialize = this.traffic.createSerializer(method.path, method.encodeResponse)
+    const parse = this.traffic.createParser(method.path, method.decodeRequest)
+    this.server.register<Request, Response>(method.path, (call: ServerUnaryCall<Request, Response>, callback: sendUnaryData<Response>) => {
+      const run = async (): Promise<Response> => {
+        const peerId = this.authenticator.parseCallMetadata(call.metadata, method.path)
+        call.sendMetadata(this.createMetadata(method.path, call.metadata))
+        return await handler(call.request, peerId)
+      }
+      run().then(response => { callback(null, response) }, (error: unknown) => { callback(buildServiceError(error)) })
+    }, serialize, parse, 'unary')
+  }
+
+  handleStream<Request, Response> (method: PeerMethod<Request, Response>, handler: (request: Request, peerId: string, signal: AbortSignal) => AsyncIterable<Response>): void {
+    const serialize = this.traffic.createSerializer(method.path, method.encodeResponse)
+    const parse = this.traffic.createParser(method.path, method.decodeRequest)
+    this.server.register<Request, Response>(method.path, (call: ServerWritableStream<Request, Response>) => {
+      const controller = new AbortController()
+      const onEnd = (): void => { controller.abort() }
+      call.on('cancelled', onEnd)
+      call.on('close', onEnd)
+      call.on('error', onEnd)
+      const run = async (): Promise<void> => {
+        const peerId = this.authenticator.parseCallMetadata(call.metadata, method.path)
+        call.sendMetadata(this.createMetadata(method.path, call.metadata))
+        for await (const message of handler(call.request, peerId, controller.signal)) {
+          if (controller.signal.aborted) return
+          if (!call.write(message)) await once(call, 'drain', { signal: controller.signal })
+        }
+        call.end()
+      }
+      run().catch((error: unknown) => { if (!controller.signal.aborted) call.emit('error', buildServiceError(error)) })
+    }, serialize, parse, 'serverStream')
+  }
+
+  private createMetadata (path: string, call: Metadata): Metadata {
+    const metadata = this.authenticator.createAnswerMetadata(call)
+    this.traffic.recordReceived(path, this.traffic.countMetadataBytes(call))
+    this.traffic.recordSent(path, this.traffic.countMetadataBytes(metadata))
+    return metadata
+  }
+}
+
+// Failures of the project carry their code to the caller; others are hidden behind a general status.
+function buildServiceError (error: unknown): Partial<ServiceError> {
+  if (!(error instanceof LycheetrackError)) return { code: status.INTERNAL, details: 'the handler failed' }
+  const metadata = new GrpcMetadata()
+  metadata.set('x-lt-code', error.code)
+  const code = error.code === 'peer_unauthenticated' ? status.UNAUTHENTICATED : status.FAILED_PRECONDITION
+  return { code, details: error.message, metadata }
+}
--- /dev/null
+++ b/src/node/platform/__tests__/httpKeyValueService.test.ts
@@ -0,0 +1,86 @@
+import { createServer } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import t from 'tap'
+import type { KeyValueChange } from '../../../types/keyValueChange.js'
+import { createHttpHostList } from '../createHttpHostList.js'
+import { createHttpKeyValueService } from '../createHttpKeyValueService.js'
+
+type Handler = (request: IncomingMessage, response: ServerResponse) => void
+
+async function startService (t: { teardown: (run: () => unknown) => unknown }, handler: Handler): Promise<string> {
+  const server = createServer((request, response) => {
+    request.resume()
+    request.on('end', () => { handler(request, response) })
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  t.teardown(() => { server.closeAllConnections(); server.close() })
+  return `http://127.0.0.1:${(server.address() as AddressInfo).port}`
+}
+
+function createService (t: { teardown: (run: () => unknown) => unknown }, baseUrl: string): ReturnType<typeof createHttpKeyValueService> {
+  const service = createHttpKeyValueService({ baseUrl, hostId: 'host-1' })
+  t.teardown(async () => { await service.close() })
+  return service
+}
+
+t.test('maps answers to results', async t => {
+  const seen: string[] = []
+  const service = createService(t, await startService(t, (request, response) => {
+    seen.push(`${request.method} ${request.url} ${request.headers['x-host-id']}`)
+    if (request.method === 'PUT') { response.writeHead(409).end('{"version":4}'); return }
+    if (request.url === '/kv/a/none') { response.writeHead(404).end('{}'); return }
+    response.end('{"key":"a/b","value":"x","version":2}')
+  }))
+  t.same(await service.read('a/b'), { key: 'a/b', value: 'x', version: 2 })
+  t.equal(await service.read('a/none'), undefined)
+  t.same(await service.compareAndSwap('a/b', 2, 'y'), { swapped: false, version: 4 })
+  t.matchSnapshot(seen)
+})
+
+t.test('a write whose connection closes without an answer is uncertain', async t => {
+  const service = createService(t, await startService(t, request => { request.socket.destroy() }))
+  await t.rejects(service.compareAndSwap('a', 0, 'x'), { code: 'key_value_uncertain' })
+  await t.rejects(service.read('a'), { code: 'key_value_unavailable' })
+})
+
+t.test('a write that no server accepts or that is refused had no effect', async t => {
+  const refused = createService(t, 'http://127.0.0.1:1')
+  await t.rejects(refused.compareAndSwap('a', 0, 'x'), { code: 'key_value_unavailable' })
+  const down = createService(t, await startService(t, (_request, response) => { response.writeHead(503).end('{}') }))
+  await t.rejects(down.compareAndSwap('a', 0, 'x'), { code: 'key_value_unavailable' })
+})
+
+t.test('after a timeout a fresh connection is used, because open ones can go silent', async t => {
+  const ports = new Set<number | undefined>()
+  const service = createService(t, await startService(t, (request, response) => {
+    ports.add(request.socket.remotePort)
+    if (ports.size > 1) response.end('{"version":1,"revision":1}')
+  }))
+  await t.rejects(service.compareAndSwap('a', 0, 'x'), { code: 'key_value_uncertain' })
+  t.same(await service.compareAndSwap('a', 0, 'x'), { swapped: true, version: 1 })
+})
+
+t.test('a silent watch is reopened after the last revision seen', async t => {
+  const urls: string[] = []
+  const service = createService(t, await startService(t, (request, response) => {
+    urls.push(request.url ?? '')
+    const revision = 5 + urls.length
+    response.write(`{"key":"k","value":"v","version":1,"revision":${revision}}\n`)
+    if (urls.length === 2) response.write('\n')
+  }))
+  const changes: KeyValueChange[] = []
+  const controller = new AbortController()
+  await new Promise<void>(resolve => {
+    service.watch('k', 5, change => { changes.push(change) }, controller.signal, resolve)
+  })
+  controller.abort()
+  t.same(changes.map(change => change.revision), [6, 7])
+  t.same(urls, ['/watch?prefix=k&after=5', '/watch?prefix=k&after=6'])
+})
+
+t.test('an unreadable host list is a typed failure', async t => {
+  const hosts = createHttpHostList({ baseUrl: await startService(t, (_request, response) => { response.end('{"hosts":[{}]}') }), hostId: 'host-1' })
+  t.teardown(async () => { await hosts.close() })
+  await t.rejects(hosts.read(), { code: 'host_list_unavailable' })
+})
