--- a/playground/fakes/createSilentMetrics.ts
+++ b/playground/fakes/createSilentMetrics.ts
@@ -1,6 +1,12 @@
 import type { Metrics } from '../../src/types/metrics.js'
 
-/** Metrics that keep nothing. */
+/** Metrics for tests: keeps the sum of each counter by name and renders them as JSON. */
 export function createSilentMetrics (): Metrics {
-  return { addCount: () => {}, setGauge: () => {}, recordDuration: () => {}, render: () => '' }
+  const counts = new Map<string, number>()
+  return {
+    addCount: (name, _labels, by = 1) => { counts.set(name, (counts.get(name) ?? 0) + by) },
+    setGauge: (name, _labels, value) => { counts.set(name, value) },
+    recordDuration: () => {},
+    render: () => JSON.stringify(Object.fromEntries(counts))
+  }
 }
