--- /dev/null
+++ b/src/node/metrics/durationSeries.ts
@@ -0,0 +1,65 @@
+import { build } from 'hdr-histogram-js'
+import { metricsConstants } from './constants.js'
+import type { Histogram } from 'hdr-histogram-js'
+
+/** Durations of one label combination: quantiles over recent windows, sum and count since the start. */
+export class DurationSeries {
+  private current = createHistogram()
+  private previous = createHistogram()
+  private windowEndMs: number
+  private sumMs = 0
+  private total = 0
+
+  constructor (nowMs: number) {
+    this.windowEndMs = nowMs + metricsConstants.windowMs
+  }
+
+  record (ms: number, nowMs: number): void {
+    this.updateWindow(nowMs)
+    const bounded = Math.min(Math.max(ms, 0), metricsConstants.maximumDurationMs)
+    this.current.recordValue(Math.round(bounded * 1000))
+    this.sumMs += bounded
+    this.total++
+  }
+
+  getSumSeconds (): number {
+    return this.sumMs / 1000
+  }
+
+  getCount (): number {
+    return this.total
+  }
+
+  /** Seconds at each of the quantiles; NaN when the last windows hold no value. */
+  computeQuantiles (quantiles: readonly number[], nowMs: number): readonly number[] {
+    this.updateWindow(nowMs)
+    const merged = createHistogram()
+    merged.add(this.previous)
+    merged.add(this.current)
+    if (merged.totalCount === 0) return quantiles.map(() => NaN)
+    return quantiles.map(quantile => merged.getValueAtPercentile(quantile * 100) / 1e6)
+  }
+
+  private updateWindow (nowMs: number): void {
+    if (nowMs < this.windowEndMs) return
+    const stale = this.previous
+    this.previous = this.current
+    this.current = stale
+    this.current.reset()
+    // After a pause of a whole window, the other histogram is out of date as well.
+    if (nowMs >= this.windowEndMs + metricsConstants.windowMs) this.previous.reset()
+    this.windowEndMs = nowMs + metricsConstants.windowMs
+  }
+}
+
+/** Values are microseconds; the histogram grows to the largest value it has seen. */
+function createHistogram (): Histogram {
+  return build({
+    bitBucketSize: 32,
+    autoResize: true,
+    highestTrackableValue: 1_000_000,
+    lowestDiscernibleValue: 1,
+    numberOfSignificantValueDigits: metricsConstants.significantDigits,
+    useWebAssembly: false
+  })
+}
--- /dev/null
+++ b/src/node/metrics/formatLabels.ts
@@ -0,0 +1,9 @@
+const escapes: Readonly<Record<string, string>> = { '\\': '\\\\', '"': '\\"', '\n': '\\n' }
+
+/** Labels in Prometheus text form, sorted by name: `{kind="signal-query"}`; empty without labels. */
+export function formatLabels (labels: Readonly<Record<string, string>>): string {
+  const names = Object.keys(labels)
+  if (names.length === 0) return ''
+  const pairs = names.sort().map(name => `${name}="${String(labels[name]).replace(/[\\"\n]/g, character => escapes[character]!)}"`)
+  return `{${pairs.join(',')}}`
+}
