feat(contracts): contract schema and store

Operators need every fault of a contract in one answer, each with its path. The store applies revisions upward only, deletions included, and keeps 64 bucket digests for the comparison between hosts.

--- /dev/null
+++ b/src/node/contracts/contractStore.ts
@@ -0,0 +1,90 @@
+import { hashText } from '../../shared/hashText.js'
+import type { ContractRevision } from '../../types/contractRevision.js'
+import type { ContractView } from '../../types/contractView.js'
+import { contractConstants } from './constants.js'
+
+/**
+ * The contract revisions known to a host, deletions included. Revisions only rise. Digests of 64 buckets
+ * of accounts let two hosts find their differences without exchanging every account.
+ */
+export class ContractStore implements ContractView {
+  private readonly revisions = new Map<string, ContractRevision>()
+  private readonly accountsByDigest = new Map<string, Set<string>>()
+  private readonly bucketAccounts = Array.from({ length: contractConstants.buckets }, () => new Set<string>())
+  private readonly bucketDigests: number[] = new Array<number>(contractConstants.buckets).fill(0)
+  private readonly listeners = new Set<(revision: ContractRevision) => void>()
+
+  /** True when the revision is newer than the known one and is in force now. */
+  apply (revision: ContractRevision): boolean {
+    const known = this.revisions.get(revision.account)
+    if (known && known.revision >= revision.revision) return false
+    this.revisions.set(revision.account, revision)
+    this.updateTokens(known, revision)
+    this.updateBucket(known, revision)
+    for (const listener of this.listeners) listener(revision)
+    return true
+  }
+
+  /** The contract in force; undefined when there is none or it was deleted. */
+  find (account: string): ContractRevision | undefined {
+    const known = this.revisions.get(account)
+    return known?.contract ? known : undefined
+  }
+
+  /** The newest known revision, which may be a deletion. */
+  findRevision (account: string): ContractRevision | undefined {
+    return this.revisions.get(account)
+  }
+
+  /** When several accounts hold the token, every host takes the account first in order. */
+  findByTokenDigest (digest: string): ContractRevision | undefined {
+    const account = [...this.accountsByDigest.get(digest) ?? []].sort()[0]
+    return account === undefined ? undefined : this.find(account)
+  }
+
+  list (): readonly ContractRevision[] {
+    return this.listRevisions().filter(revision => revision.contract !== null)
+  }
+
+  /** All newest revisions, deletions included. */
+  listRevisions (): readonly ContractRevision[] {
+    return [...this.revisions.values()]
+  }
+
+  onApplied (listener: (revision: ContractRevision) => void): () => void {
+    this.listeners.add(listener)
+    return () => { this.listeners.delete(listener) }
+  }
+
+  /** One 32-bit digest per bucket over accounts and revisions; independent of the order of changes. */
+  listBucketDigests (): readonly number[] {
+    return [...this.bucketDigests]
+  }
+
+  listBucketRevisions (bucket: number): readonly ContractRevision[] {
+    return [...this.bucketAccounts[bucket] ?? []].flatMap(account => this.revisions.get(account) ?? [])
+  }
+
+  private updateTokens (known: ContractRevision | undefined, revision: ContractRevision): void {
+    for (const digest of known?.contract?.tokenDigests ?? []) {
+      const accounts = this.accountsByDigest.get(digest)
+      accounts?.delete(revision.account)
+      if (accounts?.size === 0) this.accountsByDigest.delete(digest)
+    }
+    for (const digest of revision.contract?.tokenDigests ?? []) {
+      const accounts = this.accountsByDigest.get(digest) ?? new Set<string>()
+      this.accountsByDigest.set(digest, accounts.add(revision.account))
+    }
+  }
+
+  private updateBucket (known: ContractRevision | undefined, revision: ContractRevision): void {
+    const bucket = hashText(revision.account) % contractConstants.buckets
+    const removed = known ? hashRevision(known) : 0
+    this.bucketAccounts[bucket]?.add(revision.account)
+    this.bucketDigests[bucket] = ((this.bucketDigests[bucket] ?? 0) ^ removed ^ hashRevision(revision)) >>> 0
+  }
+}
+
+function hashRevision (revision: ContractRevision): number {
+  return hashText(`${revision.account}\n${revision.revision}`)
+}
--- /dev/null
+++ b/src/node/contracts/invalidContractError.ts
@@ -0,0 +1,13 @@
+import { LycheetrackError } from '../../shared/lycheetrackError.js'
+import type { ContractFault } from '../../types/contractFault.js'
+
+/** A contract breaks the schema; `faults` lists every fault. */
+export class InvalidContractError extends LycheetrackError {
+  readonly code = 'contract_invalid'
+  override readonly httpStatus = 422
+  override readonly ran = 'not_run'
+
+  constructor (readonly faults: readonly ContractFault[]) {
+    super(faults.map(fault => `${fault.path}: ${fault.message}`).join('; '))
+  }
+}
--- /dev/null
+++ b/src/node/contracts/validateStages.ts
@@ -0,0 +1,57 @@
+import type { ContractFault } from '../../types/contractFault.js'
+
+interface DraftStage {
+  readonly name: string
+  readonly operation: string
+  readonly after: readonly string[]
+  readonly model?: unknown
+  readonly maxTokens?: unknown
+  readonly serviceOperation?: unknown
+}
+
+/** Faults of the stage graph of one request kind: names, unknown stages, cycles and fields of the operation. */
+export function validateStages (path: string, stages: readonly DraftStage[]): readonly ContractFault[] {
+  const names = new Set(stages.map(stage => stage.name))
+  const cyclic = findCyclicStages(stages)
+  return stages.flatMap((stage, i) => [
+    ...validateLinks(`${path}.${i}`, stage, names, stages.slice(0, i)),
+    ...validateOperation(`${path}.${i}`, stage, stages.length),
+    ...(cyclic.has(stage.name) ? [{ path: `${path}.${i}.after`, message: `stage ${stage.name} is part of a cycle` }] : [])
+  ])
+}
+
+function validateLinks (path: string, stage: DraftStage, names: ReadonlySet<string>, earlier: readonly DraftStage[]): readonly ContractFault[] {
+  const faults: ContractFault[] = []
+  if (earlier.some(other => other.name === stage.name)) faults.push({ path: `${path}.name`, message: `stage ${stage.name} exists twice` })
+  stage.after.forEach((needed, i) => {
+    if (!names.has(needed)) faults.push({ path: `${path}.after.${i}`, message: `no stage is named ${needed}` })
+    if (stage.after.indexOf(needed) < i) faults.push({ path: `${path}.after.${i}`, message: `${needed} is listed twice` })
+  })
+  return faults
+}
+
+function validateOperation (path: string, stage: DraftStage, stageCount: number): readonly ContractFault[] {
+  const faults: ContractFault[] = []
+  const validateField = (field: 'model' | 'maxTokens' | 'serviceOperation', operation: string): void => {
+    const isSet = stage[field] !== undefined
+    if (stage.operation === operation && !isSet) faults.push({ path: `${path}.${field}`, message: `operation ${operation} needs ${field}` })
+    if (stage.operation !== operation && isSet) faults.push({ path: `${path}.${field}`, message: `only operation ${operation} takes ${field}` })
+  }
+  validateField('model', 'generate')
+  validateField('maxTokens', 'generate')
+  validateField('serviceOperation', 'call')
+  if (stage.operation === 'call' && stageCount > 1) faults.push({ path: `${path}.operation`, message: 'a call is the only stage of its kind' })
+  return faults
+}
+
+// A stage is in a cycle when it reaches itself through the stages that it needs.
+function findCyclicStages (stages: readonly DraftStage[]): ReadonlySet<string> {
+  const needs = new Map(stages.map(stage => [stage.name, stage.after]))
+  const hasPath = (from: string, to: string, seen: Set<string>): boolean => (needs.get(from) ?? []).some(next => {
+    if (next === to) return true
+    if (seen.has(next)) return false
+    seen.add(next)
+    return hasPath(next, to, seen)
+  })
+  return new Set(stages.map(stage => stage.name).filter(stage => hasPath(stage, stage, new Set())))
+}
