--- /dev/null
+++ b/src/node/health/constants.ts
@@ -0,0 +1,16 @@
+/** Detection of slow upstreams. */
+export const healthConstants = {
+  /** Latency relative to the pool above which an upstream counts as slow; batching alone stays below. */
+  slowRatio: 2.2,
+  /** Latency relative to the pool below which a slow upstream begins to recover; the gap is hysteresis. */
+  recoveredRatio: 1.6,
+  /** Weight of a new sample in the average. Two samples of an eight-fold slowdown cross `slowRatio`. */
+  sampleWeight: 0.35,
+  /** Samples are clamped so that one extreme value does not take long to forget. */
+  largestRatio: 10,
+  /** First delay between probes of a slow upstream; doubles up to `largestProbeDelayMs`. */
+  probeDelayMs: 500,
+  largestProbeDelayMs: 2000,
+  /** Attempts in flight at which a recovering upstream counts as healthy again. */
+  fullWindow: 8
+} as const
--- /dev/null
+++ b/src/node/retries/constants.ts
@@ -0,0 +1,9 @@
+/** Budget of repeated work. */
+export const retryConstants = {
+  /** Retries and hedges together may add this share of the work first sent. */
+  share: 0.05,
+  /** Unused budget is kept for this many milliseconds of work, so that a lost upstream can be retried at once. */
+  keepMs: 20_000,
+  /** Share of the kept budget that only retries may use. */
+  retryReserve: 0.4
+} as const
--- /dev/null
+++ b/src/node/routing/__tests__/createStageRouter.test.ts
@@ -0,0 +1,63 @@
+import t from 'tap'
+import { createSeededRandom } from '../../../shared/createSeededRandom.js'
+import type { StageWork } from '../../../types/stageWork.js'
+import type { Upstream } from '../../../types/upstream.js'
+import { createStageRouter } from '../createStageRouter.js'
+
+const none: ReadonlySet<string> = new Set()
+
+function buildUpstreams (count: number): readonly Upstream[] {
+  return Array.from({ length: count }, (_, i) => ({ id: `api-${i}`, address: `10.0.0.${i}:80`, pool: 'api', failureDomain: 'a', state: 'live' }))
+}
+
+function buildWork (id: number, idempotent = true): StageWork {
+  return { workId: `a/${id}/call`, account: 'a', pool: 'api', operation: 'call', cost: 1, priority: 5, deadlineMs: 1e9, idempotent }
+}
+
+/** Runs `count` calls one after another; `latency` tells the latency of each upstream. */
+function runCalls (count: number, latency: (upstreamId: string) => number) {
+  const router = createStageRouter({ random: createSeededRandom(1) })
+  router.applyUpstreams(buildUpstreams(4), 0)
+  const counts = new Map<string, number>()
+  let nowMs = 0
+  for (let i = 0; i < count; i++) {
+    const work = buildWork(i, false)
+    const id = router.route(work, none, nowMs)?.upstreamId as string
+    counts.set(id, (counts.get(id) ?? 0) + 1)
+    router.onSent(id, work, nowMs)
+    nowMs += latency(id)
+    router.onEnded(id, work, 'completed', latency(id), nowMs)
+  }
+  return { router, counts, nowMs }
+}
+
+t.test('sends little work to an upstream that its own calls show to be slow', t => {
+  const { counts } = runCalls(400, id => id === 'api-2' ? 160 : 20)
+  t.ok((counts.get('api-2') ?? 0) < 8, `${counts.get('api-2')} of 400 calls`)
+  t.end()
+})
+
+t.test('gives no work to a leaving upstream, although the host list still calls it live', t => {
+  const { router, nowMs } = runCalls(40, () => 20)
+  router.onLeaving('api-1', nowMs)
+  router.applyUpstreams(buildUpstreams(4), nowMs + 10_000)
+  const chosen = Array.from({ length: 100 }, (_, i) => router.route(buildWork(1000 + i), none, nowMs + 10_000)?.upstreamId)
+  t.notOk(chosen.includes('api-1'))
+  t.end()
+})
+
+t.test('keeps retries and hedges together within 5% of the work', t => {
+  const { router, nowMs } = runCalls(1000, () => 20)
+  const granted = Array.from({ length: 500 }, (_, i) => i % 2 === 0 ? router.admitRetry(buildWork(5000 + i), nowMs) : router.admitHedge(buildWork(5000 + i), nowMs))
+  const count = granted.filter(Boolean).length
+  t.ok(count > 20 && count <= 50, `${count} of 1000 calls repeated`)
+  t.end()
+})
+
+t.test('does not choose an excluded upstream', t => {
+  const { router, nowMs } = runCalls(40, () => 20)
+  const excluded = new Set(['api-0', 'api-1', 'api-2'])
+  for (let i = 0; i < 50; i++) t.equal(router.route(buildWork(9000 + i), excluded, nowMs)?.upstreamId, 'api-3')
+  t.equal(router.route(buildWork(1), new Set([...excluded, 'api-3']), nowMs), undefined)
+  t.end()
+})
--- /dev/null
+++ b/src/node/routing/constants.ts
@@ -0,0 +1,35 @@
+/** Choice of upstreams. */
+export const routingConstants = {
+  /** Random candidates compared for each attempt, beside the affinity candidate. */
+  candidates: 4,
+  /** Differences between load reports lose half their weight in about 0.7 of this age. */
+  reportTrustMs: 1000,
+  /** Reports older than this are ignored. */
+  reportLifetimeMs: 10_000,
+  /** Own attempts in flight are sampled at this interval, so that a late report can be compared with its own time. */
+  historyStepMs: 250,
+  historySteps: 16,
+  /** Predicted duration from which work counts as long. */
+  longWorkMs: 2500,
+  /** Share of the slots of a runner that long work leaves free, at least one slot. */
+  shortReserve: 0.06,
+  /** Extra latency of one more attempt at an upstream that does not report its slots. */
+  loadWeight: 0.25,
+  /** Predictions before the first observation. */
+  initialCallMs: 20,
+  initialTokenMs: 20,
+  initialFirstTokenMs: 80,
+  /** Share of the first-token latency that remains when the prompt prefix is cached. */
+  cachedPrefixShare: 0.4,
+  /** A prefix is kept for at most this many upstreams, and at most this many prefixes per pool. */
+  prefixHolders: 4,
+  prefixesPerPool: 4096,
+  /** A base latency may rise by this share in a second; a crest must not pass for the usual latency. */
+  baseRisePerSecond: 0.03,
+  /** Upstreams sampled for the usual speed of a pool, and how often. */
+  medianSample: 33,
+  medianIntervalMs: 100,
+  /** Silence of an upstream, relative to the predicted latency, that marks it slow. */
+  silenceRatio: 3,
+  leastSilenceMs: 60
+} as const
--- /dev/null
+++ b/src/node/routing/latencyModel.ts
@@ -0,0 +1,47 @@
+import { routingConstants } from './constants.js'
+
+/**
+ * Usual latency of one operation of a pool, from this host's own calls. The base follows the lower
+ * quartile, which neither a quarter of slowed upstreams nor a few stragglers move, and rises slowly.
+ */
+export class LatencyModel {
+  private baseMs: number
+  private observed = 0
+  private risenMs = 0
+  private tail = 2
+
+  constructor (initialMs: number) {
+    this.baseMs = initialMs
+  }
+
+  getBaseMs (): number {
+    return this.baseMs
+  }
+
+  /** 95th percentile of latency relative to the prediction. */
+  getTailRatio (): number {
+    return this.tail
+  }
+
+  observeBase (ms: number, nowMs: number): void {
+    this.observed++
+    if (this.observed === 1) {
+      this.baseMs = Math.max(ms, 0.01)
+      this.risenMs = nowMs
+      return
+    }
+    const step = Math.max(0.02, 0.5 / this.observed)
+    if (ms < this.baseMs) {
+      this.baseMs = Math.max(this.baseMs * (1 - step * 0.75), ms)
+      return
+    }
+    const allowed = this.observed < 50 ? 1 : (nowMs - this.risenMs) / 1000 * routingConstants.baseRisePerSecond
+    this.baseMs = Math.min(this.baseMs * (1 + Math.min(step * 0.25, allowed)), ms)
+    this.risenMs = nowMs
+  }
+
+  observeTail (ratio: number): void {
+    this.tail *= ratio > this.tail ? 1 + 0.05 * 0.95 : 1 - 0.05 * 0.05
+    this.tail = Math.min(Math.max(this.tail, 1.15), 4)
+  }
+}
--- /dev/null
+++ b/src/node/routing/stageRouterCore.ts
@@ -0,0 +1,184 @@
+import { RepeatBudget } from '../retries/repeatBudget.js'
+import { healthConstants } from '../health/constants.js'
+import type { AttemptOutcome } from '../../types/attemptOutcome.js'
+import type { LoadReport } from '../../types/loadReport.js'
+import type { RoutingCore } from '../../types/routingCore.js'
+import type { RoutingOptions } from '../../types/routingOptions.js'
+import type { StageOperation } from '../../types/stageOperation.js'
+import type { StageWork } from '../../types/stageWork.js'
+import type { Upstream } from '../../types/upstream.js'
+import type { UpstreamChoice } from '../../types/upstreamChoice.js'
+import type { AttemptRecord } from './attemptRecord.js'
+import type { Candidate } from './candidate.js'
+import { AttemptObserver } from './attemptObserver.js'
+import { routingConstants } from './constants.js'
+import type { OperationModel } from './operationModel.js'
+import { UpstreamChooser } from './upstreamChooser.js'
+import { UpstreamTable } from './upstreamTable.js'
+import type { UpstreamView } from './upstreamView.js'
+import type { UpstreamPool } from './upstreamPool.js'
+import { WorkTable } from './workTable.js'
+
+/** The routing core; see createStageRouter. */
+export class StageRouterCore implements RoutingCore {
+  private readonly table: UpstreamTable
+  private readonly chooser: UpstreamChooser
+  private readonly observer = new AttemptObserver()
+  private readonly budget = new RepeatBudget()
+  private readonly works = new WorkTable()
+  private readonly wallOffsetMs: number
+  private readonly countHosts: () => number
+
+  constructor (options: RoutingOptions) {
+    this.table = new UpstreamTable(options.random)
+    this.countHosts = options.countHosts ?? (() => 1)
+    this.wallOffsetMs = options.wallOffsetMs ?? 0
+    this.chooser = new UpstreamChooser(options.random, this.countHosts)
+  }
+
+  applyUpstreams (upstreams: readonly Upstream[], nowMs: number): void {
+    this.table.applyUpstreams(upstreams, nowMs)
+  }
+
+  route (work: StageWork, excluded: ReadonlySet<string>, nowMs: number): UpstreamChoice | undefined {
+    const pool = this.table.findPool(work.pool)
+    if (pool === undefined || pool.selectable.length === 0) return undefined
+    const model = pool.getModel(work.operation, work.model)
+    const long = isLong(model, work)
+    if (long && pool.long.getAttempts() >= pool.computeLongLimit(this.countHosts())) return undefined
+    const probe = long ? undefined : this.chooseProbe(pool, model, work, excluded, nowMs)
+    if (probe !== undefined) return buildProbe(probe, model, work)
+    const chosen = this.chooser.choose(pool, model, work, long, excluded, nowMs)
+    return chosen && buildChoice(chosen, model, work, long)
+  }
+
+  onSent (upstreamId: string, work: StageWork, nowMs: number): void {
+    const view = this.table.find(upstreamId)
+    const pool = this.table.findPool(work.pool)
+    if (view === undefined || pool === undefined) return
+    const model = pool.getModel(work.operation, work.model)
+    const long = isLong(model, work)
+    const serviceMs = model.computeServiceMs(work.cost)
+    const candidate = this.chooser.computeCandidate(pool, model, work, view, nowMs)
+    const predictedMs = serviceMs + candidate.waitMs
+    view.addAttempt(work.workId, createRecord(work, long, predictedMs, candidate.waitMs, nowMs), nowMs)
+    if (this.works.onSent(work.workId, view)) this.budget.addWork(serviceMs, nowMs)
+    pool.getLane(long).onSent(serviceMs)
+    pool.observeService(serviceMs)
+    if (work.prefixHash !== undefined && model.streaming) pool.prefixes.add(work.prefixHash, upstreamId)
+  }
+
+  onProgress (upstreamId: string, work: StageWork, tokens: number, nowMs: number): void {
+    const view = this.table.find(upstreamId)
+    const pool = this.table.findPool(work.pool)
+    const attempt = view?.attempts.get(work.workId)
+    if (view === undefined || pool === undefined || attempt === undefined) return
+    this.observer.observeProgress(pool, view, attempt, pool.getModel(work.operation, work.model), tokens, nowMs)
+  }
+
+  onEnded (upstreamId: string, work: StageWork, outcome: AttemptOutcome, elapsedMs: number, nowMs: number): void {
+    const view = this.works.find(work.workId, upstreamId)
+    const pool = this.table.findPool(work.pool)
+    const attempt = view?.takeAttempt(work.workId, nowMs)
+    if (view === undefined || pool === undefined || attempt === undefined) return
+    this.works.onEnded(work.workId, view, outcome)
+    const model = pool.getModel(work.operation, work.model)
+    const serviceMs = model.computeServiceMs(work.cost)
+    this.observer.observeEnd(pool, view, attempt, model, outcome, elapsedMs, nowMs)
+    pool.getLane(attempt.long).onEnded(serviceMs, outcome === 'completed', nowMs)
+    this.table.removeIdle(view)
+  }
+
+  onLoadReport (report: LoadReport, nowMs: number): void {
+    const view = this.table.find(report.upstreamId)
+    if (view === undefined) return
+    const others = view.applyReport(report, report.atMs - this.wallOffsetMs, nowMs)
+    this.table.findPool(view.upstream.pool)?.observeOthers(others)
+  }
+
+  onCacheEvent (upstreamId: string, type: 'stored' | 'evicted' | 'gap', prefixHash: string): void {
+    const view = this.table.find(upstreamId)
+    const prefixes = view && this.table.findPool(view.upstream.pool)?.prefixes
+    if (prefixes === undefined) return
+    if (type === 'stored') prefixes.add(prefixHash, upstreamId)
+    else if (type === 'evicted') prefixes.remove(prefixHash, upstreamId)
+    else prefixes.removeUpstream(upstreamId)
+  }
+
+  onLeaving (upstreamId: string, nowMs: number): void {
+    this.table.onLeaving(upstreamId, nowMs)
+  }
+
+  admitRetry (work: StageWork): boolean {
+    const repeatsNothing = this.works.takeRefused(work.workId)
+    if (!repeatsNothing && !this.budget.admitRetry(this.computeWorkMs(work))) return false
+    this.works.addRepeat(work.workId)
+    return true
+  }
+
+  admitHedge (work: StageWork, nowMs: number): boolean {
+    if (!work.idempotent || !this.isHedgeUseful(work, nowMs)) return false
+    if (!this.budget.admitHedge(this.computeWorkMs(work))) return false
+    this.works.addRepeat(work.workId)
+    return true
+  }
+
+  computeStageMs (poolName: string, operation: StageOperation, modelName: string | undefined, cost: number, nowMs: number): { readonly serviceMs: number, readonly waitMs: number } {
+    const pool = this.table.findPool(poolName)
+    if (pool === undefined) return { serviceMs: 0, waitMs: 0 }
+    const model = pool.getModel(operation, modelName)
+    const serviceMs = model.computeServiceMs(cost)
+    const lane = pool.getLane(serviceMs >= routingConstants.longWorkMs)
+    return { serviceMs, waitMs: lane.computeWaitMs(serviceMs, nowMs) }
+  }
+
+  private computeWorkMs (work: StageWork): number {
+    return this.table.findPool(work.pool)?.getModel(work.operation, work.model).computeServiceMs(work.cost) ?? 0
+  }
+
+  /** A probe goes to a slow upstream with short idempotent work that leaves time for a hedge. */
+  private chooseProbe (pool: UpstreamPool, model: OperationModel, work: StageWork, excluded: ReadonlySet<string>, nowMs: number): Candidate | undefined {
+    if (!work.idempotent || work.deadlineMs - nowMs < model.computeServiceMs(work.cost) * 2.5) return undefined
+    const view = pool.listSlow(nowMs).find(slow => slow.isSelectable() && slow.speed.isProbeDue(nowMs) && !excluded.has(slow.upstream.id))
+    if (view === undefined) return undefined
+    view.speed.onProbeSent(nowMs)
+    return this.chooser.computeCandidate(pool, model, work, view, nowMs)
+  }
+
+  /** A hedge is useless while the running attempt would end before a new one. */
+  private isHedgeUseful (work: StageWork, nowMs: number): boolean {
+    const pool = this.table.findPool(work.pool)
+    const views = this.works.list(work.workId)
+    if (pool === undefined || views.length > 1) return false
+    const model = pool.getModel(work.operation, work.model)
+    return !views.some(view => this.isOnTime(view, work, model, nowMs))
+  }
+
+  private isOnTime (view: UpstreamView, work: StageWork, model: OperationModel, nowMs: number): boolean {
+    const attempt = view.attempts.get(work.workId)
+    if (attempt === undefined || attempt.tokens === 0) return false
+    const paceMs = Math.max((nowMs - attempt.firstMs) / attempt.tokens, model.perCost.getBaseMs())
+    return paceMs * Math.max(0, work.cost - attempt.tokens) < model.computeServiceMs(work.cost) * healthConstants.recoveredRatio
+  }
+}
+
+function isLong (model: OperationModel, work: StageWork): boolean {
+  return model.computeServiceMs(work.cost) >= routingConstants.longWorkMs
+}
+
+function createRecord (work: StageWork, long: boolean, predictedMs: number, waitMs: number, nowMs: number): AttemptRecord {
+  return { sentMs: nowMs, cost: work.cost, long, predictedMs, waitMs, firstMs: 0, firstTokens: 0, sampledMs: 0, sampledTokens: 0, tokens: 0 }
+}
+
+function buildProbe (probe: Candidate, model: OperationModel, work: StageWork): UpstreamChoice {
+  const hedgeAfterMs = model.streaming ? model.computeServiceMs(2) * 1.5 : model.computeServiceMs(work.cost) * 1.5
+  return { upstreamId: probe.view.upstream.id, predictedMs: probe.serviceMs + probe.waitMs, hedgeAfterMs }
+}
+
+function buildChoice (chosen: Candidate, model: OperationModel, work: StageWork, long: boolean): UpstreamChoice {
+  const predictedMs = chosen.serviceMs + chosen.waitMs
+  const upstreamId = chosen.view.upstream.id
+  if (!work.idempotent || long) return { upstreamId, predictedMs }
+  const hedgedMs = model.streaming ? model.computeServiceMs(4) + chosen.waitMs : predictedMs
+  return { upstreamId, predictedMs, hedgeAfterMs: hedgedMs * model.perCost.getTailRatio() }
+}
