--- /dev/null
+++ b/playground/standIns/modelEngine/cacheEndPoints.ts
@@ -0,0 +1,47 @@
+import { z } from 'zod'
+import type { FaultState } from '../server/faultState.js'
+import type { StandInCall } from '../server/standInCall.js'
+import type { PrefixCache } from './prefixCache.js'
+
+const exportBody = z.object({ prefixHash: z.string() })
+const importBody = z.object({ prefixHash: z.string(), version: z.string(), data: z.string() })
+
+/** Cache events, and export and import of cached prefixes. */
+export class CacheEndPoints {
+  private readonly dropped = new Map<number, boolean>()
+
+  constructor (private readonly cache: PrefixCache, private readonly delayMs: number, private readonly faults: FaultState) {}
+
+  /** Sends the events after a sequence number; late, and with gaps under the fault `dropCacheEvents`. */
+  sendEvents (call: StandInCall): Promise<void> {
+    const known = this.cache.listEvents(call.parseNumber('after', 0), performance.now() - this.delayMs)
+    const events = known.filter(event => !this.isDropped(event.seq)).map(({ seq, type, prefixHash }) => ({ seq, type, prefixHash }))
+    return call.sendJson(200, { events, latest: known.at(-1)?.seq ?? call.parseNumber('after', 0) })
+  }
+
+  sendExport (call: StandInCall): Promise<void> {
+    const { prefixHash } = call.parseBody(exportBody)
+    const data = this.cache.findPrompt(prefixHash)
+    if (data === undefined) return call.sendJson(404, { error: 'prefix is not in the cache' })
+    return call.sendJson(200, { prefixHash, version: this.getVersion(), data })
+  }
+
+  /** Takes over an exported prefix; 409 when it comes from another model version. */
+  receiveImport (call: StandInCall): Promise<void> {
+    const { prefixHash, version, data } = call.parseBody(importBody)
+    if (version !== this.getVersion()) return call.sendJson(409, { error: `cache of version ${version} does not fit version ${this.getVersion()}` })
+    if (this.cache.hashPrefix(data) !== prefixHash) return call.sendJson(400, { error: 'data does not match the prefix hash' })
+    this.cache.addPrompt(data, performance.now())
+    return call.sendJson(200, { prefixHash })
+  }
+
+  private getVersion (): string {
+    return this.faults.settings.version ?? '1'
+  }
+
+  // An event stays dropped for every reader, as when the engine never published it.
+  private isDropped (seq: number): boolean {
+    if (!this.dropped.has(seq)) this.dropped.set(seq, this.faults.isHit(this.faults.settings.dropCacheEvents))
+    return this.dropped.get(seq) ?? false
+  }
+}
--- /dev/null
+++ b/playground/standIns/modelEngine/modelEngineHandler.ts
@@ -0,0 +1,145 @@
+import { z } from 'zod'
+import type { Random } from '../../../src/types/random.js'
+import type { Execution } from '../server/execution.js'
+import type { ExecutionLog } from '../server/executionLog.js'
+import type { FaultState } from '../server/faultState.js'
+import { LoadReporter } from '../server/loadReporter.js'
+import type { StandInCall } from '../server/standInCall.js'
+import type { StandInHandler } from '../server/standInHandler.js'
+import { CacheEndPoints } from './cacheEndPoints.js'
+import { EngineBatch } from './engineBatch.js'
+import type { EngineOptions } from './engineOptions.js'
+import { EngineStream } from './engineStream.js'
+import { OrderEndPoint } from './orderEndPoint.js'
+import { StreamReader } from './streamReader.js'
+
+const finishedKeptMs = 60_000
+const sweepMs = 250
+const completionBody = z.object({
+  stream_id: z.string(),
+  model: z.string().optional(),
+  prompt: z.string(),
+  max_tokens: z.number().int().positive(),
+  priority: z.number().default(0),
+  fencing: z.number().optional()
+})
+
+/** Model engine: streams, resume and cancel, load report, cache events, orders. */
+export class ModelEngineHandler implements StandInHandler {
+  private readonly batch: EngineBatch
+  private readonly streams = new Map<string, { readonly stream: EngineStream, readonly execution: Execution }>()
+  private readonly readers = new Map<string, Set<StreamReader>>()
+  private readonly reporter: LoadReporter
+  private readonly caches: CacheEndPoints
+  private readonly orders: OrderEndPoint
+  private readonly sweepTimer: NodeJS.Timeout
+  private stepTimer: NodeJS.Timeout | undefined
+
+  constructor (private readonly options: EngineOptions, private readonly random: Random, private readonly faults: FaultState, private readonly log: ExecutionLog) {
+    this.batch = new EngineBatch(options)
+    this.caches = new CacheEndPoints(this.batch.cache, options.cacheEventDelayMs, faults)
+    this.orders = new OrderEndPoint(options, faults, log)
+    this.reporter = new LoadReporter(() => ({ running: this.batch.runningCount, waiting: this.batch.waitingCount, slots: options.slots, kvUsed: this.batch.kvUsed }), options.reportLagMs, faults)
+    this.sweepTimer = setInterval(() => this.runSweep(), sweepMs)
+  }
+
+  handleCall (call: StandInCall): Promise<void> | void {
+    const route = `${call.method} ${call.path}`
+    if (route === 'POST /v1/completions') return this.handleCompletion(call)
+    if (call.path.startsWith('/v1/streams/')) return this.handleStream(call, call.path.slice('/v1/streams/'.length))
+    if (route === 'GET /load') return call.sendJson(200, { ...this.reporter.buildReport(), ...this.orders.buildState() })
+    if (route === 'GET /cache/events') return this.caches.sendEvents(call)
+    if (route === 'POST /cache/export') return this.caches.sendExport(call)
+    if (route === 'POST /cache/import') return this.caches.receiveImport(call)
+    if (route === 'POST /orders') return this.orders.handleOrder(call)
+    return call.sendJson(404, { error: `no end point ${route}` })
+  }
+
+  buildHeaders (): Readonly<Record<string, string>> {
+    return { 'X-Upstream-State': this.faults.settings.leaving ? 'leaving' : 'live', 'X-Engine-Version': this.faults.settings.version ?? '1' }
+  }
+
+  onFaults (): void {
+    this.runSteps()
+    this.batch.setSlowFactor(this.faults.settings.slowFactor ?? 1)
+    this.scheduleStep()
+  }
+
+  stop (): void {
+    clearTimeout(this.stepTimer)
+    clearInterval(this.sweepTimer)
+    this.reporter.stop()
+  }
+
+  private handleCompletion (call: StandInCall): Promise<void> | void {
+    const body = call.parseBody(completionBody)
+    const known = this.streams.get(body.stream_id)
+    if (known) return this.addReader(call, known.stream, 0)
+    if (this.faults.settings.leaving) return call.sendJson(503, { error: 'leaving' })
+    if (body.fencing !== undefined && this.orders.isOutdated(body.fencing)) return call.sendJson(409, { error: 'fencing number is outdated' })
+    if (body.model !== undefined && !this.orders.isServed(body.model)) return call.sendJson(404, { error: `model ${body.model} is not loaded` })
+    if (this.batch.waitingCount >= this.options.queueLimit) return call.sendJson(429, { error: 'queue is full' }, { 'Retry-After': '1' })
+    const stream = new EngineStream(body.stream_id, body.prompt, body.max_tokens, body.priority)
+    this.streams.set(stream.streamId, { stream, execution: this.log.recordStart(stream.streamId, 'generate', Date.now()) })
+    this.batch.addStream(stream, performance.now())
+    this.scheduleStep()
+    this.addReader(call, stream, 0)
+  }
+
+  private handleStream (call: StandInCall, streamId: string): Promise<void> | void {
+    const known = this.streams.get(streamId)
+    if (!known) return call.sendJson(404, { error: 'no such stream' })
+    if (call.method === 'GET') return this.addReader(call, known.stream, call.parseNumber('offset', 0))
+    if (call.method !== 'DELETE') return call.sendJson(405, { error: 'GET or DELETE' })
+    if (!known.stream.isEnded) {
+      this.batch.cancelStream(known.stream, performance.now())
+      this.settleStream(known.stream)
+      this.scheduleStep()
+    }
+    return call.sendJson(200, { produced: known.stream.produced })
+  }
+
+  private addReader (call: StandInCall, stream: EngineStream, offset: number): void {
+    // A lost answer of a stream is a connection that breaks somewhere within the stream.
+    const cutAt = this.faults.isHit(this.faults.settings.loseAnswers) ? offset + Math.floor(this.random() * (stream.length - offset)) : undefined
+    const reader = new StreamReader(stream, call.response, offset, performance.now(), cutAt)
+    const readers = this.readers.get(stream.streamId) ?? new Set()
+    this.readers.set(stream.streamId, readers.add(reader))
+    call.response.on('close', () => {
+      readers.delete(reader)
+      if (readers.size === 0 && this.readers.get(stream.streamId) === readers) this.readers.delete(stream.streamId)
+    })
+    reader.sendDue(performance.now())
+  }
+
+  private runSteps (): void {
+    const nowMs = performance.now()
+    for (const stream of this.batch.runSteps(nowMs)) {
+      if (stream.isEnded) this.settleStream(stream)
+      else for (const reader of this.readers.get(stream.streamId) ?? []) reader.sendDue(nowMs)
+    }
+  }
+
+  private settleStream (stream: EngineStream): void {
+    const execution = this.streams.get(stream.streamId)?.execution
+    if (execution) {
+      execution.tokens = stream.produced
+      this.log.settleExecution(execution, stream.state, Date.now())
+    }
+    for (const reader of this.readers.get(stream.streamId) ?? []) reader.sendDue(stream.endedAtMs)
+  }
+
+  private scheduleStep (): void {
+    clearTimeout(this.stepTimer)
+    this.stepTimer = undefined
+    const nextMs = this.batch.computeNextStepMs()
+    if (nextMs === undefined) return
+    this.stepTimer = setTimeout(() => { this.runSteps(); this.scheduleStep() }, Math.max(this.options.tickMs, nextMs - performance.now()))
+  }
+
+  private runSweep (): void {
+    const nowMs = performance.now()
+    for (const readers of this.readers.values()) for (const reader of readers) if (!reader.isClosed) reader.sendKeepalive(nowMs)
+    for (const [streamId, { stream }] of this.streams) if (stream.isEnded && stream.endedAtMs < nowMs - finishedKeptMs) this.streams.delete(streamId)
+  }
+}
--- /dev/null
+++ b/playground/standIns/modelEngine/streamReader.ts
@@ -0,0 +1,43 @@
+import type { ServerResponse } from 'node:http'
+import type { EngineStream } from './engineStream.js'
+
+const keepaliveMs = 500
+
+/** One connection that reads a stream from an offset on. */
+export class StreamReader {
+  private lastWriteMs: number
+
+  constructor (readonly stream: EngineStream, private readonly response: ServerResponse, private offset: number, nowMs: number, private readonly cutAt: number | undefined) {
+    this.lastWriteMs = nowMs
+    response.writeHead(200, { 'Content-Type': 'text/event-stream', 'Cache-Control': 'no-store' })
+    response.flushHeaders()
+  }
+
+  get isClosed (): boolean {
+    return this.response.destroyed || this.response.writableEnded
+  }
+
+  /** Writes all tokens that are due in one write; cuts the connection where the fault says so. */
+  sendDue (nowMs: number): void {
+    const { stream, response } = this
+    const isCut = this.cutAt !== undefined && stream.produced >= this.cutAt
+    const end = isCut ? Math.max(this.offset, this.cutAt ?? 0) : stream.produced
+    let text = stream.renderTokens(this.offset, end)
+    this.offset = Math.max(this.offset, end)
+    if (isCut) {
+      if (text !== '') response.write(text, () => response.destroy())
+      else response.destroy()
+      return
+    }
+    if (stream.state === 'completed') text += `data: {"done":true,"count":${stream.length}}\n\n`
+    if (text !== '') this.lastWriteMs = nowMs
+    if (stream.isEnded) response.end(stream.state === 'cancelled' ? text + 'data: {"cancelled":true}\n\n' : text)
+    else if (text !== '') response.write(text)
+  }
+
+  sendKeepalive (nowMs: number): void {
+    if (nowMs - this.lastWriteMs < keepaliveMs) return
+    this.lastWriteMs = nowMs
+    this.response.write(': keepalive\n\n')
+  }
+}
--- /dev/null
+++ b/playground/standIns/server/callRunner.ts
@@ -0,0 +1,57 @@
+import { setTimeout as waitMs } from 'node:timers/promises'
+import { z } from 'zod'
+import type { Random } from '../../../src/types/random.js'
+import type { ExecutionLog } from './executionLog.js'
+import type { FaultState } from './faultState.js'
+import { LoadReporter } from './loadReporter.js'
+import type { StandInCall } from './standInCall.js'
+import { WorkQueue } from './workQueue.js'
+
+const callBody = z.object({ call_id: z.string(), input: z.unknown() })
+
+interface RunnerOptions {
+  readonly slots: number
+  /** Mean service time; each call takes 0.5 to 1.5 times as long. */
+  readonly serviceMs: number
+  readonly reportLagMs: number
+}
+
+/** Runs calls of stage pools and plain services: slots, service time, log, load report and faults. */
+export class CallRunner {
+  private readonly queue: WorkQueue
+  private readonly reporter: LoadReporter
+
+  constructor (private readonly options: RunnerOptions, private readonly random: Random, private readonly faults: FaultState, private readonly log: ExecutionLog) {
+    this.queue = new WorkQueue(options.slots)
+    this.reporter = new LoadReporter(() => ({ running: this.queue.running, waiting: this.queue.waiting, slots: options.slots, kvUsed: 0 }), options.reportLagMs, faults)
+  }
+
+  buildHeaders (): Readonly<Record<string, string>> {
+    return { 'X-Upstream-State': this.faults.settings.leaving ? 'leaving' : 'live' }
+  }
+
+  sendReport (call: StandInCall): Promise<void> {
+    return call.sendJson(200, this.reporter.buildReport())
+  }
+
+  /** Runs one call and answers it with what `buildOutput` makes of its id and input. */
+  async runCall (call: StandInCall, operation: string, buildOutput: (callId: string, input: unknown) => unknown): Promise<void> {
+    const { call_id: callId, input } = call.parseBody(callBody)
+    if (this.faults.settings.leaving) return call.sendJson(503, { error: 'leaving' })
+    await this.queue.openSlot()
+    const execution = this.log.recordStart(callId, operation, Date.now())
+    try {
+      await waitMs(this.options.serviceMs * (0.5 + this.random()) * (this.faults.settings.slowFactor ?? 1))
+    } finally {
+      this.queue.closeSlot()
+    }
+    const isLost = this.faults.isHit(this.faults.settings.loseAnswers)
+    this.log.settleExecution(execution, isLost ? 'answer lost' : 'completed', Date.now())
+    if (isLost) return call.closeConnection()
+    await call.sendJson(200, { call_id: callId, output: buildOutput(callId, input) })
+  }
+
+  stop (): void {
+    this.reporter.stop()
+  }
+}
--- /dev/null
+++ b/playground/standIns/server/execution.ts
@@ -0,0 +1,14 @@
+/** One execution, as `GET /control/log` lists it. Times are milliseconds since the epoch. */
+export interface Execution {
+  /** Request id, when the call id has the form `account/request/stage/attempt`. */
+  readonly requestId?: string
+  /** Stream id, call id or key. */
+  readonly streamId: string
+  readonly operation: string
+  readonly start: number
+  end?: number
+  /** `running` until the execution ends. */
+  outcome: string
+  /** Generated tokens, for streams. */
+  tokens?: number
+}
--- /dev/null
+++ b/playground/standIns/server/lagBuffer.ts
@@ -0,0 +1,16 @@
+/** Snapshots of a value, read back with a lag, e.g. load reports that show a state of the past. */
+export class LagBuffer<T> {
+  private snapshots: { readonly atMs: number, readonly value: T }[] = []
+
+  constructor (private readonly longestLagMs = 30_000) {}
+
+  addSnapshot (value: T, nowMs: number): void {
+    this.snapshots.push({ atMs: nowMs, value })
+    if (this.snapshots.length > 1000) this.snapshots = this.snapshots.filter(snapshot => snapshot.atMs >= nowMs - this.longestLagMs).slice(-600)
+  }
+
+  /** The newest snapshot that is at least `lagMs` old, else the oldest one. */
+  findSnapshot (lagMs: number, nowMs: number): T | undefined {
+    return (this.snapshots.findLast(snapshot => snapshot.atMs <= nowMs - lagMs) ?? this.snapshots[0])?.value
+  }
+}
--- /dev/null
+++ b/playground/standIns/server/standInError.ts
@@ -0,0 +1,10 @@
+import { LycheetrackError } from '../../../src/shared/lycheetrackError.js'
+
+/** A call that a stand-in cannot answer, e.g. because of an invalid body. */
+export class StandInError extends LycheetrackError {
+  readonly code = 'stand_in_refused'
+
+  constructor (override readonly httpStatus: number, message: string) {
+    super(message)
+  }
+}
