--- /dev/null
+++ b/playground/caller/buildCallerRequest.ts
@@ -0,0 +1,29 @@
+import type { RequestKindSpec } from '../../src/types/requestKindSpec.js'
+import type { Random } from '../../src/types/random.js'
+import type { WorkloadEntry } from '../examples/workloadEntry.js'
+import type { CallerRequest } from './callerRequest.js'
+
+/** A request of a workload entry with a marker of its own; `index` must be unique among the caller's requests. */
+export function buildCallerRequest (entry: WorkloadEntry, kind: RequestKindSpec, index: number, random: Random): CallerRequest {
+  const marker = `${entry.account}-${entry.kind}-${index}-${Math.floor(random() * 1e9).toString(36)}`
+  const generates = kind.stages.some(stage => stage.operation === 'generate')
+  const [least = 1, largest = 1] = entry.tokens ?? []
+  const tokenCount = generates ? least + Math.floor(random() * (largest - least + 1)) : undefined
+  const context = buildContext(entry)
+  const text = generates ? `marker:${marker} length:${tokenCount}` : `marker:${marker}`
+  return {
+    kind: entry.kind,
+    input: context === '' ? { text } : { context, text },
+    marker,
+    tokenCount,
+    stream: generates,
+    deadlineMs: kind.deadlineMs,
+    abandonAfterMs: entry.abandonAfterMs
+  }
+}
+
+// The context is the same for all requests of an account and kind, as a system prompt is.
+function buildContext (entry: WorkloadEntry): string {
+  const length = entry.contextChars ?? 0
+  return `context of ${entry.account} for ${entry.kind}. `.repeat(Math.ceil(length / 30)).slice(0, length)
+}
--- /dev/null
+++ b/playground/caller/requestAttempts.ts
@@ -0,0 +1,150 @@
+import { setTimeout as waitMs } from 'node:timers/promises'
+import type { Dispatcher } from 'undici'
+import { v7 as createRequestId } from 'uuid'
+import { AnswerCheck } from './answerCheck.js'
+import type { AnswerError } from './answerError.js'
+import { AnswerReader } from './answerReader.js'
+import type { CallerRequest } from './callerRequest.js'
+import type { ConnectionEnd } from './connectionEnd.js'
+import { callerConstants } from './constants.js'
+import type { RequestRecord } from './requestRecord.js'
+import type { RouteSource } from './routeSource.js'
+
+interface AttemptOptions {
+  readonly request: CallerRequest
+  readonly account: string
+  readonly token: string
+  readonly silenceMs: number
+  readonly dispatcher: Dispatcher
+  readonly routes: RouteSource
+  /** Resolves after the round trip between caller and entry hosts. */
+  readonly waitLink: () => Promise<void>
+  readonly cancelRequest: (address: string, requestId: string) => Promise<void>
+}
+
+/** All connections of one request: the first one, rejoins with the same id, and retries after `not_run`. */
+export class RequestAttempts {
+  private readonly sentAtMs = Date.now()
+  private readonly startMs = performance.now()
+  private readonly requestIds: string[] = [createRequestId()]
+  private readonly addresses: string[] = []
+  private check: AnswerCheck
+  private firstTokenMs: number | undefined
+  private rejoinCount = 0
+  private brokenCount = 0
+  private retryCount = 0
+  private restartCount = 0
+
+  constructor (private readonly options: AttemptOptions) {
+    this.check = new AnswerCheck(options.request)
+  }
+
+  async runRequest (): Promise<RequestRecord> {
+    const { request } = this.options
+    const giveUp = new AbortController()
+    const giveUpTimer = setTimeout(() => giveUp.abort(), request.deadlineMs + callerConstants.graceMs)
+    const abandonTimer = request.abandonAfterMs === undefined ? undefined : setTimeout(() => giveUp.abort('abandoned'), request.abandonAfterMs)
+    try {
+      return await this.runAttempts(giveUp.signal)
+    } finally {
+      clearTimeout(giveUpTimer)
+      clearTimeout(abandonTimer)
+    }
+  }
+
+  private async runAttempts (signal: AbortSignal): Promise<RequestRecord> {
+    while (!signal.aborted) {
+      const address = await this.options.routes.chooseAddress(this.addresses.at(-1))
+      const end = address === undefined ? { type: 'broken', reason: 'no route' } as const : await this.runConnection(address, signal)
+      if (signal.aborted) break
+      if (end.type === 'answered') return this.buildRecord({ outcome: 'whole', ran: 'ran', result: end.result })
+      if (end.type === 'violated') return this.buildRecord({ outcome: 'wrong', ran: 'ran', violation: end.violation })
+      if (end.type === 'error') {
+        const isRetried = await this.waitRetry(end.error, signal)
+        if (!isRetried) return this.buildError(end.error)
+      } else {
+        await this.waitRejoin(end, address, signal)
+      }
+    }
+    return this.buildGivenUp(signal)
+  }
+
+  private async runConnection (address: string, signal: AbortSignal): Promise<ConnectionEnd> {
+    const { request, token, dispatcher, silenceMs, waitLink } = this.options
+    await waitLink()
+    this.addresses.push(address)
+    const reader = new AnswerReader({
+      origin: `http://${address}`,
+      token,
+      requestId: this.getRequestId(),
+      body: JSON.stringify({ kind: request.kind, input: request.input, stream: request.stream, deadlineMs: request.shortenedDeadlineMs }),
+      dispatcher,
+      signal,
+      silenceMs,
+      onFirstToken: () => { this.firstTokenMs ??= performance.now() - this.startMs }
+    }, this.check)
+    return reader.readAnswer()
+  }
+
+  /** Follows the retry hint of a `not_run` answer; false when there is none or no retry is left. */
+  private async waitRetry (error: AnswerError, signal: AbortSignal): Promise<boolean> {
+    const { request, routes } = this.options
+    const hasHint = error.retryAfterMs !== undefined || error.addresses !== undefined
+    if (error.ran !== 'not_run' || !hasHint || this.retryCount >= (request.maxRetries ?? callerConstants.maxRetries)) return false
+    const delayMs = error.retryAfterMs ?? 0
+    if (performance.now() - this.startMs + delayMs > request.deadlineMs) return false
+    routes.applyAddresses(error.addresses?.map(entry => entry.address) ?? [])
+    this.retryCount++
+    this.restartCount += this.check.restartCount
+    // `not_run` promises that nothing ran, so a new id can not run the request twice.
+    this.requestIds.push(createRequestId())
+    this.check = new AnswerCheck(request)
+    await waitMs(delayMs, undefined, { signal }).catch(() => {})
+    return true
+  }
+
+  private async waitRejoin (end: ConnectionEnd & { type: 'broken' }, address: string | undefined, signal: AbortSignal): Promise<void> {
+    if (address !== undefined) {
+      this.options.routes.recordFailure(address)
+      this.rejoinCount++
+    }
+    // The first rejoin is sent at once; the delay grows while connection after connection fails.
+    const backoffMs = this.brokenCount === 0 ? 0 : Math.min(callerConstants.largestBackoffMs, callerConstants.leastBackoffMs * 2 ** this.brokenCount)
+    this.brokenCount++
+    if (backoffMs > 0 && end.reason !== 'silence') await waitMs(backoffMs, undefined, { signal }).catch(() => {})
+  }
+
+  private buildError (error: AnswerError): RequestRecord {
+    return this.buildRecord({ outcome: error.ran === 'not_run' ? 'refused' : 'failed', ran: error.ran, code: error.code, message: error.message })
+  }
+
+  private buildGivenUp (signal: AbortSignal): RequestRecord {
+    const address = this.addresses.at(-1)
+    if (address !== undefined) this.options.cancelRequest(address, this.getRequestId())
+    if (signal.reason === 'abandoned') return this.buildRecord({ outcome: 'abandoned', ran: 'unknown', code: 'caller_abandoned' })
+    return this.buildRecord({ outcome: 'failed', ran: address === undefined ? 'not_run' : 'unknown', code: 'caller_no_answer' })
+  }
+
+  private buildRecord (part: Pick<RequestRecord, 'outcome' | 'ran'> & Partial<RequestRecord>): RequestRecord {
+    const { request, account } = this.options
+    return {
+      requestIds: this.requestIds,
+      marker: request.marker,
+      account,
+      kind: request.kind,
+      sentAtMs: this.sentAtMs,
+      latencyMs: performance.now() - this.startMs,
+      firstTokenMs: this.firstTokenMs,
+      tokenCount: this.check.tokenCount,
+      rejoinCount: this.rejoinCount,
+      retryCount: this.retryCount,
+      restartCount: this.restartCount + this.check.restartCount,
+      addresses: this.addresses,
+      ...part
+    }
+  }
+
+  private getRequestId (): string {
+    return this.requestIds.at(-1) as string
+  }
+}
--- /dev/null
+++ b/playground/caller/routeSource.ts
@@ -0,0 +1,81 @@
+import { request, type Dispatcher } from 'undici'
+import { z } from 'zod'
+import type { Random } from '../../src/types/random.js'
+
+const routeTimeoutMs = 1000
+const avoidMs = 2000
+const routeAnswer = z.object({
+  addresses: z.array(z.object({ address: z.string(), failureDomain: z.string() })),
+  lifetimeMs: z.number().positive()
+})
+
+interface RouteSourceOptions {
+  /** Addresses (`ip:port`) of entry hosts that may be asked for the route. */
+  readonly entryAddresses: readonly string[]
+  readonly token: string
+  readonly dispatcher: Dispatcher
+  readonly random: Random
+}
+
+/** The addresses to connect to: asks any entry host, keeps the answer for its lifetime. */
+export class RouteSource {
+  private addresses: readonly string[] = []
+  private expiresAtMs = 0
+  private pending: Promise<void> | undefined
+  private readonly failedAtMs = new Map<string, number>()
+
+  constructor (private readonly options: RouteSourceOptions) {}
+
+  /** An address of the route other than `exclude`, when there is one; undefined when no host gave a route. */
+  async chooseAddress (exclude?: string): Promise<string | undefined> {
+    if (performance.now() >= this.expiresAtMs) {
+      this.pending ??= this.readRoute().finally(() => { this.pending = undefined })
+      await this.pending
+    }
+    const others = this.addresses.filter(address => address !== exclude)
+    const healthy = others.filter(address => performance.now() - (this.failedAtMs.get(address) ?? -Infinity) > avoidMs)
+    return this.chooseOne(healthy) ?? this.chooseOne(others) ?? this.addresses[0]
+  }
+
+  /** Avoids an address for 2 s and asks for a new route. */
+  recordFailure (address: string): void {
+    this.failedAtMs.set(address, performance.now())
+    this.expiresAtMs = 0
+  }
+
+  /** Takes over addresses from an answer that named other hosts. */
+  applyAddresses (addresses: readonly string[]): void {
+    if (addresses.length > 0) this.addresses = addresses
+  }
+
+  private chooseOne (addresses: readonly string[]): string | undefined {
+    return addresses[Math.floor(this.options.random() * addresses.length)]
+  }
+
+  private async readRoute (): Promise<void> {
+    const { entryAddresses, random } = this.options
+    const candidates = [...new Set([...this.addresses, ...entryAddresses])].map(address => ({ address, order: random() }))
+    for (const { address } of candidates.sort((a, b) => a.order - b.order)) {
+      const route = await this.readRouteFrom(address)
+      if (!route || route.addresses.length === 0) continue
+      this.addresses = route.addresses.map(entry => entry.address)
+      this.expiresAtMs = performance.now() + route.lifetimeMs
+      return
+    }
+  }
+
+  private async readRouteFrom (address: string): Promise<z.infer<typeof routeAnswer> | undefined> {
+    try {
+      const answer = await request(`http://${address}/v1/route`, {
+        dispatcher: this.options.dispatcher,
+        headers: { authorization: `Bearer ${this.options.token}` },
+        signal: AbortSignal.timeout(routeTimeoutMs)
+      })
+      const text = await answer.body.text()
+      return answer.statusCode === 200 ? routeAnswer.parse(JSON.parse(text)) : undefined
+    } catch {
+      // Any entry host can give the route, so the next one is asked.
+      return undefined
+    }
+  }
+}
--- /dev/null
+++ b/playground/examples/__tests__/exampleDeployments.test.ts
@@ -0,0 +1,54 @@
+import { createHash } from 'node:crypto'
+import t from 'tap'
+import { createStandIn } from '../../standIns/createStandIn.js'
+import { exampleDeployments } from '../exampleDeployments.js'
+
+for (const example of Object.values(exampleDeployments)) {
+  t.test(`${example.name}: every token belongs to a contract`, t => {
+    for (const { account, token } of example.accounts) {
+      const contract = example.contracts.find(contract => contract.account === account)
+      t.ok(contract?.tokenDigests.includes(createHash('sha256').update(token).digest('hex')), account)
+    }
+    t.end()
+  })
+
+  // A stage that names a missing stage or pool could never run.
+  t.test(`${example.name}: stages refer to earlier stages and to pools with members`, t => {
+    const pools = new Set(example.upstreams.filter(upstreams => upstreams.count > 0).map(upstreams => upstreams.pool))
+    const kinds = example.contracts.flatMap(contract => Object.values(contract.kinds))
+    for (const kind of kinds) {
+      const earlier = new Set<string>()
+      for (const stage of kind.stages) {
+        t.ok(pools.has(stage.pool) && stage.after.every(name => earlier.has(name)), stage.name)
+        earlier.add(stage.name)
+      }
+      t.ok(kind.stages.length <= 6 && kind.objective.latencyMs <= kind.deadlineMs)
+    }
+    t.end()
+  })
+
+  t.test(`${example.name}: every account sends every kind of its contract`, t => {
+    for (const contract of example.contracts) {
+      const kinds = example.workload.filter(entry => entry.account === contract.account).map(entry => entry.kind)
+      t.same(kinds.sort(), Object.keys(contract.kinds).sort())
+    }
+    t.end()
+  })
+
+  // More promised tokens than the engines can generate would make every full load miss its contracts.
+  t.test(`${example.name}: the contracts fit the capacity of the engines`, t => {
+    const engines = example.upstreams.find(upstreams => upstreams.type === 'model-engine')
+    const capacity = Number(engines?.count) * Number(engines?.options.slots) * 1000 / Number(engines?.options.stepMs)
+    t.ok(example.contracts.reduce((sum, contract) => sum + contract.tokensPerSecond, 0) <= capacity)
+    t.end()
+  })
+
+  t.test(`${example.name}: the stand-ins accept the options`, async t => {
+    for (const { type, options } of example.upstreams) {
+      const standIn = createStandIn({ type, ...options } as Parameters<typeof createStandIn>[0])
+      await standIn.start(0)
+      await standIn.stop()
+    }
+    t.pass()
+  })
+}
--- a/playground/standIns/server/callRunner.ts
+++ b/playground/standIns/server/callRunner.ts
@@ -14,6 +14,8 @@
   /** Mean service time; each call takes 0.5 to 1.5 times as long. */
   readonly serviceMs: number
   readonly reportLagMs: number
+  /** False: `GET /load` answers 404. */
+  readonly reportsLoad: boolean
 }
 
 /** Runs calls of stage pools and plain services: slots, service time, log, load report and faults. */
@@ -31,6 +33,7 @@
   }
 
   sendReport (call: StandInCall): Promise<void> {
+    if (!this.options.reportsLoad) return call.sendJson(404, { error: 'load is not reported' })
     return call.sendJson(200, this.reporter.buildReport())
   }
 
--- a/playground/standIns/standInOptions.ts
+++ b/playground/standIns/standInOptions.ts
@@ -3,6 +3,9 @@
 const count = (absent: number): z.ZodDefault<z.ZodCoercedNumber> => z.coerce.number().int().positive().default(absent)
 const milliseconds = (absent: number): z.ZodDefault<z.ZodCoercedNumber> => z.coerce.number().min(0).default(absent)
 
+/** `--reports-load false` arrives as text from the command line. */
+const flag = z.union([z.boolean(), z.enum(['true', 'false']).transform(text => text === 'true')]).default(true)
+
 const base = {
   id: z.string().optional(),
   port: z.coerce.number().int().min(0).max(65535).default(0),
@@ -12,7 +15,7 @@
   /** Delay of every call, for the way between failure domains. */
   linkDelayMs: milliseconds(0)
 }
-const work = { ...base, pool: z.string().optional(), slots: count(8), serviceMs: milliseconds(20), reportLagMs: milliseconds(300) }
+const work = { ...base, pool: z.string().optional(), slots: count(8), serviceMs: milliseconds(20), reportLagMs: milliseconds(300), reportsLoad: flag }
 const models = z.union([z.array(z.string()), z.string().transform(text => text.split(',').filter(Boolean))]).default([])
 
 /** Options of a stand-in: flags of the program in camel case, or an entry of the list of `many`. */
