fix(claims): a claim stays usable after a refused connection

isFresh was true once, so a call whose connection was refused before a byte was sent could not go to another upstream. The request path never sends again after a byte, so the claim only has to bound its age and end with the outcome.

--- a/src/node/claims/heldClaim.ts
+++ b/src/node/claims/heldClaim.ts
@@ -16,17 +16,15 @@
     private readonly writeOutcome: (outcome: ClaimOutcome) => Promise<void>
   ) {}
 
-  /** True once, for a claim young enough to be acted on. */
+  /** True for a claim young enough to be acted on; false for good once it was found too old. */
   isFresh (): boolean {
-    const state = this.life.getSnapshot().value
-    if (state !== 'held') return false
     const isYoung = this.clock.readMonotonicMs() - this.claimedAtMs < claimConstants.FRESH_MS
-    this.life.send({ type: isYoung ? 'send' : 'expire' })
-    return isYoung
+    if (!isYoung) this.life.send({ type: 'expire' })
+    return this.life.getSnapshot().value === 'held'
   }
 
   async recordOutcome (outcome: ClaimOutcome): Promise<void> {
-    await this.writeOutcome(outcome)
     this.life.send({ type: 'store' })
+    await this.writeOutcome(outcome)
   }
 }
