feat(membership): SWIM membership with piggybacked events

Hosts need a shared view of who is up although the host list lags. Messages carry a fixed number of entries, a resumed process restarts its suspicions instead of acting on them, and hosts that are listed but held for dead are tried again, so that partitions heal. Seeded virtual-clock tests cover join, crash, freeze, partition and loss.

--- /dev/null
+++ b/playground/fakes/membershipCluster.ts
@@ -0,0 +1,77 @@
+import { createSeededRandom } from '../../src/shared/createSeededRandom.js'
+import { createMembership } from '../../src/node/membership/createMembership.js'
+import type { HostListEntry } from '../../src/types/hostListEntry.js'
+import type { MembershipView } from '../../src/types/membershipView.js'
+import type { PeerTransport } from '../../src/types/peerTransport.js'
+import type { Random } from '../../src/types/random.js'
+import type { Scheduler } from '../../src/types/scheduler.js'
+import { createSilentLogger } from './createSilentLogger.js'
+import { createSilentMetrics } from './createSilentMetrics.js'
+import { FakePeerNetwork } from './fakePeerNetwork.js'
+import { VirtualClock } from './virtualClock.js'
+
+interface ClusterHost {
+  readonly id: string
+  readonly membership: ReturnType<typeof createMembership>
+  readonly transport: PeerTransport
+  readonly scheduler: Scheduler
+}
+
+/** Hosts with membership on a fake network under virtual time; everything follows from the seed. */
+export class MembershipCluster {
+  readonly clock = new VirtualClock()
+  readonly network: FakePeerNetwork
+  readonly hosts = new Map<string, ClusterHost>()
+  readonly random: Random
+  /** Entries of the platform's host list; tests change them. */
+  listed: HostListEntry[] = []
+
+  constructor (seed: number, private readonly failureDomains = 3) {
+    this.random = createSeededRandom(seed)
+    this.network = new FakePeerNetwork(this.clock, this.random)
+  }
+
+  /** Starts a host and lists it. */
+  addHost (id: string): ClusterHost {
+    const { transport, scheduler } = this.network.createHost(id)
+    const failureDomain = `quay-${this.hosts.size % this.failureDomains}`
+    const peerAddress = `${id}:1`
+    const membership = createMembership({
+      hostId: id,
+      failureDomain,
+      address: `${id}:2`,
+      peerAddress,
+      transport,
+      hostList: { read: async () => this.listed },
+      logger: createSilentLogger(),
+      metrics: createSilentMetrics(),
+      clock: this.clock,
+      scheduler,
+      random: this.random
+    })
+    if (!this.listed.some(entry => entry.id === id)) this.listed.push({ id, address: `${id}:2`, peerAddress, role: 'entry', failureDomain, state: 'live' })
+    const host = { id, membership, transport, scheduler }
+    this.hosts.set(id, host)
+    membership.start().catch(() => {})
+    return host
+  }
+
+  addHosts (count: number): void {
+    for (let i = 0; i < count; i++) this.addHost(`host-${i}`)
+  }
+
+  /** What each host of `ids` believes about `about`. */
+  listStates (ids: readonly string[], about: string): ReadonlyArray<string | undefined> {
+    return ids.map(id => (this.hosts.get(id)?.membership as MembershipView).find(about)?.state)
+  }
+
+  /** Runs until `isReached` or `limitMs` has passed; the time it took, or undefined. */
+  async runUntil (isReached: () => boolean, limitMs: number): Promise<number | undefined> {
+    const startMs = this.clock.readMonotonicMs()
+    while (this.clock.readMonotonicMs() - startMs <= limitMs) {
+      if (isReached()) return this.clock.readMonotonicMs() - startMs
+      await this.clock.runFor(100)
+    }
+    return undefined
+  }
+}
--- /dev/null
+++ b/playground/fakes/virtualClock.ts
@@ -0,0 +1,77 @@
+import type { Clock } from '../../src/types/clock.js'
+import type { Scheduler } from '../../src/types/scheduler.js'
+
+interface Entry {
+  readonly dueMs: number
+  readonly order: number
+  readonly run: () => void
+}
+
+/** Virtual time for tests: scheduled calls run in order of their time, and promises settle in between. */
+export class VirtualClock implements Clock, Scheduler {
+  private readonly heap: Entry[] = []
+  private nowMs = 0
+  private order = 0
+
+  readMonotonicMs (): number {
+    return this.nowMs
+  }
+
+  readWallMs (): number {
+    return 1_700_000_000_000 + this.nowMs
+  }
+
+  schedule (delayMs: number, run: () => void): () => void {
+    let isCancelled = false
+    this.addEntry({ dueMs: this.nowMs + Math.max(0, delayMs), order: this.order++, run: () => { if (!isCancelled) run() } })
+    return () => { isCancelled = true }
+  }
+
+  /** Lets `ms` pass. */
+  async runFor (ms: number): Promise<void> {
+    const endMs = this.nowMs + ms
+    await waitForPromises()
+    for (let next = this.heap[0]; next && next.dueMs <= endMs; next = this.heap[0]) {
+      this.removeFirst()
+      this.nowMs = next.dueMs
+      next.run()
+      await waitForPromises()
+    }
+    this.nowMs = endMs
+  }
+
+  private addEntry (entry: Entry): void {
+    let i = this.heap.push(entry) - 1
+    while (i > 0) {
+      const parent = (i - 1) >> 1
+      if (!isBefore(entry, this.heap[parent] as Entry)) break
+      this.heap[i] = this.heap[parent] as Entry
+      i = parent
+    }
+    this.heap[i] = entry
+  }
+
+  private removeFirst (): void {
+    const last = this.heap.pop() as Entry
+    if (this.heap.length === 0) return
+    let i = 0
+    for (;;) {
+      let child = 2 * i + 1
+      if (child >= this.heap.length) break
+      if (child + 1 < this.heap.length && isBefore(this.heap[child + 1] as Entry, this.heap[child] as Entry)) child++
+      if (!isBefore(this.heap[child] as Entry, last)) break
+      this.heap[i] = this.heap[child] as Entry
+      i = child
+    }
+    this.heap[i] = last
+  }
+}
+
+function isBefore (a: Entry, b: Entry): boolean {
+  return a.dueMs < b.dueMs || (a.dueMs === b.dueMs && a.order < b.order)
+}
+
+// Chains of promises settle before the event loop reaches the immediate.
+async function waitForPromises (): Promise<void> {
+  await new Promise<void>(resolve => { setImmediate(resolve) })
+}
--- /dev/null
+++ b/src/node/membership/constants.ts
@@ -0,0 +1,29 @@
+/** Times of the membership protocol in milliseconds, and bounds of its messages. */
+export const membershipConstants = {
+  periodMs: 500,
+  pingTimeoutMs: 500,
+  /** An indirect ping takes one ping of the helper and the way to the helper and back. */
+  indirectTimeoutMs: 1000,
+  indirectHelpers: 2,
+  suspicionMs: 2000,
+  /** A pause between two activities that can only mean that this process was frozen. */
+  freezeGapMs: 1500,
+  /** A dead host is remembered this long, so that old messages do not bring it back. */
+  deadRetentionMs: 600_000,
+  membersPerMessage: 8,
+  eventsPerMessage: 4,
+  /** Each update is sent this many times the logarithm of the number of hosts. */
+  retransmitFactor: 3,
+  /** Hosts of the host list that are asked at the start, while no member is known. */
+  startProbes: 3,
+  hostListPeriodMs: 5000,
+  tablePeriodMs: 30_000,
+  tableTimeoutMs: 2000,
+  /** Least time between two full tables asked for after a dead host came back. */
+  tableReviveGapMs: 5000,
+  eventRetentionMs: 60_000,
+  eventSpreadMs: 30_000,
+  /** Hosts that see the same upstream leave need not all say so. */
+  eventRepeatMs: 5000,
+  maxEvents: 2048
+} as const
--- /dev/null
+++ b/src/node/membership/memberTable.ts
@@ -0,0 +1,57 @@
+import type { HostRecord } from '../../types/hostRecord.js'
+import type { HostState } from '../../types/hostState.js'
+
+interface Member {
+  readonly record: HostRecord
+  /** Local time at which the state was taken over. */
+  readonly changedAtMs: number
+}
+
+// Of two records with the same incarnation the higher state holds, so that all hosts reach the same table.
+const ranks: Readonly<Record<HostState, number>> = { live: 0, leaving: 1, suspect: 2, dead: 3 }
+
+/** Records of the other hosts; the newest record holds, whatever the order of arrival. */
+export class MemberTable {
+  private readonly members = new Map<string, Member>()
+
+  /** True when the record is newer than the known one. */
+  apply (record: HostRecord, nowMs: number): boolean {
+    const known = this.members.get(record.id)?.record
+    if (known && !isNewer(record, known)) return false
+    this.members.set(record.id, { record, changedAtMs: nowMs })
+    return true
+  }
+
+  find (hostId: string): HostRecord | undefined {
+    return this.members.get(hostId)?.record
+  }
+
+  list (...states: readonly HostState[]): readonly HostRecord[] {
+    const found: HostRecord[] = []
+    for (const { record } of this.members.values()) if (states.includes(record.state)) found.push(record)
+    return found
+  }
+
+  /** Hosts that have been in `state` for `ageMs`. */
+  listOlder (state: HostState, ageMs: number, nowMs: number): readonly HostRecord[] {
+    const found: HostRecord[] = []
+    for (const { record, changedAtMs } of this.members.values()) {
+      if (record.state === state && nowMs - changedAtMs >= ageMs) found.push(record)
+    }
+    return found
+  }
+
+  remove (hostId: string): void {
+    this.members.delete(hostId)
+  }
+
+  /** Starts the time in the present state again for all hosts in `state`. */
+  updateTimes (state: HostState, nowMs: number): void {
+    for (const [id, { record }] of this.members) if (record.state === state) this.members.set(id, { record, changedAtMs: nowMs })
+  }
+}
+
+function isNewer (record: HostRecord, known: HostRecord): boolean {
+  if (record.incarnation !== known.incarnation) return record.incarnation > known.incarnation
+  return ranks[record.state] > ranks[known.state]
+}
--- /dev/null
+++ b/src/node/membership/membershipDriver.ts
@@ -0,0 +1,201 @@
+import { peerMethods } from '../peers/peerMethods.js'
+import { scheduleRepeatedly } from '../../shared/scheduleRepeatedly.js'
+import type { Clock } from '../../types/clock.js'
+import type { GossipEvent } from '../../types/gossipEvent.js'
+import type { GossipEvents } from '../../types/gossipEvents.js'
+import type { HostList } from '../../types/hostList.js'
+import type { HostRecord } from '../../types/hostRecord.js'
+import type { Logger } from '../../types/logger.js'
+import type { MembershipView } from '../../types/membershipView.js'
+import type { Metrics } from '../../types/metrics.js'
+import type { PeerTransport } from '../../types/peerTransport.js'
+import type { Random } from '../../types/random.js'
+import type { Scheduler } from '../../types/scheduler.js'
+import { membershipConstants } from './constants.js'
+import { parseGossipEvent } from './parseGossipEvent.js'
+import { parseMember } from './parseMember.js'
+import { SwimCore } from './swimCore.js'
+
+type PingMessage = ReturnType<typeof peerMethods.ping.decodeRequest>
+type PingAnswer = ReturnType<typeof peerMethods.ping.decodeResponse>
+
+interface ProbeTarget {
+  readonly id: string
+  readonly peerAddress: string
+}
+
+interface MembershipParts {
+  /** This host, with the start time of the process as its incarnation. */
+  readonly self: HostRecord
+  readonly transport: PeerTransport
+  readonly hostList: HostList
+  readonly clock: Clock
+  readonly scheduler: Scheduler
+  readonly random: Random
+  readonly logger: Logger
+  readonly metrics: Metrics
+}
+
+/** Runs the SWIM core over the peer transport, seeded by the host list. */
+export class MembershipDriver implements MembershipView, GossipEvents {
+  private readonly core: SwimCore
+  private readonly listeners = new Set<(host: HostRecord) => void>()
+  private readonly eventListeners = new Set<(event: GossipEvent) => void>()
+  private cancels: ReadonlyArray<() => void> = []
+  private listedHosts = 0
+  private sequence = 0
+  private lastTableMs = -Infinity
+
+  constructor (private readonly parts: MembershipParts) {
+    this.core = new SwimCore(parts.self, parts.random)
+    parts.transport.handle(peerMethods.ping, async (request, peerId) => await this.receivePing(request, peerId))
+    parts.transport.handle(peerMethods.memberList, () => ({ members: [...this.core.listHosts()] }))
+  }
+
+  /** Reads the host list and begins to ping. Resolves after the first hosts were asked. */
+  async start (): Promise<void> {
+    const { scheduler, random } = this.parts
+    this.cancels = [
+      scheduleRepeatedly(scheduler, random, membershipConstants.periodMs, 0.1, () => { this.runPeriod() }),
+      scheduleRepeatedly(scheduler, random, membershipConstants.hostListPeriodMs, 0.2, () => { this.updateSeeds().catch(() => {}) }),
+      scheduleRepeatedly(scheduler, random, membershipConstants.tablePeriodMs, 0.3, () => { this.loadTable().catch(() => {}) })
+    ]
+    await this.updateSeeds()
+    await Promise.all(this.core.runPeriod(this.readNow()).map(async target => { await this.runProbe(target) }))
+    await this.loadTable()
+  }
+
+  /** Tells some peers that this host is gone, and ends all activity. */
+  async stop (): Promise<void> {
+    for (const cancel of this.cancels) cancel()
+    this.cancels = []
+    this.core.setSelfState('dead')
+    await Promise.allSettled(this.core.chooseHelpers('').map(async target => { await this.sendPing(target) }))
+  }
+
+  /** Announces that this host is about to stop; it still answers its peers. */
+  startLeaving (): void {
+    this.core.setSelfState('leaving')
+    this.reportChanges()
+  }
+
+  getSelf (): HostRecord {
+    return this.core.getSelf()
+  }
+
+  listHosts (): readonly HostRecord[] {
+    return this.core.listHosts()
+  }
+
+  /** Number of entry hosts in the host list, this one included; for limits during a partition. */
+  countListedHosts (): number {
+    return Math.max(1, this.listedHosts)
+  }
+
+  find (hostId: string): HostRecord | undefined {
+    return this.core.find(hostId)
+  }
+
+  onChange (listener: (host: HostRecord) => void): () => void {
+    this.listeners.add(listener)
+    return () => { this.listeners.delete(listener) }
+  }
+
+  sendEvent (type: string, subject: string): void {
+    const event = { type, subject, atMs: this.parts.clock.readWallMs(), sequence: ++this.sequence, origin: this.parts.self.id }
+    this.core.sendEvent(event, this.readNow())
+  }
+
+  onEvent (listener: (event: GossipEvent) => void): () => void {
+    this.eventListeners.add(listener)
+    return () => { this.eventListeners.delete(listener) }
+  }
+
+  private runPeriod (): void {
+    const targets = this.core.runPeriod(this.readNow())
+    this.reportChanges()
+    for (const target of targets) this.runProbe(target).catch(() => {})
+  }
+
+  private async runProbe (target: ProbeTarget): Promise<void> {
+    const sentAtMs = this.readNow()
+    if (await this.sendPing(target)) return
+    const helpers = this.core.chooseHelpers(target.id)
+    const answers = await Promise.all(helpers.map(async helper => await this.sendIndirectPing(helper, target)))
+    if (answers.includes(true)) return
+    this.core.onUnreachable(target.id, sentAtMs, this.readNow())
+    this.reportChanges()
+  }
+
+  private async sendPing (target: ProbeTarget): Promise<boolean> {
+    const request = buildWireMessage(this.core, target.id)
+    const answer = await this.parts.transport.send(target.peerAddress, peerMethods.ping, request, membershipConstants.pingTimeoutMs).catch(() => undefined)
+    if (!answer) return false
+    this.receiveMessage(answer)
+    // Another host may have taken the address over.
+    return answer.from?.id === target.id
+  }
+
+  private async sendIndirectPing (helper: ProbeTarget, target: ProbeTarget): Promise<boolean> {
+    const request = { ...buildWireMessage(this.core, helper.id), targetId: target.id, targetPeerAddress: target.peerAddress }
+    const answer = await this.parts.transport.send(helper.peerAddress, peerMethods.ping, request, membershipConstants.indirectTimeoutMs).catch(() => undefined)
+    if (answer) this.receiveMessage(answer)
+    return answer?.reached === true
+  }
+
+  private async receivePing (request: PingMessage, peerId: string): Promise<PingAnswer> {
+    if (request.from?.id === peerId) this.receiveMessage(request)
+    const targetAddress = request.targetPeerAddress ?? ''
+    const reached = targetAddress === '' || await this.sendPing({ id: request.targetId ?? '', peerAddress: targetAddress })
+    return { ...buildWireMessage(this.core, peerId), reached }
+  }
+
+  private receiveMessage (message: PingMessage | PingAnswer): void {
+    const from = parseMember(message.from)
+    if (!from) return
+    const members = (message.members ?? []).flatMap(member => parseMember(member) ?? [])
+    const events = (message.events ?? []).flatMap(event => parseGossipEvent(event) ?? [])
+    this.core.receiveMessage({ from, members, events }, this.readNow())
+    this.reportChanges()
+  }
+
+  private async updateSeeds (): Promise<void> {
+    try {
+      const entries = (await this.parts.hostList.read()).filter(entry => entry.role === 'entry')
+      const ids = new Set(entries.map(entry => entry.id).concat(this.parts.self.id))
+      this.listedHosts = ids.size
+      this.core.applySeeds(entries.flatMap(({ id, peerAddress }) => peerAddress ? [{ id, peerAddress }] : []))
+    } catch {
+      this.parts.logger.recordWarning('the host list is not available; known hosts are kept')
+    }
+  }
+
+  private async loadTable (): Promise<void> {
+    this.lastTableMs = this.readNow()
+    const helper = this.core.chooseHelpers('')[0]
+    if (!helper) return
+    const answer = await this.parts.transport.send(helper.peerAddress, peerMethods.memberList, {}, membershipConstants.tableTimeoutMs).catch(() => undefined)
+    this.core.applyTable((answer?.members ?? []).flatMap(member => parseMember(member) ?? []), this.readNow())
+    this.reportChanges()
+  }
+
+  private reportChanges (): void {
+    for (const record of this.core.takeChanges()) {
+      this.parts.logger.recordInfo('host changed state', { host: record.id, state: record.state, incarnation: record.incarnation })
+      for (const listener of this.listeners) listener(record)
+    }
+    for (const event of this.core.takeEvents()) for (const listener of this.eventListeners) listener(event)
+    this.parts.metrics.setGauge('membership_hosts', {}, this.core.listHosts().length)
+    const isTableDue = this.readNow() - this.lastTableMs > membershipConstants.tableReviveGapMs
+    if (this.core.takeRevived() && isTableDue) this.loadTable().catch(() => {})
+  }
+
+  private readNow (): number {
+    return this.parts.clock.readMonotonicMs()
+  }
+}
+
+function buildWireMessage (core: SwimCore, hostId: string): { from: HostRecord, members: HostRecord[], events: GossipEvent[] } {
+  const message = core.buildMessage(hostId)
+  return { from: message.from, members: [...message.members], events: [...message.events] }
+}
