--- a/playground/fakes/createSilentLogger.ts
+++ b/playground/fakes/createSilentLogger.ts
@@ -1,6 +1,6 @@
 import type { Logger } from '../../src/types/logger.js'
 
-/** A logger that drops all lines. */
+/** A logger for tests that drops its lines. */
 export function createSilentLogger (): Logger {
   const logger: Logger = {
     createChild: () => logger,
--- a/playground/fakes/virtualClock.ts
+++ b/playground/fakes/virtualClock.ts
@@ -1,46 +1,80 @@
 import type { Clock } from '../../src/types/clock.js'
+import type { Scheduler } from '../../src/types/scheduler.js'
 
-/** Clock of tests: time passes only when a test lets it, and waiters run in the order of their due times. */
-export class VirtualClock implements Clock {
-  private nowMs = 0
-  private waiters: Array<{ readonly dueMs: number, readonly resolve: () => void }> = []
+interface Entry {
+  readonly dueMs: number
+  readonly order: number
+  readonly run: () => void
+}
 
-  /** `epochMs` is the wall time at the start. */
-  constructor (private readonly epochMs = 1_800_000_000_000) {}
+/** Virtual time for tests: scheduled calls run in order of their time, and promises settle in between. */
+export class VirtualClock implements Clock, Scheduler {
+  private readonly heap: Entry[] = []
+  private nowMs = 0
+  private order = 0
 
   readMonotonicMs (): number {
     return this.nowMs
   }
 
   readWallMs (): number {
-    return this.epochMs + this.nowMs
+    return 1_700_000_000_000 + this.nowMs
   }
 
   /** Resolves when `ms` have passed on this clock. */
-  readonly wait = (ms: number): Promise<void> => new Promise(resolve => {
-    this.waiters.push({ dueMs: this.nowMs + ms, resolve })
-  })
+  readonly wait = (ms: number): Promise<void> => new Promise(resolve => { this.schedule(ms, resolve) })
 
-  /** Lets `ms` pass; pending promise callbacks run after each waiter. */
+  schedule (delayMs: number, run: () => void): () => void {
+    let isCancelled = false
+    this.addEntry({ dueMs: this.nowMs + Math.max(0, delayMs), order: this.order++, run: () => { if (!isCancelled) run() } })
+    return () => { isCancelled = true }
+  }
+
+  /** Lets `ms` pass. */
   async runFor (ms: number): Promise<void> {
     const endMs = this.nowMs + ms
-    await this.runCallbacks()
-    for (let next = this.takeNext(endMs); next !== undefined; next = this.takeNext(endMs)) {
-      this.nowMs = Math.max(this.nowMs, next.dueMs)
-      next.resolve()
-      await this.runCallbacks()
+    await waitForPromises()
+    for (let next = this.heap[0]; next && next.dueMs <= endMs; next = this.heap[0]) {
+      this.removeFirst()
+      this.nowMs = next.dueMs
+      next.run()
+      await waitForPromises()
     }
     this.nowMs = endMs
   }
 
-  private takeNext (endMs: number): { readonly dueMs: number, readonly resolve: () => void } | undefined {
-    const next = this.waiters.reduce<typeof this.waiters[number] | undefined>((best, waiter) => best === undefined || waiter.dueMs < best.dueMs ? waiter : best, undefined)
-    if (next === undefined || next.dueMs > endMs) return undefined
-    this.waiters = this.waiters.filter(waiter => waiter !== next)
-    return next
+  private addEntry (entry: Entry): void {
+    let i = this.heap.push(entry) - 1
+    while (i > 0) {
+      const parent = (i - 1) >> 1
+      if (!isBefore(entry, this.heap[parent] as Entry)) break
+      this.heap[i] = this.heap[parent] as Entry
+      i = parent
+    }
+    this.heap[i] = entry
   }
 
-  private async runCallbacks (): Promise<void> {
-    for (let i = 0; i < 5; i++) await new Promise(resolve => setImmediate(resolve))
+  private removeFirst (): void {
+    const last = this.heap.pop() as Entry
+    if (this.heap.length === 0) return
+    let i = 0
+    for (;;) {
+      let child = 2 * i + 1
+      if (child >= this.heap.length) break
+      if (child + 1 < this.heap.length && isBefore(this.heap[child + 1] as Entry, this.heap[child] as Entry)) child++
+      if (!isBefore(this.heap[child] as Entry, last)) break
+      this.heap[i] = this.heap[child] as Entry
+      i = child
+    }
+    this.heap[i] = last
   }
 }
+
+function isBefore (a: Entry, b: Entry): boolean {
+  return a.dueMs < b.dueMs || (a.dueMs === b.dueMs && a.order < b.order)
+}
+
+// Chains of promises settle before the event loop reaches the immediate.
+async function waitForPromises (): Promise<void> {
+  await new Promise<void>(resolve => { setImmediate(resolve) })
+}
