feat(bench): seeded virtual-clock bench of the decision core

Drives the real router and admission of several entry hosts against fake upstreams, beside round robin, least outstanding, first in first out and an oracle, and checks the bounds of the design page.

--- /dev/null
+++ b/playground/bench/computeTrueMs.ts
@@ -0,0 +1,22 @@
+import type { TrueWork } from './trueWork.js'
+import type { UpstreamModel } from './upstreamModel.js'
+
+/** True time until work sent now would end at this upstream, if nothing else arrived. */
+export function computeTrueMs (model: UpstreamModel, truth: TrueWork, priority: number): number {
+  const workMs = model.computeTotalWork(truth)
+  const stretch = model.computeStretch(Math.min(model.running.length + 1, model.pool.slots))
+  const ahead = model.waiting.filter(job => job.priority >= priority)
+  if (model.running.length + ahead.length < model.pool.slots) return workMs * stretch
+  const ends = model.running.map(job => job.totalWork - model.getDoneWork(job))
+  for (const job of ahead) {
+    const at = findLeast(ends)
+    ends[at] = (ends[at] ?? 0) + model.computeTotalWork(job)
+  }
+  return ((ends[findLeast(ends)] ?? 0) + workMs) * stretch
+}
+
+function findLeast (values: readonly number[]): number {
+  let least = 0
+  for (let i = 1; i < values.length; i++) if ((values[i] as number) < (values[least] as number)) least = i
+  return least
+}
--- /dev/null
+++ b/playground/bench/createHostPolicy.ts
@@ -0,0 +1,37 @@
+import { createAdmissionController } from '../../src/node/admission/createAdmissionController.js'
+import { createStageRouter } from '../../src/node/routing/createStageRouter.js'
+import type { AdmissionController } from '../../src/types/admissionController.js'
+import type { BenchWorld } from './benchWorld.js'
+import { createOracleAdmission } from './createOracleAdmission.js'
+import type { HostPolicy } from './hostPolicy.js'
+import { LeastOutstandingRouter } from './leastOutstandingRouter.js'
+import { OracleRouter } from './oracleRouter.js'
+import type { PolicyName } from './policyName.js'
+import { RoundRobinRouter } from './roundRobinRouter.js'
+
+/** Creates the decisions of one entry host. The baselines keep the contracts' limits and have no other admission. */
+export function createHostPolicy (name: PolicyName, world: BenchWorld, countHosts: () => number): HostPolicy {
+  if (name === 'lycheetrack') {
+    const router = createStageRouter({ random: world.random, countHosts })
+    return { router, admission: createAdmissionController({ limiter: world.limiter, estimator: router, contracts: { find: account => world.contracts.get(account) } }), usesPriority: true }
+  }
+  if (name === 'oracle') {
+    const router = new OracleRouter(world)
+    return { router, admission: createOracleAdmission(world, router), usesPriority: true }
+  }
+  const admission = createLimitAdmission(world)
+  if (name === 'round-robin') return { router: new RoundRobinRouter(world.random), admission, usesPriority: true }
+  if (name === 'least-outstanding') return { router: new LeastOutstandingRouter(world.random, () => Number.POSITIVE_INFINITY), admission, usesPriority: true }
+  const computeShare = (pool: string) => Math.ceil((world.deployment.pools.find(spec => spec.name === pool)?.slots ?? 1) / countHosts())
+  return { router: new LeastOutstandingRouter(world.random, computeShare), admission, usesPriority: false }
+}
+
+function createLimitAdmission (world: BenchWorld): AdmissionController {
+  return {
+    admit (request, nowMs) {
+      const taken = world.limiter.take(request.account, nowMs)
+      return taken.granted ? { admitted: true } : { admitted: false, reason: 'limit_reached', retryAfterMs: taken.retryAfterMs }
+    },
+    onFinished () {}
+  }
+}
--- /dev/null
+++ b/playground/bench/main.ts
@@ -0,0 +1,34 @@
+import { writeFileSync } from 'node:fs'
+import sade from 'sade'
+import { LycheetrackError } from '../../src/shared/lycheetrackError.js'
+import { resolveBenchOptions } from './resolveBenchOptions.js'
+import { runBench } from './runBench.js'
+
+function runMain (user: Readonly<Record<string, unknown>>): void {
+  const options = resolveBenchOptions(user)
+  const { records, bounds } = runBench(options, text => console.log(text))
+  for (const bound of bounds) console.log(`${bound.passed ? 'ok    ' : 'FAILED'}  ${bound.name}: ${bound.value.toFixed(3)} (bound ${bound.bound})`)
+  if (options.jsonFile !== undefined) writeFileSync(options.jsonFile, JSON.stringify(records, null, 1) + '\n')
+  const failed = bounds.filter(bound => !bound.passed).length
+  console.log(`${bounds.length - failed} passed, ${failed} failed`)
+  process.exitCode = failed > 0 ? 1 : 0
+}
+
+sade('bench', true)
+  .option('--json', 'Write one record for each scenario, policy, seed and measure to this file')
+  .option('--scenario', 'Run this scenario only; may be given several times')
+  .option('--example', 'Deployment: ferry or kouign; both when absent')
+  .option('--policy', 'Run this policy only; may be given several times; bounds that need others are left out')
+  .option('--seed', 'Seed; may be given several times')
+  .option('--set', 'Change a setting, key=value; may be given several times')
+  .option('--cost', 'Print the processor time of decisions and the state of a runner')
+  .action(user => {
+    try {
+      runMain(user)
+    } catch (error) {
+      if (!(error instanceof LycheetrackError)) throw error
+      console.error(`${error.code}: ${error.message}`)
+      process.exitCode = 2
+    }
+  })
+  .parse(process.argv)
--- /dev/null
+++ b/playground/bench/requestResult.ts
@@ -0,0 +1,11 @@
+/** How one request of a trace ended. */
+export interface RequestResult {
+  readonly id: string
+  readonly kind: string
+  readonly account: string
+  readonly atMs: number
+  /** Seen by the caller. */
+  readonly elapsedMs: number
+  readonly outcome: 'attained' | 'late' | 'failed' | 'refused'
+  readonly reason?: string
+}
