--- /dev/null
+++ b/src/node/cli/__tests__/createTestDependencies.ts
@@ -0,0 +1,33 @@
+import { readFile } from 'node:fs/promises'
+import { UsageError } from '../usageError.js'
+import type { CommandLineDependencies } from '../commandLineDependencies.js'
+import type { Contract } from '../../../types/contract.js'
+
+/** Dependencies that keep what is written and let a test send signals; waits pass at once. */
+export function createTestDependencies (parts: Partial<CommandLineDependencies> = {}) {
+  const output: string[] = []
+  const errors: string[] = []
+  const files = new Map<string, string>()
+  const listeners = new Set<(signal: NodeJS.Signals) => void>()
+  const dependencies: CommandLineDependencies = {
+    version: '9.9.9',
+    environment: {},
+    startEntryHost: async () => ({ drain () {}, waitUntilStopped: async () => {} }),
+    parseContract: value => {
+      if (typeof (value as Contract).account !== 'string') throw new UsageError(['account is missing'])
+      return value as Contract
+    },
+    readTextFile: async path => files.get(path) ?? await readFile(path, 'utf8'),
+    writeTextFile: async (path, text) => { files.set(path, text) },
+    writeOutput: line => { output.push(line) },
+    writeError: line => { errors.push(line) },
+    onSignal: listener => {
+      listeners.add(listener)
+      return () => listeners.delete(listener)
+    },
+    wait: async () => { await new Promise(resolve => setImmediate(resolve)) },
+    ...parts
+  }
+  const sendSignal = (signal: NodeJS.Signals) => { for (const listener of listeners) listener(signal) }
+  return { dependencies, output, errors, files, sendSignal }
+}
--- /dev/null
+++ b/src/node/cli/__tests__/runCommandLine.test.ts
@@ -0,0 +1,93 @@
+import t from 'tap'
+import { createTestDependencies } from './createTestDependencies.js'
+import { listCommands } from '../listCommands.js'
+import { runCommandLine } from '../runCommandLine.js'
+import type { CommandLineDependencies } from '../commandLineDependencies.js'
+import type { ResolvedSettings } from '../../settings/resolvedSettings.js'
+
+const settings = ['--host-id', '007', '--failure-domain', 'quay-a', '--listen', '127.0.0.1:7101', '--peer-listen', '127.0.0.1:7201', '--key-value-url', 'http://127.0.0.1:1', '--host-list-url', 'http://127.0.0.1:2']
+const environment = { LYCHEETRACK_OPERATOR_TOKEN: 'operator-token-of-the-test', LYCHEETRACK_PEER_SECRET: 'peer-secret-of-the-test' }
+
+async function run (words: readonly string[], parts: Partial<CommandLineDependencies> = {}) {
+  const test = createTestDependencies(parts)
+  const status = await runCommandLine(['node', 'lycheetrack', ...words], test.dependencies)
+  return { status, ...test }
+}
+
+t.test('help of the program and of each subcommand names its usage and an example', async t => {
+  for (const command of listCommands()) {
+    const names = command.usage.split(' ').filter(word => /^\w/.test(word))
+    const help = t.capture(console, 'log')
+    t.equal((await run([...names, '--help'])).status, 0)
+    const text = help().map(call => call.args.join('')).join('')
+    t.match(text, `$ lycheetrack ${command.usage}`)
+    t.match(text, `$ lycheetrack ${command.example}`)
+  }
+  const help = t.capture(console, 'log')
+  await run(['--help'])
+  await run(['contract'])
+  await run(['--version'])
+  t.matchSnapshot(help().map(call => call.args.join('')).join('\n'))
+})
+
+t.test('all faults of a command line are reported at once with exit status 2', async t => {
+  const { status, errors } = await run(['contract', 'apply', '--sever', 'x', '--wait', '--timeout-ms', '1s', '--token', ''])
+  t.equal(status, 2)
+  t.matchSnapshot(errors.join('\n'))
+})
+
+t.test('an unknown flag and wrong settings of serve are reported together', async t => {
+  const { status, errors } = await run(['serve', ...settings, '--listn', 'x', '--probe-ms', '0'], { environment })
+  t.equal(status, 2)
+  t.match(errors, [/unknown flag --listn/, /--probe-ms .* is "0"/])
+  t.equal(errors.length, 2)
+})
+
+t.test('commands that do not exist exit with status 2 and list those that do', async t => {
+  t.match(await run([]), { status: 2, errors: [/no command given; commands: serve/] })
+  t.match(await run(['serv']), { status: 2, errors: [/unknown command "serv"/] })
+  t.match(await run(['contract', 'aply', 'x']), { status: 2, errors: [/unknown command "contract aply"; commands: contract apply/] })
+  t.match(await run(['route', 'a', '--server', '127.0.0.1:1', '--server', '127.0.0.1:2']), { status: 2, errors: [/given 2 times/, /surplus argument "a"/] })
+})
+
+t.test('values that look like numbers reach the host as text', async t => {
+  let seen: ResolvedSettings | undefined
+  const host = { drain () {}, waitUntilStopped: async () => {} }
+  const { status } = await run(['serve', ...settings], { environment, startEntryHost: async resolved => { seen = resolved; return host } })
+  t.equal(status, 0)
+  t.match(seen, { hostId: '007', peerSecret: environment.LYCHEETRACK_PEER_SECRET, probeMs: 1000 })
+})
+
+t.test('the first signal drains the host and the second one ends the program at once', async t => {
+  let drains = 0
+  const host = { drain () { drains++ }, waitUntilStopped: () => new Promise<void>(() => {}) }
+  const test = createTestDependencies({ environment, startEntryHost: async () => host })
+  const running = runCommandLine(['node', 'lycheetrack', 'serve', ...settings], test.dependencies)
+  await test.dependencies.wait(0)
+  test.sendSignal('SIGTERM')
+  t.equal(drains, 1)
+  test.sendSignal('SIGTERM')
+  t.equal(await running, 143)
+  t.equal(drains, 1)
+})
+
+t.test('the program ends with status 0 when the drain has finished', async t => {
+  let stop = (): void => {}
+  const stopped = new Promise<void>(resolve => { stop = resolve })
+  const test = createTestDependencies({ environment, startEntryHost: async () => ({ drain: () => stop(), waitUntilStopped: () => stopped }) })
+  const running = runCommandLine(['node', 'lycheetrack', 'serve', ...settings], test.dependencies)
+  await test.dependencies.wait(0)
+  test.sendSignal('SIGINT')
+  t.equal(await running, 0)
+})
+
+t.test('check reports the faults of settings and of all files', async t => {
+  const files: Record<string, string> = { good: '[{"account":"pier"}]', bad: '[{"account":"pier"},{"account":"pier"},7]', broken: '{' }
+  const readTextFile = async (path: string) => files[path]!
+  const { status, errors, output } = await run(['check', 'good', 'bad', 'broken', '--probe-ms', '9'], { environment: { ...environment, LYCHEETRACK_HOSTID: 'x' }, readTextFile })
+  t.equal(status, 2)
+  t.same(output, ['good: 1 valid (pier)'])
+  t.matchSnapshot(errors.join('\n'))
+  t.equal((await run(['check', 'good'], { readTextFile })).status, 0)
+  t.equal((await run(['check'])).status, 2)
+})
--- /dev/null
+++ b/src/node/cli/administrationClient.ts
@@ -0,0 +1,104 @@
+import { z } from 'zod'
+import { cliConstants } from './constants.js'
+import { parseBurnReport } from '../burn/parseBurnReport.js'
+import { ServerAnswerError } from './serverAnswerError.js'
+import { ServerConnection } from './serverConnection.js'
+import { ServerRefusedError } from './serverRefusedError.js'
+import type { BurnReport } from '../burn/burnReport.js'
+import type { Contract } from '../../types/contract.js'
+import type { ContractRevision } from '../../types/contractRevision.js'
+import type { ContractStatus } from './contractStatus.js'
+
+const revisionSchema = z.looseObject({
+  account: z.string(),
+  revision: z.number().int().min(1),
+  contract: z.looseObject({ account: z.string() }).nullable()
+})
+const listSchema = z.preprocess(
+  // Lists come as a plain array or as the only field of an object.
+  value => Array.isArray(value) ? value : Object.values(value as object)[0],
+  z.array(revisionSchema))
+const statusSchema = z.object({ accepted: z.number(), inForce: z.number(), hosts: z.number(), perHost: z.array(z.record(z.string(), z.unknown())) })
+
+/**
+ * Administration API of one entry host. All methods reject with `ServerUnreachableError`,
+ * `ServerRefusedError` or `ServerAnswerError`.
+ */
+export class AdministrationClient {
+  private readonly connection: ServerConnection
+
+  constructor (server: string, token: string) {
+    this.connection = new ServerConnection(server, token)
+  }
+
+  async listContracts (): Promise<readonly ContractRevision[]> {
+    return parseAnswer(await this.connection.send('/admin/v1/contracts'), value => listSchema.parse(value)) as never
+  }
+
+  /** The contract in force or its last revision; undefined when the account has none. */
+  async findContract (account: string): Promise<ContractRevision | undefined> {
+    try {
+      return parseAnswer(await this.connection.send(buildPath(account)), value => revisionSchema.parse(value)) as never
+    } catch (error) {
+      if (!(error instanceof ServerRefusedError) || error.httpStatus !== 404) throw error
+      // A deleted contract keeps its revision, which the next change must name.
+      return error.revision === undefined ? undefined : { account, revision: error.revision, contract: null, operator: '', atMs: 0, token: '' }
+    }
+  }
+
+  /** Resolves with the accepted revision. `expectedRevision` 0: the account has no contract yet. */
+  async applyContract (contract: Contract, expectedRevision: number): Promise<number> {
+    const answer = await this.connection.send(buildPath(contract.account), { method: 'PUT', headers: buildCondition(expectedRevision), body: contract })
+    return parseAnswer(answer, parseRevisionNumber)
+  }
+
+  async removeContract (account: string, expectedRevision: number): Promise<number> {
+    const answer = await this.connection.send(buildPath(account), { method: 'DELETE', headers: buildCondition(expectedRevision) })
+    return parseAnswer(answer, parseRevisionNumber)
+  }
+
+  async listHistory (account: string): Promise<readonly ContractRevision[]> {
+    return parseAnswer(await this.connection.send(`${buildPath(account)}/history`), value => listSchema.parse(value)) as never
+  }
+
+  async readStatus (account: string): Promise<ContractStatus> {
+    return parseAnswer(await this.connection.send(`${buildPath(account)}/status`), value => statusSchema.parse(value))
+  }
+
+  /** Accepted revisions as they happen, until the stream breaks or `signal` aborts. */
+  async * watchContracts (signal: AbortSignal): AsyncGenerator<ContractRevision> {
+    for await (const value of this.connection.openLines('/admin/v1/contracts/watch', cliConstants.watchSilenceMs, signal)) {
+      yield parseAnswer(value, line => revisionSchema.parse(line)) as never
+    }
+  }
+
+  /** Starts a drain of the connected host; resolves with the host's answer. */
+  async drain (): Promise<Readonly<Record<string, unknown>>> {
+    return parseAnswer(await this.connection.send('/admin/v1/drain', { method: 'POST' }), value => z.record(z.string(), z.unknown()).parse(value))
+  }
+
+  async readBurn (): Promise<BurnReport> {
+    return parseAnswer(await this.connection.send('/admin/v1/burn'), parseBurnReport)
+  }
+}
+
+function buildPath (account: string): string {
+  return `/admin/v1/contracts/${encodeURIComponent(account)}`
+}
+
+function buildCondition (revision: number): Readonly<Record<string, string>> {
+  return { 'if-match': String(revision) }
+}
+
+function parseRevisionNumber (value: unknown): number {
+  return z.object({ revision: z.number().int().min(1) }).parse(value).revision
+}
+
+function parseAnswer<Result> (value: unknown, parse: (value: unknown) => Result): Result {
+  try {
+    return parse(value)
+  } catch (error) {
+    const reason = error instanceof z.ZodError ? z.prettifyError(error) : String(error)
+    throw new ServerAnswerError(`the answer has an unexpected form: ${reason.split('\n').slice(0, 4).join('; ')}`, { cause: error })
+  }
+}
--- /dev/null
+++ b/src/node/cli/command.ts
@@ -0,0 +1,19 @@
+import type { CommandContext } from './commandContext.js'
+import type { CommandOption } from './commandOption.js'
+
+/** A subcommand of the program. */
+export interface Command {
+  /** Words and arguments, e.g. `contract apply <file>`; `<x>` is required, `[x]` optional, `[x...]` a list. */
+  readonly usage: string
+  readonly description: string
+  readonly options: readonly CommandOption[]
+  /** Call as shown in the help, without the program name. */
+  readonly example: string
+  /** Faults of flags and variables, beyond those that every command line is checked for. */
+  validate (context: CommandContext): readonly string[]
+  /**
+   * Runs with valid flags. Resolves with the exit status. Rejects with a `LycheetrackError`, which gives exit
+   * status 1 (2 for `UsageError` and `SettingsError`).
+   */
+  run (context: CommandContext): Promise<number>
+}
--- /dev/null
+++ b/src/node/cli/commandLineDependencies.ts
@@ -0,0 +1,23 @@
+import type { Contract } from '../../types/contract.js'
+import type { ResolvedSettings } from '../settings/resolvedSettings.js'
+import type { RunningHost } from './runningHost.js'
+
+/** What the command line needs from its surroundings; tests replace it. */
+export interface CommandLineDependencies {
+  readonly version: string
+  readonly environment: Readonly<Record<string, string | undefined>>
+  /** Starts an entry host; resolves when it is ready to serve. */
+  startEntryHost (settings: ResolvedSettings): Promise<RunningHost>
+  /** Checks a contract; throws a `LycheetrackError` that names all faults. */
+  parseContract (value: unknown): Contract
+  readTextFile (path: string): Promise<string>
+  writeTextFile (path: string, text: string): Promise<void>
+  /** Writes one line to standard output. */
+  writeOutput (line: string): void
+  /** Writes one line to standard error. */
+  writeError (line: string): void
+  /** Calls `listener` at each SIGTERM or SIGINT; the returned function removes it. */
+  onSignal (listener: (signal: NodeJS.Signals) => void): () => void
+  /** Resolves after `ms`. */
+  wait (ms: number): Promise<void>
+}
--- /dev/null
+++ b/src/node/cli/commands/contractWatch.ts
@@ -0,0 +1,62 @@
+import { cliConstants } from '../constants.js'
+import { clientOptions } from '../clientOptions.js'
+import { compareContracts } from '../compareContracts.js'
+import { createAdministrationClient } from '../createAdministrationClient.js'
+import { formatRevision } from '../formatRevision.js'
+import { jsonOption } from '../jsonOption.js'
+import { resolveClient } from '../resolveClient.js'
+import { ServerUnreachableError } from '../serverUnreachableError.js'
+import type { Command } from '../command.js'
+import type { CommandContext } from '../commandContext.js'
+import type { ContractRevision } from '../../../types/contractRevision.js'
+
+/** `contract watch`: follows accepted changes. */
+export const contractWatch: Command = {
+  usage: 'contract watch',
+  description: 'Prints each accepted change with its fields until it is interrupted',
+  options: [...clientOptions, jsonOption],
+  example: 'contract watch --server 192.0.2.7:7100',
+  validate: context => resolveClient(context).faults,
+  run: async context => {
+    const { dependencies } = context
+    const interruption = new AbortController()
+    const removeListener = dependencies.onSignal(() => interruption.abort())
+    try {
+      await watchChanges(context, interruption.signal)
+    } finally {
+      removeListener()
+    }
+    return cliConstants.exitStatus.success
+  }
+}
+
+/** Opens the watch again when it breaks; changes made meanwhile show up as the difference to the last one seen. */
+async function watchChanges (context: CommandContext, signal: AbortSignal): Promise<void> {
+  const { dependencies } = context
+  const client = createAdministrationClient(context)
+  const known = new Map((await client.listContracts()).map(revision => [revision.account, revision]))
+  let isBroken = false
+  while (!signal.aborted) {
+    try {
+      const missed = isBroken ? await client.listContracts() : []
+      for (const revision of missed) recordChange(revision, known, context)
+      isBroken = false
+      for await (const revision of client.watchContracts(signal)) recordChange(revision, known, context)
+    } catch (error) {
+      if (signal.aborted) return
+      if (!(error instanceof ServerUnreachableError)) throw error
+      if (!isBroken) dependencies.writeError(`warning: ${error.message}; trying again`)
+    }
+    isBroken = true
+    await dependencies.wait(cliConstants.watchReopenMs)
+  }
+}
+
+function recordChange (revision: ContractRevision, known: Map<string, ContractRevision>, { flags, dependencies }: CommandContext): void {
+  const before = known.get(revision.account)
+  if (before !== undefined && before.revision >= revision.revision) return
+  known.set(revision.account, revision)
+  if (flags.json === true) return dependencies.writeOutput(JSON.stringify(revision))
+  dependencies.writeOutput(formatRevision(revision))
+  for (const line of compareContracts(before?.contract ?? null, revision.contract)) dependencies.writeOutput(`  ${line}`)
+}
--- /dev/null
+++ b/src/node/cli/compareContracts.ts
@@ -0,0 +1,27 @@
+/**
+ * Differences between two contracts (null: none), one line per field: `+ path: value`, `- path: value`
+ * or `~ path: before -> after`. Stages are told apart by their names, not by their positions.
+ */
+export function compareContracts (before: object | null, after: object | null): readonly string[] {
+  const old = new Map(before === null ? [] : listFields('', before))
+  const next = new Map(after === null ? [] : listFields('', after))
+  const paths = [...new Set([...old.keys(), ...next.keys()])]
+  return paths.flatMap(path => {
+    const [a, b] = [old.get(path), next.get(path)]
+    if (a === b) return []
+    if (a === undefined) return `+ ${path}: ${b}`
+    return b === undefined ? `- ${path}: ${a}` : `~ ${path}: ${a} -> ${b}`
+  })
+}
+
+function listFields (path: string, value: unknown): ReadonlyArray<readonly [string, string]> {
+  if (value === undefined) return []
+  if (typeof value !== 'object' || value === null) return [[path, JSON.stringify(value)]]
+  const isNamed = Array.isArray(value) && value.length > 0 && value.every(item => typeof item?.name === 'string')
+  if (Array.isArray(value) && !isNamed) return [[path, JSON.stringify(value)]]
+  const entries = isNamed
+    ? (value as Array<{ name: string }>).map(({ name, ...rest }) => [`[${name}]`, rest] as const)
+    : Object.entries(value).map(([key, item]) => [path === '' ? key : `.${key}`, item] as const)
+  if (entries.length === 0) return [[path, '{}']]
+  return entries.flatMap(([step, item]) => listFields(path + step, item))
+}
--- /dev/null
+++ b/src/node/cli/createCommandLineDependencies.ts
@@ -0,0 +1,35 @@
+import { CommandUnavailableError } from './commandUnavailableError.js'
+import { readFile, writeFile } from 'node:fs/promises'
+import { setTimeout as delay } from 'node:timers/promises'
+import type { CommandLineDependencies } from './commandLineDependencies.js'
+
+declare const __VERSION__: string
+
+type Wired = Pick<CommandLineDependencies, 'startEntryHost' | 'parseContract'>
+
+/** Dependencies of the command line in a process; the parts of the host itself are passed in. */
+export function createCommandLineDependencies (wired: Partial<Wired> = {}): CommandLineDependencies {
+  // A reader that closes the pipe early, such as head, ends the program without a stack trace.
+  process.stdout.on('error', () => process.exit(1))
+  return {
+    version: typeof __VERSION__ === 'string' ? __VERSION__ : 'development',
+    environment: process.env,
+    startEntryHost: wired.startEntryHost ?? (() => refusePart('the entry host')),
+    parseContract: wired.parseContract ?? (() => refusePart('the contract check')),
+    readTextFile: path => readFile(path, 'utf8'),
+    writeTextFile: (path, text) => writeFile(path, text),
+    writeOutput: line => process.stdout.write(`${line}\n`),
+    writeError: line => process.stderr.write(`${line}\n`),
+    onSignal: addSignalListener,
+    wait: async ms => { await delay(ms) }
+  }
+}
+
+function addSignalListener (listener: (signal: NodeJS.Signals) => void): () => void {
+  process.on('SIGTERM', listener).on('SIGINT', listener)
+  return () => process.off('SIGTERM', listener).off('SIGINT', listener)
+}
+
+function refusePart (name: string): never {
+  throw new CommandUnavailableError(`this build does not contain ${name}`)
+}
--- a/src/node/cli/runCommandLine.ts
+++ b/src/node/cli/runCommandLine.ts
@@ -1,10 +1,55 @@
-import sade from 'sade'
+import { cliConstants } from './constants.js'
+import { createProgram } from './createProgram.js'
+import { findCommand } from './findCommand.js'
+import { listCommands } from './listCommands.js'
+import { LycheetrackError } from '../../shared/lycheetrackError.js'
+import { parseArguments } from './parseArguments.js'
+import { SettingsError } from '../settings/settingsError.js'
+import { UsageError } from './usageError.js'
+import { validateArguments } from './validateArguments.js'
+import type { Command } from './command.js'
+import type { CommandContext } from './commandContext.js'
+import type { CommandLineDependencies } from './commandLineDependencies.js'
 
-declare const __VERSION__: string
+const { exitStatus } = cliConstants
+const helpFlags = ['--help', '-h', '--version', '-v']
 
-/** Parses the command line and runs the chosen subcommand. */
-export function runCommandLine (argv: string[]): void {
-  const program = sade('lycheetrack')
-  program.version(__VERSION__)
-  program.parse(argv)
+/**
+ * Runs the subcommand that `argv` names (`argv` as in `process.argv`). Resolves with the exit status:
+ * 0 for success, 1 for a failure, 2 for a wrong command line or wrong settings.
+ */
+export async function runCommandLine (argv: readonly string[], dependencies: CommandLineDependencies): Promise<number> {
+  try {
+    return await runCommand(argv, dependencies)
+  } catch (error) {
+    if (!(error instanceof LycheetrackError)) throw error
+    const isUsage = error instanceof UsageError || error instanceof SettingsError
+    for (const line of error.message.split('\n')) dependencies.writeError(`error: ${line}`)
+    if (!isUsage) dependencies.writeError(`code: ${error.code}`)
+    return isUsage ? exitStatus.usage : exitStatus.failure
+  }
+}
+
+async function runCommand (argv: readonly string[], dependencies: CommandLineDependencies): Promise<number> {
+  const commands = listCommands()
+  const words = argv.slice(2)
+  if (isGroup(commands, words)) return reportHelp(commands, [...argv, '--help'], dependencies)
+  if (words.some(word => helpFlags.includes(word))) return reportHelp(commands, argv, dependencies)
+  const command = findCommand(commands, words)
+  const { positional, flags } = parseArguments(command, argv, dependencies.version)
+  const context: CommandContext = { positional, flags: flags as CommandContext['flags'], dependencies }
+  const faults = [...validateArguments(command, positional, flags), ...command.validate(context)]
+  if (faults.length > 0) throw new UsageError(faults)
+  return await command.run(context)
+}
+
+/** sade prints the help and the version itself. */
+function reportHelp (commands: readonly Command[], argv: readonly string[], dependencies: CommandLineDependencies): number {
+  createProgram(commands, dependencies.version, false).parse([...argv])
+  return exitStatus.success
+}
+
+/** Whether the words name a group of commands only, such as `contract`. */
+function isGroup (commands: readonly Command[], words: readonly string[]): boolean {
+  return words.length === 1 && commands.some(command => command.usage.startsWith(`${words[0]} `) && /^\w+ \w/.test(command.usage))
 }
--- /dev/null
+++ b/src/node/cli/usageError.ts
@@ -0,0 +1,11 @@
+import { LycheetrackError } from '../../shared/lycheetrackError.js'
+
+/** The command line is wrong; the message lists all faults, one a line. */
+export class UsageError extends LycheetrackError {
+  readonly code = 'usage_invalid'
+  override readonly ran = 'not_run'
+
+  constructor (readonly faults: readonly string[]) {
+    super(faults.join('\n'))
+  }
+}
