--- /dev/null
+++ b/src/node/burn/burnRings.ts
@@ -0,0 +1,74 @@
+import { burnConstants } from './constants.js'
+import type { BurnCounts } from './burnCounts.js'
+import type { BurnPoint } from './burnPoint.js'
+
+type Outcome = 'attained' | 'missed' | 'excluded'
+
+const { rings } = burnConstants
+/** Counters of one bucket: total, missed, excluded. */
+const bucketWords = 3
+/** Each ring starts with the number of its newest bucket. */
+const offsets = rings.map((_, i) => rings.slice(0, i).reduce((sum, ring) => sum + 1 + ring.buckets * bucketWords, 0))
+
+/** Layout of the rings of one account and kind in a record of 32-bit counters. All times are milliseconds since the epoch. */
+export class BurnRings {
+  static readonly recordWords = rings.reduce((sum, ring) => sum + 1 + ring.buckets * bucketWords, 0)
+
+  constructor (private readonly words: Uint32Array) {}
+
+  observe (outcome: Outcome, atMs: number): void {
+    for (let ring = 0; ring < rings.length; ring++) {
+      const word = this.updateBucket(ring, atMs)
+      if (outcome === 'excluded') {
+        this.words[word + 2]!++
+        continue
+      }
+      this.words[word]!++
+      if (outcome === 'missed') this.words[word + 1]!++
+    }
+  }
+
+  /** Sums of one ring over its window up to `nowMs`. */
+  countRing (ring: number, nowMs: number): BurnCounts {
+    const sum = [0, 0, 0]
+    for (const { word } of this.listBuckets(ring, nowMs)) {
+      for (let i = 0; i < bucketWords; i++) sum[i]! += this.words[word + i]!
+    }
+    return { total: sum[0]!, missed: sum[1]!, excluded: sum[2]! }
+  }
+
+  /** Buckets of one ring that hold requests, oldest first. */
+  listPoints (ring: number, nowMs: number): readonly BurnPoint[] {
+    return this.listBuckets(ring, nowMs)
+      .map(({ number, word }) => ({ atMs: number * rings[ring]!.bucketMs, total: this.words[word]!, missed: this.words[word + 1]! }))
+      .filter(point => point.total > 0)
+  }
+
+  /** Clears the buckets that time has passed over and finds the first word of the current one. */
+  private updateBucket (ring: number, atMs: number): number {
+    const { bucketMs, buckets } = rings[ring]!
+    const start = offsets[ring]!
+    const newest = this.words[start]!
+    // A wall clock that steps back counts into the newest bucket.
+    const number = Math.max(Math.floor(atMs / bucketMs), newest)
+    for (let passed = Math.max(newest + 1, number - buckets + 1); passed <= number; passed++) {
+      const word = this.computeWord(ring, passed)
+      this.words.fill(0, word, word + bucketWords)
+    }
+    this.words[start] = number
+    return this.computeWord(ring, number)
+  }
+
+  private listBuckets (ring: number, nowMs: number): ReadonlyArray<{ readonly number: number, readonly word: number }> {
+    const { bucketMs, buckets } = rings[ring]!
+    const newest = this.words[offsets[ring]!]!
+    const first = Math.max(Math.floor(nowMs / bucketMs), newest) - buckets + 1
+    const found = []
+    for (let number = Math.max(first, newest - buckets + 1); number <= newest; number++) found.push({ number, word: this.computeWord(ring, number) })
+    return found
+  }
+
+  private computeWord (ring: number, number: number): number {
+    return offsets[ring]! + 1 + (number % rings[ring]!.buckets) * bucketWords
+  }
+}
--- /dev/null
+++ b/src/node/burn/causeSlices.ts
@@ -0,0 +1,29 @@
+import { burnConstants } from './constants.js'
+import { CauseCounter } from './causeCounter.js'
+import { mergeCauses } from './mergeCauses.js'
+import type { BurnCause } from './burnCause.js'
+
+/** Causes of one kind over the current and the previous slice of time. */
+export class CauseSlices {
+  private current = new CauseCounter()
+  private previous = new CauseCounter()
+  private slice = 0
+
+  observe (label: string, atMs: number): void {
+    this.updateSlice(atMs)
+    this.current.observe(label.slice(0, burnConstants.maximumLabelLength))
+  }
+
+  list (nowMs: number): readonly BurnCause[] {
+    this.updateSlice(nowMs)
+    return mergeCauses([this.current.list(), this.previous.list()])
+  }
+
+  private updateSlice (nowMs: number): void {
+    const slice = Math.floor(nowMs / burnConstants.causeSliceMs)
+    if (slice <= this.slice) return
+    this.previous = slice === this.slice + 1 ? this.current : new CauseCounter()
+    this.current = new CauseCounter()
+    this.slice = slice
+  }
+}
--- /dev/null
+++ b/src/node/burn/mergeCauses.ts
@@ -0,0 +1,12 @@
+import { burnConstants } from './constants.js'
+import type { BurnCause } from './burnCause.js'
+
+/** Sums causes by label and keeps the most frequent ones, largest first. */
+export function mergeCauses (lists: ReadonlyArray<readonly BurnCause[]>): readonly BurnCause[] {
+  const counts = new Map<string, number>()
+  for (const { label, count } of lists.flat()) counts.set(label, (counts.get(label) ?? 0) + count)
+  return [...counts]
+    .map(([label, count]) => ({ label, count }))
+    .sort((a, b) => b.count - a.count || (a.label < b.label ? -1 : 1))
+    .slice(0, burnConstants.maximumCauses)
+}
