--- a/src/node/burn/constants.ts
+++ b/src/node/burn/constants.ts
@@ -33,8 +33,8 @@
    * request or sent a wrong one.
    */
   excludedCodes: [
-    'limit_reached', 'request_cancelled', 'cancelled', 'caller_gone', 'request_invalid', 'request_id_reused', 'request_id_expired',
-    'request_id_invalid', 'request_too_large', 'kind_unknown'
+    'limit_reached', 'request_cancelled', 'request_id_reused', 'request_id_required', 'request_id_invalid', 'request_id_expired',
+    'invalid_request', 'unknown_kind'
   ] as readonly string[],
   /** Cause of whole answers that came after the objective's latency. */
   lateCode: 'late'
--- a/src/node/cli/administrationClient.ts
+++ b/src/node/cli/administrationClient.ts
@@ -68,6 +68,8 @@
   /** Accepted revisions as they happen, until the stream breaks or `signal` aborts. */
   async * watchContracts (signal: AbortSignal): AsyncGenerator<ContractRevision> {
     for await (const value of this.connection.openLines('/admin/v1/contracts/watch', cliConstants.watchSilenceMs, signal)) {
+      // Lines about no account are heartbeats.
+      if (!hasAccount(value)) continue
       yield parseAnswer(value, line => revisionSchema.parse(line)) as never
     }
   }
@@ -82,6 +84,10 @@
   }
 }
 
+function hasAccount (value: unknown): boolean {
+  return typeof value === 'object' && value !== null && 'account' in value
+}
+
 function buildPath (account: string): string {
   return `/admin/v1/contracts/${encodeURIComponent(account)}`
 }
--- a/src/node/cli/commands/contractWatch.ts
+++ b/src/node/cli/commands/contractWatch.ts
@@ -35,19 +35,20 @@
   const { dependencies } = context
   const client = createAdministrationClient(context)
   const known = new Map((await client.listContracts()).map(revision => [revision.account, revision]))
-  let isBroken = false
+  let failures = 0
   while (!signal.aborted) {
     try {
-      const missed = isBroken ? await client.listContracts() : []
+      const missed = failures > 0 ? await client.listContracts() : []
       for (const revision of missed) recordChange(revision, known, context)
-      isBroken = false
+      failures = 0
       for await (const revision of client.watchContracts(signal)) recordChange(revision, known, context)
     } catch (error) {
       if (signal.aborted) return
       if (!(error instanceof ServerUnreachableError)) throw error
-      if (!isBroken) dependencies.writeError(`warning: ${error.message}; trying again`)
+      // A stream that breaks or stays silent is opened again without a word; a server that is gone is not.
+      if (failures === 1) dependencies.writeError(`warning: ${error.message}; trying again`)
     }
-    isBroken = true
+    failures++
     await dependencies.wait(cliConstants.watchReopenMs)
   }
 }
--- a/src/node/metrics/__tests__/createMetrics.test.ts
+++ b/src/node/metrics/__tests__/createMetrics.test.ts
@@ -4,15 +4,15 @@
 function createTimed () {
   let nowMs = 0
   const clock = { readMonotonicMs: () => nowMs, readWallMs: () => nowMs }
-  return { metrics: createMetrics({ clock, processMetrics: false, help: { running: 'Running requests.' } }), advance: (ms: number) => { nowMs += ms } }
+  return { metrics: createMetrics({ clock, processMetrics: false, help: { lycheetrack_running: 'Running requests.' } }), advance: (ms: number) => { nowMs += ms } }
 }
 
 t.test('counters, gauges and durations render with HELP and TYPE', t => {
   const { metrics } = createTimed()
-  metrics.addCount('requests', { kind: 'bell-issue', code: 'a"b\\c\nd' })
-  metrics.addCount('requests', { code: 'a"b\\c\nd', kind: 'bell-issue' }, 2)
+  metrics.addCount('lycheetrack_requests_total', { kind: 'bell-issue', code: 'a"b\\c\nd' })
+  metrics.addCount('lycheetrack_requests_total', { code: 'a"b\\c\nd', kind: 'bell-issue' }, 2)
   metrics.setGauge('running', {}, 4)
-  for (let ms = 1; ms <= 100; ms++) metrics.recordDuration('request_duration', { kind: 'signal-query' }, ms)
+  for (let ms = 1; ms <= 100; ms++) metrics.recordDuration('lycheetrack_request_duration_ms', { kind: 'signal-query' }, ms)
   t.matchSnapshot(metrics.render())
   t.end()
 })
--- a/src/node/metrics/metricHelp.ts
+++ b/src/node/metrics/metricHelp.ts
@@ -1,11 +1,16 @@
-/** HELP texts of the metrics, by name without prefix and unit. */
+/** HELP texts of the metrics, by the name under which they are rendered. */
 export const metricHelp: Readonly<Record<string, string>> = {
-  requests: 'Finished or refused requests by kind, outcome code and ran state.',
-  request_duration: 'Time from the arrival of a request to its last byte.',
-  stage_duration: 'Time of one stage attempt at an upstream.',
+  lycheetrack_requests_total: 'Finished and refused requests by outcome: completed or an error code.',
+  lycheetrack_request_duration_seconds: 'Time from the arrival of a request to its last byte.',
+  lycheetrack_answers_dropped_total: 'Late answers of abandoned stage attempts.',
+  lycheetrack_takeovers_total: 'Requests taken over from a host that died or did not answer.',
+  lycheetrack_runs_superseded_total: 'Runs that this host stopped because another host had taken the request over.',
+  lycheetrack_membership_hosts: 'Entry hosts that this host knows and does not hold for dead, itself included.',
+  lycheetrack_peer_bytes_sent_total: 'Bytes sent to other entry hosts, by method.',
+  lycheetrack_peer_bytes_received_total: 'Bytes received from other entry hosts, by method.',
+  lycheetrack_event_loop_delay_seconds: 'Time by which the event loop ran its timers late since the last reading.',
+  lycheetrack_metric_series_dropped_total: 'Values dropped because their metric has too many label combinations.',
   process_cpu_seconds_total: 'Processor time of the process.',
   process_resident_memory_bytes: 'Resident memory of the process.',
-  process_start_time_seconds: 'Start of the process, seconds since the epoch.',
-  event_loop_delay: 'Time by which the event loop ran its timers late.',
-  metric_series_dropped_total: 'Values dropped because their metric has too many label combinations.'
+  process_start_time_seconds: 'Start of the process, seconds since the epoch.'
 }
--- a/src/node/metrics/metricsOptions.ts
+++ b/src/node/metrics/metricsOptions.ts
@@ -5,7 +5,7 @@
   /** @default the clock of the process */
   readonly clock?: Clock
   /**
-   * HELP texts by metric name, added to those of `metricHelp`.
+   * HELP texts by rendered name, added to those of `metricHelp`.
    * @default none
    */
   readonly help?: Readonly<Record<string, string>>
--- a/src/node/metrics/metricsRegistry.ts
+++ b/src/node/metrics/metricsRegistry.ts
@@ -7,8 +7,8 @@
 type Labels = Readonly<Record<string, string>>
 
 /**
- * Metrics in memory. Names get the product's prefix; counters end in `_total` and durations in
- * `_seconds`, so callers leave both out: `requests`, `request_duration`.
+ * Metrics in memory. Rendered names have the product's prefix, counters end in `_total` and durations,
+ * which callers record in milliseconds, in `_seconds`; what a caller's name lacks is added.
  */
 export class MetricsRegistry implements Metrics {
   private readonly counters = new SeriesTable(() => ({ value: 0 }))
@@ -43,18 +43,18 @@
     const lines: string[] = []
     for (const [name, series] of this.counters.list()) {
       const full = formatName(name, '_total')
-      this.addHeader(lines, name, full, 'counter')
+      this.addHeader(lines, full, 'counter')
       for (const [labels, { value }] of series) lines.push(`${full}${labels} ${value}`)
     }
     for (const [name, series] of this.gauges.list()) {
       const full = formatName(name, '')
-      this.addHeader(lines, name, full, 'gauge')
+      this.addHeader(lines, full, 'gauge')
       for (const [labels, { value }] of series) lines.push(`${full}${labels} ${value}`)
     }
     for (const [name, series] of this.durations.list()) this.addDurations(lines, name, series)
     if (this.dropped > 0) {
       const full = formatName('metric_series_dropped', '_total')
-      this.addHeader(lines, 'metric_series_dropped', full, 'counter')
+      this.addHeader(lines, full, 'counter')
       lines.push(`${full} ${this.dropped}`)
     }
     return lines.join('\n') + '\n'
@@ -63,7 +63,7 @@
   private addDurations (lines: string[], name: string, series: ReadonlyMap<string, DurationSeries>): void {
     const full = formatName(name.replace(/_ms$/, ''), '_seconds')
     const nowMs = this.clock.readMonotonicMs()
-    this.addHeader(lines, name, full, 'summary')
+    this.addHeader(lines, full, 'summary')
     for (const [labels, durations] of series) {
       const values = durations.computeQuantiles(metricsConstants.quantiles, nowMs)
       const start = labels === '' ? '{' : `${labels.slice(0, -1)},`
@@ -72,9 +72,9 @@
     }
   }
 
-  private addHeader (lines: string[], name: string, full: string, type: string): void {
-    const text = this.help[name] ?? this.help[full] ?? `${name.replaceAll('_', ' ')}.`
-    lines.push(`# HELP ${full} ${text.replaceAll('\\', '\\\\').replaceAll('\n', '\\n')}`, `# TYPE ${full} ${type}`)
+  private addHeader (lines: string[], name: string, type: string): void {
+    const text = this.help[name] ?? `${name.replace(metricsConstants.prefix, '').replaceAll('_', ' ')}.`
+    lines.push(`# HELP ${name} ${text.replaceAll('\\', '\\\\').replaceAll('\n', '\\n')}`, `# TYPE ${name} ${type}`)
   }
 }
 
--- a/tap-snapshots/src/node/metrics/__tests__/createMetrics.test.ts.test.cjs
+++ b/tap-snapshots/src/node/metrics/__tests__/createMetrics.test.ts.test.cjs
@@ -6,7 +6,7 @@
  */
 'use strict'
 exports[`src/node/metrics/__tests__/createMetrics.test.ts > TAP > counters, gauges and durations render with HELP and TYPE > must match snapshot 1`] = `
-# HELP lycheetrack_requests_total Finished or refused requests by kind, outcome code and ran state.
+# HELP lycheetrack_requests_total Finished and refused requests by outcome: completed or an error code.
 # TYPE lycheetrack_requests_total counter
 lycheetrack_requests_total{code="a\\"b\\\\c\\nd",kind="bell-issue"} 3
 # HELP lycheetrack_running Running requests.
