feat(burn): reporter that sums the live hosts

Each host answers peers with its counters as JSON; the asked host merges them, eight peers at a time, and names the hosts without a valid answer.

--- /dev/null
+++ b/src/node/burn/burnReporter.ts
@@ -0,0 +1,66 @@
+import { buildBurnReport } from './buildBurnReport.js'
+import { burnConstants } from './constants.js'
+import { BurnLedger } from './burnLedger.js'
+import { LycheetrackError } from '../../shared/lycheetrackError.js'
+import { mergeBurnSnapshots } from './mergeBurnSnapshots.js'
+import { parseBurnSnapshot } from './parseBurnSnapshot.js'
+import { peerMethods } from '../peers/peerMethods.js'
+import type { BurnReport } from './burnReport.js'
+import type { BurnReporterOptions } from './burnReporterOptions.js'
+import type { BurnSnapshot } from './burnSnapshot.js'
+import type { HostRecord } from '../../types/hostRecord.js'
+import type { Objective } from '../../types/objective.js'
+import type { RequestSample } from '../../types/requestSample.js'
+
+/** Counts the requests of this host, answers peers that ask for its counters and sums those of all live hosts. */
+export class BurnReporter {
+  private readonly ledger = new BurnLedger()
+
+  constructor (private readonly options: BurnReporterOptions) {
+    options.transport.handle(peerMethods.burn, () => ({ report: JSON.stringify(this.createSnapshot()) }))
+  }
+
+  observe (sample: RequestSample): void {
+    this.ledger.observe(sample)
+  }
+
+  /** The burn report of all live hosts. Never rejects; hosts that do not answer are named in the report. */
+  async readReport (): Promise<BurnReport> {
+    const selfId = this.options.membership.getSelf().id
+    const waiting = this.options.membership.listHosts().filter(host => host.id !== selfId)
+    const missing: string[] = []
+    let merged = this.createSnapshot()
+    const readWaiting = async (): Promise<void> => {
+      for (let host = waiting.pop(); host !== undefined; host = waiting.pop()) {
+        const snapshot = await this.readPeer(host)
+        if (snapshot === undefined) missing.push(host.id)
+        else merged = mergeBurnSnapshots([merged, snapshot])
+      }
+    }
+    // Few calls at a time bound the memory for answers, which may be 1 MB each.
+    await Promise.all(Array.from({ length: burnConstants.concurrentPeers }, readWaiting))
+    return buildBurnReport(merged, missing.sort())
+  }
+
+  private async readPeer (host: HostRecord): Promise<BurnSnapshot | undefined> {
+    const { transport, logger, peerTimeoutMs = burnConstants.peerTimeoutMs } = this.options
+    try {
+      const { report } = await transport.send(host.peerAddress, peerMethods.burn, {}, peerTimeoutMs)
+      return parseBurnSnapshot(report ?? '')
+    } catch (error) {
+      if (!(error instanceof LycheetrackError)) throw error
+      logger.recordWarning('no burn counters from a peer', { peer: host.id, code: error.code, reason: error.message })
+      return undefined
+    }
+  }
+
+  private createSnapshot (): BurnSnapshot {
+    const { clock, membership } = this.options
+    return this.ledger.createSnapshot(membership.getSelf().id, (account, kind) => this.findObjective(account, kind), clock.readWallMs())
+  }
+
+  private findObjective (account: string, kind: string): Objective | undefined {
+    const kinds = this.options.contracts.find(account)?.contract?.kinds ?? {}
+    return Object.hasOwn(kinds, kind) ? kinds[kind]!.objective : undefined
+  }
+}
--- /dev/null
+++ b/src/node/burn/burnReporterOptions.ts
@@ -0,0 +1,19 @@
+import type { Clock } from '../../types/clock.js'
+import type { ContractView } from '../../types/contractView.js'
+import type { Logger } from '../../types/logger.js'
+import type { MembershipView } from '../../types/membershipView.js'
+import type { PeerTransport } from '../../types/peerTransport.js'
+
+/** What the burn reporter of a host needs. */
+export interface BurnReporterOptions {
+  readonly contracts: ContractView
+  readonly membership: MembershipView
+  readonly transport: PeerTransport
+  readonly clock: Clock
+  readonly logger: Logger
+  /**
+   * Time within which a peer must answer.
+   * @default 2000
+   */
+  readonly peerTimeoutMs?: number
+}
--- a/src/node/burn/constants.ts
+++ b/src/node/burn/constants.ts
@@ -24,6 +24,9 @@
   idleCheckMs: 60_000,
   /** Entries of one snapshot; bounds a peer message to about 1 MB. */
   maximumSnapshotEntries: 2000,
+  peerTimeoutMs: 2000,
+  /** Peers that are asked at the same time. */
+  concurrentPeers: 8,
   /** Entries with a plot in the HTML page, those with the least budget left. */
   maximumPlots: 200,
   /** A burn rate above this spends the budget of six hours within one hour. */
