--- a/src/node/cli/__tests__/contractCommands.test.ts
+++ b/src/node/cli/__tests__/contractCommands.test.ts
@@ -61,7 +61,14 @@
   t.equal(status, 1)
   t.same(output, ['quay: accepted revision 1'])
   t.match(errors, [/pier: revision_conflict: revision 3 was accepted; another change/])
-  t.match(server.calls, [`GET ${path}`, `PUT ${path} if-match 0`])
+  t.match(server.calls, [`GET ${path}`, `GET ${path}/history`, `PUT ${path} if-match 0`])
+  await server.close()
+})
+
+t.test('a deleted contract is written again on top of its deletion', async t => {
+  const server = await createTestServer({ [`GET ${path}/history`]: () => [revision(4, contract), revision(5, null)], [`PUT ${path}`]: () => revision(6, changed) })
+  t.match(await run(['contract', 'apply', 'pier.json'], server.address), { status: 0, output: ['pier: accepted revision 6'] })
+  t.equal(server.calls.at(-1), `PUT ${path} if-match 5`)
   await server.close()
 })
 
--- a/src/node/cli/administrationClient.ts
+++ b/src/node/cli/administrationClient.ts
@@ -35,14 +35,13 @@
     return parseAnswer(await this.connection.send('/admin/v1/contracts'), value => listSchema.parse(value)) as never
   }
 
-  /** The contract in force or its last revision; undefined when the account has none. */
+  /** The newest revision of a contract, which may be a deletion; undefined when the account never had one. */
   async findContract (account: string): Promise<ContractRevision | undefined> {
     try {
       return parseAnswer(await this.connection.send(buildPath(account)), value => revisionSchema.parse(value)) as never
     } catch (error) {
-      if (!(error instanceof ServerRefusedError) || error.httpStatus !== 404) throw error
-      // A deleted contract keeps its revision, which the next change must name.
-      return error.revision === undefined ? undefined : { account, revision: error.revision, contract: null, operator: '', atMs: 0, token: '' }
+      if (!isNotFound(error)) throw error
+      return await this.findDeletion(account)
     }
   }
 
@@ -65,6 +64,17 @@
     return parseAnswer(await this.connection.send(`${buildPath(account)}/status`), value => statusSchema.parse(value))
   }
 
+  /** A deleted contract keeps its revision, which the next change must name. */
+  private async findDeletion (account: string): Promise<ContractRevision | undefined> {
+    try {
+      const revisions = [...await this.listHistory(account)].sort((a, b) => b.revision - a.revision)
+      return revisions[0]?.contract === null ? revisions[0] : undefined
+    } catch (error) {
+      if (!isNotFound(error)) throw error
+      return undefined
+    }
+  }
+
   /** Accepted revisions as they happen, until the stream breaks or `signal` aborts. */
   async * watchContracts (signal: AbortSignal): AsyncGenerator<ContractRevision> {
     for await (const value of this.connection.openLines('/admin/v1/contracts/watch', cliConstants.watchSilenceMs, signal)) {
@@ -84,6 +94,10 @@
   }
 }
 
+function isNotFound (error: unknown): boolean {
+  return error instanceof ServerRefusedError && error.httpStatus === 404
+}
+
 function hasAccount (value: unknown): boolean {
   return typeof value === 'object' && value !== null && 'account' in value
 }
--- a/src/node/cli/commands/contractApply.ts
+++ b/src/node/cli/commands/contractApply.ts
@@ -55,13 +55,18 @@
     return revision
   } catch (error) {
     if (!(error instanceof LycheetrackError)) throw error
-    if (!(error instanceof ServerRefusedError)) return await settleApply(client, contract, before?.revision ?? 0, error, dependencies)
+    if (!isRefusal(error)) return await settleApply(client, contract, before?.revision ?? 0, error, dependencies)
     const hint = error.code === 'revision_conflict' ? '; another change was accepted meanwhile: look at it with "contract diff", then apply again' : ''
     dependencies.writeError(`error: ${account}: ${error.code}: ${error.message}${hint}`)
     return undefined
   }
 }
 
+/** Whether the server is sure that the change was not accepted. */
+function isRefusal (error: LycheetrackError): boolean {
+  return error instanceof ServerRefusedError && !cliConstants.uncertainCodes.includes(error.code)
+}
+
 /** When the answer was lost, the change may have been accepted; reading the contract back tells. */
 async function settleApply (client: AdministrationClient, contract: Contract, before: number, error: LycheetrackError, dependencies: CommandLineDependencies): Promise<number | undefined> {
   const after = await client.findContract(contract.account).catch(() => undefined)
--- a/src/node/cli/serverConnection.ts
+++ b/src/node/cli/serverConnection.ts
@@ -74,10 +74,8 @@
   }
 
   private buildRefusal (text: string, status: number): LycheetrackError {
-    const answer = this.parseJson(text, status) as { error?: { code?: unknown, message?: unknown, revision?: unknown }, revision?: unknown }
-    const error = answer?.error
+    const { error } = (this.parseJson(text, status) ?? {}) as { error?: { code?: unknown, message?: unknown } }
     if (typeof error?.code !== 'string') return new ServerAnswerError(`${this.server} answered with status ${status} and no error code`)
-    const revision = error.revision ?? answer.revision
-    return new ServerRefusedError(error.code, status, String(error.message ?? error.code), typeof revision === 'number' ? revision : undefined)
+    return new ServerRefusedError(error.code, status, String(error.message ?? error.code))
   }
 }
