--- /dev/null
+++ b/playground/fakes/fixedStageRouter.ts
@@ -0,0 +1,56 @@
+import type { AttemptOutcome } from '../../src/types/attemptOutcome.js'
+import type { StageRouter } from '../../src/types/stageRouter.js'
+import type { StageWork } from '../../src/types/stageWork.js'
+import type { Upstream } from '../../src/types/upstream.js'
+import type { UpstreamChoice } from '../../src/types/upstreamChoice.js'
+
+/** Stage router for tests: the first upstream of the pool that is live and not excluded, in the given order. */
+export class FixedStageRouter implements StageRouter {
+  private upstreams: readonly Upstream[] = []
+  readonly leaving = new Set<string>()
+  readonly ended: Array<{ readonly upstreamId: string, readonly outcome: AttemptOutcome }> = []
+  readonly loadReports = new Set<string>()
+  readonly cacheEvents: string[] = []
+  sentCount = 0
+  hedgeAfterMs: number | undefined
+  isRetryAdmitted = true
+
+  applyUpstreams (upstreams: readonly Upstream[]): void {
+    this.upstreams = upstreams
+  }
+
+  route (work: StageWork, excluded: ReadonlySet<string>): UpstreamChoice | undefined {
+    const found = this.upstreams.find(upstream => upstream.pool === work.pool && !excluded.has(upstream.id) && !this.leaving.has(upstream.id))
+    return found === undefined ? undefined : { upstreamId: found.id, predictedMs: 10, hedgeAfterMs: work.idempotent ? this.hedgeAfterMs : undefined }
+  }
+
+  onSent (): void {
+    this.sentCount++
+  }
+
+  onProgress (): void {}
+
+  onEnded (upstreamId: string, _work: StageWork, outcome: AttemptOutcome): void {
+    this.ended.push({ upstreamId, outcome })
+  }
+
+  onLoadReport (report: { readonly upstreamId: string }): void {
+    this.loadReports.add(report.upstreamId)
+  }
+
+  onCacheEvent (upstreamId: string, type: string, prefixHash: string): void {
+    this.cacheEvents.push(`${upstreamId} ${type} ${prefixHash}`)
+  }
+
+  onLeaving (upstreamId: string): void {
+    this.leaving.add(upstreamId)
+  }
+
+  admitRetry (): boolean {
+    return this.isRetryAdmitted
+  }
+
+  admitHedge (): boolean {
+    return true
+  }
+}
--- /dev/null
+++ b/playground/fakes/loopbackPeers.ts
@@ -0,0 +1,66 @@
+import { LycheetrackError } from '../../src/shared/lycheetrackError.js'
+import { PeerRefusedError } from '../../src/shared/peerRefusedError.js'
+import { PeerUnavailableError } from '../../src/shared/peerUnavailableError.js'
+import type { PeerMethod } from '../../src/types/peerMethod.js'
+import type { PeerTransport } from '../../src/types/peerTransport.js'
+
+type Handler = (request: never, peerId: string, signal: AbortSignal) => unknown
+
+/** Calls between hosts of one test process; messages pass through their codecs. Hosts can be dead or frozen. */
+export class LoopbackPeers {
+  private readonly handlers = new Map<string, Map<string, Handler>>()
+  /** Hosts whose calls fail at once. */
+  readonly dead = new Set<string>()
+  /** Hosts that do not answer: calls to them time out. */
+  readonly frozen = new Set<string>()
+  readonly calls: string[] = []
+
+  createTransport (selfId: string): PeerTransport {
+    const handlers = new Map<string, Handler>()
+    this.handlers.set(selfId, handlers)
+    return {
+      send: async (peerAddress, method, request, timeoutMs) => await this.send(selfId, peerAddress, method, request, timeoutMs),
+      openStream: (peerAddress, method, request, silenceMs, signal) => this.openStream(selfId, peerAddress, method, request, silenceMs, signal),
+      handle: (method, handler) => { handlers.set(method.path, handler as Handler) },
+      handleStream: (method, handler) => { handlers.set(method.path, handler as Handler) }
+    }
+  }
+
+  private async send<Request, Response> (selfId: string, peerId: string, method: PeerMethod<Request, Response>, request: Request, timeoutMs: number): Promise<Response> {
+    this.calls.push(`${peerId} ${method.path}`)
+    if (this.dead.has(peerId) || this.dead.has(selfId)) throw new PeerUnavailableError(`${peerId} cannot be reached`)
+    if (this.frozen.has(peerId)) await this.waitSilence(timeoutMs)
+    try {
+      const answer = await this.getHandler(peerId, method)(method.decodeRequest(method.encodeRequest(request)) as never, selfId, new AbortController().signal)
+      return method.decodeResponse(method.encodeResponse(answer as Response))
+    } catch (error) {
+      throw error instanceof LycheetrackError ? new PeerRefusedError(error.code, error.message) : error
+    }
+  }
+
+  private async * openStream<Request, Response> (selfId: string, peerId: string, method: PeerMethod<Request, Response>, request: Request, silenceMs: number, signal: AbortSignal): AsyncGenerator<Response> {
+    if (this.dead.has(peerId)) throw new PeerUnavailableError(`${peerId} cannot be reached`)
+    if (this.frozen.has(peerId)) await this.waitSilence(silenceMs)
+    const events = this.getHandler(peerId, method)(method.decodeRequest(method.encodeRequest(request)) as never, selfId, signal) as AsyncIterable<Response>
+    try {
+      for await (const event of events) {
+        if (this.dead.has(peerId)) throw new PeerUnavailableError(`${peerId} closed the stream`)
+        if (this.frozen.has(peerId)) await this.waitSilence(silenceMs)
+        yield method.decodeResponse(method.encodeResponse(event))
+      }
+    } catch (error) {
+      throw error instanceof LycheetrackError && !(error instanceof PeerUnavailableError) ? new PeerRefusedError(error.code, error.message) : error
+    }
+  }
+
+  private getHandler (peerId: string, method: { readonly path: string }): Handler {
+    const handler = this.handlers.get(peerId)?.get(method.path)
+    if (handler === undefined) throw new PeerUnavailableError(`${peerId} has no handler of ${method.path}`)
+    return handler
+  }
+
+  private async waitSilence (silenceMs: number): Promise<never> {
+    await new Promise(resolve => setTimeout(resolve, silenceMs / 10))
+    throw new PeerUnavailableError('silent')
+  }
+}
--- /dev/null
+++ b/src/node/requests/answerEnd.ts
@@ -0,0 +1,14 @@
+import type { RanState } from '../../types/ranState.js'
+
+/** End of an answer. `result` maps the last stages that are not streamed to their outputs. */
+export type AnswerEnd =
+  | { readonly kind: 'done', readonly tokenCount: number, readonly result: Readonly<Record<string, unknown>> }
+  | {
+    readonly kind: 'error'
+    readonly code: string
+    readonly message: string
+    readonly ran: RanState
+    readonly httpStatus: number
+    readonly retryAfterMs?: number
+    readonly addresses?: ReadonlyArray<{ readonly address: string, readonly failureDomain: string }>
+  }
--- /dev/null
+++ b/src/node/requests/attemptStarter.ts
@@ -0,0 +1,68 @@
+import type { StageOperation } from '../../types/stageOperation.js'
+import type { StageAnswer } from '../upstreams/stageAnswer.js'
+import { UpstreamError } from '../upstreams/upstreamError.js'
+import type { UpstreamLookup } from '../upstreams/upstreamLookup.js'
+import type { AttemptEvents } from './attemptEvents.js'
+import { requestConstants } from './constants.js'
+import type { PendingAttempts } from './pendingAttempts.js'
+import type { StageAttempt } from './stageAttempt.js'
+import type { StagePayload } from './stagePayload.js'
+
+/** Starts single attempts of stages at upstreams. */
+export class AttemptStarter {
+  constructor (private readonly upstreams: UpstreamLookup, private readonly pending: PendingAttempts) {}
+
+  /** `resumeOffset` is set when `callId` names a stream that the engine runs already. */
+  start (upstreamId: string, callId: string, payload: StagePayload, events: AttemptEvents, resumeOffset?: number): StageAttempt {
+    if (payload.stage.operation === 'generate') return this.startGeneration(upstreamId, callId, payload, events, resumeOffset)
+    return this.startCall(upstreamId, callId, payload, payload.stage.operation, events)
+  }
+
+  private startGeneration (upstreamId: string, streamId: string, payload: StagePayload, events: AttemptEvents, resumeOffset?: number): StageAttempt {
+    const engine = this.upstreams.findEngine(upstreamId)
+    if (engine === undefined) return this.refuseUnknown(upstreamId, events)
+    const { stage, prompt, priority } = payload
+    const call = { streamId, model: stage.model ?? '', prompt, maxTokens: stage.maxTokens ?? requestConstants.defaultMaxTokens, priority, resumeOffset }
+    return engine.openStream(call, {
+      onTokens: literals => events.onTokens(literals),
+      onEnd: () => events.onDone(undefined),
+      onError: error => events.onFailed(error)
+    })
+  }
+
+  private startCall (upstreamId: string, callId: string, payload: StagePayload, operation: Exclude<StageOperation, 'generate'>, events: AttemptEvents): StageAttempt {
+    const controller = new AbortController()
+    let answer: Promise<StageAnswer>
+    if (operation === 'call') {
+      const service = this.upstreams.findPlainService(upstreamId)
+      if (service === undefined) return this.refuseUnknown(upstreamId, events)
+      answer = service.send(payload.stage.serviceOperation ?? payload.stage.name, callId, payload.input, controller.signal, payload.isSendable)
+    } else {
+      const member = this.upstreams.findStagePoolMember(upstreamId)
+      if (member === undefined) return this.refuseUnknown(upstreamId, events)
+      answer = member.send(operation, callId, payload.input, controller.signal)
+    }
+    this.pending.add(callId, { upstreamId, onAnswer: output => events.onDone(output) })
+    const closeWithError = (error: UpstreamError): void => { if (this.pending.remove(callId)) events.onFailed(error) }
+    answer.then(received => {
+      this.pending.receive(upstreamId, received.callId, received.output)
+      if (received.callId === callId) return
+      // An upstream that mixes up connections delivers the right answer over another one.
+      setTimeout(() => closeWithError(new UpstreamError('upstream_failed', 'the connection carried the answer of another call', 'unknown', true)), requestConstants.strayAnswerMs).unref()
+    }, error => {
+      closeWithError(error instanceof UpstreamError ? error : new UpstreamError('upstream_failed', String(error), 'unknown', true, { cause: error }))
+    })
+    const startedMs = performance.now()
+    const cancel = (): void => {
+      this.pending.remove(callId)
+      controller.abort()
+      if (performance.now() - startedMs > requestConstants.silentCallMs) this.upstreams.updateConnections(upstreamId)
+    }
+    return { cancel, close: cancel }
+  }
+
+  private refuseUnknown (upstreamId: string, events: AttemptEvents): StageAttempt {
+    queueMicrotask(() => events.onFailed(new UpstreamError('upstream_unknown', `no connection to upstream ${upstreamId}`, 'not_run', false)))
+    return { cancel: () => {}, close: () => {} }
+  }
+}
--- /dev/null
+++ b/src/node/requests/constants.ts
@@ -0,0 +1,52 @@
+/** Constants of the request path. */
+export const requestConstants = {
+  /** Finished answers stay readable at their owner for this time. */
+  finishedRetentionMs: 60_000,
+  /** Bound of all finished answers together. */
+  finishedRetentionBytes: 48 * 1024 * 1024,
+  /** Memory of a finished request besides its answer, rounded up. */
+  entryOverheadBytes: 2048,
+  maxDirectoryEntries: 50_000,
+  /** Delay before the directory is asked again when a host turns out not to be the owner. */
+  ownerLookupDelayMs: 20,
+  maxTokensPerPeerEvent: 512,
+  /** Tokens for joining hosts are collected for this time. */
+  peerMergeMs: 3,
+  /** A caller that lost its connection has this time to join again before the work is cancelled. */
+  abandonGraceMs: 500,
+  maxAttemptsPerStage: 4,
+  /** A call that is given up after this time without an answer makes its connections suspect. */
+  silentCallMs: 1000,
+  /** Time for the answer of a call whose connection delivered the answer of another call. */
+  strayAnswerMs: 500,
+  /** Time for the primary directory host to answer before the backup is asked. */
+  directoryTimeoutMs: 300,
+  /** An owner that is silent for this time is taken over. */
+  ownerSilenceMs: 1000,
+  joinHeartbeatMs: 250,
+  /** Longest search of the directory before a refusal is answered. */
+  refusalLookupMs: 150,
+  maxTakeovers: 6,
+  /** Directory entries without news from their owner are forgotten after this time. */
+  directoryEntryLifetimeMs: 90_000,
+  reregisterIntervalMs: 30_000,
+  /** Delay after a membership change, so that several changes lead to one round of registrations. */
+  reregisterDelayMs: 50,
+  /** Timer gap that shows that this process did not run for a while. */
+  freezeGapMs: 750,
+  freezeCheckMs: 250,
+  /** Epochs number their generations apart, so that tokens of two owners are never mixed. */
+  generationsPerEpoch: 64,
+  outcomeRecordTimeoutMs: 2000,
+  minimumBudgetMs: 50,
+  latencySamples: 128,
+  /** A stage that takes longer than this quantile of its past is given a second attempt. */
+  budgetQuantile: 0.95,
+  minimumLatencySamples: 10,
+  prefixLength: 256,
+  defaultMaxTokens: 256,
+  handOverPullTimeoutMs: 5000,
+  handOverTimeoutMs: 8000,
+  registrationsAtOnce: 64,
+  cancelTimeoutMs: 1000
+} as const
--- /dev/null
+++ b/src/node/requests/decodeRegistration.ts
@@ -0,0 +1,15 @@
+import type { lycheetrack as messages } from '../peers/generated/peer.js'
+import { decodeHint } from './decodeHint.js'
+import type { Registration } from './registration.js'
+
+/** A registration from its wire form. */
+export function decodeRegistration (message: messages.IRegisterRequestRequest): Registration {
+  return {
+    identity: { account: message.account ?? '', requestId: message.requestId ?? '', bodyHash: message.bodyHash ?? '' },
+    ownerId: message.ownerId ?? '',
+    epoch: message.epoch ?? 0,
+    hint: decodeHint(message),
+    finished: message.finished ?? false,
+    takeoverFrom: message.takeoverFrom === '' ? undefined : message.takeoverFrom ?? undefined
+  }
+}
--- /dev/null
+++ b/src/node/requests/listStagesInOrder.ts
@@ -0,0 +1,17 @@
+import type { StageSpec } from '../../types/stageSpec.js'
+import { RequestError } from './requestError.js'
+
+/** Stages in an order in which each follows the stages it needs. Throws `RequestError` when there is none. */
+export function listStagesInOrder (stages: readonly StageSpec[]): readonly StageSpec[] {
+  const sorted: StageSpec[] = []
+  const placed = new Set<string>()
+  while (sorted.length < stages.length) {
+    const ready = stages.filter(stage => !placed.has(stage.name) && stage.after.every(name => placed.has(name)))
+    if (ready.length === 0) throw new RequestError('invalid_pipeline', 'the stages do not form a directed acyclic graph', 500, 'not_run')
+    for (const stage of ready) {
+      sorted.push(stage)
+      placed.add(stage.name)
+    }
+  }
+  return sorted
+}
--- /dev/null
+++ b/src/node/requests/pipelineRun.ts
@@ -0,0 +1,179 @@
+import type { StageSpec } from '../../types/stageSpec.js'
+import type { StageWork } from '../../types/stageWork.js'
+import type { AnswerEnd } from './answerEnd.js'
+import type { AttemptEvents } from './attemptEvents.js'
+import { buildErrorEnd } from './buildErrorEnd.js'
+import { buildPipelinePlan } from './buildPipelinePlan.js'
+import { buildPrompt } from './buildPrompt.js'
+import { computeNextGeneration } from './computeNextGeneration.js'
+import { computeStageBudget } from './computeStageBudget.js'
+import { requestConstants } from './constants.js'
+import { hashPrefix } from './hashPrefix.js'
+import type { PipelineDependencies } from './pipelineDependencies.js'
+import type { PipelineJob } from './pipelineJob.js'
+import type { PipelinePlan } from './pipelinePlan.js'
+import type { StageAttempt } from './stageAttempt.js'
+import { StageRun } from './stageRun.js'
+import type { StageRunOptions } from './stageRunOptions.js'
+
+/** Executes the stages of one request; each stage starts when the stages that it needs are complete. */
+export class PipelineRun {
+  private readonly plan: PipelinePlan
+  private readonly outputs = new Map<string, Promise<unknown>>()
+  private readonly controller = new AbortController()
+  private attemptCount = 0
+  private callsThatMayHaveRun = 0
+  private slowest = { stage: '', upstreamId: '', elapsedMs: -1 }
+
+  constructor (private readonly dependencies: PipelineDependencies, private readonly job: PipelineJob) {
+    this.plan = buildPipelinePlan(job.submission.spec.stages)
+  }
+
+  /** True when a byte was sent to an upstream that may have acted on it. */
+  get mayHaveRun (): boolean {
+    return this.callsThatMayHaveRun > 0
+  }
+
+  /** The stage that took longest so far and its upstream. */
+  get slowestStage (): { readonly stage: string, readonly upstreamId: string } {
+    return this.slowest
+  }
+
+  /** Runs to the end and never rejects; rejections of stages become an error end. */
+  async run (signal: AbortSignal): Promise<AnswerEnd> {
+    const onAbort = (): void => this.controller.abort(signal.reason)
+    if (signal.aborted) onAbort()
+    else signal.addEventListener('abort', onAbort, { once: true })
+    try {
+      const { streamed, results } = this.plan
+      const wanted = streamed === undefined ? results : [streamed, ...results]
+      const outputs = await Promise.all(wanted.map(async stage => await this.runStage(stage)))
+      const result = Object.fromEntries(results.map(stage => [stage.name, outputs[wanted.indexOf(stage)]]))
+      return { kind: 'done', tokenCount: this.job.log.tokens.length, result }
+    } catch (error) {
+      this.controller.abort(error)
+      return this.buildFailure(signal.aborted ? signal.reason : error)
+    } finally {
+      signal.removeEventListener('abort', onAbort)
+    }
+  }
+
+  private buildFailure (error: unknown): AnswerEnd {
+    const end = buildErrorEnd(error)
+    if (!this.mayHaveRun) return { ...end, ran: 'not_run' }
+    return end.ran === 'not_run' ? { ...end, ran: 'unknown' } : end
+  }
+
+  private runStage (stage: StageSpec): Promise<unknown> {
+    const known = this.outputs.get(stage.name)
+    if (known !== undefined) return known
+    const output = this.executeStage(stage)
+    // Stages that fail together would leave rejections that nobody awaits.
+    output.catch(() => {})
+    this.outputs.set(stage.name, output)
+    return output
+  }
+
+  private readonly executeStage = async (stage: StageSpec): Promise<unknown> => {
+    const resumed = stage === this.plan.streamed ? this.findResumable() : undefined
+    if (resumed !== undefined) {
+      try {
+        return await this.runAttempts(stage, {}, resumed)
+      } catch (error) {
+        // The engine no longer has the stream: the stage runs again with the results it needs.
+        if (this.controller.signal.aborted) throw error
+      }
+    }
+    const names = stage.after
+    const specs = names.map(name => this.plan.stages.find(other => other.name === name)!)
+    const outputs = await Promise.all(specs.map(async spec => await this.runStage(spec)))
+    return await this.runAttempts(stage, Object.fromEntries(names.map((name, index) => [name, outputs[index]])), undefined)
+  }
+
+  private findResumable (): StageRunOptions['resumed'] {
+    const { hint, log } = this.job
+    if (hint === undefined || hint.streamId === '' || hint.generation < log.generation) return undefined
+    log.startGeneration(hint.generation)
+    return { upstreamId: hint.upstreamId, streamId: hint.streamId, offset: log.tokens.length }
+  }
+
+  private async runAttempts (stage: StageSpec, results: Readonly<Record<string, unknown>>, resumed: StageRunOptions['resumed']): Promise<unknown> {
+    const { submission, deadlineAtMs } = this.job
+    const { account, requestId, spec } = submission
+    const { router, clock, latencies, tokens, attempts } = this.dependencies
+    const isGeneration = stage.operation === 'generate'
+    const isStreamed = stage === this.plan.streamed
+    const prompt = isGeneration ? buildPrompt(submission.input, results) : ''
+    const tokenKey = `${account}/${submission.kind}/${stage.name}`
+    const workId = `${account}/${requestId}/${stage.name}`
+    const work: StageWork = {
+      workId,
+      account,
+      pool: stage.pool,
+      operation: stage.operation,
+      model: stage.model,
+      cost: isGeneration ? tokens.compute(tokenKey, stage.maxTokens ?? requestConstants.defaultMaxTokens) : 1,
+      priority: spec.priority,
+      deadlineMs: deadlineAtMs,
+      idempotent: spec.idempotent,
+      prefixHash: isGeneration ? hashPrefix(prompt) : undefined
+    }
+    const payload = { stage, priority: spec.priority, prompt, input: { input: submission.input, results }, isSendable: stage.operation === 'call' ? this.job.isSendable : undefined }
+    const collected: string[] = []
+    const run = new StageRun({
+      work,
+      router,
+      clock,
+      budgetMs: this.computeBudget(stage),
+      isOnce: stage.operation === 'call' && !spec.idempotent,
+      resumed,
+      buildCallId: () => `${workId}/${this.dependencies.hostId}.${this.job.epoch}.${++this.attemptCount}`,
+      startAttempt: (upstreamId, callId, events, resumeOffset) => this.startAttempt(() =>
+        attempts.start(upstreamId, callId, payload, this.countFailures(events), resumeOffset)),
+      onLeader: (upstreamId, streamId, isResumed) => {
+        if (isStreamed) this.startGeneration(upstreamId, streamId, isResumed)
+        collected.length = 0
+      },
+      onTokens: literals => {
+        if (isStreamed) this.job.log.addTokens(literals)
+        else collected.push(...literals)
+      }
+    })
+    const result = await run.run(this.controller.signal)
+    latencies.observe(this.buildLatencyKey(stage), result.elapsedMs)
+    if (isStreamed) tokens.observe(tokenKey, this.job.log.tokens.length)
+    if (result.elapsedMs > this.slowest.elapsedMs) this.slowest = { stage: stage.name, upstreamId: result.upstreamId, elapsedMs: result.elapsedMs }
+    return isGeneration ? (JSON.parse(`[${collected.join(',')}]`) as string[]).join('') : result.output
+  }
+
+  private startAttempt (start: () => StageAttempt): StageAttempt {
+    this.callsThatMayHaveRun++
+    return start()
+  }
+
+  private countFailures (events: AttemptEvents): AttemptEvents {
+    return {
+      ...events,
+      onFailed: error => {
+        if (error.ran === 'not_run') this.callsThatMayHaveRun--
+        events.onFailed(error)
+      }
+    }
+  }
+
+  private startGeneration (upstreamId: string, streamId: string, isResumed: boolean): void {
+    const { log, hint, epoch, submission, onHint } = this.job
+    if (!isResumed) log.startGeneration(computeNextGeneration(epoch, [log.generation, hint?.generation ?? 0, submission.knownGeneration]))
+    onHint({ upstreamId, streamId, generation: log.generation })
+  }
+
+  private computeBudget (stage: StageSpec): number {
+    const path = this.plan.remainingPaths.get(stage.name) ?? [stage]
+    const quantiles = path.map(other => this.dependencies.latencies.findQuantile(this.buildLatencyKey(other)))
+    return computeStageBudget(this.job.deadlineAtMs - this.dependencies.clock.readMonotonicMs(), quantiles)
+  }
+
+  private buildLatencyKey (stage: StageSpec): string {
+    return `${stage.pool}/${stage.operation}/${stage.model ?? ''}`
+  }
+}
--- /dev/null
+++ b/src/node/requests/requestEntry.ts
@@ -0,0 +1,106 @@
+import { createActor } from 'xstate'
+import type { Actor } from 'xstate'
+import type { AnswerEnd } from './answerEnd.js'
+import { AnswerLog } from './answerLog.js'
+import { requestConstants } from './constants.js'
+import { RequestError } from './requestError.js'
+import type { RegistrationResult } from './registrationResult.js'
+import type { RequestIdentity } from './requestIdentity.js'
+import { requestMachine } from './requestMachine.js'
+import type { ResumeHint } from './resumeHint.js'
+
+/** One request on this host, which either owns it or relays the answer of its owner. */
+export class RequestEntry {
+  readonly log = new AnswerLog()
+  role: 'starting' | 'owner' | 'joined' = 'starting'
+  epoch = 0
+  hint: ResumeHint | undefined
+  /** The owner that a newer epoch belongs to, once this host has learned of it. */
+  newOwner: RegistrationResult | undefined
+  /** Ids of the directory hosts that know the present state. */
+  directoryHosts = ''
+  /** False while the work must go on even if nobody waits for it. */
+  isAbandonable = true
+  isCancelledByCaller = false
+  private lifecycle: Actor<typeof requestMachine> | undefined = createActor(requestMachine)
+  private endState = ''
+  private controller = new AbortController()
+  private stopReason: RequestError | undefined
+  private waiterCount = 0
+  private abandonTimer: NodeJS.Timeout | undefined
+
+  constructor (readonly identity: RequestIdentity, private readonly abandonGraceMs: number = requestConstants.abandonGraceMs) {
+    this.lifecycle?.start()
+  }
+
+  get state (): string {
+    return this.lifecycle?.getSnapshot().value ?? this.endState
+  }
+
+  get isEnded (): boolean {
+    return this.log.end !== undefined
+  }
+
+  get waiters (): number {
+    return this.waiterCount
+  }
+
+  /** True when the work was ended by a caller or because nobody waits, as opposed to by its own course. */
+  get isStopped (): boolean {
+    return this.stopReason !== undefined
+  }
+
+  updateState (event: 'admit' | 'run' | 'stream'): void {
+    this.lifecycle?.send({ type: event })
+  }
+
+  /** Signal of the present activity, local execution or relay; a new one replaces the one before. */
+  startActivity (): AbortSignal {
+    this.controller = new AbortController()
+    if (this.stopReason !== undefined) this.controller.abort(this.stopReason)
+    return this.controller.signal
+  }
+
+  stopActivity (reason: RequestError): void {
+    this.controller.abort(reason)
+  }
+
+  /** Ends the local execution because another host owns the request under a newer epoch. */
+  applyNewOwner (owner: RegistrationResult): void {
+    if (this.isEnded || this.role !== 'owner' || owner.epoch <= this.epoch) return
+    this.newOwner = owner
+    this.controller.abort(new RequestError('superseded', `host ${owner.ownerId} has taken the request over`, 503, 'unknown'))
+  }
+
+  /** Ends the request for good. */
+  stop (reason: RequestError): void {
+    this.stopReason ??= reason
+    this.controller.abort(reason)
+  }
+
+  close (end: AnswerEnd): void {
+    clearTimeout(this.abandonTimer)
+    if (this.isEnded) return
+    this.lifecycle?.send({ type: end.kind === 'done' ? 'finish' : end.code === 'request_cancelled' ? 'cancel' : 'fail' })
+    // Finished entries are kept in number, so the actor does not stay with them.
+    this.endState = this.state
+    this.lifecycle = undefined
+    this.log.close(end)
+  }
+
+  /** Counts somebody who waits for the answer; the returned function must be called when they stop waiting. */
+  addWaiter (): () => void {
+    this.waiterCount++
+    clearTimeout(this.abandonTimer)
+    let isWaiting = true
+    return () => {
+      if (!isWaiting) return
+      isWaiting = false
+      if (--this.waiterCount > 0 || this.isEnded || !this.isAbandonable) return
+      this.abandonTimer = setTimeout(() => {
+        if (this.isAbandonable) this.stop(new RequestError('request_cancelled', 'nobody waits for the answer', 499, 'unknown'))
+      }, this.abandonGraceMs)
+      this.abandonTimer.unref()
+    }
+  }
+}
--- /dev/null
+++ b/src/node/requests/requestExecutor.ts
@@ -0,0 +1,171 @@
+import { setTimeout as waitTime } from 'node:timers/promises'
+import type { ClaimOutcome } from '../../types/claimOutcome.js'
+import type { AnswerEnd } from './answerEnd.js'
+import { buildErrorEnd } from './buildErrorEnd.js'
+import { requestConstants } from './constants.js'
+import type { ExecutionReport } from './executionReport.js'
+import { parseAnswerEnd } from './parseAnswerEnd.js'
+import { PipelineRun } from './pipelineRun.js'
+import type { RegistrationResult } from './registrationResult.js'
+import type { RequestEntry } from './requestEntry.js'
+import { RequestError } from './requestError.js'
+import type { RequestExecutorOptions } from './requestExecutorOptions.js'
+import type { ResumeHint } from './resumeHint.js'
+import type { Submission } from './submission.js'
+
+/** Brings requests to their end: as their owner, or by following the owner and taking over from it. */
+export class RequestExecutor {
+  private readonly recordings = new Set<Promise<void>>()
+  private readonly reports = new WeakMap<RequestEntry, ExecutionReport>()
+
+  constructor (private readonly options: RequestExecutorOptions) {}
+
+  /** Ends the entry in every case and never rejects. `deadlineAtMs` is on the monotonic clock. */
+  async run (entry: RequestEntry, submission: Submission, deadlineAtMs: number): Promise<ExecutionReport> {
+    try {
+      const end = await this.runToEnd(entry, submission, deadlineAtMs)
+      if (end !== undefined) entry.close(end)
+    } catch (error) {
+      if (!(error instanceof RequestError)) this.options.logger.recordError('request failed', { requestId: submission.requestId, reason: String(error) })
+      entry.close(buildErrorEnd(error))
+    }
+    return this.reports.get(entry) ?? {}
+  }
+
+  /** Follows a request that runs at `ownerId`, for callers that only know its id. Never rejects. */
+  async runJoin (entry: RequestEntry, ownerId: string): Promise<void> {
+    await this.joinOwner(entry, ownerId)
+    entry.close({ kind: 'error', code: 'owner_unavailable', message: 'the host that runs the request does not answer; submit the request again to take it over', ran: 'unknown', httpStatus: 503 })
+  }
+
+  /** Resolves when all outcomes of calls that run at most once are recorded or given up. */
+  async waitIdle (): Promise<void> {
+    await Promise.all(this.recordings)
+  }
+
+  private async runToEnd (entry: RequestEntry, submission: Submission, deadlineAtMs: number): Promise<AnswerEnd | undefined> {
+    let result = await this.register(entry, 1)
+    for (let round = 0; round < requestConstants.maxTakeovers; round++) {
+      if (result.accepted) {
+        const end = submission.spec.idempotent
+          ? await this.runOwned(entry, submission, deadlineAtMs, result)
+          : await this.runOnce(entry, submission, deadlineAtMs, result)
+        if (entry.newOwner === undefined || entry.isEnded || entry.isStopped) return end
+        result = entry.newOwner
+        this.options.metrics.addCount('lycheetrack_runs_superseded_total', {})
+        continue
+      }
+      if (result.bodyHash !== entry.identity.bodyHash) throw new RequestError('request_id_reused', 'the request id belongs to a request with another body', 409, 'not_run')
+      const outcome = await this.joinOwner(entry, result.ownerId)
+      if (entry.isEnded) return undefined
+      if (entry.isStopped) break
+      if (!submission.spec.idempotent) return await this.runOnce(entry, submission, deadlineAtMs, result)
+      if (outcome === 'not_owner') {
+        await waitTime(requestConstants.ownerLookupDelayMs)
+        const { account, requestId } = entry.identity
+        const found = await this.options.directory.find(account, requestId)
+        if (found !== undefined && found.epoch > result.epoch) {
+          result = found
+          continue
+        }
+      }
+      this.options.metrics.addCount('lycheetrack_takeovers_total', {})
+      result = await this.register(entry, result.epoch + 1, result)
+    }
+    throw new RequestError(entry.isStopped ? 'request_cancelled' : 'owner_unavailable', 'the request has no owner that answers', entry.isStopped ? 499 : 503, 'unknown')
+  }
+
+  private async register (entry: RequestEntry, epoch: number, takeover?: RegistrationResult): Promise<RegistrationResult> {
+    const { directory, membership } = this.options
+    const { account, requestId, bodyHash } = entry.identity
+    const ownerId = membership.getSelf().id
+    const registration = { identity: entry.identity, ownerId, epoch, finished: false, takeoverFrom: takeover?.ownerId }
+    entry.directoryHosts = directory.listDirectoryHosts(account, requestId).map(host => host.id).join()
+    // Without any directory host the request runs all the same; claims keep calls that run at most once safe.
+    const result = await directory.register(registration) ?? { accepted: true, ownerId, epoch, bodyHash, finished: false }
+    return result.accepted ? { ...result, hint: result.hint ?? takeover?.hint } : result
+  }
+
+  private async joinOwner (entry: RequestEntry, ownerId: string): Promise<'ended' | 'lost' | 'not_owner' | 'request_not_found'> {
+    const owner = this.options.membership.find(ownerId)
+    if (owner === undefined || owner.state === 'dead' || ownerId === this.options.membership.getSelf().id) return 'lost'
+    entry.role = 'joined'
+    return await this.options.feed.run(entry, owner, entry.startActivity())
+  }
+
+  private async runOwned (entry: RequestEntry, submission: Submission, deadlineAtMs: number, owned: RegistrationResult, isSendable?: () => boolean): Promise<AnswerEnd> {
+    const { clock, pipeline } = this.options
+    entry.role = 'owner'
+    entry.epoch = owned.epoch
+    entry.newOwner = undefined
+    const signal = entry.startActivity()
+    const remainingMs = deadlineAtMs - clock.readMonotonicMs()
+    const timer = setTimeout(() => entry.stopActivity(new RequestError('deadline_exceeded', 'the deadline has passed', 504, 'unknown')), Math.max(0, remainingMs))
+    entry.updateState('run')
+    const run = new PipelineRun(pipeline, {
+      submission,
+      epoch: entry.epoch,
+      deadlineAtMs,
+      log: entry.log,
+      hint: owned.hint,
+      isSendable,
+      onHint: hint => this.handleHint(entry, hint)
+    })
+    try {
+      return await run.run(signal)
+    } finally {
+      clearTimeout(timer)
+      const { stage, upstreamId } = run.slowestStage
+      this.reports.set(entry, { slowestStage: stage, slowestUpstream: upstreamId })
+    }
+  }
+
+  private handleHint (entry: RequestEntry, hint: ResumeHint): void {
+    entry.hint = hint
+    entry.updateState('stream')
+    const { epoch, identity } = entry
+    this.options.directory.register({ identity, ownerId: this.options.membership.getSelf().id, epoch, hint, finished: false })
+      .then(result => { if (result?.accepted === false) entry.applyNewOwner(result) })
+      .catch(() => {})
+  }
+
+  private async runOnce (entry: RequestEntry, submission: Submission, deadlineAtMs: number, owned: RegistrationResult): Promise<AnswerEnd | undefined> {
+    const { claims, clock, membership } = this.options
+    const { account, requestId, bodyHash } = entry.identity
+    const decision = await claims.claim({ account, requestId, bodyHash })
+    if (decision.kind === 'recorded') return parseAnswerEnd(decision.outcome.body)
+    if (decision.kind === 'refused') throw new RequestError(decision.code, decision.message, decision.ran === 'not_run' ? 503 : 409, decision.ran)
+    if (decision.kind === 'pending') {
+      if (decision.holderId !== membership.getSelf().id) await this.joinOwner(entry, decision.holderId)
+      return entry.isEnded ? undefined : await this.settleLostClaim(entry)
+    }
+    entry.isAbandonable = false
+    if (!owned.accepted) owned = await this.register(entry, owned.epoch + 1, owned)
+    const isSendable = (): boolean => decision.isFresh() && clock.readMonotonicMs() < deadlineAtMs
+    const end = await this.runOwned(entry, submission, deadlineAtMs, { ...owned, hint: undefined }, isSendable)
+    const settled: AnswerEnd = end.kind === 'error' && end.code === 'superseded' ? { ...end, code: 'outcome_unknown' } : end
+    entry.newOwner = undefined
+    this.recordOutcome(requestId, decision.recordOutcome({
+      ran: settled.kind === 'done' ? 'ran' : settled.ran,
+      status: settled.kind === 'done' ? 200 : settled.httpStatus,
+      body: JSON.stringify(settled)
+    } satisfies ClaimOutcome))
+    return settled
+  }
+
+  /** The holder does not answer; its outcome may have been recorded in the meantime. */
+  private async settleLostClaim (entry: RequestEntry): Promise<AnswerEnd> {
+    const { account, requestId, bodyHash } = entry.identity
+    const decision = await this.options.claims.claim({ account, requestId, bodyHash })
+    if (decision.kind === 'recorded') return parseAnswerEnd(decision.outcome.body)
+    return { kind: 'error', code: 'outcome_unknown', message: 'the host that sent the call does not answer', ran: 'unknown', httpStatus: 409 }
+  }
+
+  /** The caller is answered before the outcome is recorded; drain waits for the recording. */
+  private recordOutcome (requestId: string, recording: Promise<void>): void {
+    const tracked = Promise.race([recording, waitTime(requestConstants.outcomeRecordTimeoutMs, undefined, { ref: false })])
+      .catch(error => this.options.logger.recordWarning('outcome not recorded', { requestId, reason: String(error) }))
+      .finally(() => this.recordings.delete(tracked))
+    this.recordings.add(tracked)
+  }
+}
--- /dev/null
+++ b/src/node/requests/requestRegistrar.ts
@@ -0,0 +1,85 @@
+import type { Clock } from '../../types/clock.js'
+import type { MembershipView } from '../../types/membershipView.js'
+import { requestConstants } from './constants.js'
+import type { DirectoryClient } from './directoryClient.js'
+import type { RequestEntry } from './requestEntry.js'
+import type { RequestRegistry } from './requestRegistry.js'
+
+interface RequestRegistrarOptions {
+  readonly clock: Clock
+  readonly membership: MembershipView
+  readonly registry: RequestRegistry
+  readonly directory: DirectoryClient
+}
+
+/**
+ * Repeats the registrations of the requests that this host owns: when their directory hosts change, from
+ * time to time, and after this process did not run for a while, when other hosts may have taken over.
+ */
+export class RequestRegistrar {
+  private removeListener: () => void = () => {}
+  private changeTimer: NodeJS.Timeout | undefined
+  private checkTimer: NodeJS.Timeout | undefined
+  private lastCheckMs = 0
+  private lastRoundMs = 0
+
+  constructor (private readonly options: RequestRegistrarOptions) {}
+
+  start (): void {
+    const { clock, membership } = this.options
+    this.lastCheckMs = this.lastRoundMs = clock.readMonotonicMs()
+    this.removeListener = membership.onChange(() => {
+      this.changeTimer ??= setTimeout(() => {
+        this.changeTimer = undefined
+        this.registerMoved().catch(() => {})
+      }, requestConstants.reregisterDelayMs).unref()
+    })
+    this.checkTimer = setInterval(() => this.handleTick(clock.readMonotonicMs()), requestConstants.freezeCheckMs).unref()
+  }
+
+  stop (): void {
+    this.removeListener()
+    clearTimeout(this.changeTimer)
+    clearInterval(this.checkTimer)
+  }
+
+  /** Called by the timer; a gap since the call before shows that the process was paused. */
+  handleTick (nowMs: number): void {
+    const gapMs = nowMs - this.lastCheckMs
+    this.lastCheckMs = nowMs
+    this.options.registry.removeExpired(nowMs)
+    const isRoundDue = nowMs - this.lastRoundMs > requestConstants.reregisterIntervalMs
+    if (gapMs < requestConstants.freezeGapMs && !isRoundDue) return
+    this.lastRoundMs = nowMs
+    this.registerEach(this.listOwned().filter(entry => !entry.isEnded)).catch(() => {})
+  }
+
+  /** Registers the requests whose directory hosts have changed. */
+  async registerMoved (): Promise<void> {
+    await this.registerEach(this.listOwned().filter(entry => this.findDirectoryHosts(entry) !== entry.directoryHosts))
+  }
+
+  private listOwned (): readonly RequestEntry[] {
+    return this.options.registry.list().filter(entry => entry.role === 'owner')
+  }
+
+  private findDirectoryHosts (entry: RequestEntry): string {
+    return this.options.directory.listDirectoryHosts(entry.identity.account, entry.identity.requestId).map(host => host.id).join()
+  }
+
+  private async registerEach (entries: readonly RequestEntry[]): Promise<void> {
+    const batchSize = requestConstants.registrationsAtOnce
+    for (let start = 0; start < entries.length; start += batchSize) {
+      await Promise.all(entries.slice(start, start + batchSize).map(async entry => await this.register(entry)))
+    }
+  }
+
+  private async register (entry: RequestEntry): Promise<void> {
+    const directoryHosts = this.findDirectoryHosts(entry)
+    const { identity, epoch, hint } = entry
+    const result = await this.options.directory.register({ identity, ownerId: this.options.membership.getSelf().id, epoch, hint, finished: entry.isEnded })
+    if (result === undefined) return
+    if (result.accepted) entry.directoryHosts = directoryHosts
+    else entry.applyNewOwner(result)
+  }
+}
--- /dev/null
+++ b/src/node/requests/requestRegistry.ts
@@ -0,0 +1,77 @@
+import { buildRequestKey } from './buildRequestKey.js'
+import { requestConstants } from './constants.js'
+import type { RequestEntry } from './requestEntry.js'
+
+/** The requests of this host: running ones, and finished ones for 60 s within a bound of bytes. */
+export class RequestRegistry {
+  private readonly entries = new Map<string, RequestEntry>()
+  private readonly finished = new Map<string, { readonly entry: RequestEntry, readonly atMs: number }>()
+  private readonly idleListeners = new Set<() => void>()
+  private finishedBytes = 0
+
+  constructor (
+    private readonly retentionMs: number = requestConstants.finishedRetentionMs,
+    private readonly retentionBytes: number = requestConstants.finishedRetentionBytes
+  ) {}
+
+  get runningCount (): number {
+    return this.entries.size - this.finished.size
+  }
+
+  add (entry: RequestEntry): void {
+    const key = buildRequestKey(entry.identity.account, entry.identity.requestId)
+    this.removeKey(key)
+    this.entries.set(key, entry)
+  }
+
+  find (account: string, requestId: string): RequestEntry | undefined {
+    return this.entries.get(buildRequestKey(account, requestId))
+  }
+
+  list (): readonly RequestEntry[] {
+    return [...this.entries.values()]
+  }
+
+  /** Must be called when the answer of an entry has ended. */
+  onFinished (entry: RequestEntry, nowMs: number): void {
+    const key = buildRequestKey(entry.identity.account, entry.identity.requestId)
+    if (this.entries.get(key) !== entry) return
+    this.finished.set(key, { entry, atMs: nowMs })
+    this.finishedBytes += entry.log.bytes + requestConstants.entryOverheadBytes
+    this.removeExpired(nowMs)
+    this.reportIdle()
+  }
+
+  remove (entry: RequestEntry): void {
+    const key = buildRequestKey(entry.identity.account, entry.identity.requestId)
+    if (this.entries.get(key) === entry) this.removeKey(key)
+    this.reportIdle()
+  }
+
+  /** Forgets finished answers that are too old or, oldest first, beyond the bound of bytes. */
+  removeExpired (nowMs: number): void {
+    for (const [key, { atMs }] of this.finished) {
+      if (nowMs - atMs < this.retentionMs && this.finishedBytes <= this.retentionBytes) return
+      this.removeKey(key)
+    }
+  }
+
+  /** Resolves when no request is running. */
+  async waitIdle (): Promise<void> {
+    if (this.runningCount === 0) return
+    await new Promise<void>(resolve => this.idleListeners.add(resolve))
+  }
+
+  private removeKey (key: string): void {
+    const finished = this.finished.get(key)
+    if (finished !== undefined) this.finishedBytes -= finished.entry.log.bytes + requestConstants.entryOverheadBytes
+    this.finished.delete(key)
+    this.entries.delete(key)
+  }
+
+  private reportIdle (): void {
+    if (this.runningCount > 0) return
+    for (const listener of this.idleListeners) listener()
+    this.idleListeners.clear()
+  }
+}
--- /dev/null
+++ b/src/node/requests/requestServiceOptions.ts
@@ -0,0 +1,31 @@
+import type { AdmissionController } from '../../types/admissionController.js'
+import type { ClaimService } from '../../types/claimService.js'
+import type { Clock } from '../../types/clock.js'
+import type { Logger } from '../../types/logger.js'
+import type { MembershipView } from '../../types/membershipView.js'
+import type { Metrics } from '../../types/metrics.js'
+import type { PeerTransport } from '../../types/peerTransport.js'
+import type { RequestSample } from '../../types/requestSample.js'
+import type { StageRouter } from '../../types/stageRouter.js'
+import type { UpstreamLookup } from '../upstreams/upstreamLookup.js'
+
+/** What the request path needs from the other parts of a host. */
+export interface RequestServiceOptions {
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly metrics: Metrics
+  readonly router: StageRouter
+  readonly admission: AdmissionController
+  readonly membership: MembershipView
+  readonly transport: PeerTransport
+  readonly claims: ClaimService
+  readonly upstreams: UpstreamLookup
+  /** Called for each finished or refused request. */
+  readonly onSample?: (sample: RequestSample) => void
+  /** @default 60000 */
+  readonly finishedRetentionMs?: number
+  /** @default 50331648 */
+  readonly finishedRetentionBytes?: number
+  /** @default 500 */
+  readonly abandonGraceMs?: number
+}
--- /dev/null
+++ b/src/node/requests/resumeHint.ts
@@ -0,0 +1,6 @@
+/** Where a running generation can be resumed. */
+export interface ResumeHint {
+  readonly upstreamId: string
+  readonly streamId: string
+  readonly generation: number
+}
--- /dev/null
+++ b/src/node/requests/stageRun.ts
@@ -0,0 +1,179 @@
+import type { AttemptOutcome } from '../../types/attemptOutcome.js'
+import type { UpstreamError } from '../upstreams/upstreamError.js'
+import { requestConstants } from './constants.js'
+import { RequestError } from './requestError.js'
+import type { StageAttempt } from './stageAttempt.js'
+import type { StageResult } from './stageResult.js'
+import type { StageRunOptions } from './stageRunOptions.js'
+
+interface ActiveAttempt {
+  readonly callId: string
+  readonly upstreamId: string
+  readonly startedMs: number
+  readonly resumed: boolean
+  handle: StageAttempt | undefined
+  tokens: number
+}
+
+/**
+ * One execution of one stage. Attempts run side by side only as hedges or after the stage's budget; the
+ * first result, or the first tokens, win and the other attempts are cancelled.
+ */
+export class StageRun {
+  private readonly active = new Set<ActiveAttempt>()
+  private readonly excluded = new Set<string>()
+  private readonly timers: NodeJS.Timeout[] = []
+  private leader: ActiveAttempt | undefined
+  private startedAttempts = 0
+  private mayHaveRun = false
+  private isSettled = false
+  private startedMs = 0
+  private resolve: (result: StageResult) => void = () => {}
+  private reject: (error: unknown) => void = () => {}
+
+  constructor (private readonly options: StageRunOptions) {}
+
+  /** Rejects with `RequestError`, `UpstreamError` or the reason of `signal`. */
+  async run (signal: AbortSignal): Promise<StageResult> {
+    signal.throwIfAborted()
+    this.startedMs = this.options.clock.readMonotonicMs()
+    const result = new Promise<StageResult>((resolve, reject) => {
+      this.resolve = resolve
+      this.reject = reject
+    })
+    const onAbort = (): void => this.settle(() => this.reject(signal.reason), signal.reason instanceof RequestError && signal.reason.code === 'superseded')
+    signal.addEventListener('abort', onAbort)
+    const { resumed } = this.options
+    if (resumed !== undefined) this.startAttempt(resumed.upstreamId, resumed.streamId, resumed.offset)
+    else if (!this.startNextAttempt()) this.refuse(undefined)
+    try {
+      return await result
+    } finally {
+      signal.removeEventListener('abort', onAbort)
+    }
+  }
+
+  private startNextAttempt (): boolean {
+    const { router, work, clock, isOnce } = this.options
+    if (this.startedAttempts >= requestConstants.maxAttemptsPerStage) return false
+    const choice = router.route(work, this.excluded, clock.readMonotonicMs())
+    if (choice === undefined) return false
+    if (!isOnce && choice.hedgeAfterMs !== undefined) {
+      this.schedule(choice.hedgeAfterMs, () => {
+        if (this.active.size === 1 && router.admitHedge(work, clock.readMonotonicMs())) this.startNextAttempt()
+      })
+    }
+    if (!isOnce) {
+      this.schedule(this.options.budgetMs, () => {
+        if (this.active.size === 1 && router.admitRetry(work, clock.readMonotonicMs())) this.startNextAttempt()
+      })
+    }
+    this.startAttempt(choice.upstreamId, this.options.buildCallId())
+    return true
+  }
+
+  private startAttempt (upstreamId: string, callId: string, resumeOffset?: number): void {
+    const { router, work, clock } = this.options
+    const startedMs = clock.readMonotonicMs()
+    const attempt: ActiveAttempt = { callId, upstreamId, startedMs, resumed: resumeOffset !== undefined, handle: undefined, tokens: 0 }
+    this.startedAttempts++
+    this.excluded.add(upstreamId)
+    this.active.add(attempt)
+    router.onSent(upstreamId, work, startedMs)
+    attempt.handle = this.options.startAttempt(upstreamId, callId, {
+      onTokens: literals => this.receiveTokens(attempt, literals),
+      onDone: output => this.receiveResult(attempt, output),
+      onFailed: error => this.handleFailure(attempt, error)
+    }, resumeOffset)
+  }
+
+  private receiveTokens (attempt: ActiveAttempt, literals: readonly string[]): void {
+    if (this.isSettled || !this.active.has(attempt)) return
+    if (this.leader !== attempt) this.setLeader(attempt)
+    const before = attempt.tokens
+    attempt.tokens += literals.length
+    this.options.onTokens(literals)
+    // The router needs a coarse view of progress only; calling it for each read would cost more than the relay.
+    if (before === 0 || (before >> 5) !== (attempt.tokens >> 5)) {
+      this.options.router.onProgress(attempt.upstreamId, this.options.work, attempt.tokens, this.options.clock.readMonotonicMs())
+    }
+  }
+
+  private receiveResult (attempt: ActiveAttempt, output: unknown): void {
+    if (this.isSettled || !this.active.has(attempt)) return
+    if (this.leader !== attempt) this.setLeader(attempt)
+    this.closeAttempt(attempt, 'completed')
+    const elapsedMs = this.options.clock.readMonotonicMs() - this.startedMs
+    this.settle(() => this.resolve({ output, upstreamId: attempt.upstreamId, elapsedMs }))
+  }
+
+  private setLeader (attempt: ActiveAttempt): void {
+    this.leader = attempt
+    this.stopTimers()
+    for (const other of this.active) if (other !== attempt) this.cancelAttempt(other, false)
+    this.options.onLeader(attempt.upstreamId, attempt.callId, attempt.resumed)
+  }
+
+  private handleFailure (attempt: ActiveAttempt, error: UpstreamError): void {
+    if (!this.active.has(attempt)) return
+    const hasNotRun = error.ran === 'not_run'
+    if (!hasNotRun) this.mayHaveRun = true
+    this.closeAttempt(attempt, hasNotRun ? 'refused' : 'failed')
+    if (this.isSettled || this.active.size > 0) return
+    this.stopTimers()
+    this.leader = undefined
+    if (this.isRetryable(error) && this.startNextAttempt()) return
+    this.refuse(error)
+  }
+
+  private isRetryable (error: UpstreamError): boolean {
+    const { isOnce, router, work, clock } = this.options
+    if (isOnce) return !error.sent && error.code !== 'upstream_not_sent'
+    return error.ran === 'not_run' || router.admitRetry(work, clock.readMonotonicMs())
+  }
+
+  private refuse (error: UpstreamError | undefined): void {
+    if (this.options.isOnce && error !== undefined) {
+      const ran = error.ran
+      this.settle(() => this.reject(new RequestError(error.code, error.message, ran === 'not_run' ? 503 : 502, ran)))
+      return
+    }
+    const ran = this.mayHaveRun ? 'unknown' : 'not_run'
+    const pool = this.options.work.pool
+    const failure = error === undefined || !this.mayHaveRun
+      ? new RequestError('no_upstream_available', `no upstream of ${pool} takes the work`, 503, ran)
+      : new RequestError('upstream_failed', `${pool}: ${error.message}`, 502, ran)
+    this.settle(() => this.reject(failure))
+  }
+
+  private cancelAttempt (attempt: ActiveAttempt, isTakenOver: boolean): void {
+    if (isTakenOver) attempt.handle?.close()
+    else attempt.handle?.cancel()
+    this.closeAttempt(attempt, 'cancelled')
+  }
+
+  private closeAttempt (attempt: ActiveAttempt, outcome: AttemptOutcome): void {
+    if (!this.active.delete(attempt)) return
+    const nowMs = this.options.clock.readMonotonicMs()
+    this.options.router.onEnded(attempt.upstreamId, this.options.work, outcome, nowMs - attempt.startedMs, nowMs)
+  }
+
+  private settle (report: () => void, isTakenOver = false): void {
+    if (this.isSettled) return
+    this.isSettled = true
+    this.stopTimers()
+    for (const attempt of this.active) this.cancelAttempt(attempt, isTakenOver)
+    report()
+  }
+
+  private schedule (delayMs: number, task: () => void): void {
+    this.timers.push(setTimeout(() => {
+      if (!this.isSettled && this.leader === undefined) task()
+    }, delayMs).unref())
+  }
+
+  private stopTimers (): void {
+    this.timers.forEach(clearTimeout)
+    this.timers.length = 0
+  }
+}
--- /dev/null
+++ b/src/node/requests/stageRunOptions.ts
@@ -0,0 +1,24 @@
+import type { Clock } from '../../types/clock.js'
+import type { StageRouter } from '../../types/stageRouter.js'
+import type { StageWork } from '../../types/stageWork.js'
+import type { AttemptEvents } from './attemptEvents.js'
+import type { StageAttempt } from './stageAttempt.js'
+
+/** What one execution of a stage needs. */
+export interface StageRunOptions {
+  readonly work: StageWork
+  readonly router: StageRouter
+  readonly clock: Clock
+  /** Time after which a second attempt is asked of the router. */
+  readonly budgetMs: number
+  /** True when no second attempt may start after a byte of the first was sent. */
+  readonly isOnce: boolean
+  /** A stream that runs already and is resumed instead of a first attempt. */
+  readonly resumed?: { readonly upstreamId: string, readonly streamId: string, readonly offset: number }
+  /** Call id of the next attempt. */
+  readonly buildCallId: () => string
+  readonly startAttempt: (upstreamId: string, callId: string, events: AttemptEvents, resumeOffset?: number) => StageAttempt
+  /** The attempt whose tokens count from now on; tokens of an earlier one are void. */
+  readonly onLeader: (upstreamId: string, callId: string, resumed: boolean) => void
+  readonly onTokens: (literals: readonly string[]) => void
+}
--- /dev/null
+++ b/src/node/server/__tests__/callerServer.test.ts
@@ -0,0 +1,79 @@
+import t from 'tap'
+import { RequestTestFleet } from '../../../../playground/fakes/requestTestFleet.js'
+
+t.test('caller API', async t => {
+  const fleet = await new RequestTestFleet({ bodyTimeoutMs: 150 }).start()
+  const host = fleet.hosts[0]!
+  t.teardown(async () => await fleet.stop())
+  const post = async (body: unknown, headers = {}) => await host.send('POST', '/v1/requests', body, headers)
+  const getError = (text: string) => (JSON.parse(text) as { error: { code: string, ran: string } }).error
+
+  t.test('a pipeline streams its tokens in order and ends with done', async t => {
+    const answer = await post({ kind: 'query', input: { text: 'marker:m1 length:5' }, stream: true }, { 'request-id': 'stream-1' })
+    t.equal(answer.headers['content-type'], 'text/event-stream')
+    t.equal(answer.headers['request-id'], 'stream-1')
+    const tokens = [...answer.text.matchAll(/data: (\{"tokens".*\})/g)].flatMap(match => (JSON.parse(match[1]!) as { tokens: string[] }).tokens)
+    t.same(tokens, ['m1.0 ', 'm1.1 ', 'm1.2 ', 'm1.3 ', 'm1.4 '])
+    t.match(answer.text, /id: 1:5\n/)
+    t.match(answer.text, /event: done\ndata: \{"requestId":"stream-1","status":"completed","tokenCount":5,"result":\{\}\}\n\n$/)
+  })
+
+  t.test('a plain JSON answer carries the text, and a call its output', async t => {
+    const generated = JSON.parse((await post({ kind: 'short', input: { text: 'marker:m2 length:2' } })).text) as { text: string }
+    t.equal(generated.text, 'm2.0 m2.1 ')
+    const called = JSON.parse((await post({ kind: 'status', input: { bell: 3 } })).text) as { status: string, result: unknown }
+    t.same(called.result, { read: { path: '/call/issue', input: { input: { bell: 3 }, results: {} } } })
+  })
+
+  t.test('each refusal has its code, its status and not_run', async t => {
+    const cases = [
+      { name: 'malformed JSON', answer: await post('{"kind":'), status: 400, code: 'malformed_json' },
+      { name: 'no kind', answer: await post({ input: 1 }), status: 400, code: 'invalid_request' },
+      { name: 'unknown kind', answer: await post({ kind: 'toString' }), status: 404, code: 'unknown_kind' },
+      { name: 'wrong token', answer: await post({ kind: 'tag' }, { authorization: 'Bearer wrong' }), status: 401, code: 'unauthorized' },
+      { name: 'no id for a call that runs at most once', answer: await post({ kind: 'issue' }), status: 400, code: 'request_id_required' },
+      { name: 'an id that is no UUIDv7', answer: await post({ kind: 'issue' }, { 'request-id': 'x' }), status: 400, code: 'request_id_invalid' },
+      { name: 'an oversized body', answer: await post({ kind: 'tag', input: 'x'.repeat(1024 * 1024) }), status: 413, code: 'body_too_large' },
+      { name: 'a body that stops halfway', answer: await post('{', { 'content-length': '10' }), status: 408, code: 'body_timeout' }
+    ]
+    for (const { name, answer, status, code } of cases) {
+      t.equal(answer.status, status, name)
+      t.match(getError(answer.text), { code, ran: 'not_run' }, name)
+    }
+  })
+
+  t.test('a request id of another account is not found', async t => {
+    await post({ kind: 'tag', input: 1 }, { 'request-id': 'mine' })
+    t.equal((await host.send('GET', '/v1/requests/mine')).status, 200)
+    for (const method of ['GET', 'DELETE']) {
+      const answer = await host.send(method, '/v1/requests/mine', undefined, { authorization: 'Bearer token-quay' })
+      t.equal(answer.status, 404, method)
+    }
+  })
+
+  t.test('the same id joins, another body is refused', async t => {
+    const before = fleet.members[0].countCalls('/v1/encode')
+    const first = await post({ kind: 'tag', input: 'a' }, { 'request-id': 'again' })
+    const second = await post({ kind: 'tag', input: 'a' }, { 'request-id': 'again' })
+    t.equal(second.text, first.text)
+    t.equal(fleet.members[0].countCalls('/v1/encode'), before + 1, 'ran once')
+    const other = await post({ kind: 'tag', input: 'b' }, { 'request-id': 'again' })
+    t.equal(other.status, 409)
+    t.equal(getError(other.text).code, 'request_id_reused')
+  })
+
+  t.test('a caller that joins again gets the rest from its Last-Event-ID', async t => {
+    const body = { kind: 'short', input: { text: 'marker:m3 length:4' }, stream: true }
+    await post(body, { 'request-id': 'rest' })
+    const rest = await post(body, { 'request-id': 'rest', 'last-event-id': '1:3' })
+    t.match(rest.text, /^event: tokens\nid: 1:4\ndata: \{"tokens":\["m3\.3 "\]\}\n\nevent: done/)
+  })
+
+  t.test('route, health, readiness, metrics and administration', async t => {
+    t.match(JSON.parse((await host.send('GET', '/v1/route')).text), { addresses: [{ failureDomain: 'zone-host-0' }], lifetimeMs: 5000 })
+    for (const path of ['/healthz', '/readyz', '/metrics']) t.equal((await host.send('GET', path, undefined, { authorization: '' })).status, 200, path)
+    t.equal((await host.send('GET', '/admin/v1/hosts')).status, 401, 'an account token is no operator token')
+    const admin = await host.send('PUT', '/admin/v1/contracts/a', { a: 1 }, { authorization: 'Bearer operator-token' })
+    t.same(JSON.parse(admin.text), { path: '/admin/v1/contracts/a', body: { a: 1 } })
+  })
+})
--- /dev/null
+++ b/src/node/server/callerApi.ts
@@ -0,0 +1,166 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { v7 as buildUuid } from 'uuid'
+import type { Contract } from '../../types/contract.js'
+import type { RequestEntry } from '../requests/requestEntry.js'
+import { RequestError } from '../requests/requestError.js'
+import { buildErrorBody } from './buildErrorBody.js'
+import { buildJsonAnswer } from './buildJsonAnswer.js'
+import type { CallerServerOptions } from './callerServerOptions.js'
+import { serverConstants } from './constants.js'
+import { findCaller } from './findCaller.js'
+import { FlushScheduler } from './flushScheduler.js'
+import { handleAdmin } from './handleAdmin.js'
+import { parseLastEventId } from './parseLastEventId.js'
+import { parseRequestId } from './parseRequestId.js'
+import { parseSubmissionBody } from './parseSubmissionBody.js'
+import { readBody } from './readBody.js'
+import { SseWriter } from './sseWriter.js'
+import { writeError } from './writeError.js'
+import { writeJson } from './writeJson.js'
+
+/** The caller API of one host over HTTP/1.1. */
+export class CallerApi {
+  private readonly scheduler = new FlushScheduler()
+  private readonly bodyTimeoutMs: number
+  private readonly maxBodyBytes: number
+
+  constructor (private readonly options: CallerServerOptions) {
+    this.bodyTimeoutMs = options.bodyTimeoutMs ?? serverConstants.bodyTimeoutMs
+    this.maxBodyBytes = options.maxBodyBytes ?? serverConstants.maxBodyBytes
+  }
+
+  /** Answers one HTTP request and never rejects. */
+  async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    try {
+      await this.routeRequest(request, new URL(request.url ?? '/', 'http://host'), response)
+    } catch (error) {
+      if (!(error instanceof RequestError)) this.options.logger.recordWarning('HTTP request failed', { path: request.url, reason: String(error) })
+      if (response.headersSent) response.destroy()
+      else writeError(response, error, this.findRequestId(request))
+    }
+  }
+
+  private async routeRequest (request: IncomingMessage, url: URL, response: ServerResponse): Promise<void> {
+    const { pathname } = url
+    if (pathname.startsWith('/admin/v1/')) {
+      const { admin, operatorToken } = this.options
+      await handleAdmin({ admin, operatorToken, maxBodyBytes: this.maxBodyBytes, bodyTimeoutMs: this.bodyTimeoutMs }, request, url, response)
+    } else if (pathname === '/healthz') writeJson(response, 200, { status: 'ok' })
+    else if (pathname === '/readyz') this.writeReadiness(response)
+    else if (pathname === '/metrics') this.writeMetrics(response)
+    else if (pathname.startsWith('/v1/')) await this.handleCaller(findCaller(this.options.contracts, request.headers.authorization), request, pathname, response)
+    else throw this.buildNotFound()
+  }
+
+  private async handleCaller (contract: Contract, request: IncomingMessage, pathname: string, response: ServerResponse): Promise<void> {
+    if (pathname === '/v1/route' && request.method === 'GET') {
+      this.writeRoute(response)
+      return
+    }
+    if (pathname === '/v1/requests' && request.method === 'POST') {
+      await this.handleSubmission(contract, request, response)
+      return
+    }
+    const id = /^\/v1\/requests\/([^/]+)$/.exec(pathname)?.[1]
+    if (id !== undefined && request.method === 'GET') await this.handleLookup(contract, id, request, response)
+    else if (id !== undefined && request.method === 'DELETE') await this.handleCancellation(contract, id, response)
+    else throw this.buildNotFound()
+  }
+
+  private async handleSubmission (contract: Contract, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = parseSubmissionBody(await readBody(request, this.maxBodyBytes, this.bodyTimeoutMs))
+    const spec = Object.hasOwn(contract.kinds, body.kind) ? contract.kinds[body.kind] : undefined
+    if (spec === undefined) throw new RequestError('unknown_kind', `the contract has no kind ${body.kind}`, 404, 'not_run')
+    const ownId = parseRequestId(this.findRequestId(request), !spec.idempotent)
+    const cursor = parseLastEventId(this.findHeader(request, 'last-event-id'))
+    const entry = await this.options.requests.receive({
+      account: contract.account,
+      requestId: ownId ?? buildUuid(),
+      isIdFromCaller: ownId !== undefined,
+      kind: body.kind,
+      spec,
+      input: body.input,
+      deadlineMs: Math.min(spec.deadlineMs, body.deadlineMs ?? spec.deadlineMs),
+      knownGeneration: cursor?.generation ?? 0
+    })
+    if (body.stream) this.sendStream(entry, request, response)
+    else await this.writeAnswer(entry, response)
+  }
+
+  private async handleLookup (contract: Contract, id: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const entry = await this.options.requests.findRequest(contract.account, this.parseId(id))
+    if (entry === undefined) throw this.buildUnknownRequest()
+    const { requestId } = entry.identity
+    const { end } = entry.log
+    if (request.headers.accept?.includes('text/event-stream')) this.sendStream(entry, request, response)
+    else if (end === undefined) writeJson(response, 200, { requestId, status: 'running', state: entry.state, tokenCount: entry.log.tokens.length })
+    else if (end.kind === 'done') writeJson(response, 200, buildJsonAnswer(requestId, entry.log, end))
+    else writeJson(response, 200, { requestId, status: entry.state, ...buildErrorBody(end, requestId) })
+  }
+
+  private async handleCancellation (contract: Contract, id: string, response: ServerResponse): Promise<void> {
+    const requestId = this.parseId(id)
+    const isKnown = await this.options.requests.cancel(contract.account, requestId)
+    if (!isKnown) throw this.buildUnknownRequest()
+    writeJson(response, 200, { requestId, status: 'cancelled' })
+  }
+
+  private sendStream (entry: RequestEntry, request: IncomingMessage, response: ServerResponse): void {
+    request.socket.setNoDelay(true)
+    const writer = new SseWriter(response, entry, this.scheduler, parseLastEventId(this.findHeader(request, 'last-event-id')))
+    writer.start()
+  }
+
+  private async writeAnswer (entry: RequestEntry, response: ServerResponse): Promise<void> {
+    const release = entry.addWaiter()
+    response.on('close', release)
+    if (response.destroyed) release()
+    const end = await entry.log.waitEnd()
+    const { requestId } = entry.identity
+    if (end.kind === 'done') writeJson(response, 200, buildJsonAnswer(requestId, entry.log, end), { 'request-id': requestId })
+    else writeError(response, new RequestError(end.code, end.message, end.httpStatus, end.ran, { retryAfterMs: end.retryAfterMs, addresses: end.addresses }), requestId)
+    release()
+  }
+
+  private writeRoute (response: ServerResponse): void {
+    const { membership, chooseRouteHosts, routeLifetimeMs } = this.options
+    const hosts = chooseRouteHosts(membership.listHosts().filter(host => host.state !== 'leaving' && host.state !== 'dead'))
+    const addresses = hosts.map(({ address, failureDomain }) => ({ address, failureDomain }))
+    writeJson(response, 200, { addresses, lifetimeMs: routeLifetimeMs ?? serverConstants.routeLifetimeMs })
+  }
+
+  private writeReadiness (response: ServerResponse): void {
+    const reasons = this.options.listUnreadyReasons()
+    writeJson(response, reasons.length === 0 ? 200 : 503, { status: reasons.length === 0 ? 'ready' : 'not_ready', reasons })
+  }
+
+  private writeMetrics (response: ServerResponse): void {
+    response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' })
+    response.end(this.options.metrics.render())
+  }
+
+  private parseId (id: string): string {
+    try {
+      return parseRequestId(decodeURIComponent(id), false) ?? ''
+    } catch {
+      throw this.buildUnknownRequest()
+    }
+  }
+
+  private findRequestId (request: IncomingMessage): string | undefined {
+    return this.findHeader(request, 'request-id')
+  }
+
+  private findHeader (request: IncomingMessage, name: string): string | undefined {
+    const value = request.headers[name]
+    return Array.isArray(value) ? value[0] : value
+  }
+
+  private buildNotFound (): RequestError {
+    return new RequestError('not_found', 'no such resource', 404, 'not_run')
+  }
+
+  private buildUnknownRequest (): RequestError {
+    return new RequestError('request_not_found', 'the account has no such request', 404, 'unknown')
+  }
+}
--- /dev/null
+++ b/src/node/server/callerServerOptions.ts
@@ -0,0 +1,29 @@
+import type { AdminHandler } from '../../types/adminHandler.js'
+import type { ContractView } from '../../types/contractView.js'
+import type { HostRecord } from '../../types/hostRecord.js'
+import type { Logger } from '../../types/logger.js'
+import type { MembershipView } from '../../types/membershipView.js'
+import type { Metrics } from '../../types/metrics.js'
+import type { RequestService } from '../requests/requestService.js'
+
+/** What the HTTP server of a host needs. */
+export interface CallerServerOptions {
+  readonly contracts: ContractView
+  readonly membership: MembershipView
+  readonly requests: RequestService
+  readonly admin: AdminHandler
+  readonly metrics: Metrics
+  readonly logger: Logger
+  /** Bearer token of the administration API; an empty token locks it. */
+  readonly operatorToken: string
+  /** Reasons why the host is not ready; empty when it is. */
+  readonly listUnreadyReasons: () => readonly string[]
+  /** Chooses the hosts of a route answer. */
+  readonly chooseRouteHosts: (hosts: readonly HostRecord[]) => readonly HostRecord[]
+  /** @default 5000 */
+  readonly routeLifetimeMs?: number
+  /** @default 10000 */
+  readonly bodyTimeoutMs?: number
+  /** @default 1048576 */
+  readonly maxBodyBytes?: number
+}
--- /dev/null
+++ b/src/node/server/constants.ts
@@ -0,0 +1,20 @@
+/** Constants of the HTTP server. */
+export const serverConstants = {
+  maxBodyBytes: 1024 * 1024,
+  bodyTimeoutMs: 10_000,
+  routeLifetimeMs: 5000,
+  routeHosts: 4,
+  /** Tokens that arrive within this time after a write go out together. */
+  mergeMs: 3,
+  /** Quiet streams carry a comment line this often, so that callers can tell a silent connection. */
+  keepaliveMs: 500,
+  /** Tokens in one event; a caller that catches up gets several. */
+  maxTokensPerEvent: 1024,
+  /** Bytes that a connection may hold before the relay waits for the caller. */
+  maxBufferedBytes: 262_144,
+  /** A caller that takes no bytes of a finished answer for this time is cut off. */
+  stalledCallerMs: 30_000,
+  maxRequestIdLength: 128,
+  /** Longer than the lifetime of a route answer, so that callers keep their connections. */
+  keepAliveMs: 15_000
+} as const
--- /dev/null
+++ b/src/node/server/createCallerServer.ts
@@ -0,0 +1,21 @@
+import { createServer } from 'node:http'
+import type { Server } from 'node:http'
+import { CallerApi } from './callerApi.js'
+import type { CallerServerOptions } from './callerServerOptions.js'
+import { serverConstants } from './constants.js'
+
+/**
+ * The HTTP server of the caller and administration APIs; the caller of this function opens and closes
+ * its port.
+ */
+export function createCallerServer (options: CallerServerOptions): Server {
+  const api = new CallerApi(options)
+  const bodyTimeoutMs = options.bodyTimeoutMs ?? serverConstants.bodyTimeoutMs
+  return createServer({
+    headersTimeout: bodyTimeoutMs,
+    // The body timeout answers with a typed error; this one only closes what is left after it.
+    requestTimeout: 2 * bodyTimeoutMs,
+    keepAliveTimeout: serverConstants.keepAliveMs,
+    noDelay: true
+  }, (request, response) => { api.handle(request, response).catch(() => response.destroy()) })
+}
--- /dev/null
+++ b/src/node/server/writeJson.ts
@@ -0,0 +1,9 @@
+import type { ServerResponse } from 'node:http'
+
+/** Answers with JSON. */
+export function writeJson (response: ServerResponse, status: number, value: unknown, headers: Readonly<Record<string, string>> = {}): void {
+  if (response.headersSent || response.destroyed) return
+  const body = Buffer.from(JSON.stringify(value))
+  response.writeHead(status, { 'content-type': 'application/json', 'content-length': body.length, ...headers })
+  response.end(body)
+}
--- /dev/null
+++ b/src/node/upstreams/httpModelEngine.ts
@@ -0,0 +1,47 @@
+import { z } from 'zod'
+import type { Clock } from '../../types/clock.js'
+import type { CacheEvent } from './cacheEvent.js'
+import { upstreamConstants } from './constants.js'
+import type { EngineCall } from './engineCall.js'
+import type { EngineStream } from './engineStream.js'
+import type { EngineStreamHandler } from './engineStreamHandler.js'
+import { HttpEngineStream } from './httpEngineStream.js'
+import type { ModelEngine } from './modelEngine.js'
+import { readUpstreamLoad } from './readUpstreamLoad.js'
+import type { StreamWatchdog } from './streamWatchdog.js'
+import type { UpstreamConnection } from './upstreamConnection.js'
+import { UpstreamError } from './upstreamError.js'
+import type { UpstreamProbe } from './upstreamProbe.js'
+
+const eventsSchema = z.object({
+  events: z.array(z.object({ seq: z.number(), type: z.enum(['stored', 'evicted']), prefixHash: z.string() })),
+  latest: z.number()
+})
+
+/** Model engine over HTTP/1.1 with SSE. */
+export class HttpModelEngine implements ModelEngine {
+  constructor (
+    private readonly connection: UpstreamConnection,
+    private readonly watchdog: StreamWatchdog,
+    private readonly clock: Clock,
+    private readonly silenceMs: number = upstreamConstants.streamSilenceMs
+  ) {}
+
+  openStream (call: EngineCall, handler: EngineStreamHandler): EngineStream {
+    return new HttpEngineStream({ connection: this.connection, watchdog: this.watchdog, clock: this.clock, silenceMs: this.silenceMs, call, handler })
+  }
+
+  async readLoad (signal: AbortSignal): Promise<UpstreamProbe> {
+    return await readUpstreamLoad(this.connection, signal)
+  }
+
+  async listCacheEvents (seq: number, signal: AbortSignal): Promise<{ readonly events: readonly CacheEvent[], readonly latest: number }> {
+    const answer = await this.connection.send({ method: 'GET', path: `/cache/events?after=${seq}` }, signal)
+    if (answer.status !== 200) throw new UpstreamError('upstream_failed', `the cache events have status ${answer.status}`, 'not_run', true)
+    try {
+      return eventsSchema.parse(JSON.parse(answer.body))
+    } catch (cause) {
+      throw new UpstreamError('upstream_failed', 'the cache events are malformed', 'not_run', true, { cause })
+    }
+  }
+}
--- /dev/null
+++ b/src/node/upstreams/modelEngine.ts
@@ -0,0 +1,14 @@
+import type { CacheEvent } from './cacheEvent.js'
+import type { EngineCall } from './engineCall.js'
+import type { EngineStream } from './engineStream.js'
+import type { EngineStreamHandler } from './engineStreamHandler.js'
+import type { UpstreamProbe } from './upstreamProbe.js'
+
+/** A model engine runner. */
+export interface ModelEngine {
+  openStream (call: EngineCall, handler: EngineStreamHandler): EngineStream
+  /** Rejects with `UpstreamError`. */
+  readLoad (signal: AbortSignal): Promise<UpstreamProbe>
+  /** Cache events after `seq`. Rejects with `UpstreamError`. */
+  listCacheEvents (seq: number, signal: AbortSignal): Promise<{ readonly events: readonly CacheEvent[], readonly latest: number }>
+}
--- /dev/null
+++ b/src/node/upstreams/plainService.ts
@@ -0,0 +1,13 @@
+import type { StageAnswer } from './stageAnswer.js'
+import type { UpstreamProbe } from './upstreamProbe.js'
+
+/** An instance of a plain service. */
+export interface PlainService {
+  /**
+   * Calls an operation. With `isSendable` the call uses a connection of its own and `isSendable` is asked
+   * right before the first byte is sent. Rejects with `UpstreamError`.
+   */
+  send (operation: string, callId: string, input: unknown, signal: AbortSignal, isSendable?: () => boolean): Promise<StageAnswer>
+  /** Rejects with `UpstreamError`. */
+  readLoad (signal: AbortSignal): Promise<UpstreamProbe>
+}
--- /dev/null
+++ b/src/node/upstreams/readUpstreamLoad.ts
@@ -0,0 +1,33 @@
+import { z } from 'zod'
+import type { UpstreamConnection } from './upstreamConnection.js'
+import { UpstreamError } from './upstreamError.js'
+import type { UpstreamProbe } from './upstreamProbe.js'
+
+const loadSchema = z.object({
+  running: z.number(),
+  waiting: z.number(),
+  slots: z.number(),
+  kvUsed: z.number().default(0),
+  state: z.string().optional(),
+  atMs: z.number()
+})
+
+/**
+ * Reads the load report over a connection of its own, so that the probe also finds out whether new
+ * connections work. Rejects with `UpstreamError`.
+ */
+export async function readUpstreamLoad (connection: UpstreamConnection, signal: AbortSignal): Promise<UpstreamProbe> {
+  const answer = await connection.send({ method: 'GET', path: '/load', freshConnection: true }, signal)
+  if (answer.status >= 500) throw new UpstreamError('upstream_failed', `the load report has status ${answer.status}`, 'not_run', true)
+  if (answer.status !== 200) return { leaving: answer.leaving }
+  let value: unknown
+  try {
+    value = JSON.parse(answer.body)
+  } catch {
+    return { leaving: answer.leaving }
+  }
+  const parsed = loadSchema.safeParse(value)
+  if (!parsed.success) return { leaving: answer.leaving }
+  const { state, ...load } = parsed.data
+  return { leaving: answer.leaving || state === 'leaving', load }
+}
--- /dev/null
+++ b/src/node/upstreams/streamWatchdog.ts
@@ -0,0 +1,29 @@
+import type { Clock } from '../../types/clock.js'
+import { upstreamConstants } from './constants.js'
+
+interface WatchedStream {
+  handleSilence (nowMs: number): void
+}
+
+/** Checks all open engine streams with one timer; a timer per token would cost more than the relay itself. */
+export class StreamWatchdog {
+  private readonly streams = new Set<WatchedStream>()
+  private timer: NodeJS.Timeout | undefined
+
+  constructor (private readonly clock: Clock, private readonly intervalMs: number = upstreamConstants.watchdogIntervalMs) {}
+
+  add (stream: WatchedStream): void {
+    this.streams.add(stream)
+    this.timer ??= setInterval(() => {
+      const nowMs = this.clock.readMonotonicMs()
+      for (const watched of this.streams) watched.handleSilence(nowMs)
+    }, this.intervalMs).unref()
+  }
+
+  remove (stream: WatchedStream): void {
+    this.streams.delete(stream)
+    if (this.streams.size > 0) return
+    clearInterval(this.timer)
+    this.timer = undefined
+  }
+}
--- /dev/null
+++ b/src/node/upstreams/upstreamAnswer.ts
@@ -0,0 +1,7 @@
+/** Answer to one HTTP call to an upstream. */
+export interface UpstreamAnswer {
+  readonly status: number
+  readonly body: string
+  /** True when the upstream marked itself as leaving. */
+  readonly leaving: boolean
+}
--- /dev/null
+++ b/src/node/upstreams/upstreamConnection.ts
@@ -0,0 +1,148 @@
+import { Pool } from 'undici'
+import type { Dispatcher } from 'undici'
+import { upstreamConstants } from './constants.js'
+import type { UpstreamAnswer } from './upstreamAnswer.js'
+import type { UpstreamCall } from './upstreamCall.js'
+import type { UpstreamCallHandler } from './upstreamCallHandler.js'
+import { UpstreamError } from './upstreamError.js'
+
+interface UpstreamConnectionOptions {
+  /** `ip:port` */
+  readonly address: string
+  /** @default 512 */
+  readonly maxConnections?: number
+  /** Called for each answer that carries `X-Upstream-State`. */
+  readonly onState?: (state: string) => void
+}
+
+const unsentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT'])
+
+/** The connections to one upstream: a pool that reuses them and one that opens a new one per call. */
+export class UpstreamConnection {
+  private reused: Pool
+  private readonly fresh: Pool
+  private openCalls = 0
+  private readonly maxConnections: number
+
+  constructor (private readonly options: UpstreamConnectionOptions) {
+    this.maxConnections = options.maxConnections ?? upstreamConstants.maxConnections
+    this.reused = this.createPool()
+    this.fresh = this.createPool()
+  }
+
+  /** Starts a call; the returned function aborts it, after which the handler gets `onError`. */
+  open (call: UpstreamCall, handler: UpstreamCallHandler): () => void {
+    if (this.openCalls >= this.maxConnections) {
+      queueMicrotask(() => handler.onError(new UpstreamError('upstream_busy', `more than ${this.maxConnections} calls to ${this.options.address} are open`, 'not_run', false)))
+      return () => {}
+    }
+    this.openCalls++
+    let sent = false
+    let aborted = false
+    let settled = false
+    let controller: Dispatcher.DispatchController | undefined
+    const settleCall = (error?: unknown): void => {
+      if (settled) return
+      settled = true
+      this.openCalls--
+      if (error === undefined) handler.onEnd()
+      else handler.onError(this.buildError(error, sent))
+    }
+    const pool = call.freshConnection ? this.fresh : this.reused
+    const dispatchOptions: Dispatcher.DispatchOptions = {
+      method: call.method,
+      path: call.path,
+      body: call.body ?? null,
+      headers: call.body === undefined ? {} : { 'content-type': 'application/json' },
+      reset: call.freshConnection === true
+    }
+    pool.dispatch(dispatchOptions, {
+      onRequestStart: started => {
+        controller = started
+        if (aborted) started.abort(new UpstreamError('upstream_cancelled', 'cancelled before it was sent', 'not_run', false))
+        else if (sent || call.isSendable?.() === false) {
+          // undici may start a call again on another connection, which would run it twice.
+          started.abort(new UpstreamError('upstream_not_sent', 'the call may not be sent any more', sent ? 'unknown' : 'not_run', sent))
+        } else sent = true
+      },
+      onResponseStart: (_, status, headers) => {
+        const state = headers['x-upstream-state']
+        if (typeof state === 'string') this.options.onState?.(state)
+        handler.onStart?.(status, headers)
+      },
+      onResponseData: (_, chunk) => { if (!settled) handler.onData(chunk) },
+      onResponseEnd: () => settleCall(),
+      onResponseError: (_, error) => settleCall(error)
+    })
+    return () => {
+      aborted = true
+      controller?.abort(new UpstreamError('upstream_cancelled', 'the call was cancelled', sent ? 'unknown' : 'not_run', sent))
+      settleCall(new UpstreamError('upstream_cancelled', 'the call was cancelled', sent ? 'unknown' : 'not_run', sent))
+    }
+  }
+
+  /** Sends a call and collects the answer. Rejects with `UpstreamError`. */
+  async send (call: UpstreamCall, signal?: AbortSignal): Promise<UpstreamAnswer> {
+    return await new Promise((resolve, reject) => {
+      const chunks: Buffer[] = []
+      let size = 0
+      let status = 0
+      let leaving = false
+      const abort = this.open(call, {
+        onStart: (code, headers) => {
+          status = code
+          leaving = headers['x-upstream-state'] === 'leaving'
+        },
+        onData: chunk => {
+          size += chunk.length
+          if (size > upstreamConstants.maxAnswerBytes) abort()
+          else chunks.push(chunk)
+        },
+        onEnd: () => {
+          signal?.removeEventListener('abort', abort)
+          resolve({ status, body: Buffer.concat(chunks).toString('utf8'), leaving })
+        },
+        onError: error => {
+          signal?.removeEventListener('abort', abort)
+          reject(error)
+        }
+      })
+      if (signal?.aborted) abort()
+      else signal?.addEventListener('abort', abort)
+    })
+  }
+
+  /**
+   * Replaces the pool of reused connections after one of them went silent: the others may have gone
+   * silent with it. Calls that are open on the old pool end normally.
+   */
+  updateConnections (): void {
+    const old = this.reused
+    this.reused = this.createPool()
+    old.close().catch(() => {})
+  }
+
+  async close (): Promise<void> {
+    await Promise.all([this.reused.destroy(), this.fresh.destroy()])
+  }
+
+  private createPool (): Pool {
+    return new Pool(`http://${this.options.address}`, {
+      connections: this.maxConnections,
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connect: { timeout: upstreamConstants.connectTimeoutMs }
+    })
+  }
+
+  private buildError (error: unknown, sent: boolean): UpstreamError {
+    if (error instanceof UpstreamError) return error
+    const code = (error as { code?: string }).code ?? ''
+    const message = error instanceof Error ? error.message : String(error)
+    if (!sent || unsentCodes.has(code)) {
+      return new UpstreamError('upstream_refused', `no connection to ${this.options.address}: ${message}`, 'not_run', false, { cause: error })
+    }
+    return new UpstreamError('upstream_failed', `call to ${this.options.address} failed: ${message}`, 'unknown', true, { cause: error })
+  }
+}
--- /dev/null
+++ b/src/node/upstreams/upstreamError.ts
@@ -0,0 +1,16 @@
+import { LycheetrackError } from '../../shared/lycheetrackError.js'
+import type { RanState } from '../../types/ranState.js'
+
+/**
+ * A call to an upstream failed. `ran` is `not_run` only when no byte was sent or the upstream itself
+ * refused the work. `sent` tells whether a byte of the call left this host.
+ */
+export class UpstreamError extends LycheetrackError {
+  override readonly httpStatus = 502
+  override readonly ran: RanState
+
+  constructor (readonly code: string, message: string, ran: RanState, readonly sent: boolean, options?: ErrorOptions) {
+    super(message, options)
+    this.ran = ran
+  }
+}
--- /dev/null
+++ b/src/node/upstreams/upstreamSet.ts
@@ -0,0 +1,150 @@
+import type { Clock } from '../../types/clock.js'
+import type { Logger } from '../../types/logger.js'
+import type { Random } from '../../types/random.js'
+import type { StageRouter } from '../../types/stageRouter.js'
+import type { Upstream } from '../../types/upstream.js'
+import { ConnectedUpstream } from './connectedUpstream.js'
+import { upstreamConstants } from './constants.js'
+import type { ModelEngine } from './modelEngine.js'
+import type { PlainService } from './plainService.js'
+import type { StagePoolMember } from './stagePoolMember.js'
+import { StreamWatchdog } from './streamWatchdog.js'
+import type { UpstreamLookup } from './upstreamLookup.js'
+
+interface UpstreamSetOptions {
+  readonly router: StageRouter
+  readonly clock: Clock
+  readonly random: Random
+  readonly logger: Logger
+  /** Whether the members of a pool are model engines, which publish cache events. */
+  readonly isEnginePool: (pool: string) => boolean
+  /** Called for each direct signal that an upstream is leaving, after the router was told. */
+  readonly onLeaving?: (upstreamId: string) => void
+  /** @default 512 */
+  readonly maxConnections?: number
+  /** @default 2000 */
+  readonly streamSilenceMs?: number
+  /** @default 1000 */
+  readonly probeIntervalMs?: number
+}
+
+/** The upstreams that this host is connected to; probes each of them every second. */
+export class UpstreamSet implements UpstreamLookup {
+  private readonly members = new Map<string, ConnectedUpstream>()
+  private readonly watchdog: StreamWatchdog
+  private timers: NodeJS.Timeout[] = []
+  private isStarted = false
+
+  constructor (private readonly options: UpstreamSetOptions) {
+    const silenceMs = options.streamSilenceMs ?? upstreamConstants.streamSilenceMs
+    this.watchdog = new StreamWatchdog(options.clock, Math.min(upstreamConstants.watchdogIntervalMs, silenceMs / 4))
+  }
+
+  /** Replaces the known upstreams, here and in the router; connections to removed ones stay until they are idle. */
+  applyUpstreams (upstreams: readonly Upstream[]): void {
+    const present = new Map(upstreams.map(upstream => [upstream.id, upstream]))
+    for (const [id, member] of this.members) {
+      if (present.get(id)?.address === member.upstream.address) continue
+      this.members.delete(id)
+      member.connection.updateConnections()
+    }
+    for (const upstream of upstreams) {
+      if (!this.members.has(upstream.id)) this.members.set(upstream.id, this.createMember(upstream))
+    }
+    this.options.router.applyUpstreams(upstreams, this.options.clock.readMonotonicMs())
+  }
+
+  findEngine (upstreamId: string): ModelEngine | undefined {
+    return this.members.get(upstreamId)?.engine
+  }
+
+  findStagePoolMember (upstreamId: string): StagePoolMember | undefined {
+    return this.members.get(upstreamId)?.stagePoolMember
+  }
+
+  findPlainService (upstreamId: string): PlainService | undefined {
+    return this.members.get(upstreamId)?.plainService
+  }
+
+  updateConnections (upstreamId: string): void {
+    this.members.get(upstreamId)?.connection.updateConnections()
+  }
+
+  /** Starts the probes. */
+  start (): void {
+    this.isStarted = true
+    this.scheduleProbes()
+  }
+
+  async stop (): Promise<void> {
+    this.isStarted = false
+    this.timers.forEach(clearTimeout)
+    await Promise.all([...this.members.values()].map(async member => await member.connection.close()))
+    this.members.clear()
+  }
+
+  /** Probes every upstream once, spread over one interval so that the probes of many hosts do not coincide. */
+  private scheduleProbes (): void {
+    if (!this.isStarted) return
+    const intervalMs = this.options.probeIntervalMs ?? upstreamConstants.probeIntervalMs
+    this.timers = [...this.members.values()].map(member =>
+      setTimeout(() => { this.runProbe(member).catch(() => {}) }, this.options.random() * intervalMs / 2).unref())
+    this.timers.push(setTimeout(() => this.scheduleProbes(), intervalMs).unref())
+  }
+
+  private async runProbe (member: ConnectedUpstream): Promise<void> {
+    if (member.isProbing || !this.isStarted) return
+    member.isProbing = true
+    const { id, pool } = member.upstream
+    try {
+      const signal = AbortSignal.timeout(upstreamConstants.probeTimeoutMs)
+      const probe = await member.engine.readLoad(signal)
+      if (probe.leaving) this.reportLeaving(id)
+      if (probe.load !== undefined) this.options.router.onLoadReport({ upstreamId: id, ...probe.load }, this.options.clock.readMonotonicMs())
+      if (this.options.isEnginePool(pool)) await this.loadCacheEvents(member, signal)
+    } catch (error) {
+      this.options.logger.recordDebug('probe failed', { upstreamId: id, reason: String(error) })
+    } finally {
+      member.isProbing = false
+    }
+  }
+
+  private async loadCacheEvents (member: ConnectedUpstream, signal: AbortSignal): Promise<void> {
+    const { router, clock } = this.options
+    const { id } = member.upstream
+    const answer = await member.engine.listCacheEvents(member.cacheEventSeq, signal)
+    const nowMs = clock.readMonotonicMs()
+    if (answer.latest < member.cacheEventSeq) {
+      // The engine has restarted with an empty cache and counts from the start again.
+      member.cacheEventSeq = 0
+      router.onCacheEvent(id, 'gap', '', nowMs)
+      return
+    }
+    for (const event of answer.events) {
+      if (event.seq <= member.cacheEventSeq) continue
+      if (event.seq > member.cacheEventSeq + 1) router.onCacheEvent(id, 'gap', '', nowMs)
+      router.onCacheEvent(id, event.type, event.prefixHash, nowMs)
+      member.cacheEventSeq = event.seq
+    }
+    if (answer.latest > member.cacheEventSeq) {
+      router.onCacheEvent(id, 'gap', '', nowMs)
+      member.cacheEventSeq = answer.latest
+    }
+  }
+
+  private createMember (upstream: Upstream): ConnectedUpstream {
+    return new ConnectedUpstream({
+      upstream,
+      clock: this.options.clock,
+      watchdog: this.watchdog,
+      maxConnections: this.options.maxConnections,
+      streamSilenceMs: this.options.streamSilenceMs,
+      onState: state => { if (state === 'leaving') this.reportLeaving(upstream.id) }
+    })
+  }
+
+  private reportLeaving (upstreamId: string): void {
+    this.options.router.onLeaving(upstreamId, this.options.clock.readMonotonicMs())
+    this.options.onLeaving?.(upstreamId)
+  }
+}
