feat(playground): demo and processes of a deployment

The demo starts an example as separate processes, sends a mixed load of every kind and checks every answer and every at-most-once call. createDeployment starts, kills, freezes and resumes single processes and sets faults, for later benches.

--- /dev/null
+++ b/playground/demo/constants.ts
@@ -0,0 +1,14 @@
+/** Constants of the demo. Times are chosen so that a run stays under 40 s. */
+export const demoConstants = {
+  /** Time in which all requests arrive. */
+  arrivalMs: 12_000,
+  /** Mean gap between arrivals, at most; a short run does not stretch over the whole time. */
+  largestGapMs: 40,
+  /** Shorter than usual, so that the drain at the end is over soon. */
+  routeLifetimeMs: 1500,
+  stopTimeoutMs: 6000,
+  /** After an interruption nobody waits for a drain. */
+  interruptTimeoutMs: 1000,
+  /** The demo ends itself when a part of it hangs. */
+  largestRunMs: 39_000
+} as const
--- /dev/null
+++ b/playground/demo/listExecutionFaults.ts
@@ -0,0 +1,23 @@
+import type { RequestRecord } from '../caller/requestRecord.js'
+
+interface ExecutionLine {
+  readonly requestId?: string
+  readonly operation?: string
+}
+
+/**
+ * Compares what the plain services ran with what callers were told: calls that are not idempotent
+ * run at most once, and not at all when every id was refused as `not_run`.
+ */
+export function listExecutionFaults (records: readonly RequestRecord[], executions: readonly ExecutionLine[]): readonly string[] {
+  const counts = new Map<string, number>()
+  for (const { requestId } of executions) if (requestId !== undefined) counts.set(requestId, (counts.get(requestId) ?? 0) + 1)
+  return records.flatMap(record => {
+    const count = record.requestIds.reduce((sum, id) => sum + (counts.get(id) ?? 0), 0)
+    const name = `${record.kind} ${record.requestIds.join(', ')} of ${record.account}`
+    if (count > 1) return [`${name} ran ${count} times`]
+    if (record.outcome === 'refused' && count > 0) return [`${name} was refused as not_run and ran`]
+    if (record.outcome === 'whole' && count === 0) return [`${name} was answered and did not run`]
+    return []
+  })
+}
--- /dev/null
+++ b/playground/processes/constants.ts
@@ -0,0 +1,13 @@
+/** Constants of the processes of a deployment. */
+export const processConstants = {
+  startTimeoutMs: 10_000,
+  /** Time from SIGTERM to SIGKILL. An entry host drains for its route lifetime, 1 s more, and its requests. */
+  stopTimeoutMs: 15_000,
+  readyPollMs: 50,
+  controlTimeoutMs: 2000,
+  /** Lines of standard error that are kept for messages. */
+  keptErrorLines: 200,
+  /** Ports below the usual ephemeral range, so that no outgoing connection takes one in between. */
+  firstPort: 20_001,
+  portCount: 12_000
+} as const
