--- /dev/null
+++ b/src/node/contracts/parseRecentTokens.ts
@@ -0,0 +1,17 @@
+import { z } from 'zod'
+
+interface RecentToken {
+  readonly revision: number
+  readonly token: string
+}
+
+const shape = z.object({ recent: z.array(z.object({ revision: z.number(), token: z.string() })) })
+
+/** The tokens of earlier revisions that a stored contract carries. */
+export function parseRecentTokens (text: string): readonly RecentToken[] {
+  try {
+    return shape.safeParse(JSON.parse(text)).data?.recent ?? []
+  } catch {
+    return []
+  }
+}
--- a/src/node/membership/constants.ts
+++ b/src/node/membership/constants.ts
@@ -19,8 +19,10 @@
   hostListPeriodMs: 5000,
   tablePeriodMs: 30_000,
   tableTimeoutMs: 2000,
-  /** Least time between two full tables asked for after a dead host came back. */
-  tableReviveGapMs: 5000,
+  /** Least time between two full tables asked for at the start or after a dead host came back. */
+  tableGapMs: 5000,
+  /** While a host is this young and misses listed hosts, it asks for full tables. */
+  startMs: 30_000,
   eventRetentionMs: 60_000,
   eventSpreadMs: 30_000,
   /** Hosts that see the same upstream leave need not all say so. */
--- a/src/node/membership/membershipDriver.ts
+++ b/src/node/membership/membershipDriver.ts
@@ -45,6 +45,7 @@
   private listedHosts = 0
   private sequence = 0
   private lastTableMs = -Infinity
+  private startedAtMs = -Infinity
 
   constructor (private readonly parts: MembershipParts) {
     this.core = new SwimCore(parts.self, parts.random)
@@ -55,6 +56,7 @@
   /** Reads the host list and begins to ping. Resolves after the first hosts were asked. */
   async start (): Promise<void> {
     const { scheduler, random } = this.parts
+    this.startedAtMs = this.readNow()
     this.cancels = [
       scheduleRepeatedly(scheduler, random, membershipConstants.periodMs, 0.1, () => { this.runPeriod() }),
       scheduleRepeatedly(scheduler, random, membershipConstants.hostListPeriodMs, 0.2, () => { this.updateSeeds().catch(() => {}) }),
@@ -115,11 +117,13 @@
     const targets = this.core.runPeriod(this.readNow())
     this.reportChanges()
     for (const target of targets) this.runProbe(target).catch(() => {})
+    const sinceStartMs = this.readNow() - this.startedAtMs
+    if (sinceStartMs < membershipConstants.startMs && this.core.hasUnknownSeed() && this.isTableDue()) this.loadTable().catch(() => {})
   }
 
   private async runProbe (target: ProbeTarget): Promise<void> {
     const sentAtMs = this.readNow()
-    if (await this.sendPing(target)) return
+    if (await this.sendPing(target) || !this.core.isHelpNeeded(target.id)) return
     const helpers = this.core.chooseHelpers(target.id)
     const answers = await Promise.all(helpers.map(async helper => await this.sendIndirectPing(helper, target)))
     if (answers.includes(true)) return
@@ -186,8 +190,11 @@
     }
     for (const event of this.core.takeEvents()) for (const listener of this.eventListeners) listener(event)
     this.parts.metrics.setGauge('membership_hosts', {}, this.core.listHosts().length)
-    const isTableDue = this.readNow() - this.lastTableMs > membershipConstants.tableReviveGapMs
-    if (this.core.takeRevived() && isTableDue) this.loadTable().catch(() => {})
+    if (this.core.takeRevived() && this.isTableDue()) this.loadTable().catch(() => {})
+  }
+
+  private isTableDue (): boolean {
+    return this.readNow() - this.lastTableMs > membershipConstants.tableGapMs
   }
 
   private readNow (): number {
--- a/src/node/membership/swimCore.ts
+++ b/src/node/membership/swimCore.ts
@@ -72,19 +72,31 @@
     return member ? [member, ...others] : others
   }
 
+  /** Whether a listed host has not been heard of yet. */
+  hasUnknownSeed (): boolean {
+    for (const id of this.seeds.keys()) if (!this.table.find(id)) return true
+    return false
+  }
+
   /** Hosts that ping `hostId` for this host. */
   chooseHelpers (hostId: string): readonly ProbeTarget[] {
     const candidates = this.table.list('live').filter(record => record.id !== hostId)
     return this.chooseRandomly(candidates, membershipConstants.indirectHelpers)
   }
 
+  /** Only members that are up are worth an indirect ping. */
+  isHelpNeeded (hostId: string): boolean {
+    const state = this.table.find(hostId)?.state
+    return state === 'live' || state === 'leaving'
+  }
+
   /** Neither a direct nor an indirect ping sent at `sentAtMs` was answered. */
   onUnreachable (hostId: string, sentAtMs: number, nowMs: number): void {
     this.observeTime(nowMs)
     // The answers of pings sent before this process was frozen were lost by this host, not by the other.
     if (sentAtMs < this.resumedAtMs) return
     const record = this.table.find(hostId)
-    if (record?.state === 'live' || record?.state === 'leaving') this.applyRecord({ ...record, state: 'suspect' }, nowMs)
+    if (record && this.isHelpNeeded(hostId)) this.applyRecord({ ...record, state: 'suspect' }, nowMs)
   }
 
   /** What a message to `hostId` carries; at most a fixed number of entries. */
