feat(routing): waits from the rate of starts, room for short work, pace samples of late tokens

Cause: admission took Little's law over whole attempts and refused 13-16% of short work in the swing; long work filled all but one slot; pace was sampled every four tokens, half a second at an eight-fold slowdown.

--- a/playground/bench/computeTrueMs.ts
+++ b/playground/bench/computeTrueMs.ts
@@ -5,7 +5,7 @@
 export function computeTrueMs (model: UpstreamModel, truth: TrueWork, priority: number): number {
   const workMs = model.computeTotalWork(truth)
   const stretch = model.computeStretch(Math.min(model.running.length + 1, model.pool.slots))
-  const ahead = model.waiting.filter(job => job.priority >= priority)
+  const ahead = model.waiting.filter(job => !model.pool.priorities || job.priority >= priority)
   if (model.running.length + ahead.length < model.pool.slots) return workMs * stretch
   const ends = model.running.map(job => job.totalWork - model.getDoneWork(job))
   for (const job of ahead) {
--- a/playground/bench/poolSpec.ts
+++ b/playground/bench/poolSpec.ts
@@ -4,6 +4,8 @@
   readonly count: number
   readonly slots: number
   readonly reports: boolean
+  /** Whether the queue is in order of priority; model engines honour priorities, plain services do not. */
+  readonly priorities: boolean
   /** Extra latency of a full batch relative to a single stream. */
   readonly batchSlope: number
 }
--- a/playground/bench/upstreamModel.ts
+++ b/playground/bench/upstreamModel.ts
@@ -40,7 +40,7 @@
     this.updateWork()
     job.submittedMs = this.queue.nowMs
     let at = this.waiting.length
-    while (at > 0 && (this.waiting[at - 1] as Job).priority < job.priority) at--
+    while (this.pool.priorities && at > 0 && (this.waiting[at - 1] as Job).priority < job.priority) at--
     this.waiting.splice(at, 0, job)
     this.startWaiting()
   }
--- a/src/node/admission/accountUse.ts
+++ b/src/node/admission/accountUse.ts
@@ -12,11 +12,12 @@
     this.mean += 0.01 * (value - this.mean)
   }
 
-  /** At most 1; less for an account that uses more of its contract than the mean of admitted requests. */
+  /** At most 1; less for an account that uses clearly more of its contract than the mean of admitted requests. */
   computeFactor (account: string, nowMs: number): number {
     const use = this.getUse(account, nowMs)
-    if (use <= this.mean || this.mean === 0) return 1
-    return Math.max(admissionConstants.leastUseFactor, (this.mean / use) ** 2)
+    const fair = this.mean * admissionConstants.fairUse
+    if (use <= fair || fair === 0) return 1
+    return Math.max(admissionConstants.leastUseFactor, (fair / use) ** 2)
   }
 
   private getUse (account: string, nowMs: number): number {
--- a/src/node/health/constants.ts
+++ b/src/node/health/constants.ts
@@ -4,13 +4,13 @@
   slowRatio: 2.2,
   /** Latency relative to the pool below which a slow upstream begins to recover; the gap is hysteresis. */
   recoveredRatio: 1.6,
-  /** Weight of a new sample in the average. Two samples of an eight-fold slowdown cross `slowRatio`. */
+  /** Weight of a new sample in the average. Two clamped samples cross `slowRatio`, one does not. */
   sampleWeight: 0.35,
   /** Samples are clamped so that one extreme value does not take long to forget. */
-  largestRatio: 10,
+  largestRatio: 4,
   /** First delay between probes of a slow upstream; doubles up to `largestProbeDelayMs`. */
-  probeDelayMs: 500,
-  largestProbeDelayMs: 2000,
+  probeDelayMs: 1000,
+  largestProbeDelayMs: 4000,
   /** Attempts in flight at which a recovering upstream counts as healthy again. */
   fullWindow: 8
 } as const
--- a/src/node/routing/attemptObserver.ts
+++ b/src/node/routing/attemptObserver.ts
@@ -16,8 +16,12 @@
       this.observeFirst(pool, view, attempt, model, tokens, nowMs)
       return
     }
-    if (tokens - attempt.sampledTokens < tokensPerSample) return
-    const paceMs = (nowMs - attempt.sampledMs) / (tokens - attempt.sampledTokens)
+    const count = tokens - attempt.sampledTokens
+    const elapsedMs = nowMs - attempt.sampledMs
+    // A late token is a sample of its own, so that a slowdown shows before several slow tokens have come.
+    const late = elapsedMs > 2 * tokensPerSample * model.perCost.getBaseMs()
+    if (count < (late ? 1 : tokensPerSample)) return
+    const paceMs = elapsedMs / count
     attempt.sampledMs = nowMs
     attempt.sampledTokens = tokens
     const usual = pool.getUsualRatio(nowMs)
@@ -50,6 +54,7 @@
     model.first.observeBase(firstMs, nowMs)
     const expectedMs = model.first.getBaseMs() + attempt.waitMs
     model.perCost.observeTail((nowMs - attempt.sentMs) / (expectedMs + tokens * model.perCost.getBaseMs()))
+    pool.getLane(attempt.long).onStarted(nowMs)
     if (!view.speed.isSlow()) pool.getLane(attempt.long).observeWait(firstMs - model.first.getBaseMs(), nowMs)
   }
 
@@ -60,6 +65,8 @@
   private observeCallEnd (pool: UpstreamPool, view: UpstreamView, attempt: AttemptRecord, model: OperationModel, elapsedMs: number, nowMs: number): void {
     const usual = pool.getUsualRatio(nowMs)
     const ratio = elapsedMs / attempt.predictedMs
+    attempt.firstMs = nowMs
+    pool.getLane(attempt.long).onStarted(nowMs)
     view.speed.observeCall(ratio, usual, nowMs)
     model.perCost.observeBase(elapsedMs / attempt.cost, nowMs)
     model.perCost.observeTail(ratio)
--- a/src/node/routing/laneLoad.ts
+++ b/src/node/routing/laneLoad.ts
@@ -1,34 +1,54 @@
-/** Time constants of the averages, in milliseconds. */
+/** Time constants in milliseconds. */
 const waitDecayMs = 300
-const rateDecayMs = 1000
+const rateDecayMs = 400
+const peakDecayMs = 10_000
+const concurrencyDecayMs = 2000
 
-/** Load of the short or the long work of one pool, as this host sees it through its own attempts. */
+/**
+ * Load of the short or the long work of one pool, as this host sees it through its own attempts. An
+ * attempt starts with its first token, or, for a call, shows with its answer that it has been served.
+ */
 export class LaneLoad {
-  private outstandingMs = 0
   private attempts = 0
+  private waiting = 0
   private waitMs = 0
   private waitUpdatedMs = 0
   private rate = 0
   private rateUpdatedMs = 0
+  private peak = 0
+  private concurrency = 0
+  private concurrencyUpdatedMs = 0
 
   /** Attempts in flight. */
   getAttempts (): number {
     return this.attempts
   }
 
-  onSent (serviceMs: number): void {
+  /** Attempts in flight, averaged over the last seconds. */
+  computeConcurrency (nowMs: number): number {
+    const weight = 1 - Math.exp((this.concurrencyUpdatedMs - nowMs) / concurrencyDecayMs)
+    return this.concurrency + weight * (this.attempts - this.concurrency)
+  }
+
+  onSent (nowMs: number): void {
+    this.updateConcurrency(nowMs)
     this.attempts++
-    this.outstandingMs += serviceMs
+    this.waiting++
   }
 
-  onEnded (serviceMs: number, completed: boolean, nowMs: number): void {
-    this.attempts = Math.max(0, this.attempts - 1)
-    this.outstandingMs = this.attempts === 0 ? 0 : Math.max(0, this.outstandingMs - serviceMs)
-    if (!completed) return
-    this.rate = this.computeRate(nowMs) + serviceMs / rateDecayMs
+  onStarted (nowMs: number): void {
+    this.waiting = Math.max(0, this.waiting - 1)
+    this.rate = this.computeRate(nowMs) + 1 / rateDecayMs
+    this.peak = Math.max(this.rate, this.peak * Math.exp((this.rateUpdatedMs - nowMs) / peakDecayMs))
     this.rateUpdatedMs = nowMs
   }
 
+  onEnded (started: boolean, nowMs: number): void {
+    this.updateConcurrency(nowMs)
+    this.attempts = Math.max(0, this.attempts - 1)
+    if (!started) this.waiting = Math.max(0, this.waiting - 1)
+  }
+
   /** Feeds the time that an attempt spent in queues. */
   observeWait (waitMs: number, nowMs: number): void {
     this.waitMs += 0.2 * (Math.max(0, waitMs) - this.waitMs)
@@ -36,17 +56,23 @@
   }
 
   /**
-   * Wait of work sent now. Once queues have formed, outstanding work over the rate of completion
-   * (Little's law) tells the wait of now, while the observed wait is that of work sent some time ago.
+   * Wait of work sent now, when a start takes `startMs` without queues. The attempts that have not
+   * started over the rate of starts (Little's law) tell the wait of now; the observed wait, which is
+   * that of work sent some time ago, bounds it, because the rate says little while demand is low.
    */
-  computeWaitMs (serviceMs: number, nowMs: number): number {
+  computeWaitMs (startMs: number, nowMs: number): number {
     const recentMs = this.waitMs * Math.exp((this.waitUpdatedMs - nowMs) / waitDecayMs)
-    if (recentMs < serviceMs * 0.5) return recentMs
-    const drainMs = this.outstandingMs / Math.max(this.computeRate(nowMs), 0.01) - serviceMs
-    return Math.max(recentMs, Math.min(drainMs, recentMs * 4))
+    const rate = Math.max(this.computeRate(nowMs), 0.8 * this.peak * Math.exp((this.rateUpdatedMs - nowMs) / peakDecayMs))
+    if (rate === 0) return recentMs
+    return Math.max(0, Math.min(this.waiting / rate - startMs, recentMs * 2.5 + startMs))
   }
 
   private computeRate (nowMs: number): number {
     return this.rate * Math.exp((this.rateUpdatedMs - nowMs) / rateDecayMs)
   }
+
+  private updateConcurrency (nowMs: number): void {
+    this.concurrency = this.computeConcurrency(nowMs)
+    this.concurrencyUpdatedMs = nowMs
+  }
 }
--- a/src/node/routing/stageRouterCore.ts
+++ b/src/node/routing/stageRouterCore.ts
@@ -1,5 +1,4 @@
 import { RepeatBudget } from '../retries/repeatBudget.js'
-import { healthConstants } from '../health/constants.js'
 import type { AttemptOutcome } from '../../types/attemptOutcome.js'
 import type { LoadReport } from '../../types/loadReport.js'
 import type { RoutingCore } from '../../types/routingCore.js'
@@ -19,6 +18,9 @@
 import type { UpstreamPool } from './upstreamPool.js'
 import { WorkTable } from './workTable.js'
 
+/** A running attempt must be predicted to take this many times the time of a new one to be hedged. */
+const hedgeGain = 1.2
+
 /** The routing core; see createStageRouter. */
 export class StageRouterCore implements RoutingCore {
   private readonly table: UpstreamTable
@@ -45,10 +47,14 @@
     if (pool === undefined || pool.selectable.length === 0) return undefined
     const model = pool.getModel(work.operation, work.model)
     const long = isLong(model, work)
-    if (long && pool.long.getAttempts() >= pool.computeLongLimit(this.countHosts())) return undefined
+    if (long && pool.long.getAttempts() >= pool.computeLongLimit(this.countHosts(), nowMs)) {
+      pool.parked.add(work.workId, model.computeServiceMs(work.cost), work.deadlineMs)
+      return undefined
+    }
     const probe = long ? undefined : this.chooseProbe(pool, model, work, excluded, nowMs)
     if (probe !== undefined) return buildProbe(probe, model, work)
     const chosen = this.chooser.choose(pool, model, work, long, excluded, nowMs)
+    if (long && chosen === undefined) pool.parked.add(work.workId, model.computeServiceMs(work.cost), work.deadlineMs)
     return chosen && buildChoice(chosen, model, work, long)
   }
 
@@ -63,7 +69,8 @@
     const predictedMs = serviceMs + candidate.waitMs
     view.addAttempt(work.workId, createRecord(work, long, predictedMs, candidate.waitMs, nowMs), nowMs)
     if (this.works.onSent(work.workId, view)) this.budget.addWork(serviceMs, nowMs)
-    pool.getLane(long).onSent(serviceMs)
+    pool.parked.remove(work.workId)
+    pool.getLane(long).onSent(nowMs)
     pool.observeService(serviceMs)
     if (work.prefixHash !== undefined && model.streaming) pool.prefixes.add(work.prefixHash, upstreamId)
   }
@@ -83,9 +90,8 @@
     if (view === undefined || pool === undefined || attempt === undefined) return
     this.works.onEnded(work.workId, view, outcome)
     const model = pool.getModel(work.operation, work.model)
-    const serviceMs = model.computeServiceMs(work.cost)
     this.observer.observeEnd(pool, view, attempt, model, outcome, elapsedMs, nowMs)
-    pool.getLane(attempt.long).onEnded(serviceMs, outcome === 'completed', nowMs)
+    pool.getLane(attempt.long).onEnded(attempt.firstMs > 0, nowMs)
     this.table.removeIdle(view)
   }
 
@@ -128,8 +134,10 @@
     if (pool === undefined) return { serviceMs: 0, waitMs: 0 }
     const model = pool.getModel(operation, modelName)
     const serviceMs = model.computeServiceMs(cost)
-    const lane = pool.getLane(serviceMs >= routingConstants.longWorkMs)
-    return { serviceMs, waitMs: lane.computeWaitMs(serviceMs, nowMs) }
+    const startMs = model.streaming ? model.first.getBaseMs() : serviceMs
+    if (serviceMs < routingConstants.longWorkMs) return { serviceMs, waitMs: pool.short.computeWaitMs(startMs, nowMs) }
+    const limit = pool.computeLongLimit(this.countHosts(), nowMs)
+    return { serviceMs, waitMs: pool.long.computeWaitMs(startMs, nowMs) + pool.parked.computeServiceMs(nowMs) / limit }
   }
 
   private computeWorkMs (work: StageWork): number {
@@ -139,7 +147,7 @@
   /** A probe goes to a slow upstream with short idempotent work that leaves time for a hedge. */
   private chooseProbe (pool: UpstreamPool, model: OperationModel, work: StageWork, excluded: ReadonlySet<string>, nowMs: number): Candidate | undefined {
     if (!work.idempotent || work.deadlineMs - nowMs < model.computeServiceMs(work.cost) * 2.5) return undefined
-    const view = pool.listSlow(nowMs).find(slow => slow.isSelectable() && slow.speed.isProbeDue(nowMs) && !excluded.has(slow.upstream.id))
+    const view = pool.listSlow(nowMs).find(slow => slow.isSelectable() && slow.attempts.size === 0 && slow.speed.isProbeDue(nowMs) && !excluded.has(slow.upstream.id))
     if (view === undefined) return undefined
     view.speed.onProbeSent(nowMs)
     return this.chooser.computeCandidate(pool, model, work, view, nowMs)
@@ -157,8 +165,9 @@
   private isOnTime (view: UpstreamView, work: StageWork, model: OperationModel, nowMs: number): boolean {
     const attempt = view.attempts.get(work.workId)
     if (attempt === undefined || attempt.tokens === 0) return false
-    const paceMs = Math.max((nowMs - attempt.firstMs) / attempt.tokens, model.perCost.getBaseMs())
-    return paceMs * Math.max(0, work.cost - attempt.tokens) < model.computeServiceMs(work.cost) * healthConstants.recoveredRatio
+    const meanPaceMs = (nowMs - attempt.firstMs) / attempt.tokens
+    const paceMs = Math.max(meanPaceMs, model.perCost.getBaseMs() * view.speed.getRatio())
+    return paceMs * Math.max(0, work.cost - attempt.tokens) < model.computeServiceMs(work.cost) * hedgeGain
   }
 }
 
--- a/src/node/routing/upstreamChooser.ts
+++ b/src/node/routing/upstreamChooser.ts
@@ -83,9 +83,8 @@
 
   private hasLongRoom (view: UpstreamView, pool: UpstreamPool, nowMs: number): boolean {
     if (view.slots === 0) return true
-    const longSlots = pool.computeLongSlots(view.slots)
-    if (view.longAttempts < longSlots / this.countHosts()) return true
-    return view.attempts.size + view.computeOthers(pool.getMeanOthers(), nowMs) < longSlots
+    if (view.longAttempts < Math.floor(view.slots / this.countHosts())) return true
+    return view.attempts.size + view.computeOthers(pool.getMeanOthers(), nowMs) < view.slots
   }
 
   /** An upstream that has attempts in flight but no usual answer for several predicted latencies is slow. */
--- a/src/node/routing/upstreamPool.ts
+++ b/src/node/routing/upstreamPool.ts
@@ -2,6 +2,7 @@
 import type { StageOperation } from '../../types/stageOperation.js'
 import { routingConstants } from './constants.js'
 import { LaneLoad } from './laneLoad.js'
+import { ParkedWork } from './parkedWork.js'
 import { OperationModel } from './operationModel.js'
 import { PrefixIndex } from './prefixIndex.js'
 import type { UpstreamView } from './upstreamView.js'
@@ -11,6 +12,7 @@
   readonly prefixes = new PrefixIndex()
   readonly short = new LaneLoad()
   readonly long = new LaneLoad()
+  readonly parked = new ParkedWork()
   /** Upstreams that may take new work. */
   selectable: readonly UpstreamView[] = []
   private readonly byId = new Map<string, UpstreamView>()
@@ -80,18 +82,19 @@
     return this.usualRatio
   }
 
-  /** Attempts of long work that this host may have in flight; infinite while no slots are known. */
-  computeLongLimit (hosts: number): number {
+  /**
+   * Attempts of long work that this host may have in flight; infinite while no slots are known. Its
+   * share of the slots that short work does not need, or more while other hosts leave slots unused.
+   */
+  computeLongLimit (hosts: number, nowMs: number): number {
     const slots = this.selectable.find(view => view.slots > 0)?.slots ?? 0
     if (slots === 0) return Number.POSITIVE_INFINITY
-    const total = this.selectable.length * this.computeLongSlots(slots)
-    const unused = total - this.selectable.length * this.meanOthers
-    return Math.max(Math.ceil(total / hosts), Math.floor(unused))
-  }
-
-  /** Slots of an upstream that long work may fill. */
-  computeLongSlots (slots: number): number {
-    return slots - Math.max(1, Math.ceil(slots * routingConstants.shortReserve))
+    const size = this.selectable.length
+    const ownShort = this.short.computeConcurrency(nowMs)
+    const needed = ownShort * hosts / size
+    const reserve = Math.min(Math.max(needed + routingConstants.shortSpread * Math.sqrt(needed), slots * routingConstants.shortReserve), slots * routingConstants.largestShortReserve)
+    const unused = size * (slots - slots * routingConstants.shortReserve - this.meanOthers) - ownShort
+    return Math.max(1, Math.floor(size * (slots - reserve) / hosts), Math.floor(unused))
   }
 
   private updateUsual (nowMs: number): void {
