--- /dev/null
+++ b/src/node/app/createEntryHost.ts
@@ -0,0 +1,123 @@
+import { createSeededRandom } from '../../shared/createSeededRandom.js'
+import { systemClock } from '../../shared/systemClock.js'
+import type { AccountLimiter } from '../../types/accountLimiter.js'
+import { createAdmissionController } from '../admission/createAdmissionController.js'
+import { createBurnReporter } from '../burn/createBurnReporter.js'
+import { createClaimService } from '../claims/createClaimService.js'
+import type { RunningHost } from '../cli/runningHost.js'
+import { createContracts } from '../contracts/createContracts.js'
+import { createLogger } from '../logging/createLogger.js'
+import { createMembership } from '../membership/createMembership.js'
+import { createMetrics } from '../metrics/createMetrics.js'
+import { createGrpcPeerTransport } from '../peers/createGrpcPeerTransport.js'
+import { createHttpHostList } from '../platform/createHttpHostList.js'
+import { createHttpKeyValueService } from '../platform/createHttpKeyValueService.js'
+import { chooseRouteHosts } from '../requests/chooseRouteHosts.js'
+import { RequestService } from '../requests/requestService.js'
+import { createStageRouter } from '../routing/createStageRouter.js'
+import { createCallerServer } from '../server/createCallerServer.js'
+import type { ResolvedSettings } from '../settings/resolvedSettings.js'
+import { chooseUpstreamSubset } from '../upstreams/chooseUpstreamSubset.js'
+import { HostListPoller } from '../upstreams/hostListPoller.js'
+import { UpstreamSet } from '../upstreams/upstreamSet.js'
+import type { ContractView } from '../../types/contractView.js'
+import { ContractAdminHandler } from './contractAdminHandler.js'
+import { EntryHost } from './entryHost.js'
+import { resolveListenAddress } from './resolveListenAddress.js'
+
+const UPSTREAM_LEAVING = 'upstream-leaving'
+/** Hosts in a route answer: enough to lose one failure domain and still have a choice. */
+const ROUTE_HOSTS = 4
+
+/**
+ * Builds an entry host from its settings and starts it; resolves when it is ready to serve. This is the only
+ * module that constructs the parts of a host.
+ */
+export async function createEntryHost (settings: ResolvedSettings): Promise<RunningHost> {
+  const { hostId, failureDomain } = settings
+  const listen = await resolveListenAddress(settings.listen)
+  const peerListen = await resolveListenAddress(settings.peerListen)
+  const clock = systemClock
+  const random = settings.seed === undefined ? Math.random : createSeededRandom(settings.seed)
+  const logger = createLogger({ level: settings.logLevel, host: hostId, failureDomain, secrets: [settings.operatorToken, settings.peerSecret] })
+  const metrics = createMetrics()
+  const keyValue = createHttpKeyValueService({ baseUrl: settings.keyValueUrl, hostId })
+  const hostList = createHttpHostList({ baseUrl: settings.hostListUrl, hostId })
+  const transport = createGrpcPeerTransport({ hostId, secret: settings.peerSecret, metrics })
+  const membership = createMembership({
+    hostId,
+    failureDomain,
+    address: settings.advertise === settings.listen ? listen : settings.advertise,
+    peerAddress: settings.peerAdvertise === settings.peerListen ? peerListen : settings.peerAdvertise,
+    transport,
+    hostList,
+    logger,
+    metrics,
+    random
+  })
+  const contracts = createContracts({ service: keyValue, transport, membership, logger, metrics, random })
+  const limiter: AccountLimiter = { take: () => ({ granted: true, retryAfterMs: 0 }) }
+  const router = createStageRouter({
+    random,
+    wallOffsetMs: clock.readWallMs() - clock.readMonotonicMs(),
+    countHosts: () => membership.listHosts().length
+  })
+  const admission = createAdmissionController({ limiter, estimator: router, contracts: contracts.store })
+  const upstreams = new UpstreamSet({
+    router,
+    clock,
+    random,
+    logger,
+    isEnginePool: pool => isEnginePool(contracts.store, pool),
+    onLeaving: upstreamId => membership.sendEvent(UPSTREAM_LEAVING, upstreamId),
+    maxConnections: settings.maxConnectionsPerUpstream,
+    probeIntervalMs: settings.probeMs
+  })
+  membership.onEvent(event => {
+    if (event.type === UPSTREAM_LEAVING) router.onLeaving(event.subject, clock.readMonotonicMs())
+  })
+  const poller = new HostListPoller({
+    hostList,
+    logger,
+    intervalMs: settings.hostListPollMs,
+    onUpstreams: listed => upstreams.applyUpstreams(chooseUpstreamSubset(listed, hostId, settings.upstreamSubset))
+  })
+  const claims = createClaimService({ hostId, keyValue, clock, logger, metrics, peers: { transport, membership } })
+  const burn = createBurnReporter({ contracts: contracts.store, membership, transport, clock, logger })
+  const requests = new RequestService({
+    clock,
+    logger,
+    metrics,
+    router,
+    admission,
+    membership,
+    transport,
+    claims,
+    upstreams,
+    onSample: sample => burn.observe(sample),
+    finishedRetentionMs: settings.answerRetentionMs,
+    finishedRetentionBytes: settings.answerRetentionBytes
+  })
+  const server = createCallerServer({
+    contracts: contracts.store,
+    membership,
+    requests,
+    admin: new ContractAdminHandler(contracts),
+    metrics,
+    logger,
+    operatorToken: settings.operatorToken,
+    listUnreadyReasons: () => contracts.isReady() ? [] : ['contracts are not loaded'],
+    chooseRouteHosts: hosts => chooseRouteHosts(hosts, ROUTE_HOSTS, random),
+    routeLifetimeMs: settings.routeLifetimeMs,
+    maxBodyBytes: settings.maxBodyBytes
+  })
+  const host = new EntryHost({ settings, listen, peerListen, logger, server, transport, membership, contracts, poller, upstreams, requests, keyValue, hostList })
+  await host.start()
+  return host
+}
+
+/** Model engines publish cache events; other upstreams do not. */
+function isEnginePool (contracts: ContractView, pool: string): boolean {
+  return contracts.list().some(revision => Object.values(revision.contract?.kinds ?? {})
+    .some(kind => kind.stages.some(stage => stage.pool === pool && stage.operation === 'generate')))
+}
--- /dev/null
+++ b/src/node/app/entryHost.ts
@@ -0,0 +1,91 @@
+import type { Server } from 'node:http'
+import { setTimeout as waitMs } from 'node:timers/promises'
+import type { HostList } from '../../types/hostList.js'
+import type { KeyValueService } from '../../types/keyValueService.js'
+import type { Logger } from '../../types/logger.js'
+import type { RunningHost } from '../cli/runningHost.js'
+import type { createContracts } from '../contracts/createContracts.js'
+import type { createMembership } from '../membership/createMembership.js'
+import type { createGrpcPeerTransport } from '../peers/createGrpcPeerTransport.js'
+import { RequestError } from '../requests/requestError.js'
+import type { RequestService } from '../requests/requestService.js'
+import type { ResolvedSettings } from '../settings/resolvedSettings.js'
+import type { HostListPoller } from '../upstreams/hostListPoller.js'
+import type { UpstreamSet } from '../upstreams/upstreamSet.js'
+
+interface EntryHostParts {
+  readonly settings: ResolvedSettings
+  readonly listen: string
+  readonly peerListen: string
+  readonly logger: Logger
+  readonly server: Server
+  readonly transport: ReturnType<typeof createGrpcPeerTransport>
+  readonly membership: ReturnType<typeof createMembership>
+  readonly contracts: ReturnType<typeof createContracts>
+  readonly poller: HostListPoller
+  readonly upstreams: UpstreamSet
+  readonly requests: RequestService
+  readonly keyValue: KeyValueService & { close (): Promise<void> }
+  readonly hostList: HostList & { close (): Promise<void> }
+}
+
+/** A running entry host: starts its parts in the order of their needs and stops them in the reverse order. */
+export class EntryHost implements RunningHost {
+  private stopping: Promise<void> | undefined
+  private readonly stopped: Promise<void>
+  private settleStopped!: { resolve: () => void, reject: (error: unknown) => void }
+
+  constructor (private readonly parts: EntryHostParts) {
+    this.stopped = new Promise((resolve, reject) => { this.settleStopped = { resolve, reject } })
+  }
+
+  async start (): Promise<void> {
+    const { listen, peerListen, logger, server, transport, membership, contracts, poller, upstreams, requests } = this.parts
+    await transport.start(peerListen)
+    await this.openServer(listen, server)
+    logger.recordInfo('listening', { address: listen, peerAddress: peerListen })
+    await membership.start()
+    await contracts.start()
+    await poller.start()
+    upstreams.start()
+    requests.start()
+    logger.recordInfo('ready', { hosts: membership.listHosts().length, contracts: contracts.store.list().length })
+  }
+
+  drain (): void {
+    this.stopping ??= this.runDrain()
+    this.stopping.then(this.settleStopped.resolve, this.settleStopped.reject)
+  }
+
+  async waitUntilStopped (): Promise<void> {
+    await this.stopped
+  }
+
+  private async runDrain (): Promise<void> {
+    const { settings, logger, server, transport, membership, contracts, poller, upstreams, requests, keyValue, hostList } = this.parts
+    membership.startLeaving()
+    logger.recordInfo('leaving')
+    await waitMs(settings.routeLifetimeMs + 1000)
+    requests.refuseNew(() => new RequestError('host_draining', 'the host is stopping', 503, 'not_run'))
+    await requests.waitIdle()
+    server.close()
+    server.closeAllConnections()
+    poller.stop()
+    requests.stop()
+    contracts.stop()
+    await upstreams.stop()
+    await membership.stop()
+    await transport.stop()
+    await keyValue.close()
+    await hostList.close()
+    logger.recordInfo('stopped')
+  }
+
+  private async openServer (listen: string, server: Server): Promise<void> {
+    const split = listen.lastIndexOf(':')
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject)
+      server.listen(Number(listen.slice(split + 1)), listen.slice(0, split).replace(/^\[|\]$/g, ''), resolve)
+    })
+  }
+}
--- a/src/node/cli/index.ts
+++ b/src/node/cli/index.ts
@@ -1,5 +1,7 @@
 #!/usr/bin/env node
+import { createEntryHost } from '../app/createEntryHost.js'
+import { parseContract } from '../contracts/parseContract.js'
 import { createCommandLineDependencies } from './createCommandLineDependencies.js'
 import { runCommandLine } from './runCommandLine.js'
 
-runCommandLine(process.argv, createCommandLineDependencies()).then(status => process.exit(status))
+runCommandLine(process.argv, createCommandLineDependencies({ startEntryHost: createEntryHost, parseContract })).then(status => process.exit(status))
