--- a/src/node/cli/__tests__/createTestDependencies.ts
+++ b/src/node/cli/__tests__/createTestDependencies.ts
@@ -1,5 +1,5 @@
 import { readFile } from 'node:fs/promises'
-import { UsageError } from '../usageError.js'
+import { TestContractError } from './testContractError.js'
 import type { CommandLineDependencies } from '../commandLineDependencies.js'
 import type { Contract } from '../../../types/contract.js'
 
@@ -14,7 +14,7 @@
     environment: {},
     startEntryHost: async () => ({ drain () {}, waitUntilStopped: async () => {} }),
     parseContract: value => {
-      if (typeof (value as Contract).account !== 'string') throw new UsageError(['account is missing'])
+      if (typeof (value as Contract).account !== 'string') throw new TestContractError('account: is missing')
       return value as Contract
     },
     readTextFile: async path => files.get(path) ?? await readFile(path, 'utf8'),
--- a/src/node/cli/__tests__/runCommandLine.test.ts
+++ b/src/node/cli/__tests__/runCommandLine.test.ts
@@ -81,6 +81,11 @@
   t.equal(await running, 0)
 })
 
+t.test('a host that cannot listen ends the program with one line', async t => {
+  const startEntryHost = async () => { throw Object.assign(new TypeError('listen EADDRINUSE: address already in use 127.0.0.1:7101'), { syscall: 'listen' }) }
+  t.match(await run(['serve', ...settings], { environment, startEntryHost }), { status: 1, errors: ['error: listen EADDRINUSE: address already in use 127.0.0.1:7101'] })
+})
+
 t.test('check reports the faults of settings and of all files', async t => {
   const files: Record<string, string> = { good: '[{"account":"pier"}]', bad: '[{"account":"pier"},{"account":"pier"},7]', broken: '{' }
   const readTextFile = async (path: string) => files[path]!
--- a/src/node/cli/readContractFile.ts
+++ b/src/node/cli/readContractFile.ts
@@ -19,13 +19,19 @@
       contracts.push(contract)
     } catch (error) {
       if (!(error instanceof LycheetrackError)) throw error
-      faults.push(`${path}: contract ${formatContractName(item, i)}: ${error.message}`)
+      faults.push(...listFaults(error).map(fault => `${path}: contract ${formatContractName(item, i)}: ${fault}`))
     }
   }
   if (faults.length > 0) throw new UsageError(faults)
   return contracts
 }
 
+/** The contract check lists its faults with their paths. */
+function listFaults (error: LycheetrackError): readonly string[] {
+  const { faults } = error as { faults?: ReadonlyArray<{ readonly path: string, readonly message: string }> }
+  return faults?.map(fault => `${fault.path} ${fault.message}`) ?? [error.message]
+}
+
 async function readJson (path: string, dependencies: CommandLineDependencies): Promise<unknown> {
   try {
     return JSON.parse(await dependencies.readTextFile(path))
--- a/src/node/cli/runCommandLine.ts
+++ b/src/node/cli/runCommandLine.ts
@@ -22,7 +22,7 @@
   try {
     return await runCommand(argv, dependencies)
   } catch (error) {
-    if (!(error instanceof LycheetrackError)) throw error
+    if (!(error instanceof LycheetrackError)) return reportSystemError(error, dependencies)
     const isUsage = error instanceof UsageError || error instanceof SettingsError
     for (const line of error.message.split('\n')) dependencies.writeError(`error: ${line}`)
     if (!isUsage) dependencies.writeError(`code: ${error.code}`)
@@ -30,6 +30,13 @@
   }
 }
 
+/** Failures of the operating system, such as an address that is in use, need no stack trace. */
+function reportSystemError (error: unknown, dependencies: CommandLineDependencies): number {
+  if (!(error instanceof Error) || !('syscall' in error)) throw error
+  dependencies.writeError(`error: ${error.message}`)
+  return exitStatus.failure
+}
+
 async function runCommand (argv: readonly string[], dependencies: CommandLineDependencies): Promise<number> {
   const commands = listCommands()
   const words = argv.slice(2)
