feat(burn): refusals of draining hosts are outside the objective

A draining host refuses new requests with other addresses; the host that takes such a request counts it, so that one request is not counted twice.

--- a/src/node/burn/constants.ts
+++ b/src/node/burn/constants.ts
@@ -33,11 +33,11 @@
   fastBurnRate: 6,
   /**
    * Codes of requests outside the objective: the caller asked for more than its contract, withdrew the
-   * request or sent a wrong one.
+   * request or sent a wrong one, or a draining host sent it to another host, which counts it.
    */
   excludedCodes: [
     'limit_reached', 'request_cancelled', 'request_id_reused', 'request_id_required', 'request_id_invalid', 'request_id_expired',
-    'invalid_request', 'unknown_kind'
+    'invalid_request', 'unknown_kind', 'host_draining'
   ] as readonly string[],
   /** Cause of whole answers that came after the objective's latency. */
   lateCode: 'late'
--- a/src/node/cli/__tests__/contractCommands.test.ts
+++ b/src/node/cli/__tests__/contractCommands.test.ts
@@ -170,3 +170,17 @@
   t.match(await run(['route', '--token', 'x'], server.address), { status: 1, errors: [/unexpected form/, 'code: server_answer_invalid'] })
   await server.close()
 })
+
+t.test('burn writes the page to a file and filters by account', async t => {
+  const counts = { total: 4, missed: 1, excluded: 0, attainment: 0.75, burnRate: 2.5 }
+  const entry = { account: 'pier', kind: 'signal-query', objective: { attainment: 0.9, latencyMs: 500 }, windows: { '5m': counts, '1h': counts, '6h': counts }, budgetLeft: -1.5, causes: { codes: [], stages: [], upstreams: [] }, points: [] }
+  const server = await createTestServer({ 'GET /admin/v1/burn': () => ({ atMs: 1_700_000_000_000, hostIds: ['host-1'], missingHostIds: [], omittedEntries: 0, entries: [entry, { ...entry, account: 'quay' }] }) })
+  const page = await run(['burn', '--html', 'burn.html', '--account', 'pier'], server.address)
+  t.match(page, { status: 0, output: [], errors: ['wrote burn.html'] })
+  t.match(page.files.get('burn.html'), /<td>pier<\/td>/)
+  t.notMatch(page.files.get('burn.html'), /quay/)
+  t.match((await run(['burn'], server.address)).output, [/quay +signal-query +90.00%/])
+  const failing = await run(['burn', '--html', 'x'], server.address, { writeTextFile: async () => { throw new TypeError('no space') } })
+  t.match(failing, { status: 1, errors: ['error: x: no space', 'code: file_unreadable'] })
+  await server.close()
+})
