--- a/src/node/claims/segmentedClaimService.ts
+++ b/src/node/claims/segmentedClaimService.ts
@@ -65,7 +65,8 @@
     } catch (error) {
       if (!(error instanceof LycheetrackError)) throw error
       this.settleAbandonedClaim(key, record)
-      return { kind: 'refused', code: error.code, message: 'the call could not be claimed and was not sent', ran: 'not_run' }
+      this.parts.logger.recordWarning('call not claimed', { requestId: call.requestId, code: error.code, reason: error.message })
+      return { kind: 'refused', code: 'claim_unavailable', message: 'the call could not be claimed and was not sent', ran: 'not_run' }
     }
   }
 
--- a/src/node/requests/requestSampler.ts
+++ b/src/node/requests/requestSampler.ts
@@ -34,7 +34,7 @@
   private recordSample (submission: Submission, elapsedMs: number, attained: boolean, end: AnswerEnd, report: ExecutionReport): void {
     const { metrics, clock, onSample } = this.options
     const code = end.kind === 'error' ? end.code : undefined
-    metrics.addCount('lycheetrack_requests_total', { outcome: code ?? 'completed' })
+    metrics.addCount('lycheetrack_requests_total', { outcome: code === undefined ? 'completed' : code })
     metrics.recordDuration('lycheetrack_request_duration_ms', { outcome: end.kind }, elapsedMs)
     onSample?.({
       account: submission.account,
