feat(contracts): acceptance and propagation of contract changes

An accepted change must be in force on every live host within 5 s and never revert. Changes are accepted by compare-and-swap, lost answers are settled by the token, revisions spread by watches, push and digest exchange, and one watcher a minute compares everything.

--- /dev/null
+++ b/src/node/contracts/contractExchange.ts
@@ -0,0 +1,152 @@
+import { peerMethods } from '../peers/peerMethods.js'
+import type { Clock } from '../../types/clock.js'
+import type { ContractRevision } from '../../types/contractRevision.js'
+import type { HostRecord } from '../../types/hostRecord.js'
+import type { MembershipView } from '../../types/membershipView.js'
+import type { PeerTransport } from '../../types/peerTransport.js'
+import type { Random } from '../../types/random.js'
+import { chooseWatchers } from './chooseWatchers.js'
+import type { ConfirmationState } from './confirmationState.js'
+import { contractConstants } from './constants.js'
+import type { ContractStore } from './contractStore.js'
+import { encodeRevision } from './encodeRevision.js'
+import { HostNotReadyError } from './hostNotReadyError.js'
+import { parseRevision } from './parseRevision.js'
+
+type DigestAnswer = ReturnType<typeof peerMethods.contractDigest.decodeResponse>
+
+interface ExchangeParts {
+  readonly store: ContractStore
+  readonly transport: PeerTransport
+  readonly membership: MembershipView
+  readonly confirmation: ConfirmationState
+  readonly clock: Clock
+  readonly random: Random
+  /** Whether this host has loaded its contracts, so that its table may serve others. */
+  readonly isReady: () => boolean
+}
+
+/** Spreads contract revisions between hosts: push of new ones, comparison of digests, pull of differences. */
+export class ContractExchange {
+  constructor (private readonly parts: ExchangeParts) {
+    const { transport, store, confirmation, clock } = parts
+    transport.handle(peerMethods.pushContracts, request => {
+      return { applied: this.applyRevisions((request.revisions ?? []).flatMap(text => parseRevision(text) ?? []), (request.hops ?? 0) + 1) }
+    })
+    transport.handle(peerMethods.contractDigest, request => this.buildDigestAnswer(request.buckets ?? []))
+    transport.handle(peerMethods.pullContracts, request => ({ revisions: this.listTexts(request.accounts ?? []) }))
+    transport.handle(peerMethods.contractInForce, request => ({
+      revision: store.findRevision(request.account ?? '')?.revision ?? 0,
+      confirmedAgeMs: confirmation.computeAgeMs(clock.readMonotonicMs())
+    }))
+  }
+
+  /** Applies revisions and passes the new ones on; returns the number of new ones. */
+  applyRevisions (revisions: readonly ContractRevision[], hops = 0): number {
+    const applied = revisions.filter(revision => this.parts.store.apply(revision))
+    if (applied.length > 0 && applied.length <= contractConstants.maxPushedAtOnce) this.sendToPeers(applied, hops)
+    return applied.length
+  }
+
+  /** Compares digests with one host and exchanges what differs. */
+  async runDigestExchange (): Promise<void> {
+    const peer = this.choosePeer()
+    if (!peer) return
+    await this.runExchangeWith(peer)
+  }
+
+  /** Loads the contracts of some peers, for a start while the service is down; true when one answered. */
+  async loadFromPeers (): Promise<boolean> {
+    const peers = this.chooseRandomPeers(contractConstants.startPeers)
+    const results = await Promise.all(peers.map(async peer => await this.runExchangeWith(peer).then(() => true, () => false)))
+    return results.includes(true)
+  }
+
+  private async runExchangeWith (peer: HostRecord): Promise<void> {
+    const { clock, confirmation, store, transport } = this.parts
+    const sentAtMs = clock.readMonotonicMs()
+    const request = { buckets: [...store.listBucketDigests()], confirmedAgeMs: confirmation.computeAgeMs(sentAtMs) }
+    const answer = await transport.send(peer.peerAddress, peerMethods.contractDigest, request, contractConstants.peerTimeoutMs)
+    await this.loadMissing(peer, answer)
+    await this.sendNewer(peer, answer)
+    // The peer answered after `sentAtMs`; what it knew then was confirmed at most this long before.
+    const ageMs = answer.confirmedAgeMs ?? -1
+    if (ageMs >= 0) confirmation.onConfirmed(sentAtMs - ageMs)
+  }
+
+  private async loadMissing (peer: HostRecord, answer: DigestAnswer): Promise<void> {
+    const isMissing = (account: string, revision: number): boolean => (this.parts.store.findRevision(account)?.revision ?? 0) < revision
+    const offered = (answer.accounts ?? []).map(entry => ({ account: entry.account ?? '', revision: Number(entry.revision) }))
+    let missing = offered.filter(entry => isMissing(entry.account, entry.revision))
+    while (missing.length > 0) {
+      const accounts = missing.slice(0, contractConstants.pullAccounts).map(entry => entry.account)
+      const pulled = await this.parts.transport.send(peer.peerAddress, peerMethods.pullContracts, { accounts }, contractConstants.pullTimeoutMs)
+      this.applyRevisions((pulled.revisions ?? []).flatMap(text => parseRevision(text) ?? []))
+      const rest = missing.filter(entry => isMissing(entry.account, entry.revision))
+      // The exchange does not count as a confirmation while something is missing.
+      if (rest.length === missing.length) throw new HostNotReadyError(`${peer.id} did not give the contracts that it offered`)
+      missing = rest
+    }
+  }
+
+  private async sendNewer (peer: HostRecord, answer: DigestAnswer): Promise<void> {
+    const theirs = new Map((answer.accounts ?? []).map(entry => [entry.account ?? '', Number(entry.revision)]))
+    const own = (answer.differingBuckets ?? []).flatMap(bucket => this.parts.store.listBucketRevisions(bucket))
+    const newer = own.filter(revision => revision.revision > (theirs.get(revision.account) ?? 0))
+    if (newer.length === 0) return
+    const revisions = newer.slice(0, contractConstants.maxPushedAtOnce).map(revision => encodeRevision(revision))
+    await this.parts.transport.send(peer.peerAddress, peerMethods.pushContracts, { revisions, hops: 0 }, contractConstants.pullTimeoutMs)
+  }
+
+  private buildDigestAnswer (buckets: readonly number[]): DigestAnswer {
+    const { store, confirmation, clock, isReady } = this.parts
+    if (!isReady()) throw new HostNotReadyError('this host has not loaded its contracts yet')
+    const differing = store.listBucketDigests().flatMap((digest, bucket) => digest === buckets[bucket] ? [] : [bucket])
+    const accounts = differing.flatMap(bucket => store.listBucketRevisions(bucket).map(({ account, revision }) => ({ account, revision })))
+    return { differingBuckets: differing, accounts, confirmedAgeMs: confirmation.computeAgeMs(clock.readMonotonicMs()) }
+  }
+
+  private listTexts (accounts: readonly string[]): string[] {
+    const texts: string[] = []
+    let bytes = 0
+    for (const account of accounts) {
+      const revision = this.parts.store.findRevision(account)
+      if (!revision) continue
+      const text = encodeRevision(revision)
+      bytes += text.length
+      if (texts.length > 0 && bytes > contractConstants.maxPullBytes) break
+      texts.push(text)
+    }
+    return texts
+  }
+
+  private sendToPeers (revisions: readonly ContractRevision[], hops: number): void {
+    const request = { revisions: revisions.map(revision => encodeRevision(revision)), hops }
+    for (const peer of this.chooseRandomPeers(contractConstants.pushFanout)) {
+      this.parts.transport.send(peer.peerAddress, peerMethods.pushContracts, request, contractConstants.peerTimeoutMs).catch(() => {})
+    }
+  }
+
+  // Confirmations come from the watchers; a host that has had none for some seconds asks one of them.
+  private choosePeer (): HostRecord | undefined {
+    const { membership, confirmation, clock, random } = this.parts
+    const ageMs = confirmation.computeAgeMs(clock.readMonotonicMs())
+    if (ageMs >= 0 && ageMs <= contractConstants.askWatcherAfterMs) return this.chooseRandomPeers(1)[0]
+    const self = membership.getSelf()
+    const domains = [...new Set(membership.listHosts().map(host => host.failureDomain))]
+    // Every other question goes to another failure domain, because the own one may be cut from the service.
+    const domain = random() < 0.5 ? self.failureDomain : domains[Math.floor(random() * domains.length)]
+    const watchers = chooseWatchers(domain ?? '', membership.listHosts()).filter(id => id !== self.id)
+    const watcher = membership.find(watchers[Math.floor(random() * watchers.length)] ?? '')
+    return watcher ?? this.chooseRandomPeers(1)[0]
+  }
+
+  private chooseRandomPeers (count: number): readonly HostRecord[] {
+    const { membership, random } = this.parts
+    const self = membership.getSelf().id
+    const rest = membership.listHosts().filter(host => host.id !== self && host.state !== 'suspect')
+    const chosen: HostRecord[] = []
+    while (chosen.length < count && rest.length > 0) chosen.push(...rest.splice(Math.floor(random() * rest.length), 1))
+    return chosen
+  }
+}
--- a/src/node/contracts/contractWriter.ts
+++ b/src/node/contracts/contractWriter.ts
@@ -2,7 +2,7 @@
 import { KeyValueUncertainError } from '../../shared/keyValueUncertainError.js'
 import { KeyValueUnavailableError } from '../../shared/keyValueUnavailableError.js'
 import type { Clock } from '../../types/clock.js'
-import type { Contract } from '../../types/contract.js'
+import type { ContractChange } from '../../types/contractChange.js'
 import type { ContractRevision } from '../../types/contractRevision.js'
 import type { KeyValueService } from '../../types/keyValueService.js'
 import type { Scheduler } from '../../types/scheduler.js'
@@ -13,15 +13,6 @@
 import { parseRevision } from './parseRevision.js'
 import { RevisionConflictError } from './revisionConflictError.js'
 
-interface ContractChange {
-  readonly account: string
-  /** Null deletes the contract. */
-  readonly contract: Contract | null
-  /** Revision that the operator has seen; 0 for a new contract. */
-  readonly expectedRevision: number
-  readonly operator: string
-}
-
 interface Stored {
   readonly version: number
   readonly revision: ContractRevision | undefined
@@ -128,5 +119,5 @@
 }
 
 function formatHistoryKey (account: string, revision: number): string {
-  return `${contractConstants.historyPrefix}${account}/${String(revision).padStart(10, '0')}`
+  return `${contractConstants.historyPrefix}${account}/${revision}`
 }
