--- /dev/null
+++ b/src/node/contracts/admin/watchRevisions.ts
@@ -0,0 +1,37 @@
+import type { ContractRevision } from '../../../types/contractRevision.js'
+import type { Scheduler } from '../../../types/scheduler.js'
+import type { ContractStore } from '../contractStore.js'
+import { adminConstants } from './constants.js'
+
+/**
+ * The present revisions, then each newer one until `signal` aborts, with a heartbeat each second. A slow
+ * reader gets only the newest revision of an account, so that the memory stays bounded.
+ */
+export async function * watchRevisions (store: ContractStore, scheduler: Scheduler, isConfirmed: () => boolean, signal: AbortSignal): AsyncIterable<unknown> {
+  const pending = new Map<string, ContractRevision>(store.listRevisions().map(revision => [revision.account, revision]))
+  let onWake = (): void => {}
+  const removeListener = store.onApplied(revision => {
+    pending.set(revision.account, revision)
+    onWake()
+  })
+  const onAbort = (): void => { onWake() }
+  signal.addEventListener('abort', onAbort)
+  try {
+    while (!signal.aborted) {
+      for (const [account, revision] of pending) {
+        pending.delete(account)
+        yield { type: revision.contract === null ? 'deleted' : 'contract', ...revision }
+        if (signal.aborted) return
+      }
+      yield { type: 'heartbeat', confirmed: isConfirmed() }
+      await new Promise<void>(resolve => {
+        if (signal.aborted || pending.size > 0) { resolve(); return }
+        const cancel = scheduler.schedule(adminConstants.watchHeartbeatMs, resolve)
+        onWake = () => { cancel(); resolve() }
+      })
+    }
+  } finally {
+    removeListener()
+    signal.removeEventListener('abort', onAbort)
+  }
+}
--- a/src/node/contracts/contractPropagation.ts
+++ b/src/node/contracts/contractPropagation.ts
@@ -95,6 +95,20 @@
     return revision
   }
 
+  /**
+   * The newest revision, deletions included, from the service; in an outage the one known here. An operator
+   * thus sees a change that another host has accepted, even before it has spread.
+   */
+  async readRevision (account: string): Promise<{ readonly revision: ContractRevision | undefined, readonly isConfirmed: boolean }> {
+    try {
+      const stored = await this.writer.read(account)
+      if (stored) this.exchange.applyRevisions([stored])
+      return { revision: this.store.findRevision(account), isConfirmed: true }
+    } catch {
+      return { revision: this.store.findRevision(account), isConfirmed: this.isConfirmed() }
+    }
+  }
+
   async listHistory (account: string): Promise<readonly ContractRevision[]> {
     return await this.writer.listHistory(account)
   }
--- a/src/node/contracts/contractSchema.ts
+++ b/src/node/contracts/contractSchema.ts
@@ -29,7 +29,8 @@
 
 /** Form and ranges of a contract; `validateContract` adds the rules that span several fields. */
 export const contractSchema: z.ZodType<Contract> = z.strictObject({
-  account: name,
+  // The administration API uses this name below the same path.
+  account: name.refine(account => account !== 'watch', 'is reserved'),
   tokenDigests: z.array(z.string().regex(/^[0-9a-f]{64}$/, 'must be a SHA-256 digest in lower-case hex')).min(1).max(contractConstants.maxTokenDigests),
   requestsPerSecond: z.number().gt(0).max(contractConstants.maxRequestsPerSecond),
   tokensPerSecond: z.number().min(0).max(contractConstants.maxTokensPerSecond),
