--- a/src/node/requests/constants.ts
+++ b/src/node/requests/constants.ts
@@ -44,6 +44,8 @@
   budgetQuantile: 0.95,
   minimumLatencySamples: 10,
   prefixLength: 256,
+  /** Predicted length of a generation without any past, as a share of its maximum. */
+  initialTokenShare: 0.5,
   defaultMaxTokens: 256,
   handOverPullTimeoutMs: 5000,
   handOverTimeoutMs: 8000,
--- a/src/node/requests/tokenModel.ts
+++ b/src/node/requests/tokenModel.ts
@@ -1,13 +1,27 @@
+import { requestConstants } from './constants.js'
+
 /** Predicts how many tokens a generation takes, from the past of the same account, kind and stage. */
 export class TokenModel {
   private readonly means = new Map<string, number>()
 
+  /** `stageKey` is `account/kind/stage`. */
   observe (stageKey: string, tokens: number): void {
-    const mean = this.means.get(stageKey)
-    this.means.set(stageKey, mean === undefined ? tokens : mean + (tokens - mean) / 8)
+    for (const key of [stageKey, buildKindKey(stageKey)]) {
+      const mean = this.means.get(key)
+      this.means.set(key, mean === undefined ? tokens : mean + (tokens - mean) / 8)
+    }
   }
 
+  /**
+   * Falls back to the same kind of all accounts, then to a share of the maximum: predicting the maximum
+   * itself makes admission refuse the first requests of a kind whose maximum does not fit its deadline.
+   */
   compute (stageKey: string, maxTokens: number): number {
-    return Math.min(maxTokens, Math.max(1, Math.round(this.means.get(stageKey) ?? maxTokens)))
+    const mean = this.means.get(stageKey) ?? this.means.get(buildKindKey(stageKey)) ?? maxTokens * requestConstants.initialTokenShare
+    return Math.min(maxTokens, Math.max(1, Math.round(mean)))
   }
 }
+
+function buildKindKey (stageKey: string): string {
+  return '*' + stageKey.slice(stageKey.indexOf('/'))
+}
--- a/src/node/server/handleAdmin.ts
+++ b/src/node/server/handleAdmin.ts
@@ -1,11 +1,14 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { AdminHandler } from '../../types/adminHandler.js'
+import type { AdminRequest } from '../../types/adminRequest.js'
 import { RequestError } from '../requests/requestError.js'
 import { isOperatorToken } from './isOperatorToken.js'
 import { parseJsonBody } from './parseJsonBody.js'
 import { readBody } from './readBody.js'
 import { writeJson } from './writeJson.js'
 
+const DEFAULT_OPERATOR = 'operator'
+
 interface AdminOptions {
   readonly admin: AdminHandler
   readonly operatorToken: string
@@ -19,27 +22,24 @@
     throw new RequestError('unauthorized', 'the operator token is required', 401, 'not_run')
   }
   const text = await readBody(request, options.maxBodyBytes, options.bodyTimeoutMs)
-  const headers = Object.fromEntries(Object.entries(request.headers).map(([name, value]) => [name, String(value)]))
+  const closed = new AbortController()
+  response.on('close', () => closed.abort())
   const answer = await options.admin.handle({
-    method: request.method ?? 'GET',
+    method: (request.method ?? 'GET') as AdminRequest['method'],
     path: url.pathname,
-    headers,
     query: Object.fromEntries(url.searchParams),
-    body: text === '' ? undefined : parseJsonBody(text)
+    ifMatch: request.headers['if-match'],
+    body: text === '' ? undefined : parseJsonBody(text),
+    operator: parseOperatorName(request.headers['x-operator']),
+    signal: closed.signal
   })
-  const { body } = answer
-  if (typeof body === 'object' && body !== null && Symbol.asyncIterator in body) {
-    await writeLines(response, answer.status, answer.headers ?? {}, body as AsyncIterable<unknown>)
-    return
-  }
-  const contentType = answer.headers?.['content-type']
-  if (typeof body === 'string' && contentType !== undefined && !contentType.includes('json')) {
-    response.writeHead(answer.status, answer.headers)
-    response.end(body)
-  } else if (body === undefined) {
-    response.writeHead(answer.status, answer.headers)
-    response.end()
-  } else writeJson(response, answer.status, body, answer.headers)
+  if (answer.body.type === 'json') return writeJson(response, answer.status, answer.body.value, answer.headers)
+  await writeLines(response, answer.status, answer.headers ?? {}, answer.body.lines)
+}
+
+/** All operators share one token; a name given with a call only labels its changes in the history. */
+function parseOperatorName (header: string | readonly string[] | undefined): string {
+  return typeof header === 'string' && /^[\w.@-]{1,64}$/.test(header) ? header : DEFAULT_OPERATOR
 }
 
 async function writeLines (response: ServerResponse, status: number, headers: Readonly<Record<string, string>>, lines: AsyncIterable<unknown>): Promise<void> {
--- a/src/types/adminHandler.ts
+++ b/src/types/adminHandler.ts
@@ -1,7 +1,7 @@
 import type { AdminRequest } from './adminRequest.js'
 import type { AdminResponse } from './adminResponse.js'
 
-/** The administration API behind the operator token. Failures are thrown as `LycheetrackError`. */
+/** Handles the requests below `/admin/v1`. Failures are answers too; the promise does not reject. */
 export interface AdminHandler {
   handle (request: AdminRequest): Promise<AdminResponse>
 }
