--- /dev/null
+++ b/src/node/requests/__tests__/stageExecution.test.ts
@@ -0,0 +1,154 @@
+import t from 'tap'
+import type { Test } from 'tap'
+import { RequestTestFleet } from '../../../../playground/fakes/requestTestFleet.js'
+
+async function openFleet (t: Test, options = {}) {
+  const fleet = await new RequestTestFleet(options).start()
+  t.teardown(async () => await fleet.stop())
+  const host = fleet.hosts[0]!
+  const post = async (body: unknown, headers = {}) => {
+    const answer = await host.send('POST', '/v1/requests', body, headers)
+    return { status: answer.status, text: answer.text, value: JSON.parse(answer.text.startsWith('{') ? answer.text : '{}') as { text?: string, result?: Record<string, unknown>, error?: { code: string, ran: string } } }
+  }
+  return { fleet, host, post }
+}
+
+t.test('answers that are swapped between two calls reach the calls whose id they carry', async t => {
+  const { fleet, post } = await openFleet(t)
+  const waiting: Array<{ readonly body: Readonly<Record<string, unknown>>, readonly send: (body: unknown) => void }> = []
+  fleet.members[0].onCall = (call, response) => {
+    waiting.push({ body: call.body, send: body => response.end(JSON.stringify({ call_id: (body as { call_id: string }).call_id, output: (body as { input: { input: unknown } }).input.input })) })
+    if (waiting.length === 2) {
+      waiting[0]!.send(waiting[1]!.body)
+      waiting[1]!.send(waiting[0]!.body)
+    }
+    return true
+  }
+  const answers = await Promise.all(['one', 'two'].map(async input => await post({ kind: 'tag', input })))
+  t.same(answers.map(answer => answer.value.result), [{ encode: 'one' }, { encode: 'two' }])
+})
+
+t.test('an answer with an unknown call id is dropped, counted and not delivered', async t => {
+  const { fleet, host, post } = await openFleet(t)
+  fleet.members[0].onCall = (_, response) => {
+    response.end(JSON.stringify({ call_id: 'quay/foreign/encode/1', output: 'foreign' }))
+    return true
+  }
+  const answer = await post({ kind: 'tag', input: 1 })
+  t.match(JSON.stringify(answer.value.result), /"input":1/, 'the second member answers')
+  t.equal(host.metrics.counts.get('lycheetrack_answers_dropped_total'), 1)
+})
+
+t.test('the answer of the slower of two hedged attempts is not taken a second time', async t => {
+  const { fleet, host, post } = await openFleet(t)
+  host.router.hedgeAfterMs = 20
+  let late: (() => void) | undefined
+  fleet.members[0].onCall = (call, response) => {
+    late = () => response.end(JSON.stringify({ call_id: call.body.call_id, output: 'late' }))
+    return true
+  }
+  const answer = await post({ kind: 'tag', input: 1 })
+  late?.()
+  t.notMatch(answer.text, /late/)
+  t.same(host.router.ended.map(end => end.outcome).sort(), ['cancelled', 'completed'])
+})
+
+t.test('a refused connection goes to another upstream without asking the retry budget', async t => {
+  const { fleet, host, post } = await openFleet(t)
+  host.router.isRetryAdmitted = false
+  fleet.members[0].stop()
+  const answer = await post({ kind: 'tag', input: 1 })
+  t.equal(answer.status, 200)
+  t.same(host.router.ended.map(end => end.outcome), ['refused', 'completed'])
+})
+
+t.test('a lost answer is retried within the budget and is a typed error without it', async t => {
+  const { fleet, host, post } = await openFleet(t)
+  fleet.members[0].onCall = (_, response) => { response.destroy(); return true }
+  t.equal((await post({ kind: 'tag', input: 1 })).status, 200)
+  host.router.isRetryAdmitted = false
+  const refused = await post({ kind: 'tag', input: 2 })
+  t.match(refused.value.error, { code: 'upstream_failed', ran: 'unknown' })
+})
+
+t.test('an engine stream that goes silent is resumed on a new connection without loss or repetition', async t => {
+  const { fleet, post } = await openFleet(t, { streamSilenceMs: 120 })
+  fleet.engines[0].tokenDelayMs = 5
+  let isSilent = false
+  fleet.engines[0].onCall = (call, response) => {
+    if (call.path !== '/v1/completions' || isSilent) return false
+    // The connection carries a few tokens and then nothing, while the stream goes on at the engine.
+    isSilent = true
+    const write = response.write.bind(response)
+    let writes = 0
+    response.write = ((chunk: string) => ++writes > 3 ? true : write(chunk)) as typeof response.write
+    response.end = (() => response) as typeof response.end
+    return false
+  }
+  const answer = await post({ kind: 'short', input: { text: 'marker:s length:20' } })
+  t.equal(answer.value.text, Array.from({ length: 20 }, (_, i) => `s.${i} `).join(''))
+  t.equal(fleet.engines[0].countCalls('/v1/streams/'), 1)
+  t.equal(fleet.engines[1].calls.length, 0, 'no second run')
+})
+
+t.test('tokens that come twice or out of order are put in order', async t => {
+  const { fleet, post } = await openFleet(t)
+  fleet.engines[0].onCall = (_, response) => {
+    const lines = [0, 1, 1, 3, 2, 0].map(o => `data: {"o":${o},"t":"t${o} \\u00e9"}\n\n`)
+    response.end(lines.join('') + 'data: {"done":true,"count":4}\n\n')
+    return true
+  }
+  const answer = await post({ kind: 'short', input: {} })
+  t.equal(answer.value.text, 't0 ét1 ét2 ét3 é')
+})
+
+t.test('an engine that dies in the middle leads to a new generation, announced by restart', async t => {
+  const { fleet, post } = await openFleet(t)
+  fleet.engines[0].onCall = (call, response) => {
+    if (call.path === '/v1/completions') {
+      response.write('data: {"o":0,"t":"old "}\n\n')
+      setTimeout(() => fleet.engines[0].stop(), 30)
+    }
+    return true
+  }
+  const answer = await post({ kind: 'short', input: { text: 'marker:n length:2' }, stream: true })
+  t.match(answer.text, /id: 1:1\ndata: \{"tokens":\["old "\]\}/)
+  t.match(answer.text, /event: restart\ndata: \{"generation":2\}\n\n(.|\n)*id: 2:2\n(.|\n)*"tokenCount":2/)
+})
+
+t.test('the deadline ends the request with a typed error and cancels the stream at the engine', async t => {
+  const { fleet, post } = await openFleet(t)
+  fleet.engines[0].tokenDelayMs = 50
+  const answer = await post({ kind: 'short', input: { text: 'length:100' }, deadlineMs: 120 })
+  t.equal(answer.status, 504)
+  t.match(answer.value.error, { code: 'deadline_exceeded', ran: 'unknown' })
+  await new Promise(resolve => setTimeout(resolve, 50))
+  t.equal(fleet.engines[0].calls.filter(call => call.method === 'DELETE').length, 1)
+})
+
+t.test('work whose caller has left is cancelled at the engine', async t => {
+  const { fleet, host } = await openFleet(t, { abandonGraceMs: 20 })
+  fleet.engines[0].tokenDelayMs = 20
+  await host.send('POST', '/v1/requests', { kind: 'short', input: { text: 'length:500' }, stream: true }, {}, text => !text.includes('tokens'))
+  await new Promise(resolve => setTimeout(resolve, 150))
+  t.equal(fleet.engines[0].calls.filter(call => call.method === 'DELETE').length, 1)
+  t.equal(host.requests.runningCount, 0)
+})
+
+t.test('an upstream that answers 503 and marks itself as leaving gets no further work', async t => {
+  const { fleet, host, post } = await openFleet(t)
+  fleet.members[0].state = 'leaving'
+  fleet.members[0].onCall = (_, response) => { response.writeHead(503).end(); return true }
+  t.equal((await post({ kind: 'tag', input: 1 })).status, 200)
+  t.equal((await post({ kind: 'tag', input: 2 })).status, 200)
+  t.equal(fleet.members[0].countCalls('/v1/encode'), 1)
+  t.ok(host.router.leaving.has('pool-0'))
+})
+
+t.test('nothing was sent: the error says not_run', async t => {
+  const { fleet, post } = await openFleet(t)
+  for (const member of fleet.members) member.stop()
+  const answer = await post({ kind: 'query', input: { text: 'x' } })
+  t.equal(answer.status, 503)
+  t.match(answer.value.error, { code: 'no_upstream_available', ran: 'not_run' })
+})
--- a/src/node/server/constants.ts
+++ b/src/node/server/constants.ts
@@ -15,6 +15,11 @@
   /** A caller that takes no bytes of a finished answer for this time is cut off. */
   stalledCallerMs: 30_000,
   maxRequestIdLength: 128,
+  /**
+   * Backlog for `listen`. The process accepts few connections per turn of a busy event loop; with the
+   * usual 511 a burst of 2000 connections led to connections that were reset after 17 s.
+   */
+  listenBacklog: 4096,
   /** Longer than the lifetime of a route answer, so that callers keep their connections. */
   keepAliveMs: 15_000
 } as const
--- a/src/node/server/createCallerServer.ts
+++ b/src/node/server/createCallerServer.ts
@@ -6,7 +6,7 @@
 
 /**
  * The HTTP server of the caller and administration APIs; the caller of this function opens and closes
- * its port.
+ * its port, with `serverConstants.listenBacklog`.
  */
 export function createCallerServer (options: CallerServerOptions): Server {
   const api = new CallerApi(options)
--- a/src/node/server/sseWriter.ts
+++ b/src/node/server/sseWriter.ts
@@ -17,6 +17,8 @@
   private isDue = false
   private isBlocked = false
   private isClosed = false
+  /** False for callers of HTTP/1.0, whose answers end with the connection. */
+  private isFraming = false
   private lastWriteMs = 0
   private readonly release: () => void
   private readonly removeListener: () => void
@@ -63,7 +65,7 @@
     if (isWhole) text += this.buildEndEvent(end)
     if (text !== '') this.write(text)
     if (isWhole) {
-      this.response.end()
+      this.response.end(this.isFraming ? '0\r\n\r\n' : undefined)
       this.scheduleCutOff()
       this.close()
     } else if (end !== undefined) this.handleChange()
@@ -116,9 +118,12 @@
         'cache-control': 'no-store',
         'request-id': this.entry.identity.requestId
       })
+      // The writer frames chunks itself: Node would pass each chunk to the kernel in four pieces.
+      this.isFraming = this.response.chunkedEncoding
+      this.response.chunkedEncoding = false
     }
     this.lastWriteMs = performance.now()
-    this.response.write(text)
+    this.response.write(this.isFraming ? `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n` : text)
     this.isBlocked = this.response.writableLength > serverConstants.maxBufferedBytes
   }
 
--- a/src/node/upstreams/httpEngineStream.ts
+++ b/src/node/upstreams/httpEngineStream.ts
@@ -30,7 +30,8 @@
   private resumesWithoutProgress = 0
   private connectionNumber = 0
   private isAccepted: boolean
-  private isSent = false
+  /** True once a connection that carried the call has ended without a refusal by the engine. */
+  private mayHaveRun = false
   private isClosed = false
   private abort: () => void = () => {}
 
@@ -44,7 +45,7 @@
   cancel (): void {
     const wasOpen = !this.isClosed
     this.close()
-    if (!wasOpen || !this.isSent) return
+    if (!wasOpen) return
     this.options.connection.send({ method: 'DELETE', path: this.buildStreamPath(), freshConnection: true }, AbortSignal.timeout(1000)).catch(() => {})
   }
 
@@ -95,16 +96,13 @@
       },
       onError: error => {
         if (!isCurrent()) return
-        if (error.sent) this.isSent = true
-        if (this.isSent) this.openNextConnection(error)
+        if (error.sent || this.isAccepted || this.mayHaveRun) this.openNextConnection(error)
         else this.closeWithError(error)
       }
     })
-    this.isSent ||= this.isAccepted
   }
 
   private handleStatus (status: number, leaving: boolean): void {
-    this.isSent = true
     if (status === 503 && !this.isAccepted && leaving) this.closeWithError(new UpstreamError('upstream_leaving', 'the engine is leaving', 'not_run', true))
     else if (status === 404) this.closeWithError(new UpstreamError('stream_not_found', 'the engine does not know the stream', 'unknown', true))
     else this.closeWithError(new UpstreamError('upstream_failed', `the engine answered with status ${status}`, 'unknown', true))
@@ -159,6 +157,7 @@
 
   private openNextConnection (cause: UpstreamError): void {
     this.connectionNumber++
+    this.mayHaveRun = true
     this.abort()
     this.held.clear()
     this.doneCount = undefined
@@ -169,7 +168,8 @@
   private closeWithError (error: UpstreamError): void {
     if (this.isClosed) return
     this.close()
-    this.options.handler.onError(error)
+    const isCertain = error.ran !== 'not_run' || !this.mayHaveRun
+    this.options.handler.onError(isCertain ? error : new UpstreamError('upstream_failed', error.message, 'unknown', true, { cause: error }))
   }
 
   private buildStreamPath (): string {
--- a/src/node/upstreams/upstreamConnection.ts
+++ b/src/node/upstreams/upstreamConnection.ts
@@ -75,9 +75,11 @@
       onResponseError: (_, error) => settleCall(error)
     })
     return () => {
+      if (settled) return
       aborted = true
-      controller?.abort(new UpstreamError('upstream_cancelled', 'the call was cancelled', sent ? 'unknown' : 'not_run', sent))
-      settleCall(new UpstreamError('upstream_cancelled', 'the call was cancelled', sent ? 'unknown' : 'not_run', sent))
+      const error = new UpstreamError('upstream_cancelled', 'the call was cancelled', sent ? 'unknown' : 'not_run', sent)
+      controller?.abort(error)
+      settleCall(error)
     }
   }
 
