--- a/src/node/requests/constants.ts
+++ b/src/node/requests/constants.ts
@@ -48,5 +48,8 @@
   handOverPullTimeoutMs: 5000,
   handOverTimeoutMs: 8000,
   registrationsAtOnce: 64,
-  cancelTimeoutMs: 1000
+  cancelTimeoutMs: 1000,
+  routeLifetimeMs: 5000,
+  /** Covers clock differences and answers on their way to callers. */
+  leavingMarginMs: 1000
 } as const
--- a/src/node/requests/requestRegistrar.ts
+++ b/src/node/requests/requestRegistrar.ts
@@ -51,7 +51,12 @@
     const isRoundDue = nowMs - this.lastRoundMs > requestConstants.reregisterIntervalMs
     if (gapMs < requestConstants.freezeGapMs && !isRoundDue) return
     this.lastRoundMs = nowMs
-    this.registerEach(this.listOwned().filter(entry => !entry.isEnded)).catch(() => {})
+    this.registerRunning().catch(() => {})
+  }
+
+  /** Registers all requests that this host owns and runs. */
+  async registerRunning (): Promise<void> {
+    await this.registerEach(this.listOwned().filter(entry => !entry.isEnded))
   }
 
   /** Registers the requests whose directory hosts have changed. */
--- a/src/node/requests/requestService.ts
+++ b/src/node/requests/requestService.ts
@@ -123,6 +123,11 @@
     this.refusal = buildRefusal
   }
 
+  /** Repeats the registrations of running requests, as after a pause of the process. */
+  async registerAgain (): Promise<void> {
+    await this.registrar.registerRunning()
+  }
+
   /** Resolves when nothing runs and all outcomes are recorded. */
   async waitIdle (): Promise<void> {
     await this.registry.waitIdle()
