--- /dev/null
+++ b/src/node/requests/__tests__/onceCalls.test.ts
@@ -0,0 +1,110 @@
+import { setTimeout as waitTime } from 'node:timers/promises'
+import t from 'tap'
+import type { Test } from 'tap'
+import { v7 as buildUuid } from 'uuid'
+import { RequestTestFleet } from '../../../../playground/fakes/requestTestFleet.js'
+
+async function openFleet (t: Test, options = {}) {
+  const fleet = await new RequestTestFleet({ hosts: 2, ...options }).start()
+  t.teardown(async () => await fleet.stop())
+  const requestId = buildUuid()
+  const post = async (index = 0, input: unknown = { bell: 1 }) => {
+    const answer = await fleet.hosts[index]!.send('POST', '/v1/requests', { kind: 'issue', input }, { 'request-id': requestId })
+    return { ...JSON.parse(answer.text) as { result?: unknown, error?: { code: string, ran: string } }, status: answer.status }
+  }
+  const countRuns = (): number => fleet.services.reduce((sum, service) => sum + service.countCalls('/call/'), 0)
+  return { fleet, post, requestId, countRuns }
+}
+
+t.test('a call that was sent runs once, and a second submission gets its recorded outcome', async t => {
+  const { fleet, post, requestId, countRuns } = await openFleet(t, {})
+  const first = await post(0)
+  t.equal(first.status, 200)
+  fleet.peers.dead.add('host-0')
+  fleet.hosts[1]!.membership.setState('host-0', 'dead')
+  const second = await post(1)
+  t.same(second.result, first.result)
+  t.equal(countRuns(), 1)
+  t.match(fleet.claims.outcomes.get(`pier/${requestId}`), { ran: 'ran', status: 200 })
+})
+
+t.test('no byte is sent when the claim is refused', async t => {
+  const { fleet, post, countRuns } = await openFleet(t)
+  fleet.claims.isDown = true
+  t.match(await post(), { status: 503, error: { code: 'key_value_unavailable', ran: 'not_run' } })
+  t.equal(countRuns(), 0)
+})
+
+t.test('no byte is sent under a claim that is no longer fresh, and the outcome says so', async t => {
+  const { fleet, post, requestId, countRuns } = await openFleet(t)
+  fleet.claims.isFresh = false
+  t.match(await post(), { status: 503, error: { code: 'upstream_not_sent', ran: 'not_run' } })
+  t.equal(countRuns(), 0)
+  t.match(fleet.claims.outcomes.get(`pier/${requestId}`), { ran: 'not_run' })
+})
+
+t.test('a lost answer is not retried: the outcome is unknown', async t => {
+  const { fleet, post, requestId, countRuns } = await openFleet(t)
+  fleet.services[0].onCall = (_, response) => { response.destroy(); return true }
+  t.match(await post(), { status: 502, error: { ran: 'unknown' } })
+  t.equal(countRuns(), 1)
+  t.match(fleet.claims.outcomes.get(`pier/${requestId}`), { ran: 'unknown' })
+})
+
+t.test('a call whose answer takes longer than its budget gets no second attempt', async t => {
+  const { fleet, post, countRuns } = await openFleet(t)
+  fleet.hosts[0]!.router.hedgeAfterMs = 10
+  fleet.services[0].onCall = async () => { await waitTime(300); return false }
+  t.equal((await post()).status, 200)
+  t.equal(countRuns(), 1)
+})
+
+t.test('a refused connection goes to another upstream', async t => {
+  const { fleet, post } = await openFleet(t)
+  fleet.services[0].stop()
+  t.equal((await post()).status, 200)
+  t.equal(fleet.services[1].countCalls('/call/'), 1)
+})
+
+t.test('a 503 counts as not_run only from an upstream that marks itself as leaving', async t => {
+  for (const { state, ran } of [{ state: 'leaving', ran: 'not_run' }, { state: 'live', ran: 'unknown' }]) {
+    const { fleet, post, countRuns } = await openFleet(t)
+    fleet.services[0].state = state
+    fleet.services[0].onCall = (_, response) => { response.writeHead(503).end(); return true }
+    t.match((await post()).error, { ran }, state)
+    t.equal(countRuns(), 1, 'a byte was sent, so no other upstream is tried')
+  }
+})
+
+t.test('a second host waits for the outcome of the holder of the claim', async t => {
+  const { fleet, post, countRuns } = await openFleet(t)
+  fleet.services[0].onCall = async () => { await waitTime(150); return false }
+  const first = post(0)
+  await waitTime(50)
+  const [one, two] = await Promise.all([first, post(1)])
+  t.same(two.result, one.result)
+  t.equal(countRuns(), 1)
+})
+
+t.test('the outcome is unknown when the holder dies after it sent the call', async t => {
+  const { fleet, post, requestId, countRuns } = await openFleet(t)
+  fleet.services[0].onCall = async () => { await waitTime(200); return false }
+  const first = post(0)
+  await waitTime(50)
+  fleet.peers.dead.add('host-0')
+  fleet.hosts[1]!.membership.setState('host-0', 'dead')
+  t.match(await post(1), { status: 409, error: { code: 'outcome_unknown', ran: 'unknown' } })
+  await first
+  t.equal(countRuns(), 1)
+  t.match(fleet.claims.outcomes.get(`pier/${requestId}`), { ran: 'ran' }, 'the holder still records the outcome')
+  t.equal((await post(1)).status, 200, 'later submissions get the recorded outcome')
+})
+
+t.test('a caller that leaves does not cancel a call that may have been sent', async t => {
+  const { fleet, requestId } = await openFleet(t, { abandonGraceMs: 10 })
+  fleet.services[0].onCall = async () => { await waitTime(150); return false }
+  const call = fleet.hosts[0]!.send('POST', '/v1/requests', { kind: 'issue', input: 1 }, { 'request-id': requestId })
+  await waitTime(50)
+  t.equal((await fleet.hosts[0]!.send('DELETE', `/v1/requests/${requestId}`)).status, 409)
+  t.equal((await call).status, 200)
+})
--- a/src/node/requests/drain.ts
+++ b/src/node/requests/drain.ts
@@ -39,6 +39,7 @@
     logger.recordInfo('host is draining', { running: requests.runningCount })
     await requests.waitIdle()
     await requests.sendHandOver()
+    await this.options.closeServer?.()
     this.machine.send({ type: 'stop' })
     logger.recordInfo('host has drained')
   }
--- a/src/node/requests/drainOptions.ts
+++ b/src/node/requests/drainOptions.ts
@@ -12,6 +12,8 @@
   readonly reportLeaving: () => void
   /** Chooses the hosts that refusals name. */
   readonly chooseRouteHosts: (hosts: readonly HostRecord[]) => readonly HostRecord[]
+  /** Closes the caller API; resolves when the last answer has left. */
+  readonly closeServer?: () => Promise<void>
   /** @default 5000 */
   readonly routeLifetimeMs?: number
   /** Time beyond the route lifetime in which new requests are accepted. @default 1000 */
--- a/src/node/server/constants.ts
+++ b/src/node/server/constants.ts
@@ -21,5 +21,6 @@
    */
   listenBacklog: 4096,
   /** Longer than the lifetime of a route answer, so that callers keep their connections. */
-  keepAliveMs: 15_000
+  keepAliveMs: 15_000,
+  idleCheckMs: 50
 } as const
--- a/src/node/server/readBody.ts
+++ b/src/node/server/readBody.ts
@@ -4,14 +4,18 @@
 /** Reads a body within a bound of bytes and time. Rejects with `RequestError`. */
 export async function readBody (request: IncomingMessage, maxBytes: number, timeoutMs: number): Promise<string> {
   const tooLarge = new RequestError('body_too_large', `the body is larger than ${maxBytes} bytes`, 413, 'not_run')
-  if (Number(request.headers['content-length'] ?? 0) > maxBytes) throw tooLarge
+  if (Number(request.headers['content-length'] ?? 0) > maxBytes) {
+    request.resume()
+    throw tooLarge
+  }
   return await new Promise((resolve, reject) => {
     const chunks: Buffer[] = []
     let size = 0
     const settle = (report: () => void): void => {
       clearTimeout(timer)
       request.off('data', onData).off('end', onEnd).off('error', onClose).off('close', onClose)
-      request.pause()
+      // What is left of the body is discarded: closing the connection with unread bytes would lose the answer.
+      request.resume()
       report()
     }
     const onData = (chunk: Buffer): void => {
--- a/src/node/server/writeError.ts
+++ b/src/node/server/writeError.ts
@@ -11,7 +11,7 @@
   if (requestId !== undefined) headers['request-id'] = requestId
   if (end.retryAfterMs !== undefined) headers['retry-after'] = String(Math.max(1, Math.ceil(end.retryAfterMs / 1000)))
   if (end.httpStatus === 401) headers['www-authenticate'] = 'Bearer'
-  // The rest of an oversized or slow body is not read, so the connection cannot be used again.
-  if (end.httpStatus === 413 || end.httpStatus === 408) headers.connection = 'close'
+  // Nobody waits for the rest of a slow body, so the connection cannot be used again.
+  if (end.httpStatus === 408) headers.connection = 'close'
   writeJson(response, end.httpStatus, buildErrorBody(end, requestId), headers)
 }
--- /dev/null
+++ b/src/node/upstreams/__tests__/upstreamSet.test.ts
@@ -0,0 +1,86 @@
+import { setTimeout as waitTime } from 'node:timers/promises'
+import t from 'tap'
+import type { Test } from 'tap'
+import { FixedStageRouter } from '../../../../playground/fakes/fixedStageRouter.js'
+import { quietLogger } from '../../../../playground/fakes/quietLogger.js'
+import { ScriptedUpstream } from '../../../../playground/fakes/scriptedUpstream.js'
+import { systemClock } from '../../../shared/systemClock.js'
+import { UpstreamSet } from '../upstreamSet.js'
+
+async function openSet (t: Test, options = {}) {
+  const engine = await new ScriptedUpstream().start()
+  const router = new FixedStageRouter()
+  const left: string[] = []
+  const set = new UpstreamSet({ router, clock: systemClock, random: () => 0, logger: quietLogger, isEnginePool: () => true, onLeaving: id => left.push(id), probeIntervalMs: 20, ...options })
+  set.applyUpstreams([{ id: 'e', address: engine.address, pool: 'runners', failureDomain: 'a', state: 'live' }])
+  t.teardown(async () => {
+    await set.stop()
+    engine.stop()
+  })
+  return { engine, router, set, left }
+}
+const openTokens = (set: UpstreamSet, prompt: string) => {
+  const tokens: string[] = []
+  const ended = new Promise<string>(resolve => {
+    set.findEngine('e')!.openStream({ streamId: 's/1', model: 'm', prompt, maxTokens: 9, priority: 1 }, {
+      onTokens: literals => tokens.push(...literals),
+      onEnd: () => resolve('ended'),
+      onError: error => resolve(`${error.code} ${error.ran}`)
+    })
+  })
+  return { tokens, ended }
+}
+
+t.test('probes bring load reports, the leaving state and cache events with their gaps', async t => {
+  const { engine, router, set, left } = await openSet(t)
+  const events = [{ seq: 1, type: 'stored', prefixHash: 'aa' }, { seq: 3, type: 'evicted', prefixHash: 'bb' }]
+  engine.onCall = (call, response) => {
+    if (!call.path.startsWith('/cache')) return false
+    const after = Number(call.path.split('=')[1])
+    response.end(JSON.stringify({ events: events.filter(event => event.seq > after), latest: 4 }))
+    return true
+  }
+  set.start()
+  await waitTime(100)
+  t.ok(router.loadReports.has('e'))
+  t.same(router.cacheEvents, ['e stored aa', 'e gap ', 'e evicted bb', 'e gap '])
+  engine.state = 'leaving'
+  await waitTime(100)
+  t.equal(left[0], 'e')
+  t.ok(router.leaving.has('e'))
+})
+
+t.test('an engine that accepts the call and never answers is tried again on a new connection, as the same stream', async t => {
+  const { engine, set } = await openSet(t, { streamSilenceMs: 100 })
+  let calls = 0
+  engine.onCall = call => call.path === '/v1/completions' && ++calls === 1
+  const { tokens, ended } = openTokens(set, 'marker:x length:3')
+  t.equal(await ended, 'ended')
+  t.same(tokens, ['"x.0 "', '"x.1 "', '"x.2 "'])
+  t.same(engine.calls.filter(call => call.path === '/v1/completions').map(call => call.body.stream_id), ['s/1', 's/1'])
+})
+
+t.test('a stream that stays silent on every connection fails with an unknown outcome', async t => {
+  const { engine, set } = await openSet(t, { streamSilenceMs: 40 })
+  engine.onCall = () => true
+  t.equal(await openTokens(set, 'x').ended, 'upstream_silent unknown')
+})
+
+t.test('a connection that is refused means not_run, one that is refused after the call was sent does not', async t => {
+  const { engine, set } = await openSet(t)
+  engine.onCall = (_, response) => {
+    engine.stop()
+    response.destroy()
+    return true
+  }
+  t.match(await openTokens(set, 'x').ended, / unknown$/)
+  t.equal(await openTokens(set, 'x').ended, 'upstream_refused not_run')
+})
+
+t.test('calls beyond the bound of open connections are refused before they are sent', async t => {
+  const { engine, set } = await openSet(t, { maxConnections: 1 })
+  engine.tokenDelayMs = 30
+  const first = openTokens(set, 'length:3')
+  t.equal(await openTokens(set, 'x').ended, 'upstream_busy not_run')
+  t.equal(await first.ended, 'ended')
+})
