fix(requests): call ids are unique across repeated runs of a request

A request that ran again on the same host after a cancellation used the call ids of its first run, so that an engine would have joined the cancelled stream. Ids now carry the host, its start time and a run number. Calls that run at most once register at both directory hosts, a stalled caller is cut off, and a superseded run cancels a stream that the new owner does not share.

--- a/playground/relayBench/runCallers.ts
+++ b/playground/relayBench/runCallers.ts
@@ -10,9 +10,10 @@
     const call = openRequest({ host: '127.0.0.1', port, method: 'POST', path: '/v1/requests', agent: false, headers: { authorization: 'Bearer token-pier' } }, response => {
       let tail = ''
       response.setEncoding('latin1')
-      response.on('data', (chunk: string) => { tail = (tail + chunk).slice(-400) })
+      response.on('data', (chunk: string) => { tail = (tail + chunk).slice(-20_000) })
       response.on('end', () => {
         if (tail.includes(lastId) && tail.includes('event: done')) whole++
+        else console.error(`caller ${index}: ${tail.slice(-600)}`)
         if (++ended === streams) process.send?.({ whole })
       })
     })
--- a/src/node/requests/constants.ts
+++ b/src/node/requests/constants.ts
@@ -37,6 +37,8 @@
   freezeCheckMs: 250,
   /** Epochs number their generations apart, so that tokens of two owners are never mixed. */
   generationsPerEpoch: 64,
+  /** Code of an abort that leaves the upstream work to another host. */
+  supersededCode: 'superseded',
   outcomeRecordTimeoutMs: 2000,
   minimumBudgetMs: 50,
   latencySamples: 128,
--- a/src/node/requests/pipelineDependencies.ts
+++ b/src/node/requests/pipelineDependencies.ts
@@ -6,7 +6,8 @@
 
 /** The parts of a host that all pipeline runs share. */
 export interface PipelineDependencies {
-  readonly hostId: string
+  /** Unique among all hosts and their restarts; part of every call id. */
+  readonly attemptScope: string
   readonly router: StageRouter
   readonly clock: Clock
   readonly attempts: AttemptStarter
--- a/src/node/requests/pipelineRun.ts
+++ b/src/node/requests/pipelineRun.ts
@@ -18,9 +18,12 @@
 
 /** Executes the stages of one request; each stage starts when the stages that it needs are complete. */
 export class PipelineRun {
+  private static runCount = 0
   private readonly plan: PipelinePlan
   private readonly outputs = new Map<string, Promise<unknown>>()
   private readonly controller = new AbortController()
+  /** Keeps the call ids of a request that runs again on this host apart from those of its earlier run. */
+  private readonly runNumber = ++PipelineRun.runCount
   private attemptCount = 0
   private callsThatMayHaveRun = 0
   private slowest = { stage: '', upstreamId: '', elapsedMs: -1 }
@@ -127,7 +130,7 @@
       budgetMs: this.computeBudget(stage),
       isOnce: stage.operation === 'call' && !spec.idempotent,
       resumed,
-      buildCallId: () => `${workId}/${this.dependencies.hostId}.${this.job.epoch}.${++this.attemptCount}`,
+      buildCallId: () => `${workId}/${this.dependencies.attemptScope}.${this.runNumber}.${++this.attemptCount}`,
       startAttempt: (upstreamId, callId, events, resumeOffset) => this.startAttempt(() =>
         attempts.start(upstreamId, callId, payload, this.countFailures(events), resumeOffset)),
       onLeader: (upstreamId, streamId, isResumed) => {
--- a/src/node/requests/requestEntry.ts
+++ b/src/node/requests/requestEntry.ts
@@ -69,7 +69,10 @@
   applyNewOwner (owner: RegistrationResult): void {
     if (this.isEnded || this.role !== 'owner' || owner.epoch <= this.epoch) return
     this.newOwner = owner
-    this.controller.abort(new RequestError('superseded', `host ${owner.ownerId} has taken the request over`, 503, 'unknown'))
+    // The new owner may be reading the very stream that this host reads; only another one is cancelled.
+    const isStreamShared = owner.hint === undefined || owner.hint.streamId === this.hint?.streamId
+    const code = isStreamShared ? requestConstants.supersededCode : 'replaced'
+    this.controller.abort(new RequestError(code, `host ${owner.ownerId} has taken the request over`, 503, 'unknown'))
   }
 
   /** Ends the request for good. */
--- a/src/node/requests/requestExecutor.ts
+++ b/src/node/requests/requestExecutor.ts
@@ -44,10 +44,11 @@
   }
 
   private async runToEnd (entry: RequestEntry, submission: Submission, deadlineAtMs: number): Promise<AnswerEnd | undefined> {
-    let result = await this.register(entry, 1)
+    const { idempotent } = submission.spec
+    let result = await this.register(entry, 1, idempotent)
     for (let round = 0; round < requestConstants.maxTakeovers; round++) {
       if (result.accepted) {
-        const end = submission.spec.idempotent
+        const end = idempotent
           ? await this.runOwned(entry, submission, deadlineAtMs, result)
           : await this.runOnce(entry, submission, deadlineAtMs, result)
         if (entry.newOwner === undefined || entry.isEnded || entry.isStopped) return end
@@ -59,7 +60,7 @@
       const outcome = await this.joinOwner(entry, result.ownerId)
       if (entry.isEnded) return undefined
       if (entry.isStopped) break
-      if (!submission.spec.idempotent) return await this.runOnce(entry, submission, deadlineAtMs, result)
+      if (!idempotent) return await this.runOnce(entry, submission, deadlineAtMs, result)
       if (outcome === 'not_owner') {
         await waitTime(requestConstants.ownerLookupDelayMs)
         const { account, requestId } = entry.identity
@@ -70,19 +71,20 @@
         }
       }
       this.options.metrics.addCount('lycheetrack_takeovers_total', {})
-      result = await this.register(entry, result.epoch + 1, result)
+      result = await this.register(entry, result.epoch + 1, idempotent, result)
     }
     throw new RequestError(entry.isStopped ? 'request_cancelled' : 'owner_unavailable', 'the request has no owner that answers', entry.isStopped ? 499 : 503, 'unknown')
   }
 
-  private async register (entry: RequestEntry, epoch: number, takeover?: RegistrationResult): Promise<RegistrationResult> {
+  private async register (entry: RequestEntry, epoch: number, idempotent: boolean, takeover?: RegistrationResult): Promise<RegistrationResult> {
     const { directory, membership } = this.options
     const { account, requestId, bodyHash } = entry.identity
     const ownerId = membership.getSelf().id
     const registration = { identity: entry.identity, ownerId, epoch, finished: false, takeoverFrom: takeover?.ownerId }
     entry.directoryHosts = directory.listDirectoryHosts(account, requestId).map(host => host.id).join()
     // Without any directory host the request runs all the same; claims keep calls that run at most once safe.
-    const result = await directory.register(registration) ?? { accepted: true, ownerId, epoch, bodyHash, finished: false }
+    const answer = idempotent ? await directory.register(registration) : await directory.registerAtBoth(registration)
+    const result = answer ?? { accepted: true, ownerId, epoch, bodyHash, finished: false }
     return result.accepted ? { ...result, hint: result.hint ?? takeover?.hint } : result
   }
 
@@ -140,10 +142,10 @@
       return entry.isEnded ? undefined : await this.settleLostClaim(entry)
     }
     entry.isAbandonable = false
-    if (!owned.accepted) owned = await this.register(entry, owned.epoch + 1, owned)
+    if (!owned.accepted) owned = await this.register(entry, owned.epoch + 1, false, owned)
     const isSendable = (): boolean => decision.isFresh() && clock.readMonotonicMs() < deadlineAtMs
     const end = await this.runOwned(entry, submission, deadlineAtMs, { ...owned, hint: undefined }, isSendable)
-    const settled: AnswerEnd = end.kind === 'error' && end.code === 'superseded' ? { ...end, code: 'outcome_unknown' } : end
+    const settled: AnswerEnd = end.kind === 'error' && entry.newOwner !== undefined ? { ...end, code: 'outcome_unknown' } : end
     entry.newOwner = undefined
     this.recordOutcome(requestId, decision.recordOutcome({
       ran: settled.kind === 'done' ? 'ran' : settled.ran,
--- a/src/node/requests/requestService.ts
+++ b/src/node/requests/requestService.ts
@@ -41,7 +41,8 @@
     this.directoryClient = new DirectoryClient(this.directory, membership, transport, clock)
     this.feed = new RemoteFeed(transport)
     const pending = new PendingAttempts(() => metrics.addCount('lycheetrack_answers_dropped_total', {}))
-    const pipeline = { hostId: membership.getSelf().id, router, clock, attempts: new AttemptStarter(upstreams, pending), latencies: new LatencyModel(), tokens: this.tokens }
+    const attemptScope = `${membership.getSelf().id}.${Math.round(clock.readWallMs()).toString(36)}`
+    const pipeline = { attemptScope, router, clock, attempts: new AttemptStarter(upstreams, pending), latencies: new LatencyModel(), tokens: this.tokens }
     this.executor = new RequestExecutor({ ...options, directory: this.directoryClient, feed: this.feed, pipeline })
     this.registrar = new RequestRegistrar({ clock, membership, registry: this.registry, directory: this.directoryClient })
     this.sampler = new RequestSampler(options)
--- a/src/node/requests/stageRun.ts
+++ b/src/node/requests/stageRun.ts
@@ -41,7 +41,7 @@
       this.resolve = resolve
       this.reject = reject
     })
-    const onAbort = (): void => this.settle(() => this.reject(signal.reason), signal.reason instanceof RequestError && signal.reason.code === 'superseded')
+    const onAbort = (): void => this.settle(() => this.reject(signal.reason), signal.reason instanceof RequestError && signal.reason.code === requestConstants.supersededCode)
     signal.addEventListener('abort', onAbort)
     const { resumed } = this.options
     if (resumed !== undefined) this.startAttempt(resumed.upstreamId, resumed.streamId, resumed.offset)
--- a/src/node/server/sseWriter.ts
+++ b/src/node/server/sseWriter.ts
@@ -72,7 +72,11 @@
   }
 
   sendKeepalive (nowMs: number): void {
-    if (this.isClosed || this.isBlocked || nowMs - this.lastWriteMs < serverConstants.keepaliveMs) return
+    if (this.isClosed || nowMs - this.lastWriteMs < serverConstants.keepaliveMs) return
+    if (this.isBlocked) {
+      if (nowMs - this.lastWriteMs > serverConstants.stalledCallerMs) this.response.destroy()
+      return
+    }
     this.write(': keepalive\n\n')
   }
 
