--- a/src/node/requests/constants.ts
+++ b/src/node/requests/constants.ts
@@ -37,6 +37,8 @@
   freezeCheckMs: 250,
   /** Epochs number their generations apart, so that tokens of two owners are never mixed. */
   generationsPerEpoch: 64,
+  /** Code of an abort that leaves the upstream work to another host. */
+  supersededCode: 'superseded',
   outcomeRecordTimeoutMs: 2000,
   minimumBudgetMs: 50,
   latencySamples: 128,
@@ -50,5 +52,8 @@
   handOverPullTimeoutMs: 5000,
   handOverTimeoutMs: 8000,
   registrationsAtOnce: 64,
-  cancelTimeoutMs: 1000
+  cancelTimeoutMs: 1000,
+  routeLifetimeMs: 5000,
+  /** Covers clock differences and answers on their way to callers. */
+  leavingMarginMs: 1000
 } as const
