feat(limits): limits of accounts across hosts

An account must get between 95% and 105% of its contract over any 10 s. Its limit owner leases whole requests by demand; leased and saved requests together stay below a burst, so that no window exceeds the bound, and hosts give back what they do not use, because a small account has too few requests to keep some everywhere.

--- /dev/null
+++ b/playground/fakes/limitCluster.ts
@@ -0,0 +1,92 @@
+import { createAccountLimiter } from '../../src/node/limits/createAccountLimiter.js'
+import type { ContractRevision } from '../../src/types/contractRevision.js'
+import type { ContractView } from '../../src/types/contractView.js'
+import { createSilentMetrics } from './createSilentMetrics.js'
+import { MembershipCluster } from './membershipCluster.js'
+
+interface Take {
+  readonly account: string
+  readonly host: string
+  readonly atMs: number
+  readonly granted: boolean
+}
+
+/** Hosts with membership and limits under virtual time, and a load whose arrivals follow from the seed. */
+export class LimitCluster extends MembershipCluster {
+  readonly limiters = new Map<string, ReturnType<typeof createAccountLimiter>>()
+  readonly takes: Take[] = []
+
+  constructor (seed: number, private readonly rates: Readonly<Record<string, number>>) {
+    super(seed)
+  }
+
+  override addHost (id: string): ReturnType<MembershipCluster['addHost']> {
+    const host = super.addHost(id)
+    const limiter = createAccountLimiter({
+      contracts: this.createContracts(),
+      membership: host.membership,
+      transport: host.transport,
+      metrics: createSilentMetrics(),
+      clock: this.clock,
+      scheduler: host.scheduler,
+      random: this.random
+    })
+    this.limiters.set(id, limiter)
+    limiter.start()
+    return host
+  }
+
+  /** Sends requests of `account` at random times to the hosts that `chooseHost` names, `perSecond` of them a second. */
+  startLoad (account: string, perSecond: number, chooseHost: () => string): () => void {
+    let isStopped = false
+    const scheduleNext = (): void => {
+      this.clock.schedule(-Math.log(1 - this.random()) * 1000 / perSecond, () => {
+        if (isStopped) return
+        scheduleNext()
+        this.sendRequest(account, chooseHost()).catch(() => {})
+      })
+    }
+    scheduleNext()
+    return () => { isStopped = true }
+  }
+
+  /** Largest number of granted requests in any window of 10 s, as a share of the contract. */
+  computeMaxShare (account: string): number {
+    const times = this.takes.filter(take => take.account === account && take.granted).map(take => take.atMs)
+    let first = 0
+    let most = 0
+    times.forEach((atMs, i) => {
+      while ((times[first] as number) <= atMs - 10_000) first++
+      most = Math.max(most, i - first + 1)
+    })
+    return most / (10 * (this.rates[account] ?? 0))
+  }
+
+  /** Smallest share of `perSecond` that was granted in any window of 10 s between the two times. */
+  computeMinShare (account: string, perSecond: number, fromMs: number, toMs: number): number {
+    const times = this.takes.filter(take => take.account === account && take.granted).map(take => take.atMs)
+    let least = Infinity
+    for (let startMs = fromMs; startMs + 10_000 <= toMs; startMs += 250) {
+      least = Math.min(least, times.filter(atMs => atMs >= startMs && atMs < startMs + 10_000).length)
+    }
+    return least / (10 * perSecond)
+  }
+
+  private async sendRequest (account: string, host: string): Promise<void> {
+    const limiter = this.limiters.get(host)
+    if (!limiter) return
+    await limiter.waitForCredit(account, 50)
+    const atMs = this.clock.readMonotonicMs()
+    this.takes.push({ account, host, atMs, granted: limiter.take(account, atMs).granted })
+  }
+
+  private createContracts (): ContractView {
+    const find = (account: string): ContractRevision | undefined => {
+      const requestsPerSecond = this.rates[account]
+      if (requestsPerSecond === undefined) return undefined
+      const contract = { account, tokenDigests: [], requestsPerSecond, tokensPerSecond: 0, kinds: {} }
+      return { account, revision: 1, contract, operator: '', atMs: 0, token: '' }
+    }
+    return { find, findByTokenDigest: () => undefined, list: () => [], onApplied: () => () => {} }
+  }
+}
--- /dev/null
+++ b/src/node/limits/createAccountLimiter.ts
@@ -0,0 +1,34 @@
+import { systemClock } from '../../shared/systemClock.js'
+import { systemScheduler } from '../../shared/systemScheduler.js'
+import type { Clock } from '../../types/clock.js'
+import type { ContractView } from '../../types/contractView.js'
+import type { MembershipView } from '../../types/membershipView.js'
+import type { Metrics } from '../../types/metrics.js'
+import type { PeerTransport } from '../../types/peerTransport.js'
+import type { Random } from '../../types/random.js'
+import type { Scheduler } from '../../types/scheduler.js'
+import { LimitDriver } from './limitDriver.js'
+
+interface AccountLimiterOptions {
+  readonly contracts: ContractView
+  /** `listListedHosts` gives the ids of the live entry hosts in the platform's host list. */
+  readonly membership: MembershipView & { listListedHosts (): readonly string[] }
+  readonly transport: PeerTransport
+  readonly metrics: Metrics
+  /** @default systemClock */
+  readonly clock?: Clock
+  /** @default systemScheduler */
+  readonly scheduler?: Scheduler
+  /** @default Math.random */
+  readonly random?: Random
+}
+
+/** Limits of accounts over all hosts; times of `take` come from the monotonic clock of `clock`. */
+export function createAccountLimiter (options: AccountLimiterOptions): LimitDriver {
+  return new LimitDriver({
+    ...options,
+    clock: options.clock ?? systemClock,
+    scheduler: options.scheduler ?? systemScheduler,
+    random: options.random ?? Math.random
+  })
+}
--- /dev/null
+++ b/src/node/limits/hostCensus.ts
@@ -0,0 +1,97 @@
+import { chooseByRendezvous } from '../../shared/chooseByRendezvous.js'
+import type { HostRecord } from '../../types/hostRecord.js'
+import type { MembershipView } from '../../types/membershipView.js'
+import { limitConstants } from './constants.js'
+
+interface CensusSource extends MembershipView {
+  /** Ids of the live hosts in the platform's host list. */
+  listListedHosts (): readonly string[]
+}
+
+/**
+ * Who owns an account's limit and how many hosts share it, by membership and the host list. Pure but for its
+ * view of the membership; times are local and monotonic.
+ */
+export class HostCensus {
+  private owners = new Map<string, string>()
+  /** Hosts that died without leaving, with the time at which this was learnt. */
+  private readonly deaths = new Map<string, number>()
+  /** Hosts that announced their stop; the lagging list may still name them. */
+  private readonly left = new Set<string>()
+  private changedAtMs: number
+
+  constructor (private readonly membership: CensusSource, startMs: number) {
+    this.changedAtMs = startMs
+  }
+
+  /** Takes note of a change of the membership. */
+  observeChange (host: HostRecord, nowMs: number): void {
+    this.owners = new Map()
+    this.changedAtMs = nowMs
+    if (host.state === 'leaving') this.left.add(host.id)
+    if (host.state === 'live') {
+      this.left.delete(host.id)
+      this.deaths.delete(host.id)
+    }
+    if (host.state === 'dead') this.deaths.set(host.id, nowMs)
+  }
+
+  findOwner (account: string): string {
+    const known = this.owners.get(account)
+    if (known !== undefined) return known
+    const hosts = this.membership.listHosts().filter(host => host.state !== 'leaving').map(host => host.id)
+    const owner = chooseByRendezvous(formatKey(account), hosts, 1)[0] ?? this.membership.getSelf().id
+    this.owners.set(account, owner)
+    return owner
+  }
+
+  /** The host that owned the account before this one, if it is still there: leaving hosts are asked first. */
+  findFormerOwner (account: string): HostRecord | undefined {
+    const self = this.membership.getSelf().id
+    const ids = this.membership.listHosts().map(host => host.id).filter(id => id !== self)
+    const former = chooseByRendezvous(formatKey(account), ids, 1)[0]
+    return former === undefined ? undefined : this.membership.find(former)
+  }
+
+  /** When everybody knows of the death of the account's owner and its leases have ended; undefined when no owner died. */
+  findSettledMs (account: string, nowMs: number): number | undefined {
+    const self = this.membership.getSelf().id
+    let settledMs: number | undefined
+    for (const [hostId, diedAtMs] of this.deaths) {
+      const endMs = diedAtMs + this.computeSettleMs()
+      if (endMs <= nowMs) continue
+      if (chooseByRendezvous(formatKey(account), [self, hostId], 1)[0] === hostId) settledMs = Math.max(settledMs ?? 0, endMs)
+    }
+    return settledMs
+  }
+
+  /** Lease time and the time that news of a death takes to reach every host. */
+  computeSettleMs (): number {
+    return limitConstants.leaseMs + limitConstants.spreadMs * Math.ceil(Math.log2(this.countSeen() + 1))
+  }
+
+  /** Whether nothing has changed for so long that no former owner holds a budget. */
+  isQuiet (nowMs: number): boolean {
+    return nowMs - this.changedAtMs > limitConstants.quietMs
+  }
+
+  countSeen (): number {
+    return this.membership.listHosts().length
+  }
+
+  /** Hosts that share each contract: those seen and those listed that have not announced their stop. */
+  countHosts (): number {
+    const ids = new Set(this.membership.listHosts().map(host => host.id))
+    for (const id of this.membership.listListedHosts()) if (!this.left.has(id)) ids.add(id)
+    return ids.size
+  }
+
+  isHostSeen (hostId: string): boolean {
+    const state = this.membership.find(hostId)?.state
+    return state !== undefined && state !== 'dead'
+  }
+}
+
+function formatKey (account: string): string {
+  return `limits/${account}`
+}
--- /dev/null
+++ b/src/node/limits/limitDriver.ts
@@ -0,0 +1,181 @@
+import { peerMethods } from '../peers/peerMethods.js'
+import { scheduleRepeatedly } from '../../shared/scheduleRepeatedly.js'
+import type { AccountLimiter } from '../../types/accountLimiter.js'
+import type { Clock } from '../../types/clock.js'
+import type { ContractView } from '../../types/contractView.js'
+import type { MembershipView } from '../../types/membershipView.js'
+import type { Metrics } from '../../types/metrics.js'
+import type { PeerTransport } from '../../types/peerTransport.js'
+import type { Random } from '../../types/random.js'
+import type { RateLease } from '../../types/rateLease.js'
+import type { Scheduler } from '../../types/scheduler.js'
+import { limitConstants } from './constants.js'
+import { HostCensus } from './hostCensus.js'
+import { LimitOwner } from './limitOwner.js'
+import { LimitOwnership } from './limitOwnership.js'
+import { LocalLimiter } from './localLimiter.js'
+
+interface LimitParts {
+  readonly contracts: ContractView
+  readonly membership: MembershipView & { listListedHosts (): readonly string[] }
+  readonly transport: PeerTransport
+  readonly clock: Clock
+  readonly scheduler: Scheduler
+  readonly random: Random
+  readonly metrics: Metrics
+}
+
+interface OwnerLink {
+  isOpen: boolean
+  isScheduled: boolean
+  sentAtMs: number
+}
+
+/**
+ * Limits of accounts across hosts: reports demand to the limit owners, takes over their leases, and answers
+ * the reports for the accounts that this host owns.
+ */
+export class LimitDriver implements AccountLimiter {
+  private readonly census: HostCensus
+  private readonly local: LocalLimiter
+  private readonly ownership: LimitOwnership
+  private readonly links = new Map<string, OwnerLink>()
+  private readonly waiting = new Map<string, Set<() => void>>()
+  private sequence: number
+  private cancels: ReadonlyArray<() => void> = []
+
+  constructor (private readonly parts: LimitParts) {
+    const { clock, contracts, membership, transport } = parts
+    // Starts above the numbers of a former life of this host.
+    this.sequence = Math.round(clock.readWallMs()) * 1000
+    const census = new HostCensus(membership, clock.readMonotonicMs())
+    this.census = census
+    const findRate = (account: string): number | undefined => contracts.find(account)?.contract?.requestsPerSecond
+    const countHosts = (): number => census.countHosts()
+    this.local = new LocalLimiter({ findRate, countHosts })
+    const owner = new LimitOwner({ findRate, countHosts, countSeen: () => census.countSeen(), isHostSeen: hostId => census.isHostSeen(hostId) })
+    this.ownership = new LimitOwnership(owner, census, membership, transport, clock)
+  }
+
+  start (): void {
+    const { scheduler, random, membership, clock } = this.parts
+    this.cancels = [
+      membership.onChange(host => { this.census.observeChange(host, clock.readMonotonicMs()) }),
+      scheduleRepeatedly(scheduler, random, limitConstants.reportPeriodMs, 0.1, () => { this.runPeriod() })
+    ]
+  }
+
+  stop (): void {
+    for (const cancel of this.cancels) cancel()
+  }
+
+  take (account: string, nowMs: number): { readonly granted: boolean, readonly retryAfterMs: number } {
+    const result = this.local.take(account, nowMs)
+    this.parts.metrics.addCount('limit_takes_total', { granted: String(result.granted) })
+    if (this.local.isShort(account)) this.scheduleReport(this.census.findOwner(account), limitConstants.urgentGapMs)
+    return result
+  }
+
+  /**
+   * Resolves when a request of the account can be taken or the owner has answered that there is none, at
+   * the latest after `limitMs`. Called before `take`, it keeps the first request of an idle account
+   * from being refused only because this host holds no lease yet.
+   */
+  async waitForCredit (account: string, limitMs: number): Promise<void> {
+    const nowMs = this.parts.clock.readMonotonicMs()
+    if (this.local.hasToken(account, nowMs) || this.parts.contracts.find(account) === undefined) return
+    this.local.observeDemand(account, nowMs)
+    await new Promise<void>(resolve => {
+      const waiters = this.waiting.get(account) ?? new Set()
+      const onAnswer = (): void => {
+        cancel()
+        waiters.delete(onAnswer)
+        resolve()
+      }
+      const cancel = this.parts.scheduler.schedule(limitMs, onAnswer)
+      this.waiting.set(account, waiters.add(onAnswer))
+      this.scheduleReport(this.census.findOwner(account), limitConstants.waitingGapMs)
+    })
+  }
+
+  private runPeriod (): void {
+    const nowMs = this.parts.clock.readMonotonicMs()
+    this.ownership.removeIdle(nowMs)
+    const owners = new Set(this.local.listAccounts().map(account => this.census.findOwner(account)))
+    for (const owner of owners) {
+      const link = this.getLink(owner)
+      if (nowMs - link.sentAtMs >= limitConstants.reportPeriodMs * 0.5) this.sendReport(owner, link).catch(() => {})
+    }
+    for (const owner of this.links.keys()) if (!this.census.isHostSeen(owner)) this.links.delete(owner)
+  }
+
+  // A host that runs out before the period ends reports at once, with a least time between two reports.
+  private scheduleReport (owner: string, gapMs: number): void {
+    const link = this.getLink(owner)
+    if (link.isScheduled || link.isOpen) return
+    link.isScheduled = true
+    const sinceMs = this.parts.clock.readMonotonicMs() - link.sentAtMs
+    const delayMs = Math.max(limitConstants.urgentDelayMs, gapMs - sinceMs)
+    this.parts.scheduler.schedule(delayMs, () => {
+      link.isScheduled = false
+      this.sendReport(owner, link).catch(() => {})
+    })
+  }
+
+  private async sendReport (owner: string, link: OwnerLink): Promise<void> {
+    if (link.isOpen) return
+    const { clock, membership, transport } = this.parts
+    const sentAtMs = clock.readMonotonicMs()
+    link.sentAtMs = sentAtMs
+    const accounts = this.local.listAccounts().filter(account => this.census.findOwner(account) === owner)
+    const entries = accounts.flatMap(account => this.local.takeReport(account, this.waiting.get(account)?.size ?? 0, sentAtMs) ?? [])
+    if (entries.length === 0) return
+    const self = membership.getSelf().id
+    const request = { hostId: self, entries, sequence: ++this.sequence }
+    link.isOpen = true
+    try {
+      const leases = owner === self
+        ? await this.ownership.receiveReport({ ...request, forwarded: false }, self)
+        : parseLeases(await transport.send(membership.find(owner)?.peerAddress ?? '', peerMethods.rateReport, request, limitConstants.reportTimeoutMs))
+      this.applyLeases(accounts, leases, sentAtMs)
+    } catch {
+      for (const account of accounts) this.local.onReportFailed(account, clock.readMonotonicMs())
+    } finally {
+      link.isOpen = false
+      for (const account of accounts) this.removeWaiters(account)
+    }
+  }
+
+  private applyLeases (accounts: readonly string[], leases: readonly RateLease[], sentAtMs: number): void {
+    const nowMs = this.parts.clock.readMonotonicMs()
+    const answered = new Set<string>()
+    for (const { account, requestsPerSecond, durationMs } of leases) {
+      answered.add(account)
+      this.local.applyLease(account, requestsPerSecond * durationMs / 1000, durationMs, sentAtMs, nowMs)
+    }
+    // An owner that does not know of its ownership leaves the account out.
+    for (const account of accounts) if (!answered.has(account)) this.local.onReportFailed(account, nowMs)
+  }
+
+  private removeWaiters (account: string): void {
+    const waiters = this.waiting.get(account) ?? []
+    this.waiting.delete(account)
+    for (const onAnswer of waiters) onAnswer()
+  }
+
+  private getLink (owner: string): OwnerLink {
+    const known = this.links.get(owner)
+    if (known) return known
+    const link: OwnerLink = { isOpen: false, isScheduled: false, sentAtMs: -Infinity }
+    this.links.set(owner, link)
+    return link
+  }
+}
+
+function parseLeases (answer: ReturnType<typeof peerMethods.rateReport.decodeResponse>): readonly RateLease[] {
+  return (answer.leases ?? []).map(lease => ({
+    account: lease.account ?? '',
+    requestsPerSecond: lease.requestsPerSecond ?? 0,
+    durationMs: lease.durationMs ?? 0
+  }))
+}
--- /dev/null
+++ b/src/node/limits/limitOwner.ts
@@ -0,0 +1,104 @@
+import { AccountBudget } from './accountBudget.js'
+import { computeBurst } from './computeBurst.js'
+import { limitConstants } from './constants.js'
+
+interface OwnerReport {
+  readonly account: string
+  readonly hostId: string
+  readonly demand: number
+  readonly held: number
+  readonly returned: number
+  readonly waiting: number
+  readonly sequence: number
+}
+
+interface OwnerSource {
+  /** Requests a second of the account's contract; undefined without a contract. */
+  readonly findRate: (account: string) => number | undefined
+  /** Hosts seen, this one included. */
+  readonly countSeen: () => number
+  /** Hosts that share each contract: those of the host list and those seen. */
+  readonly countHosts: () => number
+  readonly isHostSeen: (hostId: string) => boolean
+}
+
+/** The budgets of the accounts that this host owns, and of those that it has handed over. Pure. */
+export class LimitOwner {
+  private readonly budgets = new Map<string, AccountBudget>()
+  private readonly handedOver = new Map<string, { readonly hostId: string, readonly atMs: number }>()
+
+  constructor (private readonly source: OwnerSource) {}
+
+  hasBudget (account: string): boolean {
+    return this.budgets.has(account)
+  }
+
+  /** An account that nobody has used for some time starts with a full burst. */
+  addIdleBudget (account: string, nowMs: number): void {
+    const rate = this.source.findRate(account)
+    if (rate === undefined) return
+    const burst = computeBurst(rate * this.source.countSeen() / this.source.countHosts())
+    this.budgets.set(account, new AccountBudget(burst, nowMs, nowMs))
+    this.handedOver.delete(account)
+  }
+
+  /** The former owner is gone; until `fullAtMs` each reporting host gets at most its own share. */
+  addWaitingBudget (account: string, fullAtMs: number, nowMs: number): void {
+    this.budgets.set(account, new AccountBudget(0, nowMs, fullAtMs))
+    this.handedOver.delete(account)
+  }
+
+  /** The former owner has handed its budget over. */
+  addTakenBudget (account: string, formerOwner: string, balance: number, outstanding: number, nowMs: number): void {
+    const budget = new AccountBudget(balance, nowMs, nowMs)
+    budget.addOutstanding(formatFormerOwner(formerOwner), outstanding, nowMs)
+    this.budgets.set(account, budget)
+    this.handedOver.delete(account)
+  }
+
+  /** Number of requests that the host may start in the next lease time, beyond those that it holds. */
+  grant (report: OwnerReport, nowMs: number): number {
+    const limit = this.computeLimit(report.account)
+    const budget = this.budgets.get(report.account)
+    return limit && budget ? budget.grant(report, limit, nowMs) : 0
+  }
+
+  /** Ends the ownership; reports that still arrive are passed on to the new owner. Undefined without a budget. */
+  removeBudget (account: string, newOwner: string, nowMs: number): { readonly balance: number, readonly outstanding: number } | undefined {
+    const limit = this.computeLimit(account)
+    const state = limit && this.budgets.get(account)?.readState(limit, nowMs)
+    this.budgets.delete(account)
+    this.handedOver.set(account, { hostId: newOwner, atMs: nowMs })
+    return state
+  }
+
+  /** The host that took the account over from this one a short time ago. */
+  findNewOwner (account: string, nowMs: number): string | undefined {
+    const entry = this.handedOver.get(account)
+    if (!entry || nowMs - entry.atMs > limitConstants.handedOverMs || !this.source.isHostSeen(entry.hostId)) return undefined
+    return entry.hostId
+  }
+
+  /** The host that last took the account over from this one, and that may hold its budget. */
+  findLastHolder (account: string): string | undefined {
+    return this.handedOver.get(account)?.hostId
+  }
+
+  /** Forgets what nobody uses any more. */
+  removeIdle (nowMs: number): void {
+    for (const [account, budget] of this.budgets) if (budget.isIdle(nowMs)) this.budgets.delete(account)
+    for (const [account, { atMs }] of this.handedOver) if (nowMs - atMs > limitConstants.handedOverMs + limitConstants.budgetIdleMs) this.handedOver.delete(account)
+  }
+
+  private computeLimit (account: string): { readonly hostShare: number, readonly hosts: number, readonly isHostSeen: (hostId: string) => boolean } | undefined {
+    const rate = this.source.findRate(account)
+    if (rate === undefined) return undefined
+    const known = this.source.countHosts()
+    return { hostShare: rate / known, hosts: this.source.countSeen(), isHostSeen: this.source.isHostSeen }
+  }
+}
+
+// Not a host id, so that the former owner's own reports do not replace what it leased to others.
+function formatFormerOwner (hostId: string): string {
+  return `former owner ${hostId}`
+}
--- /dev/null
+++ b/src/node/limits/limitOwnership.ts
@@ -0,0 +1,106 @@
+import { peerMethods } from '../peers/peerMethods.js'
+import type { Clock } from '../../types/clock.js'
+import type { MembershipView } from '../../types/membershipView.js'
+import type { PeerTransport } from '../../types/peerTransport.js'
+import type { RateLease } from '../../types/rateLease.js'
+import { limitConstants } from './constants.js'
+import type { HostCensus } from './hostCensus.js'
+import type { LimitOwner } from './limitOwner.js'
+
+type ReportMessage = ReturnType<typeof peerMethods.rateReport.decodeRequest>
+type ReportAnswer = ReturnType<typeof peerMethods.rateReport.decodeResponse>
+type ReportEntry = NonNullable<ReportMessage['entries']>[number]
+
+/**
+ * Answers reports as the limit owner. An account that changes hands is taken over from its former owner,
+ * which passes on what still reaches it, so that at any time one host grants the account's rate.
+ */
+export class LimitOwnership {
+  private readonly takeovers = new Map<string, Promise<void>>()
+
+  constructor (private readonly owner: LimitOwner, private readonly census: HostCensus, private readonly membership: MembershipView, private readonly transport: PeerTransport, private readonly clock: Clock) {
+    transport.handle(peerMethods.rateReport, async (request, peerId) => {
+      if (request.takeover === true) return this.buildTakeover(request, peerId)
+      return { leases: [...await this.receiveReport(request, peerId)] }
+    })
+  }
+
+  /** The leases for a report of `peerId`, or for one that `peerId` passes on. */
+  async receiveReport (request: ReportMessage, peerId: string): Promise<readonly RateLease[]> {
+    const isForwarded = request.forwarded === true
+    const hostId = isForwarded ? request.hostId ?? peerId : peerId
+    const own: ReportEntry[] = []
+    const others = new Map<string, ReportEntry[]>()
+    for (const entry of request.entries ?? []) {
+      const owner = this.findOwner(entry.account ?? '')
+      if (owner === this.membership.getSelf().id || isForwarded) own.push(entry)
+      else others.set(owner, [...others.get(owner) ?? [], entry])
+    }
+    const passedOn = [...others].map(async ([owner, entries]) => await this.sendOn(owner, { ...request, hostId, entries }))
+    await Promise.all(own.map(async entry => { await this.startBudget(entry.account ?? '') }))
+    const leases = own.map(entry => this.grantEntry(entry, hostId, request.sequence ?? 0))
+    return leases.concat(...await Promise.all(passedOn))
+  }
+
+  removeIdle (nowMs: number): void {
+    this.owner.removeIdle(nowMs)
+  }
+
+  private findOwner (account: string): string {
+    return this.owner.findNewOwner(account, this.clock.readMonotonicMs()) ?? this.census.findOwner(account)
+  }
+
+  private grantEntry (entry: ReportEntry, hostId: string, sequence: number): RateLease {
+    const account = entry.account ?? ''
+    const report = { account, hostId, demand: entry.demandPerSecond ?? 0, held: entry.held ?? 0, returned: entry.returned ?? 0, waiting: entry.waiting ?? 0, sequence }
+    const amount = this.owner.grant(report, this.clock.readMonotonicMs())
+    return { account, requestsPerSecond: amount * 1000 / limitConstants.leaseMs, durationMs: limitConstants.leaseMs }
+  }
+
+  private async sendOn (owner: string, request: ReportMessage): Promise<readonly RateLease[]> {
+    const address = this.membership.find(owner)?.peerAddress
+    if (address === undefined) return []
+    const answer = await this.transport.send(address, peerMethods.rateReport, { ...request, forwarded: true }, limitConstants.takeoverTimeoutMs).catch(() => undefined)
+    return (answer?.leases ?? []).map(lease => ({ account: lease.account ?? '', requestsPerSecond: lease.requestsPerSecond ?? 0, durationMs: lease.durationMs ?? 0 }))
+  }
+
+  // Reports of several hosts that arrive while the former owner is asked wait for the same answer.
+  private async startBudget (account: string): Promise<void> {
+    if (this.owner.hasBudget(account)) return
+    const nowMs = this.clock.readMonotonicMs()
+    if (this.census.isQuiet(nowMs)) {
+      this.owner.addIdleBudget(account, nowMs)
+      return
+    }
+    const running = this.takeovers.get(account) ?? this.runTakeover(account).finally(() => { this.takeovers.delete(account) })
+    this.takeovers.set(account, running)
+    await running
+  }
+
+  private async runTakeover (account: string): Promise<void> {
+    const holder = this.membership.find(this.owner.findLastHolder(account) ?? '')
+    const former = holder && holder.state !== 'dead' ? holder : this.census.findFormerOwner(account)
+    let answer: ReportAnswer | undefined
+    if (former) {
+      const request = { hostId: this.membership.getSelf().id, entries: [{ account }], takeover: true }
+      answer = await this.transport.send(former.peerAddress, peerMethods.rateReport, request, limitConstants.takeoverTimeoutMs).catch(() => undefined)
+    }
+    const nowMs = this.clock.readMonotonicMs()
+    const taken = answer?.balances?.[0]
+    const settledMs = this.census.findSettledMs(account, nowMs)
+    if (former && taken) this.owner.addTakenBudget(account, former.id, taken.balance ?? 0, taken.outstanding ?? 0, nowMs)
+    else if (former && !answer) this.owner.addWaitingBudget(account, nowMs + this.census.computeSettleMs(), nowMs)
+    else if (settledMs !== undefined) this.owner.addWaitingBudget(account, settledMs, nowMs)
+    else this.owner.addIdleBudget(account, nowMs)
+  }
+
+  private buildTakeover (request: ReportMessage, peerId: string): ReportAnswer {
+    const nowMs = this.clock.readMonotonicMs()
+    const balances = (request.entries ?? []).flatMap(entry => {
+      const account = entry.account ?? ''
+      const state = this.owner.removeBudget(account, peerId, nowMs)
+      return state ? [{ account, ...state }] : []
+    })
+    return { balances }
+  }
+}
--- a/src/node/membership/membershipDriver.ts
+++ b/src/node/membership/membershipDriver.ts
@@ -42,7 +42,7 @@
   private readonly listeners = new Set<(host: HostRecord) => void>()
   private readonly eventListeners = new Set<(event: GossipEvent) => void>()
   private cancels: ReadonlyArray<() => void> = []
-  private listedHosts = 0
+  private listedHosts: readonly string[] = []
   private sequence = 0
   private lastTableMs = -Infinity
   private startedAtMs = -Infinity
@@ -89,9 +89,9 @@
     return this.core.listHosts()
   }
 
-  /** Number of entry hosts in the host list, this one included; for limits during a partition. */
-  countListedHosts (): number {
-    return Math.max(1, this.listedHosts)
+  /** Ids of the live entry hosts in the host list, this one included; for limits during a partition. */
+  listListedHosts (): readonly string[] {
+    return this.listedHosts
   }
 
   find (hostId: string): HostRecord | undefined {
@@ -166,8 +166,8 @@
   private async updateSeeds (): Promise<void> {
     try {
       const entries = (await this.parts.hostList.read()).filter(entry => entry.role === 'entry')
-      const ids = new Set(entries.map(entry => entry.id).concat(this.parts.self.id))
-      this.listedHosts = ids.size
+      const live = entries.filter(entry => entry.state === 'live').map(entry => entry.id)
+      this.listedHosts = [...new Set(live.concat(this.parts.self.id))]
       this.core.applySeeds(entries.flatMap(({ id, peerAddress }) => peerAddress ? [{ id, peerAddress }] : []))
     } catch {
       this.parts.logger.recordWarning('the host list is not available; known hosts are kept')
