feat(routing): short trust in reports, hopeless long work is not sent, admission sees work that waits

Cause: reports of 300 ms and more misled the choice of runners, because short work turns over within a second; long work was started too late to meet its deadline and its slots were wasted; long work waiting at the host was invisible to admission, which admitted all of it.

--- a/playground/bench/requestExecution.ts
+++ b/playground/bench/requestExecution.ts
@@ -97,9 +97,8 @@
       if (this.running.has(stage.name) || !stage.after.every(name => this.done.has(name))) continue
       const execution = new StageExecution(this.host, this, stage)
       this.running.set(stage.name, execution)
-      this.host.addParked(execution)
+      if (!execution.send()) this.host.addParked(execution)
     }
-    this.host.sendParked()
   }
 
   private cancelStages (): void {
--- a/src/node/routing/attemptObserver.ts
+++ b/src/node/routing/attemptObserver.ts
@@ -47,6 +47,7 @@
 
   private observeFirst (pool: UpstreamPool, view: UpstreamView, attempt: AttemptRecord, model: OperationModel, tokens: number, nowMs: number): void {
     attempt.firstMs = nowMs
+    view.waiting--
     attempt.firstTokens = tokens
     attempt.sampledMs = nowMs
     attempt.sampledTokens = tokens
--- a/src/node/routing/constants.ts
+++ b/src/node/routing/constants.ts
@@ -2,8 +2,13 @@
 export const routingConstants = {
   /** Random candidates compared for each attempt, beside the affinity candidate. */
   candidates: 4,
-  /** Differences between load reports lose half their weight in about 0.7 of this age. */
-  reportTrustMs: 1000,
+  /**
+   * Differences between load reports lose half their weight in about 0.7 of this age. Short work turns
+   * over in less than a second, so that an older difference misleads more than it tells.
+   */
+  reportTrustMs: 200,
+  /** Weight of the assumption that other hosts have as many streams waiting at an upstream as this one. */
+  symmetry: 0.5,
   /** Reports older than this are ignored. */
   reportLifetimeMs: 10_000,
   /** Own attempts in flight are sampled at this interval, so that a late report can be compared with its own time. */
--- a/src/node/routing/stageRouterCore.ts
+++ b/src/node/routing/stageRouterCore.ts
@@ -47,6 +47,7 @@
     if (pool === undefined || pool.selectable.length === 0) return undefined
     const model = pool.getModel(work.operation, work.model)
     const long = isLong(model, work)
+    if (long && isHopeless(model, work, nowMs)) return undefined
     if (long && pool.long.getAttempts() >= pool.computeLongLimit(this.countHosts(), nowMs)) {
       pool.parked.add(work.workId, model.computeServiceMs(work.cost), work.deadlineMs)
       return undefined
@@ -175,6 +176,11 @@
   return model.computeServiceMs(work.cost) >= routingConstants.longWorkMs
 }
 
+/** Work that cannot meet its deadline even on an idle upstream would only take slots from other work. */
+function isHopeless (model: OperationModel, work: StageWork, nowMs: number): boolean {
+  return nowMs + model.computeServiceMs(work.cost) > work.deadlineMs
+}
+
 function createRecord (work: StageWork, long: boolean, predictedMs: number, waitMs: number, nowMs: number): AttemptRecord {
   return { sentMs: nowMs, cost: work.cost, long, predictedMs, waitMs, firstMs: 0, firstTokens: 0, sampledMs: 0, sampledTokens: 0, tokens: 0 }
 }
--- a/src/node/routing/upstreamChooser.ts
+++ b/src/node/routing/upstreamChooser.ts
@@ -30,7 +30,8 @@
     const serviceMs = (model.streaming ? firstMs + restMs : restMs) * relative
     if (view.slots === 0) return { view, serviceMs, waitMs: serviceMs * own * routingConstants.loadWeight }
     const load = own + view.computeOthers(pool.getMeanOthers(), nowMs)
-    const queued = load + 1 - view.slots
+    const symmetric = view.waiting * (this.countHosts() - 1) * routingConstants.symmetry
+    const queued = Math.max(load + 1 - view.slots, 0) + symmetric
     const meanMs = pool.getMeanServiceMs() * relative
     const waitMs = queued > 0 ? queued * meanMs / view.slots : 0
     return { view, serviceMs: serviceMs * (1 + routingConstants.loadWeight * Math.min(load / view.slots, 1)), waitMs }
--- a/src/node/routing/upstreamView.ts
+++ b/src/node/routing/upstreamView.ts
@@ -9,6 +9,8 @@
   readonly speed = new SpeedEstimate()
   readonly attempts = new Map<string, AttemptRecord>()
   longAttempts = 0
+  /** Own streams without a first token. */
+  waiting = 0
   /** Last time at which an answer or a token came at usual pace. */
   healthyMs = 0
   failuresInRow = 0
@@ -34,6 +36,7 @@
     this.updateHistory(nowMs)
     this.attempts.set(workId, attempt)
     if (attempt.long) this.longAttempts++
+    this.waiting++
   }
 
   takeAttempt (workId: string, nowMs: number): AttemptRecord | undefined {
@@ -42,6 +45,7 @@
     this.updateHistory(nowMs)
     this.attempts.delete(workId)
     if (attempt.long) this.longAttempts--
+    if (attempt.firstMs === 0) this.waiting--
     return attempt
   }
 
