feat(admission): service time at the present fill of the upstreams

Cause: the base pace is that of a nearly empty batch, a quarter below the pace at the crest; admitted queries came late.

--- a/src/node/routing/attemptObserver.ts
+++ b/src/node/routing/attemptObserver.ts
@@ -27,6 +27,7 @@
     const usual = pool.getUsualRatio(nowMs)
     view.speed.observeRate(paceMs / model.perCost.getBaseMs(), usual, nowMs)
     this.updateHealth(pool, view, paceMs / model.perCost.getBaseMs() / usual, nowMs)
+    if (!view.speed.isSlow()) model.perCost.observeRecent(paceMs)
     model.perCost.observeBase(paceMs, nowMs)
   }
 
--- a/src/node/routing/latencyModel.ts
+++ b/src/node/routing/latencyModel.ts
@@ -6,12 +6,14 @@
  */
 export class LatencyModel {
   private baseMs: number
+  private recentMs: number
   private observed = 0
   private risenMs = 0
   private tail = 2
 
   constructor (initialMs: number) {
     this.baseMs = initialMs
+    this.recentMs = initialMs
   }
 
   getBaseMs (): number {
@@ -23,6 +25,15 @@
     return this.tail
   }
 
+  /** Mean latency of late, full batches included; never below the base. */
+  getRecentMs (): number {
+    return Math.max(this.baseMs, this.recentMs)
+  }
+
+  observeRecent (ms: number): void {
+    this.recentMs += 0.05 * (Math.min(ms, this.baseMs * 3) - this.recentMs)
+  }
+
   observeBase (ms: number, nowMs: number): void {
     this.observed++
     if (this.observed === 1) {
--- a/src/node/routing/operationModel.ts
+++ b/src/node/routing/operationModel.ts
@@ -11,6 +11,12 @@
     this.perCost = new LatencyModel(streaming ? routingConstants.initialTokenMs : routingConstants.initialCallMs)
   }
 
+  /** Latency of the work itself at the present fill of the upstreams, queues left out. */
+  computeLoadedMs (cost: number): number {
+    if (!this.streaming) return this.perCost.getBaseMs() * cost
+    return this.first.getBaseMs() + this.perCost.getRecentMs() * cost
+  }
+
   /** Latency at an idle upstream of usual speed. */
   computeServiceMs (cost: number): number {
     return (this.streaming ? this.first.getBaseMs() : 0) + this.perCost.getBaseMs() * cost
--- a/src/node/routing/stageRouterCore.ts
+++ b/src/node/routing/stageRouterCore.ts
@@ -134,9 +134,9 @@
     const pool = this.table.findPool(poolName)
     if (pool === undefined) return { serviceMs: 0, waitMs: 0 }
     const model = pool.getModel(operation, modelName)
-    const serviceMs = model.computeServiceMs(cost)
+    const serviceMs = model.computeLoadedMs(cost)
     const startMs = model.streaming ? model.first.getBaseMs() : serviceMs
-    if (serviceMs < routingConstants.longWorkMs) return { serviceMs, waitMs: pool.short.computeWaitMs(startMs, nowMs) }
+    if (model.computeServiceMs(cost) < routingConstants.longWorkMs) return { serviceMs, waitMs: pool.short.computeWaitMs(startMs, nowMs) }
     const limit = pool.computeLongLimit(this.countHosts(), nowMs)
     return { serviceMs, waitMs: pool.long.computeWaitMs(startMs, nowMs) + pool.parked.computeServiceMs(nowMs) / limit }
   }
