feat(admission): smaller wait shares

Cause: predicted waits vary, and work admitted close to its objective came late; long work that queued at the crest held the slots for seconds after it.

--- a/src/node/admission/constants.ts
+++ b/src/node/admission/constants.ts
@@ -1,8 +1,8 @@
 /** Decisions at the door. */
 export const admissionConstants = {
   /** Share of the spare time until the objective's latency that may be spent in queues, at priority 0 and at priority 9. */
-  waitShareLowest: 0.4,
-  waitShareHighest: 0.95,
+  waitShareLowest: 0.2,
+  waitShareHighest: 0.87,
   /** Least factor on that share for an account that uses more of its contract than the others. */
   leastUseFactor: 0.25,
   /** Use relative to the mean up to which an account's wait share is not cut; small accounts vary by chance. */
