feat(retries): hedges wait for at least 1.8 times the predicted latency

Cause: the 95th percentile lies within the usual variation, so that hedges of plain calls took half of the budget. Conclusion: kept; stragglers are still hedged.

--- a/src/node/routing/constants.ts
+++ b/src/node/routing/constants.ts
@@ -34,6 +34,8 @@
   prefixesPerPool: 4096,
   /** A base latency may rise by this share in a second; a crest must not pass for the usual latency. */
   baseRisePerSecond: 0.03,
+  /** Hedges are sent no earlier than this multiple of the predicted latency; usual variation stays below. */
+  leastHedgeRatio: 1.8,
   /** Upstreams sampled for the usual speed of a pool, and how often. */
   medianSample: 33,
   medianIntervalMs: 100,
--- a/src/node/routing/latencyModel.ts
+++ b/src/node/routing/latencyModel.ts
@@ -53,6 +53,6 @@
 
   observeTail (ratio: number): void {
     this.tail *= ratio > this.tail ? 1 + 0.05 * 0.95 : 1 - 0.05 * 0.05
-    this.tail = Math.min(Math.max(this.tail, 1.15), 4)
+    this.tail = Math.min(Math.max(this.tail, routingConstants.leastHedgeRatio), 4)
   }
 }
