feat(retries): unused part of a cancelled hedge returns to the budget

Cause: a hedge took its full predicted cost, although most end early, and slow probes found the budget empty.

--- a/src/node/health/constants.ts
+++ b/src/node/health/constants.ts
@@ -9,8 +9,8 @@
   /** Samples are clamped so that one extreme value does not take long to forget. */
   largestRatio: 4,
   /** First delay between probes of a slow upstream; doubles up to `largestProbeDelayMs`. */
-  probeDelayMs: 1000,
-  largestProbeDelayMs: 4000,
+  probeDelayMs: 1500,
+  largestProbeDelayMs: 5000,
   /** Attempts in flight at which a recovering upstream counts as healthy again. */
   fullWindow: 8
 } as const
--- a/src/node/retries/constants.ts
+++ b/src/node/retries/constants.ts
@@ -3,7 +3,7 @@
   /** Retries and hedges together may add this share of the work first sent. */
   share: 0.05,
   /** Unused budget is kept for this many milliseconds of work, so that a lost upstream can be retried at once. */
-  keepMs: 20_000,
+  keepMs: 30_000,
   /** Share of the kept budget that only retries may use. */
-  retryReserve: 0.4
+  retryReserve: 0.25
 } as const
--- a/src/node/retries/repeatBudget.ts
+++ b/src/node/retries/repeatBudget.ts
@@ -16,6 +16,11 @@
     this.balance = Math.min(this.balance + workMs * retryConstants.share, this.recentWork * retryConstants.share)
   }
 
+  /** Returns the part of a repeated attempt that was cancelled before it was done. */
+  addUnused (workMs: number): void {
+    this.balance += workMs
+  }
+
   admitRetry (workMs: number): boolean {
     return this.take(workMs, 0)
   }
--- a/src/node/routing/attemptRecord.ts
+++ b/src/node/routing/attemptRecord.ts
@@ -6,6 +6,8 @@
   /** Latency predicted when the attempt was sent, and the part of it that is spent waiting. */
   readonly predictedMs: number
   readonly waitMs: number
+  /** Taken from the repeat budget. */
+  readonly takenMs: number
   firstMs: number
   firstTokens: number
   sampledMs: number
--- a/src/node/routing/stageRouterCore.ts
+++ b/src/node/routing/stageRouterCore.ts
@@ -68,8 +68,9 @@
     const serviceMs = model.computeServiceMs(work.cost)
     const candidate = this.chooser.computeCandidate(pool, model, work, view, nowMs)
     const predictedMs = serviceMs + candidate.waitMs
-    view.addAttempt(work.workId, createRecord(work, long, predictedMs, candidate.waitMs, nowMs), nowMs)
-    if (this.works.onSent(work.workId, view)) this.budget.addWork(serviceMs, nowMs)
+    const takenMs = this.works.onSent(work.workId, view)
+    if (takenMs === undefined) this.budget.addWork(serviceMs, nowMs)
+    view.addAttempt(work.workId, createRecord(work, long, predictedMs, candidate.waitMs, takenMs ?? 0, nowMs), nowMs)
     pool.parked.remove(work.workId)
     pool.getLane(long).onSent(nowMs)
     pool.observeService(serviceMs)
@@ -91,6 +92,7 @@
     if (view === undefined || pool === undefined || attempt === undefined) return
     this.works.onEnded(work.workId, view, outcome)
     const model = pool.getModel(work.operation, work.model)
+    if (outcome === 'cancelled') this.budget.addUnused(attempt.takenMs * computeUndone(attempt, model, elapsedMs))
     this.observer.observeEnd(pool, view, attempt, model, outcome, elapsedMs, nowMs)
     pool.getLane(attempt.long).onEnded(attempt.firstMs > 0, nowMs)
     this.table.removeIdle(view)
@@ -118,15 +120,17 @@
 
   admitRetry (work: StageWork): boolean {
     const repeatsNothing = this.works.takeRefused(work.workId)
-    if (!repeatsNothing && !this.budget.admitRetry(this.computeWorkMs(work))) return false
-    this.works.addRepeat(work.workId)
+    const workMs = repeatsNothing ? 0 : this.computeWorkMs(work)
+    if (!repeatsNothing && !this.budget.admitRetry(workMs)) return false
+    this.works.addRepeat(work.workId, workMs)
     return true
   }
 
   admitHedge (work: StageWork, nowMs: number): boolean {
     if (!work.idempotent || !this.isHedgeUseful(work, nowMs)) return false
-    if (!this.budget.admitHedge(this.computeWorkMs(work))) return false
-    this.works.addRepeat(work.workId)
+    const workMs = this.computeWorkMs(work)
+    if (!this.budget.admitHedge(workMs)) return false
+    this.works.addRepeat(work.workId, workMs)
     return true
   }
 
@@ -172,6 +176,12 @@
   }
 }
 
+/** Share of a cancelled attempt that has not been done. */
+function computeUndone (attempt: AttemptRecord, model: OperationModel, elapsedMs: number): number {
+  const done = model.streaming ? attempt.tokens / attempt.cost : elapsedMs / Math.max(model.computeServiceMs(attempt.cost), 0.01)
+  return Math.max(0, 1 - done)
+}
+
 function isLong (model: OperationModel, work: StageWork): boolean {
   return model.computeServiceMs(work.cost) >= routingConstants.longWorkMs
 }
@@ -181,8 +191,8 @@
   return nowMs + model.computeServiceMs(work.cost) > work.deadlineMs
 }
 
-function createRecord (work: StageWork, long: boolean, predictedMs: number, waitMs: number, nowMs: number): AttemptRecord {
-  return { sentMs: nowMs, cost: work.cost, long, predictedMs, waitMs, firstMs: 0, firstTokens: 0, sampledMs: 0, sampledTokens: 0, tokens: 0 }
+function createRecord (work: StageWork, long: boolean, predictedMs: number, waitMs: number, takenMs: number, nowMs: number): AttemptRecord {
+  return { sentMs: nowMs, cost: work.cost, long, predictedMs, waitMs, takenMs, firstMs: 0, firstTokens: 0, sampledMs: 0, sampledTokens: 0, tokens: 0 }
 }
 
 function buildProbe (probe: Candidate, model: OperationModel, work: StageWork): UpstreamChoice {
--- a/src/node/routing/workTable.ts
+++ b/src/node/routing/workTable.ts
@@ -8,7 +8,7 @@
 /** Which upstreams run which work, and which attempts repeat earlier ones. */
 export class WorkTable {
   private readonly running = new Map<string, readonly UpstreamView[]>()
-  private readonly repeats = new Set<string>()
+  private readonly repeats = new Map<string, number>()
   private readonly refused = new Set<string>()
 
   list (workId: string): readonly UpstreamView[] {
@@ -20,21 +20,27 @@
     return this.list(workId).find(view => view.upstream.id === upstreamId)
   }
 
-  /** True for the first attempt of a work. */
-  onSent (workId: string, view: UpstreamView): boolean {
+  /** What the attempt took from the repeat budget; undefined for the first attempt of a work. */
+  onSent (workId: string, view: UpstreamView): number | undefined {
     this.running.set(workId, [...this.list(workId), view])
-    return !this.repeats.delete(workId)
+    const takenMs = this.repeats.get(workId)
+    this.repeats.delete(workId)
+    return takenMs
   }
 
   onEnded (workId: string, view: UpstreamView, outcome: AttemptOutcome): void {
     const left = this.list(workId).filter(other => other !== view)
     if (left.length > 0) this.running.set(workId, left)
     else this.running.delete(workId)
-    if (outcome === 'refused') addMark(this.refused, workId)
+    if (outcome !== 'refused') return
+    if (this.refused.size >= largestMarks) this.refused.clear()
+    this.refused.add(workId)
   }
 
-  addRepeat (workId: string): void {
-    addMark(this.repeats, workId)
+  /** Marks the next attempt of the work as a repeated one that took `takenMs` from the budget. */
+  addRepeat (workId: string, takenMs: number): void {
+    if (this.repeats.size >= largestMarks) this.repeats.clear()
+    this.repeats.set(workId, takenMs)
   }
 
   /** Whether the last attempt ran nothing, so that one more adds no work. */
@@ -42,8 +48,3 @@
     return this.refused.delete(workId)
   }
 }
-
-function addMark (marks: Set<string>, workId: string): void {
-  if (marks.size >= largestMarks) marks.clear()
-  marks.add(workId)
-}
