feat(routing): hedges by the 99th percentile of first tokens

Cause: prompts whose prefix is not cached lie beyond the 95th percentile of the others and were hedged.

--- a/src/node/routing/constants.ts
+++ b/src/node/routing/constants.ts
@@ -36,6 +36,7 @@
   baseRisePerSecond: 0.03,
   /** Hedges are sent no earlier than this multiple of the predicted latency; usual variation stays below. */
   leastHedgeRatio: 1.8,
+  largestHedgeRatio: 3,
   /** Upstreams sampled for the usual speed of a pool, and how often. */
   medianSample: 33,
   medianIntervalMs: 100,
--- a/src/node/routing/latencyModel.ts
+++ b/src/node/routing/latencyModel.ts
@@ -20,7 +20,7 @@
     return this.baseMs
   }
 
-  /** 95th percentile of latency relative to the prediction. */
+  /** 99th percentile of latency relative to the prediction. */
   getTailRatio (): number {
     return this.tail
   }
@@ -52,7 +52,7 @@
   }
 
   observeTail (ratio: number): void {
-    this.tail *= ratio > this.tail ? 1 + 0.05 * 0.95 : 1 - 0.05 * 0.05
-    this.tail = Math.min(Math.max(this.tail, routingConstants.leastHedgeRatio), 4)
+    this.tail *= ratio > this.tail ? 1 + 0.05 * 0.99 : 1 - 0.05 * 0.01
+    this.tail = Math.min(Math.max(this.tail, routingConstants.leastHedgeRatio), routingConstants.largestHedgeRatio)
   }
 }
