fix(routing): a stream with few tokens does not pass for a slow one

Cause: a stream's mean pace over its first tokens held the time since the last one, so that 10% of short generations were hedged without any slowdown.

--- a/src/node/routing/stageRouterCore.ts
+++ b/src/node/routing/stageRouterCore.ts
@@ -19,7 +19,10 @@
 import { WorkTable } from './workTable.js'
 
 /** A running attempt must be predicted to take this many times the time of a new one to be hedged. */
-const hedgeGain = 1.2
+const hedgeGain = 1.5
+
+/** Tokens added to the count, so that the time since the last token does not pass for a slow pace. */
+const spareTokens = 4
 
 /** The routing core; see createStageRouter. */
 export class StageRouterCore implements RoutingCore {
@@ -170,7 +173,7 @@
   private isOnTime (view: UpstreamView, work: StageWork, model: OperationModel, nowMs: number): boolean {
     const attempt = view.attempts.get(work.workId)
     if (attempt === undefined || attempt.tokens === 0) return false
-    const meanPaceMs = (nowMs - attempt.firstMs) / attempt.tokens
+    const meanPaceMs = (nowMs - attempt.firstMs) / (attempt.tokens - attempt.firstTokens + spareTokens)
     const paceMs = Math.max(meanPaceMs, model.perCost.getBaseMs() * view.speed.getRatio())
     return paceMs * Math.max(0, work.cost - attempt.tokens) < model.computeServiceMs(work.cost) * hedgeGain
   }
