--- a/src/node/routing/attemptObserver.ts
+++ b/src/node/routing/attemptObserver.ts
@@ -27,6 +27,7 @@
     const usual = pool.getUsualRatio(nowMs)
     view.speed.observeRate(paceMs / model.perCost.getBaseMs(), usual, nowMs)
     this.updateHealth(pool, view, paceMs / model.perCost.getBaseMs() / usual, nowMs)
+    if (!view.speed.isSlow()) model.perCost.observeRecent(paceMs)
     model.perCost.observeBase(paceMs, nowMs)
   }
 
@@ -47,6 +48,7 @@
 
   private observeFirst (pool: UpstreamPool, view: UpstreamView, attempt: AttemptRecord, model: OperationModel, tokens: number, nowMs: number): void {
     attempt.firstMs = nowMs
+    view.waiting--
     attempt.firstTokens = tokens
     attempt.sampledMs = nowMs
     attempt.sampledTokens = tokens
