feat(playground): process benchmark of relay, delay and idle cost

Measures one entry-host process beside a direct connection to the stand-in: tokens/s, processor time a token and a request, added delay a stage, and the idle cost at 5, 10 and 20 hosts with a fitted line. The engine stand-in now counts its tick from the last one: streams that started within a tick put it off, and first tokens of the fast engine came after 625 ms (median) instead of 19 ms. So far run only against a scratch entry host.

--- /dev/null
+++ b/playground/benchProcess/__tests__/benchFigures.test.ts
@@ -0,0 +1,58 @@
+import t from 'tap'
+import { computeLine } from '../computeLine.js'
+import { computeSpread } from '../computeSpread.js'
+import { listBenchFaults } from '../listBenchFaults.js'
+import { parseTrafficBytes } from '../parseTrafficBytes.js'
+import { readProcessUsage } from '../readProcessUsage.js'
+import { TokenRate } from '../tokenRate.js'
+
+t.test('spread of odd and even numbers of values', t => {
+  t.same(computeSpread([5, 1, 3]), { min: 1, median: 3, max: 5 })
+  t.same(computeSpread([4, 1, 2, 9]), { min: 1, median: 3, max: 9 })
+  t.end()
+})
+
+t.test('line through points', t => {
+  t.same(computeLine([{ x: 5, y: 11 }, { x: 10, y: 21 }, { x: 20, y: 41 }]), { slope: 2, intercept: 1 })
+  t.end()
+})
+
+// The start and the end of a run, when few streams are open, would lower the rate.
+t.test('counts the tokens within the window only', t => {
+  const rate = new TokenRate()
+  for (let ms = 0; ms < 3000; ms += 50) rate.recordTokens(ms >= 1000 && ms < 2000 ? 10 : 1, ms)
+  t.equal(rate.computeRate(1000, 2000), 200)
+  t.equal(rate.tokenCount, 240)
+  t.end()
+})
+
+t.test('sums the byte counters of all labels', t => {
+  const text = '# TYPE lycheetrack_peer_bytes_sent_total counter\nlycheetrack_peer_bytes_sent_total{method="Ping"} 100\nlycheetrack_peer_bytes_received_total{method="Ping"} 1.5e+2\nprocess_resident_memory_bytes 7\n'
+  t.equal(parseTrafficBytes(text), 250)
+  t.equal(parseTrafficBytes('process_resident_memory_bytes 7\n'), undefined)
+  t.end()
+})
+
+t.test('reads the processor time and memory of a process', t => {
+  const usage = readProcessUsage(process.pid)
+  const cpu = process.cpuUsage()
+  t.ok(Math.abs(usage.processorMs - (cpu.user + cpu.system) / 1000) < 100)
+  t.ok(usage.residentBytes > 10e6)
+  t.end()
+})
+
+// The exit code of the benchmark depends on these: a missed bound or an answer that was not whole.
+t.test('reports missed bounds of the relay and answers that are not whole', t => {
+  const result = { tokensPerSecond: 24_000, processorUsPerToken: 0, processorMsPerRequest: 0, tokensPerCore: 25_000, firstTokenP50Ms: 0, firstTokenP99Ms: 0, gapP50Ms: 0, gapP99Ms: 0, faults: [] }
+  const buildRelay = (pace: 'paced' | 'fast', streams: number, part: Partial<typeof result>, faults: string[] = []) => ({ variant: { path: 'relayed', pace, streams } as const, results: [{ ...result, ...part, faults }] })
+  const relays = [
+    buildRelay('paced', 200, { tokensPerSecond: 4878 }),
+    buildRelay('paced', 1000, {}),
+    buildRelay('paced', 1000, { tokensPerSecond: 19_999 }),
+    buildRelay('fast', 200, { tokensPerCore: 19_999 }),
+    buildRelay('fast', 400, {}, ['2 of 3 tokens'])
+  ]
+  t.match(listBenchFaults({ rounds: 1, relays, shortRequestMs: [], delays: [], idle: [] }), [/paced 1000: 19999 tokens/, /fast 200: .* 19999 per core/, /relayed fast 400: 1 answers not whole/])
+  t.equal(listBenchFaults({ rounds: 1, relays, shortRequestMs: [], delays: [], idle: [] }).length, 3)
+  t.end()
+})
--- /dev/null
+++ b/playground/benchProcess/buildBenchExample.ts
@@ -0,0 +1,61 @@
+import { createHash } from 'node:crypto'
+import type { RequestKindSpec } from '../../src/types/requestKindSpec.js'
+import type { StageSpec } from '../../src/types/stageSpec.js'
+import type { ExampleDeployment } from '../examples/exampleDeployment.js'
+import { benchConstants } from './constants.js'
+
+const token = 'bench-account-example-token'
+const domains = ['bench-a', 'bench-b', 'bench-c', 'bench-d']
+
+/** A deployment of the benchmark with `hostCount` entry hosts, one engine process and links without delay. */
+export function buildBenchExample (hostCount: number): ExampleDeployment {
+  const engine = { slots: 2000, prefillMsPer1kChars: 0 }
+  return {
+    name: 'bench',
+    operator: 'benchmark',
+    operatorToken: 'bench-operator-example-token',
+    peerSecret: 'bench-peer-example-secret',
+    failureDomains: domains,
+    links: { betweenDomainsMs: 0, toClientsMs: 0 },
+    entryHosts: Array.from({ length: hostCount }, (_, index) => ({ id: `bench-${index + 1}`, failureDomain: domains[index % domains.length] as string })),
+    keyValueService: {},
+    hostList: {},
+    weightStore: {},
+    upstreams: [
+      { pool: 'paced', type: 'model-engine', count: 1, options: { ...engine, stepMs: benchConstants.pacedStepMs, tickMs: 1 } },
+      { pool: 'fast', type: 'model-engine', count: 1, options: { ...engine, stepMs: benchConstants.fastStepMs, tickMs: benchConstants.fastTickMs } },
+      { pool: 'instant', type: 'model-engine', count: 1, options: { ...engine, stepMs: 1, tickMs: 1 } },
+      { pool: 'pool', type: 'stage-pool', count: 1, options: { slots: 1000, serviceMs: 0 } },
+      { pool: 'service', type: 'plain-service', count: 1, options: { slots: 1000, serviceMs: 0 } }
+    ],
+    accounts: [{ account: 'bench', token }],
+    contracts: [{
+      account: 'bench',
+      tokenDigests: [createHash('sha256').update(token).digest('hex')],
+      requestsPerSecond: 100_000,
+      tokensPerSecond: 10_000_000,
+      kinds: {
+        paced: buildKind([buildGenerate('paced')]),
+        fast: buildKind([buildGenerate('fast')]),
+        instant: buildKind([buildGenerate('instant')]),
+        call: buildKind([{ name: 'call', operation: 'call', pool: 'service', after: [], serviceOperation: 'read' }]),
+        chain: buildKind([
+          { name: 'embed', operation: 'encode', pool: 'pool', after: [] },
+          { name: 'find', operation: 'retrieve', pool: 'pool', after: ['embed'] },
+          { name: 'rank', operation: 'rerank', pool: 'pool', after: ['find'] }
+        ])
+      }
+    }],
+    workload: [],
+    demandPeaks: []
+  }
+}
+
+function buildGenerate (pool: string): StageSpec {
+  return { name: 'answer', operation: 'generate', pool, after: [], model: 'bench', maxTokens: 100_000 }
+}
+
+function buildKind (stages: readonly StageSpec[]): RequestKindSpec {
+  const { deadlineMs } = benchConstants
+  return { stages, deadlineMs, priority: 5, idempotent: true, objective: { attainment: 0.9, latencyMs: deadlineMs } }
+}
--- /dev/null
+++ b/playground/benchProcess/idleSample.ts
@@ -0,0 +1,7 @@
+/** Control cost of one idle host in one round. */
+export interface IdleSample {
+  readonly hosts: number
+  readonly processorShare: number
+  readonly residentBytes: number
+  readonly bytesPerSecond: number | undefined
+}
--- a/playground/demo/main.ts
+++ b/playground/demo/main.ts
@@ -2,6 +2,7 @@
 import sade from 'sade'
 import { exampleDeployments } from '../examples/exampleDeployments.js'
 import { createDeployment } from '../processes/createDeployment.js'
+import { InterruptWatch } from '../processes/interruptWatch.js'
 import { demoConstants } from './constants.js'
 import { runDemo } from './runDemo.js'
 
@@ -26,22 +27,7 @@
     distDirectory: dirname(dirname(resolve(process.argv[1] as string))),
     hostEnvironment: { LYCHEETRACK_ROUTE_LIFETIME_MS: String(demoConstants.routeLifetimeMs) }
   })
-  let isStopping = false
-  // Only the first reason counts: stopping makes the run itself fail, and a second signal must not leave processes behind.
-  const stopEarly = async (reason: string, code: number): Promise<void> => {
-    if (isStopping) return
-    isStopping = true
-    console.error(reason)
-    await deployment.stop(demoConstants.interruptTimeoutMs).catch(() => {})
-    process.exit(code)
-  }
-  process.on('SIGINT', () => { stopEarly('interrupted', 130) })
-  process.on('SIGTERM', () => { stopEarly('terminated', 143) })
-  setTimeout(() => { stopEarly(`the demo did not end within ${demoConstants.largestRunMs} ms`, 1) }, demoConstants.largestRunMs).unref()
-  try {
-    const code = await runDemo({ example, deployment, seed, requests })
-    if (!isStopping) process.exit(code)
-  } catch (error) {
-    await stopEarly(`the demo failed: ${String(error)}`, 1)
-  }
+  const watch = new InterruptWatch(() => deployment.stop(demoConstants.interruptTimeoutMs))
+  watch.start(demoConstants.largestRunMs)
+  await watch.runProgram(() => runDemo({ example, deployment, seed, requests }))
 }
--- a/playground/standIns/modelEngine/modelEngineHandler.ts
+++ b/playground/standIns/modelEngine/modelEngineHandler.ts
@@ -34,6 +34,7 @@
   private readonly orders: OrderEndPoint
   private readonly sweepTimer: NodeJS.Timeout
   private stepTimer: NodeJS.Timeout | undefined
+  private lastTickMs = 0
 
   constructor (private readonly options: EngineOptions, private readonly random: Random, private readonly faults: FaultState, private readonly log: ExecutionLog) {
     this.batch = new EngineBatch(options)
@@ -114,6 +115,7 @@
 
   private runSteps (): void {
     const nowMs = performance.now()
+    this.lastTickMs = nowMs
     for (const stream of this.batch.runSteps(nowMs)) {
       if (stream.isEnded) this.settleStream(stream)
       else for (const reader of this.readers.get(stream.streamId) ?? []) reader.sendDue(nowMs)
@@ -134,7 +136,9 @@
     this.stepTimer = undefined
     const nextMs = this.batch.computeNextStepMs()
     if (nextMs === undefined) return
-    this.stepTimer = setTimeout(() => { this.runSteps(); this.scheduleStep() }, Math.max(this.options.tickMs, nextMs - performance.now()))
+    // The tick counts from the last one, so that streams which start in between cannot put it off.
+    const dueMs = Math.max(nextMs, this.lastTickMs + this.options.tickMs)
+    this.stepTimer = setTimeout(() => { this.runSteps(); this.scheduleStep() }, Math.max(0, dueMs - performance.now()))
   }
 
   private runSweep (): void {
