--- a/playground/caller/__tests__/callerClient.test.ts
+++ b/playground/caller/__tests__/callerClient.test.ts
@@ -69,3 +69,11 @@
   const { client } = await startHosts(t, [(request, response) => sendEvents(response, [tokens(0, 2).replaceAll('m.', 'n.'), done(request)])])
   t.match(await client.sendRequest(query), { outcome: 'wrong', violation: /token/ })
 })
+
+// A host that stops hands its requests over; a new id would run the request a second time.
+t.test('posts the request again with the same id after host_stopped', async t => {
+  const stop: Handler = (_request, response) => response.writeHead(503).end(JSON.stringify({ error: { code: 'host_stopped', message: 'm', ran: 'unknown' } }))
+  const { client, seen } = await startHosts(t, [stop, (request, response) => sendEvents(response, [tokens(0, 4), done(request)])])
+  t.match(await client.sendRequest(query), { outcome: 'whole', rejoinCount: 1, retryCount: 0 })
+  t.equal(seen[0]?.headers['request-id'], seen[1]?.headers['request-id'])
+})
--- a/playground/caller/constants.ts
+++ b/playground/caller/constants.ts
@@ -6,6 +6,10 @@
   /** Time beyond the contract's deadline after which the caller gives up: the host's own error may be under way. */
   graceMs: 2000,
   maxRetries: 3,
+  /** Errors after which the request is posted again with the same id at another address, see docs/guide/errors.md. */
+  rejoinCodes: ['owner_unavailable', 'host_stopped'],
+  /** Refusals (`not_run`) by a host that asks for another address without naming one. */
+  otherAddressCodes: ['host_not_ready', 'host_unconfirmed', 'host_draining'],
   leastBackoffMs: 50,
   largestBackoffMs: 1000
 } as const
--- a/playground/caller/requestAttempts.ts
+++ b/playground/caller/requestAttempts.ts
@@ -34,6 +34,8 @@
   private brokenCount = 0
   private retryCount = 0
   private restartCount = 0
+  /** Why the last connection had to be replaced. */
+  private lastReason: string | undefined
 
   constructor (private readonly options: AttemptOptions) {
     this.check = new AnswerCheck(options.request)
@@ -59,11 +61,11 @@
       if (signal.aborted) break
       if (end.type === 'answered') return this.buildRecord({ outcome: 'whole', ran: 'ran', result: end.result })
       if (end.type === 'violated') return this.buildRecord({ outcome: 'wrong', ran: 'ran', violation: end.violation })
-      if (end.type === 'error') {
+      if (end.type === 'error' && !isRejoined(end.error)) {
         const isRetried = await this.waitRetry(end.error, signal)
         if (!isRetried) return this.buildError(end.error)
       } else {
-        await this.waitRejoin(end, address, signal)
+        await this.waitRejoin(end.type === 'broken' ? end.reason : end.error.code, address, signal)
       }
     }
     return this.buildGivenUp(signal)
@@ -89,7 +91,7 @@
   /** Follows the retry hint of a `not_run` answer; false when there is none or no retry is left. */
   private async waitRetry (error: AnswerError, signal: AbortSignal): Promise<boolean> {
     const { request, routes } = this.options
-    const hasHint = error.retryAfterMs !== undefined || error.addresses !== undefined
+    const hasHint = error.retryAfterMs !== undefined || error.addresses !== undefined || isListed(callerConstants.otherAddressCodes, error.code)
     if (error.ran !== 'not_run' || !hasHint || this.retryCount >= (request.maxRetries ?? callerConstants.maxRetries)) return false
     const delayMs = error.retryAfterMs ?? 0
     if (performance.now() - this.startMs + delayMs > request.deadlineMs) return false
@@ -103,7 +105,8 @@
     return true
   }
 
-  private async waitRejoin (end: ConnectionEnd & { type: 'broken' }, address: string | undefined, signal: AbortSignal): Promise<void> {
+  private async waitRejoin (reason: string, address: string | undefined, signal: AbortSignal): Promise<void> {
+    this.lastReason = reason
     if (address !== undefined) {
       this.options.routes.recordFailure(address)
       this.rejoinCount++
@@ -111,7 +114,7 @@
     // The first rejoin is sent at once; the delay grows while connection after connection fails.
     const backoffMs = this.brokenCount === 0 ? 0 : Math.min(callerConstants.largestBackoffMs, callerConstants.leastBackoffMs * 2 ** this.brokenCount)
     this.brokenCount++
-    if (backoffMs > 0 && end.reason !== 'silence') await waitMs(backoffMs, undefined, { signal }).catch(() => {})
+    if (backoffMs > 0 && reason !== 'silence') await waitMs(backoffMs, undefined, { signal }).catch(() => {})
   }
 
   private buildError (error: AnswerError): RequestRecord {
@@ -122,7 +125,7 @@
     const address = this.addresses.at(-1)
     if (address !== undefined) this.options.cancelRequest(address, this.getRequestId())
     if (signal.reason === 'abandoned') return this.buildRecord({ outcome: 'abandoned', ran: 'unknown', code: 'caller_abandoned' })
-    return this.buildRecord({ outcome: 'failed', ran: address === undefined ? 'not_run' : 'unknown', code: 'caller_no_answer' })
+    return this.buildRecord({ outcome: 'failed', ran: address === undefined ? 'not_run' : 'unknown', code: 'caller_no_answer', message: this.lastReason })
   }
 
   private buildRecord (part: Pick<RequestRecord, 'outcome' | 'ran'> & Partial<RequestRecord>): RequestRecord {
@@ -148,3 +151,12 @@
     return this.requestIds.at(-1) as string
   }
 }
+
+/** Whether the host asks for the same request at another address. */
+function isRejoined (error: AnswerError): boolean {
+  return error.ran === 'unknown' && isListed(callerConstants.rejoinCodes, error.code)
+}
+
+function isListed (codes: readonly string[], code: string): boolean {
+  return codes.includes(code)
+}
