--- a/playground/demo/runDemo.ts
+++ b/playground/demo/runDemo.ts
@@ -5,6 +5,7 @@
 import type { Deployment } from '../processes/deployment.js'
 import { buildSummaries } from './buildSummaries.js'
 import { demoConstants } from './constants.js'
+import { formatRefusals } from './formatRefusals.js'
 import { listExecutionFaults } from './listExecutionFaults.js'
 import { renderSummaries } from './renderSummaries.js'
 import { runLoad } from './runLoad.js'
@@ -26,6 +27,8 @@
   console.log(`${example.operator}: ${deployment.entryHosts.length} entry hosts, ${deployment.listUpstreams().length} upstreams, ${example.contracts.length} contracts in force after ${formatSeconds(startMs)}`)
   const records = await runWithProgress(options)
   console.log(renderSummaries(buildSummaries(example.contracts, records)).trimEnd())
+  const refusals = formatRefusals(records)
+  if (refusals !== '') console.log(`refused: ${refusals}`)
   const executionFaults = listExecutionFaults(listOnceOnly(example, records), await readExecutions(options))
   const codes = await deployment.stop(demoConstants.stopTimeoutMs)
   const graceful = codes.filter(code => code === 0).length
