--- a/playground/examples/__tests__/exampleDeployments.test.ts
+++ b/playground/examples/__tests__/exampleDeployments.test.ts
@@ -35,6 +35,15 @@
     t.end()
   })
 
+  // A deadline that the longest permitted answer misses would be a promise that no load can keep.
+  t.test(`${example.name}: the longest answer of every kind fits its deadline`, t => {
+    const stepMs = Number(example.upstreams.find(upstreams => upstreams.type === 'model-engine')?.options.stepMs)
+    const kinds = example.contracts.flatMap(contract => Object.values(contract.kinds))
+    t.ok(kinds.every(kind => kind.stages.every(stage => (stage.maxTokens ?? 0) * stepMs < 0.85 * kind.deadlineMs)))
+    t.ok(example.workload.every(entry => (entry.tokens?.[1] ?? 0) <= Math.max(...kinds.flatMap(kind => kind.stages.map(stage => stage.maxTokens ?? 0)))))
+    t.end()
+  })
+
   // More promised tokens than the engines can generate would make every full load miss its contracts.
   t.test(`${example.name}: the contracts fit the capacity of the engines`, t => {
     const engines = example.upstreams.find(upstreams => upstreams.type === 'model-engine')
