--- a/playground/caller/callerClient.ts
+++ b/playground/caller/callerClient.ts
@@ -2,6 +2,7 @@
 import { Agent, request } from 'undici'
 import type { Random } from '../../src/types/random.js'
 import { callerConstants } from './constants.js'
+import type { CallerBehaviour } from './callerBehaviour.js'
 import type { CallerRequest } from './callerRequest.js'
 import { RequestAttempts } from './requestAttempts.js'
 import type { RequestRecord } from './requestRecord.js'
@@ -17,6 +18,7 @@
   readonly linkDelayMs?: number
   /** Silence after which the request is rejoined at another address. @default 3000 */
   readonly silenceMs?: number
+  readonly behaviour?: CallerBehaviour
 }
 
 /** A caller of one account: asks for the route, sends requests and checks the answers. */
@@ -36,6 +38,7 @@
       account,
       token,
       silenceMs,
+      behaviour: this.options.behaviour ?? {},
       dispatcher: this.agent,
       routes: this.routes,
       waitLink: async () => { if (linkDelayMs > 0) await waitMs(2 * linkDelayMs) },
--- a/playground/caller/callerRequest.ts
+++ b/playground/caller/callerRequest.ts
@@ -1,6 +1,8 @@
 /** A request that a caller sends, with what its answer must look like. */
 export interface CallerRequest {
   readonly kind: string
+  /** Id to send the request under. @default a new one */
+  readonly requestId?: string
   readonly input: unknown
   /** Marker in the input; every part of the answer must carry it. */
   readonly marker: string
--- a/playground/caller/requestAttempts.ts
+++ b/playground/caller/requestAttempts.ts
@@ -4,6 +4,7 @@
 import { AnswerCheck } from './answerCheck.js'
 import type { AnswerError } from './answerError.js'
 import { AnswerReader } from './answerReader.js'
+import type { CallerBehaviour } from './callerBehaviour.js'
 import type { CallerRequest } from './callerRequest.js'
 import type { ConnectionEnd } from './connectionEnd.js'
 import { callerConstants } from './constants.js'
@@ -15,6 +16,7 @@
   readonly account: string
   readonly token: string
   readonly silenceMs: number
+  readonly behaviour: CallerBehaviour
   readonly dispatcher: Dispatcher
   readonly routes: RouteSource
   /** Resolves after the round trip between caller and entry hosts. */
@@ -26,7 +28,8 @@
 export class RequestAttempts {
   private readonly sentAtMs = Date.now()
   private readonly startMs = performance.now()
-  private readonly requestIds: string[] = [createRequestId()]
+  private readonly requestIds: string[]
+  private readonly unsettledIds: string[] = []
   private readonly addresses: string[] = []
   private check: AnswerCheck
   private firstTokenMs: number | undefined
@@ -37,12 +40,13 @@
 
   constructor (private readonly options: AttemptOptions) {
     this.check = new AnswerCheck(options.request)
+    this.requestIds = [options.request.requestId ?? createRequestId()]
   }
 
   async runRequest (): Promise<RequestRecord> {
     const { request } = this.options
     const giveUp = new AbortController()
-    const giveUpTimer = setTimeout(() => giveUp.abort(), request.deadlineMs + callerConstants.graceMs)
+    const giveUpTimer = setTimeout(() => giveUp.abort(), request.deadlineMs + (this.options.behaviour.graceMs ?? callerConstants.graceMs))
     const abandonTimer = request.abandonAfterMs === undefined ? undefined : setTimeout(() => giveUp.abort('abandoned'), request.abandonAfterMs)
     try {
       return await this.runAttempts(giveUp.signal)
@@ -61,8 +65,10 @@
       if (end.type === 'violated') return this.buildRecord({ outcome: 'wrong', ran: 'ran', violation: end.violation })
       if (end.type === 'error') {
         const isRetried = await this.waitRetry(end.error, signal)
-        if (!isRetried) return this.buildError(end.error)
+        if (!isRetried && !this.updateId(end.error)) return this.buildError(end.error)
       } else {
+        if (this.options.behaviour.rejoins === false && address !== undefined) return this.buildGivenUp(signal)
+        this.updateId()
         await this.waitRejoin(end, address, signal)
       }
     }
@@ -97,12 +103,24 @@
     this.retryCount++
     this.restartCount += this.check.restartCount
     // `not_run` promises that nothing ran, so a new id can not run the request twice.
-    this.requestIds.push(createRequestId())
-    this.check = new AnswerCheck(request)
+    this.applyNewId()
     await waitMs(delayMs, undefined, { signal }).catch(() => {})
     return true
   }
 
+  /** Changes the id of a request whose outcome is not known, when the caller is one that does so. */
+  private updateId (error?: AnswerError): boolean {
+    if (!this.options.behaviour.changesIds || error?.ran === 'not_run') return false
+    this.unsettledIds.push(this.getRequestId())
+    this.applyNewId()
+    return true
+  }
+
+  private applyNewId (): void {
+    this.requestIds.push(createRequestId())
+    this.check = new AnswerCheck(this.options.request)
+  }
+
   private async waitRejoin (end: ConnectionEnd & { type: 'broken' }, address: string | undefined, signal: AbortSignal): Promise<void> {
     if (address !== undefined) {
       this.options.routes.recordFailure(address)
@@ -129,6 +147,7 @@
     const { request, account } = this.options
     return {
       requestIds: this.requestIds,
+      unsettledIds: this.unsettledIds,
       marker: request.marker,
       account,
       kind: request.kind,
--- a/playground/processes/deployment.ts
+++ b/playground/processes/deployment.ts
@@ -1,4 +1,4 @@
-import { rmSync } from 'node:fs'
+import { existsSync, readFileSync, rmSync } from 'node:fs'
 import { join } from 'node:path'
 import type { HostListEntry } from '../../src/types/hostListEntry.js'
 import { ControlClient } from './controlClient.js'
@@ -44,17 +44,21 @@
   async startEntryHosts (): Promise<void> {
     const { example } = this.options
     const ports = await findFreePorts(2 * example.entryHosts.length)
-    this.hosts = example.entryHosts.map((host, index) => new EntryHostProcess({
+    const openLink = this.options.openLink ?? (async (_kind, _id, address) => address)
+    const keyValueAddress = await openLink('key-value', 'key-value-service', this.getAddress('key-value-service'))
+    this.hosts = await Promise.all(example.entryHosts.map(async (host, index) => new EntryHostProcess({
       program: join(this.options.distDirectory, 'lycheetrack.cjs'),
       ...host,
       address: `127.0.0.1:${ports[2 * index]}`,
       peerAddress: `127.0.0.1:${ports[2 * index + 1]}`,
-      keyValueUrl: `http://${this.getAddress('key-value-service')}`,
+      advertise: await openLink('caller', host.id, `127.0.0.1:${ports[2 * index]}`),
+      peerAdvertise: await openLink('peer', host.id, `127.0.0.1:${ports[2 * index + 1]}`),
+      keyValueUrl: `http://${keyValueAddress}`,
       hostListUrl: `http://${this.getAddress('host-list')}`,
       operatorToken: example.operatorToken,
       peerSecret: example.peerSecret,
       environment: { LYCHEETRACK_LOG_LEVEL: 'warning', ...this.options.hostEnvironment }
-    }))
+    })))
     await this.writeHostList()
     for (const host of this.hosts) host.process.start()
     await Promise.all(this.hosts.map(host => host.waitReady()))
@@ -83,7 +87,9 @@
 
   /** What a stand-in ran, oldest first. */
   async readLog (standInId: string): Promise<readonly Readonly<Record<string, unknown>>[]> {
-    return this.control.readLog(this.getAddress(standInId))
+    const file = join(this.directory, `${standInId}.log`)
+    if (!this.options.keepsExecutions) return this.control.readLog(this.getAddress(standInId))
+    return existsSync(file) ? parseLines(readFileSync(file, 'utf8')) : []
   }
 
   /** Ids of the upstreams of a pool. */
@@ -148,7 +154,7 @@
   }
 
   private async writeHostList (): Promise<void> {
-    const hosts = this.hosts.map(({ id, address, peerAddress, failureDomain }) => ({ id, address, peerAddress, role: 'entry', failureDomain }))
+    const hosts = this.hosts.map(({ id, advertise, peerAdvertise, failureDomain }) => ({ id, address: advertise, peerAddress: peerAdvertise, role: 'entry', failureDomain }))
     const upstreams = this.placements.flatMap(({ pool, failureDomain, options }) => {
       return pool === undefined ? [] : [{ id: options.id, address: this.getAddress(options.id), role: pool, failureDomain: failureDomain ?? '' }]
     })
@@ -156,3 +162,8 @@
     await this.control.writeHostList(this.getAddress('host-list'), entries)
   }
 }
+
+/** A killed process may leave an unfinished last line. */
+function parseLines (text: string): readonly Readonly<Record<string, unknown>>[] {
+  return text.split('\n').slice(0, -1).map(line => JSON.parse(line))
+}
--- a/playground/processes/deploymentOptions.ts
+++ b/playground/processes/deploymentOptions.ts
@@ -9,4 +9,11 @@
   readonly grouping?: 'type' | 'single'
   /** Other LYCHEETRACK_ variables of the entry hosts. */
   readonly hostEnvironment?: Readonly<Record<string, string>>
+  /** Keeps the executions of the stand-ins in files, so that a killed stand-in loses none. @default false */
+  readonly keepsExecutions?: boolean
+  /**
+   * Puts something on the link to an address and resolves with the address to use in its place: of an
+   * entry host for callers or for peers, or of the key-value service for all hosts.
+   */
+  readonly openLink?: (kind: 'caller' | 'peer' | 'key-value', id: string, address: string) => Promise<string>
 }
--- a/playground/processes/entryHostProcess.ts
+++ b/playground/processes/entryHostProcess.ts
@@ -12,6 +12,9 @@
   /** `ip:port`. */
   readonly address: string
   readonly peerAddress: string
+  /** Addresses that callers and peers are told. */
+  readonly advertise: string
+  readonly peerAdvertise: string
   readonly keyValueUrl: string
   readonly hostListUrl: string
   readonly operatorToken: string
@@ -26,6 +29,8 @@
   readonly failureDomain: string
   readonly address: string
   readonly peerAddress: string
+  readonly advertise: string
+  readonly peerAdvertise: string
   readonly process: ManagedProcess
 
   constructor (options: EntryHostOptions) {
@@ -33,6 +38,8 @@
     this.failureDomain = options.failureDomain
     this.address = options.address
     this.peerAddress = options.peerAddress
+    this.advertise = options.advertise
+    this.peerAdvertise = options.peerAdvertise
     this.process = new ManagedProcess({
       id: options.id,
       args: [options.program, 'serve'],
@@ -41,6 +48,8 @@
         LYCHEETRACK_FAILURE_DOMAIN: options.failureDomain,
         LYCHEETRACK_LISTEN: options.address,
         LYCHEETRACK_PEER_LISTEN: options.peerAddress,
+        LYCHEETRACK_ADVERTISE: options.advertise,
+        LYCHEETRACK_PEER_ADVERTISE: options.peerAdvertise,
         LYCHEETRACK_KEY_VALUE_URL: options.keyValueUrl,
         LYCHEETRACK_HOST_LIST_URL: options.hostListUrl,
         LYCHEETRACK_OPERATOR_TOKEN: options.operatorToken,
--- /dev/null
+++ b/playground/prove/constants.ts
@@ -0,0 +1,20 @@
+/** Constants of the failure bench. */
+export const proveConstants = {
+  /** Deployments that run side by side. */
+  deploymentsAtOnce: 3,
+  requestsPerSecond: 25,
+  /** Callers rejoin after this silence; answers carry a keepalive every 500 ms. */
+  silenceMs: 1500,
+  /** Time beyond a deadline in which a caller goes on rejoining: longer than the longest freeze. */
+  graceMs: 12_000,
+  /** Time in force of an accepted change after the end of what prevented it. */
+  inForceMs: 5000,
+  pollMs: 100,
+  operatorTimeoutMs: 8000,
+  /** Longer than every timeout of the product. */
+  freezeMs: 8000,
+  stopTimeoutMs: 200,
+  /** The bench ends itself when a part of it hangs. */
+  largestRunMs: 900_000,
+  shownViolations: 3
+} as const
--- a/playground/prove/history/checkHistory.ts
+++ b/playground/prove/history/checkHistory.ts
@@ -1,3 +1,4 @@
+import { checkInForce } from './checkInForce.js'
 import { checkLeavingUpstreams } from './checkLeavingUpstreams.js'
 import { checkRequests } from './checkRequests.js'
 import { checkRevisions } from './checkRevisions.js'
@@ -9,6 +10,6 @@
 
 /** Checks all invariants; the violations with the shortest traces come first. */
 export function checkHistory (history: History): readonly Violation[] {
-  const violations = [...checkRequests(history), ...checkLeavingUpstreams(history, LEAVING_GRACE_MS), ...checkRevisions(history)]
+  const violations = [...checkRequests(history), ...checkLeavingUpstreams(history, LEAVING_GRACE_MS), ...checkRevisions(history), ...checkInForce(history)]
   return violations.sort((a, b) => a.trace.length - b.trace.length)
 }
--- a/playground/prove/history/checkRequests.ts
+++ b/playground/prove/history/checkRequests.ts
@@ -15,7 +15,8 @@
   }
   return history.requests.flatMap(request => {
     const ran = executions.get(`${request.account}/${request.requestId}`) ?? []
-    return [...checkAnswer(request, ran), ...checkRefusal(request, ran), ...checkSingleRun(request, ran)]
+    const ranEarlier = (request.earlierRequestIds ?? []).flatMap(id => executions.get(`${request.account}/${id}`) ?? [])
+    return [...checkAnswer(request, ran), ...checkRefusal(request, ran), ...checkSingleRun(request, [...ranEarlier, ...ran])]
   })
 }
 
--- a/playground/prove/history/history.ts
+++ b/playground/prove/history/history.ts
@@ -1,5 +1,6 @@
 import type { AcceptedChange } from './acceptedChange.js'
 import type { ExecutionHistory } from './executionHistory.js'
+import type { InForceExpectation } from './inForceExpectation.js'
 import type { LeavingUpstream } from './leavingUpstream.js'
 import type { RequestHistory } from './requestHistory.js'
 import type { RevisionObservation } from './revisionObservation.js'
@@ -11,4 +12,5 @@
   readonly leavingUpstreams: readonly LeavingUpstream[]
   readonly changes: readonly AcceptedChange[]
   readonly revisions: readonly RevisionObservation[]
+  readonly inForceExpectations?: readonly InForceExpectation[]
 }
--- a/playground/prove/history/requestHistory.ts
+++ b/playground/prove/history/requestHistory.ts
@@ -5,6 +5,8 @@
   readonly account: string
   readonly requestId: string
   readonly kind: string
+  /** Ids under which the caller sent the same call before. */
+  readonly earlierRequestIds?: readonly string[]
   /** The kind's contract line says that calls run at most once. */
   readonly atMostOnce: boolean
   readonly startMs: number
--- /dev/null
+++ b/playground/prove/load/buildProofExample.ts
@@ -0,0 +1,16 @@
+import type { ExampleDeployment } from '../../examples/exampleDeployment.js'
+import type { ScenarioSettings } from '../scenarioSettings.js'
+
+const digestTokens = [60, 140]
+
+/** The example with shorter long generations, so that the load stays far below its capacity, and the scenario's settings. */
+export function buildProofExample (example: ExampleDeployment, settings: ScenarioSettings): ExampleDeployment {
+  const { kinds, hostListLagMs } = settings
+  return {
+    ...example,
+    workload: example.workload
+      .filter(entry => kinds === undefined || kinds.includes(entry.kind))
+      .map(entry => (entry.tokens?.[1] ?? 0) > digestTokens[1]! ? { ...entry, tokens: digestTokens } : entry),
+    hostList: { ...example.hostList, ...(hostListLagMs === undefined ? {} : { lagMs: hostListLagMs }) }
+  }
+}
--- /dev/null
+++ b/playground/prove/main.ts
@@ -0,0 +1,62 @@
+import { dirname, resolve } from 'node:path'
+import sade from 'sade'
+import { proveConstants } from './constants.js'
+import { listProofs } from './proofs/listProofs.js'
+import { ProofRunner } from './run/proofRunner.js'
+
+interface Flags {
+  readonly list?: boolean
+  readonly only?: string
+  readonly without?: string
+  readonly seed: number
+}
+
+sade('prove', true)
+  .describe('Runs deployments as processes, induces faults and checks what callers, upstreams and operators saw.')
+  .option('--list', 'names the proofs and the mechanisms that --without takes away')
+  .option('--only', 'runs one proof')
+  .option('--seed', 'seed of the load and the faults', 1)
+  .option('--without', 'takes a mechanism away in the bench; the proof must then fail')
+  .action(startProofs)
+  .parse(process.argv)
+
+async function startProofs (flags: Flags): Promise<void> {
+  const proofs = listProofs().filter(proof => flags.only === undefined || proof.name === flags.only)
+  const seed = Number(flags.seed)
+  if (flags.list) return renderList()
+  if (proofs.length === 0 || !Number.isInteger(seed)) reportUsage(`no proof ${flags.only}, or --seed is no whole number`)
+  if (flags.without !== undefined && !proofs.some(proof => flags.without! in proof.mechanisms)) reportUsage(`no such mechanism: ${flags.without}`)
+  const runner = new ProofRunner({ distDirectory: dirname(dirname(resolve(process.argv[1] as string))), seed, without: new Set(flags.without === undefined ? [] : [flags.without]) })
+  stopOnSignals(runner)
+  const startMs = performance.now()
+  const failed = await runner.runProofs(proofs)
+  console.log(`${((performance.now() - startMs) / 1000).toFixed(0)} s`)
+  console.log(`${proofs.length - failed} passed, ${failed} failed`)
+  process.exit(failed === 0 ? 0 : 1)
+}
+
+function stopOnSignals (runner: ProofRunner): void {
+  let isStopping = false
+  const stopEarly = async (reason: string, code: number): Promise<void> => {
+    if (isStopping) return
+    isStopping = true
+    console.error(reason)
+    await runner.stop()
+    process.exit(code)
+  }
+  process.on('SIGINT', () => { stopEarly('interrupted', 130) })
+  process.on('SIGTERM', () => { stopEarly('terminated', 143) })
+  setTimeout(() => { stopEarly(`the proofs did not end within ${proveConstants.largestRunMs} ms`, 1) }, proveConstants.largestRunMs).unref()
+}
+
+function renderList (): void {
+  for (const { name, summary, mechanisms } of listProofs()) {
+    console.log(`${name}: ${summary}`)
+    for (const [mechanism, effect] of Object.entries(mechanisms)) console.log(`  --only ${name} --without ${mechanism}: ${effect}`)
+  }
+}
+
+function reportUsage (message: string): never {
+  console.error(message)
+  process.exit(2)
+}
--- /dev/null
+++ b/playground/prove/operators/operators.ts
@@ -0,0 +1,90 @@
+import { setTimeout as waitMs } from 'node:timers/promises'
+import { Agent, request } from 'undici'
+import type { Contract } from '../../../src/types/contract.js'
+import type { ExampleDeployment } from '../../examples/exampleDeployment.js'
+import type { EntryHostProcess } from '../../processes/entryHostProcess.js'
+import { proveConstants } from '../constants.js'
+import type { AcceptedChange } from '../history/acceptedChange.js'
+import type { InForceExpectation } from '../history/inForceExpectation.js'
+import type { RevisionObservation } from '../history/revisionObservation.js'
+
+/** Changes contracts as operators do, and polls each host for the revision in force there. */
+export class Operators {
+  readonly changes: AcceptedChange[] = []
+  readonly revisions: RevisionObservation[] = []
+  readonly expectations: InForceExpectation[] = []
+  private readonly agent = new Agent({ pipelining: 0, connect: { timeout: 500 } })
+  private readonly polled = new Set<string>()
+  private isStopped = false
+  private polling: Promise<unknown> = Promise.resolve()
+
+  constructor (private readonly example: ExampleDeployment, private readonly listHosts: () => readonly EntryHostProcess[]) {}
+
+  /** Begins the polls; hosts are polled for the contracts that operators have changed. */
+  start (): void {
+    this.polling = Promise.all(this.listHosts().map(host => this.watchHost(host)))
+  }
+
+  async stop (): Promise<void> {
+    this.isStopped = true
+    await this.polling
+    await this.agent.destroy()
+  }
+
+  /** Changes a contract on the basis of a revision; resolves with the accepted revision, undefined when it was not or is uncertain. */
+  async writeChange (host: EntryHostProcess, account: string, operator: string, baseRevision: number): Promise<number | undefined> {
+    this.polled.add(account)
+    const contract = this.example.contracts.find(contract => contract.account === account) as Contract
+    const body = { ...contract, requestsPerSecond: contract.requestsPerSecond + this.changes.length + 1 }
+    const startMs = Date.now()
+    const answer = await this.sendCall(host, 'PUT', account, proveConstants.operatorTimeoutMs, body, baseRevision)
+    const revision = (answer as { revision?: unknown } | undefined)?.revision
+    const acceptedRevision = typeof revision === 'number' ? revision : undefined
+    this.changes.push({ account, operator, baseRevision, acceptedRevision, startMs, endMs: Date.now() })
+    return acceptedRevision
+  }
+
+  /** Revision in force at a host; undefined when the host does not answer. */
+  async readRevision (host: EntryHostProcess, account: string): Promise<number | undefined> {
+    this.polled.add(account)
+    const answer = await this.sendCall(host, 'GET', account, 1000)
+    const revision = (answer as { revision?: unknown } | undefined)?.revision
+    return typeof revision === 'number' ? revision : undefined
+  }
+
+  /** Expects a revision on each host within 5 s from now, and waits for that time. */
+  async waitInForce (account: string, revision: number, hosts: readonly EntryHostProcess[] = this.listHosts()): Promise<void> {
+    const byMs = Date.now() + proveConstants.inForceMs
+    for (const host of hosts) this.expectations.push({ hostId: host.id, account, revision, byMs })
+    await waitMs(proveConstants.inForceMs + 2 * proveConstants.pollMs)
+  }
+
+  private async watchHost (host: EntryHostProcess): Promise<void> {
+    while (!this.isStopped) {
+      for (const account of this.polled) {
+        const incarnation = host.process.pid ?? 0
+        const revision = await this.readRevision(host, account)
+        // A frozen host answers late with a revision that it had before, so the time of the answer counts.
+        if (revision !== undefined && incarnation === host.process.pid) this.revisions.push({ hostId: host.id, incarnation, account, revision, atMs: Date.now() })
+      }
+      await waitMs(proveConstants.pollMs)
+    }
+  }
+
+  private async sendCall (host: EntryHostProcess, method: 'GET' | 'PUT', account: string, timeoutMs: number, body?: unknown, baseRevision?: number): Promise<unknown> {
+    try {
+      const answer = await request(`http://${host.address}/admin/v1/contracts/${account}`, {
+        method,
+        dispatcher: this.agent,
+        signal: AbortSignal.timeout(timeoutMs),
+        body: body === undefined ? undefined : JSON.stringify(body),
+        headers: { authorization: `Bearer ${this.example.operatorToken}`, 'content-type': 'application/json', ...(baseRevision === undefined ? {} : { 'if-match': String(baseRevision) }) }
+      })
+      const text = await answer.body.text()
+      return answer.statusCode === 200 ? JSON.parse(text) : undefined
+    } catch {
+      // A host that is down or frozen gives no answer; the change is then uncertain.
+      return undefined
+    }
+  }
+}
--- /dev/null
+++ b/playground/prove/run/proofContext.ts
@@ -0,0 +1,7 @@
+/** What all scenarios of one call of the bench share. */
+export interface ProofContext {
+  readonly distDirectory: string
+  readonly seed: number
+  /** Mechanisms that are taken away. */
+  readonly without: ReadonlySet<string>
+}
--- /dev/null
+++ b/playground/prove/run/proofRun.ts
@@ -0,0 +1,183 @@
+import { setTimeout as waitMs } from 'node:timers/promises'
+import { createSeededRandom } from '../../../src/shared/createSeededRandom.js'
+import { hashText } from '../../../src/shared/hashText.js'
+import type { Random } from '../../../src/types/random.js'
+import { exampleDeployments } from '../../examples/exampleDeployments.js'
+import type { ExampleDeployment } from '../../examples/exampleDeployment.js'
+import { createDeployment } from '../../processes/createDeployment.js'
+import type { Deployment } from '../../processes/deployment.js'
+import type { EntryHostProcess } from '../../processes/entryHostProcess.js'
+import { proveConstants } from '../constants.js'
+import { checkHistory } from '../history/checkHistory.js'
+import type { LeavingUpstream } from '../history/leavingUpstream.js'
+import type { Violation } from '../history/violation.js'
+import { ProxyLink } from '../links/proxyLink.js'
+import { UncheckedKeyValue } from '../links/uncheckedKeyValue.js'
+import { buildProofExample } from '../load/buildProofExample.js'
+import { MixedLoad } from '../load/mixedLoad.js'
+import { Operators } from '../operators/operators.js'
+import type { Scenario } from '../scenario.js'
+import type { ScenarioResult } from '../scenarioResult.js'
+import { buildRequestHistories } from './buildRequestHistories.js'
+import { checkExpectations } from './checkExpectations.js'
+import type { ProofContext } from './proofContext.js'
+import { readExecutions } from './readExecutions.js'
+
+/** One scenario: a deployment under load, the faults induced so far, and what was observed. */
+export class ProofRun {
+  readonly random: Random
+  readonly example: ExampleDeployment
+  readonly deployment: Deployment
+  readonly operators: Operators
+  /** Links by `peer <host>` and `caller <host>`. */
+  readonly links = new Map<string, ProxyLink>()
+  private readonly faults: string[] = []
+  private readonly leaving: LeavingUpstream[] = []
+  private readonly unchecked: UncheckedKeyValue[] = []
+  private readonly violations: Violation[] = []
+  private load: MixedLoad | undefined
+  private startedAtMs = 0
+
+  constructor (private readonly scenario: Scenario, private readonly context: ProofContext) {
+    this.random = createSeededRandom(hashText(`${scenario.name} ${context.seed}`))
+    this.example = buildProofExample(exampleDeployments.ferry as ExampleDeployment, scenario)
+    this.deployment = createDeployment({
+      example: this.example,
+      distDirectory: context.distDirectory,
+      grouping: scenario.grouping,
+      keepsExecutions: true,
+      hostEnvironment: scenario.routeLifetimeMs === undefined ? {} : { LYCHEETRACK_ROUTE_LIFETIME_MS: String(scenario.routeLifetimeMs) },
+      openLink: (kind, id, address) => this.openLink(kind, id, address)
+    })
+    this.operators = new Operators(this.example, () => this.deployment.entryHosts)
+  }
+
+  get hosts (): readonly EntryHostProcess[] {
+    return this.deployment.entryHosts
+  }
+
+  /** Whether the bench takes a mechanism away. */
+  isWithout (mechanism: string): boolean {
+    return this.context.without.has(mechanism)
+  }
+
+  async start (): Promise<void> {
+    await this.deployment.start()
+    this.startedAtMs = Date.now()
+    this.operators.start()
+    const { requestsPerSecond = proveConstants.requestsPerSecond, raceShare = 0 } = this.scenario
+    this.load = new MixedLoad({
+      example: this.example,
+      entryAddresses: this.hosts.map(host => host.advertise),
+      random: this.random,
+      requestsPerSecond,
+      raceShare,
+      silenceMs: this.isWithout('silence-detection') ? 600_000 : proveConstants.silenceMs,
+      behaviour: { graceMs: proveConstants.graceMs, rejoins: !this.isWithout('rejoin'), changesIds: this.isWithout('same-id') }
+    })
+    this.load.start()
+  }
+
+  /** Ends the load and checks the history. */
+  async checkRun (): Promise<ScenarioResult> {
+    const records = await this.load?.stop() ?? []
+    await this.operators.stop()
+    const executions = await readExecutions(this.deployment)
+    const { changes, revisions, expectations } = this.operators
+    const broken = checkHistory({
+      requests: records.flatMap(record => buildRequestHistories(record, this.example)),
+      executions,
+      leavingUpstreams: this.leaving,
+      changes,
+      revisions,
+      inForceExpectations: expectations
+    })
+    const unmet = checkExpectations(this.scenario, records, record => this.isIdempotent(record.account, record.kind))
+    return {
+      requests: records.length,
+      faults: this.faults,
+      whole: records.filter(record => record.outcome === 'whole').length,
+      refused: records.filter(record => record.outcome === 'refused').length,
+      unknown: records.filter(record => record.outcome === 'failed' || record.outcome === 'abandoned').length,
+      violations: [...broken, ...unmet, ...this.violations].map(violation => ({ ...violation, trace: [...violation.trace, ...this.listFaults()] }))
+    }
+  }
+
+  /** Ends all processes; may be called at any time. */
+  async stop (): Promise<void> {
+    for (const link of [...this.links.values(), ...this.unchecked]) link.stop()
+    await this.deployment.stop(proveConstants.stopTimeoutMs).catch(() => {})
+  }
+
+  recordFault (text: string): void {
+    this.faults.push(`+${Date.now() - this.startedAtMs} ms ${text}`)
+  }
+
+  addViolation (violation: Violation): void {
+    this.violations.push(violation)
+  }
+
+  chooseHost (): EntryHostProcess {
+    return this.chooseOne(this.hosts)
+  }
+
+  chooseOne<T> (list: readonly T[]): T {
+    return list[Math.floor(this.random() * list.length)] as T
+  }
+
+  /** Kills a host and starts it again after `downMs`. */
+  async killHost (id: string, downMs: number): Promise<void> {
+    this.recordFault(`${id} killed`)
+    await this.deployment.kill(id)
+    await waitMs(downMs)
+    await this.deployment.startOne(id)
+    this.recordFault(`${id} started again`)
+  }
+
+  /** Suspends a host for `frozenMs`. */
+  async freezeHost (id: string, frozenMs: number): Promise<void> {
+    this.recordFault(`${id} frozen`)
+    this.deployment.freeze(id)
+    await waitMs(frozenMs)
+    this.deployment.resume(id)
+    this.recordFault(`${id} resumed`)
+  }
+
+  /** Sets the faults of stand-ins for `lastingMs`, then clears them. */
+  async setFaults (ids: readonly string[], faults: Readonly<Record<string, unknown>>, lastingMs: number): Promise<void> {
+    this.recordFault(`${JSON.stringify(faults)} at ${ids.join(', ')}`)
+    await Promise.all(ids.map(id => this.deployment.setFaults(id, faults)))
+    await waitMs(lastingMs)
+    await Promise.all(ids.map(id => this.deployment.setFaults(id, {})))
+    this.recordFault(`faults cleared at ${ids.join(', ')}`)
+  }
+
+  /** Tells an upstream to leave; without its signals it goes on taking work. */
+  async setLeaving (id: string): Promise<void> {
+    this.recordFault(`${id} told to leave`)
+    this.leaving.push({ upstreamId: id, leavingAtMs: Date.now() })
+    if (this.isWithout('leaving-signals')) return
+    await Promise.all([this.deployment.setFaults(id, { leaving: true, reportLagMs: 5000 }), this.deployment.setLeaving(id, true)])
+  }
+
+  private listFaults (): readonly string[] {
+    return [`faults from ${new Date(this.startedAtMs).toISOString()}: ${this.faults.join('; ')}`]
+  }
+
+  private isIdempotent (account: string, kind: string): boolean {
+    return this.example.contracts.find(contract => contract.account === account)?.kinds[kind]?.idempotent !== false
+  }
+
+  private async openLink (kind: 'caller' | 'peer' | 'key-value', id: string, address: string): Promise<string> {
+    if (kind === 'key-value') {
+      if (!this.isWithout('version-check')) return address
+      const proxy = new UncheckedKeyValue(address)
+      this.unchecked.push(proxy)
+      return proxy.start()
+    }
+    if (!this.scenario.links?.includes(kind)) return address
+    const link = new ProxyLink(address)
+    this.links.set(`${kind} ${id}`, link)
+    return link.start()
+  }
+}
--- /dev/null
+++ b/playground/prove/run/readExecutions.ts
@@ -0,0 +1,14 @@
+import type { Deployment } from '../../processes/deployment.js'
+import type { ExecutionHistory } from '../history/executionHistory.js'
+
+/** What all upstreams of a deployment ran; call ids are `account/request/stage/attempt`. */
+export async function readExecutions (deployment: Deployment): Promise<readonly ExecutionHistory[]> {
+  const logs = await Promise.all(deployment.listUpstreams().map(async upstreamId => {
+    const lines = await deployment.readLog(upstreamId)
+    return lines.map(line => {
+      const [account = '', requestId = '', stage = ''] = String(line.streamId).split('/')
+      return { upstreamId, account, requestId, stage, startMs: Number(line.start) }
+    })
+  }))
+  return logs.flat()
+}
--- /dev/null
+++ b/playground/prove/scenarioResult.ts
@@ -0,0 +1,11 @@
+import type { Violation } from './history/violation.js'
+
+/** Figures of one scenario, or of a proof's scenarios together. */
+export interface ScenarioResult {
+  readonly requests: number
+  readonly faults: readonly string[]
+  readonly whole: number
+  readonly refused: number
+  readonly unknown: number
+  readonly violations: readonly Violation[]
+}
--- a/playground/standIns/createStandIn.ts
+++ b/playground/standIns/createStandIn.ts
@@ -19,7 +19,7 @@
   const options = standInOptions.parse(input)
   const random = createSeededRandom(options.seed)
   const faults = new FaultState(random)
-  const log = new ExecutionLog()
+  const log = new ExecutionLog(undefined, options.logFile)
   return new StandInServer(options.id ?? options.type, options.linkDelayMs, createHandler(options, random, faults, log), faults, log)
 }
 
--- a/playground/standIns/server/callRunner.ts
+++ b/playground/standIns/server/callRunner.ts
@@ -22,6 +22,7 @@
 export class CallRunner {
   private readonly queue: WorkQueue
   private readonly reporter: LoadReporter
+  private lastOutput: unknown
 
   constructor (private readonly options: RunnerOptions, private readonly random: Random, private readonly faults: FaultState, private readonly log: ExecutionLog) {
     this.queue = new WorkQueue(options.slots)
@@ -43,6 +44,7 @@
     if (this.faults.settings.leaving) return call.sendJson(503, { error: 'leaving' })
     await this.queue.openSlot()
     const execution = this.log.recordStart(callId, operation, Date.now())
+    if (this.faults.settings.runTwice) this.log.settleExecution(this.log.recordStart(callId, operation, Date.now()), 'completed', Date.now())
     try {
       await waitMs(this.options.serviceMs * (0.5 + this.random()) * (this.faults.settings.slowFactor ?? 1))
     } finally {
@@ -51,7 +53,11 @@
     const isLost = this.faults.isHit(this.faults.settings.loseAnswers)
     this.log.settleExecution(execution, isLost ? 'answer lost' : 'completed', Date.now())
     if (isLost) return call.closeConnection()
-    await call.sendJson(200, { call_id: callId, output: buildOutput(callId, input) })
+    if (this.faults.isHit(this.faults.settings.refuseAfterRun)) return call.sendJson(503, { error: 'leaving' })
+    const output = buildOutput(callId, input)
+    const sent = this.faults.isHit(this.faults.settings.crossAnswers) ? this.lastOutput ?? output : output
+    this.lastOutput = output
+    await call.sendJson(200, { call_id: callId, output: sent })
   }
 
   stop (): void {
--- a/playground/standIns/server/faultSettings.ts
+++ b/playground/standIns/server/faultSettings.ts
@@ -31,6 +31,12 @@
   leaving: z.boolean(),
   /** Holds an answer until a later one was sent, at most 250 ms. */
   reorder: z.boolean(),
+  /** Runs every call a second time, as a service with retries of its own does. */
+  runTwice: z.boolean(),
+  /** Share of calls that run and are then answered 503 as if they had not. */
+  refuseAfterRun: share,
+  /** Share of calls that are answered with the output of the call before. */
+  crossAnswers: share,
   /** Version that a model engine reports and serves. */
   version: z.string()
 }).partial().readonly()
--- a/playground/standIns/standInOptions.ts
+++ b/playground/standIns/standInOptions.ts
@@ -13,7 +13,9 @@
   address: z.string().regex(/^127\./, 'must be a loopback address').default('127.0.0.1'),
   seed: z.coerce.number().default(1),
   /** Delay of every call, for the way between failure domains. */
-  linkDelayMs: milliseconds(0)
+  linkDelayMs: milliseconds(0),
+  /** File to which the starts of executions are appended. */
+  logFile: z.string().optional()
 }
 const work = { ...base, pool: z.string().optional(), slots: count(8), serviceMs: milliseconds(20), reportLagMs: milliseconds(300), reportsLoad: flag }
 const models = z.union([z.array(z.string()), z.string().transform(text => text.split(',').filter(Boolean))]).default([])
