fix(requests): a rejoined request is taken over although admission refuses

Cause: a submission that admission refused only joined the owner named by the directory. When that owner was dead, the caller got owner_unavailable, or a refusal, for a request that had been admitted when it began.

--- /dev/null
+++ b/src/node/requests/__tests__/rejoinAdmission.test.ts
@@ -0,0 +1,19 @@
+import t from 'tap'
+import { RequestTestFleet } from '../../../../playground/fakes/requestTestFleet.js'
+
+// Guards against a running request that is lost because the host where its caller rejoins is busy.
+t.test('a registered request is taken over although admission refuses new ones', async t => {
+  const fleet = await new RequestTestFleet({ hosts: 3 }).start()
+  t.teardown(() => fleet.stop())
+  const [first, second] = fleet.hosts
+  const body = { kind: 'short', input: { text: 'marker:m length:4' } }
+  const started = await first!.send('POST', '/v1/requests', body, { 'request-id': 'again' })
+  t.equal(started.status, 200)
+  fleet.table.set('host-0', { ...fleet.table.get('host-0')!, state: 'dead' })
+  second!.admission.decision = { admitted: false, reason: 'deadline_unreachable', retryAfterMs: 10 }
+  const rejoined = await second!.send('POST', '/v1/requests', body, { 'request-id': 'again' })
+  t.equal(rejoined.status, 200)
+  t.match(JSON.parse(rejoined.text), { requestId: 'again', text: 'm.0 m.1 m.2 m.3 ' })
+  const refused = await second!.send('POST', '/v1/requests', body, { 'request-id': 'new' })
+  t.match(JSON.parse(refused.text), { error: { code: 'deadline_unreachable', ran: 'not_run' } })
+})
--- a/src/node/requests/requestService.ts
+++ b/src/node/requests/requestService.ts
@@ -89,13 +89,9 @@
     if (!decision.admitted) {
       const status = decision.reason === 'limit_reached' ? 429 : 503
       const refusal = new RequestError(decision.reason, 'the request was not admitted', status, 'not_run', { retryAfterMs: decision.retryAfterMs })
-      return await this.joinOrRefuse(submission, bodyHash, receivedMs, refusal)
+      return await this.joinOrRefuse(submission, bodyHash, receivedMs, refusal, admission)
     }
-    const entry = new RequestEntry({ account, requestId, bodyHash }, this.options.abandonGraceMs)
-    entry.updateState('admit')
-    this.registry.add(entry)
-    this.runEntry(entry, submission, admission, receivedMs).catch(error => this.options.logger.recordError('request lost', { requestId, reason: String(error) }))
-    return entry
+    return this.startRequest(submission, bodyHash, admission, receivedMs)
   }
 
   /** The request of an account by id, wherever it runs; undefined when no host knows it. */
@@ -149,15 +145,19 @@
 
   /**
    * A refused submission may be a second one of a request that runs elsewhere: that one is joined, and
-   * `not_run` is said only when the directory is sure that there is none.
+   * `not_run` is said only when the directory is sure that there is none. With `admission`, a registered
+   * request is also taken over when its owner is lost: it was admitted when it began, and a refusal now
+   * would cut it off.
    */
-  private async joinOrRefuse (submission: Submission, bodyHash: string, receivedMs: number, refusal: RequestError): Promise<RequestEntry> {
+  private async joinOrRefuse (submission: Submission, bodyHash: string, receivedMs: number, refusal: RequestError, admission?: AdmissionRequest): Promise<RequestEntry> {
     const { account, requestId } = submission
     if (submission.isIdFromCaller) {
       const found = await this.directoryClient.find(account, requestId, requestConstants.refusalLookupMs)
       const known = this.findUsable(account, requestId)
       if (known !== undefined && known.identity.bodyHash === bodyHash) return known
-      if (found !== undefined && found.ownerId !== '' && found.bodyHash === bodyHash && this.isReachable(found.ownerId)) {
+      const isRegistered = found !== undefined && found.ownerId !== '' && found.bodyHash === bodyHash
+      if (isRegistered && admission !== undefined) return this.startRequest(submission, bodyHash, admission, receivedMs)
+      if (isRegistered && this.isReachable(found.ownerId)) {
         return this.joinRequest(account, requestId, bodyHash, found.ownerId)
       }
       if (found === undefined || found.ownerId !== '') {
@@ -168,6 +168,15 @@
     throw refusal
   }
 
+  private startRequest (submission: Submission, bodyHash: string, admission: AdmissionRequest, receivedMs: number): RequestEntry {
+    const { account, requestId } = submission
+    const entry = new RequestEntry({ account, requestId, bodyHash }, this.options.abandonGraceMs)
+    entry.updateState('admit')
+    this.registry.add(entry)
+    this.runEntry(entry, submission, admission, receivedMs).catch(error => this.options.logger.recordError('request lost', { requestId, reason: String(error) }))
+    return entry
+  }
+
   private joinRequest (account: string, requestId: string, bodyHash: string, ownerId: string): RequestEntry {
     const entry = new RequestEntry({ account, requestId, bodyHash }, this.options.abandonGraceMs)
     entry.updateState('admit')
