fix(server): a host that has not loaded its contracts answers host_not_ready

Cause: a starting host listens before it knows any token, so callers that rejoined there got unauthorized with not_run and gave up a request that was running elsewhere. With a request id of the caller the answer says unknown.

--- a/playground/fakes/requestTestHost.ts
+++ b/playground/fakes/requestTestHost.ts
@@ -58,6 +58,7 @@
   readonly requests: RequestService
   private readonly server: ReturnType<typeof createCallerServer>
   private port = 0
+  unreadyReasons: readonly string[] = []
 
   constructor (options: RequestTestHostOptions) {
     const { id, table, peers, claims } = options
@@ -77,7 +78,7 @@
       requests: this.requests,
       admin: { handle: async request => ({ status: 200, body: { path: request.path, body: request.body } }) },
       operatorToken: 'operator-token',
-      listUnreadyReasons: () => [],
+      listUnreadyReasons: () => this.unreadyReasons,
       chooseRouteHosts: hosts => chooseRouteHosts(hosts, 4, createSeededRandom(2)),
       bodyTimeoutMs: options.bodyTimeoutMs
     })
--- a/src/node/server/__tests__/callerServer.test.ts
+++ b/src/node/server/__tests__/callerServer.test.ts
@@ -42,6 +42,14 @@
     }
   })
 
+  // Without this a host that starts answers 401, and a caller that rejoins there gives its request up.
+  t.test('a host that has not loaded its contracts says so', async t => {
+    host.unreadyReasons = ['contracts are not loaded']
+    t.match(getError((await post({ kind: 'tag', input: 1 })).text), { code: 'host_not_ready', ran: 'not_run' })
+    t.match(getError((await post({ kind: 'tag', input: 1 }, { 'request-id': 'early' })).text), { code: 'host_not_ready', ran: 'unknown' })
+    host.unreadyReasons = []
+  })
+
   t.test('a request id of another account is not found', async t => {
     await post({ kind: 'tag', input: 1 }, { 'request-id': 'mine' })
     t.equal((await host.send('GET', '/v1/requests/mine')).status, 200)
--- a/src/node/server/callerApi.ts
+++ b/src/node/server/callerApi.ts
@@ -48,10 +48,19 @@
     } else if (pathname === '/healthz') writeJson(response, 200, { status: 'ok' })
     else if (pathname === '/readyz') this.writeReadiness(response)
     else if (pathname === '/metrics') this.writeMetrics(response)
-    else if (pathname.startsWith('/v1/')) await this.handleCaller(findCaller(this.options.contracts, request.headers.authorization), request, pathname, response)
+    else if (pathname.startsWith('/v1/')) await this.handleCaller(this.findContract(request), request, pathname, response)
     else throw this.buildNotFound()
   }
 
+  /** A host that starts knows no token yet. The request may run elsewhere when its id came from the caller. */
+  private findContract (request: IncomingMessage): Contract {
+    if (this.options.listUnreadyReasons().length > 0) {
+      const ran = this.findRequestId(request) === undefined ? 'not_run' : 'unknown'
+      throw new RequestError('host_not_ready', 'this host has not loaded its contracts yet', 503, ran)
+    }
+    return findCaller(this.options.contracts, request.headers.authorization)
+  }
+
   private async handleCaller (contract: Contract, request: IncomingMessage, pathname: string, response: ServerResponse): Promise<void> {
     if (pathname === '/v1/route' && request.method === 'GET') {
       this.writeRoute(response)
