--- a/playground/caller/requestAttempts.ts
+++ b/playground/caller/requestAttempts.ts
@@ -63,7 +63,9 @@
       if (signal.aborted) break
       if (end.type === 'answered') return this.buildRecord({ outcome: 'whole', ran: 'ran', result: end.result })
       if (end.type === 'violated') return this.buildRecord({ outcome: 'wrong', ran: 'ran', violation: end.violation })
-      if (end.type === 'error') {
+      if (end.type === 'error' && (callerConstants.rejoinCodes as readonly string[]).includes(end.error.code)) {
+        await this.waitRejoin({ type: 'broken', reason: end.error.code }, address, signal)
+      } else if (end.type === 'error') {
         const isRetried = await this.waitRetry(end.error, signal)
         if (!isRetried && !this.updateId(end.error)) return this.buildError(end.error)
       } else {
--- a/playground/prove/run/proofRunner.ts
+++ b/playground/prove/run/proofRunner.ts
@@ -41,21 +41,37 @@
   }
 
   private async runScenario (scenario: Scenario): Promise<ScenarioResult> {
-    const run = new ProofRun(scenario, this.context)
+    let run = new ProofRun(scenario, this.context)
     this.runs.add(run)
     try {
-      await run.start()
+      run = await this.startRun(run, scenario)
       await scenario.runFaults(run)
       const result = await run.checkRun()
       return { ...result, violations: result.violations.map(violation => addScenarioName(violation, scenario)) }
     } catch (error) {
       const violation: Violation = { invariant: 'proof_is_meaningful', subject: scenario.name, detail: `the scenario did not run to its end: ${String(error)}`, trace: [] }
-      return { requests: 0, faults: [], whole: 0, refused: 0, unknown: 0, violations: [violation] }
+      return { requests: 0, faults: [], whole: 0, refused: 0, unknown: 0, codes: new Map(), violations: [violation] }
     } finally {
       await run.stop()
       this.runs.delete(run)
     }
   }
+
+  /** Starts a deployment; once again when another program took a port in between. */
+  private async startRun (run: ProofRun, scenario: Scenario): Promise<ProofRun> {
+    try {
+      await run.start()
+      return run
+    } catch (error) {
+      if (!String(error).includes('cannot listen') && !String(error).includes('EADDRINUSE')) throw error
+      await run.stop()
+      this.runs.delete(run)
+      const again = new ProofRun(scenario, this.context)
+      this.runs.add(again)
+      await again.start()
+      return again
+    }
+  }
 }
 
 function addScenarioName (violation: Violation, scenario: Scenario): Violation {
@@ -70,6 +86,13 @@
     whole: sum(result => result.whole),
     refused: sum(result => result.refused),
     unknown: sum(result => result.unknown),
+    codes: mergeCounts(results.map(result => result.codes)),
     violations: results.flatMap(result => result.violations).sort((a, b) => a.trace.length - b.trace.length)
   }
 }
+
+function mergeCounts (lists: ReadonlyArray<ReadonlyMap<string, number>>): ReadonlyMap<string, number> {
+  const merged = new Map<string, number>()
+  for (const [name, count] of lists.flatMap(list => [...list])) merged.set(name, (merged.get(name) ?? 0) + count)
+  return merged
+}
--- a/playground/prove/run/renderResult.ts
+++ b/playground/prove/run/renderResult.ts
@@ -10,6 +10,7 @@
   const shown = [...counts.keys()].flatMap(invariant => violations.filter(violation => violation.invariant === invariant).slice(0, proveConstants.shownViolations))
   return [
     `${violations.length === 0 ? 'passed' : 'FAILED'}  ${name}, seed ${seed}: ${figures}`,
+    ...[...result.codes].map(([name, count]) => `  not answered: ${name}: ${count}`),
     ...[...counts].map(([invariant, count]) => `  ${invariant}: ${count}`),
     ...shown.flatMap(({ invariant, subject, detail, trace }) => [`  ${invariant} ${subject}: ${detail}`, ...trace.map(line => `    ${line}`)])
   ].join('\n')
--- a/playground/prove/scenarioResult.ts
+++ b/playground/prove/scenarioResult.ts
@@ -7,5 +7,7 @@
   readonly whole: number
   readonly refused: number
   readonly unknown: number
+  /** Requests that were not answered, by error code. */
+  readonly codes: ReadonlyMap<string, number>
   readonly violations: readonly Violation[]
 }
