feat(app): limits across hosts and the planned stop of the request path

The entry host now takes account limits from leases of the limit owners, waits up to 25 ms for a first lease, drains by the request path's own machine with a timeout, and connects to a subset of large pools.

--- a/playground/relayBench/runHost.ts
+++ b/playground/relayBench/runHost.ts
@@ -46,7 +46,7 @@
     metrics,
     logger: { ...quietLogger, recordWarning: (message, fields) => console.error(message, fields) },
     requests,
-    admin: { handle: async () => ({ status: 404, body: {} }) },
+    admin: { handle: async () => ({ status: 404, body: { type: 'json', value: {} } }) },
     operatorToken: '',
     listUnreadyReasons: () => [],
     chooseRouteHosts: hosts => hosts
--- a/src/node/app/createEntryHost.ts
+++ b/src/node/app/createEntryHost.ts
@@ -1,25 +1,27 @@
 import { createSeededRandom } from '../../shared/createSeededRandom.js'
 import { systemClock } from '../../shared/systemClock.js'
-import type { AccountLimiter } from '../../types/accountLimiter.js'
 import { createAdmissionController } from '../admission/createAdmissionController.js'
 import { createBurnReporter } from '../burn/createBurnReporter.js'
 import { createClaimService } from '../claims/createClaimService.js'
 import type { RunningHost } from '../cli/runningHost.js'
 import { createAdminHandler } from '../contracts/admin/createAdminHandler.js'
 import { createContracts } from '../contracts/createContracts.js'
+import { createAccountLimiter } from '../limits/createAccountLimiter.js'
 import { createLogger } from '../logging/createLogger.js'
 import { createMembership } from '../membership/createMembership.js'
 import { createMetrics } from '../metrics/createMetrics.js'
 import { createGrpcPeerTransport } from '../peers/createGrpcPeerTransport.js'
 import { createHttpHostList } from '../platform/createHttpHostList.js'
 import { createHttpKeyValueService } from '../platform/createHttpKeyValueService.js'
+import type { HostRecord } from '../../types/hostRecord.js'
 import { chooseRouteHosts } from '../requests/chooseRouteHosts.js'
+import { createDrain } from '../requests/createDrain.js'
 import { RequestService } from '../requests/requestService.js'
 import { createStageRouter } from '../routing/createStageRouter.js'
 import { createCallerServer } from '../server/createCallerServer.js'
 import type { ResolvedSettings } from '../settings/resolvedSettings.js'
-import { chooseUpstreamSubset } from '../upstreams/chooseUpstreamSubset.js'
 import { HostListPoller } from '../upstreams/hostListPoller.js'
+import { UpstreamSubset } from '../upstreams/upstreamSubset.js'
 import { UpstreamSet } from '../upstreams/upstreamSet.js'
 import type { ContractView } from '../../types/contractView.js'
 import { EntryHost } from './entryHost.js'
@@ -56,7 +58,7 @@
     random
   })
   const contracts = createContracts({ service: keyValue, transport, membership, logger, metrics, random })
-  const limiter: AccountLimiter = { take: () => ({ granted: true, retryAfterMs: 0 }) }
+  const limiter = createAccountLimiter({ contracts: contracts.store, membership, transport, metrics, random })
   const router = createStageRouter({
     random,
     wallOffsetMs: clock.readWallMs() - clock.readMonotonicMs(),
@@ -76,11 +78,12 @@
   membership.onEvent(event => {
     if (event.type === UPSTREAM_LEAVING) router.onLeaving(event.subject, clock.readMonotonicMs())
   })
+  const subset = new UpstreamSubset(hostId, settings.upstreamSubset)
   const poller = new HostListPoller({
     hostList,
     logger,
     intervalMs: settings.hostListPollMs,
-    onUpstreams: listed => upstreams.applyUpstreams(chooseUpstreamSubset(listed, hostId, settings.upstreamSubset))
+    onUpstreams: listed => upstreams.applyUpstreams(subset.choose(listed, membership.listHosts().map(host => host.id)))
   })
   const claims = createClaimService({ hostId, keyValue, clock, logger, metrics, peers: { transport, membership } })
   const burn = createBurnReporter({ contracts: contracts.store, membership, transport, clock, logger })
@@ -94,17 +97,27 @@
     transport,
     claims,
     upstreams,
+    waitForCredit: async (account, limitMs) => await limiter.waitForCredit(account, limitMs),
     onSample: sample => burn.observe(sample),
     finishedRetentionMs: settings.answerRetentionMs,
     finishedRetentionBytes: settings.answerRetentionBytes
   })
+  const chooseHosts = (hosts: readonly HostRecord[]): readonly HostRecord[] => chooseRouteHosts(hosts, ROUTE_HOSTS, random)
+  const drain = createDrain({
+    requests,
+    membership,
+    logger,
+    reportLeaving: () => membership.startLeaving(),
+    chooseRouteHosts: chooseHosts,
+    routeLifetimeMs: settings.routeLifetimeMs
+  })
   const admin = createAdminHandler({
     contracts,
     membership,
     logger,
     startDrain: async () => {
       host.drain()
-      return { state: membership.getSelf().state }
+      return { state: drain.state }
     },
     readBurn: async () => await burn.readReport()
   })
@@ -117,11 +130,11 @@
     logger,
     operatorToken: settings.operatorToken,
     listUnreadyReasons: () => contracts.isReady() ? [] : ['contracts are not loaded'],
-    chooseRouteHosts: hosts => chooseRouteHosts(hosts, ROUTE_HOSTS, random),
+    chooseRouteHosts: chooseHosts,
     routeLifetimeMs: settings.routeLifetimeMs,
     maxBodyBytes: settings.maxBodyBytes
   })
-  const host = new EntryHost({ settings, listen, peerListen, logger, server, transport, membership, contracts, poller, upstreams, requests, keyValue, hostList })
+  const host = new EntryHost({ settings, listen, peerListen, logger, server, transport, membership, contracts, limiter, drain, poller, upstreams, requests, keyValue, hostList })
   await host.start()
   return host
 }
--- a/src/node/app/entryHost.ts
+++ b/src/node/app/entryHost.ts
@@ -7,7 +7,8 @@
 import type { createContracts } from '../contracts/createContracts.js'
 import type { createMembership } from '../membership/createMembership.js'
 import type { createGrpcPeerTransport } from '../peers/createGrpcPeerTransport.js'
-import { RequestError } from '../requests/requestError.js'
+import type { createAccountLimiter } from '../limits/createAccountLimiter.js'
+import type { Drain } from '../requests/drain.js'
 import type { RequestService } from '../requests/requestService.js'
 import type { ResolvedSettings } from '../settings/resolvedSettings.js'
 import type { HostListPoller } from '../upstreams/hostListPoller.js'
@@ -22,6 +23,8 @@
   readonly transport: ReturnType<typeof createGrpcPeerTransport>
   readonly membership: ReturnType<typeof createMembership>
   readonly contracts: ReturnType<typeof createContracts>
+  readonly limiter: ReturnType<typeof createAccountLimiter>
+  readonly drain: Drain
   readonly poller: HostListPoller
   readonly upstreams: UpstreamSet
   readonly requests: RequestService
@@ -40,12 +43,13 @@
   }
 
   async start (): Promise<void> {
-    const { listen, peerListen, logger, server, transport, membership, contracts, poller, upstreams, requests } = this.parts
+    const { listen, peerListen, logger, server, transport, membership, contracts, limiter, poller, upstreams, requests } = this.parts
     await transport.start(peerListen)
     await this.openServer(listen, server)
     logger.recordInfo('listening', { address: listen, peerAddress: peerListen })
     await membership.start()
     await contracts.start()
+    limiter.start()
     await poller.start()
     upstreams.start()
     requests.start()
@@ -62,16 +66,23 @@
   }
 
   private async runDrain (): Promise<void> {
-    const { settings, logger, server, transport, membership, contracts, poller, upstreams, requests, keyValue, hostList } = this.parts
-    membership.startLeaving()
-    logger.recordInfo('leaving')
-    await waitMs(settings.routeLifetimeMs + 1000)
-    requests.refuseNew(() => new RequestError('host_draining', 'the host is stopping', 503, 'not_run'))
-    await requests.waitIdle()
+    const { settings, logger, drain } = this.parts
+    const timeout = new AbortController()
+    const expired = waitMs(settings.drainTimeoutMs, undefined, { signal: timeout.signal })
+      .then(() => logger.recordWarning('drain timeout reached with requests still running', { running: this.parts.requests.runningCount }))
+      .catch(() => {})
+    await Promise.race([drain.start(), expired])
+    timeout.abort()
+    await this.stopParts()
+  }
+
+  private async stopParts (): Promise<void> {
+    const { logger, server, transport, membership, contracts, limiter, poller, upstreams, requests, keyValue, hostList } = this.parts
     server.close()
     server.closeAllConnections()
     poller.stop()
     requests.stop()
+    limiter.stop()
     contracts.stop()
     await upstreams.stop()
     await membership.stop()
--- a/src/node/requests/constants.ts
+++ b/src/node/requests/constants.ts
@@ -26,6 +26,8 @@
   joinHeartbeatMs: 250,
   /** Longest search of the directory before a refusal is answered. */
   refusalLookupMs: 150,
+  /** Longest wait for a share of the account's limit; refusals are due within 50 ms. */
+  creditWaitMs: 25,
   maxTakeovers: 6,
   /** Directory entries without news from their owner are forgotten after this time. */
   directoryEntryLifetimeMs: 90_000,
--- a/src/node/requests/requestService.ts
+++ b/src/node/requests/requestService.ts
@@ -78,12 +78,15 @@
   async receive (submission: Submission): Promise<RequestEntry> {
     const { account, requestId } = submission
     const bodyHash = hashBody(submission.kind, submission.input)
-    const known = this.findUsable(account, requestId)
-    if (known !== undefined) {
-      if (known.identity.bodyHash === '' || known.identity.bodyHash === bodyHash) return known
-      throw new RequestError('request_id_reused', 'the request id belongs to a request with another body', 409, 'not_run')
-    }
+    const known = this.findSame(account, requestId, bodyHash)
+    if (known !== undefined) return known
     const receivedMs = this.options.clock.readMonotonicMs()
+    if (this.options.waitForCredit !== undefined) {
+      await this.options.waitForCredit(account, requestConstants.creditWaitMs)
+      // The same request may have come in over another connection meanwhile.
+      const sameMeanwhile = this.findSame(account, requestId, bodyHash)
+      if (sameMeanwhile !== undefined) return sameMeanwhile
+    }
     if (this.refusal !== undefined) return await this.joinOrRefuse(submission, bodyHash, receivedMs, this.refusal())
     const admission = buildAdmissionRequest(submission, this.tokens)
     const decision = this.options.admission.admit(admission, receivedMs)
@@ -197,6 +200,13 @@
     return entry === undefined || (entry.isStopped && !entry.isEnded) ? undefined : entry
   }
 
+  /** The request with this id on this host; throws `RequestError` when it has another body. */
+  private findSame (account: string, requestId: string, bodyHash: string): RequestEntry | undefined {
+    const known = this.findUsable(account, requestId)
+    if (known === undefined || known.identity.bodyHash === '' || known.identity.bodyHash === bodyHash) return known
+    throw new RequestError('request_id_reused', 'the request id belongs to a request with another body', 409, 'not_run')
+  }
+
   private isReachable (ownerId: string): boolean {
     const owner = this.options.membership.find(ownerId)
     return owner !== undefined && owner.state !== 'dead' && ownerId !== this.options.membership.getSelf().id
--- a/src/node/requests/requestServiceOptions.ts
+++ b/src/node/requests/requestServiceOptions.ts
@@ -20,6 +20,11 @@
   readonly transport: PeerTransport
   readonly claims: ClaimService
   readonly upstreams: UpstreamLookup
+  /**
+   * Waits at most `limitMs` for a share of the account's limit before admission, so that the first request of
+   * an account at this host is not refused only because no share has arrived yet.
+   */
+  readonly waitForCredit?: (account: string, limitMs: number) => Promise<void>
   /** Called for each finished or refused request. */
   readonly onSample?: (sample: RequestSample) => void
   /** @default 60000 */
