fix(requests): a host that is about to own a request is not robbed of it

A second host that found the first one between its accepted takeover and its start took the request over again. Joiners now ask again before they take over.

--- a/src/node/requests/__tests__/onceCalls.test.ts
+++ b/src/node/requests/__tests__/onceCalls.test.ts
@@ -100,6 +100,17 @@
   t.equal((await post(1)).status, 200, 'later submissions get the recorded outcome')
 })
 
+t.test('an answer after the deadline is recorded, though the caller was told that the outcome is unknown', async t => {
+  const { fleet, requestId, post } = await openFleet(t)
+  fleet.services[0].onCall = async () => { await waitTime(200); return false }
+  const first = await fleet.hosts[0]!.send('POST', '/v1/requests', { kind: 'issue', input: { bell: 1 }, deadlineMs: 60 }, { 'request-id': requestId })
+  t.equal(first.status, 504)
+  t.match(JSON.parse(first.text), { error: { code: 'deadline_exceeded', ran: 'unknown' } })
+  await fleet.hosts[0]!.requests.waitIdle()
+  t.match(fleet.claims.outcomes.get(`pier/${requestId}`), { ran: 'ran', status: 200 })
+  t.equal((await post()).status, 200, 'a second submission gets the recorded outcome')
+})
+
 t.test('a caller that leaves does not cancel a call that may have been sent', async t => {
   const { fleet, requestId } = await openFleet(t, { abandonGraceMs: 10 })
   fleet.services[0].onCall = async () => { await waitTime(150); return false }
--- a/src/node/requests/constants.ts
+++ b/src/node/requests/constants.ts
@@ -26,7 +26,11 @@
   joinHeartbeatMs: 250,
   /** Longest search of the directory before a refusal is answered. */
   refusalLookupMs: 150,
-  maxTakeovers: 6,
+  maxTakeovers: 8,
+  /** Hosts that say they are not the owner are asked this often before the request is taken from them. */
+  maxOwnerMisses: 3,
+  /** After the deadline of a call that runs at most once, its outcome is still awaited and recorded. */
+  lateOutcomeMs: 3000,
   /** Directory entries without news from their owner are forgotten after this time. */
   directoryEntryLifetimeMs: 90_000,
   reregisterIntervalMs: 30_000,
--- a/src/node/requests/directoryClient.ts
+++ b/src/node/requests/directoryClient.ts
@@ -10,6 +10,7 @@
 import { encodeRegistration } from './encodeRegistration.js'
 import type { Registration } from './registration.js'
 import type { RegistrationResult } from './registrationResult.js'
+import { RequestError } from './requestError.js'
 import type { RequestDirectory } from './requestDirectory.js'
 
 /** Access to the directory hosts of any request, this host included. */
@@ -55,9 +56,14 @@
 
   /** The present owner according to whichever directory host knows one. Undefined when neither answers. */
   async find (account: string, requestId: string, timeoutMs: number = requestConstants.directoryTimeoutMs): Promise<RegistrationResult | undefined> {
-    const results = await Promise.all(this.listDirectoryHosts(account, requestId).map(async host => await this.sendFind(host, account, requestId, timeoutMs)))
-    const answers = results.filter(result => result !== undefined)
-    return answers.toSorted((a, b) => b.epoch - a.epoch)[0]
+    const answers = this.listDirectoryHosts(account, requestId).map(async host => await this.sendFind(host, account, requestId, timeoutMs))
+    // One host that knows an owner is enough; that there is none takes the word of every host that answers.
+    const owned = answers.map(async answer => {
+      const result = await answer
+      return result !== undefined && result.ownerId !== '' ? result : await Promise.reject(new RequestError('request_not_found', 'no owner', 404, 'unknown'))
+    })
+    const found = await Promise.any(owned).catch(() => undefined)
+    return found ?? (await Promise.all(answers)).find(result => result !== undefined)
   }
 
   private async sendRegistration (host: HostRecord, registration: Registration): Promise<RegistrationResult | undefined> {
--- a/src/node/requests/requestExecutor.ts
+++ b/src/node/requests/requestExecutor.ts
@@ -46,6 +46,7 @@
   private async runToEnd (entry: RequestEntry, submission: Submission, deadlineAtMs: number): Promise<AnswerEnd | undefined> {
     const { idempotent } = submission.spec
     let result = await this.register(entry, 1, idempotent)
+    let misses = 0
     for (let round = 0; round < requestConstants.maxTakeovers; round++) {
       if (result.accepted) {
         const end = idempotent
@@ -61,14 +62,13 @@
       if (entry.isEnded) return undefined
       if (entry.isStopped) break
       if (!idempotent) return await this.runOnce(entry, submission, deadlineAtMs, result)
-      if (outcome === 'not_owner') {
+      if (outcome === 'not_owner' && ++misses <= requestConstants.maxOwnerMisses) {
+        // The host has lost the request, or is about to own it; it must not be taken over in the second case.
         await waitTime(requestConstants.ownerLookupDelayMs)
         const { account, requestId } = entry.identity
         const found = await this.options.directory.find(account, requestId)
-        if (found !== undefined && found.epoch > result.epoch) {
-          result = found
-          continue
-        }
+        if (found !== undefined && found.ownerId !== '') result = found
+        continue
       }
       this.options.metrics.addCount('lycheetrack_takeovers_total', {})
       result = await this.register(entry, result.epoch + 1, idempotent, result)
@@ -80,6 +80,8 @@
     const { directory, membership } = this.options
     const { account, requestId, bodyHash } = entry.identity
     const ownerId = membership.getSelf().id
+    // From here on other hosts may learn that this one is the owner, and join it.
+    entry.role = 'starting'
     const registration = { identity: entry.identity, ownerId, epoch, finished: false, takeoverFrom: takeover?.ownerId }
     entry.directoryHosts = directory.listDirectoryHosts(account, requestId).map(host => host.id).join()
     // Without any directory host the request runs all the same; claims keep calls that run at most once safe.
@@ -102,7 +104,7 @@
     entry.newOwner = undefined
     const signal = entry.startActivity()
     const remainingMs = deadlineAtMs - clock.readMonotonicMs()
-    const timer = setTimeout(() => entry.stopActivity(new RequestError('deadline_exceeded', 'the deadline has passed', 504, 'unknown')), Math.max(0, remainingMs))
+    const timer = setTimeout(() => entry.stopActivity(this.buildDeadlineError()), Math.max(0, remainingMs))
     entry.updateState('run')
     const run = new PipelineRun(pipeline, {
       submission,
@@ -122,6 +124,10 @@
     }
   }
 
+  private buildDeadlineError (): RequestError {
+    return new RequestError('deadline_exceeded', 'the deadline has passed', 504, 'unknown')
+  }
+
   private handleHint (entry: RequestEntry, hint: ResumeHint): void {
     entry.hint = hint
     entry.updateState('stream')
@@ -144,7 +150,10 @@
     entry.isAbandonable = false
     if (!owned.accepted) owned = await this.register(entry, owned.epoch + 1, false, owned)
     const isSendable = (): boolean => decision.isFresh() && clock.readMonotonicMs() < deadlineAtMs
-    const end = await this.runOwned(entry, submission, deadlineAtMs, { ...owned, hint: undefined }, isSendable)
+    // The caller is answered at the deadline, but the outcome of a call that was sent is worth waiting for.
+    const timer = setTimeout(() => entry.close(buildErrorEnd(this.buildDeadlineError())), Math.max(0, deadlineAtMs - clock.readMonotonicMs()))
+    const end = await this.runOwned(entry, submission, deadlineAtMs + requestConstants.lateOutcomeMs, { ...owned, hint: undefined }, isSendable)
+    clearTimeout(timer)
     const settled: AnswerEnd = end.kind === 'error' && entry.newOwner !== undefined ? { ...end, code: 'outcome_unknown' } : end
     entry.newOwner = undefined
     this.recordOutcome(requestId, decision.recordOutcome({
--- a/src/node/server/__tests__/callerServer.test.ts
+++ b/src/node/server/__tests__/callerServer.test.ts
@@ -34,6 +34,7 @@
       { name: 'no id for a call that runs at most once', answer: await post({ kind: 'issue' }), status: 400, code: 'request_id_required' },
       { name: 'an id that is no UUIDv7', answer: await post({ kind: 'issue' }, { 'request-id': 'x' }), status: 400, code: 'request_id_invalid' },
       { name: 'an oversized body', answer: await post({ kind: 'tag', input: 'x'.repeat(1024 * 1024) }), status: 413, code: 'body_too_large' },
+      { name: 'an oversized body of unknown length', answer: await post('"' + 'x'.repeat(1024 * 1024), { 'transfer-encoding': 'chunked' }), status: 413, code: 'body_too_large' },
       { name: 'a body that stops halfway', answer: await post('{', { 'content-length': '10' }), status: 408, code: 'body_timeout' }
     ]
     for (const { name, answer, status, code } of cases) {
--- a/src/node/server/constants.ts
+++ b/src/node/server/constants.ts
@@ -22,5 +22,7 @@
   listenBacklog: 4096,
   /** Longer than the lifetime of a route answer, so that callers keep their connections. */
   keepAliveMs: 15_000,
-  idleCheckMs: 50
+  idleCheckMs: 50,
+  /** How often connections are checked for headers that do not come. */
+  connectionCheckMs: 2000
 } as const
--- a/src/node/server/createCallerServer.ts
+++ b/src/node/server/createCallerServer.ts
@@ -13,6 +13,7 @@
   const bodyTimeoutMs = options.bodyTimeoutMs ?? serverConstants.bodyTimeoutMs
   return createServer({
     headersTimeout: bodyTimeoutMs,
+    connectionsCheckingInterval: serverConstants.connectionCheckMs,
     // The body timeout answers with a typed error; this one only closes what is left after it.
     requestTimeout: 2 * bodyTimeoutMs,
     keepAliveTimeout: serverConstants.keepAliveMs,
