--- a/src/node/requests/requestDirectory.ts
+++ b/src/node/requests/requestDirectory.ts
@@ -1,11 +1,12 @@
 import { buildRequestKey } from './buildRequestKey.js'
 import { requestConstants } from './constants.js'
+import { ExpiryQueue } from './expiryQueue.js'
 import type { Registration } from './registration.js'
 import type { RegistrationResult } from './registrationResult.js'
 
 interface DirectoryEntry {
+  readonly key: string
   readonly registration: Registration
-  readonly updatedMs: number
 }
 
 const unknownRequest: RegistrationResult = { accepted: false, ownerId: '', epoch: 0, bodyHash: '', finished: false }
@@ -13,6 +14,7 @@
 /** The share of the request directory that this host holds. Soft state: owners register again when it moves. */
 export class RequestDirectory {
   private readonly entries = new Map<string, DirectoryEntry>()
+  private readonly queue = new ExpiryQueue<DirectoryEntry>()
 
   /**
    * Accepts a new request, news from the present owner, a newer epoch, and a takeover from the present
@@ -24,9 +26,9 @@
     if (present !== undefined && !this.isAcceptable(present, registration)) return this.buildResult(present, false)
     const hint = registration.hint ?? (present?.epoch === registration.epoch ? present.hint : undefined)
     const previousHint = present?.hint
-    // Re-inserted at the end, so that the map stays in order of age.
-    this.entries.delete(key)
-    this.entries.set(key, { registration: { ...registration, hint }, updatedMs: nowMs })
+    const entry = { key, registration: { ...registration, hint } }
+    this.entries.set(key, entry)
+    this.queue.add(entry, nowMs)
     this.removeExpired(nowMs)
     const accepted = this.buildResult({ ...registration, hint }, true)
     return registration.takeoverFrom === undefined ? accepted : { ...accepted, hint: previousHint ?? hint }
@@ -54,10 +56,13 @@
   }
 
   private removeExpired (nowMs: number): void {
-    for (const [key, entry] of this.entries) {
+    for (let oldest = this.queue.findOldest(); oldest !== undefined; oldest = this.queue.findOldest()) {
+      const { value, atMs } = oldest
+      const isLatest = this.entries.get(value.key) === value
       const isWithinBounds = this.entries.size <= requestConstants.maxDirectoryEntries
-      if (isWithinBounds && nowMs - entry.updatedMs < requestConstants.directoryEntryLifetimeMs) return
-      this.entries.delete(key)
+      if (isLatest && isWithinBounds && nowMs - atMs < requestConstants.directoryEntryLifetimeMs) return
+      this.queue.removeOldest()
+      if (isLatest) this.entries.delete(value.key)
     }
   }
 }
--- a/src/node/requests/requestEntry.ts
+++ b/src/node/requests/requestEntry.ts
@@ -1,12 +1,10 @@
-import { createActor } from 'xstate'
-import type { Actor } from 'xstate'
 import type { AnswerEnd } from './answerEnd.js'
 import { AnswerLog } from './answerLog.js'
 import { requestConstants } from './constants.js'
 import { RequestError } from './requestError.js'
 import type { RegistrationResult } from './registrationResult.js'
 import type { RequestIdentity } from './requestIdentity.js'
-import { requestMachine } from './requestMachine.js'
+import { requestTransitions } from './requestTransitions.js'
 import type { ResumeHint } from './resumeHint.js'
 
 /** One request on this host, which either owns it or relays the answer of its owner. */
@@ -22,19 +20,16 @@
   /** False while the work must go on even if nobody waits for it. */
   isAbandonable = true
   isCancelledByCaller = false
-  private lifecycle: Actor<typeof requestMachine> | undefined = createActor(requestMachine)
-  private endState = ''
-  private controller = new AbortController()
+  private lifecycleState = 'received'
+  private controller: AbortController | undefined
   private stopReason: RequestError | undefined
   private waiterCount = 0
   private abandonTimer: NodeJS.Timeout | undefined
 
-  constructor (readonly identity: RequestIdentity, private readonly abandonGraceMs: number = requestConstants.abandonGraceMs) {
-    this.lifecycle?.start()
-  }
+  constructor (readonly identity: RequestIdentity, private readonly abandonGraceMs: number = requestConstants.abandonGraceMs) {}
 
   get state (): string {
-    return this.lifecycle?.getSnapshot().value ?? this.endState
+    return this.lifecycleState
   }
 
   get isEnded (): boolean {
@@ -50,19 +45,26 @@
     return this.stopReason !== undefined
   }
 
-  updateState (event: 'admit' | 'run' | 'stream'): void {
-    this.lifecycle?.send({ type: event })
+  /** Events that the present state does not expect change nothing. */
+  updateState (event: 'admit' | 'run' | 'stream' | 'finish' | 'fail' | 'cancel'): void {
+    this.lifecycleState = requestTransitions.get(this.lifecycleState)?.get(event) ?? this.lifecycleState
   }
 
   /** Signal of the present activity, local execution or relay; a new one replaces the one before. */
   startActivity (): AbortSignal {
-    this.controller = new AbortController()
-    if (this.stopReason !== undefined) this.controller.abort(this.stopReason)
-    return this.controller.signal
+    const controller = new AbortController()
+    if (this.stopReason !== undefined) controller.abort(this.stopReason)
+    this.controller = controller
+    return controller.signal
   }
 
   stopActivity (reason: RequestError): void {
-    this.controller.abort(reason)
+    this.controller?.abort(reason)
+  }
+
+  /** Must be called when the activity has ended; finished entries are kept in number and stay small. */
+  removeActivity (): void {
+    this.controller = undefined
   }
 
   /** Ends the local execution because another host owns the request under a newer epoch. */
@@ -72,22 +74,19 @@
     // The new owner may be reading the very stream that this host reads; only another one is cancelled.
     const isStreamShared = owner.hint === undefined || owner.hint.streamId === this.hint?.streamId
     const code = isStreamShared ? requestConstants.supersededCode : 'replaced'
-    this.controller.abort(new RequestError(code, `host ${owner.ownerId} has taken the request over`, 503, 'unknown'))
+    this.controller?.abort(new RequestError(code, `host ${owner.ownerId} has taken the request over`, 503, 'unknown'))
   }
 
   /** Ends the request for good. */
   stop (reason: RequestError): void {
     this.stopReason ??= reason
-    this.controller.abort(reason)
+    this.controller?.abort(reason)
   }
 
   close (end: AnswerEnd): void {
     clearTimeout(this.abandonTimer)
     if (this.isEnded) return
-    this.lifecycle?.send({ type: end.kind === 'done' ? 'finish' : end.code === 'request_cancelled' ? 'cancel' : 'fail' })
-    // Finished entries are kept in number, so the actor does not stay with them.
-    this.endState = this.state
-    this.lifecycle = undefined
+    this.updateState(end.kind === 'done' ? 'finish' : end.code === 'request_cancelled' ? 'cancel' : 'fail')
     this.log.close(end)
   }
 
--- a/src/node/requests/requestExecutor.ts
+++ b/src/node/requests/requestExecutor.ts
@@ -29,7 +29,10 @@
       if (!(error instanceof RequestError)) this.options.logger.recordError('request failed', { requestId: submission.requestId, reason: String(error) })
       entry.close(buildErrorEnd(error))
     }
-    return this.reports.get(entry) ?? {}
+    entry.removeActivity()
+    const report = this.reports.get(entry) ?? {}
+    this.reports.delete(entry)
+    return report
   }
 
   /** Follows a request that runs at `ownerId`, for callers that only know its id. Never rejects. */
--- a/src/node/requests/requestRegistry.ts
+++ b/src/node/requests/requestRegistry.ts
@@ -1,11 +1,13 @@
 import { buildRequestKey } from './buildRequestKey.js'
 import { requestConstants } from './constants.js'
+import { ExpiryQueue } from './expiryQueue.js'
 import type { RequestEntry } from './requestEntry.js'
 
 /** The requests of this host: running ones, and finished ones for 60 s within a bound of bytes. */
 export class RequestRegistry {
   private readonly entries = new Map<string, RequestEntry>()
-  private readonly finished = new Map<string, { readonly entry: RequestEntry, readonly atMs: number }>()
+  private readonly finished = new Set<RequestEntry>()
+  private readonly queue = new ExpiryQueue<RequestEntry>()
   private readonly idleListeners = new Set<() => void>()
   private finishedBytes = 0
 
@@ -35,8 +37,9 @@
   /** Must be called when the answer of an entry has ended. */
   onFinished (entry: RequestEntry, nowMs: number): void {
     const key = buildRequestKey(entry.identity.account, entry.identity.requestId)
-    if (this.entries.get(key) !== entry) return
-    this.finished.set(key, { entry, atMs: nowMs })
+    if (this.entries.get(key) !== entry || this.finished.has(entry)) return
+    this.finished.add(entry)
+    this.queue.add(entry, nowMs)
     this.finishedBytes += entry.log.bytes + requestConstants.entryOverheadBytes
     this.removeExpired(nowMs)
     this.reportIdle()
@@ -50,9 +53,10 @@
 
   /** Forgets finished answers that are too old or, oldest first, beyond the bound of bytes. */
   removeExpired (nowMs: number): void {
-    for (const [key, { atMs }] of this.finished) {
-      if (nowMs - atMs < this.retentionMs && this.finishedBytes <= this.retentionBytes) return
-      this.removeKey(key)
+    for (let oldest = this.queue.findOldest(); oldest !== undefined; oldest = this.queue.findOldest()) {
+      if (nowMs - oldest.atMs < this.retentionMs && this.finishedBytes <= this.retentionBytes) return
+      this.queue.removeOldest()
+      this.remove(oldest.value)
     }
   }
 
@@ -63,9 +67,9 @@
   }
 
   private removeKey (key: string): void {
-    const finished = this.finished.get(key)
-    if (finished !== undefined) this.finishedBytes -= finished.entry.log.bytes + requestConstants.entryOverheadBytes
-    this.finished.delete(key)
+    const entry = this.entries.get(key)
+    if (entry === undefined) return
+    if (this.finished.delete(entry)) this.finishedBytes -= entry.log.bytes + requestConstants.entryOverheadBytes
     this.entries.delete(key)
   }
 
--- a/src/node/server/readBody.ts
+++ b/src/node/server/readBody.ts
@@ -3,10 +3,10 @@
 
 /** Reads a body within a bound of bytes and time. Rejects with `RequestError`. */
 export async function readBody (request: IncomingMessage, maxBytes: number, timeoutMs: number): Promise<string> {
-  const tooLarge = new RequestError('body_too_large', `the body is larger than ${maxBytes} bytes`, 413, 'not_run')
+  const buildTooLarge = (): RequestError => new RequestError('body_too_large', `the body is larger than ${maxBytes} bytes`, 413, 'not_run')
   if (Number(request.headers['content-length'] ?? 0) > maxBytes) {
     request.resume()
-    throw tooLarge
+    throw buildTooLarge()
   }
   return await new Promise((resolve, reject) => {
     const chunks: Buffer[] = []
@@ -20,7 +20,7 @@
     }
     const onData = (chunk: Buffer): void => {
       size += chunk.length
-      if (size > maxBytes) settle(() => reject(tooLarge))
+      if (size > maxBytes) settle(() => reject(buildTooLarge()))
       else chunks.push(chunk)
     }
     const onEnd = (): void => settle(() => resolve(Buffer.concat(chunks).toString('utf8')))
