--- a/src/node/limits/accountBudget.ts
+++ b/src/node/limits/accountBudget.ts
@@ -1,4 +1,3 @@
-import { computeBurst } from './computeBurst.js'
 import { limitConstants } from './constants.js'
 
 interface HostShare {
@@ -13,6 +12,8 @@
   readonly hostShare: number
   /** Hosts that this owner grants for; fewer than the listed ones in a partition. */
   readonly hosts: number
+  /** Requests that may be leased or saved up at one time by this owner. */
+  readonly burst: number
   readonly isHostSeen: (hostId: string) => boolean
 }
 
@@ -50,7 +51,7 @@
     this.updateBalance(limit, nowMs)
     const share = { held: report.held, demand: report.demand, expiresAtMs: nowMs + limitConstants.leaseMs, sequence: report.sequence }
     this.shares.set(report.hostId, share)
-    const room = computeBurst(limit.hostShare * limit.hosts) - this.countOutstanding(nowMs)
+    const room = limit.burst - this.countOutstanding(nowMs)
     this.balance = Math.min(this.balance + report.returned, Math.max(0, room))
     const amount = this.computeAmount(report, limit, nowMs)
     this.balance -= amount
@@ -87,7 +88,7 @@
     }
     const hosts = this.filledAtMs >= this.fullAtMs ? limit.hosts - silent : Math.min(reporting, limit.hosts)
     const rate = Math.max(0, hosts) * limit.hostShare
-    const room = Math.max(0, computeBurst(limit.hostShare * limit.hosts) - this.countOutstanding(nowMs))
+    const room = Math.max(0, limit.burst - this.countOutstanding(nowMs))
     this.balance = Math.min(room, this.balance + rate * Math.max(0, nowMs - this.filledAtMs) / 1000)
     this.filledAtMs = Math.max(this.filledAtMs, nowMs)
   }
@@ -107,7 +108,7 @@
     const need = Math.max(report.waiting, Math.ceil(expected + 2 * Math.sqrt(expected) - report.held), 0)
     let total = 0
     for (const share of this.shares.values()) if (share.expiresAtMs >= nowMs) total += share.demand
-    const isSmall = computeBurst(limit.hostShare * limit.hosts) < limitConstants.fewRequests
+    const isSmall = limit.burst < limitConstants.fewRequests
     const part = isSmall ? 0 : Math.floor(available * Math.min(1, 2 * report.demand / total))
     return Math.min(available, need, Math.max(part, report.waiting))
   }
--- a/src/node/limits/limitDriver.ts
+++ b/src/node/limits/limitDriver.ts
@@ -25,6 +25,11 @@
   readonly metrics: Metrics
 }
 
+interface CreditWaiter {
+  readonly sinceMs: number
+  readonly onAnswer: () => void
+}
+
 interface OwnerLink {
   isOpen: boolean
   isScheduled: boolean
@@ -40,7 +45,7 @@
   private readonly local: LocalLimiter
   private readonly ownership: LimitOwnership
   private readonly links = new Map<string, OwnerLink>()
-  private readonly waiting = new Map<string, Set<() => void>>()
+  private readonly waiting = new Map<string, Set<CreditWaiter>>()
   private sequence: number
   private cancels: ReadonlyArray<() => void> = []
 
@@ -89,11 +94,12 @@
       const waiters = this.waiting.get(account) ?? new Set()
       const onAnswer = (): void => {
         cancel()
-        waiters.delete(onAnswer)
+        waiters.delete(waiter)
         resolve()
       }
+      const waiter = { sinceMs: nowMs, onAnswer }
       const cancel = this.parts.scheduler.schedule(limitMs, onAnswer)
-      this.waiting.set(account, waiters.add(onAnswer))
+      this.waiting.set(account, waiters.add(waiter))
       this.scheduleReport(this.census.findOwner(account), limitConstants.waitingGapMs)
     })
   }
@@ -142,7 +148,7 @@
       for (const account of accounts) this.local.onReportFailed(account, clock.readMonotonicMs())
     } finally {
       link.isOpen = false
-      for (const account of accounts) this.removeWaiters(account)
+      for (const account of accounts) this.reportAnswer(account, owner, sentAtMs)
     }
   }
 
@@ -157,10 +163,14 @@
     for (const account of accounts) if (!answered.has(account)) this.local.onReportFailed(account, nowMs)
   }
 
-  private removeWaiters (account: string): void {
-    const waiters = this.waiting.get(account) ?? []
-    this.waiting.delete(account)
-    for (const onAnswer of waiters) onAnswer()
+  // Requests that came after the report was sent are not part of its answer; they wait for the next one.
+  private reportAnswer (account: string, owner: string, sentAtMs: number): void {
+    const waiters = this.waiting.get(account)
+    if (!waiters) return
+    const isCredited = this.local.hasToken(account, this.parts.clock.readMonotonicMs())
+    for (const waiter of [...waiters]) if (isCredited || waiter.sinceMs <= sentAtMs) waiter.onAnswer()
+    if (waiters.size > 0) this.scheduleReport(owner, limitConstants.waitingGapMs)
+    else this.waiting.delete(account)
   }
 
   private getLink (owner: string): OwnerLink {
--- a/src/node/limits/limitOwner.ts
+++ b/src/node/limits/limitOwner.ts
@@ -12,6 +12,8 @@
   readonly sequence: number
 }
 
+type BudgetLimit = Parameters<AccountBudget['grant']>[1]
+
 interface OwnerSource {
   /** Requests a second of the account's contract; undefined without a contract. */
   readonly findRate: (account: string) => number | undefined
@@ -35,10 +37,9 @@
 
   /** An account that nobody has used for some time starts with a full burst. */
   addIdleBudget (account: string, nowMs: number): void {
-    const rate = this.source.findRate(account)
-    if (rate === undefined) return
-    const burst = computeBurst(rate * this.source.countSeen() / this.source.countHosts())
-    this.budgets.set(account, new AccountBudget(burst, nowMs, nowMs))
+    const limit = this.computeLimit(account)
+    if (!limit) return
+    this.budgets.set(account, new AccountBudget(limit.burst, nowMs, nowMs))
     this.handedOver.delete(account)
   }
 
@@ -90,11 +91,14 @@
     for (const [account, { atMs }] of this.handedOver) if (nowMs - atMs > limitConstants.handedOverMs + limitConstants.budgetIdleMs) this.handedOver.delete(account)
   }
 
-  private computeLimit (account: string): { readonly hostShare: number, readonly hosts: number, readonly isHostSeen: (hostId: string) => boolean } | undefined {
+  // In a partition the sides share the burst, too.
+  private computeLimit (account: string): BudgetLimit | undefined {
     const rate = this.source.findRate(account)
     if (rate === undefined) return undefined
     const known = this.source.countHosts()
-    return { hostShare: rate / known, hosts: this.source.countSeen(), isHostSeen: this.source.isHostSeen }
+    const hosts = this.source.countSeen()
+    const burst = Math.max(1, computeBurst(rate) * hosts / known)
+    return { hostShare: rate / known, hosts, burst, isHostSeen: this.source.isHostSeen }
   }
 }
 
--- a/src/node/limits/limitOwnership.ts
+++ b/src/node/limits/limitOwnership.ts
@@ -47,7 +47,12 @@
   }
 
   private findOwner (account: string): string {
-    return this.owner.findNewOwner(account, this.clock.readMonotonicMs()) ?? this.census.findOwner(account)
+    // Views of the membership differ for a moment after each change; the host with the budget answers, so that
+    // the account does not move back and forth.
+    if (this.owner.hasBudget(account)) return this.membership.getSelf().id
+    const holder = this.owner.findNewOwner(account, this.clock.readMonotonicMs())
+    if (holder !== undefined && this.membership.find(holder)?.state !== 'leaving') return holder
+    return this.census.findOwner(account)
   }
 
   private grantEntry (entry: ReportEntry, hostId: string, sequence: number): RateLease {
