--- a/src/node/routing/constants.ts
+++ b/src/node/routing/constants.ts
@@ -19,8 +19,6 @@
   /** Least and largest share of the slots that long work leaves to short work. */
   shortReserve: 0.06,
   largestShortReserve: 0.6,
-  /** Slots kept for short work beyond its mean, in square roots of the mean (Poisson spread). */
-  shortSpread: 0.5,
   /** Extra latency of one more attempt at an upstream that does not report its slots. */
   loadWeight: 0.25,
   /** Predictions before the first observation. */
--- a/src/node/routing/upstreamPool.ts
+++ b/src/node/routing/upstreamPool.ts
@@ -92,7 +92,7 @@
     const size = this.selectable.length
     const ownShort = this.short.computeConcurrency(nowMs)
     const needed = ownShort * hosts / size
-    const reserve = Math.min(Math.max(needed + routingConstants.shortSpread * Math.sqrt(needed), slots * routingConstants.shortReserve), slots * routingConstants.largestShortReserve)
+    const reserve = Math.min(Math.max(needed, slots * routingConstants.shortReserve), slots * routingConstants.largestShortReserve)
     const unused = size * (slots - slots * routingConstants.shortReserve - this.meanOthers) - ownShort
     return Math.max(1, Math.floor(size * (slots - reserve) / hosts), Math.floor(unused))
   }
