fix(bench): contracts of the process benchmark fit their deadline, faults of the warm-up end the run

Admission expects the most tokens that a contract allows at first; 100,000 tokens under 60 s were refused as deadline_unreachable, and requests of one token were counted although they were refused.

--- a/playground/benchProcess/buildBenchExample.ts
+++ b/playground/benchProcess/buildBenchExample.ts
@@ -2,13 +2,18 @@
 import type { RequestKindSpec } from '../../src/types/requestKindSpec.js'
 import type { StageSpec } from '../../src/types/stageSpec.js'
 import type { ExampleDeployment } from '../examples/exampleDeployment.js'
+import { computeTokens } from './computeTokens.js'
 import { benchConstants } from './constants.js'
 
 const token = 'bench-account-example-token'
 const domains = ['bench-a', 'bench-b', 'bench-c', 'bench-d']
 
-/** A deployment of the benchmark with `hostCount` entry hosts, one engine process and links without delay. */
-export function buildBenchExample (hostCount: number): ExampleDeployment {
+/**
+ * A deployment of the benchmark with `hostCount` entry hosts, one engine process and links without
+ * delay. `seconds`: length of the longest stream.
+ */
+export function buildBenchExample (hostCount: number, seconds: number): ExampleDeployment {
+  const { pacedStepMs, fastStepMs } = benchConstants
   const engine = { slots: 2000, prefillMsPer1kChars: 0 }
   return {
     name: 'bench',
@@ -22,8 +27,8 @@
     hostList: {},
     weightStore: {},
     upstreams: [
-      { pool: 'paced', type: 'model-engine', count: 1, options: { ...engine, stepMs: benchConstants.pacedStepMs, tickMs: 1 } },
-      { pool: 'fast', type: 'model-engine', count: 1, options: { ...engine, stepMs: benchConstants.fastStepMs, tickMs: benchConstants.fastTickMs } },
+      { pool: 'paced', type: 'model-engine', count: 1, options: { ...engine, stepMs: pacedStepMs, tickMs: 1 } },
+      { pool: 'fast', type: 'model-engine', count: 1, options: { ...engine, stepMs: fastStepMs, tickMs: benchConstants.fastTickMs } },
       { pool: 'instant', type: 'model-engine', count: 1, options: { ...engine, stepMs: 1, tickMs: 1 } },
       { pool: 'pool', type: 'stage-pool', count: 1, options: { slots: 1000, serviceMs: 0 } },
       { pool: 'service', type: 'plain-service', count: 1, options: { slots: 1000, serviceMs: 0 } }
@@ -35,9 +40,9 @@
       requestsPerSecond: 100_000,
       tokensPerSecond: 10_000_000,
       kinds: {
-        paced: buildKind([buildGenerate('paced')]),
-        fast: buildKind([buildGenerate('fast')]),
-        instant: buildKind([buildGenerate('instant')]),
+        paced: buildKind([buildGenerate('paced', computeTokens(seconds, pacedStepMs))]),
+        fast: buildKind([buildGenerate('fast', computeTokens(seconds, fastStepMs))]),
+        instant: buildKind([buildGenerate('instant', 1)]),
         call: buildKind([{ name: 'call', operation: 'call', pool: 'service', after: [], serviceOperation: 'read' }]),
         chain: buildKind([
           { name: 'embed', operation: 'encode', pool: 'pool', after: [] },
@@ -51,8 +56,8 @@
   }
 }
 
-function buildGenerate (pool: string): StageSpec {
-  return { name: 'answer', operation: 'generate', pool, after: [], model: 'bench', maxTokens: 100_000 }
+function buildGenerate (pool: string, maxTokens: number): StageSpec {
+  return { name: 'answer', operation: 'generate', pool, after: [], model: 'bench', maxTokens }
 }
 
 function buildKind (stages: readonly StageSpec[]): RequestKindSpec {
--- a/playground/benchProcess/constants.ts
+++ b/playground/benchProcess/constants.ts
@@ -25,7 +25,8 @@
   shortConcurrency: 32,
   settleMs: 4000,
   idleMeasureMs: 8000,
-  deadlineMs: 60_000,
+  /** Long enough for the most tokens of a stream at the usual pace, which is what admission expects at first. */
+  deadlineMs: 600_000,
   /** Linux reports processor time in ticks of 10 ms. */
   tickMs: 10
 } as const
--- a/playground/benchProcess/main.ts
+++ b/playground/benchProcess/main.ts
@@ -40,7 +40,7 @@
       part,
       stopTimeoutMs,
       createDeployment: hostCount => {
-        const deployment = createBenchDeployment(hostCount)
+        const deployment = createBenchDeployment(hostCount, seconds)
         deployments.push(deployment)
         return deployment
       },
@@ -54,9 +54,9 @@
   })
 }
 
-function createBenchDeployment (hostCount: number): Deployment {
+function createBenchDeployment (hostCount: number, seconds: number): Deployment {
   return createDeployment({
-    example: buildBenchExample(hostCount),
+    example: buildBenchExample(hostCount, seconds),
     distDirectory: dirname(dirname(resolve(process.argv[1] as string))),
     // A stream takes one connection to its engine; the drain at the end is not part of the measurement.
     hostEnvironment: { LYCHEETRACK_MAX_CONNECTIONS_PER_UPSTREAM: '2048', LYCHEETRACK_ROUTE_LIFETIME_MS: '100' }
--- a/playground/benchProcess/runBench.ts
+++ b/playground/benchProcess/runBench.ts
@@ -35,7 +35,7 @@
 }
 
 async function runRelayPart (options: BenchOptions): ReturnType<typeof runRelay> {
-  const token = buildBenchExample(1).accounts[0]?.token ?? ''
+  const token = buildBenchExample(1, options.seconds).accounts[0]?.token ?? ''
   return runWith(options, 1, deployment => runRelay({ ...options, deployment, token }))
 }
 
--- a/playground/benchProcess/runRelay.ts
+++ b/playground/benchProcess/runRelay.ts
@@ -1,5 +1,6 @@
 import { Agent } from 'undici'
 import type { Deployment } from '../processes/deployment.js'
+import { BenchError } from './benchError.js'
 import type { BenchReport } from './benchReport.js'
 import type { BenchTarget } from './benchTarget.js'
 import { benchConstants } from './constants.js'
@@ -33,7 +34,8 @@
   const shortRequestMs: number[] = []
   const delays: DelayResult[] = []
   reportProgress('warm-up')
-  await runRelayVariant({ path: 'relayed', pace: 'paced', streams: 100 }, target, hostPid, 1)
+  const warmUp = await runRelayVariant({ path: 'relayed', pace: 'paced', streams: 100 }, target, hostPid, 1)
+  if (warmUp.faults.length > 0) throw new BenchError(`${warmUp.faults.length} of 100 answers of the warm-up were not whole, e.g. ${warmUp.faults[0]}`)
   await runShortRequests(target, hostPid)
   for (let round = 1; round <= rounds; round++) {
     for (const variant of variants) {
@@ -59,7 +61,8 @@
   const dispatcher = new Agent({ connections: shortConcurrency })
   const before = readProcessUsage(hostPid).processorMs
   await runMany(shortRequests, shortConcurrency, async () => {
-    await runStream({ target, dispatcher, kind: 'instant', tokenCount: 1, onTokens: () => {} })
+    const { fault } = await runStream({ target, dispatcher, kind: 'instant', tokenCount: 1, onTokens: () => {} })
+    if (fault !== undefined) throw new BenchError(`a request of one token was not answered whole: ${fault}`)
   })
   await dispatcher.destroy()
   return (readProcessUsage(hostPid).processorMs - before) / shortRequests
--- a/playground/benchProcess/runRelayVariant.ts
+++ b/playground/benchProcess/runRelayVariant.ts
@@ -2,6 +2,7 @@
 import { setTimeout as waitMs } from 'node:timers/promises'
 import { Agent } from 'undici'
 import type { BenchTarget } from './benchTarget.js'
+import { computeTokens } from './computeTokens.js'
 import { benchConstants } from './constants.js'
 import { readProcessUsage } from './readProcessUsage.js'
 import type { RelayResult } from './relayResult.js'
@@ -12,7 +13,7 @@
 /** Runs the streams of a variant once. `hostPid`: the entry-host process; `seconds`: length of a stream. */
 export async function runRelayVariant (variant: RelayVariant, target: BenchTarget, hostPid: number, seconds: number): Promise<RelayResult> {
   const { pacedStepMs, fastStepMs, spreadMs } = benchConstants
-  const tokenCount = Math.round(seconds * 1000 / (variant.pace === 'paced' ? pacedStepMs : fastStepMs))
+  const tokenCount = computeTokens(seconds, variant.pace === 'paced' ? pacedStepMs : fastStepMs)
   const dispatcher = new Agent({ keepAliveTimeout: 1000 })
   const rate = new TokenRate()
   const gaps = createHistogram()
