fix(requests): a fresh host does not refuse long work of unknown length

Cause: the predicted length of a generation not seen yet was its maximum (400 tokens, 12 s at 30 ms, deadline 11 s), and only finished work corrects the prediction, so a restarted host refused the log digests of an account for ever.

--- a/src/node/requests/constants.ts
+++ b/src/node/requests/constants.ts
@@ -45,6 +45,11 @@
   minimumLatencySamples: 10,
   prefixLength: 256,
   defaultMaxTokens: 256,
+  /**
+   * Predicted length of a generation that this host has not seen yet, as a share of its maximum. With the
+   * whole maximum a fresh host would refuse long work for ever, because only finished work corrects it.
+   */
+  unseenLengthShare: 0.5,
   handOverPullTimeoutMs: 5000,
   handOverTimeoutMs: 8000,
   registrationsAtOnce: 64,
--- a/src/node/requests/tokenModel.ts
+++ b/src/node/requests/tokenModel.ts
@@ -1,3 +1,5 @@
+import { requestConstants } from './constants.js'
+
 /** Predicts how many tokens a generation takes, from the past of the same account, kind and stage. */
 export class TokenModel {
   private readonly means = new Map<string, number>()
@@ -8,6 +10,6 @@
   }
 
   compute (stageKey: string, maxTokens: number): number {
-    return Math.min(maxTokens, Math.max(1, Math.round(this.means.get(stageKey) ?? maxTokens)))
+    return Math.min(maxTokens, Math.max(1, Math.round(this.means.get(stageKey) ?? maxTokens * requestConstants.unseenLengthShare)))
   }
 }
