--- a/playground/prove/history/__tests__/checkHistory.test.ts
+++ b/playground/prove/history/__tests__/checkHistory.test.ts
@@ -45,6 +45,29 @@
   t.end()
 })
 
+t.test('a refusal beside a submission of the same id that ran is judged by the order of both', t => {
+  const refused: RequestHistory = { ...call, outcome: 'refused', ran: 'not_run', startMs: 5, endMs: 15 }
+  t.same(listInvariants({ requests: [call, refused], executions: [run] }), [])
+  t.same(listInvariants({ requests: [call, { ...refused, startMs: 11 }], executions: [run] }), ['not_run_is_true'])
+  t.same(listInvariants({ requests: [refused, refused], executions: [run] }), ['not_run_is_true', 'not_run_is_true'])
+  t.end()
+})
+
+t.test('catches a planted second run under a new id of the same call', t => {
+  const again: RequestHistory = { ...call, requestId: 'r2', earlierRequestIds: ['r1'] }
+  t.same(listInvariants({ requests: [{ ...call, outcome: 'refused', ran: 'unknown' }, again], executions: [run, { ...run, requestId: 'r2' }] }), ['at_most_once'])
+  t.end()
+})
+
+t.test('catches a planted revision that comes into force too late', t => {
+  const inForceExpectations = [{ hostId: 'host-1', account: 'pier', revision: 5, byMs: 10 }]
+  const observation = { hostId: 'host-1', incarnation: 1, account: 'pier', revision: 5, atMs: 9 }
+  t.same(listInvariants({ inForceExpectations, revisions: [observation] }), [])
+  t.same(listInvariants({ inForceExpectations, revisions: [{ ...observation, atMs: 11 }] }), ['in_force_in_time'])
+  t.same(listInvariants({ inForceExpectations, revisions: [{ ...observation, revision: 4 }] }), ['in_force_in_time'])
+  t.end()
+})
+
 t.test('catches planted work for a leaving upstream', t => {
   t.same(listInvariants({ requests: [call], executions: [{ ...run, startMs: 4000 }], leavingUpstreams: [{ upstreamId: 'bell-1', leavingAtMs: 500 }] }), ['no_work_for_leaving_upstreams'])
   t.end()
--- /dev/null
+++ b/playground/prove/proofs/configuration.ts
@@ -0,0 +1,102 @@
+import { setTimeout as waitMs } from 'node:timers/promises'
+import { proveConstants } from '../constants.js'
+import type { Proof } from '../proof.js'
+import type { ProofRun } from '../run/proofRun.js'
+import type { EntryHostProcess } from '../../processes/entryHostProcess.js'
+
+const keyValue = 'key-value-service'
+const account = 'varna-pilots'
+const outageMs = 4000
+
+/** Two operators change one contract at the same time at two hosts; resolves with the highest accepted revision. */
+async function writeTwice (run: ProofRun, hosts: readonly EntryHostProcess[] = run.hosts): Promise<number> {
+  const base = Math.max(0, ...await Promise.all(hosts.map(async host => await run.operators.readRevision(host, account) ?? 0)))
+  const first = run.chooseOne(hosts)
+  const second = run.chooseOne(hosts.filter(host => host !== first))
+  const accepted = await Promise.all([run.operators.writeChange(first, account, 'first', base), run.operators.writeChange(second, account, 'second', base)])
+  return Math.max(0, ...accepted.map(revision => revision ?? 0))
+}
+
+/** Changes at random moments until one is accepted; resolves with its revision. */
+async function writeUntilAccepted (run: ProofRun, rounds: number, hosts?: readonly EntryHostProcess[]): Promise<number> {
+  let highest = 0
+  for (let round = 0; round < rounds; round++) {
+    highest = Math.max(highest, await writeTwice(run, hosts))
+    await waitMs(300 * run.random())
+  }
+  if (highest === 0) run.addViolation({ invariant: 'proof_is_meaningful', subject: account, detail: 'no change was accepted', trace: [] })
+  return highest
+}
+
+/** Accepted contract changes come into force everywhere and stay. */
+export const configuration: Proof = {
+  name: 'configuration',
+  summary: 'accepted contract changes are in force on every live host within 5 s and never revert, whatever prevented it for a while',
+  mechanisms: {
+    'version-check': 'a proxy in front of the key-value service makes every write succeed',
+    convergence: 'one host stays frozen while the change must come into force'
+  },
+  scenarios: [{
+    name: 'two operators at once, and lost write answers',
+    runFaults: async run => {
+      await run.operators.waitInForce(account, await writeUntilAccepted(run, 6))
+      run.recordFault('write answers lost')
+      await run.deployment.setFaults(keyValue, { loseAnswers: 0.5 })
+      const revision = await writeUntilAccepted(run, 4)
+      await run.deployment.setFaults(keyValue, {})
+      if (run.isWithout('convergence')) run.deployment.freeze(run.hosts[0]!.id)
+      await run.operators.waitInForce(account, revision)
+    }
+  }, {
+    name: 'outage during and after the change, and a host that starts in it',
+    runFaults: async run => {
+      const starting = run.chooseHost()
+      const others = run.hosts.filter(host => host !== starting)
+      const [revision] = await Promise.all([
+        writeUntilAccepted(run, 3, others),
+        waitMs(100 * run.random()).then(() => run.deployment.kill(starting.id))
+      ])
+      run.recordFault(`${starting.id} killed, outage of the key-value service`)
+      await run.deployment.setFaults(keyValue, { outage: true })
+      const during = writeTwice(run, others)
+      await run.deployment.startOne(starting.id)
+      run.recordFault(`${starting.id} started in the outage`)
+      await run.operators.waitInForce(account, revision)
+      await during
+      await run.setFaults([keyValue], { outage: true }, outageMs)
+      await run.operators.waitInForce(account, await writeUntilAccepted(run, 2))
+      // An outage that begins while a change is under way.
+      const changing = writeTwice(run)
+      await waitMs(20 * run.random())
+      await run.setFaults([keyValue], { outage: true }, outageMs)
+      await run.operators.waitInForce(account, Math.max(revision, await changing))
+    }
+  }, {
+    name: 'a host frozen across two changes',
+    runFaults: async run => {
+      await waitMs(1000)
+      const frozen = run.chooseHost()
+      const others = run.hosts.filter(host => host !== frozen)
+      const thaw = run.freezeHost(frozen.id, proveConstants.freezeMs)
+      await waitMs(300)
+      await writeUntilAccepted(run, 1, others)
+      await waitMs(1500)
+      const revision = await writeUntilAccepted(run, 1, others)
+      await thaw
+      await run.operators.waitInForce(account, revision)
+    }
+  }, {
+    name: 'hosts cut off from the key-value service but not from each other',
+    runFaults: async run => {
+      await waitMs(1000)
+      const cut = run.hosts.slice(0, 2)
+      const others = run.hosts.slice(2)
+      run.recordFault(`${cut.map(host => host.id).join(', ')} cut off from the key-value service`)
+      await run.deployment.setFaults(keyValue, { cutFrom: cut.map(host => host.id) })
+      // The cut hosts learn of the change from their peers, so the end of the cut is not waited for.
+      await run.operators.waitInForce(account, await writeUntilAccepted(run, 3, others))
+      await run.deployment.setFaults(keyValue, {})
+      await run.operators.waitInForce(account, await writeUntilAccepted(run, 3))
+    }
+  }]
+}
--- a/playground/prove/run/checkExpectations.ts
+++ b/playground/prove/run/checkExpectations.ts
@@ -17,6 +17,7 @@
     const isAllowed = record.outcome === 'whole' || allowedCodes.includes(record.code ?? '')
     if (settings.answersIdempotent !== false && isIdempotent(record) && !isAllowed && record.code !== 'caller_no_answer') add('idempotent_requests_answered', record, `an idempotent request ended with ${record.code}`)
     if (settings.forbidsUnknown && record.outcome !== 'whole' && record.ran !== 'not_run') add('no_unknown_without_fault', record, `ended with ${record.code}, ran ${record.ran}`)
+    if (settings.forbidsCutStreams && record.restartCount + record.rejoinCount > 0) add('streams_not_cut', record, `${record.rejoinCount} rejoins, ${record.restartCount} restarts`)
     if (settings.forbidsInterruption && record.outcome !== 'whole') add('planned_stop_is_seamless', record, `ended with ${record.code}`)
     if (settings.forbidsInterruption && record.outcome === 'whole' && record.rejoinCount + record.retryCount + record.restartCount > 0) {
       add('planned_stop_is_seamless', record, `${record.rejoinCount} rejoins, ${record.retryCount} retries, ${record.restartCount} restarts`)
--- a/playground/prove/run/proofRun.ts
+++ b/playground/prove/run/proofRun.ts
@@ -157,6 +157,11 @@
     this.recordFault(`faults cleared at ${ids.join(', ')}`)
   }
 
+  /** Upstreams of a pool that were not told to leave. */
+  listStaying (pool: string): readonly string[] {
+    return this.deployment.listUpstreams(pool).filter(id => !this.leaving.some(({ upstreamId }) => upstreamId === id))
+  }
+
   /** Tells an upstream to leave; without its signals it goes on taking work. */
   async setLeaving (id: string): Promise<void> {
     this.recordFault(`${id} told to leave`)
--- a/playground/prove/scenarioSettings.ts
+++ b/playground/prove/scenarioSettings.ts
@@ -15,6 +15,8 @@
   readonly answersIdempotent?: boolean
   /** No call may end with an unknown outcome. @default false */
   readonly forbidsUnknown?: boolean
+  /** No answer is begun anew and no connection breaks. @default false */
+  readonly forbidsCutStreams?: boolean
   /** Nothing fails, nothing is refused and no connection is cut. @default false */
   readonly forbidsInterruption?: boolean
 }
