--- a/playground/fakes/requestTestHost.ts
+++ b/playground/fakes/requestTestHost.ts
@@ -76,7 +76,7 @@
       metrics,
       logger: quietLogger,
       requests: this.requests,
-      admin: { handle: async request => ({ status: 200, body: { path: request.path, body: request.body } }) },
+      admin: { handle: async request => ({ status: 200, body: { type: 'json', value: { path: request.path, body: request.body } } }) },
       operatorToken: 'operator-token',
       listUnreadyReasons: () => this.unreadyReasons,
       chooseRouteHosts: hosts => chooseRouteHosts(hosts, 4, createSeededRandom(2)),
--- a/src/node/app/createEntryHost.ts
+++ b/src/node/app/createEntryHost.ts
@@ -5,6 +5,7 @@
 import { createBurnReporter } from '../burn/createBurnReporter.js'
 import { createClaimService } from '../claims/createClaimService.js'
 import type { RunningHost } from '../cli/runningHost.js'
+import { createAdminHandler } from '../contracts/admin/createAdminHandler.js'
 import { createContracts } from '../contracts/createContracts.js'
 import { createLogger } from '../logging/createLogger.js'
 import { createMembership } from '../membership/createMembership.js'
@@ -21,7 +22,6 @@
 import { HostListPoller } from '../upstreams/hostListPoller.js'
 import { UpstreamSet } from '../upstreams/upstreamSet.js'
 import type { ContractView } from '../../types/contractView.js'
-import { ContractAdminHandler } from './contractAdminHandler.js'
 import { EntryHost } from './entryHost.js'
 import { resolveListenAddress } from './resolveListenAddress.js'
 
@@ -98,11 +98,21 @@
     finishedRetentionMs: settings.answerRetentionMs,
     finishedRetentionBytes: settings.answerRetentionBytes
   })
+  const admin = createAdminHandler({
+    contracts,
+    membership,
+    logger,
+    startDrain: async () => {
+      host.drain()
+      return { state: membership.getSelf().state }
+    },
+    readBurn: async () => await burn.readReport()
+  })
   const server = createCallerServer({
     contracts: contracts.store,
     membership,
     requests,
-    admin: new ContractAdminHandler(contracts),
+    admin,
     metrics,
     logger,
     operatorToken: settings.operatorToken,
--- a/src/node/contracts/validateStages.ts
+++ b/src/node/contracts/validateStages.ts
@@ -15,7 +15,7 @@
   const cyclic = findCyclicStages(stages)
   return stages.flatMap((stage, i) => [
     ...validateLinks(`${path}.${i}`, stage, names, stages.slice(0, i)),
-    ...validateOperation(`${path}.${i}`, stage, stages.length),
+    ...validateOperation(`${path}.${i}`, stage),
     ...(cyclic.has(stage.name) ? [{ path: `${path}.${i}.after`, message: `stage ${stage.name} is part of a cycle` }] : [])
   ])
 }
@@ -30,7 +30,7 @@
   return faults
 }
 
-function validateOperation (path: string, stage: DraftStage, stageCount: number): readonly ContractFault[] {
+function validateOperation (path: string, stage: DraftStage): readonly ContractFault[] {
   const faults: ContractFault[] = []
   const validateField = (field: 'model' | 'maxTokens' | 'serviceOperation', operation: string): void => {
     const isSet = stage[field] !== undefined
@@ -40,7 +40,6 @@
   validateField('model', 'generate')
   validateField('maxTokens', 'generate')
   validateField('serviceOperation', 'call')
-  if (stage.operation === 'call' && stageCount > 1) faults.push({ path: `${path}.operation`, message: 'a call is the only stage of its kind' })
   return faults
 }
 
--- a/src/node/requests/constants.ts
+++ b/src/node/requests/constants.ts
@@ -37,6 +37,8 @@
   freezeCheckMs: 250,
   /** Epochs number their generations apart, so that tokens of two owners are never mixed. */
   generationsPerEpoch: 64,
+  /** Code of an abort that leaves the upstream work to another host. */
+  supersededCode: 'superseded',
   outcomeRecordTimeoutMs: 2000,
   minimumBudgetMs: 50,
   latencySamples: 128,
@@ -44,14 +46,14 @@
   budgetQuantile: 0.95,
   minimumLatencySamples: 10,
   prefixLength: 256,
+  /** Predicted length of a generation without any past, as a share of its maximum. */
+  initialTokenShare: 0.5,
   defaultMaxTokens: 256,
-  /**
-   * Predicted length of a generation that this host has not seen yet, as a share of its maximum. With the
-   * whole maximum a fresh host would refuse long work for ever, because only finished work corrects it.
-   */
-  unseenLengthShare: 0.5,
   handOverPullTimeoutMs: 5000,
   handOverTimeoutMs: 8000,
   registrationsAtOnce: 64,
-  cancelTimeoutMs: 1000
+  cancelTimeoutMs: 1000,
+  routeLifetimeMs: 5000,
+  /** Covers clock differences and answers on their way to callers. */
+  leavingMarginMs: 1000
 } as const
--- a/src/node/routing/latencyModel.ts
+++ b/src/node/routing/latencyModel.ts
@@ -6,23 +6,34 @@
  */
 export class LatencyModel {
   private baseMs: number
+  private recentMs: number
   private observed = 0
   private risenMs = 0
   private tail = 2
 
   constructor (initialMs: number) {
     this.baseMs = initialMs
+    this.recentMs = initialMs
   }
 
   getBaseMs (): number {
     return this.baseMs
   }
 
-  /** 95th percentile of latency relative to the prediction. */
+  /** 99th percentile of latency relative to the prediction. */
   getTailRatio (): number {
     return this.tail
   }
 
+  /** Mean latency of late, full batches included; never below the base. */
+  getRecentMs (): number {
+    return Math.max(this.baseMs, this.recentMs)
+  }
+
+  observeRecent (ms: number): void {
+    this.recentMs += 0.05 * (Math.min(ms, this.baseMs * 3) - this.recentMs)
+  }
+
   observeBase (ms: number, nowMs: number): void {
     this.observed++
     if (this.observed === 1) {
@@ -41,7 +52,7 @@
   }
 
   observeTail (ratio: number): void {
-    this.tail *= ratio > this.tail ? 1 + 0.05 * 0.95 : 1 - 0.05 * 0.05
-    this.tail = Math.min(Math.max(this.tail, 1.15), 4)
+    this.tail *= ratio > this.tail ? 1 + 0.05 * 0.99 : 1 - 0.05 * 0.01
+    this.tail = Math.min(Math.max(this.tail, routingConstants.leastHedgeRatio), routingConstants.largestHedgeRatio)
   }
 }
--- a/src/node/routing/stageRouterCore.ts
+++ b/src/node/routing/stageRouterCore.ts
@@ -19,7 +19,10 @@
 import { WorkTable } from './workTable.js'
 
 /** A running attempt must be predicted to take this many times the time of a new one to be hedged. */
-const hedgeGain = 1.2
+const hedgeGain = 1.5
+
+/** Tokens added to the count, so that the time since the last token does not pass for a slow pace. */
+const spareTokens = 4
 
 /** The routing core; see createStageRouter. */
 export class StageRouterCore implements RoutingCore {
@@ -47,6 +50,7 @@
     if (pool === undefined || pool.selectable.length === 0) return undefined
     const model = pool.getModel(work.operation, work.model)
     const long = isLong(model, work)
+    if (long && isHopeless(model, work, nowMs)) return undefined
     if (long && pool.long.getAttempts() >= pool.computeLongLimit(this.countHosts(), nowMs)) {
       pool.parked.add(work.workId, model.computeServiceMs(work.cost), work.deadlineMs)
       return undefined
@@ -67,8 +71,9 @@
     const serviceMs = model.computeServiceMs(work.cost)
     const candidate = this.chooser.computeCandidate(pool, model, work, view, nowMs)
     const predictedMs = serviceMs + candidate.waitMs
-    view.addAttempt(work.workId, createRecord(work, long, predictedMs, candidate.waitMs, nowMs), nowMs)
-    if (this.works.onSent(work.workId, view)) this.budget.addWork(serviceMs, nowMs)
+    const takenMs = this.works.onSent(work.workId, view)
+    if (takenMs === undefined) this.budget.addWork(serviceMs, nowMs)
+    view.addAttempt(work.workId, createRecord(work, long, predictedMs, candidate.waitMs, takenMs ?? 0, nowMs), nowMs)
     pool.parked.remove(work.workId)
     pool.getLane(long).onSent(nowMs)
     pool.observeService(serviceMs)
@@ -90,6 +95,7 @@
     if (view === undefined || pool === undefined || attempt === undefined) return
     this.works.onEnded(work.workId, view, outcome)
     const model = pool.getModel(work.operation, work.model)
+    if (outcome === 'cancelled') this.budget.addUnused(attempt.takenMs * computeUndone(attempt, model, elapsedMs))
     this.observer.observeEnd(pool, view, attempt, model, outcome, elapsedMs, nowMs)
     pool.getLane(attempt.long).onEnded(attempt.firstMs > 0, nowMs)
     this.table.removeIdle(view)
@@ -117,15 +123,17 @@
 
   admitRetry (work: StageWork): boolean {
     const repeatsNothing = this.works.takeRefused(work.workId)
-    if (!repeatsNothing && !this.budget.admitRetry(this.computeWorkMs(work))) return false
-    this.works.addRepeat(work.workId)
+    const workMs = repeatsNothing ? 0 : this.computeWorkMs(work)
+    if (!repeatsNothing && !this.budget.admitRetry(workMs)) return false
+    this.works.addRepeat(work.workId, workMs)
     return true
   }
 
   admitHedge (work: StageWork, nowMs: number): boolean {
     if (!work.idempotent || !this.isHedgeUseful(work, nowMs)) return false
-    if (!this.budget.admitHedge(this.computeWorkMs(work))) return false
-    this.works.addRepeat(work.workId)
+    const workMs = this.computeWorkMs(work)
+    if (!this.budget.admitHedge(workMs)) return false
+    this.works.addRepeat(work.workId, workMs)
     return true
   }
 
@@ -133,9 +141,9 @@
     const pool = this.table.findPool(poolName)
     if (pool === undefined) return { serviceMs: 0, waitMs: 0 }
     const model = pool.getModel(operation, modelName)
-    const serviceMs = model.computeServiceMs(cost)
+    const serviceMs = model.computeLoadedMs(cost)
     const startMs = model.streaming ? model.first.getBaseMs() : serviceMs
-    if (serviceMs < routingConstants.longWorkMs) return { serviceMs, waitMs: pool.short.computeWaitMs(startMs, nowMs) }
+    if (model.computeServiceMs(cost) < routingConstants.longWorkMs) return { serviceMs, waitMs: pool.short.computeWaitMs(startMs, nowMs) }
     const limit = pool.computeLongLimit(this.countHosts(), nowMs)
     return { serviceMs, waitMs: pool.long.computeWaitMs(startMs, nowMs) + pool.parked.computeServiceMs(nowMs) / limit }
   }
@@ -165,18 +173,29 @@
   private isOnTime (view: UpstreamView, work: StageWork, model: OperationModel, nowMs: number): boolean {
     const attempt = view.attempts.get(work.workId)
     if (attempt === undefined || attempt.tokens === 0) return false
-    const meanPaceMs = (nowMs - attempt.firstMs) / attempt.tokens
+    const meanPaceMs = (nowMs - attempt.firstMs) / (attempt.tokens - attempt.firstTokens + spareTokens)
     const paceMs = Math.max(meanPaceMs, model.perCost.getBaseMs() * view.speed.getRatio())
     return paceMs * Math.max(0, work.cost - attempt.tokens) < model.computeServiceMs(work.cost) * hedgeGain
   }
 }
 
+/** Share of a cancelled attempt that has not been done. */
+function computeUndone (attempt: AttemptRecord, model: OperationModel, elapsedMs: number): number {
+  const done = model.streaming ? attempt.tokens / attempt.cost : elapsedMs / Math.max(model.computeServiceMs(attempt.cost), 0.01)
+  return Math.max(0, 1 - done)
+}
+
 function isLong (model: OperationModel, work: StageWork): boolean {
   return model.computeServiceMs(work.cost) >= routingConstants.longWorkMs
 }
 
-function createRecord (work: StageWork, long: boolean, predictedMs: number, waitMs: number, nowMs: number): AttemptRecord {
-  return { sentMs: nowMs, cost: work.cost, long, predictedMs, waitMs, firstMs: 0, firstTokens: 0, sampledMs: 0, sampledTokens: 0, tokens: 0 }
+/** Work that cannot meet its deadline even on an idle upstream would only take slots from other work. */
+function isHopeless (model: OperationModel, work: StageWork, nowMs: number): boolean {
+  return nowMs + model.computeServiceMs(work.cost) > work.deadlineMs
+}
+
+function createRecord (work: StageWork, long: boolean, predictedMs: number, waitMs: number, takenMs: number, nowMs: number): AttemptRecord {
+  return { sentMs: nowMs, cost: work.cost, long, predictedMs, waitMs, takenMs, firstMs: 0, firstTokens: 0, sampledMs: 0, sampledTokens: 0, tokens: 0 }
 }
 
 function buildProbe (probe: Candidate, model: OperationModel, work: StageWork): UpstreamChoice {
--- a/src/types/adminRequest.ts
+++ b/src/types/adminRequest.ts
@@ -1,11 +1,15 @@
-/** An authenticated call to the administration API. */
+/** A parsed request of the administration API; the operator's token has been checked. */
 export interface AdminRequest {
-  readonly method: string
-  /** Path with its `/admin/v1` prefix and without the query. */
+  readonly method: 'GET' | 'PUT' | 'POST' | 'DELETE'
+  /** Path without the query, percent-encoded, e.g. `/admin/v1/contracts/pier`. */
   readonly path: string
-  /** Header names are in lower case. */
-  readonly headers: Readonly<Record<string, string>>
   readonly query: Readonly<Record<string, string>>
-  /** Parsed JSON; undefined when the call has no body. */
-  readonly body: unknown
+  /** Value of the `If-Match` header. */
+  readonly ifMatch?: string
+  /** Parsed JSON body. */
+  readonly body?: unknown
+  /** Name of the operator, as the token identifies it. */
+  readonly operator: string
+  /** Aborts when the connection closes. */
+  readonly signal: AbortSignal
 }
--- a/src/types/adminResponse.ts
+++ b/src/types/adminResponse.ts
@@ -1,10 +1,6 @@
-/** Answer of the administration API. */
+/** Answer of the administration API: one JSON value, or a stream of values sent as NDJSON. */
 export interface AdminResponse {
   readonly status: number
   readonly headers?: Readonly<Record<string, string>>
-  /**
-   * A JSON value, or an async iterable of JSON values that is sent as NDJSON. A string is sent as it is
-   * when the headers name a content type other than JSON.
-   */
-  readonly body: unknown
+  readonly body: { readonly type: 'json', readonly value: unknown } | { readonly type: 'lines', readonly lines: AsyncIterable<unknown> }
 }
