--- a/playground/processes/deployment.ts
+++ b/playground/processes/deployment.ts
@@ -97,6 +97,11 @@
     return this.placements.filter(placement => pool === undefined ? placement.pool !== undefined : placement.pool === pool).map(placement => placement.options.id)
   }
 
+  /** Ids of the upstreams of a failure domain. */
+  listUpstreamsIn (failureDomain: string): readonly string[] {
+    return this.placements.filter(placement => placement.pool !== undefined && placement.failureDomain === failureDomain).map(placement => placement.options.id)
+  }
+
   /** Address (`ip:port`) of a stand-in. */
   getAddress (standInId: string): string {
     const address = this.standIns.map(standIn => standIn.listAddresses().get(standInId)).find(found => found !== undefined)
--- a/playground/prove/operators/operators.ts
+++ b/playground/prove/operators/operators.ts
@@ -1,13 +1,18 @@
 import { setTimeout as waitMs } from 'node:timers/promises'
 import { Agent, request } from 'undici'
+import type { Random } from '../../../src/types/random.js'
 import type { Contract } from '../../../src/types/contract.js'
 import type { ExampleDeployment } from '../../examples/exampleDeployment.js'
+import { ProcessError } from '../../processes/processError.js'
 import type { EntryHostProcess } from '../../processes/entryHostProcess.js'
 import { proveConstants } from '../constants.js'
 import type { AcceptedChange } from '../history/acceptedChange.js'
 import type { InForceExpectation } from '../history/inForceExpectation.js'
 import type { RevisionObservation } from '../history/revisionObservation.js'
 
+/** A host that was cut off for 10 s takes no change until it has confirmed its contracts. */
+const largestTries = 20
+
 /** Changes contracts as operators do, and polls each host for the revision in force there. */
 export class Operators {
   readonly changes: AcceptedChange[] = []
@@ -44,6 +49,31 @@
     return acceptedRevision
   }
 
+  /**
+   * Two operators change one contract at the same time at two hosts, on the basis of the revision that is
+   * in force there. Resolves with the highest accepted revision, 0 when none was.
+   */
+  async writeTwice (hosts: readonly EntryHostProcess[], account: string, random: Random): Promise<number> {
+    const base = Math.max(0, ...await Promise.all(hosts.map(async host => await this.readRevision(host, account) ?? 0)))
+    const start = Math.floor(random() * hosts.length)
+    const pair = [hosts[start], hosts[(start + 1) % hosts.length]] as const
+    const accepted = await Promise.all(pair.map((host, index) => this.writeChange(host as EntryHostProcess, account, `operator ${index + 1}`, base)))
+    return Math.max(0, ...accepted.map(revision => revision ?? 0))
+  }
+
+  /** Writes like `writeTwice` until a change is accepted, then expects it in force on `live` hosts within 5 s. */
+  async writeUntilInForce (hosts: readonly EntryHostProcess[], account: string, random: Random, live = hosts): Promise<number> {
+    for (let tries = 0; tries < largestTries; tries++) {
+      const revision = await this.writeTwice(hosts, account, random)
+      if (revision > 0) {
+        await this.waitInForce(account, revision, live)
+        return revision
+      }
+      await waitMs(300)
+    }
+    throw new ProcessError(`no change of ${account} was accepted in ${largestTries} tries`)
+  }
+
   /** Revision in force at a host; undefined when the host does not answer. */
   async readRevision (host: EntryHostProcess, account: string): Promise<number | undefined> {
     this.polled.add(account)
--- a/playground/prove/proofs/configuration.ts
+++ b/playground/prove/proofs/configuration.ts
@@ -8,20 +8,11 @@
 const account = 'varna-pilots'
 const outageMs = 4000
 
-/** Two operators change one contract at the same time at two hosts; resolves with the highest accepted revision. */
-async function writeTwice (run: ProofRun, hosts: readonly EntryHostProcess[] = run.hosts): Promise<number> {
-  const base = Math.max(0, ...await Promise.all(hosts.map(async host => await run.operators.readRevision(host, account) ?? 0)))
-  const first = run.chooseOne(hosts)
-  const second = run.chooseOne(hosts.filter(host => host !== first))
-  const accepted = await Promise.all([run.operators.writeChange(first, account, 'first', base), run.operators.writeChange(second, account, 'second', base)])
-  return Math.max(0, ...accepted.map(revision => revision ?? 0))
-}
-
 /** Changes at random moments until one is accepted; resolves with its revision. */
 async function writeUntilAccepted (run: ProofRun, rounds: number, hosts?: readonly EntryHostProcess[]): Promise<number> {
   let highest = 0
   for (let round = 0; round < rounds; round++) {
-    highest = Math.max(highest, await writeTwice(run, hosts))
+    highest = Math.max(highest, await run.operators.writeTwice(hosts ?? run.hosts, account, run.random))
     await waitMs(300 * run.random())
   }
   if (highest === 0) run.addViolation({ invariant: 'proof_is_meaningful', subject: account, detail: 'no change was accepted', trace: [] })
@@ -58,15 +49,15 @@
       ])
       run.recordFault(`${starting.id} killed, outage of the key-value service`)
       await run.deployment.setFaults(keyValue, { outage: true })
-      const during = writeTwice(run, others)
+      const during = run.operators.writeTwice(others, account, run.random)
       await run.deployment.startOne(starting.id)
       run.recordFault(`${starting.id} started in the outage`)
       await run.operators.waitInForce(account, revision)
       await during
       await run.setFaults([keyValue], { outage: true }, outageMs)
-      await run.operators.waitInForce(account, await writeUntilAccepted(run, 2))
+      await run.operators.writeUntilInForce(run.hosts, account, run.random)
       // An outage that begins while a change is under way.
-      const changing = writeTwice(run)
+      const changing = run.operators.writeTwice(run.hosts, account, run.random)
       await waitMs(20 * run.random())
       await run.setFaults([keyValue], { outage: true }, outageMs)
       await run.operators.waitInForce(account, Math.max(revision, await changing))
--- /dev/null
+++ b/playground/prove/proofs/refusals.ts
@@ -0,0 +1,37 @@
+import { setTimeout as waitMs } from 'node:timers/promises'
+import type { Proof } from '../proof.js'
+
+const keyValue = ['key-value-service']
+
+/** What is refused as not run did not run. */
+export const refusals: Proof = {
+  name: 'refusals',
+  summary: 'everything that is refused as not run during kills, cuts and outages is compared with the execution logs',
+  mechanisms: { 'honest-upstreams': 'plain services run some calls and then refuse them' },
+  scenarios: [{
+    name: 'outages and cuts while hosts die',
+    raceShare: 0.3,
+    answersIdempotent: false,
+    runFaults: async run => {
+      if (run.isWithout('honest-upstreams')) await Promise.all(run.deployment.listUpstreams('bell-control').map(id => run.deployment.setFaults(id, { refuseAfterRun: 0.9 })))
+      await waitMs(2000)
+      await run.setFaults(keyValue, { outage: true }, 2500)
+      await Promise.all([run.killHost(run.chooseHost().id, 1500), run.setFaults(keyValue, { outage: true }, 1500)])
+      await run.setFaults(keyValue, { cutFrom: [run.chooseHost().id, run.chooseHost().id] }, 3500)
+      await Promise.all([run.freezeHost(run.chooseHost().id, 3000), run.setFaults(keyValue, { loseAnswers: 0.5 }, 2500)])
+      await waitMs(1000)
+    }
+  }, {
+    name: 'load beyond the capacity of a pool',
+    kinds: ['bell-issue', 'status-read', 'signal-query'],
+    requestsPerSecond: 60,
+    raceShare: 0.2,
+    answersIdempotent: false,
+    runFaults: async run => {
+      const ids = run.deployment.listUpstreams('bell-control')
+      if (run.isWithout('honest-upstreams')) await Promise.all(ids.map(id => run.deployment.setFaults(id, { refuseAfterRun: 0.9 })))
+      else await run.setFaults(ids, { slowFactor: 40 }, 6000)
+      await Promise.all([run.killHost(run.chooseHost().id, 1500), run.setFaults(keyValue, { delayMs: 600 }, 3000)])
+    }
+  }]
+}
