feat(placement): orders to model runners from the process

The holder of the placement lease sums the demand by model of all hosts and sends one order at a time; runners report their models and the router sends no work to a runner without the model.

--- a/src/node/app/createEntryHost.ts
+++ b/src/node/app/createEntryHost.ts
@@ -14,6 +14,7 @@
 import { createHttpHostList } from '../platform/createHttpHostList.js'
 import { createHttpKeyValueService } from '../platform/createHttpKeyValueService.js'
 import type { HostRecord } from '../../types/hostRecord.js'
+import { createPlacement } from '../placement/createPlacement.js'
 import { chooseRouteHosts } from '../requests/chooseRouteHosts.js'
 import { createDrain } from '../requests/createDrain.js'
 import { RequestService } from '../requests/requestService.js'
@@ -24,8 +25,10 @@
 import { UpstreamSubset } from '../upstreams/upstreamSubset.js'
 import { UpstreamSet } from '../upstreams/upstreamSet.js'
 import type { ContractView } from '../../types/contractView.js'
+import { createMeteredRouter } from './createMeteredRouter.js'
 import { EntryHost } from './entryHost.js'
 import { resolveListenAddress } from './resolveListenAddress.js'
+import { UpstreamOrders } from './upstreamOrders.js'
 
 const UPSTREAM_LEAVING = 'upstream-leaving'
 /** Hosts in a route answer: enough to lose one failure domain and still have a choice. */
@@ -87,11 +90,12 @@
   })
   const claims = createClaimService({ hostId, keyValue, clock, logger, metrics, peers: { transport, membership } })
   const burn = createBurnReporter({ contracts: contracts.store, membership, transport, clock, logger })
+  const placement = createPlacement({ keyValue, orders: new UpstreamOrders(upstreams), membership, transport, clock, random, logger })
   const requests = new RequestService({
     clock,
     logger,
     metrics,
-    router,
+    router: createMeteredRouter(router, placement.demand),
     admission,
     membership,
     transport,
@@ -134,7 +138,7 @@
     routeLifetimeMs: settings.routeLifetimeMs,
     maxBodyBytes: settings.maxBodyBytes
   })
-  const host = new EntryHost({ settings, listen, peerListen, logger, server, transport, membership, contracts, limiter, drain, poller, upstreams, requests, keyValue, hostList })
+  const host = new EntryHost({ settings, listen, peerListen, logger, server, transport, membership, contracts, limiter, drain, placement, poller, upstreams, requests, keyValue, hostList })
   await host.start()
   return host
 }
--- a/src/node/app/entryHost.ts
+++ b/src/node/app/entryHost.ts
@@ -8,6 +8,7 @@
 import type { createMembership } from '../membership/createMembership.js'
 import type { createGrpcPeerTransport } from '../peers/createGrpcPeerTransport.js'
 import type { createAccountLimiter } from '../limits/createAccountLimiter.js'
+import type { PlacementDriver } from '../placement/placementDriver.js'
 import type { Drain } from '../requests/drain.js'
 import type { RequestService } from '../requests/requestService.js'
 import type { ResolvedSettings } from '../settings/resolvedSettings.js'
@@ -25,6 +26,7 @@
   readonly contracts: ReturnType<typeof createContracts>
   readonly limiter: ReturnType<typeof createAccountLimiter>
   readonly drain: Drain
+  readonly placement: PlacementDriver
   readonly poller: HostListPoller
   readonly upstreams: UpstreamSet
   readonly requests: RequestService
@@ -43,7 +45,7 @@
   }
 
   async start (): Promise<void> {
-    const { listen, peerListen, logger, server, transport, membership, contracts, limiter, poller, upstreams, requests } = this.parts
+    const { listen, peerListen, logger, server, transport, membership, contracts, limiter, placement, poller, upstreams, requests } = this.parts
     await transport.start(peerListen)
     await this.openServer(listen, server)
     logger.recordInfo('listening', { address: listen, peerAddress: peerListen })
@@ -53,6 +55,7 @@
     await poller.start()
     upstreams.start()
     requests.start()
+    placement.start()
     logger.recordInfo('ready', { hosts: membership.listHosts().length, contracts: contracts.store.list().length })
   }
 
@@ -77,12 +80,13 @@
   }
 
   private async stopParts (): Promise<void> {
-    const { logger, server, transport, membership, contracts, limiter, poller, upstreams, requests, keyValue, hostList } = this.parts
+    const { logger, server, transport, membership, contracts, limiter, placement, poller, upstreams, requests, keyValue, hostList } = this.parts
     server.close()
     server.closeAllConnections()
     poller.stop()
     requests.stop()
     limiter.stop()
+    await placement.stop()
     contracts.stop()
     await upstreams.stop()
     await membership.stop()
--- a/src/node/placement/constants.ts
+++ b/src/node/placement/constants.ts
@@ -14,6 +14,10 @@
   IMBALANCE_FACTOR: 1.5,
   /** Time between the starts of two loads; keeps the weight store below its rate across all runners. */
   LOAD_INTERVAL_MS: 10_000,
+  /** Memory of the demand by model; a crest of seconds must not move models, which takes longer than the crest. */
+  DEMAND_DECAY_MS: 30_000,
+  /** Hosts that try to hold the lease; every try costs the key-value service a read. */
+  CANDIDATES: 3,
   /** Timeout of one call to the key-value service or a runner. */
   CALL_TIMEOUT_MS: 2000
 } as const
--- a/src/node/placement/placementController.ts
+++ b/src/node/placement/placementController.ts
@@ -37,6 +37,16 @@
     if (isHolder && !wasHolder) this.lastLoadMs = this.parts.clock.readMonotonicMs()
   }
 
+  /** Gives the lease up; failures leave it to lapse. */
+  async close (): Promise<void> {
+    try {
+      await this.parts.lease.close()
+    } catch (error) {
+      if (!(error instanceof LycheetrackError)) throw error
+      this.parts.logger.recordDebug('placement lease not given up', { code: error.code })
+    }
+  }
+
   /** Sends at most one order. */
   async runPlan (): Promise<void> {
     if (this.parts.lease.getFencing() === undefined) return
--- a/src/node/routing/__tests__/createStageRouter.test.ts
+++ b/src/node/routing/__tests__/createStageRouter.test.ts
@@ -61,3 +61,12 @@
   t.equal(router.route(buildWork(1), new Set([...excluded, 'api-3']), nowMs), undefined)
   t.end()
 })
+
+t.test('does not send work to a runner that has not loaded the model', t => {
+  const { router, nowMs } = runCalls(40, () => 20)
+  const report = { running: 0, waiting: 0, slots: 8, kvUsed: 0, atMs: nowMs }
+  for (let i = 0; i < 4; i++) router.onLoadReport({ ...report, upstreamId: `api-${i}`, models: i === 2 ? ['long', 'short'] : ['short'] }, nowMs)
+  const chosen = new Set(Array.from({ length: 50 }, (_, i) => router.route({ ...buildWork(9000 + i), model: 'long' }, none, nowMs)?.upstreamId))
+  t.same([...chosen], ['api-2'])
+  t.end()
+})
--- a/src/node/routing/upstreamChooser.ts
+++ b/src/node/routing/upstreamChooser.ts
@@ -66,7 +66,7 @@
     if (long && pool.selectable.some(view => !view.speed.isSlow())) return undefined
     let best: Candidate | undefined
     for (const view of pool.selectable) {
-      if (excluded.has(view.upstream.id)) continue
+      if (excluded.has(view.upstream.id) || !view.isServing(work.model)) continue
       const candidate = this.computeCandidate(pool, model, work, view, nowMs)
       if (isBetter(candidate, best)) best = candidate
     }
@@ -74,7 +74,7 @@
   }
 
   private chooseBetter (best: Candidate | undefined, view: UpstreamView | undefined, pool: UpstreamPool, model: OperationModel, work: StageWork, long: boolean, excluded: ReadonlySet<string>, nowMs: number): Candidate | undefined {
-    if (view === undefined || !view.isSelectable() || excluded.has(view.upstream.id)) return best
+    if (view === undefined || !view.isSelectable() || !view.isServing(work.model) || excluded.has(view.upstream.id)) return best
     this.updateSilence(view, pool, model, nowMs)
     if (!view.speed.hasRoom(view.attempts.size)) return best
     if (long && !this.hasLongRoom(view, pool, nowMs)) return best
--- a/src/node/routing/upstreamView.ts
+++ b/src/node/routing/upstreamView.ts
@@ -18,6 +18,7 @@
   leavingSignalMs = Number.NEGATIVE_INFINITY
   gone = false
   slots = 0
+  private models: ReadonlySet<string> | undefined
   /** Load by other hosts at the time of the report. */
   private othersAtReport = 0
   private reportMs = Number.NEGATIVE_INFINITY
@@ -32,6 +33,11 @@
     return !this.leaving && !this.gone
   }
 
+  /** True for an upstream that has not said which models it has loaded. */
+  isServing (model: string | undefined): boolean {
+    return model === undefined || this.models === undefined || this.models.has(model)
+  }
+
   addAttempt (workId: string, attempt: AttemptRecord, nowMs: number): void {
     this.updateHistory(nowMs)
     this.attempts.set(workId, attempt)
@@ -54,6 +60,7 @@
     this.updateHistory(nowMs)
     this.reportMs = Math.min(atMs, nowMs)
     this.slots = report.slots
+    if (report.models !== undefined) this.models = new Set(report.models)
     this.othersAtReport = Math.max(0, report.running + report.waiting - this.getOwnAt(this.reportMs))
     return this.othersAtReport
   }
--- a/src/node/upstreams/connectedUpstream.ts
+++ b/src/node/upstreams/connectedUpstream.ts
@@ -23,6 +23,8 @@
   readonly plainService: HttpPlainService
   cacheEventSeq = 0
   isProbing = false
+  /** Models that the engine reported last; undefined when it does not name them. */
+  models: readonly string[] | undefined
 
   constructor (private readonly options: ConnectedUpstreamOptions) {
     this.connection = new UpstreamConnection({
--- a/src/node/upstreams/httpModelEngine.ts
+++ b/src/node/upstreams/httpModelEngine.ts
@@ -35,6 +35,12 @@
     return await readUpstreamLoad(this.connection, signal)
   }
 
+  async sendOrder (order: 'load' | 'unload', model: string, fencing: number, signal: AbortSignal): Promise<void> {
+    const answer = await this.connection.send({ method: 'POST', path: '/orders', body: JSON.stringify({ order, model, version: '1', fencing }) }, signal)
+    if (answer.status === 409) throw new UpstreamError('order_refused', 'the engine has seen a newer fencing number', 'not_run', true)
+    if (answer.status >= 300) throw new UpstreamError('upstream_failed', `the order has status ${answer.status}`, 'unknown', true)
+  }
+
   async listCacheEvents (seq: number, signal: AbortSignal): Promise<{ readonly events: readonly CacheEvent[], readonly latest: number }> {
     const answer = await this.connection.send({ method: 'GET', path: `/cache/events?after=${seq}` }, signal)
     if (answer.status !== 200) throw new UpstreamError('upstream_failed', `the cache events have status ${answer.status}`, 'not_run', true)
--- a/src/node/upstreams/modelEngine.ts
+++ b/src/node/upstreams/modelEngine.ts
@@ -9,6 +9,8 @@
   openStream (call: EngineCall, handler: EngineStreamHandler): EngineStream
   /** Rejects with `UpstreamError`. */
   readLoad (signal: AbortSignal): Promise<UpstreamProbe>
+  /** Orders the engine to load or unload a model. Rejects with `UpstreamError`, also when the fencing number is refused. */
+  sendOrder (order: 'load' | 'unload', model: string, fencing: number, signal: AbortSignal): Promise<void>
   /** Cache events after `seq`. Rejects with `UpstreamError`. */
   listCacheEvents (seq: number, signal: AbortSignal): Promise<{ readonly events: readonly CacheEvent[], readonly latest: number }>
 }
--- a/src/node/upstreams/readUpstreamLoad.ts
+++ b/src/node/upstreams/readUpstreamLoad.ts
@@ -8,6 +8,7 @@
   waiting: z.number(),
   slots: z.number(),
   kvUsed: z.number().default(0),
+  models: z.array(z.object({ model: z.string(), state: z.string() })).optional(),
   state: z.string().optional(),
   atMs: z.number()
 })
@@ -28,6 +29,7 @@
   }
   const parsed = loadSchema.safeParse(value)
   if (!parsed.success) return { leaving: answer.leaving }
-  const { state, ...load } = parsed.data
-  return { leaving: answer.leaving || state === 'leaving', load }
+  const { state, models, ...load } = parsed.data
+  const loaded = models?.filter(record => record.state === 'loaded').map(record => record.model)
+  return { leaving: answer.leaving || state === 'leaving', load: loaded === undefined || loaded.length === 0 ? load : { ...load, models: loaded } }
 }
--- /dev/null
+++ b/src/node/upstreams/runnerModels.ts
@@ -0,0 +1,6 @@
+/** A model runner with the models that it has loaded. */
+export interface RunnerModels {
+  readonly upstreamId: string
+  readonly failureDomain: string
+  readonly models: readonly string[]
+}
--- a/src/node/upstreams/upstreamLoad.ts
+++ b/src/node/upstreams/upstreamLoad.ts
@@ -4,5 +4,6 @@
   readonly waiting: number
   readonly slots: number
   readonly kvUsed: number
+  readonly models?: readonly string[]
   readonly atMs: number
 }
--- a/src/node/upstreams/upstreamSet.ts
+++ b/src/node/upstreams/upstreamSet.ts
@@ -8,6 +8,7 @@
 import type { ModelEngine } from './modelEngine.js'
 import type { PlainService } from './plainService.js'
 import type { StagePoolMember } from './stagePoolMember.js'
+import type { RunnerModels } from './runnerModels.js'
 import { StreamWatchdog } from './streamWatchdog.js'
 import type { UpstreamLookup } from './upstreamLookup.js'
 
@@ -66,6 +67,13 @@
     return this.members.get(upstreamId)?.plainService
   }
 
+  /** Model runners that say which models they have loaded. */
+  listRunners (): readonly RunnerModels[] {
+    return [...this.members.values()].flatMap(({ upstream, models }) => models === undefined || upstream.state !== 'live'
+      ? []
+      : [{ upstreamId: upstream.id, failureDomain: upstream.failureDomain, models }])
+  }
+
   updateConnections (upstreamId: string): void {
     this.members.get(upstreamId)?.connection.updateConnections()
   }
@@ -100,6 +108,7 @@
       const signal = AbortSignal.timeout(upstreamConstants.probeTimeoutMs)
       const probe = await member.engine.readLoad(signal)
       if (probe.leaving) this.reportLeaving(id)
+      member.models = probe.load?.models
       if (probe.load !== undefined) this.options.router.onLoadReport({ upstreamId: id, ...probe.load }, this.options.clock.readMonotonicMs())
       if (this.options.isEnginePool(pool)) await this.loadCacheEvents(member, signal)
     } catch (error) {
