fix(requests): silent connections no longer hold a stage until its deadline

A stage without past durations had its whole remaining time as budget, and a retry needed an upstream that was not tried before.

--- a/src/node/requests/__tests__/pipelinePlan.test.ts
+++ b/src/node/requests/__tests__/pipelinePlan.test.ts
@@ -22,8 +22,8 @@
 
 t.test('a budget stays within the remaining time and gives slower stages a larger share', async t => {
   fc.assert(fc.property(fc.double({ min: 100, max: 20_000, noNaN: true }), fc.array(fc.option(fc.double({ min: 0.1, max: 5000, noNaN: true }), { nil: undefined }), { minLength: 1, maxLength: 6 }), (remainingMs, quantiles) => {
-    const budget = computeStageBudget(remainingMs, quantiles)
+    const budget = computeStageBudget(remainingMs, quantiles, 10)
     return budget > 0 && budget <= remainingMs
   }), { seed: 11 })
-  t.ok(computeStageBudget(10_000, [900, 100]) > computeStageBudget(10_000, [100, 900]))
+  t.ok(computeStageBudget(10_000, [900, 100], 10) > computeStageBudget(10_000, [100, 900], 10))
 })
--- a/src/node/requests/__tests__/stageExecution.test.ts
+++ b/src/node/requests/__tests__/stageExecution.test.ts
@@ -71,6 +71,17 @@
   t.match(refused.value.error, { code: 'upstream_failed', ran: 'unknown' })
 })
 
+t.test('a call over a silent connection is tried again at the only upstream that is left, over a new one', async t => {
+  const { fleet, post } = await openFleet(t)
+  fleet.members[1].stop()
+  let calls = 0
+  fleet.members[0].onCall = () => ++calls === 3
+  for (const input of [1, 2]) await post({ kind: 'tag', input })
+  const answer = await post({ kind: 'tag', input: 3, deadlineMs: 1500 })
+  t.match(JSON.stringify(answer.value.result), /"input":3/)
+  t.equal(calls, 4)
+})
+
 t.test('an engine stream that goes silent is resumed on a new connection without loss or repetition', async t => {
   const { fleet, post } = await openFleet(t, { streamSilenceMs: 120 })
   fleet.engines[0].tokenDelayMs = 5
--- a/src/node/requests/attemptStarter.ts
+++ b/src/node/requests/attemptStarter.ts
@@ -18,6 +18,10 @@
     return this.startCall(upstreamId, callId, payload, payload.stage.operation, events)
   }
 
+  updateConnections (upstreamId: string): void {
+    this.upstreams.updateConnections(upstreamId)
+  }
+
   private startGeneration (upstreamId: string, streamId: string, payload: StagePayload, events: AttemptEvents, resumeOffset?: number): StageAttempt {
     const engine = this.upstreams.findEngine(upstreamId)
     if (engine === undefined) return this.refuseUnknown(upstreamId, events)
--- a/src/node/requests/constants.ts
+++ b/src/node/requests/constants.ts
@@ -45,6 +45,8 @@
   supersededCode: 'superseded',
   outcomeRecordTimeoutMs: 2000,
   minimumBudgetMs: 50,
+  /** Smallest budget of a stage whose durations are not known yet. */
+  firstBudgetMs: 250,
   latencySamples: 128,
   /** A stage that takes longer than this quantile of its past is given a second attempt. */
   budgetQuantile: 0.95,
--- a/src/node/requests/pipelineRun.ts
+++ b/src/node/requests/pipelineRun.ts
@@ -127,12 +127,13 @@
       work,
       router,
       clock,
-      budgetMs: this.computeBudget(stage),
+      computeBudget: predictedMs => this.computeBudget(stage, predictedMs),
       isOnce: stage.operation === 'call' && !spec.idempotent,
       resumed,
       buildCallId: () => `${workId}/${this.dependencies.attemptScope}.${this.runNumber}.${++this.attemptCount}`,
       startAttempt: (upstreamId, callId, events, resumeOffset) => this.startAttempt(() =>
         attempts.start(upstreamId, callId, payload, this.countFailures(events), resumeOffset)),
+      onReuse: upstreamId => attempts.updateConnections(upstreamId),
       onLeader: (upstreamId, streamId, isResumed) => {
         if (isStreamed) this.startGeneration(upstreamId, streamId, isResumed)
         collected.length = 0
@@ -170,10 +171,10 @@
     onHint({ upstreamId, streamId, generation: log.generation })
   }
 
-  private computeBudget (stage: StageSpec): number {
+  private computeBudget (stage: StageSpec, predictedMs: number): number {
     const path = this.plan.remainingPaths.get(stage.name) ?? [stage]
     const quantiles = path.map(other => this.dependencies.latencies.findQuantile(this.buildLatencyKey(other)))
-    return computeStageBudget(this.job.deadlineAtMs - this.dependencies.clock.readMonotonicMs(), quantiles)
+    return computeStageBudget(this.job.deadlineAtMs - this.dependencies.clock.readMonotonicMs(), quantiles, predictedMs)
   }
 
   private buildLatencyKey (stage: StageSpec): string {
--- a/src/node/requests/stageRun.ts
+++ b/src/node/requests/stageRun.ts
@@ -21,7 +21,10 @@
  */
 export class StageRun {
   private readonly active = new Set<ActiveAttempt>()
+  /** Upstreams that were tried. */
   private readonly excluded = new Set<string>()
+  /** Upstreams that ran nothing; they are not tried again. */
+  private readonly refused = new Set<string>()
   private readonly timers: NodeJS.Timeout[] = []
   private leader: ActiveAttempt | undefined
   private startedAttempts = 0
@@ -53,19 +56,23 @@
     }
   }
 
-  private startNextAttempt (): boolean {
+  /** Without another upstream, a retry may go to one that was tried before, over a new connection. */
+  private startNextAttempt (isRetry = false): boolean {
     const { router, work, clock, isOnce } = this.options
     if (this.startedAttempts >= requestConstants.maxAttemptsPerStage) return false
-    const choice = router.route(work, this.excluded, clock.readMonotonicMs())
+    const nowMs = clock.readMonotonicMs()
+    const choice = router.route(work, this.excluded, nowMs) ?? (isRetry && !isOnce ? router.route(work, this.refused, nowMs) : undefined)
     if (choice === undefined) return false
+    if (this.excluded.has(choice.upstreamId)) this.options.onReuse(choice.upstreamId)
+    const number = this.startedAttempts + 1
     if (!isOnce && choice.hedgeAfterMs !== undefined) {
       this.schedule(choice.hedgeAfterMs, () => {
         if (this.active.size === 1 && router.admitHedge(work, clock.readMonotonicMs())) this.startNextAttempt()
       })
     }
     if (!isOnce) {
-      this.schedule(this.options.budgetMs, () => {
-        if (this.active.size === 1 && router.admitRetry(work, clock.readMonotonicMs())) this.startNextAttempt()
+      this.schedule(this.options.computeBudget(choice.predictedMs), () => {
+        if (this.startedAttempts === number && router.admitRetry(work, clock.readMonotonicMs())) this.startNextAttempt(true)
       })
     }
     this.startAttempt(choice.upstreamId, this.options.buildCallId())
@@ -117,12 +124,13 @@
   private handleFailure (attempt: ActiveAttempt, error: UpstreamError): void {
     if (!this.active.has(attempt)) return
     const hasNotRun = error.ran === 'not_run'
-    if (!hasNotRun) this.mayHaveRun = true
+    if (hasNotRun) this.refused.add(attempt.upstreamId)
+    else this.mayHaveRun = true
     this.closeAttempt(attempt, hasNotRun ? 'refused' : 'failed')
     if (this.isSettled || this.active.size > 0) return
     this.stopTimers()
     this.leader = undefined
-    if (this.isRetryable(error) && this.startNextAttempt()) return
+    if (this.isRetryable(error) && this.startNextAttempt(!hasNotRun)) return
     this.refuse(error)
   }
 
--- a/src/node/requests/stageRunOptions.ts
+++ b/src/node/requests/stageRunOptions.ts
@@ -9,8 +9,8 @@
   readonly work: StageWork
   readonly router: StageRouter
   readonly clock: Clock
-  /** Time after which a second attempt is asked of the router. */
-  readonly budgetMs: number
+  /** Time after which a second attempt is asked of the router, from the router's prediction. */
+  readonly computeBudget: (predictedMs: number) => number
   /** True when no second attempt may start after a byte of the first was sent. */
   readonly isOnce: boolean
   /** A stream that runs already and is resumed instead of a first attempt. */
@@ -18,6 +18,8 @@
   /** Call id of the next attempt. */
   readonly buildCallId: () => string
   readonly startAttempt: (upstreamId: string, callId: string, events: AttemptEvents, resumeOffset?: number) => StageAttempt
+  /** Called before an upstream is tried again, whose connections may have gone silent. */
+  readonly onReuse: (upstreamId: string) => void
   /** The attempt whose tokens count from now on; tokens of an earlier one are void. */
   readonly onLeader: (upstreamId: string, callId: string, resumed: boolean) => void
   readonly onTokens: (literals: readonly string[]) => void
