fix(server): the status of a request at another host waits for its answer

A status query created a relay that nobody waited for: it showed finished requests as running and kept abandoned ones from being cancelled.

--- a/playground/fakes/requestTestHost.ts
+++ b/playground/fakes/requestTestHost.ts
@@ -48,6 +48,11 @@
   issue: spec([stage('issue', 'call', 'service')], false)
 }
 
+async function * createLines (): AsyncGenerator<unknown> {
+  yield { revision: 1 }
+  yield { revision: 2 }
+}
+
 /** An entry host of a test: request path and HTTP server with fakes around them. */
 export class RequestTestHost {
   readonly router = new FixedStageRouter()
@@ -75,7 +80,7 @@
       metrics,
       logger: quietLogger,
       requests: this.requests,
-      admin: { handle: async request => ({ status: 200, body: { path: request.path, body: request.body } }) },
+      admin: { handle: async request => ({ status: 200, body: request.path.endsWith('/watch') ? createLines() : { path: request.path, body: request.body } }) },
       operatorToken: 'operator-token',
       listUnreadyReasons: () => [],
       chooseRouteHosts: hosts => chooseRouteHosts(hosts, 4, createSeededRandom(2)),
@@ -90,6 +95,10 @@
     return this
   }
 
+  get origin (): string {
+    return `http://127.0.0.1:${this.port}`
+  }
+
   async stop (): Promise<void> {
     this.requests.stop()
     this.server.close()
--- a/src/node/requests/__tests__/drain.test.ts
+++ b/src/node/requests/__tests__/drain.test.ts
@@ -1,7 +1,7 @@
-import { setTimeout as waitTime } from 'node:timers/promises'
 import t from 'tap'
 import { quietLogger } from '../../../../playground/fakes/quietLogger.js'
 import { RequestTestFleet } from '../../../../playground/fakes/requestTestFleet.js'
+import { waitUntil } from '../../../../playground/fakes/waitUntil.js'
 import { createSeededRandom } from '../../../shared/createSeededRandom.js'
 import type { HostRecord } from '../../../types/hostRecord.js'
 import { chooseRouteHosts } from '../chooseRouteHosts.js'
@@ -37,21 +37,21 @@
   const route = await fleet.hosts[1]!.send('GET', '/v1/route')
   t.notMatch(route.text, /host-0/, 'a leaving host is left out of route answers')
   t.equal((await post(0, 'late', 'length:1')).status, 200, 'a leaving host still accepts')
-  const running = post(0, 'running', 'marker:r length:30')
-  await waitTime(60)
+  const running = post(0, 'running', 'marker:r length:100')
+  await waitUntil(() => fleet.engines[0].countCalls('/v1/completions') === 3)
   endLeaving()
-  await waitTime(10)
+  await waitUntil(() => drain.state === 'draining')
   t.equal(drain.state, 'draining')
   const refused = await post(0, 'refused', 'length:1')
   t.equal(refused.status, 503)
   t.match(JSON.parse(refused.text), { error: { code: 'host_draining', ran: 'not_run', addresses: [{ address: /host-[12]/ }, { address: /host-[12]/ }] } })
   await completion
   t.equal(drain.state, 'stopped')
-  t.match((await running).text, /r\.29 /, 'the running request was not cut off')
+  t.match((await running).text, /r\.99 /, 'the running request was not cut off')
   fleet.peers.dead.add('host-0')
   host.membership.setState('host-0', 'dead')
   const calls = fleet.engines[0].countCalls('/v1/completions')
-  for (const [id, text] of [['finished', 'marker:a length:2'], ['running', 'marker:r length:30']] as const) {
+  for (const [id, text] of [['finished', 'marker:a length:2'], ['running', 'marker:r length:100']] as const) {
     const answer = await post(1, id, text)
     t.match(JSON.parse(answer.text), { requestId: id, status: 'completed' })
   }
--- a/src/node/requests/__tests__/onceCalls.test.ts
+++ b/src/node/requests/__tests__/onceCalls.test.ts
@@ -3,6 +3,7 @@
 import type { Test } from 'tap'
 import { v7 as buildUuid } from 'uuid'
 import { RequestTestFleet } from '../../../../playground/fakes/requestTestFleet.js'
+import { waitUntil } from '../../../../playground/fakes/waitUntil.js'
 
 async function openFleet (t: Test, options = {}) {
   const fleet = await new RequestTestFleet({ hosts: 2, ...options }).start()
@@ -12,8 +13,15 @@
     const answer = await fleet.hosts[index]!.send('POST', '/v1/requests', { kind: 'issue', input }, { 'request-id': requestId })
     return { ...JSON.parse(answer.text) as { result?: unknown, error?: { code: string, ran: string } }, status: answer.status }
   }
+  let open = (): void => {}
+  /** Holds the answers of the first service until `open` is called. */
+  const holdAnswers = (): () => void => {
+    const opened = new Promise<void>(resolve => { open = resolve })
+    fleet.services[0].onCall = async () => { await opened; return false }
+    return open
+  }
   const countRuns = (): number => fleet.services.reduce((sum, service) => sum + service.countCalls('/call/'), 0)
-  return { fleet, post, requestId, countRuns }
+  return { fleet, post, requestId, countRuns, holdAnswers }
 }
 
 t.test('a call that was sent runs once, and a second submission gets its recorded outcome', async t => {
@@ -77,23 +85,27 @@
 })
 
 t.test('a second host waits for the outcome of the holder of the claim', async t => {
-  const { fleet, post, countRuns } = await openFleet(t)
-  fleet.services[0].onCall = async () => { await waitTime(150); return false }
+  const { fleet, post, countRuns, holdAnswers } = await openFleet(t)
+  const open = holdAnswers()
   const first = post(0)
-  await waitTime(50)
-  const [one, two] = await Promise.all([first, post(1)])
+  await waitUntil(() => countRuns() === 1)
+  const second = post(1)
+  await waitUntil(() => fleet.hosts[1]!.requests.runningCount === 1)
+  open()
+  const [one, two] = await Promise.all([first, second])
   t.same(two.result, one.result)
   t.equal(countRuns(), 1)
 })
 
 t.test('the outcome is unknown when the holder dies after it sent the call', async t => {
-  const { fleet, post, requestId, countRuns } = await openFleet(t)
-  fleet.services[0].onCall = async () => { await waitTime(200); return false }
+  const { fleet, post, requestId, countRuns, holdAnswers } = await openFleet(t)
+  const open = holdAnswers()
   const first = post(0)
-  await waitTime(50)
+  await waitUntil(() => countRuns() === 1)
   fleet.peers.dead.add('host-0')
   fleet.hosts[1]!.membership.setState('host-0', 'dead')
   t.match(await post(1), { status: 409, error: { code: 'outcome_unknown', ran: 'unknown' } })
+  open()
   await first
   t.equal(countRuns(), 1)
   t.match(fleet.claims.outcomes.get(`pier/${requestId}`), { ran: 'ran' }, 'the holder still records the outcome')
@@ -101,21 +113,23 @@
 })
 
 t.test('an answer after the deadline is recorded, though the caller was told that the outcome is unknown', async t => {
-  const { fleet, requestId, post } = await openFleet(t)
-  fleet.services[0].onCall = async () => { await waitTime(200); return false }
-  const first = await fleet.hosts[0]!.send('POST', '/v1/requests', { kind: 'issue', input: { bell: 1 }, deadlineMs: 60 }, { 'request-id': requestId })
+  const { fleet, requestId, post, holdAnswers } = await openFleet(t)
+  const open = holdAnswers()
+  const first = await fleet.hosts[0]!.send('POST', '/v1/requests', { kind: 'issue', input: { bell: 1 }, deadlineMs: 400 }, { 'request-id': requestId })
   t.equal(first.status, 504)
   t.match(JSON.parse(first.text), { error: { code: 'deadline_exceeded', ran: 'unknown' } })
+  open()
   await fleet.hosts[0]!.requests.waitIdle()
   t.match(fleet.claims.outcomes.get(`pier/${requestId}`), { ran: 'ran', status: 200 })
   t.equal((await post()).status, 200, 'a second submission gets the recorded outcome')
 })
 
 t.test('a caller that leaves does not cancel a call that may have been sent', async t => {
-  const { fleet, requestId } = await openFleet(t, { abandonGraceMs: 10 })
-  fleet.services[0].onCall = async () => { await waitTime(150); return false }
+  const { fleet, requestId, countRuns, holdAnswers } = await openFleet(t, { abandonGraceMs: 10 })
+  const open = holdAnswers()
   const call = fleet.hosts[0]!.send('POST', '/v1/requests', { kind: 'issue', input: 1 }, { 'request-id': requestId })
-  await waitTime(50)
+  await waitUntil(() => countRuns() === 1)
   t.equal((await fleet.hosts[0]!.send('DELETE', `/v1/requests/${requestId}`)).status, 409)
+  open()
   t.equal((await call).status, 200)
 })
--- a/src/node/requests/__tests__/requestDirectory.test.ts
+++ b/src/node/requests/__tests__/requestDirectory.test.ts
@@ -2,6 +2,7 @@
 import t from 'tap'
 import type { Test } from 'tap'
 import { RequestTestFleet } from '../../../../playground/fakes/requestTestFleet.js'
+import { waitUntil } from '../../../../playground/fakes/waitUntil.js'
 import { RequestDirectory } from '../requestDirectory.js'
 
 async function openFleet (t: Test, options = {}) {
@@ -46,6 +47,17 @@
   t.equal(reused.status, 409)
 })
 
+t.test('the status of a request that another host has finished is completed, and one that nobody reads is still abandoned', async t => {
+  const { fleet, post } = await openFleet(t, { abandonGraceMs: 20 })
+  const answer = await post(0, { kind: 'short', input: { text: 'marker:p length:3' } }, { 'request-id': 'past' })
+  t.equal((await fleet.hosts[1]!.send('GET', '/v1/requests/past')).text, answer.text)
+  fleet.engines[0].tokenDelayMs = 20
+  await post(0, { kind: 'short', input: { text: 'marker:q length:300' }, stream: true }, { 'request-id': 'left' }, text => !text.includes('tokens'))
+  await fleet.hosts[1]!.send('GET', '/v1/requests/left')
+  await waitUntil(() => fleet.hosts.every(host => host.requests.runningCount === 0))
+  t.same(fleet.hosts.map(host => host.requests.runningCount), [0, 0, 0])
+})
+
 t.test('a dead owner is taken over: its stream is resumed and the caller gets the rest', async t => {
   const { fleet, post } = await openFleet(t)
   fleet.engines[0].tokenDelayMs = 10
@@ -74,15 +86,15 @@
 t.test('a silent owner is taken over and stops its own run when it goes on', async t => {
   const { fleet, post } = await openFleet(t)
   fleet.engines[0].tokenDelayMs = 10
-  const body = { kind: 'short', input: { text: 'marker:f length:60' }, stream: true }
+  const body = { kind: 'short', input: { text: 'marker:f length:120' }, stream: true }
   const first = post(0, body, { 'request-id': 'frozen' })
-  await waitTime(60)
+  await waitUntil(() => fleet.engines[0].countCalls('/v1/completions') === 1)
   fleet.peers.frozen.add('host-0')
   const second = post(1, body, { 'request-id': 'frozen' })
-  await waitTime(200)
+  await waitUntil(() => fleet.engines[0].countCalls('/v1/streams/') === 1)
   fleet.peers.frozen.delete('host-0')
   await fleet.hosts[0]!.requests.registerAgain()
-  for (const answer of await Promise.all([first, second])) t.same(listTokens(answer.text), listExpected('f', 0, 60), 'each caller gets the whole answer')
+  for (const answer of await Promise.all([first, second])) t.same(listTokens(answer.text), listExpected('f', 0, 120), 'each caller gets the whole answer')
   t.equal(fleet.hosts[0]!.metrics.counts.get('lycheetrack_runs_superseded_total'), 1)
   t.equal(fleet.engines[0].calls.filter(call => call.method === 'DELETE').length, 0, 'the stream of the new owner is not cancelled')
 })
@@ -93,7 +105,7 @@
   const body = { kind: 'short', input: { text: 'marker:b length:30' }, stream: true }
   const owner = fleet.hosts[0]!
   const first = post(0, body, { 'request-id': 'moved' })
-  await waitTime(50)
+  await waitUntil(() => fleet.engines[0].countCalls('/v1/completions') === 1)
   const directoryHosts = fleet.peers.calls.filter(call => call.endsWith('RegisterRequest')).map(call => call.split(' ')[0]!)
   t.ok(directoryHosts.length > 0)
   for (const hostId of new Set(directoryHosts)) {
@@ -112,7 +124,7 @@
   const { fleet, post } = await openFleet(t)
   fleet.engines[0].tokenDelayMs = 20
   const running = post(0, { kind: 'short', input: { text: 'length:100' } }, { 'request-id': 'cancelled' })
-  await waitTime(50)
+  await waitUntil(() => fleet.engines[0].countCalls('/v1/completions') === 1)
   t.equal((await fleet.hosts[1]!.send('DELETE', '/v1/requests/cancelled', undefined, { authorization: 'Bearer token-quay' })).status, 404)
   t.equal((await fleet.hosts[1]!.send('DELETE', '/v1/requests/cancelled')).status, 200)
   t.match((await running).text, /request_cancelled/)
@@ -124,7 +136,7 @@
   for (const host of fleet.hosts.slice(1)) host.admission.decision = { admitted: false, reason: 'limit_reached', retryAfterMs: 100 }
   const body = { kind: 'short', input: { text: 'marker:l length:20' }, stream: true }
   const first = post(0, body, { 'request-id': 'limited' })
-  await waitTime(30)
+  await waitUntil(() => fleet.engines[0].countCalls('/v1/completions') === 1)
   t.same(listTokens((await post(1, body, { 'request-id': 'limited' })).text), listExpected('l', 0, 20))
   const refused = await post(2, body, { 'request-id': 'other' })
   t.equal(refused.status, 429)
--- a/src/node/requests/__tests__/stageExecution.test.ts
+++ b/src/node/requests/__tests__/stageExecution.test.ts
@@ -1,6 +1,7 @@
 import t from 'tap'
 import type { Test } from 'tap'
 import { RequestTestFleet } from '../../../../playground/fakes/requestTestFleet.js'
+import { waitUntil } from '../../../../playground/fakes/waitUntil.js'
 
 async function openFleet (t: Test, options = {}) {
   const fleet = await new RequestTestFleet(options).start()
@@ -77,7 +78,7 @@
   let calls = 0
   fleet.members[0].onCall = () => ++calls === 3
   for (const input of [1, 2]) await post({ kind: 'tag', input })
-  const answer = await post({ kind: 'tag', input: 3, deadlineMs: 1500 })
+  const answer = await post({ kind: 'tag', input: 3, deadlineMs: 4000 })
   t.match(JSON.stringify(answer.value.result), /"input":3/)
   t.equal(calls, 4)
 })
@@ -130,10 +131,10 @@
 t.test('the deadline ends the request with a typed error and cancels the stream at the engine', async t => {
   const { fleet, post } = await openFleet(t)
   fleet.engines[0].tokenDelayMs = 50
-  const answer = await post({ kind: 'short', input: { text: 'length:100' }, deadlineMs: 120 })
+  const answer = await post({ kind: 'short', input: { text: 'length:100' }, deadlineMs: 400 })
   t.equal(answer.status, 504)
   t.match(answer.value.error, { code: 'deadline_exceeded', ran: 'unknown' })
-  await new Promise(resolve => setTimeout(resolve, 50))
+  await waitUntil(() => fleet.engines[0].calls.some(call => call.method === 'DELETE'))
   t.equal(fleet.engines[0].calls.filter(call => call.method === 'DELETE').length, 1)
 })
 
@@ -141,7 +142,7 @@
   const { fleet, host } = await openFleet(t, { abandonGraceMs: 20 })
   fleet.engines[0].tokenDelayMs = 20
   await host.send('POST', '/v1/requests', { kind: 'short', input: { text: 'length:500' }, stream: true }, {}, text => !text.includes('tokens'))
-  await new Promise(resolve => setTimeout(resolve, 150))
+  await waitUntil(() => host.requests.runningCount === 0 && fleet.engines[0].calls.some(call => call.method === 'DELETE'))
   t.equal(fleet.engines[0].calls.filter(call => call.method === 'DELETE').length, 1)
   t.equal(host.requests.runningCount, 0)
 })
--- a/src/node/requests/requestSampler.ts
+++ b/src/node/requests/requestSampler.ts
@@ -35,6 +35,7 @@
     const { metrics, clock, onSample } = this.options
     const code = end.kind === 'error' ? end.code : undefined
     metrics.addCount('lycheetrack_requests_total', { outcome: code ?? 'completed' })
+    if (end.kind === 'done' && end.tokenCount > 0) metrics.addCount('lycheetrack_tokens_total', {}, end.tokenCount)
     metrics.recordDuration('lycheetrack_request_duration_ms', { outcome: end.kind }, elapsedMs)
     onSample?.({
       account: submission.account,
--- a/src/node/server/__tests__/callerServer.test.ts
+++ b/src/node/server/__tests__/callerServer.test.ts
@@ -1,8 +1,10 @@
 import t from 'tap'
+import { Client } from 'undici'
 import { RequestTestFleet } from '../../../../playground/fakes/requestTestFleet.js'
+import { waitUntil } from '../../../../playground/fakes/waitUntil.js'
 
 t.test('caller API', async t => {
-  const fleet = await new RequestTestFleet({ bodyTimeoutMs: 150 }).start()
+  const fleet = await new RequestTestFleet({ bodyTimeoutMs: 400 }).start()
   const host = fleet.hosts[0]!
   t.teardown(async () => await fleet.stop())
   const post = async (body: unknown, headers = {}) => await host.send('POST', '/v1/requests', body, headers)
@@ -70,11 +72,38 @@
     t.match(rest.text, /^event: tokens\nid: 1:4\ndata: \{"tokens":\["m3\.3 "\]\}\n\nevent: done/)
   })
 
+  t.test('a connection can be used again after a streamed answer', async t => {
+    const client = new Client(host.origin)
+    let connections = 0
+    client.on('connect', () => connections++)
+    t.teardown(async () => await client.close())
+    for (const stream of [true, false, true]) {
+      const headers = { authorization: 'Bearer token-pier' }
+      const answer = await client.request({ method: 'POST', path: '/v1/requests', headers, body: JSON.stringify({ kind: 'short', input: { text: 'marker:é length:3' }, stream }) })
+      const text = await answer.body.text()
+      t.match(text, stream ? /event: done\ndata: .*\n\n$/ : /"status":"completed"/)
+    }
+    t.equal(connections, 1)
+  })
+
+  t.test('the status of a request and its end can be read by id', async t => {
+    fleet.engines[0].tokenDelayMs = 20
+    const running = post({ kind: 'short', input: { text: 'marker:st length:40' } }, { 'request-id': 'state' })
+    await waitUntil(() => fleet.engines[0].calls.some(call => call.body.stream_id?.toString().includes('/state/')))
+    t.match(JSON.parse((await host.send('GET', '/v1/requests/state')).text), { requestId: 'state', status: 'running', state: /running|streaming/ })
+    const answer = await running
+    fleet.engines[0].tokenDelayMs = 0
+    t.same(JSON.parse((await host.send('GET', '/v1/requests/state')).text), JSON.parse(answer.text))
+    t.equal((await host.send('GET', '/v1/requests/never')).status, 404)
+  })
+
   t.test('route, health, readiness, metrics and administration', async t => {
     t.match(JSON.parse((await host.send('GET', '/v1/route')).text), { addresses: [{ failureDomain: 'zone-host-0' }], lifetimeMs: 5000 })
     for (const path of ['/healthz', '/readyz', '/metrics']) t.equal((await host.send('GET', path, undefined, { authorization: '' })).status, 200, path)
     t.equal((await host.send('GET', '/admin/v1/hosts')).status, 401, 'an account token is no operator token')
     const admin = await host.send('PUT', '/admin/v1/contracts/a', { a: 1 }, { authorization: 'Bearer operator-token' })
+    const lines = await host.send('GET', '/admin/v1/contracts/watch', undefined, { authorization: 'Bearer operator-token' })
+    t.equal(lines.text, '{"revision":1}\n{"revision":2}\n')
     t.same(JSON.parse(admin.text), { path: '/admin/v1/contracts/a', body: { a: 1 } })
   })
 })
--- a/src/node/server/callerApi.ts
+++ b/src/node/server/callerApi.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { setTimeout as waitTime } from 'node:timers/promises'
 import { v7 as buildUuid } from 'uuid'
 import type { Contract } from '../../types/contract.js'
 import type { RequestEntry } from '../requests/requestEntry.js'
@@ -90,10 +91,17 @@
   private async handleLookup (contract: Contract, id: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
     const entry = await this.options.requests.findRequest(contract.account, this.parseId(id))
     if (entry === undefined) throw this.buildUnknownRequest()
+    if (request.headers.accept?.includes('text/event-stream')) {
+      this.sendStream(entry, request, response)
+      return
+    }
     const { requestId } = entry.identity
+    const release = entry.addWaiter()
+    // The answer of another host needs a moment to arrive; without it a finished request would look like a running one.
+    if (entry.role === 'joined') await Promise.race([entry.log.waitEnd(), waitTime(serverConstants.lookupWaitMs)])
+    release()
     const { end } = entry.log
-    if (request.headers.accept?.includes('text/event-stream')) this.sendStream(entry, request, response)
-    else if (end === undefined) writeJson(response, 200, { requestId, status: 'running', state: entry.state, tokenCount: entry.log.tokens.length })
+    if (end === undefined) writeJson(response, 200, { requestId, status: 'running', state: entry.state, tokenCount: entry.log.tokens.length })
     else if (end.kind === 'done') writeJson(response, 200, buildJsonAnswer(requestId, entry.log, end))
     else writeJson(response, 200, { requestId, status: entry.state, ...buildErrorBody(end, requestId) })
   }
--- a/src/node/server/constants.ts
+++ b/src/node/server/constants.ts
@@ -15,6 +15,8 @@
   /** A caller that takes no bytes of a finished answer for this time is cut off. */
   stalledCallerMs: 30_000,
   maxRequestIdLength: 128,
+  /** Time for the answer of a request at another host to arrive before its status is reported. */
+  lookupWaitMs: 200,
   /**
    * Backlog for `listen`. The process accepts few connections per turn of a busy event loop; with the
    * usual 511 a burst of 2000 connections led to connections that were reset after 17 s.
--- a/src/node/upstreams/__tests__/upstreamSet.test.ts
+++ b/src/node/upstreams/__tests__/upstreamSet.test.ts
@@ -1,9 +1,9 @@
-import { setTimeout as waitTime } from 'node:timers/promises'
 import t from 'tap'
 import type { Test } from 'tap'
 import { FixedStageRouter } from '../../../../playground/fakes/fixedStageRouter.js'
 import { quietLogger } from '../../../../playground/fakes/quietLogger.js'
 import { ScriptedUpstream } from '../../../../playground/fakes/scriptedUpstream.js'
+import { waitUntil } from '../../../../playground/fakes/waitUntil.js'
 import { systemClock } from '../../../shared/systemClock.js'
 import { UpstreamSet } from '../upstreamSet.js'
 
@@ -41,11 +41,11 @@
     return true
   }
   set.start()
-  await waitTime(100)
+  await waitUntil(() => router.cacheEvents.length >= 4)
   t.ok(router.loadReports.has('e'))
   t.same(router.cacheEvents, ['e stored aa', 'e gap ', 'e evicted bb', 'e gap '])
   engine.state = 'leaving'
-  await waitTime(100)
+  await waitUntil(() => left.length > 0)
   t.equal(left[0], 'e')
   t.ok(router.leaving.has('e'))
 })
