--- a/playground/fakes/fakePeerNetwork.ts
+++ b/playground/fakes/fakePeerNetwork.ts
@@ -82,8 +82,11 @@
     return {
       schedule: (delayMs, run) => {
         let isCancelled = false
-        this.clock.schedule(delayMs, () => { this.runAt(host, () => { if (!isCancelled) run() }) })
-        return () => { isCancelled = true }
+        const cancel = this.clock.schedule(delayMs, () => { this.runAt(host, () => { if (!isCancelled) run() }) })
+        return () => {
+          isCancelled = true
+          cancel()
+        }
       }
     }
   }
--- a/playground/fakes/virtualClock.ts
+++ b/playground/fakes/virtualClock.ts
@@ -5,6 +5,7 @@
   readonly dueMs: number
   readonly order: number
   readonly run: () => void
+  isCancelled: boolean
 }
 
 /** Virtual time for tests: scheduled calls run in order of their time, and promises settle in between. */
@@ -22,9 +23,9 @@
   }
 
   schedule (delayMs: number, run: () => void): () => void {
-    let isCancelled = false
-    this.addEntry({ dueMs: this.nowMs + Math.max(0, delayMs), order: this.order++, run: () => { if (!isCancelled) run() } })
-    return () => { isCancelled = true }
+    const entry = { dueMs: this.nowMs + Math.max(0, delayMs), order: this.order++, run, isCancelled: false }
+    this.addEntry(entry)
+    return () => { entry.isCancelled = true }
   }
 
   /** Lets `ms` pass. */
@@ -33,6 +34,7 @@
     await waitForPromises()
     for (let next = this.heap[0]; next && next.dueMs <= endMs; next = this.heap[0]) {
       this.removeFirst()
+      if (next.isCancelled) continue
       this.nowMs = next.dueMs
       next.run()
       await waitForPromises()
--- a/src/node/limits/hostCensus.ts
+++ b/src/node/limits/hostCensus.ts
@@ -16,6 +16,8 @@
   private owners = new Map<string, string>()
   /** Hosts that died without leaving, with the time at which this was learnt. */
   private readonly deaths = new Map<string, number>()
+  /** Hosts that came back, with the time of it. */
+  private readonly revivals = new Map<string, number>()
   /** Hosts that announced their stop; the lagging list may still name them. */
   private readonly left = new Set<string>()
   private changedAtMs: number
@@ -31,9 +33,12 @@
     if (host.state === 'leaving') this.left.add(host.id)
     if (host.state === 'live') {
       this.left.delete(host.id)
-      this.deaths.delete(host.id)
+      if (this.deaths.delete(host.id)) this.revivals.set(host.id, nowMs)
+    }
+    if (host.state === 'dead') {
+      this.deaths.set(host.id, nowMs)
+      this.revivals.delete(host.id)
     }
-    if (host.state === 'dead') this.deaths.set(host.id, nowMs)
   }
 
   findOwner (account: string): string {
@@ -45,10 +50,9 @@
     return owner
   }
 
-  /** The host that owned the account before this one, if it is still there: leaving hosts are asked first. */
-  findFormerOwner (account: string): HostRecord | undefined {
-    const self = this.membership.getSelf().id
-    const ids = this.membership.listHosts().map(host => host.id).filter(id => id !== self)
+  /** The host that owned the account before `newOwner`, if it is still there; a leaving host may be it. */
+  findFormerOwner (account: string, newOwner: string): HostRecord | undefined {
+    const ids = this.membership.listHosts().map(host => host.id).filter(id => id !== newOwner)
     const former = chooseByRendezvous(formatKey(account), ids, 1)[0]
     return former === undefined ? undefined : this.membership.find(former)
   }
@@ -67,7 +71,7 @@
 
   /** Lease time and the time that news of a death takes to reach every host. */
   computeSettleMs (): number {
-    return limitConstants.leaseMs + limitConstants.spreadMs * Math.ceil(Math.log2(this.countSeen() + 1))
+    return limitConstants.leaseMs + limitConstants.spreadMs * Math.ceil(Math.log2(this.membership.listHosts().length + 1))
   }
 
   /** Whether nothing has changed for so long that no former owner holds a budget. */
@@ -75,8 +79,14 @@
     return nowMs - this.changedAtMs > limitConstants.quietMs
   }
 
-  countSeen (): number {
-    return this.membership.listHosts().length
+  /**
+   * Hosts that an owner of this side grants for. One that came back a moment ago may still use what the owner
+   * of the other side of a partition has leased.
+   */
+  countSeen (nowMs: number): number {
+    const settleMs = this.computeSettleMs()
+    for (const [hostId, atMs] of this.revivals) if (nowMs - atMs > settleMs) this.revivals.delete(hostId)
+    return this.membership.listHosts().filter(host => !this.revivals.has(host.id)).length
   }
 
   /** Hosts that share each contract: those seen and those listed that have not announced their stop. */
--- a/src/node/limits/limitDriver.ts
+++ b/src/node/limits/limitDriver.ts
@@ -58,7 +58,7 @@
     const findRate = (account: string): number | undefined => contracts.find(account)?.contract?.requestsPerSecond
     const countHosts = (): number => census.countHosts()
     this.local = new LocalLimiter({ findRate, countHosts })
-    const owner = new LimitOwner({ findRate, countHosts, countSeen: () => census.countSeen(), isHostSeen: hostId => census.isHostSeen(hostId) })
+    const owner = new LimitOwner({ findRate, countHosts, countSeen: nowMs => census.countSeen(nowMs), isHostSeen: hostId => census.isHostSeen(hostId) })
     this.ownership = new LimitOwnership(owner, census, membership, transport, clock)
   }
 
--- a/src/node/limits/limitOwner.ts
+++ b/src/node/limits/limitOwner.ts
@@ -17,8 +17,8 @@
 interface OwnerSource {
   /** Requests a second of the account's contract; undefined without a contract. */
   readonly findRate: (account: string) => number | undefined
-  /** Hosts seen, this one included. */
-  readonly countSeen: () => number
+  /** Hosts that this owner grants for, this one included. */
+  readonly countSeen: (nowMs: number) => number
   /** Hosts that share each contract: those of the host list and those seen. */
   readonly countHosts: () => number
   readonly isHostSeen: (hostId: string) => boolean
@@ -37,7 +37,7 @@
 
   /** An account that nobody has used for some time starts with a full burst. */
   addIdleBudget (account: string, nowMs: number): void {
-    const limit = this.computeLimit(account)
+    const limit = this.computeLimit(account, nowMs)
     if (!limit) return
     this.budgets.set(account, new AccountBudget(limit.burst, nowMs, nowMs))
     this.handedOver.delete(account)
@@ -59,14 +59,14 @@
 
   /** Number of requests that the host may start in the next lease time, beyond those that it holds. */
   grant (report: OwnerReport, nowMs: number): number {
-    const limit = this.computeLimit(report.account)
+    const limit = this.computeLimit(report.account, nowMs)
     const budget = this.budgets.get(report.account)
     return limit && budget ? budget.grant(report, limit, nowMs) : 0
   }
 
   /** Ends the ownership; reports that still arrive are passed on to the new owner. Undefined without a budget. */
   removeBudget (account: string, newOwner: string, nowMs: number): { readonly balance: number, readonly outstanding: number } | undefined {
-    const limit = this.computeLimit(account)
+    const limit = this.computeLimit(account, nowMs)
     const state = limit && this.budgets.get(account)?.readState(limit, nowMs)
     this.budgets.delete(account)
     this.handedOver.set(account, { hostId: newOwner, atMs: nowMs })
@@ -92,11 +92,11 @@
   }
 
   // In a partition the sides share the burst, too.
-  private computeLimit (account: string): BudgetLimit | undefined {
+  private computeLimit (account: string, nowMs: number): BudgetLimit | undefined {
     const rate = this.source.findRate(account)
     if (rate === undefined) return undefined
     const known = this.source.countHosts()
-    const hosts = this.source.countSeen()
+    const hosts = this.source.countSeen(nowMs)
     const burst = Math.max(1, computeBurst(rate) * hosts / known)
     return { hostShare: rate / known, hosts, burst, isHostSeen: this.source.isHostSeen }
   }
--- a/src/node/limits/limitOwnership.ts
+++ b/src/node/limits/limitOwnership.ts
@@ -1,5 +1,6 @@
 import { peerMethods } from '../peers/peerMethods.js'
 import type { Clock } from '../../types/clock.js'
+import type { HostRecord } from '../../types/hostRecord.js'
 import type { MembershipView } from '../../types/membershipView.js'
 import type { PeerTransport } from '../../types/peerTransport.js'
 import type { RateLease } from '../../types/rateLease.js'
@@ -20,7 +21,7 @@
 
   constructor (private readonly owner: LimitOwner, private readonly census: HostCensus, private readonly membership: MembershipView, private readonly transport: PeerTransport, private readonly clock: Clock) {
     transport.handle(peerMethods.rateReport, async (request, peerId) => {
-      if (request.takeover === true) return this.buildTakeover(request, peerId)
+      if (request.takeover === true) return await this.receiveTakeover(request, peerId)
       return { leases: [...await this.receiveReport(request, peerId)] }
     })
   }
@@ -83,8 +84,7 @@
   }
 
   private async runTakeover (account: string): Promise<void> {
-    const holder = this.membership.find(this.owner.findLastHolder(account) ?? '')
-    const former = holder && holder.state !== 'dead' ? holder : this.census.findFormerOwner(account)
+    const former = this.findHolder(account, this.membership.getSelf().id)
     let answer: ReportAnswer | undefined
     if (former) {
       const request = { hostId: this.membership.getSelf().id, entries: [{ account }], takeover: true }
@@ -99,13 +99,22 @@
     else this.owner.addIdleBudget(account, nowMs)
   }
 
-  private buildTakeover (request: ReportMessage, peerId: string): ReportAnswer {
-    const nowMs = this.clock.readMonotonicMs()
-    const balances = (request.entries ?? []).flatMap(entry => {
-      const account = entry.account ?? ''
-      const state = this.owner.removeBudget(account, peerId, nowMs)
-      return state ? [{ account, ...state }] : []
-    })
-    return { balances }
+  // A young host may not know the former owner and ask another host; that one asks on.
+  private async receiveTakeover (request: ReportMessage, peerId: string): Promise<ReportAnswer> {
+    const isForwarded = request.forwarded === true
+    const newOwner = isForwarded ? request.hostId ?? peerId : peerId
+    const account = request.entries?.[0]?.account ?? ''
+    const holder = this.findHolder(account, newOwner)
+    const isHere = this.owner.hasBudget(account) || isForwarded || holder === undefined || holder.id === this.membership.getSelf().id
+    const state = this.owner.removeBudget(account, newOwner, this.clock.readMonotonicMs())
+    if (isHere) return { balances: state ? [{ account, ...state }] : [] }
+    const passedOn = { hostId: newOwner, entries: [{ account }], takeover: true, forwarded: true }
+    return await this.transport.send(holder.peerAddress, peerMethods.rateReport, passedOn, limitConstants.takeoverTimeoutMs)
+  }
+
+  // The host that last took the account over from this one knows best; else the choice without the new owner.
+  private findHolder (account: string, newOwner: string): HostRecord | undefined {
+    const last = this.membership.find(this.owner.findLastHolder(account) ?? '')
+    return last && last.state !== 'dead' && last.id !== newOwner ? last : this.census.findFormerOwner(account, newOwner)
   }
 }
