--- a/src/node/limits/accountBudget.ts
+++ b/src/node/limits/accountBudget.ts
@@ -109,7 +109,7 @@
     let total = 0
     for (const share of this.shares.values()) if (share.expiresAtMs >= nowMs) total += share.demand
     const isSmall = limit.burst < limitConstants.fewRequests
-    const part = isSmall ? 0 : Math.floor(available * Math.min(1, 2 * report.demand / total))
+    const part = isSmall ? 0 : Math.floor(available * Math.min(limitConstants.maxPart, 2 * report.demand / total))
     return Math.min(available, need, Math.max(part, report.waiting))
   }
 }
--- a/src/node/limits/constants.ts
+++ b/src/node/limits/constants.ts
@@ -16,6 +16,8 @@
   leaseMs: 1000,
   /** A lease covers the demand of the report period and of the way to the owner and back. */
   horizonMs: 350,
+  /** One report takes at most this part of what is left, so that a first request at another host finds some. */
+  maxPart: 0.5,
   /** Demand reported for an account that was used a short time ago, in requests a second. */
   minDemand: 0.1,
   /** Below this share of the last need a host reports before the period ends. */
--- a/src/node/limits/limitOwner.ts
+++ b/src/node/limits/limitOwner.ts
@@ -14,6 +14,11 @@
 
 type BudgetLimit = Parameters<AccountBudget['grant']>[1]
 
+interface BudgetHolder {
+  readonly id: string
+  readonly peerAddress: string
+}
+
 interface OwnerSource {
   /** Requests a second of the account's contract; undefined without a contract. */
   readonly findRate: (account: string) => number | undefined
@@ -27,7 +32,7 @@
 /** The budgets of the accounts that this host owns, and of those that it has handed over. Pure. */
 export class LimitOwner {
   private readonly budgets = new Map<string, AccountBudget>()
-  private readonly handedOver = new Map<string, { readonly hostId: string, readonly atMs: number }>()
+  private readonly handedOver = new Map<string, { readonly holder: BudgetHolder, readonly atMs: number }>()
 
   constructor (private readonly source: OwnerSource) {}
 
@@ -65,24 +70,23 @@
   }
 
   /** Ends the ownership; reports that still arrive are passed on to the new owner. Undefined without a budget. */
-  removeBudget (account: string, newOwner: string, nowMs: number): { readonly balance: number, readonly outstanding: number } | undefined {
+  removeBudget (account: string, newOwner: BudgetHolder, nowMs: number): { readonly balance: number, readonly outstanding: number } | undefined {
     const limit = this.computeLimit(account, nowMs)
     const state = limit && this.budgets.get(account)?.readState(limit, nowMs)
     this.budgets.delete(account)
-    this.handedOver.set(account, { hostId: newOwner, atMs: nowMs })
+    this.handedOver.set(account, { holder: newOwner, atMs: nowMs })
     return state
   }
 
-  /** The host that took the account over from this one a short time ago. */
-  findNewOwner (account: string, nowMs: number): string | undefined {
+  /** The host that took the account over from this one a short time ago; it may not be known otherwise yet. */
+  findNewOwner (account: string, nowMs: number): BudgetHolder | undefined {
     const entry = this.handedOver.get(account)
-    if (!entry || nowMs - entry.atMs > limitConstants.handedOverMs || !this.source.isHostSeen(entry.hostId)) return undefined
-    return entry.hostId
+    return entry && nowMs - entry.atMs <= limitConstants.handedOverMs ? entry.holder : undefined
   }
 
   /** The host that last took the account over from this one, and that may hold its budget. */
-  findLastHolder (account: string): string | undefined {
-    return this.handedOver.get(account)?.hostId
+  findLastHolder (account: string): BudgetHolder | undefined {
+    return this.handedOver.get(account)?.holder
   }
 
   /** Forgets what nobody uses any more. */
--- a/src/node/limits/limitOwnership.ts
+++ b/src/node/limits/limitOwnership.ts
@@ -1,6 +1,5 @@
 import { peerMethods } from '../peers/peerMethods.js'
 import type { Clock } from '../../types/clock.js'
-import type { HostRecord } from '../../types/hostRecord.js'
 import type { MembershipView } from '../../types/membershipView.js'
 import type { PeerTransport } from '../../types/peerTransport.js'
 import type { RateLease } from '../../types/rateLease.js'
@@ -12,6 +11,11 @@
 type ReportAnswer = ReturnType<typeof peerMethods.rateReport.decodeResponse>
 type ReportEntry = NonNullable<ReportMessage['entries']>[number]
 
+interface BudgetHolder {
+  readonly id: string
+  readonly peerAddress: string
+}
+
 /**
  * Answers reports as the limit owner. An account that changes hands is taken over from its former owner,
  * which passes on what still reaches it, so that at any time one host grants the account's rate.
@@ -34,10 +38,10 @@
     const others = new Map<string, ReportEntry[]>()
     for (const entry of request.entries ?? []) {
       const owner = this.findOwner(entry.account ?? '')
-      if (owner === this.membership.getSelf().id || isForwarded) own.push(entry)
-      else others.set(owner, [...others.get(owner) ?? [], entry])
+      if (owner.id === this.membership.getSelf().id || isForwarded) own.push(entry)
+      else others.set(owner.peerAddress, [...others.get(owner.peerAddress) ?? [], entry])
     }
-    const passedOn = [...others].map(async ([owner, entries]) => await this.sendOn(owner, { ...request, hostId, entries }))
+    const passedOn = [...others].map(async ([address, entries]) => await this.sendOn(address, { ...request, hostId, entries }))
     await Promise.all(own.map(async entry => { await this.startBudget(entry.account ?? '') }))
     const leases = own.map(entry => this.grantEntry(entry, hostId, request.sequence ?? 0))
     return leases.concat(...await Promise.all(passedOn))
@@ -47,13 +51,15 @@
     this.owner.removeIdle(nowMs)
   }
 
-  private findOwner (account: string): string {
+  private findOwner (account: string): BudgetHolder {
     // Views of the membership differ for a moment after each change; the host with the budget answers, so that
     // the account does not move back and forth.
-    if (this.owner.hasBudget(account)) return this.membership.getSelf().id
+    const self = this.membership.getSelf()
+    if (this.owner.hasBudget(account)) return self
     const holder = this.owner.findNewOwner(account, this.clock.readMonotonicMs())
-    if (holder !== undefined && this.membership.find(holder)?.state !== 'leaving') return holder
-    return this.census.findOwner(account)
+    const state = holder && this.membership.find(holder.id)?.state
+    if (holder && state !== 'leaving' && state !== 'dead') return holder
+    return this.membership.find(this.census.findOwner(account)) ?? self
   }
 
   private grantEntry (entry: ReportEntry, hostId: string, sequence: number): RateLease {
@@ -63,9 +69,7 @@
     return { account, requestsPerSecond: amount * 1000 / limitConstants.leaseMs, durationMs: limitConstants.leaseMs }
   }
 
-  private async sendOn (owner: string, request: ReportMessage): Promise<readonly RateLease[]> {
-    const address = this.membership.find(owner)?.peerAddress
-    if (address === undefined) return []
+  private async sendOn (address: string, request: ReportMessage): Promise<readonly RateLease[]> {
     const answer = await this.transport.send(address, peerMethods.rateReport, { ...request, forwarded: true }, limitConstants.takeoverTimeoutMs).catch(() => undefined)
     return (answer?.leases ?? []).map(lease => ({ account: lease.account ?? '', requestsPerSecond: lease.requestsPerSecond ?? 0, durationMs: lease.durationMs ?? 0 }))
   }
@@ -87,7 +91,8 @@
     const former = this.findHolder(account, this.membership.getSelf().id)
     let answer: ReportAnswer | undefined
     if (former) {
-      const request = { hostId: this.membership.getSelf().id, entries: [{ account }], takeover: true }
+      const { id, peerAddress } = this.membership.getSelf()
+      const request = { hostId: id, peerAddress, entries: [{ account }], takeover: true }
       answer = await this.transport.send(former.peerAddress, peerMethods.rateReport, request, limitConstants.takeoverTimeoutMs).catch(() => undefined)
     }
     const nowMs = this.clock.readMonotonicMs()
@@ -102,19 +107,20 @@
   // A young host may not know the former owner and ask another host; that one asks on.
   private async receiveTakeover (request: ReportMessage, peerId: string): Promise<ReportAnswer> {
     const isForwarded = request.forwarded === true
-    const newOwner = isForwarded ? request.hostId ?? peerId : peerId
+    const newOwner = { id: isForwarded ? request.hostId ?? peerId : peerId, peerAddress: request.peerAddress ?? '' }
     const account = request.entries?.[0]?.account ?? ''
-    const holder = this.findHolder(account, newOwner)
+    const holder = this.findHolder(account, newOwner.id)
     const isHere = this.owner.hasBudget(account) || isForwarded || holder === undefined || holder.id === this.membership.getSelf().id
     const state = this.owner.removeBudget(account, newOwner, this.clock.readMonotonicMs())
     if (isHere) return { balances: state ? [{ account, ...state }] : [] }
-    const passedOn = { hostId: newOwner, entries: [{ account }], takeover: true, forwarded: true }
+    const passedOn = { hostId: newOwner.id, peerAddress: newOwner.peerAddress, entries: [{ account }], takeover: true, forwarded: true }
     return await this.transport.send(holder.peerAddress, peerMethods.rateReport, passedOn, limitConstants.takeoverTimeoutMs)
   }
 
   // The host that last took the account over from this one knows best; else the choice without the new owner.
-  private findHolder (account: string, newOwner: string): HostRecord | undefined {
-    const last = this.membership.find(this.owner.findLastHolder(account) ?? '')
-    return last && last.state !== 'dead' && last.id !== newOwner ? last : this.census.findFormerOwner(account, newOwner)
+  private findHolder (account: string, newOwner: string): BudgetHolder | undefined {
+    const last = this.owner.findLastHolder(account)
+    const isUsable = last && last.id !== newOwner && this.membership.find(last.id)?.state !== 'dead'
+    return isUsable ? last : this.census.findFormerOwner(account, newOwner)
   }
 }
