feat(retries): probes only while the budget covers their hedges

Cause: with more hosts in front of the same runners, the probes of slow runners used the whole budget and were not hedged. A probe that is 15 s late goes anyway, so that a recovered runner is not left out.

--- a/src/node/health/constants.ts
+++ b/src/node/health/constants.ts
@@ -11,6 +11,8 @@
   /** First delay between probes of a slow upstream; doubles up to `largestProbeDelayMs`. */
   probeDelayMs: 1500,
   largestProbeDelayMs: 5000,
+  /** Further delay of a probe whose hedge the budget does not cover; bounds how long a recovered upstream is left out. */
+  uncoveredProbeDelayMs: 15_000,
   /** Attempts in flight at which a recovering upstream counts as healthy again. */
   fullWindow: 8
 } as const
--- a/src/node/health/speedEstimate.ts
+++ b/src/node/health/speedEstimate.ts
@@ -49,9 +49,9 @@
     return !this.slow && inFlight < this.window
   }
 
-  /** Whether a probe of a slow upstream is due. */
-  isProbeDue (nowMs: number): boolean {
-    return this.slow && nowMs >= this.nextProbeMs
+  /** Whether a probe of a slow upstream is due; a late probe goes even if its hedge is not covered by the budget. */
+  isProbeDue (covered: boolean, nowMs: number): boolean {
+    return this.slow && nowMs >= this.nextProbeMs + (covered ? 0 : healthConstants.uncoveredProbeDelayMs)
   }
 
   onProbeSent (nowMs: number): void {
--- a/src/node/retries/constants.ts
+++ b/src/node/retries/constants.ts
@@ -5,5 +5,7 @@
   /** Unused budget is kept for this many milliseconds of work, so that a lost upstream can be retried at once. */
   keepMs: 30_000,
   /** Share of the kept budget that only retries may use. */
-  retryReserve: 0.25
+  retryReserve: 0.25,
+  /** A probe of a slow upstream is sent while the budget covers this many times its hedge. */
+  probeSpare: 3
 } as const
--- a/src/node/retries/repeatBudget.ts
+++ b/src/node/retries/repeatBudget.ts
@@ -29,6 +29,11 @@
     return this.take(workMs, this.recentWork * retryConstants.share * retryConstants.retryReserve)
   }
 
+  /** Whether the budget has room for a hedge of `workMs` and leaves some for others. */
+  hasSpare (workMs: number): boolean {
+    return this.balance - workMs * retryConstants.probeSpare >= this.recentWork * retryConstants.share * retryConstants.retryReserve
+  }
+
   private take (workMs: number, reserve: number): boolean {
     if (this.balance - workMs < reserve) return false
     this.balance -= workMs
--- a/src/node/routing/stageRouterCore.ts
+++ b/src/node/routing/stageRouterCore.ts
@@ -155,7 +155,10 @@
   /** A probe goes to a slow upstream with short idempotent work that leaves time for a hedge. */
   private chooseProbe (pool: UpstreamPool, model: OperationModel, work: StageWork, excluded: ReadonlySet<string>, nowMs: number): Candidate | undefined {
     if (!work.idempotent || work.deadlineMs - nowMs < model.computeServiceMs(work.cost) * 2.5) return undefined
-    const view = pool.listSlow(nowMs).find(slow => slow.isSelectable() && slow.attempts.size === 0 && slow.speed.isProbeDue(nowMs) && !excluded.has(slow.upstream.id))
+    const slowViews = pool.listSlow(nowMs)
+    if (slowViews.length === 0) return undefined
+    const covered = this.budget.hasSpare(model.computeServiceMs(work.cost))
+    const view = slowViews.find(slow => slow.isSelectable() && slow.attempts.size === 0 && slow.speed.isProbeDue(covered, nowMs) && !excluded.has(slow.upstream.id))
     if (view === undefined) return undefined
     view.speed.onProbeSent(nowMs)
     return this.chooser.computeCandidate(pool, model, work, view, nowMs)
