feat(admission): waits of hosts with few requests are no older

Cause: the average of waits took a fixed weight for each sample and decayed between samples, so that it lagged and read low at hosts with few requests.

--- a/src/node/routing/laneLoad.ts
+++ b/src/node/routing/laneLoad.ts
@@ -51,7 +51,9 @@
 
   /** Feeds the time that an attempt spent in queues. */
   observeWait (waitMs: number, nowMs: number): void {
-    this.waitMs += 0.2 * (Math.max(0, waitMs) - this.waitMs)
+    // Rare samples weigh more, so that the average of a host with few requests is no older.
+    const weight = Math.max(0.2, 1 - Math.exp((this.waitUpdatedMs - nowMs) / waitDecayMs))
+    this.waitMs += weight * (Math.max(0, waitMs) - this.waitMs)
     this.waitUpdatedMs = nowMs
   }
 
@@ -61,7 +63,8 @@
    * that of work sent some time ago, bounds it, because the rate says little while demand is low.
    */
   computeWaitMs (startMs: number, nowMs: number): number {
-    const recentMs = this.waitMs * Math.exp((this.waitUpdatedMs - nowMs) / waitDecayMs)
+    const quietMs = Math.max(0, nowMs - this.waitUpdatedMs - waitDecayMs)
+    const recentMs = this.waitMs * Math.exp(-quietMs / waitDecayMs)
     const rate = Math.max(this.computeRate(nowMs), 0.8 * this.peak * Math.exp((this.rateUpdatedMs - nowMs) / peakDecayMs))
     if (rate === 0) return recentMs
     return Math.max(0, Math.min(this.waiting / rate - startMs, recentMs * 2.5 + startMs))
