feat(bench): relay figures of the time in which all streams are open

Streams now start at 400/s, and tokens and processor time are taken from the window between the last start and the first end.

--- a/playground/benchProcess/__tests__/benchFigures.test.ts
+++ b/playground/benchProcess/__tests__/benchFigures.test.ts
@@ -5,6 +5,7 @@
 import { parseTrafficBytes } from '../parseTrafficBytes.js'
 import { readProcessUsage } from '../readProcessUsage.js'
 import { TokenRate } from '../tokenRate.js'
+import { UsageSeries } from '../usageSeries.js'
 
 t.test('spread of odd and even numbers of values', t => {
   t.same(computeSpread([5, 1, 3]), { min: 1, median: 3, max: 5 })
@@ -18,11 +19,15 @@
 })
 
 // The start and the end of a run, when few streams are open, would lower the rate.
-t.test('counts the tokens within the window only', t => {
+t.test('counts the tokens and the processor time within the window only', t => {
   const rate = new TokenRate()
-  for (let ms = 0; ms < 3000; ms += 50) rate.recordTokens(ms >= 1000 && ms < 2000 ? 10 : 1, ms)
-  t.equal(rate.computeRate(1000, 2000), 200)
-  t.equal(rate.tokenCount, 240)
+  const usage = new UsageSeries()
+  for (let ms = 0; ms <= 3000; ms += 50) {
+    rate.recordTokens(ms >= 1000 && ms < 2000 ? 10 : 1, ms)
+    usage.recordReading(ms < 1000 ? ms : 1000 + (ms - 1000) / 2, ms)
+  }
+  t.equal(rate.countTokens(1000, 2000), 200)
+  t.equal(usage.computeUsed(1010, 1990), 500)
   t.end()
 })
 
--- a/playground/benchProcess/constants.ts
+++ b/playground/benchProcess/constants.ts
@@ -15,8 +15,12 @@
   /** The fast engine generates far more than one process can relay; it writes every 20 ms. */
   fastStepMs: 2,
   fastTickMs: 20,
-  /** Streams start one after the other within this time. */
-  spreadMs: 1000,
+  /** Streams of a variant start one after the other at this rate. */
+  startsPerSecond: 400,
+  /** Time after the last start until the figures of open streams count. */
+  warmUpMs: 300,
+  /** Shorter runs of all streams together say little, as processor time comes in ticks of 10 ms. */
+  shortestWindowMs: 500,
   bucketMs: 50,
   delaySamples: 1000,
   delayWarmUp: 200,
--- a/playground/benchProcess/main.ts
+++ b/playground/benchProcess/main.ts
@@ -16,7 +16,7 @@
 sade('benchProcess', true)
   .describe('Measures the relay and the idle control cost of entry-host processes.')
   .option('--rounds', 'rounds over all variants', 3)
-  .option('--seconds', 'length of a stream', 5)
+  .option('--seconds', 'length of a stream', 6)
   .option('--part', 'all, relay or idle', 'all')
   .option('--json', 'file for the measurements of every round')
   .action(startBench)
--- a/playground/benchProcess/renderBench.ts
+++ b/playground/benchProcess/renderBench.ts
@@ -30,7 +30,7 @@
   })
   const heading = ['streams', 'tokens/s', 'tokens/s per core', 'CPU us/token', 'CPU ms/request', 'first token p50 ms', 'p99 ms', 'gap p50 ms', 'p99 ms']
   const short = `request of one token: ${formatSpread(shortRequestMs, 3)} ms of processor time\n`
-  return `Relay; paced is one token every ${benchConstants.pacedStepMs} ms. Processor time is that of the entry host.\n${renderTable([heading, ...rows])}${short}`
+  return `Relay; paced is one token every ${benchConstants.pacedStepMs} ms. Processor time is that of the entry host; tokens/s and time a token while all streams were open.\n${renderTable([heading, ...rows])}${short}`
 }
 
 function renderDelays ({ delays }: BenchReport): string {
