--- a/playground/processes/constants.ts
+++ b/playground/processes/constants.ts
@@ -1,6 +1,6 @@
 /** Constants of the processes of a deployment. */
 export const processConstants = {
-  startTimeoutMs: 10_000,
+  startTimeoutMs: 20_000,
   /** Time from SIGTERM to SIGKILL. An entry host drains for its route lifetime, 1 s more, and its requests. */
   stopTimeoutMs: 15_000,
   readyPollMs: 50,
