feat(prove): random faults drawn from a seed

Contract rates are raised for all proofs but one: on a busy machine the leases of the limits lapse, and refusals for the limit hid what the proofs look for.

--- a/playground/caller/constants.ts
+++ b/playground/caller/constants.ts
@@ -7,7 +7,7 @@
   graceMs: 2000,
   maxRetries: 3,
   /** Errors after which the request is posted again with the same id at another address, see docs/guide/errors.md. */
-  rejoinCodes: ['owner_unavailable', 'host_stopped'],
+  rejoinCodes: ['owner_unavailable', 'host_stopped', 'host_not_ready'],
   /** Refusals (`not_run`) by a host that asks for another address without naming one. */
   otherAddressCodes: ['host_not_ready', 'host_unconfirmed', 'host_draining'],
   leastBackoffMs: 50,
--- a/playground/prove/constants.ts
+++ b/playground/prove/constants.ts
@@ -2,6 +2,7 @@
 export const proveConstants = {
   /** Deployments that run side by side. */
   deploymentsAtOnce: 3,
+  limitFactor: 20,
   requestsPerSecond: 25,
   /** Callers rejoin after this silence; answers carry a keepalive every 500 ms. */
   silenceMs: 1500,
--- a/playground/prove/load/buildProofExample.ts
+++ b/playground/prove/load/buildProofExample.ts
@@ -1,13 +1,19 @@
 import type { ExampleDeployment } from '../../examples/exampleDeployment.js'
+import { proveConstants } from '../constants.js'
 import type { ScenarioSettings } from '../scenarioSettings.js'
 
 const digestTokens = [60, 140]
 
 /** The example with shorter long generations, so that the load stays far below its capacity, and the scenario's settings. */
 export function buildProofExample (example: ExampleDeployment, settings: ScenarioSettings): ExampleDeployment {
-  const { kinds, hostListLagMs } = settings
+  const { kinds, hostListLagMs, limitFactor = proveConstants.limitFactor } = settings
   return {
     ...example,
+    contracts: example.contracts.map(contract => ({
+      ...contract,
+      requestsPerSecond: contract.requestsPerSecond * limitFactor,
+      tokensPerSecond: contract.tokensPerSecond * limitFactor
+    })),
     workload: example.workload
       .filter(entry => kinds === undefined || kinds.includes(entry.kind))
       .map(entry => (entry.tokens?.[1] ?? 0) > digestTokens[1]! ? { ...entry, tokens: digestTokens } : entry),
--- a/playground/prove/main.ts
+++ b/playground/prove/main.ts
@@ -1,6 +1,7 @@
 import { dirname, resolve } from 'node:path'
 import sade from 'sade'
 import { proveConstants } from './constants.js'
+import { buildRandomProof } from './proofs/buildRandomProof.js'
 import { listProofs } from './proofs/listProofs.js'
 import { ProofRunner } from './run/proofRunner.js'
 
@@ -8,6 +9,9 @@
   readonly list?: boolean
   readonly only?: string
   readonly without?: string
+  readonly random?: boolean
+  readonly seconds: number
+  readonly 'at-once': number
   readonly seed: number
 }
 
@@ -17,16 +21,20 @@
   .option('--only', 'runs one proof')
   .option('--seed', 'seed of the load and the faults', 1)
   .option('--without', 'takes a mechanism away in the bench; the proof must then fail')
+  .option('--random', 'draws faults at random from the seed instead')
+  .option('--seconds', 'length of a random run', 60)
+  .option('--at-once', 'deployments side by side', proveConstants.deploymentsAtOnce)
   .action(startProofs)
   .parse(process.argv)
 
 async function startProofs (flags: Flags): Promise<void> {
-  const proofs = listProofs().filter(proof => flags.only === undefined || proof.name === flags.only)
+  const proofs = flags.random ? [buildRandomProof(Number(flags.seconds))] : listProofs().filter(proof => flags.only === undefined || proof.name === flags.only)
   const seed = Number(flags.seed)
   if (flags.list) return renderList()
-  if (proofs.length === 0 || !Number.isInteger(seed)) reportUsage(`no proof ${flags.only}, or --seed is no whole number`)
+  const areNumbers = [seed, Number(flags['at-once'])].every(Number.isInteger) && Number(flags.seconds) > 0
+  if (proofs.length === 0 || !areNumbers) reportUsage(`no proof ${flags.only}, or --seed, --seconds or --at-once is no number`)
   if (flags.without !== undefined && !proofs.some(proof => flags.without! in proof.mechanisms)) reportUsage(`no such mechanism: ${flags.without}`)
-  const runner = new ProofRunner({ distDirectory: dirname(dirname(resolve(process.argv[1] as string))), seed, without: new Set(flags.without === undefined ? [] : [flags.without]) })
+  const runner = new ProofRunner({ distDirectory: dirname(dirname(resolve(process.argv[1] as string))), seed, atOnce: Number(flags['at-once']), without: new Set(flags.without === undefined ? [] : [flags.without]) })
   stopOnSignals(runner)
   const startMs = performance.now()
   const failed = await runner.runProofs(proofs)
--- /dev/null
+++ b/playground/prove/proofs/buildRandomProof.ts
@@ -0,0 +1,58 @@
+import { setTimeout as waitMs } from 'node:timers/promises'
+import type { Proof } from '../proof.js'
+import type { ProofRun } from '../run/proofRun.js'
+
+type Fault = (run: ProofRun, lastingMs: number) => Promise<unknown>
+
+const keyValue = ['key-value-service']
+const longestFaultMs = 6000
+const longestGapMs = 2000
+
+function chooseUpstreams (run: ProofRun): readonly string[] {
+  return [run.chooseOne(run.deployment.listUpstreams()), run.chooseOne(run.deployment.listUpstreams())]
+}
+
+/** Silences the open connections of one link with a proxy. */
+async function setLinkSilent (run: ProofRun): Promise<void> {
+  const name = run.chooseOne([...run.links.keys()])
+  run.recordFault(`${run.links.get(name)?.updateSilence()} connections silent: ${name}`)
+}
+
+const faults: readonly Fault[] = [
+  (run, lastingMs) => run.runHostFault(host => run.killHost(host, lastingMs / 2)),
+  (run, lastingMs) => run.runHostFault(host => run.freezeHost(host, lastingMs)),
+  (run, lastingMs) => run.setFaults(keyValue, { outage: true }, lastingMs),
+  (run, lastingMs) => run.setFaults(keyValue, { loseAnswers: 0.1 + 0.4 * run.random() }, lastingMs),
+  (run, lastingMs) => run.setFaults(keyValue, { delayMs: 1500 * run.random() }, lastingMs),
+  (run, lastingMs) => run.setFaults(keyValue, { cutFrom: [run.chooseHost().id, run.chooseHost().id] }, lastingMs),
+  (run, lastingMs) => run.setFaults(keyValue, { silent: true }, lastingMs),
+  (run, lastingMs) => run.setFaults(chooseUpstreams(run), { silent: true }, lastingMs),
+  (run, lastingMs) => run.setFaults(chooseUpstreams(run), { slowFactor: 2 + 10 * run.random() }, lastingMs),
+  (run, lastingMs) => run.setFaults(chooseUpstreams(run), { reorder: true, loseAnswers: 0.2 * run.random() }, lastingMs),
+  setLinkSilent,
+  run => run.operators.writeTwice(run.hosts, 'south-mole', run.random)
+]
+
+/** Draws faults from the seed, one or two at a time, for `seconds`. */
+export function buildRandomProof (seconds: number): Proof {
+  return {
+    name: 'random',
+    summary: 'faults drawn at random from the seed, two at a time as well',
+    mechanisms: {},
+    scenarios: [{
+      name: 'random',
+      raceShare: 0.2,
+      links: ['caller', 'peer'],
+      answersIdempotent: false,
+      runFaults: async run => {
+        const untilMs = performance.now() + 1000 * seconds
+        await waitMs(2000)
+        while (performance.now() < untilMs) {
+          const chosen = Array.from({ length: run.random() < 0.5 ? 1 : 2 }, () => run.chooseOne(faults))
+          await Promise.all(chosen.map(fault => fault(run, 500 + longestFaultMs * run.random())))
+          await waitMs(longestGapMs * run.random())
+        }
+      }
+    }]
+  }
+}
--- a/playground/prove/run/proofContext.ts
+++ b/playground/prove/run/proofContext.ts
@@ -2,6 +2,8 @@
 export interface ProofContext {
   readonly distDirectory: string
   readonly seed: number
+  /** Deployments that run side by side. */
+  readonly atOnce: number
   /** Mechanisms that are taken away. */
   readonly without: ReadonlySet<string>
 }
--- a/playground/prove/run/proofRun.ts
+++ b/playground/prove/run/proofRun.ts
@@ -34,6 +34,7 @@
   /** Links by `peer <host>` and `caller <host>`. */
   readonly links = new Map<string, ProxyLink>()
   private readonly faults: string[] = []
+  private readonly disturbed = new Set<string>()
   private readonly leaving: LeavingUpstream[] = []
   private readonly unchecked: UncheckedKeyValue[] = []
   private readonly violations: Violation[] = []
@@ -130,6 +131,15 @@
     return list[Math.floor(this.random() * list.length)] as T
   }
 
+  /** Runs a fault of a host that no other fault has hit at the moment; none when all are. */
+  async runHostFault (fault: (hostId: string) => Promise<void>): Promise<void> {
+    const free = this.hosts.filter(host => !this.disturbed.has(host.id))
+    if (free.length === 0) return
+    const { id } = this.chooseOne(free)
+    this.disturbed.add(id)
+    await fault(id).finally(() => this.disturbed.delete(id))
+  }
+
   /** Kills a host and starts it again after `downMs`. */
   async killHost (id: string, downMs: number): Promise<void> {
     this.recordFault(`${id} killed`)
--- a/playground/prove/run/proofRunner.ts
+++ b/playground/prove/run/proofRunner.ts
@@ -1,4 +1,3 @@
-import { proveConstants } from '../constants.js'
 import type { Violation } from '../history/violation.js'
 import type { Proof } from '../proof.js'
 import type { ScenarioResult } from '../scenarioResult.js'
@@ -30,7 +29,7 @@
         if (!this.isStopped) console.log(renderResult(proof.name, this.context.seed, merged))
       }
     }
-    await Promise.all(Array.from({ length: proveConstants.deploymentsAtOnce }, runNext))
+    await Promise.all(Array.from({ length: this.context.atOnce }, runNext))
     return failed
   }
 
--- a/playground/prove/scenarioSettings.ts
+++ b/playground/prove/scenarioSettings.ts
@@ -9,6 +9,8 @@
   readonly kinds?: readonly string[]
   /** Links between hosts, or between callers and hosts, that a proxy of the bench carries. */
   readonly links?: ReadonlyArray<'caller' | 'peer'>
+  /** Multiplies the rates of the contracts; limits have proofs of their own. @default 20 */
+  readonly limitFactor?: number
   readonly hostListLagMs?: number
   readonly routeLifetimeMs?: number
   /** Idempotent requests must be answered whole or be refused by admission, whatever the faults. @default true */
