--- a/src/node/placement/placementController.ts
+++ b/src/node/placement/placementController.ts
@@ -17,24 +17,19 @@
 
 /** Sends the orders of the placement while this host holds the lease. */
 export class PlacementController {
-  private lastLoadMs: number
+  private lastLoadMs = Infinity
+  private lastFencing: number | undefined
 
-  constructor (private readonly parts: PlacementControllerParts) {
-    // The predecessor's last load is unknown, so the first own load waits a whole interval.
-    this.lastLoadMs = parts.clock.readMonotonicMs()
-  }
+  constructor (private readonly parts: PlacementControllerParts) {}
 
   /** Renews or acquires the lease; failures leave the host a follower. */
   async updateLease (): Promise<void> {
-    const wasHolder = this.parts.lease.getFencing() !== undefined
     try {
       await this.parts.lease.update()
     } catch (error) {
       if (!(error instanceof LycheetrackError)) throw error
       this.parts.logger.recordDebug('placement lease not renewed', { code: error.code })
     }
-    const isHolder = this.parts.lease.getFencing() !== undefined
-    if (isHolder && !wasHolder) this.lastLoadMs = this.parts.clock.readMonotonicMs()
   }
 
   /** Gives the lease up; failures leave it to lapse. */
@@ -49,11 +44,13 @@
 
   /** Sends at most one order. */
   async runPlan (): Promise<void> {
-    if (this.parts.lease.getFencing() === undefined) return
+    const fencingBefore = this.parts.lease.getFencing()
+    if (fencingBefore === undefined) return
+    this.observeHolding(fencingBefore)
     const order = choosePlacementOrder(this.parts.orders.listRunners(), await this.parts.readDemand())
     if (order === undefined || !this.isLoadPermitted(order.order)) return
     const fencing = this.parts.lease.getFencing()
-    if (fencing === undefined) return
+    if (fencing !== fencingBefore) return
     if (order.order === 'load') this.lastLoadMs = this.parts.clock.readMonotonicMs()
     try {
       await this.parts.orders.send(order, fencing)
@@ -64,6 +61,13 @@
     }
   }
 
+  /** The predecessor's last load is unknown, so the first load of a new holder waits a whole interval. */
+  private observeHolding (fencing: number): void {
+    if (fencing === this.lastFencing) return
+    this.lastFencing = fencing
+    this.lastLoadMs = this.parts.clock.readMonotonicMs()
+  }
+
   private isLoadPermitted (order: 'load' | 'unload'): boolean {
     if (order === 'unload') return true
     return this.parts.clock.readMonotonicMs() - this.lastLoadMs >= placementConstants.LOAD_INTERVAL_MS
