--- /dev/null
+++ b/src/node/health/__tests__/speedEstimate.test.ts
@@ -0,0 +1,36 @@
+import t from 'tap'
+import { SpeedEstimate } from '../speedEstimate.js'
+
+t.test('a single straggler does not mark its upstream', t => {
+  const speed = new SpeedEstimate()
+  for (let i = 0; i < 30; i++) speed.observeCall(i % 10 === 9 ? 20 : 1, 1, i * 20)
+  t.notOk(speed.isSlow())
+  t.end()
+})
+
+t.test('a slowdown marks the upstream within three calls', t => {
+  const speed = new SpeedEstimate()
+  for (let i = 0; i < 3; i++) speed.observeCall(8, 1, i * 160)
+  t.ok(speed.isSlow())
+  t.end()
+})
+
+t.test('a slowdown of the whole pool marks no upstream', t => {
+  const speed = new SpeedEstimate()
+  for (let i = 0; i < 20; i++) speed.observeRate(3, 3, i * 100)
+  t.notOk(speed.isSlow())
+  t.end()
+})
+
+t.test('work returns gradually after a slowdown', t => {
+  const speed = new SpeedEstimate()
+  for (let i = 0; i < 5; i++) speed.observeRate(8, 1, i * 100)
+  t.notOk(speed.hasRoom(0), 'no work while slow')
+  t.ok(speed.isProbeDue(true, 10_000))
+  speed.observeRate(1, 1, 10_000)
+  t.ok(speed.hasRoom(0))
+  t.notOk(speed.hasRoom(1), 'one attempt at first')
+  for (let i = 0; i < 10; i++) speed.onGoodAnswer()
+  t.ok(speed.hasRoom(100))
+  t.end()
+})
