feat(routing): a long list of slow upstreams costs a decision no more than a short one

Cause: each decision looked through all slow upstreams for one that is due for a probe; the cost was also measured with work that was refused at once.

--- a/playground/bench/computeCost.ts
+++ b/playground/bench/computeCost.ts
@@ -17,7 +17,7 @@
 const inFlight = 400
 const none: ReadonlySet<string> = new Set()
 
-/** Measures decisions among the runners of the target size, with some hundred attempts in flight at this host. */
+/** Measures decisions among the runners of the target size, with some hundred attempts in flight at this host and a quarter of the runners slow. */
 export function computeCost (): CostResult {
   const upstreams = buildUpstreams()
   const before = readHeap()
@@ -26,6 +26,7 @@
   sendReports(router, 0)
   const bytesPerRunner = (readHeap() - before) / runners
   const attemptUs = runAttempts(router)
+  sendRefusals(router)
   return { routingUs: runRouting(router), attemptUs, admissionUs: runAdmission(router), bytesPerRunner, subsetMs: runSubset() }
 }
 
@@ -34,13 +35,23 @@
 }
 
 function buildWork (i: number): StageWork {
-  return { workId: `a/${i}/generate`, account: 'a', pool: 'runners', operation: 'generate', model: 'base', cost: 250, priority: i % 10, deadlineMs: i + 11_000, idempotent: true, prefixHash: `p${i % 5000}` }
+  return { workId: `a/${i}/generate`, account: 'a', pool: 'runners', operation: 'generate', model: 'base', cost: i % 10 === 0 ? 250 : 60, priority: i % 10, deadlineMs: i + 11_000, idempotent: true, prefixHash: `p${i % 5000}` }
 }
 
 function sendReports (router: RoutingCore, nowMs: number): void {
   for (let i = 0; i < runners; i++) router.onLoadReport({ upstreamId: `runner-${i}`, running: i % 16, waiting: 0, slots: 32, kvUsed: 0.5, atMs: nowMs }, nowMs)
 }
 
+/** A quarter of the runners refuses connections, so that decisions go with a long list of slow upstreams. */
+function sendRefusals (router: RoutingCore): void {
+  const nowMs = decisions * 2
+  for (let i = 0; i < runners / 4; i++) {
+    const work = { ...buildWork(nowMs), workId: `a/refused-${i}/generate` }
+    router.onSent(`runner-${i * 4}`, work, nowMs)
+    router.onEnded(`runner-${i * 4}`, work, 'refused', 1, nowMs)
+  }
+}
+
 /** Runs `run` once to warm up and returns the processor time of a second pass for each call, in microseconds. */
 function runCalls (run: (i: number) => void): number {
   for (let i = 0; i < decisions / 4; i++) run(i)
--- a/src/node/routing/chooseConnectionSubset.ts
+++ b/src/node/routing/chooseConnectionSubset.ts
@@ -16,7 +16,7 @@
  * Rendezvous hashing in rounds: in each round every host takes the upstream of highest weight that has
  * fewer connections than the round allows, so that the connections of the upstreams stay even. All
  * hosts compute the rounds of all hosts and agree while they know the same hosts and upstreams; a
- * difference costs evenness only. The work grows with hosts times upstreams, about 0.1 s for 340 hosts
+ * difference costs evenness only. The work grows with hosts times upstreams, about 0.3 s for 340 hosts
  * and 2,800 upstreams, so it belongs to changes of the lists and not to requests.
  */
 export function chooseConnectionSubset (hostId: string, hostIds: readonly string[], upstreamIds: readonly string[], size: number): readonly string[] {
--- a/src/node/routing/stageRouterCore.ts
+++ b/src/node/routing/stageRouterCore.ts
@@ -1,6 +1,7 @@
 import { RepeatBudget } from '../retries/repeatBudget.js'
 import type { AttemptOutcome } from '../../types/attemptOutcome.js'
 import type { LoadReport } from '../../types/loadReport.js'
+import type { Random } from '../../types/random.js'
 import type { RoutingCore } from '../../types/routingCore.js'
 import type { RoutingOptions } from '../../types/routingOptions.js'
 import type { StageOperation } from '../../types/stageOperation.js'
@@ -33,8 +34,10 @@
   private readonly works = new WorkTable()
   private readonly wallOffsetMs: number
   private readonly countHosts: () => number
+  private readonly random: Random
 
   constructor (options: RoutingOptions) {
+    this.random = options.random
     this.table = new UpstreamTable(options.random)
     this.countHosts = options.countHosts ?? (() => 1)
     this.wallOffsetMs = options.wallOffsetMs ?? 0
@@ -158,12 +161,24 @@
     const slowViews = pool.listSlow(nowMs)
     if (slowViews.length === 0) return undefined
     const covered = this.budget.hasSpare(model.computeServiceMs(work.cost))
-    const view = slowViews.find(slow => slow.isSelectable() && slow.attempts.size === 0 && slow.speed.isProbeDue(covered, nowMs) && !excluded.has(slow.upstream.id))
+    const isDue = (slow: UpstreamView) => slow.isSelectable() && slow.attempts.size === 0 && slow.speed.isProbeDue(covered, nowMs) && !excluded.has(slow.upstream.id)
+    const view = this.findSampled(slowViews, isDue)
     if (view === undefined) return undefined
     view.speed.onProbeSent(nowMs)
     return this.chooser.computeCandidate(pool, model, work, view, nowMs)
   }
 
+  /** Looks at a few views from a random start, so that a long list costs a decision no more than a short one. */
+  private findSampled (views: readonly UpstreamView[], matches: (view: UpstreamView) => boolean): UpstreamView | undefined {
+    const start = Math.floor(this.random() * views.length)
+    const count = Math.min(views.length, routingConstants.candidates)
+    for (let i = 0; i < count; i++) {
+      const view = views[(start + i) % views.length] as UpstreamView
+      if (matches(view)) return view
+    }
+    return undefined
+  }
+
   /** A hedge is useless while the running attempt would end before a new one. */
   private isHedgeUseful (work: StageWork, nowMs: number): boolean {
     const pool = this.table.findPool(work.pool)
