--- a/playground/benchProcess/__tests__/benchFigures.test.ts
+++ b/playground/benchProcess/__tests__/benchFigures.test.ts
@@ -61,3 +61,11 @@
   t.equal(listBenchFaults({ rounds: 1, relays, shortRequestMs: [], delays: [], idle: [] }).length, 3)
   t.end()
 })
+
+t.test('reports idle hosts of the largest fleet that cost more than their bound', t => {
+  const sample = { hosts: 20, processorShare: 0.028, residentBytes: 100e6, bytesPerSecond: undefined }
+  const report = { rounds: 1, relays: [], shortRequestMs: [], delays: [] }
+  t.same(listBenchFaults({ ...report, idle: [sample, { ...sample, hosts: 5, processorShare: 0.5 }] }), [])
+  t.match(listBenchFaults({ ...report, idle: [{ ...sample, processorShare: 0.031, bytesPerSecond: 21_000 }] }), [/share of a core 0.0310/, /bytes\/s/])
+  t.end()
+})
--- a/playground/benchProcess/listBenchFaults.ts
+++ b/playground/benchProcess/listBenchFaults.ts
@@ -7,9 +7,10 @@
 
 /**
  * Answers that were not whole, and the bounds that the medians miss. The bound of the relay holds for
- * the variants that offer as many tokens; a host with less to relay cannot show it.
+ * the variants that offer as many tokens; a host with less to relay cannot show it. The bounds of idle
+ * hosts are compared with the largest fleet that was measured, not with the extrapolation.
  */
-export function listBenchFaults ({ relays, delays }: BenchReport): readonly string[] {
+export function listBenchFaults ({ relays, delays, idle }: BenchReport): readonly string[] {
   const least = benchConstants.leastTokensPerCore
   const bounds = relays.filter(({ variant }) => variant.path === 'relayed' && computeOffered(variant) >= least).flatMap(({ variant, results }) => {
     const rate = computeSpread(results.map(result => result.tokensPerSecond)).median
@@ -21,10 +22,24 @@
     return faults.length === 0 ? [] : [`${variant.path} ${variant.pace} ${variant.streams}: ${faults.length} answers not whole, e.g. ${faults.slice(0, shownFaults).join('; ')}`]
   })
   const calls = delays.filter(delay => delay.faults.length > 0).map(delay => `${delay.name}: ${delay.faults.length} calls failed, e.g. ${delay.faults.slice(0, shownFaults).join('; ')}`)
-  return [...bounds, ...answers, ...calls]
+  return [...bounds, ...answers, ...calls, ...listIdleFaults(idle)]
 }
 
 /** Tokens a second that the streams of a variant generate. */
 function computeOffered ({ pace, streams }: RelayVariant): number {
   return streams * 1000 / (pace === 'paced' ? benchConstants.pacedStepMs : benchConstants.fastStepMs)
 }
+
+function listIdleFaults (samples: BenchReport['idle']): readonly string[] {
+  const hosts = Math.max(...samples.map(sample => sample.hosts))
+  const largest = samples.filter(sample => sample.hosts === hosts)
+  const check = (name: string, values: readonly (number | undefined)[], bound: number): readonly string[] => {
+    const { median } = computeSpread(values.filter(value => value !== undefined))
+    return median > bound ? [`${hosts} idle hosts: ${name} ${median.toPrecision(3)}, bound ${bound}`] : []
+  }
+  return [
+    ...check('share of a core', largest.map(sample => sample.processorShare), benchConstants.largestProcessorShare),
+    ...check('resident bytes', largest.map(sample => sample.residentBytes), benchConstants.largestResidentBytes),
+    ...check('bytes/s', largest.map(sample => sample.bytesPerSecond), benchConstants.largestBytesPerSecond)
+  ]
+}
