feat(caller): hints of answers with an unknown outcome are followed with the same id

A host answers limit_reached with ran unknown when the directory did not answer in time. Posting the same id again is safe for every kind; a new id is used only after not_run.

--- a/playground/caller/__tests__/callerClient.test.ts
+++ b/playground/caller/__tests__/callerClient.test.ts
@@ -50,14 +50,14 @@
   t.not(record.addresses[0], record.addresses[1])
 })
 
-// A retry of anything but `not_run` could run a call twice.
-t.test('retries after not_run with a hint, and not after an unknown outcome', async t => {
+// A new id after anything but `not_run` could run a call twice.
+t.test('retries with a new id after not_run, with the same id while the request may be running', async t => {
   const refuse = (ran: string): Handler => (_request, response) => response.writeHead(503).end(JSON.stringify({ error: { code: 'c', message: 'm', ran, retryAfterMs: 20 } }))
-  const { client, seen } = await startHosts(t, [refuse('not_run'), refuse('unknown')])
+  const { client, seen } = await startHosts(t, [refuse('not_run'), refuse('unknown'), refuse('ran')])
   const record = await client.sendRequest(query)
-  t.match(record, { outcome: 'failed', ran: 'unknown', code: 'c', retryCount: 1, rejoinCount: 0 })
-  t.equal(seen.length, 2)
-  t.equal(record.requestIds.length, 2)
+  t.match(record, { outcome: 'failed', ran: 'ran', code: 'c', retryCount: 2, rejoinCount: 0 })
+  const ids = seen.map(request => request.headers['request-id'])
+  t.same(ids, [record.requestIds[0], record.requestIds[1], record.requestIds[1]])
 })
 
 t.test('records a refusal without a hint as final', async t => {
--- a/playground/caller/requestAttempts.ts
+++ b/playground/caller/requestAttempts.ts
@@ -88,23 +88,30 @@
     return reader.readAnswer()
   }
 
-  /** Follows the retry hint of a `not_run` answer; false when there is none or no retry is left. */
+  /**
+   * Follows the retry hint of an answer; false when there is none or no retry is left. After `not_run`
+   * the request gets a new id; while it may be running (`unknown`) only the same id is safe.
+   */
   private async waitRetry (error: AnswerError, signal: AbortSignal): Promise<boolean> {
     const { request, routes } = this.options
     const hasHint = error.retryAfterMs !== undefined || error.addresses !== undefined || isListed(callerConstants.otherAddressCodes, error.code)
-    if (error.ran !== 'not_run' || !hasHint || this.retryCount >= (request.maxRetries ?? callerConstants.maxRetries)) return false
+    if (error.ran === 'ran' || !hasHint || this.retryCount >= (request.maxRetries ?? callerConstants.maxRetries)) return false
     const delayMs = error.retryAfterMs ?? 0
     if (performance.now() - this.startMs + delayMs > request.deadlineMs) return false
     routes.applyAddresses(error.addresses?.map(entry => entry.address) ?? [])
     this.retryCount++
-    this.restartCount += this.check.restartCount
-    // `not_run` promises that nothing ran, so a new id can not run the request twice.
-    this.requestIds.push(createRequestId())
-    this.check = new AnswerCheck(request)
+    if (error.ran === 'not_run') this.startAnew()
     await waitMs(delayMs, undefined, { signal }).catch(() => {})
     return true
   }
 
+  /** `not_run` promises that nothing ran, so a new id cannot run the request twice. */
+  private startAnew (): void {
+    this.restartCount += this.check.restartCount
+    this.requestIds.push(createRequestId())
+    this.check = new AnswerCheck(this.options.request)
+  }
+
   private async waitRejoin (reason: string, address: string | undefined, signal: AbortSignal): Promise<void> {
     this.lastReason = reason
     if (address !== undefined) {
