--- a/playground/prove/load/buildProofExample.ts
+++ b/playground/prove/load/buildProofExample.ts
@@ -6,9 +6,11 @@
 
 /** The example with shorter long generations, so that the load stays far below its capacity, and the scenario's settings. */
 export function buildProofExample (example: ExampleDeployment, settings: ScenarioSettings): ExampleDeployment {
-  const { kinds, hostListLagMs, limitFactor = proveConstants.limitFactor } = settings
+  const { hostCount, upstreamsPerPool = Infinity, kinds, hostListLagMs, limitFactor = proveConstants.limitFactor } = settings
   return {
     ...example,
+    entryHosts: example.entryHosts.slice(0, hostCount),
+    upstreams: example.upstreams.map(upstreams => ({ ...upstreams, count: Math.min(upstreams.count, upstreamsPerPool) })),
     contracts: example.contracts.map(contract => ({
       ...contract,
       requestsPerSecond: contract.requestsPerSecond * limitFactor,
--- a/playground/prove/main.ts
+++ b/playground/prove/main.ts
@@ -1,8 +1,10 @@
 import { dirname, resolve } from 'node:path'
 import sade from 'sade'
 import { proveConstants } from './constants.js'
+import type { Proof } from './proof.js'
 import { buildRandomProof } from './proofs/buildRandomProof.js'
 import { listProofs } from './proofs/listProofs.js'
+import { shortProof } from './proofs/shortProof.js'
 import { ProofRunner } from './run/proofRunner.js'
 
 interface Flags {
@@ -10,6 +12,7 @@
   readonly only?: string
   readonly without?: string
   readonly random?: boolean
+  readonly short?: boolean
   readonly seconds: number
   readonly 'at-once': number
   readonly seed: number
@@ -22,13 +25,14 @@
   .option('--seed', 'seed of the load and the faults', 1)
   .option('--without', 'takes a mechanism away in the bench; the proof must then fail')
   .option('--random', 'draws faults at random from the seed instead')
+  .option('--short', 'runs one kill and one outage in a small deployment')
   .option('--seconds', 'length of a random run', 60)
   .option('--at-once', 'deployments side by side', proveConstants.deploymentsAtOnce)
   .action(startProofs)
   .parse(process.argv)
 
 async function startProofs (flags: Flags): Promise<void> {
-  const proofs = flags.random ? [buildRandomProof(Number(flags.seconds))] : listProofs().filter(proof => flags.only === undefined || proof.name === flags.only)
+  const proofs = chooseProofs(flags)
   const seed = Number(flags.seed)
   if (flags.list) return renderList()
   const areNumbers = [seed, Number(flags['at-once'])].every(Number.isInteger) && Number(flags.seconds) > 0
@@ -43,6 +47,12 @@
   process.exit(failed === 0 ? 0 : 1)
 }
 
+function chooseProofs (flags: Flags): readonly Proof[] {
+  if (flags.random) return [buildRandomProof(Number(flags.seconds))]
+  if (flags.short) return [shortProof]
+  return listProofs().filter(proof => flags.only === undefined || proof.name === flags.only)
+}
+
 function stopOnSignals (runner: ProofRunner): void {
   let isStopping = false
   const stopEarly = async (reason: string, code: number): Promise<void> => {
--- a/playground/prove/scenarioSettings.ts
+++ b/playground/prove/scenarioSettings.ts
@@ -2,6 +2,10 @@
 export interface ScenarioSettings {
   /** @default 'type' */
   readonly grouping?: 'type' | 'single'
+  /** Entry hosts, the first ones of the example. @default all */
+  readonly hostCount?: number
+  /** Upstreams of each pool, at most. @default all */
+  readonly upstreamsPerPool?: number
   readonly requestsPerSecond?: number
   /** Share of calls that run at most once which are sent to several hosts at the same time, with one id. @default 0 */
   readonly raceShare?: number
