--- a/src/node/limits/limitOwner.ts
+++ b/src/node/limits/limitOwner.ts
@@ -12,11 +12,18 @@
   readonly sequence: number
 }
 
+type BudgetLimit = Parameters<AccountBudget['grant']>[1]
+
+interface BudgetHolder {
+  readonly id: string
+  readonly peerAddress: string
+}
+
 interface OwnerSource {
   /** Requests a second of the account's contract; undefined without a contract. */
   readonly findRate: (account: string) => number | undefined
-  /** Hosts seen, this one included. */
-  readonly countSeen: () => number
+  /** Hosts that this owner grants for, this one included. */
+  readonly countSeen: (nowMs: number) => number
   /** Hosts that share each contract: those of the host list and those seen. */
   readonly countHosts: () => number
   readonly isHostSeen: (hostId: string) => boolean
@@ -25,7 +32,7 @@
 /** The budgets of the accounts that this host owns, and of those that it has handed over. Pure. */
 export class LimitOwner {
   private readonly budgets = new Map<string, AccountBudget>()
-  private readonly handedOver = new Map<string, { readonly hostId: string, readonly atMs: number }>()
+  private readonly handedOver = new Map<string, { readonly holder: BudgetHolder, readonly atMs: number }>()
 
   constructor (private readonly source: OwnerSource) {}
 
@@ -35,10 +42,9 @@
 
   /** An account that nobody has used for some time starts with a full burst. */
   addIdleBudget (account: string, nowMs: number): void {
-    const rate = this.source.findRate(account)
-    if (rate === undefined) return
-    const burst = computeBurst(rate * this.source.countSeen() / this.source.countHosts())
-    this.budgets.set(account, new AccountBudget(burst, nowMs, nowMs))
+    const limit = this.computeLimit(account, nowMs)
+    if (!limit) return
+    this.budgets.set(account, new AccountBudget(limit.burst, nowMs, nowMs))
     this.handedOver.delete(account)
   }
 
@@ -58,30 +64,29 @@
 
   /** Number of requests that the host may start in the next lease time, beyond those that it holds. */
   grant (report: OwnerReport, nowMs: number): number {
-    const limit = this.computeLimit(report.account)
+    const limit = this.computeLimit(report.account, nowMs)
     const budget = this.budgets.get(report.account)
     return limit && budget ? budget.grant(report, limit, nowMs) : 0
   }
 
   /** Ends the ownership; reports that still arrive are passed on to the new owner. Undefined without a budget. */
-  removeBudget (account: string, newOwner: string, nowMs: number): { readonly balance: number, readonly outstanding: number } | undefined {
-    const limit = this.computeLimit(account)
+  removeBudget (account: string, newOwner: BudgetHolder, nowMs: number): { readonly balance: number, readonly outstanding: number } | undefined {
+    const limit = this.computeLimit(account, nowMs)
     const state = limit && this.budgets.get(account)?.readState(limit, nowMs)
     this.budgets.delete(account)
-    this.handedOver.set(account, { hostId: newOwner, atMs: nowMs })
+    this.handedOver.set(account, { holder: newOwner, atMs: nowMs })
     return state
   }
 
-  /** The host that took the account over from this one a short time ago. */
-  findNewOwner (account: string, nowMs: number): string | undefined {
+  /** The host that took the account over from this one a short time ago; it may not be known otherwise yet. */
+  findNewOwner (account: string, nowMs: number): BudgetHolder | undefined {
     const entry = this.handedOver.get(account)
-    if (!entry || nowMs - entry.atMs > limitConstants.handedOverMs || !this.source.isHostSeen(entry.hostId)) return undefined
-    return entry.hostId
+    return entry && nowMs - entry.atMs <= limitConstants.handedOverMs ? entry.holder : undefined
   }
 
   /** The host that last took the account over from this one, and that may hold its budget. */
-  findLastHolder (account: string): string | undefined {
-    return this.handedOver.get(account)?.hostId
+  findLastHolder (account: string): BudgetHolder | undefined {
+    return this.handedOver.get(account)?.holder
   }
 
   /** Forgets what nobody uses any more. */
@@ -90,11 +95,14 @@
     for (const [account, { atMs }] of this.handedOver) if (nowMs - atMs > limitConstants.handedOverMs + limitConstants.budgetIdleMs) this.handedOver.delete(account)
   }
 
-  private computeLimit (account: string): { readonly hostShare: number, readonly hosts: number, readonly isHostSeen: (hostId: string) => boolean } | undefined {
+  // In a partition the sides share the burst, too.
+  private computeLimit (account: string, nowMs: number): BudgetLimit | undefined {
     const rate = this.source.findRate(account)
     if (rate === undefined) return undefined
     const known = this.source.countHosts()
-    return { hostShare: rate / known, hosts: this.source.countSeen(), isHostSeen: this.source.isHostSeen }
+    const hosts = this.source.countSeen(nowMs)
+    const burst = Math.max(1, computeBurst(rate) * hosts / known)
+    return { hostShare: rate / known, hosts, burst, isHostSeen: this.source.isHostSeen }
   }
 }
 
--- a/src/node/limits/limitOwnership.ts
+++ b/src/node/limits/limitOwnership.ts
@@ -11,6 +11,11 @@
 type ReportAnswer = ReturnType<typeof peerMethods.rateReport.decodeResponse>
 type ReportEntry = NonNullable<ReportMessage['entries']>[number]
 
+interface BudgetHolder {
+  readonly id: string
+  readonly peerAddress: string
+}
+
 /**
  * Answers reports as the limit owner. An account that changes hands is taken over from its former owner,
  * which passes on what still reaches it, so that at any time one host grants the account's rate.
@@ -20,7 +25,7 @@
 
   constructor (private readonly owner: LimitOwner, private readonly census: HostCensus, private readonly membership: MembershipView, private readonly transport: PeerTransport, private readonly clock: Clock) {
     transport.handle(peerMethods.rateReport, async (request, peerId) => {
-      if (request.takeover === true) return this.buildTakeover(request, peerId)
+      if (request.takeover === true) return await this.receiveTakeover(request, peerId)
       return { leases: [...await this.receiveReport(request, peerId)] }
     })
   }
@@ -33,10 +38,10 @@
     const others = new Map<string, ReportEntry[]>()
     for (const entry of request.entries ?? []) {
       const owner = this.findOwner(entry.account ?? '')
-      if (owner === this.membership.getSelf().id || isForwarded) own.push(entry)
-      else others.set(owner, [...others.get(owner) ?? [], entry])
+      if (owner.id === this.membership.getSelf().id || isForwarded) own.push(entry)
+      else others.set(owner.peerAddress, [...others.get(owner.peerAddress) ?? [], entry])
     }
-    const passedOn = [...others].map(async ([owner, entries]) => await this.sendOn(owner, { ...request, hostId, entries }))
+    const passedOn = [...others].map(async ([address, entries]) => await this.sendOn(address, { ...request, hostId, entries }))
     await Promise.all(own.map(async entry => { await this.startBudget(entry.account ?? '') }))
     const leases = own.map(entry => this.grantEntry(entry, hostId, request.sequence ?? 0))
     return leases.concat(...await Promise.all(passedOn))
@@ -46,8 +51,15 @@
     this.owner.removeIdle(nowMs)
   }
 
-  private findOwner (account: string): string {
-    return this.owner.findNewOwner(account, this.clock.readMonotonicMs()) ?? this.census.findOwner(account)
+  private findOwner (account: string): BudgetHolder {
+    // Views of the membership differ for a moment after each change; the host with the budget answers, so that
+    // the account does not move back and forth.
+    const self = this.membership.getSelf()
+    if (this.owner.hasBudget(account)) return self
+    const holder = this.owner.findNewOwner(account, this.clock.readMonotonicMs())
+    const state = holder && this.membership.find(holder.id)?.state
+    if (holder && state !== 'leaving' && state !== 'dead') return holder
+    return this.membership.find(this.census.findOwner(account)) ?? self
   }
 
   private grantEntry (entry: ReportEntry, hostId: string, sequence: number): RateLease {
@@ -57,9 +69,7 @@
     return { account, requestsPerSecond: amount * 1000 / limitConstants.leaseMs, durationMs: limitConstants.leaseMs }
   }
 
-  private async sendOn (owner: string, request: ReportMessage): Promise<readonly RateLease[]> {
-    const address = this.membership.find(owner)?.peerAddress
-    if (address === undefined) return []
+  private async sendOn (address: string, request: ReportMessage): Promise<readonly RateLease[]> {
     const answer = await this.transport.send(address, peerMethods.rateReport, { ...request, forwarded: true }, limitConstants.takeoverTimeoutMs).catch(() => undefined)
     return (answer?.leases ?? []).map(lease => ({ account: lease.account ?? '', requestsPerSecond: lease.requestsPerSecond ?? 0, durationMs: lease.durationMs ?? 0 }))
   }
@@ -78,11 +88,11 @@
   }
 
   private async runTakeover (account: string): Promise<void> {
-    const holder = this.membership.find(this.owner.findLastHolder(account) ?? '')
-    const former = holder && holder.state !== 'dead' ? holder : this.census.findFormerOwner(account)
+    const former = this.findHolder(account, this.membership.getSelf().id)
     let answer: ReportAnswer | undefined
     if (former) {
-      const request = { hostId: this.membership.getSelf().id, entries: [{ account }], takeover: true }
+      const { id, peerAddress } = this.membership.getSelf()
+      const request = { hostId: id, peerAddress, entries: [{ account }], takeover: true }
       answer = await this.transport.send(former.peerAddress, peerMethods.rateReport, request, limitConstants.takeoverTimeoutMs).catch(() => undefined)
     }
     const nowMs = this.clock.readMonotonicMs()
@@ -94,13 +104,23 @@
     else this.owner.addIdleBudget(account, nowMs)
   }
 
-  private buildTakeover (request: ReportMessage, peerId: string): ReportAnswer {
-    const nowMs = this.clock.readMonotonicMs()
-    const balances = (request.entries ?? []).flatMap(entry => {
-      const account = entry.account ?? ''
-      const state = this.owner.removeBudget(account, peerId, nowMs)
-      return state ? [{ account, ...state }] : []
-    })
-    return { balances }
+  // A young host may not know the former owner and ask another host; that one asks on.
+  private async receiveTakeover (request: ReportMessage, peerId: string): Promise<ReportAnswer> {
+    const isForwarded = request.forwarded === true
+    const newOwner = { id: isForwarded ? request.hostId ?? peerId : peerId, peerAddress: request.peerAddress ?? '' }
+    const account = request.entries?.[0]?.account ?? ''
+    const holder = this.findHolder(account, newOwner.id)
+    const isHere = this.owner.hasBudget(account) || isForwarded || holder === undefined || holder.id === this.membership.getSelf().id
+    const state = this.owner.removeBudget(account, newOwner, this.clock.readMonotonicMs())
+    if (isHere) return { balances: state ? [{ account, ...state }] : [] }
+    const passedOn = { hostId: newOwner.id, peerAddress: newOwner.peerAddress, entries: [{ account }], takeover: true, forwarded: true }
+    return await this.transport.send(holder.peerAddress, peerMethods.rateReport, passedOn, limitConstants.takeoverTimeoutMs)
+  }
+
+  // The host that last took the account over from this one knows best; else the choice without the new owner.
+  private findHolder (account: string, newOwner: string): BudgetHolder | undefined {
+    const last = this.owner.findLastHolder(account)
+    const isUsable = last && last.id !== newOwner && this.membership.find(last.id)?.state !== 'dead'
+    return isUsable ? last : this.census.findFormerOwner(account, newOwner)
   }
 }
--- a/src/node/requests/constants.ts
+++ b/src/node/requests/constants.ts
@@ -28,7 +28,11 @@
   refusalLookupMs: 150,
   /** Longest wait for a share of the account's limit; refusals are due within 50 ms. */
   creditWaitMs: 25,
-  maxTakeovers: 6,
+  maxTakeovers: 8,
+  /** Hosts that say they are not the owner are asked this often before the request is taken from them. */
+  maxOwnerMisses: 3,
+  /** After the deadline of a call that runs at most once, its outcome is still awaited and recorded. */
+  lateOutcomeMs: 3000,
   /** Directory entries without news from their owner are forgotten after this time. */
   directoryEntryLifetimeMs: 90_000,
   reregisterIntervalMs: 30_000,
@@ -43,6 +47,8 @@
   supersededCode: 'superseded',
   outcomeRecordTimeoutMs: 2000,
   minimumBudgetMs: 50,
+  /** Smallest budget of a stage whose durations are not known yet. */
+  firstBudgetMs: 250,
   latencySamples: 128,
   /** A stage that takes longer than this quantile of its past is given a second attempt. */
   budgetQuantile: 0.95,
