fix(requests): not_run is said only when no earlier submission can still run

Cause: a caller that rejoins because its host is frozen or overloaded may be refused elsewhere as not_run, and the first host registers and runs the request afterwards; the same with claims that time out in an outage. A refusal of an id older than 1 s, or of a call that another host has registered, now says unknown.

--- a/src/node/requests/__tests__/rejoinAdmission.test.ts
+++ b/src/node/requests/__tests__/rejoinAdmission.test.ts
@@ -1,4 +1,5 @@
 import t from 'tap'
+import { v7 as createRequestId } from 'uuid'
 import { RequestTestFleet } from '../../../../playground/fakes/requestTestFleet.js'
 
 // Guards against a running request that is lost because the host where its caller rejoins is busy.
@@ -17,3 +18,17 @@
   const refused = await second!.send('POST', '/v1/requests', body, { 'request-id': 'new' })
   t.match(JSON.parse(refused.text), { error: { code: 'deadline_unreachable', ran: 'not_run' } })
 })
+
+// Guards against not_run for a request that a frozen or overloaded host registers and runs after the refusal.
+t.test('a refusal says not_run only when the request id is new', async t => {
+  const fleet = await new RequestTestFleet().start()
+  t.teardown(() => fleet.stop())
+  const host = fleet.hosts[0]!
+  host.admission.decision = { admitted: false, reason: 'overloaded', retryAfterMs: 10 }
+  const readRan = async (msecs: number): Promise<unknown> => {
+    const answer = await host.send('POST', '/v1/requests', { kind: 'issue', input: {} }, { 'request-id': createRequestId({ msecs }) })
+    return JSON.parse(answer.text).error.ran
+  }
+  t.equal(await readRan(Date.now() + 10_000), 'not_run')
+  t.equal(await readRan(Date.now() - 5000), 'unknown')
+})
--- a/src/node/requests/constants.ts
+++ b/src/node/requests/constants.ts
@@ -26,6 +26,8 @@
   joinHeartbeatMs: 250,
   /** Longest search of the directory before a refusal is answered. */
   refusalLookupMs: 150,
+  /** Age of an id up to which its submission is taken for the first one; callers rejoin a silent host after 1 s or more. */
+  firstSubmissionMs: 1000,
   /** Longest wait for a share of the account's limit; refusals are due within 50 ms. */
   creditWaitMs: 25,
   maxTakeovers: 8,
--- a/src/node/requests/requestExecutor.ts
+++ b/src/node/requests/requestExecutor.ts
@@ -4,7 +4,8 @@
 import { buildErrorEnd } from './buildErrorEnd.js'
 import { requestConstants } from './constants.js'
 import type { ExecutionReport } from './executionReport.js'
-import { parseAnswerEnd } from './parseAnswerEnd.js'
+import { isFirstSubmission } from './isFirstSubmission.js'
+import { resolveClaimOutcome } from './resolveClaimOutcome.js'
 import { PipelineRun } from './pipelineRun.js'
 import type { RegistrationResult } from './registrationResult.js'
 import type { RequestEntry } from './requestEntry.js'
@@ -144,8 +145,12 @@
     const { claims, clock, membership } = this.options
     const { account, requestId, bodyHash } = entry.identity
     const decision = await claims.claim({ account, requestId, bodyHash })
-    if (decision.kind === 'recorded') return parseAnswerEnd(decision.outcome.body)
-    if (decision.kind === 'refused') throw new RequestError(decision.code, decision.message, decision.ran === 'not_run' ? 503 : 409, decision.ran)
+    if (decision.kind === 'recorded') return resolveClaimOutcome(decision.outcome)
+    if (decision.kind === 'refused') {
+      const isCertain = owned.accepted && isFirstSubmission(requestId, deadlineAtMs - submission.deadlineMs, clock)
+      const ran = decision.ran === 'not_run' && !isCertain ? 'unknown' : decision.ran
+      throw new RequestError(decision.code, decision.message, decision.ran === 'not_run' ? 503 : 409, ran)
+    }
     if (decision.kind === 'pending') {
       if (decision.holderId !== membership.getSelf().id) await this.joinOwner(entry, decision.holderId)
       return entry.isEnded ? undefined : await this.settleLostClaim(entry)
@@ -171,7 +176,7 @@
   private async settleLostClaim (entry: RequestEntry): Promise<AnswerEnd> {
     const { account, requestId, bodyHash } = entry.identity
     const decision = await this.options.claims.claim({ account, requestId, bodyHash })
-    if (decision.kind === 'recorded') return parseAnswerEnd(decision.outcome.body)
+    if (decision.kind === 'recorded') return resolveClaimOutcome(decision.outcome)
     return { kind: 'error', code: 'outcome_unknown', message: 'the host that sent the call does not answer', ran: 'unknown', httpStatus: 409 }
   }
 
--- a/src/node/requests/requestService.ts
+++ b/src/node/requests/requestService.ts
@@ -7,6 +7,7 @@
 import { DirectoryClient } from './directoryClient.js'
 import { HandOver } from './handOver.js'
 import { hashBody } from './hashBody.js'
+import { isFirstSubmission } from './isFirstSubmission.js'
 import { LatencyModel } from './latencyModel.js'
 import { PendingAttempts } from './pendingAttempts.js'
 import { handlePeerCalls } from './handlePeerCalls.js'
@@ -169,7 +170,7 @@
       if (isRegistered && this.isReachable(found.ownerId)) {
         return this.joinRequest(account, requestId, bodyHash, found.ownerId)
       }
-      if (found === undefined || found.ownerId !== '') {
+      if (found === undefined || found.ownerId !== '' || !isFirstSubmission(requestId, receivedMs, this.options.clock)) {
         refusal = new RequestError(refusal.code, refusal.message, refusal.httpStatus, 'unknown', refusal.details)
       }
     }
