--- a/playground/prove/main.ts
+++ b/playground/prove/main.ts
@@ -11,6 +11,7 @@
   readonly list?: boolean
   readonly only?: string
   readonly without?: string
+  readonly scenario?: string
   readonly random?: boolean
   readonly short?: boolean
   readonly seconds: number
@@ -22,6 +23,7 @@
   .describe('Runs deployments as processes, induces faults and checks what callers, upstreams and operators saw.')
   .option('--list', 'names the proofs and the mechanisms that --without takes away')
   .option('--only', 'runs one proof')
+  .option('--scenario', 'runs the scenarios of the proof whose name contains this text')
   .option('--seed', 'seed of the load and the faults', 1)
   .option('--without', 'takes a mechanism away in the bench; the proof must then fail')
   .option('--random', 'draws faults at random from the seed instead')
@@ -50,7 +52,10 @@
 function chooseProofs (flags: Flags): readonly Proof[] {
   if (flags.random) return [buildRandomProof(Number(flags.seconds))]
   if (flags.short) return [shortProof]
-  return listProofs().filter(proof => flags.only === undefined || proof.name === flags.only)
+  return listProofs()
+    .filter(proof => flags.only === undefined || proof.name === flags.only)
+    .map(proof => ({ ...proof, scenarios: proof.scenarios.filter(({ name }) => name.includes(flags.scenario ?? '')) }))
+    .filter(proof => proof.scenarios.length > 0)
 }
 
 function stopOnSignals (runner: ProofRunner): void {
