--- a/playground/prove/main.ts
+++ b/playground/prove/main.ts
@@ -1,15 +1,19 @@
 import { dirname, resolve } from 'node:path'
 import sade from 'sade'
 import { proveConstants } from './constants.js'
+import type { Proof } from './proof.js'
 import { buildRandomProof } from './proofs/buildRandomProof.js'
 import { listProofs } from './proofs/listProofs.js'
+import { shortProof } from './proofs/shortProof.js'
 import { ProofRunner } from './run/proofRunner.js'
 
 interface Flags {
   readonly list?: boolean
   readonly only?: string
   readonly without?: string
+  readonly scenario?: string
   readonly random?: boolean
+  readonly short?: boolean
   readonly seconds: number
   readonly 'at-once': number
   readonly seed: number
@@ -19,16 +23,18 @@
   .describe('Runs deployments as processes, induces faults and checks what callers, upstreams and operators saw.')
   .option('--list', 'names the proofs and the mechanisms that --without takes away')
   .option('--only', 'runs one proof')
+  .option('--scenario', 'runs the scenarios of the proof whose name contains this text')
   .option('--seed', 'seed of the load and the faults', 1)
   .option('--without', 'takes a mechanism away in the bench; the proof must then fail')
   .option('--random', 'draws faults at random from the seed instead')
+  .option('--short', 'runs one kill and one outage in a small deployment')
   .option('--seconds', 'length of a random run', 60)
   .option('--at-once', 'deployments side by side', proveConstants.deploymentsAtOnce)
   .action(startProofs)
   .parse(process.argv)
 
 async function startProofs (flags: Flags): Promise<void> {
-  const proofs = flags.random ? [buildRandomProof(Number(flags.seconds))] : listProofs().filter(proof => flags.only === undefined || proof.name === flags.only)
+  const proofs = chooseProofs(flags)
   const seed = Number(flags.seed)
   if (flags.list) return renderList()
   const areNumbers = [seed, Number(flags['at-once'])].every(Number.isInteger) && Number(flags.seconds) > 0
@@ -43,6 +49,15 @@
   process.exit(failed === 0 ? 0 : 1)
 }
 
+function chooseProofs (flags: Flags): readonly Proof[] {
+  if (flags.random) return [buildRandomProof(Number(flags.seconds))]
+  if (flags.short) return [shortProof]
+  return listProofs()
+    .filter(proof => flags.only === undefined || proof.name === flags.only)
+    .map(proof => ({ ...proof, scenarios: proof.scenarios.filter(({ name }) => name.includes(flags.scenario ?? '')) }))
+    .filter(proof => proof.scenarios.length > 0)
+}
+
 function stopOnSignals (runner: ProofRunner): void {
   let isStopping = false
   const stopEarly = async (reason: string, code: number): Promise<void> => {
