fix(requests): only the stream of a lost owner is resumed

A request that was cancelled and came back tried to resume the cancelled stream through the hint that the directory still held.

--- a/src/node/requests/__tests__/stageExecution.test.ts
+++ b/src/node/requests/__tests__/stageExecution.test.ts
@@ -138,13 +138,19 @@
   t.equal(fleet.engines[0].calls.filter(call => call.method === 'DELETE').length, 1)
 })
 
-t.test('work whose caller has left is cancelled at the engine', async t => {
-  const { fleet, host } = await openFleet(t, { abandonGraceMs: 20 })
+t.test('work whose caller has left is cancelled at the engine, and runs anew when the caller comes back', async t => {
+  const { fleet, host, post } = await openFleet(t, { abandonGraceMs: 20 })
   fleet.engines[0].tokenDelayMs = 20
-  await host.send('POST', '/v1/requests', { kind: 'short', input: { text: 'length:500' }, stream: true }, {}, text => !text.includes('tokens'))
+  const body = { kind: 'short', input: { text: 'marker:w length:100' }, stream: true }
+  await host.send('POST', '/v1/requests', body, { 'request-id': 'back' }, text => !text.includes('tokens'))
   await waitUntil(() => host.requests.runningCount === 0 && fleet.engines[0].calls.some(call => call.method === 'DELETE'))
   t.equal(fleet.engines[0].calls.filter(call => call.method === 'DELETE').length, 1)
   t.equal(host.requests.runningCount, 0)
+  fleet.engines[0].tokenDelayMs = 0
+  const answer = await post(body, { 'request-id': 'back', 'last-event-id': '1:1' })
+  t.match(answer.text, /event: restart\ndata: \{"generation":2\}\n\n/)
+  t.match(answer.text, /id: 2:100\n(.|\n)*"tokenCount":100/)
+  t.equal(new Set(fleet.engines[0].calls.map(call => call.body.stream_id)).size, 3, 'two stream ids and the cancellation')
 })
 
 t.test('an upstream that answers 503 and marks itself as leaving gets no further work', async t => {
--- a/src/node/requests/requestExecutor.ts
+++ b/src/node/requests/requestExecutor.ts
@@ -74,12 +74,12 @@
         continue
       }
       this.options.metrics.addCount('lycheetrack_takeovers_total', {})
-      result = await this.register(entry, result.epoch + 1, idempotent, result)
+      result = await this.register(entry, result.epoch + 1, idempotent, result, outcome === 'lost')
     }
     throw new RequestError(entry.isStopped ? 'request_cancelled' : 'owner_unavailable', 'the request has no owner that answers', entry.isStopped ? 499 : 503, 'unknown')
   }
 
-  private async register (entry: RequestEntry, epoch: number, idempotent: boolean, takeover?: RegistrationResult): Promise<RegistrationResult> {
+  private async register (entry: RequestEntry, epoch: number, idempotent: boolean, takeover?: RegistrationResult, isOwnerLost = false): Promise<RegistrationResult> {
     const { directory, membership } = this.options
     const { account, requestId, bodyHash } = entry.identity
     const ownerId = membership.getSelf().id
@@ -90,7 +90,9 @@
     // Without any directory host the request runs all the same; claims keep calls that run at most once safe.
     const answer = idempotent ? await directory.register(registration) : await directory.registerAtBoth(registration)
     const result = answer ?? { accepted: true, ownerId, epoch, bodyHash, finished: false }
-    return result.accepted ? { ...result, hint: result.hint ?? takeover?.hint } : result
+    // An owner that has given the request up has cancelled its stream; only that of a lost owner may still run.
+    const isResumable = isOwnerLost && takeover?.ownerId !== ownerId
+    return result.accepted ? { ...result, hint: isResumable ? result.hint ?? takeover?.hint : undefined } : result
   }
 
   private async joinOwner (entry: RequestEntry, ownerId: string): Promise<'ended' | 'lost' | 'not_owner' | 'request_not_found'> {
