--- a/playground/bench/createBenchLimiter.ts
+++ b/playground/bench/createBenchLimiter.ts
@@ -3,7 +3,7 @@
 /** Bucket depth in seconds of the contract rate; half a second is 5% of the 10 s window of the bound. */
 const burstSeconds = 0.5
 
-/** An ideal limit across hosts: one token bucket for each account. Stands in for the rate leases. */
+/** A limit across hosts: one token bucket for each account. Stands in for the rate leases. */
 export function createBenchLimiter (rates: ReadonlyMap<string, number>): AccountLimiter {
   const buckets = new Map<string, { tokens: number, updatedMs: number }>()
   return {
