--- a/playground/standIns/server/callRunner.ts
+++ b/playground/standIns/server/callRunner.ts
@@ -53,7 +53,7 @@
     const isLost = this.faults.isHit(this.faults.settings.loseAnswers)
     this.log.settleExecution(execution, isLost ? 'answer lost' : 'completed', Date.now())
     if (isLost) return call.closeConnection()
-    if (this.faults.isHit(this.faults.settings.refuseAfterRun)) return call.sendJson(503, { error: 'leaving' })
+    if (this.faults.isHit(this.faults.settings.refuseAfterRun)) return call.sendJson(503, { error: 'leaving' }, { 'X-Upstream-State': 'leaving' })
     const output = buildOutput(callId, input)
     const sent = this.faults.isHit(this.faults.settings.crossAnswers) ? this.lastOutput ?? output : output
     this.lastOutput = output
