--- a/playground/prove/constants.ts
+++ b/playground/prove/constants.ts
@@ -4,8 +4,11 @@
   deploymentsAtOnce: 3,
   limitFactor: 20,
   requestsPerSecond: 25,
-  /** Callers rejoin after this silence; answers carry a keepalive every 500 ms. */
-  silenceMs: 1500,
+  /**
+   * Callers rejoin after this silence. Streams carry a keepalive every 500 ms, but a JSON answer is silent
+   * while the host waits up to 2 s for the holder of a call.
+   */
+  silenceMs: 3000,
   /** Time beyond a deadline in which a caller goes on rejoining: longer than the longest freeze. */
   graceMs: 12_000,
   /** Time in force of an accepted change after the end of what prevented it. */
--- a/playground/prove/proofs/rollingRestart.ts
+++ b/playground/prove/proofs/rollingRestart.ts
@@ -1,8 +1,9 @@
 import { setTimeout as waitMs } from 'node:timers/promises'
-import { proveConstants } from '../constants.js'
 import type { Proof } from '../proof.js'
 
 const longestDrainMs = 25_000
+/** Longer than the lifetime of a route answer. */
+const routeSettleMs = 3000
 
 /** All entry hosts are restarted one after another under full load. */
 export const rollingRestart: Proof = {
@@ -25,7 +26,7 @@
         await run.deployment.startOne(host.id)
         run.recordFault(`${host.id} started again`)
         // The next host follows when callers have learned of this one.
-        await waitMs(2 * proveConstants.silenceMs)
+        await waitMs(routeSettleMs)
       }
     }
   }]
