feat(bench): capacity benchmark of each mechanism by size

Runs the real classes of contracts, limits, routing, requests, claims, membership, burn and probes at four sizes and more, fits a line through the medians and prints its value at the target size. The loads of benchClaims and benchMembership moved into modules so that both programs use them.

--- /dev/null
+++ b/playground/benchCapacity/runIdleProcesses.ts
@@ -0,0 +1,39 @@
+import { dirname, resolve } from 'node:path'
+import { buildBenchExample } from '../benchProcess/buildBenchExample.js'
+import type { IdleSample } from '../benchProcess/idleSample.js'
+import { runIdle } from '../benchProcess/runIdle.js'
+import { createDeployment } from '../processes/createDeployment.js'
+import type { CapacitySeries } from './capacitySeries.js'
+import { capacityConstants } from './constants.js'
+import { createSeries } from './createSeries.js'
+
+const stopTimeoutMs = 2000
+
+/** Control cost of real entry-host processes that serve no request; the values are those of the single hosts. */
+export async function runIdleProcesses (): Promise<readonly CapacitySeries[]> {
+  const samples: Array<readonly [number, readonly IdleSample[]]> = []
+  for (const hosts of capacityConstants.idleHosts) samples.push([hosts, await runHosts(hosts)])
+  const head = { part: 'idle process', sizeName: 'hosts', targetSize: capacityConstants.targetHosts }
+  const build = (figure: string, unit: string, read: (sample: IdleSample) => number): CapacitySeries => {
+    return createSeries({ ...head, figure, unit }, samples.map(([hosts, list]) => [hosts, list.map(read)]))
+  }
+  return [
+    build('processor', '% of a core', sample => sample.processorShare * 100),
+    build('resident memory', 'MB', sample => sample.residentBytes / 1e6),
+    build('bytes between hosts, sent and received', 'KB/s', sample => (sample.bytesPerSecond ?? NaN) / 1e3)
+  ]
+}
+
+async function runHosts (hosts: number): Promise<readonly IdleSample[]> {
+  const deployment = createDeployment({
+    example: buildBenchExample(hosts),
+    distDirectory: dirname(dirname(resolve(process.argv[1] as string))),
+    hostEnvironment: { LYCHEETRACK_ROUTE_LIFETIME_MS: '100' }
+  })
+  try {
+    await deployment.start()
+    return await runIdle(deployment)
+  } finally {
+    await deployment.stop(stopTimeoutMs)
+  }
+}
--- /dev/null
+++ b/playground/benchCapacity/runMembership.ts
@@ -0,0 +1,30 @@
+import { runMembershipCluster } from '../benchMembership/runMembershipCluster.js'
+import { runMembershipWire } from '../benchMembership/runMembershipWire.js'
+import type { CapacitySeries } from './capacitySeries.js'
+import { capacityConstants } from './constants.js'
+import { createSeries } from './createSeries.js'
+
+const pings = [250, 500, 1000, 2000]
+
+/** Traffic, processor time and memory of membership by hosts, and the cost of one gRPC call. */
+export async function runMembership (): Promise<readonly CapacitySeries[]> {
+  const costs: Array<Awaited<ReturnType<typeof runMembershipCluster>>> = []
+  for (const size of capacityConstants.hosts) costs.push(await runMembershipCluster(size, capacityConstants.seed))
+  const wires: Array<Awaited<ReturnType<typeof runMembershipWire>>> = []
+  for (const count of pings) wires.push(await runMembershipWire(count))
+  const head = { part: 'membership', sizeName: 'hosts', targetSize: capacityConstants.targetHosts }
+  const build = (figure: string, unit: string, read: (cost: typeof costs[number]) => number): CapacitySeries => {
+    return createSeries({ ...head, figure, unit }, costs.map(cost => [cost.hosts, [read(cost)]]))
+  }
+  const wire = { part: 'membership', sizeName: 'calls', targetSize: 2000 }
+  return [
+    build('messages per host, sent and received', 'messages/s', cost => cost.messagesPerHostSecond),
+    build('bytes of messages per host, sent and received', 'bytes/s', cost => cost.messageBytesPerHostSecond),
+    build('the same while a failure domain fails', 'bytes/s', cost => cost.messageBytesPerHostSecondWhenADomainFails),
+    build('processor per host without gRPC', 'ms/s', cost => cost.cpuMsPerHostSecond),
+    build('memory per host', 'KB', cost => cost.heapKbPerHost),
+    build('time until a killed host is dead everywhere', 'ms', cost => cost.deadEverywhereMs ?? NaN),
+    createSeries({ ...wire, figure: 'gRPC: bytes on the wire per call besides the messages', unit: 'bytes' }, wires.map(cost => [cost.pings, [cost.overheadBytesPerCall]])),
+    createSeries({ ...wire, figure: 'gRPC: processor per call, both ends', unit: 'ms' }, wires.map(cost => [cost.pings, [cost.cpuMsPerCallBothEnds]]))
+  ]
+}
--- a/playground/benchClaims/main.ts
+++ b/playground/benchClaims/main.ts
@@ -1,74 +1,4 @@
-import { createClaimService } from '../../src/node/claims/createClaimService.js'
-import { createSeededRandom } from '../../src/shared/createSeededRandom.js'
-import { createSilentLogger } from '../fakes/createSilentLogger.js'
-import { createSilentMetrics } from '../fakes/createSilentMetrics.js'
-import { MemoryKeyValueService } from '../fakes/memoryKeyValueService.js'
-import { MemoryPeerNetwork } from '../fakes/memoryPeerNetwork.js'
-import { VirtualClock } from '../fakes/virtualClock.js'
-
-/** Latency of one write at the key-value service. */
-const WRITE_MS = 3
-/** One-way delay between hosts. */
-const PEER_MS = 1
-const RUN_MS = 2000
-
-interface ClaimLoad {
-  readonly hosts: number
-  readonly claimsPerSecond: number
-  /** Claims of a segment go to one host; otherwise each host writes its own. */
-  readonly isForwarded: boolean
-}
-
-interface ClaimCost {
-  readonly claims: number
-  readonly held: number
-  readonly writesPerSecond: number
-  readonly callsPerClaim: number
-  readonly p99Ms: number
-}
-
-/** Runs claims and outcomes of `load` on a virtual clock and counts the calls to the key-value service. */
-async function runLoad (load: ClaimLoad, seed: number): Promise<ClaimCost> {
-  const random = createSeededRandom(seed)
-  const clock = new VirtualClock()
-  const keyValue = new MemoryKeyValueService()
-  let writes = 0
-  keyValue.beforeWrite = async () => {
-    writes++
-    await clock.wait(WRITE_MS)
-  }
-  const network = new MemoryPeerNetwork()
-  network.wait = async () => await clock.wait(PEER_MS)
-  const hosts = Array.from({ length: load.hosts }, (_, i) => {
-    let nonces = 0
-    const peers = load.isForwarded ? network.addHost(`host-${i}`) : undefined
-    return createClaimService({ hostId: `host-${i}`, peers, keyValue, clock, logger: createSilentLogger(), metrics: createSilentMetrics(), wait: clock.wait, createNonce: () => `${i}-${nonces++}` })
-  })
-  const latencies: number[] = []
-  const epochMs = clock.readWallMs()
-  const claims = Math.round(load.claimsPerSecond * RUN_MS / 1000)
-  const runs = Array.from({ length: claims }, async (_, i) => {
-    await clock.wait(random() * RUN_MS)
-    const startMs = clock.readMonotonicMs()
-    const time = (epochMs + Math.round(startMs)).toString(16).padStart(12, '0')
-    const requestId = `${time.slice(0, 8)}-${time.slice(8)}-7000-8000-${i.toString(16).padStart(12, '0')}`
-    const decision = await hosts[Math.floor(random() * load.hosts)]!.claim({ account: 'pier', requestId, bodyHash: 'b' })
-    if (decision.kind !== 'held') return
-    latencies.push(clock.readMonotonicMs() - startMs)
-    await decision.recordOutcome({ ran: 'ran', status: 200, body: '{}' })
-  })
-  const all = Promise.all(runs)
-  await clock.runFor(RUN_MS + 12_000)
-  await all
-  latencies.sort((a, b) => a - b)
-  return {
-    claims,
-    held: latencies.length,
-    writesPerSecond: writes / (RUN_MS / 1000),
-    callsPerClaim: keyValue.calls / claims,
-    p99Ms: latencies[Math.floor(latencies.length * 0.99)] ?? NaN
-  }
-}
+import { runClaimLoad } from './runClaimLoad.js'
 
 const widths = [7, 10, 11, 11, 10, 13, 6]
 
@@ -81,7 +11,7 @@
   for (const isForwarded of [false, true]) {
     for (const [hosts, claimsPerSecond] of [[1, 10], [5, 10], [5, 50], [5, 200], [20, 50], [20, 200], [20, 800], [80, 800], [340, 2600]] as const) {
       if (!isForwarded && claimsPerSecond > 200) continue
-      const cost = await runLoad({ hosts, claimsPerSecond, isForwarded }, 1)
+      const cost = await runClaimLoad({ hosts, claimsPerSecond, isForwarded }, 1)
       console.log(formatRow([hosts, claimsPerSecond, isForwarded ? 'yes' : 'no', `${cost.held}/${cost.claims}`, Math.round(cost.writesPerSecond), cost.callsPerClaim.toFixed(2), Math.round(cost.p99Ms)]))
     }
   }
--- a/playground/benchProcess/buildBenchExample.ts
+++ b/playground/benchProcess/buildBenchExample.ts
@@ -52,7 +52,7 @@
 }
 
 function buildGenerate (pool: string): StageSpec {
-  return { name: 'answer', operation: 'generate', pool, after: [], model: 'bench', maxTokens: 100_000 }
+  return { name: 'answer', operation: 'generate', pool, after: [], model: 'bench', maxTokens: benchConstants.maxTokens }
 }
 
 function buildKind (stages: readonly StageSpec[]): RequestKindSpec {
--- a/playground/benchProcess/constants.ts
+++ b/playground/benchProcess/constants.ts
@@ -15,6 +15,11 @@
   /** The fast engine generates far more than one process can relay; it writes every 20 ms. */
   fastStepMs: 2,
   fastTickMs: 20,
+  /**
+   * Longer than any stream. Before the first answers a generation is predicted at half of this with 20 ms a token;
+   * admission refuses a kind whose prediction exceeds its deadline.
+   */
+  maxTokens: 5000,
   /** Streams start one after the other within this time. */
   spreadMs: 1000,
   bucketMs: 50,
