--- a/src/node/app/createEntryHost.ts
+++ b/src/node/app/createEntryHost.ts
@@ -23,7 +23,7 @@
 import { HostListPoller } from '../upstreams/hostListPoller.js'
 import { UpstreamSubset } from '../upstreams/upstreamSubset.js'
 import { UpstreamSet } from '../upstreams/upstreamSet.js'
-import type { ContractView } from '../../types/contractView.js'
+import { createEnginePoolLookup } from './createEnginePoolLookup.js'
 import { EntryHost } from './entryHost.js'
 import { resolveListenAddress } from './resolveListenAddress.js'
 
@@ -70,7 +70,7 @@
     clock,
     random,
     logger,
-    isEnginePool: pool => isEnginePool(contracts.store, pool),
+    isEnginePool: createEnginePoolLookup(contracts.store),
     onLeaving: upstreamId => membership.sendEvent(UPSTREAM_LEAVING, upstreamId),
     maxConnections: settings.maxConnectionsPerUpstream,
     probeIntervalMs: settings.probeMs
@@ -138,9 +138,3 @@
   await host.start()
   return host
 }
-
-/** Model engines publish cache events; other upstreams do not. */
-function isEnginePool (contracts: ContractView, pool: string): boolean {
-  return contracts.list().some(revision => Object.values(revision.contract?.kinds ?? {})
-    .some(kind => kind.stages.some(stage => stage.pool === pool && stage.operation === 'generate')))
-}
