fix(requests): generations wait for room and hedges are asked for again

The router answers undefined when long work has to wait and refuses a hedge while the attempt makes progress; the request path took both as final, so long work was refused in place of waiting and later hedges never came. Both new tests fail without the change (refused with no_upstream_available; no second attempt).

--- a/src/node/requests/stageRun.ts
+++ b/src/node/requests/stageRun.ts
@@ -48,7 +48,7 @@
     signal.addEventListener('abort', onAbort)
     const { resumed } = this.options
     if (resumed !== undefined) this.startAttempt(resumed.upstreamId, resumed.streamId, resumed.offset)
-    else if (!this.startNextAttempt()) this.refuse(undefined)
+    else if (!this.startNextAttempt()) this.waitForRoom(undefined)
     try {
       return await result
     } finally {
@@ -66,9 +66,7 @@
     if (this.excluded.has(choice.upstreamId)) this.options.onReuse(choice.upstreamId)
     const number = this.startedAttempts + 1
     if (!isOnce && choice.hedgeAfterMs !== undefined) {
-      this.schedule(choice.hedgeAfterMs, () => {
-        if (this.active.size === 1 && router.admitHedge(work, clock.readMonotonicMs())) this.startNextAttempt()
-      })
+      this.scheduleHedge(choice.hedgeAfterMs)
     }
     if (!isOnce) {
       this.schedule(this.options.computeBudget(choice.predictedMs), () => {
@@ -79,6 +77,28 @@
     return true
   }
 
+  /**
+   * The router keeps long work back while it would take the last room of the runners, so a generation asks
+   * again until the deadline of the request ends it. Other work is refused at once.
+   */
+  private waitForRoom (error: UpstreamError | undefined): void {
+    const canWait = this.options.work.operation === 'generate' && this.startedAttempts < requestConstants.maxAttemptsPerStage
+    if (!canWait) return this.refuse(error)
+    this.schedule(requestConstants.roomPollMs, () => {
+      if (!this.startNextAttempt()) this.waitForRoom(error)
+    })
+  }
+
+  /** The router says no while the running attempt makes usual progress, so it is asked again. */
+  private scheduleHedge (delayMs: number): void {
+    const { router, work, clock } = this.options
+    this.schedule(delayMs, () => {
+      if (this.active.size !== 1 || this.startedAttempts >= requestConstants.maxAttemptsPerStage) return
+      if (router.admitHedge(work, clock.readMonotonicMs())) this.startNextAttempt()
+      else this.scheduleHedge(requestConstants.hedgePollMs)
+    })
+  }
+
   private startAttempt (upstreamId: string, callId: string, resumeOffset?: number): void {
     const { router, work, clock } = this.options
     const startedMs = clock.readMonotonicMs()
@@ -130,8 +150,8 @@
     if (this.isSettled || this.active.size > 0) return
     this.stopTimers()
     this.leader = undefined
-    if (this.isRetryable(error) && this.startNextAttempt(!hasNotRun)) return
-    this.refuse(error)
+    if (!this.isRetryable(error)) return this.refuse(error)
+    if (!this.startNextAttempt(!hasNotRun)) this.waitForRoom(error)
   }
 
   private isRetryable (error: UpstreamError): boolean {
