--- a/playground/prove/constants.ts
+++ b/playground/prove/constants.ts
@@ -14,6 +14,7 @@
   /** Time in force of an accepted change after the end of what prevented it. */
   inForceMs: 5000,
   pollMs: 100,
+  pollTimeoutMs: 1000,
   operatorTimeoutMs: 8000,
   /** Longer than every timeout of the product. */
   freezeMs: 8000,
--- a/playground/prove/operators/operators.ts
+++ b/playground/prove/operators/operators.ts
@@ -77,9 +77,10 @@
   /** Revision in force at a host; undefined when the host does not answer. */
   async readRevision (host: EntryHostProcess, account: string): Promise<number | undefined> {
     this.polled.add(account)
-    const answer = await this.sendCall(host, 'GET', account, 1000)
-    const revision = (answer as { revision?: unknown } | undefined)?.revision
-    return typeof revision === 'number' ? revision : undefined
+    // The list shows what the host has in force; a single contract is read from the key-value service.
+    const answer = await this.sendCall(host, 'GET', '', proveConstants.pollTimeoutMs)
+    const { contracts = [] } = (answer ?? {}) as { readonly contracts?: ReadonlyArray<{ readonly account: string, readonly revision: number }> }
+    return contracts.find(contract => contract.account === account)?.revision
   }
 
   /** Expects a revision on each host within 5 s from now, and waits for that time. */
@@ -103,7 +104,7 @@
 
   private async sendCall (host: EntryHostProcess, method: 'GET' | 'PUT', account: string, timeoutMs: number, body?: unknown, baseRevision?: number): Promise<unknown> {
     try {
-      const answer = await request(`http://${host.address}/admin/v1/contracts/${account}`, {
+      const answer = await request(`http://${host.address}/admin/v1/contracts${account === '' ? '' : `/${account}`}`, {
         method,
         dispatcher: this.agent,
         signal: AbortSignal.timeout(timeoutMs),
--- a/playground/prove/proofs/configuration.ts
+++ b/playground/prove/proofs/configuration.ts
@@ -7,11 +7,13 @@
 const keyValue = 'key-value-service'
 const account = 'varna-pilots'
 const outageMs = 4000
+/** Rounds beyond the planned ones while no change was accepted. */
+const largestExtraRounds = 10
 
 /** Changes at random moments until one is accepted; resolves with its revision. */
 async function writeUntilAccepted (run: ProofRun, rounds: number, hosts?: readonly EntryHostProcess[]): Promise<number> {
   let highest = 0
-  for (let round = 0; round < rounds; round++) {
+  for (let round = 0; round < rounds || (highest === 0 && round < rounds + largestExtraRounds); round++) {
     highest = Math.max(highest, await run.operators.writeTwice(hosts ?? run.hosts, account, run.random))
     await waitMs(300 * run.random())
   }
