--- a/playground/benchMembership/runMembershipWire.ts
+++ b/playground/benchMembership/runMembershipWire.ts
@@ -19,6 +19,9 @@
   let wireBytes = 0
   const relay = createServer(socket => {
     const upstream = connect(port, '127.0.0.1')
+    // Small messages that wait for acknowledgements would make the run last minutes.
+    socket.setNoDelay(true)
+    upstream.setNoDelay(true)
     socket.on('data', data => { wireBytes += data.length })
     upstream.on('data', data => { wireBytes += data.length })
     socket.pipe(upstream).pipe(socket)
