--- a/src/node/requests/__tests__/stageExecution.test.ts
+++ b/src/node/requests/__tests__/stageExecution.test.ts
@@ -182,6 +182,7 @@
   const { fleet, host, post } = await openFleet(t)
   host.router.hedgeAfterMs = 20
   host.router.refusedHedges = 2
+  host.router.isRetryAdmitted = false
   fleet.engines[0].onCall = call => call.path === '/v1/completions'
   const answer = await post({ kind: 'short', input: { text: 'marker:h length:3' } })
   t.equal(answer.value.text, 'h.0 h.1 h.2 ')
