feat(server): route answers by account

Callers are now told the limit owner of their account first, two hosts and one more for each 40 requests/s, one from each failure domain in turn.

--- a/src/node/app/createEntryHost.ts
+++ b/src/node/app/createEntryHost.ts
@@ -13,12 +13,13 @@
 import { createGrpcPeerTransport } from '../peers/createGrpcPeerTransport.js'
 import { createHttpHostList } from '../platform/createHttpHostList.js'
 import { createHttpKeyValueService } from '../platform/createHttpKeyValueService.js'
-import type { HostRecord } from '../../types/hostRecord.js'
 import { createPlacement } from '../placement/createPlacement.js'
 import { chooseRouteHosts } from '../requests/chooseRouteHosts.js'
+import { computeRouteHostCount } from '../requests/computeRouteHostCount.js'
 import { createDrain } from '../requests/createDrain.js'
 import { RequestService } from '../requests/requestService.js'
 import { createStageRouter } from '../routing/createStageRouter.js'
+import { closeCallerServer } from '../server/closeCallerServer.js'
 import { createCallerServer } from '../server/createCallerServer.js'
 import type { ResolvedSettings } from '../settings/resolvedSettings.js'
 import { HostListPoller } from '../upstreams/hostListPoller.js'
@@ -31,8 +32,6 @@
 import { UpstreamOrders } from './upstreamOrders.js'
 
 const UPSTREAM_LEAVING = 'upstream-leaving'
-/** Hosts in a route answer: enough to lose one failure domain and still have a choice. */
-const ROUTE_HOSTS = 4
 
 /**
  * Builds an entry host from its settings and starts it; resolves when it is ready to serve. This is the only
@@ -106,13 +105,13 @@
     finishedRetentionMs: settings.answerRetentionMs,
     finishedRetentionBytes: settings.answerRetentionBytes
   })
-  const chooseHosts = (hosts: readonly HostRecord[]): readonly HostRecord[] => chooseRouteHosts(hosts, ROUTE_HOSTS, random)
   const drain = createDrain({
     requests,
     membership,
     logger,
     reportLeaving: () => membership.startLeaving(),
-    chooseRouteHosts: chooseHosts,
+    chooseRouteHosts: hosts => chooseRouteHosts(hosts, hostId, hosts.length),
+    closeServer: async () => await closeCallerServer(server),
     routeLifetimeMs: settings.routeLifetimeMs
   })
   const admin = createAdminHandler({
@@ -134,7 +133,7 @@
     logger,
     operatorToken: settings.operatorToken,
     listUnreadyReasons: () => contracts.isReady() ? [] : ['contracts are not loaded'],
-    chooseRouteHosts: chooseHosts,
+    chooseRouteHosts: (hosts, contract) => chooseRouteHosts(hosts, contract.account, computeRouteHostCount(contract.requestsPerSecond)),
     routeLifetimeMs: settings.routeLifetimeMs,
     maxBodyBytes: settings.maxBodyBytes
   })
--- a/src/node/app/entryHost.ts
+++ b/src/node/app/entryHost.ts
@@ -11,6 +11,7 @@
 import type { PlacementDriver } from '../placement/placementDriver.js'
 import type { Drain } from '../requests/drain.js'
 import type { RequestService } from '../requests/requestService.js'
+import { serverConstants } from '../server/constants.js'
 import type { ResolvedSettings } from '../settings/resolvedSettings.js'
 import type { HostListPoller } from '../upstreams/hostListPoller.js'
 import type { UpstreamSet } from '../upstreams/upstreamSet.js'
@@ -100,7 +101,7 @@
     const split = listen.lastIndexOf(':')
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject)
-      server.listen(Number(listen.slice(split + 1)), listen.slice(0, split).replace(/^\[|\]$/g, ''), resolve)
+      server.listen({ port: Number(listen.slice(split + 1)), host: listen.slice(0, split).replace(/^\[|\]$/g, ''), backlog: serverConstants.listenBacklog }, resolve)
     })
   }
 }
--- a/src/node/requests/constants.ts
+++ b/src/node/requests/constants.ts
@@ -14,6 +14,10 @@
   peerMergeMs: 3,
   /** A caller that lost its connection has this time to join again before the work is cancelled. */
   abandonGraceMs: 500,
+  /** Hosts in a route answer at least, besides those for the rate of the account. */
+  leastRouteHosts: 2,
+  /** Requests a second of an account for which one more host is told. */
+  requestsPerRouteHost: 40,
   maxAttemptsPerStage: 4,
   /** Time until a generation that found no room asks the router again. */
   roomPollMs: 25,
--- a/src/node/server/callerApi.ts
+++ b/src/node/server/callerApi.ts
@@ -64,7 +64,7 @@
 
   private async handleCaller (contract: Contract, request: IncomingMessage, pathname: string, response: ServerResponse): Promise<void> {
     if (pathname === '/v1/route' && request.method === 'GET') {
-      this.writeRoute(response)
+      this.writeRoute(contract, response)
       return
     }
     if (pathname === '/v1/requests' && request.method === 'POST') {
@@ -139,9 +139,9 @@
     release()
   }
 
-  private writeRoute (response: ServerResponse): void {
+  private writeRoute (contract: Contract, response: ServerResponse): void {
     const { membership, chooseRouteHosts, routeLifetimeMs } = this.options
-    const hosts = chooseRouteHosts(membership.listHosts().filter(host => host.state !== 'leaving' && host.state !== 'dead'))
+    const hosts = chooseRouteHosts(membership.listHosts().filter(host => host.state !== 'leaving' && host.state !== 'dead'), contract)
     const addresses = hosts.map(({ address, failureDomain }) => ({ address, failureDomain }))
     writeJson(response, 200, { addresses, lifetimeMs: routeLifetimeMs ?? serverConstants.routeLifetimeMs })
   }
--- a/src/node/server/callerServerOptions.ts
+++ b/src/node/server/callerServerOptions.ts
@@ -1,4 +1,5 @@
 import type { AdminHandler } from '../../types/adminHandler.js'
+import type { Contract } from '../../types/contract.js'
 import type { ContractView } from '../../types/contractView.js'
 import type { HostRecord } from '../../types/hostRecord.js'
 import type { Logger } from '../../types/logger.js'
@@ -18,8 +19,8 @@
   readonly operatorToken: string
   /** Reasons why the host is not ready; empty when it is. */
   readonly listUnreadyReasons: () => readonly string[]
-  /** Chooses the hosts of a route answer. */
-  readonly chooseRouteHosts: (hosts: readonly HostRecord[]) => readonly HostRecord[]
+  /** Chooses the hosts of a route answer for the callers of a contract. */
+  readonly chooseRouteHosts: (hosts: readonly HostRecord[], contract: Contract) => readonly HostRecord[]
   /** @default 5000 */
   readonly routeLifetimeMs?: number
   /** @default 10000 */
--- a/src/node/server/constants.ts
+++ b/src/node/server/constants.ts
@@ -3,7 +3,6 @@
   maxBodyBytes: 1024 * 1024,
   bodyTimeoutMs: 10_000,
   routeLifetimeMs: 5000,
-  routeHosts: 4,
   /** Tokens that arrive within this time after a write go out together. */
   mergeMs: 3,
   /** Quiet streams carry a comment line this often, so that callers can tell a silent connection. */
