--- a/playground/standIns/__tests__/protocols.test.ts
+++ b/playground/standIns/__tests__/protocols.test.ts
@@ -106,7 +106,7 @@
 })
 
 t.test('a load report shows the past', async t => {
-  const call = await startStandIn(t, { type: 'plain-service', serviceMs: 100_000, reportLagMs: 0 })
+  const call = await startStandIn(t, { type: 'plain-service', serviceMs: 5000, reportLagMs: 0 })
   call('POST', '/call/issue', { call_id: '1', input: {} }).catch(() => {})
   const isRunning = async (): Promise<boolean> => (await call('GET', '/load')).body.running === 1
   for (let tries = 0; tries < 100 && !await isRunning(); tries++) await waitMs(20)
