fix(app): a host is ready only when the host list is loaded

Cause: a starting host took requests when its contracts were loaded, before the first read of the host list, and answered no_upstream_available.

--- a/src/node/app/createEntryHost.ts
+++ b/src/node/app/createEntryHost.ts
@@ -125,6 +125,7 @@
     },
     readBurn: async () => await burn.readReport()
   })
+  let isStarted = false
   const server = createCallerServer({
     contracts: contracts.store,
     membership,
@@ -133,13 +134,14 @@
     metrics,
     logger,
     operatorToken: settings.operatorToken,
-    listUnreadyReasons: () => contracts.isReady() ? [] : ['contracts are not loaded'],
+    listUnreadyReasons: () => [...contracts.isReady() ? [] : ['contracts are not loaded'], ...isStarted ? [] : ['the host list is not loaded']],
     chooseRouteHosts: chooseHosts,
     routeLifetimeMs: settings.routeLifetimeMs,
     maxBodyBytes: settings.maxBodyBytes
   })
   const host = new EntryHost({ settings, listen, peerListen, logger, server, transport, membership, contracts, limiter, drain, placement, poller, upstreams, requests, keyValue, hostList })
   await host.start()
+  isStarted = true
   return host
 }
 
