--- a/playground/caller/requestAttempts.ts
+++ b/playground/caller/requestAttempts.ts
@@ -94,18 +94,20 @@
     return reader.readAnswer()
   }
 
-  /** Follows the retry hint of a `not_run` answer; false when there is none or no retry is left. */
+  /**
+   * Follows the retry hint of an answer; false when there is none or no retry is left. After `not_run`
+   * the request gets a new id; while it may be running (`unknown`) only the same id is safe.
+   */
   private async waitRetry (error: AnswerError, signal: AbortSignal): Promise<boolean> {
     const { request, routes } = this.options
     const hasHint = error.retryAfterMs !== undefined || error.addresses !== undefined || isListed(callerConstants.otherAddressCodes, error.code)
-    if (error.ran !== 'not_run' || !hasHint || this.retryCount >= (request.maxRetries ?? callerConstants.maxRetries)) return false
+    if (error.ran === 'ran' || !hasHint || this.retryCount >= (request.maxRetries ?? callerConstants.maxRetries)) return false
     const delayMs = error.retryAfterMs ?? 0
     if (performance.now() - this.startMs + delayMs > request.deadlineMs) return false
     routes.applyAddresses(error.addresses?.map(entry => entry.address) ?? [])
     this.retryCount++
-    this.restartCount += this.check.restartCount
-    // `not_run` promises that nothing ran, so a new id can not run the request twice.
-    this.applyNewId()
+    // `not_run` promises that nothing ran, so a new id cannot run the request twice.
+    if (error.ran === 'not_run') this.applyNewId()
     await waitMs(delayMs, undefined, { signal }).catch(() => {})
     return true
   }
@@ -119,6 +121,7 @@
   }
 
   private applyNewId (): void {
+    this.restartCount += this.check.restartCount
     this.requestIds.push(createRequestId())
     this.check = new AnswerCheck(this.options.request)
   }
--- a/playground/fakes/fixedStageRouter.ts
+++ b/playground/fakes/fixedStageRouter.ts
@@ -14,12 +14,20 @@
   sentCount = 0
   hedgeAfterMs: number | undefined
   isRetryAdmitted = true
+  /** Number of route calls that find no room. */
+  fullCount = 0
+  /** Number of hedges that are not admitted. */
+  refusedHedges = 0
 
   applyUpstreams (upstreams: readonly Upstream[]): void {
     this.upstreams = upstreams
   }
 
   route (work: StageWork, excluded: ReadonlySet<string>): UpstreamChoice | undefined {
+    if (this.fullCount > 0) {
+      this.fullCount--
+      return undefined
+    }
     const found = this.upstreams.find(upstream => upstream.pool === work.pool && !excluded.has(upstream.id) && !this.leaving.has(upstream.id))
     return found === undefined ? undefined : { upstreamId: found.id, predictedMs: 10, hedgeAfterMs: work.idempotent ? this.hedgeAfterMs : undefined }
   }
@@ -51,6 +59,6 @@
   }
 
   admitHedge (): boolean {
-    return true
+    return this.refusedHedges-- <= 0
   }
 }
--- a/src/node/requests/constants.ts
+++ b/src/node/requests/constants.ts
@@ -15,6 +15,10 @@
   /** A caller that lost its connection has this time to join again before the work is cancelled. */
   abandonGraceMs: 500,
   maxAttemptsPerStage: 4,
+  /** Time until a generation that found no room asks the router again. */
+  roomPollMs: 25,
+  /** Time until the router is asked again for a hedge that it refused. */
+  hedgePollMs: 50,
   /** A call that is given up after this time without an answer makes its connections suspect. */
   silentCallMs: 1000,
   /** Time for the answer of a call whose connection delivered the answer of another call. */
