--- a/playground/fakes/fixedStageRouter.ts
+++ b/playground/fakes/fixedStageRouter.ts
@@ -12,6 +12,7 @@
   readonly loadReports = new Set<string>()
   readonly cacheEvents: string[] = []
   sentCount = 0
+  progressCount = 0
   hedgeAfterMs: number | undefined
   isRetryAdmitted = true
   /** Number of route calls that find no room. */
@@ -36,7 +37,9 @@
     this.sentCount++
   }
 
-  onProgress (): void {}
+  onProgress (): void {
+    this.progressCount++
+  }
 
   onEnded (upstreamId: string, _work: StageWork, outcome: AttemptOutcome): void {
     this.ended.push({ upstreamId, outcome })
--- a/src/node/requests/__tests__/stageExecution.test.ts
+++ b/src/node/requests/__tests__/stageExecution.test.ts
@@ -188,3 +188,10 @@
   t.equal(answer.value.text, 'h.0 h.1 h.2 ')
   t.equal(fleet.engines[1].countCalls('/v1/completions'), 1)
 })
+
+t.test('a slow but steady stream is reported to the router often enough not to pass for a silent one', async t => {
+  const { fleet, host, post } = await openFleet(t)
+  fleet.engines[0].tokenDelayMs = 40
+  await post({ kind: 'short', input: { text: 'marker:p length:20' } })
+  t.ok(host.router.progressCount >= 5, `${host.router.progressCount} reports in 800 ms`)
+})
--- a/src/node/requests/constants.ts
+++ b/src/node/requests/constants.ts
@@ -18,6 +18,12 @@
   leastRouteHosts: 2,
   /** Requests a second of an account for which one more host is told. */
   requestsPerRouteHost: 40,
+  /**
+   * Least time between two reports of a stream's progress to the router. The router takes an upstream without
+   * progress for some predicted latencies as slow, so the interval must be shorter than those; a report for each
+   * read would cost more than the relay.
+   */
+  progressIntervalMs: 100,
   maxAttemptsPerStage: 4,
   /** Time until a generation that found no room asks the router again. */
   roomPollMs: 25,
--- a/src/node/requests/stageRun.ts
+++ b/src/node/requests/stageRun.ts
@@ -13,6 +13,8 @@
   readonly resumed: boolean
   handle: StageAttempt | undefined
   tokens: number
+  /** Time of the last report of progress. */
+  reportedMs: number
 }
 
 /**
@@ -102,7 +104,7 @@
   private startAttempt (upstreamId: string, callId: string, resumeOffset?: number): void {
     const { router, work, clock } = this.options
     const startedMs = clock.readMonotonicMs()
-    const attempt: ActiveAttempt = { callId, upstreamId, startedMs, resumed: resumeOffset !== undefined, handle: undefined, tokens: 0 }
+    const attempt: ActiveAttempt = { callId, upstreamId, startedMs, resumed: resumeOffset !== undefined, handle: undefined, tokens: 0, reportedMs: -Infinity }
     this.startedAttempts++
     this.excluded.add(upstreamId)
     this.active.add(attempt)
@@ -117,13 +119,12 @@
   private receiveTokens (attempt: ActiveAttempt, literals: readonly string[]): void {
     if (this.isSettled || !this.active.has(attempt)) return
     if (this.leader !== attempt) this.setLeader(attempt)
-    const before = attempt.tokens
     attempt.tokens += literals.length
     this.options.onTokens(literals)
-    // The router needs a coarse view of progress only; calling it for each read would cost more than the relay.
-    if (before === 0 || (before >> 5) !== (attempt.tokens >> 5)) {
-      this.options.router.onProgress(attempt.upstreamId, this.options.work, attempt.tokens, this.options.clock.readMonotonicMs())
-    }
+    const nowMs = this.options.clock.readMonotonicMs()
+    if (nowMs - attempt.reportedMs < requestConstants.progressIntervalMs) return
+    attempt.reportedMs = nowMs
+    this.options.router.onProgress(attempt.upstreamId, this.options.work, attempt.tokens, nowMs)
   }
 
   private receiveResult (attempt: ActiveAttempt, output: unknown): void {
