--- a/playground/prove/constants.ts
+++ b/playground/prove/constants.ts
@@ -21,5 +21,5 @@
   stopTimeoutMs: 200,
   /** The bench ends itself when a part of it hangs. */
   largestRunMs: 900_000,
-  shownViolations: 3
+  shownViolations: 2
 } as const
