fix(requests): what a dead engine was doing is run again without the retry budget

The streams of a whole failure domain die at once and exceed the budget of 5%, which bounds additional work; a dead engine does none. Ruled out: lack of live runners.

--- a/src/node/requests/__tests__/stageExecution.test.ts
+++ b/src/node/requests/__tests__/stageExecution.test.ts
@@ -195,3 +195,16 @@
   await post({ kind: 'short', input: { text: 'marker:p length:20' } })
   t.ok(host.router.progressCount >= 5, `${host.router.progressCount} reports in 800 ms`)
 })
+
+t.test('a stream of an engine that died is run elsewhere although the retry budget is spent', async t => {
+  const { fleet, host, post } = await openFleet(t)
+  host.router.isRetryAdmitted = false
+  fleet.engines[0].onCall = (call, response) => {
+    if (call.path !== '/v1/completions') return false
+    response.write('data: {"o":0,"t":"old "}\n\n')
+    setTimeout(() => fleet.engines[0].stop(), 30)
+    return true
+  }
+  const answer = await post({ kind: 'short', input: { text: 'marker:n length:2' } })
+  t.equal(answer.value.text, 'n.0 n.1 ')
+})
--- a/src/node/requests/stageRun.ts
+++ b/src/node/requests/stageRun.ts
@@ -158,7 +158,9 @@
   private isRetryable (error: UpstreamError): boolean {
     const { isOnce, router, work, clock } = this.options
     if (isOnce) return !error.sent && error.code !== 'upstream_not_sent'
-    return error.ran === 'not_run' || router.admitRetry(work, clock.readMonotonicMs())
+    // What a dead upstream was doing has to be done again once; the retry budget bounds additional work.
+    const isReplacement = error.ran === 'not_run' || error.code === 'upstream_gone'
+    return isReplacement || router.admitRetry(work, clock.readMonotonicMs())
   }
 
   private refuse (error: UpstreamError | undefined): void {
--- a/src/node/upstreams/httpEngineStream.ts
+++ b/src/node/upstreams/httpEngineStream.ts
@@ -169,7 +169,9 @@
     if (this.isClosed) return
     this.close()
     const isCertain = error.ran !== 'not_run' || !this.mayHaveRun
-    this.options.handler.onError(isCertain ? error : new UpstreamError('upstream_failed', error.message, 'unknown', true, { cause: error }))
+    // A stream that cannot be resumed because the engine takes no connection ended with the engine.
+    const code = error.code === 'upstream_refused' ? 'upstream_gone' : 'upstream_failed'
+    this.options.handler.onError(isCertain ? error : new UpstreamError(code, error.message, 'unknown', true, { cause: error }))
   }
 
   private buildStreamPath (): string {
