--- a/playground/caller/requestAttempts.ts
+++ b/playground/caller/requestAttempts.ts
@@ -36,6 +36,7 @@
   private rejoinCount = 0
   private brokenCount = 0
   private retryCount = 0
+  private readonly retryCodes: string[] = []
   private restartCount = 0
   /** Why the last connection had to be replaced. */
   private lastReason: string | undefined
@@ -106,6 +107,7 @@
     if (performance.now() - this.startMs + delayMs > request.deadlineMs) return false
     routes.applyAddresses(error.addresses?.map(entry => entry.address) ?? [])
     this.retryCount++
+    this.retryCodes.push(error.code)
     // `not_run` promises that nothing ran, so a new id cannot run the request twice.
     if (error.ran === 'not_run') this.applyNewId()
     await waitMs(delayMs, undefined, { signal }).catch(() => {})
@@ -163,6 +165,7 @@
       tokenCount: this.check.tokenCount,
       rejoinCount: this.rejoinCount,
       retryCount: this.retryCount,
+      retryCodes: this.retryCodes,
       restartCount: this.restartCount + this.check.restartCount,
       addresses: this.addresses,
       ...part
--- a/playground/caller/requestRecord.ts
+++ b/playground/caller/requestRecord.ts
@@ -29,6 +29,8 @@
   /** Connections with the same id after the first one. */
   readonly rejoinCount: number
   readonly retryCount: number
+  /** Codes of the refusals after which the request was sent again. */
+  readonly retryCodes: readonly string[]
   /** `restart` events: the tokens so far were discarded. */
   readonly restartCount: number
   /** Addresses in the order in which they were used. */
--- a/playground/demo/__tests__/summaries.test.ts
+++ b/playground/demo/__tests__/summaries.test.ts
@@ -23,6 +23,7 @@
     tokenCount: 0,
     rejoinCount: 0,
     retryCount: 0,
+    retryCodes: [],
     restartCount: 0,
     addresses: [],
     ...part
--- a/playground/demo/constants.ts
+++ b/playground/demo/constants.ts
@@ -1,5 +1,8 @@
 /** Constants of the demo. Times are chosen so that a run stays under 40 s. */
 export const demoConstants = {
+  /** Port of the first entry host while the deployment is held, as in README.md. */
+  holdPort: 7100,
+  longestHoldMs: 3_600_000,
   /** Time in which all requests arrive. */
   arrivalMs: 12_000,
   /** Mean gap between arrivals, at most; a short run does not stretch over the whole time. */
--- a/playground/demo/main.ts
+++ b/playground/demo/main.ts
@@ -4,6 +4,7 @@
 import { createDeployment } from '../processes/createDeployment.js'
 import { InterruptWatch } from '../processes/interruptWatch.js'
 import { demoConstants } from './constants.js'
+import { runHold } from './runHold.js'
 import { runDemo } from './runDemo.js'
 
 sade('demo', true)
@@ -11,10 +12,11 @@
   .option('--example', 'ferry or kouign', 'ferry')
   .option('--seed', 'seed of the load', 1)
   .option('--requests', 'number of requests', 400)
+  .option('--hold', 'no load: keeps the deployment running for requests by hand until it is interrupted')
   .action(startDemo)
   .parse(process.argv)
 
-async function startDemo (flags: { example: string, seed: number, requests: number }): Promise<void> {
+async function startDemo (flags: { example: string, seed: number, requests: number, hold?: boolean }): Promise<void> {
   const example = exampleDeployments[flags.example]
   const seed = Number(flags.seed)
   const requests = Number(flags.requests)
@@ -25,9 +27,10 @@
   const deployment = createDeployment({
     example,
     distDirectory: dirname(dirname(resolve(process.argv[1] as string))),
+    firstHostPort: flags.hold === true ? demoConstants.holdPort : undefined,
     hostEnvironment: { LYCHEETRACK_ROUTE_LIFETIME_MS: String(demoConstants.routeLifetimeMs) }
   })
   const watch = new InterruptWatch(() => deployment.stop(demoConstants.interruptTimeoutMs))
-  watch.start(demoConstants.largestRunMs)
-  await watch.runProgram(() => runDemo({ example, deployment, seed, requests }))
+  watch.start(flags.hold === true ? demoConstants.longestHoldMs : demoConstants.largestRunMs)
+  await watch.runProgram(() => flags.hold === true ? runHold(example, deployment) : runDemo({ example, deployment, seed, requests }))
 }
--- /dev/null
+++ b/playground/demo/runHold.ts
@@ -0,0 +1,15 @@
+import { setTimeout as waitMs } from 'node:timers/promises'
+import type { ExampleDeployment } from '../examples/exampleDeployment.js'
+import type { Deployment } from '../processes/deployment.js'
+import { demoConstants } from './constants.js'
+
+/** Starts the deployment, prints how to send a request to it, and keeps it until the program is interrupted. */
+export async function runHold (example: ExampleDeployment, deployment: Deployment): Promise<number> {
+  await deployment.start()
+  const account = example.accounts[0]
+  const kinds = Object.keys(example.contracts.find(contract => contract.account === account?.account)?.kinds ?? {})
+  console.log(`${example.operator}: ${deployment.entryHosts.map(host => host.address).join(', ')}`)
+  console.log(`account ${account?.account}, token ${account?.token}, kinds ${kinds.join(', ')}; end with Ctrl-C`)
+  await waitMs(demoConstants.longestHoldMs)
+  return 0
+}
--- a/playground/processes/deployment.ts
+++ b/playground/processes/deployment.ts
@@ -43,7 +43,8 @@
   /** Starts the entry hosts and waits until all are ready. */
   async startEntryHosts (): Promise<void> {
     const { example } = this.options
-    const ports = await findFreePorts(2 * example.entryHosts.length)
+    const freePorts = await findFreePorts(2 * example.entryHosts.length)
+    const ports = [this.options.firstHostPort ?? freePorts[0], ...freePorts.slice(1)]
     const openLink = this.options.openLink ?? (async (_kind, _id, address) => address)
     const keyValueAddress = await openLink('key-value', 'key-value-service', this.getAddress('key-value-service'))
     this.hosts = await Promise.all(example.entryHosts.map(async (host, index) => new EntryHostProcess({
--- a/playground/processes/deploymentOptions.ts
+++ b/playground/processes/deploymentOptions.ts
@@ -9,6 +9,8 @@
   readonly grouping?: 'type' | 'single'
   /** Other LYCHEETRACK_ variables of the entry hosts. */
   readonly hostEnvironment?: Readonly<Record<string, string>>
+  /** Port of the first entry host's caller API. @default a free port */
+  readonly firstHostPort?: number
   /** Keeps the executions of the stand-ins in files, so that a killed stand-in loses none. @default false */
   readonly keepsExecutions?: boolean
   /**
--- a/playground/prove/run/checkExpectations.ts
+++ b/playground/prove/run/checkExpectations.ts
@@ -21,7 +21,7 @@
     if (settings.forbidsInterruption && record.outcome !== 'whole') add('planned_stop_is_seamless', record, `ended with ${record.code}`)
     if (settings.forbidsInterruption && record.outcome === 'whole' && record.rejoinCount + record.retryCount + record.restartCount > 0) {
       const isCut = record.rejoinCount + record.restartCount > 0
-      add('planned_stop_is_seamless', record, isCut ? 'its connection was cut or its answer begun anew' : 'refused and sent again')
+      add('planned_stop_is_seamless', record, isCut ? 'its connection was cut or its answer begun anew' : `refused (${record.retryCodes.join(', ')}) and sent again`)
     }
   }
   // A run in which next to nothing is answered shows nothing.
--- a/src/node/membership/membershipDriver.ts
+++ b/src/node/membership/membershipDriver.ts
@@ -79,6 +79,10 @@
   startLeaving (): void {
     this.core.setSelfState('leaving')
     this.reportChanges()
+    // Route answers of other hosts name this host until they know; gossip alone can take longer than the drain's margin.
+    for (const { id, peerAddress, state } of this.core.listHosts()) {
+      if (id !== this.parts.self.id && state !== 'dead') this.sendPing({ id, peerAddress }).catch(() => {})
+    }
   }
 
   getSelf (): HostRecord {
--- a/src/node/requests/constants.ts
+++ b/src/node/requests/constants.ts
@@ -43,7 +43,7 @@
   /** Age of an id up to which its submission is taken for the first one; callers rejoin a silent host after 1 s or more. */
   firstSubmissionMs: 1000,
   /** Longest wait for a share of the account's limit; refusals are due within 50 ms. */
-  creditWaitMs: 25,
+  creditWaitMs: 40,
   maxTakeovers: 8,
   /** Hosts that say they are not the owner are asked this often before the request is taken from them. */
   maxOwnerMisses: 3,
