--- a/src/node/cli/createProgram.ts
+++ b/src/node/cli/createProgram.ts
@@ -9,6 +9,7 @@
     const members = commands.filter(command => command.usage.startsWith(`${group} `))
     const lines = members.map(command => `  ${command.usage}: ${command.description}`)
     program.command(group, [`Commands for a ${group}; each one has a --help of its own:`, ...lines] as never)
+    program.example(members[0]!.example)
   }
   for (const command of commands) {
     program.command(lenient ? command.usage.replaceAll('<', '[').replaceAll('>', ']') : command.usage, command.description)
--- a/tap-snapshots/src/node/cli/__tests__/runCommandLine.test.ts.test.cjs
+++ b/tap-snapshots/src/node/cli/__tests__/runCommandLine.test.ts.test.cjs
@@ -74,5 +74,8 @@
   Options
     -h, --help    Displays this message
 
+  Examples
+    $ lycheetrack contract apply pier.json --wait --server 192.0.2.7:7100
+
 lycheetrack, 9.9.9
 `
