--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -7,7 +7,7 @@
 const verbMessage = 'Function names begin with a verb from docs/verbs.md.'
 
 export default [
-  ...neostandard({ ts: true, noJsx: true, ignores: ['dist/**', '**/generated/**', 'tap-snapshots/**', '.tap/**'] }),
+  ...neostandard({ ts: true, noJsx: true, ignores: ['dist/**', 'target/**', '**/generated/**', 'tap-snapshots/**', '.tap/**'] }),
   {
     files: ['src/**/*.ts', 'playground/**/*.ts'],
     rules: {
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -15,9 +15,12 @@
 }
 
 const product = 'src/node/cli/index.ts'
-const programs = readdirSync('playground').filter(name => existsSync(`playground/${name}/main.ts`))
+// `--product FOLDER` bundles the product alone into another folder.
+const folderAt = process.argv.indexOf('--product')
+const folder = folderAt < 0 ? 'dist' : process.argv[folderAt + 1]
+const programs = folderAt >= 0 ? [] : readdirSync('playground').filter(name => existsSync(`playground/${name}/main.ts`))
 await Promise.all([
-  existsSync(product) && build({ ...shared, entryPoints: [product], outfile: 'dist/lycheetrack.cjs' }),
+  existsSync(product) && build({ ...shared, entryPoints: [product], outfile: `${folder}/lycheetrack.cjs` }),
   ...programs.map(name => build({ ...shared, entryPoints: [`playground/${name}/main.ts`], outfile: `dist/playground/${name}.cjs` }))
 ])
-if (!process.argv.includes('--quiet')) console.log(`bundled dist/lycheetrack.cjs and ${programs.length} playground programs`)
+if (!process.argv.includes('--quiet')) console.log(`bundled ${folder}/lycheetrack.cjs and ${programs.length} playground programs`)
--- /dev/null
+++ b/src/node/app/createGatewayHost.ts
@@ -0,0 +1,203 @@
+import { chooseAddresses } from '../gateway/hosts/chooseAddresses.js'
+import { BoundedLogger } from '../gateway/logs/boundedLogger.js'
+import { ConfigurationHolder } from '../gateway/configuration/configurationHolder.js'
+import { createGrpcPeerTransport } from '../peers/createGrpcPeerTransport.js'
+import { createLogger } from '../logging/createLogger.js'
+import { createMetrics } from '../metrics/createMetrics.js'
+import { createOutputWriter } from '../gateway/logs/createOutputWriter.js'
+import { decodeClientRequest } from '../platform/decodeClientRequest.js'
+import { decodeConfiguration } from '../platform/decodeConfiguration.js'
+import { decodeUpstreamAnswer } from '../platform/decodeUpstreamAnswer.js'
+import { decodeUpstreamEntry } from '../platform/decodeUpstreamEntry.js'
+import { encodeUpstreamHeaders } from '../platform/encodeUpstreamHeaders.js'
+import { gatewayConstants } from './gatewayConstants.js'
+import { GatewayHost } from './gatewayHost.js'
+import { HostDirectory } from '../gateway/hosts/hostDirectory.js'
+import { hostEntryCodec } from '../gateway/hosts/hostEntryCodec.js'
+import { HostRegistrar } from '../gateway/hosts/hostRegistrar.js'
+import { ingressConstants } from '../gateway/ingress/constants.js'
+import { IngressServer } from '../gateway/ingress/ingressServer.js'
+import { platformCalls } from '../platform/platformCalls.js'
+import { platformConstants } from '../platform/constants.js'
+import { PlatformStore } from '../platform/platformStore.js'
+import { PrefixFollower } from '../gateway/store/prefixFollower.js'
+import { PromptCacheIndex } from '../gateway/engines/promptCacheIndex.js'
+import { readPeerSecretPatiently } from '../gateway/hosts/readPeerSecretPatiently.js'
+import { RetryAllowance } from '../gateway/upstreams/retryAllowance.js'
+import { stageCallCodec } from '../platform/stageCallCodec.js'
+import { StageClient } from '../gateway/stages/stageClient.js'
+import { StageDispatcher } from '../gateway/stages/stageDispatcher.js'
+import { StageScheduler } from '../gateway/stages/stageScheduler.js'
+import { StatusServer } from '../gateway/ingress/statusServer.js'
+import { StoreLink } from '../platform/storeLink.js'
+import { systemClock } from '../../shared/systemClock.js'
+import { upstreamConstants } from '../gateway/upstreams/constants.js'
+import { UpstreamDirectory } from '../gateway/upstreams/upstreamDirectory.js'
+import type { HostSettings } from '../gateway/model/hostSettings.js'
+import type { RunningHost } from '../cli/runningHost.js'
+import type { StoreItem } from '../gateway/model/storeItem.js'
+import type { UpstreamEntry } from '../gateway/model/upstreamEntry.js'
+
+/** Builds a host on the platform and starts it. This is the only module that constructs its parts. */
+export async function createGatewayHost (settings: HostSettings): Promise<RunningHost> {
+  const { hostId, failureDomain, timings } = settings
+  const clock = systemClock
+  const random = Math.random
+  const metrics = createMetrics()
+  const logger = new BoundedLogger(createLogger({ host: hostId, failureDomain, write: createOutputWriter() }), clock)
+  logger.recordInfo('host starting', { pid: process.pid })
+
+  const storeLink = new StoreLink(settings.storeAddress, metrics)
+  const store = new PlatformStore(storeLink)
+
+  let isDirty = false
+  /** Applies changes of upstreams and configuration to the stage scheduler once a turn of the event loop. */
+  const scheduleUpdate = (): void => {
+    if (isDirty) return
+    isDirty = true
+    setImmediate(() => {
+      isDirty = false
+      const current = configuration.getCurrent()
+      if (current === undefined) return
+      scheduler.applyUpstreams(current.services, service => upstreams.listService(service).map(state => state.entry))
+      dispatcher.onUpstreamsChanged()
+    })
+  }
+
+  const configuration = new ConfigurationHolder(logger, metrics, current => {
+    ingress.applyLimits(current.limits)
+    host.updateEntry()
+    scheduleUpdate()
+  })
+  const upstreams = new UpstreamDirectory({
+    clock,
+    logger,
+    metrics,
+    decodeAnswer: decodeUpstreamAnswer,
+    getConnectionLimit: service => {
+      const limit = configuration.getCurrent()?.services.get(service)?.connectionLimit ?? 0
+      return Math.max(Math.floor(limit * upstreamConstants.connectionShare / hosts.countHosts()), upstreamConstants.minConnections)
+    },
+    onChanged: scheduleUpdate
+  })
+  const hosts = new HostDirectory({
+    id: hostId,
+    failureDomain,
+    clientAddress: settings.clientAddress,
+    peerAddress: `${settings.ipAddress}:${settings.firstPeerPort}`,
+    cores: settings.cores,
+    isReady: false,
+    startedAtMs: clock.readWallMs()
+  }, logger, () => {})
+  const scheduler = new StageScheduler()
+  const dispatcher = new StageDispatcher({ scheduler, directory: upstreams, codec: stageCallCodec, clock, logger, metrics })
+
+  const followUpstreams = (item: StoreItem): UpstreamEntry | undefined => {
+    const entry = decodeUpstreamEntry(item.key, item.value)
+    if (entry === undefined) logger.recordWarning('upstream entry not readable', { key: item.key, revision: item.revision })
+    return entry
+  }
+  const applyConfiguration = (item: StoreItem): void => {
+    if (item.key !== platformConstants.configurationKey) return
+    try {
+      configuration.apply(decodeConfiguration(item.value))
+    } catch (error) {
+      logger.recordError('configuration not readable', { revision: item.revision, reason: (error as Error).message })
+    }
+  }
+  const configurationFollower = new PrefixFollower({
+    store,
+    prefix: platformConstants.configurationPrefix,
+    logger,
+    random,
+    onSnapshot: items => { items.forEach(applyConfiguration) },
+    onChange: change => { if (change.type === 'written') applyConfiguration(change.item) }
+  })
+  const upstreamFollower = new PrefixFollower({
+    store,
+    prefix: platformConstants.upstreamPrefix,
+    logger,
+    random,
+    onSnapshot: (items, isAfterGap) => {
+      upstreams.applySnapshot(items.map(followUpstreams).filter(entry => entry !== undefined), isAfterGap)
+      host.onUpstreamsLoaded()
+    },
+    onChange: change => {
+      const id = (change.type === 'written' ? change.item.key : change.key).slice(platformConstants.upstreamPrefix.length)
+      const entry = change.type === 'written' ? followUpstreams(change.item) : undefined
+      if (entry === undefined) upstreams.removeUpstream(id, change.type === 'removed' ? 'entry removed' : 'entry not readable')
+      else upstreams.applyEntry(entry)
+    }
+  })
+  const hostFollower = new PrefixFollower({
+    store,
+    prefix: platformConstants.hostPrefix,
+    logger,
+    random,
+    onSnapshot: items => { hosts.applySnapshot(items.map(item => hostEntryCodec.decode(item.value)).filter(entry => entry !== undefined)) },
+    onChange: change => {
+      const entry = change.type === 'written' ? hostEntryCodec.decode(change.item.value) : undefined
+      if (entry !== undefined) hosts.applyEntry(entry)
+      else if (change.type === 'removed') hosts.removeHost(change.key.slice(platformConstants.hostPrefix.length))
+    }
+  })
+  const registrar = new HostRegistrar({ store, key: `${platformConstants.hostPrefix}${hostId}`, logger, getEntry: () => hosts.getSelf() })
+
+  const secret = await readPeerSecretPatiently(store, platformConstants.peerSecretKey, logger)
+  const transport = createGrpcPeerTransport({ hostId, secret, metrics })
+  const stages = new StageClient({ dispatcher, hosts, transport, clock, logger, metrics })
+  const ingress = new IngressServer({
+    configuration,
+    decodeRequest: decodeClientRequest,
+    parts: {
+      directory: upstreams,
+      stages,
+      cache: new PromptCacheIndex(),
+      retries: new RetryAllowance(timings, () => hosts.countHosts()),
+      encodeHeaders: encodeUpstreamHeaders,
+      failureDomain,
+      clock,
+      random,
+      logger,
+      metrics
+    }
+  })
+  const readiness = new StatusServer((method, target) => {
+    if (!platformCalls.isReadinessCall(method, target)) return { status: 404, contentType: 'text/plain', body: '' }
+    return { status: host.isReady() ? 200 : 503, contentType: 'text/plain', body: '' }
+  })
+  const directoryServer = settings.directoryAddress === undefined
+    ? undefined
+    : new StatusServer((method, target) => {
+      if (!platformCalls.isDirectoryCall(method, target)) return { status: 404, contentType: 'text/plain', body: '' }
+      const addresses = chooseAddresses(hosts.listReady(), platformCalls.findClientDomain(target))
+      if (addresses.length === 0) return { status: 503, contentType: 'text/plain', body: '' }
+      const lifetimeMs = Math.min(ingressConstants.addressLifetimeMs, timings.maxAddressLifetimeMs)
+      return { status: 200, contentType: 'application/json', body: platformCalls.encodeDirectoryAnswer(addresses, lifetimeMs) }
+    })
+  const metricsServer = new StatusServer((method, target) => method === 'GET' && target === gatewayConstants.metricsPath
+    ? { status: 200, contentType: 'text/plain; version=0.0.4', body: metrics.render() }
+    : { status: 404, contentType: 'text/plain', body: '' })
+  const host: GatewayHost = new GatewayHost({
+    settings,
+    logger,
+    clock,
+    configuration,
+    upstreams,
+    hosts,
+    registrar,
+    dispatcher,
+    ingress,
+    readiness,
+    directoryServer,
+    metricsServer,
+    metricsAddress: `${settings.ipAddress}:${gatewayConstants.metricsPort}`,
+    configurationFollower,
+    upstreamFollower,
+    hostFollower,
+    transport,
+    storeLink
+  })
+  await host.start()
+  return host
+}
--- /dev/null
+++ b/src/node/app/gatewayHost.ts
@@ -0,0 +1,109 @@
+import { gatewayConstants } from './gatewayConstants.js'
+import type { GatewayParts } from './gatewayParts.js'
+import type { RunningHost } from '../cli/runningHost.js'
+
+/** A host on the platform, from its start to the end of its drain. */
+export class GatewayHost implements RunningHost {
+  private readonly stopped: Promise<void>
+  private resolveStopped = (): void => {}
+  private isDraining = false
+  private areUpstreamsLoaded = false
+  private missingTimer: NodeJS.Timeout | undefined
+
+  constructor (private readonly parts: GatewayParts) {
+    this.stopped = new Promise(resolve => { this.resolveStopped = resolve })
+  }
+
+  async start (): Promise<void> {
+    const { settings, ingress, readiness, directoryServer, metricsServer, configurationFollower, upstreamFollower, hostFollower, logger } = this.parts
+    await Promise.all([
+      readiness.start(settings.readinessAddress),
+      directoryServer !== undefined && settings.directoryAddress !== undefined ? directoryServer.start(settings.directoryAddress) : undefined,
+      metricsServer.start(this.parts.metricsAddress),
+      ingress.start(settings.clientAddress)
+    ])
+    for (const follower of [configurationFollower, upstreamFollower, hostFollower]) this.runFollower(follower)
+    await this.startPeers()
+    this.missingTimer = setInterval(() => { this.parts.upstreams.removeMissing() }, gatewayConstants.missingCheckMs)
+    logger.recordInfo('host started', { clientAddress: settings.clientAddress, cores: settings.cores })
+  }
+
+  /** Takes new connections. */
+  isReady (): boolean {
+    return !this.isDraining && this.areUpstreamsLoaded && this.parts.configuration.getCurrent() !== undefined
+  }
+
+  onUpstreamsLoaded (): void {
+    this.areUpstreamsLoaded = true
+    this.updateEntry()
+  }
+
+  /** Publishes this host's state when it has changed. */
+  updateEntry (): void {
+    const { hosts, registrar } = this.parts
+    const entry = hosts.getSelf()
+    if (entry.isReady === this.isReady()) return
+    hosts.updateSelf({ ...entry, isReady: this.isReady() })
+    this.parts.logger.recordInfo('readiness changed', { isReady: this.isReady() })
+    registrar.updateNow()
+  }
+
+  drain (): void {
+    if (this.isDraining) return
+    this.isDraining = true
+    this.parts.logger.recordInfo('drain started', { requests: this.parts.ingress.requestCount })
+    this.parts.ingress.startClosing()
+    this.updateEntry()
+    this.runDrain().catch(error => {
+      this.parts.logger.recordError('drain failed', { reason: (error as Error).message })
+      this.resolveStopped()
+    })
+  }
+
+  async waitUntilStopped (): Promise<void> {
+    await this.stopped
+  }
+
+  /** Serves what clients still send while they learn other addresses, then closes the connections that are left. */
+  private async runDrain (): Promise<void> {
+    const { ingress, settings, logger, clock } = this.parts
+    const startMs = clock.readMonotonicMs()
+    const endMs = startMs + settings.timings.gracePeriodMs - gatewayConstants.stopReserveMs
+    await waitMs(Math.min(gatewayConstants.lingerMs, endMs - startMs))
+    const closed = ingress.stop()
+    const closing = setInterval(() => { ingress.closeIdle() }, gatewayConstants.idleCloseMs)
+    await Promise.race([closed, waitMs(endMs - clock.readMonotonicMs())])
+    clearInterval(closing)
+    logger.recordInfo('host stopped', { unfinishedRequests: ingress.requestCount, drainMs: Math.round(clock.readMonotonicMs() - startMs) })
+    await this.stopParts()
+    this.resolveStopped()
+  }
+
+  private async stopParts (): Promise<void> {
+    const { registrar, configurationFollower, upstreamFollower, hostFollower, transport, storeLink, readiness, directoryServer, metricsServer, dispatcher } = this.parts
+    clearInterval(this.missingTimer)
+    for (const follower of [configurationFollower, upstreamFollower, hostFollower]) follower.stop()
+    await Promise.race([registrar.stop(), waitMs(gatewayConstants.stopReserveMs / 2)])
+    dispatcher.stop()
+    await transport.stop()
+    storeLink.close()
+    readiness.stop()
+    directoryServer?.stop()
+    metricsServer.stop()
+  }
+
+  private async startPeers (): Promise<void> {
+    const { settings, transport, registrar, logger } = this.parts
+    const port = await transport.start(`${settings.ipAddress}:${settings.firstPeerPort}`)
+    logger.recordInfo('peer server started', { port })
+    registrar.updateNow()
+  }
+
+  private runFollower (follower: GatewayParts['hostFollower']): void {
+    follower.run().catch(error => { this.parts.logger.recordError('store follower failed', { reason: (error as Error).message }) })
+  }
+}
+
+async function waitMs (ms: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, Math.max(ms, 0)))
+}
--- /dev/null
+++ b/src/node/app/gatewayParts.ts
@@ -0,0 +1,35 @@
+import type { Clock } from '../../types/clock.js'
+import type { ConfigurationHolder } from '../gateway/configuration/configurationHolder.js'
+import type { HostDirectory } from '../gateway/hosts/hostDirectory.js'
+import type { HostRegistrar } from '../gateway/hosts/hostRegistrar.js'
+import type { HostSettings } from '../gateway/model/hostSettings.js'
+import type { IngressServer } from '../gateway/ingress/ingressServer.js'
+import type { Logger } from '../../types/logger.js'
+import type { PrefixFollower } from '../gateway/store/prefixFollower.js'
+import type { StageDispatcher } from '../gateway/stages/stageDispatcher.js'
+import type { StatusServer } from '../gateway/ingress/statusServer.js'
+import type { UpstreamDirectory } from '../gateway/upstreams/upstreamDirectory.js'
+
+/** The parts of a host on the platform. */
+export interface GatewayParts {
+  readonly settings: HostSettings
+  readonly logger: Logger
+  readonly clock: Clock
+  readonly configuration: ConfigurationHolder
+  readonly upstreams: UpstreamDirectory
+  readonly hosts: HostDirectory
+  readonly registrar: HostRegistrar
+  readonly dispatcher: StageDispatcher
+  readonly ingress: IngressServer
+  readonly readiness: StatusServer
+  /** Undefined when the role does not answer address queries. */
+  readonly directoryServer?: StatusServer
+  readonly metricsServer: StatusServer
+  /** `ip:port`. */
+  readonly metricsAddress: string
+  readonly configurationFollower: PrefixFollower
+  readonly upstreamFollower: PrefixFollower
+  readonly hostFollower: PrefixFollower
+  readonly transport: { start (address: string): Promise<number>, stop (): Promise<void> }
+  readonly storeLink: { close (): void }
+}
--- a/src/node/cli/__tests__/createTestDependencies.ts
+++ b/src/node/cli/__tests__/createTestDependencies.ts
@@ -13,6 +13,7 @@
     version: '9.9.9',
     environment: {},
     startEntryHost: async () => ({ drain () {}, waitUntilStopped: async () => {} }),
+    startGatewayHost: async () => ({ drain () {}, waitUntilStopped: async () => {} }),
     parseContract: value => {
       if (typeof (value as Contract).account !== 'string') throw new TestContractError('account: is missing')
       return value as Contract
--- a/src/node/cli/commandLineDependencies.ts
+++ b/src/node/cli/commandLineDependencies.ts
@@ -1,4 +1,5 @@
 import type { Contract } from '../../types/contract.js'
+import type { HostSettings } from '../gateway/model/hostSettings.js'
 import type { ResolvedSettings } from '../settings/resolvedSettings.js'
 import type { RunningHost } from './runningHost.js'
 
@@ -8,6 +9,8 @@
   readonly environment: Readonly<Record<string, string | undefined>>
   /** Starts an entry host; resolves when it is ready to serve. */
   startEntryHost (settings: ResolvedSettings): Promise<RunningHost>
+  /** Starts a host on the platform. */
+  startGatewayHost (settings: HostSettings): Promise<RunningHost>
   /** Checks a contract; throws a `LycheetrackError` that names all faults. */
   parseContract (value: unknown): Contract
   readTextFile (path: string): Promise<string>
--- a/src/node/cli/createCommandLineDependencies.ts
+++ b/src/node/cli/createCommandLineDependencies.ts
@@ -5,7 +5,7 @@
 
 declare const __VERSION__: string
 
-type Wired = Pick<CommandLineDependencies, 'startEntryHost' | 'parseContract'>
+type Wired = Pick<CommandLineDependencies, 'startEntryHost' | 'startGatewayHost' | 'parseContract'>
 
 /** Dependencies of the command line in a process; the parts of the host itself are passed in. */
 export function createCommandLineDependencies (wired: Partial<Wired> = {}): CommandLineDependencies {
@@ -15,6 +15,7 @@
     version: typeof __VERSION__ === 'string' ? __VERSION__ : 'development',
     environment: process.env,
     startEntryHost: wired.startEntryHost ?? (() => refusePart('the entry host')),
+    startGatewayHost: wired.startGatewayHost ?? (() => refusePart('the gateway host')),
     parseContract: wired.parseContract ?? (() => refusePart('the contract check')),
     readTextFile: path => readFile(path, 'utf8'),
     writeTextFile: (path, text) => writeFile(path, text),
--- a/src/node/cli/listCommands.ts
+++ b/src/node/cli/listCommands.ts
@@ -9,6 +9,7 @@
 import { contractStatus } from './commands/contractStatus.js'
 import { contractWatch } from './commands/contractWatch.js'
 import { drain } from './commands/drain.js'
+import { gateway } from './commands/gateway.js'
 import { route } from './commands/route.js'
 import { serve } from './commands/serve.js'
 import type { Command } from './command.js'
@@ -16,7 +17,7 @@
 /** All subcommands, in the order of the help. */
 export function listCommands (): readonly Command[] {
   return [
-    serve,
+    serve, gateway,
     contractApply, contractRead, contractList, contractDiff, contractWatch, contractHistory, contractStatus, contractDelete,
     route, drain, burn, check
   ]
--- /dev/null
+++ b/src/node/gateway/hosts/hostDirectory.ts
@@ -0,0 +1,61 @@
+import { chooseByRendezvous } from '../../../shared/chooseByRendezvous.js'
+import type { HostEntry } from '../model/hostEntry.js'
+import type { Logger } from '../../../types/logger.js'
+
+/** The hosts that the store lists. This host is always among them, as it sees itself. */
+export class HostDirectory {
+  private readonly others = new Map<string, HostEntry>()
+
+  constructor (private self: HostEntry, private readonly logger: Logger, private readonly onChanged: () => void) {}
+
+  getSelf (): HostEntry {
+    return this.self
+  }
+
+  updateSelf (entry: HostEntry): void {
+    this.self = entry
+    this.onChanged()
+  }
+
+  applySnapshot (entries: readonly HostEntry[]): void {
+    const ids = new Set(entries.map(entry => entry.id))
+    for (const id of [...this.others.keys()]) {
+      if (!ids.has(id)) this.removeHost(id)
+    }
+    for (const entry of entries) this.applyEntry(entry)
+  }
+
+  applyEntry (entry: HostEntry): void {
+    if (entry.id === this.self.id) return
+    const known = this.others.get(entry.id)
+    this.others.set(entry.id, entry)
+    if (known === undefined || known.isReady !== entry.isReady) this.logger.recordInfo('host seen', { peer: entry.id, address: entry.clientAddress, isReady: entry.isReady })
+    this.onChanged()
+  }
+
+  removeHost (id: string): void {
+    if (!this.others.delete(id)) return
+    this.logger.recordInfo('host gone', { peer: id, reason: 'entry removed' })
+    this.onChanged()
+  }
+
+  /** Hosts that take new connections. */
+  listReady (): readonly HostEntry[] {
+    return [this.self, ...this.others.values()].filter(host => host.isReady)
+  }
+
+  /** Hosts with an entry, at least this one. */
+  countHosts (): number {
+    return this.others.size + 1
+  }
+
+  /**
+   * The host that schedules the work of all stage services; this host when none is ready. Two hosts that disagree
+   * for a moment fill their calls less, which costs efficiency only.
+   */
+  chooseScheduler (excludedIds: ReadonlySet<string>): HostEntry {
+    const candidates = this.listReady().filter(host => !excludedIds.has(host.id))
+    const [id] = chooseByRendezvous('stage-scheduler', candidates.map(host => host.id), 1)
+    return candidates.find(host => host.id === id) ?? this.self
+  }
+}
--- /dev/null
+++ b/src/node/gateway/hosts/readPeerSecret.ts
@@ -0,0 +1,17 @@
+import { randomBytes } from 'node:crypto'
+import { StoreUnavailableError } from '../../../shared/storeUnavailableError.js'
+import type { StoreClient } from '../model/storeClient.js'
+
+const secretBytes = 24
+
+/** The secret that the hosts share, made by the first one. Rejects as the store does. */
+export async function readPeerSecret (store: StoreClient, key: string): Promise<string> {
+  const { item } = await store.readItem(key)
+  if (item !== undefined) return item.value.toString('utf8')
+  const value = Buffer.from(randomBytes(secretBytes).toString('base64'))
+  await store.writeConditionally({ conditions: [{ key, revision: 0 }], writes: [{ key, value, leaseId: 0 }], removals: [] })
+  // Another host may have been first.
+  const { item: written } = await store.readItem(key)
+  if (written === undefined) throw new StoreUnavailableError('the peer secret is missing after it was written')
+  return written.value.toString('utf8')
+}
--- /dev/null
+++ b/src/node/gateway/hosts/readPeerSecretPatiently.ts
@@ -0,0 +1,16 @@
+import { readPeerSecret } from './readPeerSecret.js'
+import { storeConstants } from '../store/constants.js'
+import type { Logger } from '../../../types/logger.js'
+import type { StoreClient } from '../model/storeClient.js'
+
+/** Reads the secret that the hosts share, again and again while the store is away. */
+export async function readPeerSecretPatiently (store: StoreClient, key: string, logger: Logger): Promise<string> {
+  for (let failures = 0; ; failures++) {
+    try {
+      return await readPeerSecret(store, key)
+    } catch (error) {
+      if (failures === 0) logger.recordWarning('peer secret not readable', { reason: (error as Error).message })
+      await new Promise(resolve => setTimeout(resolve, Math.min(storeConstants.retryMs * 2 ** failures, storeConstants.maxRetryMs)))
+    }
+  }
+}
--- /dev/null
+++ b/src/node/gateway/ingress/buildStageJob.ts
@@ -0,0 +1,25 @@
+import type { RequestRunOptions } from './requestRunOptions.js'
+import type { StageJob } from '../stages/stageJob.js'
+
+/** Worth of an output token relative to a prompt token. */
+const outputTokenWeight = 10
+
+/** The stage work of a request; undefined when it has none. */
+export function buildStageJob ({ request, route, account, aimAtMs, deadlineAtMs }: RequestRunOptions, run: { readonly attempt: number, readonly preferredDomain: string }): StageJob | undefined {
+  const stages = route.stages
+    .map(stage => ({ ...stage, pieceCount: request.pieceCounts[stage.index] ?? 0 }))
+    .filter(stage => stage.pieceCount > 0)
+  if (stages.length === 0) return undefined
+  return {
+    id: `${request.id}:${run.attempt}`,
+    requestId: request.id,
+    pieceKey: request.pieceKey,
+    route: route.name,
+    stages,
+    aimAtMs,
+    deadlineAtMs,
+    priority: account?.priority ?? route.priority,
+    worth: request.promptTokens + outputTokenWeight * request.maxOutputTokens,
+    preferredDomain: run.preferredDomain
+  }
+}
--- /dev/null
+++ b/src/node/gateway/ingress/chooseTarget.ts
@@ -0,0 +1,13 @@
+import { hashText } from '../../../shared/hashText.js'
+import type { RouteTarget } from '../model/routeTarget.js'
+
+/** The service for a request, in the proportion of the weights; the same one whenever it is asked for the request. */
+export function chooseTarget (targets: readonly RouteTarget[], requestId: string): string {
+  const total = targets.reduce((sum, target) => sum + target.weight, 0)
+  let point = hashText(requestId) / 0x100000000 * total
+  for (const target of targets) {
+    point -= target.weight
+    if (point < 0) return target.service
+  }
+  return targets.at(-1)?.service ?? ''
+}
--- /dev/null
+++ b/src/node/gateway/ingress/clientAnswer.ts
@@ -0,0 +1,66 @@
+import { buildErrorBody } from './buildErrorBody.js'
+import type { ServerResponse } from 'node:http'
+import type { UpstreamAnswerHead } from '../model/upstreamAnswerHead.js'
+
+/** The answer to one client request: written once, whole or visibly incomplete. */
+export class ClientAnswer {
+  hasStarted = false
+  isEnded = false
+
+  constructor (private readonly response: ServerResponse, private readonly requestId: string | undefined, private readonly isClosing: () => boolean) {}
+
+  /** Bytes that the client has not read yet. */
+  get unreadBytes (): number {
+    return this.response.writableLength
+  }
+
+  /** An upstream's whole answer. */
+  writeWhole (head: UpstreamAnswerHead, body: Buffer, method: string): void {
+    if (this.isEnded || this.hasStarted) return
+    this.isEnded = true
+    const length = method === 'HEAD' && head.contentLength !== undefined ? head.contentLength : body.length
+    this.writeHead(head.status, [...head.forwardedHeaders, 'content-length', String(length)])
+    this.response.end(body)
+  }
+
+  /** Head of an upstream's stream; its length is not known. */
+  startStream (head: UpstreamAnswerHead): void {
+    this.hasStarted = true
+    this.writeHead(head.status, [...head.forwardedHeaders])
+  }
+
+  writeEvents (events: Buffer): void {
+    if (!this.isEnded) this.response.write(events)
+  }
+
+  endStream (): void {
+    if (this.isEnded) return
+    this.isEnded = true
+    this.response.end()
+  }
+
+  /** An answer of this system; `retryAfterMs` tells the client when to come back. */
+  writeError (status: number, code: string, message: string, retryAfterMs?: number): void {
+    if (this.isEnded) return
+    if (this.hasStarted) return this.closeIncomplete()
+    this.isEnded = true
+    const body = buildErrorBody(code, message, status)
+    const headers = ['content-type', 'application/json', 'content-length', String(Buffer.byteLength(body))]
+    if (this.requestId !== undefined) headers.push('x-request-id', this.requestId)
+    if (retryAfterMs !== undefined) headers.push('retry-after', (retryAfterMs / 1000).toFixed(3))
+    this.writeHead(status, headers)
+    this.response.end(body)
+  }
+
+  /** Closes the connection, so that a started answer does not look complete. */
+  closeIncomplete (): void {
+    if (this.isEnded) return
+    this.isEnded = true
+    this.response.destroy()
+  }
+
+  private writeHead (status: number, headers: string[]): void {
+    if (this.isClosing()) headers.push('connection', 'close')
+    this.response.writeHead(status, headers)
+  }
+}
--- /dev/null
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -0,0 +1,129 @@
+import { createServer } from 'node:http'
+import { ClientAnswer } from './clientAnswer.js'
+import { ingressConstants } from './constants.js'
+import { readRequestBody } from './readRequestBody.js'
+import { RequestRun } from './requestRun.js'
+import type { ClientRequest } from '../model/clientRequest.js'
+import type { ConfigurationHolder } from '../configuration/configurationHolder.js'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { IngressLimits } from '../model/ingressLimits.js'
+import type { RequestRunParts } from './requestRunParts.js'
+
+interface IngressOptions {
+  readonly configuration: ConfigurationHolder
+  readonly parts: RequestRunParts
+  readonly decodeRequest: (request: IncomingMessage) => ClientRequest | undefined
+}
+
+/** The HTTP server for clients. */
+export class IngressServer {
+  private readonly server: Server
+  private isClosing = false
+  private activeCount = 0
+
+  constructor (private readonly options: IngressOptions) {
+    this.server = createServer({
+      maxHeaderSize: ingressConstants.maxHeaderBytes,
+      keepAliveTimeout: ingressConstants.initialIdleTimeoutMs,
+      headersTimeout: ingressConstants.initialHeaderTimeoutMs,
+      connectionsCheckingInterval: ingressConstants.connectionCheckMs,
+      noDelay: true
+    }, (request, response) => { this.onRequest(request, response) })
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      // A malformed request may have been followed by others: nothing more is read from the connection.
+      options.parts.metrics.addCount('client_errors', { code: error.code ?? 'unknown' })
+      if (socket.writable && error.code !== 'ECONNRESET') socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n')
+      else socket.destroy()
+    })
+  }
+
+  /** Requests in progress. */
+  get requestCount (): number {
+    return this.activeCount
+  }
+
+  async start (address: string): Promise<void> {
+    const [host, port] = address.split(':')
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject)
+      this.server.listen(Number(port), host, ingressConstants.listenBacklog, () => { resolve() })
+    })
+  }
+
+  applyLimits (limits: IngressLimits): void {
+    this.server.keepAliveTimeout = limits.idleTimeoutMs
+    this.server.headersTimeout = limits.headerTimeoutMs
+  }
+
+  /** Asks clients to close their connections after the answers to come. */
+  startClosing (): void {
+    this.isClosing = true
+  }
+
+  /** Closes the connections without a request. */
+  closeIdle (): void {
+    this.server.closeIdleConnections()
+  }
+
+  /** Takes no new connections; resolves when all connections are closed. */
+  async stop (): Promise<void> {
+    await new Promise<void>(resolve => {
+      this.server.close(() => { resolve() })
+      this.server.closeIdleConnections()
+    })
+  }
+
+  private onRequest (request: IncomingMessage, response: ServerResponse): void {
+    this.activeCount++
+    response.once('close', () => { this.activeCount-- })
+    this.serveRequest(request, response).catch(error => {
+      const { logger } = this.options.parts
+      logger.recordError('request failed unexpectedly', { reason: (error as Error).message, stack: (error as Error).stack })
+      response.destroy()
+    })
+  }
+
+  private async serveRequest (message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { configuration, parts, decodeRequest } = this.options
+    const arrivedAtMs = parts.clock.readMonotonicMs()
+    const request = decodeRequest(message)
+    const answer = new ClientAnswer(response, request?.id, () => this.isClosing)
+    const current = configuration.getCurrent()
+    const body = await readRequestBody(message, current?.limits.maxBodyBytes ?? 0)
+    if (current === undefined) return this.refuse(answer, { request, status: 503, code: 'not_ready', reason: 'no configuration yet' })
+    if (body === 'too-large') return this.refuse(answer, { request, status: 413, code: 'body_too_large', reason: 'body too large' })
+    if (body === 'incomplete') return answer.closeIncomplete()
+    if (request === undefined) return this.refuse(answer, { status: 400, code: 'request_id_required', reason: 'no request id' })
+    // The newest version counts, also when it came while the body was read.
+    const { version } = configuration.getCurrent()!
+    const route = configuration.findRoute(request.hostName, request.target.split('?')[0]!)
+    if (route === undefined) return this.refuse(answer, { request, status: 404, code: 'unknown_route', reason: `no route for ${request.hostName}` })
+    const account = configuration.findAccount(route, request.apiKey)
+    if (account === undefined) return this.refuse(answer, { request, status: 401, code: 'unauthorized', reason: 'unknown API key' })
+    const limitMs = Math.min((request.timeLeftMs ?? route.timeoutMs) - ingressConstants.answerMarginMs, route.timeoutMs)
+    const elapsedMs = Math.max(route.timeoutMs - (request.timeLeftMs ?? route.timeoutMs), 0)
+    const run = new RequestRun({
+      request,
+      route,
+      account,
+      body,
+      answer,
+      configurationVersion: version,
+      arrivedAtMs,
+      deadlineAtMs: arrivedAtMs + limitMs,
+      // The aim counts from the client's first attempt; what is missing from the usual deadline has passed already.
+      aimAtMs: arrivedAtMs + route.latencyAimMs - elapsedMs
+    }, parts)
+    response.once('close', () => { run.cancel() })
+    if (!response.destroyed) await run.run()
+  }
+
+  private refuse (answer: ClientAnswer, refusal: { readonly request?: ClientRequest, readonly status: number, readonly code: string, readonly reason: string }): void {
+    const { logger, metrics } = this.options.parts
+    const { request, status, code, reason } = refusal
+    const version = this.options.configuration.getCurrent()?.version
+    logger.recordInfo('request rejected', { requestId: request?.id, status, code, reason, path: request?.target, configurationVersion: version })
+    metrics.addCount('requests_rejected', { code })
+    answer.writeError(status, code, reason, status === 503 ? ingressConstants.unreadyRetryAfterMs : undefined)
+  }
+}
--- /dev/null
+++ b/src/node/gateway/ingress/readRequestBody.ts
@@ -0,0 +1,16 @@
+import type { IncomingMessage } from 'node:http'
+
+/** Reads the body of a client's request, up to `maxBytes`. */
+export async function readRequestBody (message: IncomingMessage, maxBytes: number): Promise<Buffer | 'too-large' | 'incomplete'> {
+  const chunks: Buffer[] = []
+  let size = 0
+  return await new Promise(resolve => {
+    message.on('data', (chunk: Buffer) => {
+      size += chunk.length
+      if (size <= maxBytes) chunks.push(chunk)
+    })
+    message.on('end', () => { resolve(size > maxBytes ? 'too-large' : Buffer.concat(chunks)) })
+    message.on('close', () => { resolve('incomplete') })
+    message.on('error', () => { resolve('incomplete') })
+  })
+}
--- /dev/null
+++ b/src/node/gateway/ingress/requestRun.ts
@@ -0,0 +1,259 @@
+import { buildStageJob } from './buildStageJob.js'
+import { chooseEngine } from '../engines/chooseEngine.js'
+import { chooseTarget } from './chooseTarget.js'
+import { chooseUpstream } from '../upstreams/chooseUpstream.js'
+import { decideNextAttempt } from './decideNextAttempt.js'
+import { engineConstants } from '../engines/constants.js'
+import { ingressConstants } from './constants.js'
+import { sendAttempt } from './sendAttempt.js'
+import type { AttemptDecision } from './attemptDecision.js'
+import type { AttemptResult } from './attemptResult.js'
+import type { RequestRunOptions } from './requestRunOptions.js'
+import type { RequestRunParts } from './requestRunParts.js'
+import type { StageOutput } from '../stages/stageOutput.js'
+import type { UpstreamState } from '../upstreams/upstreamState.js'
+
+const noRelease = (): void => {}
+
+/** The way of one request: its stages, then attempts at upstreams until it has an answer. */
+export class RequestRun {
+  private readonly controller = new AbortController()
+  private readonly service: string
+  private readonly triedIds = new Set<string>()
+  private sentCount = 0
+  /** Attempts that found no connection. */
+  private unsentCount = 0
+  private stageRuns = 0
+  private inputs: readonly string[] = []
+  private inputDomain = ''
+  private releaseInputs = noRelease
+  /** An upstream has the request, or has had it and did not say that it was not run. */
+  private mayHaveRun = false
+  /** Id of the last event that the client has. */
+  private lastEventId: string | undefined
+
+  constructor (private readonly options: RequestRunOptions, private readonly parts: RequestRunParts) {
+    this.service = chooseTarget(options.route.targets, options.request.id)
+    this.lastEventId = options.request.lastEventId
+  }
+
+  /** Resolves when the request has its final answer or its client has left. */
+  async run (): Promise<void> {
+    const timeLeftMs = this.options.deadlineAtMs - this.parts.clock.readMonotonicMs()
+    const timer = setTimeout(() => { this.onTimeout() }, Math.max(timeLeftMs, 0))
+    try {
+      if (await this.runStages()) await this.runAttempts()
+    } finally {
+      clearTimeout(timer)
+      this.releaseInputs()
+    }
+  }
+
+  /** The client has closed its connection. */
+  cancel (): void {
+    if (this.options.answer.isEnded) return
+    this.record('client left', { elapsedMs: this.computeElapsedMs() })
+    this.options.answer.closeIncomplete()
+    this.controller.abort()
+  }
+
+  /** Whether the request may go on to an upstream. */
+  private async runStages (): Promise<boolean> {
+    const { request, route, answer } = this.options
+    const job = buildStageJob(this.options, { attempt: this.stageRuns, preferredDomain: this.findPreferredDomain() })
+    this.stageRuns++
+    if (job === undefined) return true
+    this.releaseInputs()
+    const { outcome, release } = await this.parts.stages.runStages(job, this.controller.signal)
+    this.releaseInputs = release
+    if (this.controller.signal.aborted || answer.isEnded) return false
+    if (outcome.type === 'completed') {
+      this.inputs = outcome.outputs.flatMap((output: StageOutput) => output.handles)
+      this.inputDomain = outcome.outputDomain
+      return true
+    }
+    const retryAfterMs = outcome.type === 'refused' ? outcome.retryAfterMs : ingressConstants.busyRetryAfterMs
+    this.refuse(`stages ${outcome.type}: ${outcome.reason}`, retryAfterMs)
+    this.parts.metrics.addCount('requests_refused', { route: route.callKind, phase: 'stages' })
+    this.record('request refused', { requestId: request.id, reason: outcome.reason, retryAfterMs: Math.round(retryAfterMs) })
+    return false
+  }
+
+  private async runAttempts (): Promise<void> {
+    for (;;) {
+      const upstream = this.chooseUpstream()
+      if (upstream === undefined) return this.refuse('no upstream is free', ingressConstants.busyRetryAfterMs)
+      const result = await this.runAttempt(upstream)
+      const decision = this.decide(result)
+      this.record('attempt ended', {
+        upstream: upstream.entry.id,
+        service: this.service,
+        attempt: this.sentCount,
+        result: result.type,
+        status: result.type === 'answer' ? result.head.status : undefined,
+        reason: findReason(result),
+        action: decision.action,
+        elapsedMs: this.computeElapsedMs(),
+        configurationVersion: this.options.configurationVersion
+      })
+      if (decision.action === 'run-stages-again' && await this.runStages()) continue
+      if (decision.action === 'send-again') continue
+      return this.end(decision, result)
+    }
+  }
+
+  private decide (result: AttemptResult): AttemptDecision {
+    const { route, deadlineAtMs } = this.options
+    const nowMs = this.parts.clock.readMonotonicMs()
+    return decideNextAttempt({
+      result,
+      isRepeatable: this.isRepeatable(),
+      sentCount: this.sentCount,
+      unsentCount: this.unsentCount,
+      maxAttempts: route.maxAttempts,
+      stageRuns: this.stageRuns,
+      timeLeftMs: deadlineAtMs - nowMs,
+      takeRepeat: () => this.parts.retries.takeRepeat(this.service, nowMs)
+    })
+  }
+
+  private end (decision: AttemptDecision, result: AttemptResult): void {
+    const { answer, request } = this.options
+    // A failure in the middle of a stream can only be shown by its missing end.
+    if (answer.hasStarted) answer.closeIncomplete()
+    if (decision.action === 'deliver' && result.type === 'answer') answer.writeWhole(result.head, result.body, request.method)
+    if (decision.action === 'refuse') this.refuse(decision.reason, ingressConstants.busyRetryAfterMs)
+    if (decision.action === 'fail') answer.writeError(502, 'upstream_failed', decision.reason)
+    this.parts.metrics.addCount('requests_ended', { route: this.options.route.callKind, action: decision.action })
+    this.parts.metrics.recordDuration('request', { route: this.options.route.callKind }, this.computeElapsedMs())
+  }
+
+  private async runAttempt (upstream: UpstreamState): Promise<AttemptResult> {
+    const { request, route, account, body, answer, deadlineAtMs } = this.options
+    const nowMs = this.parts.clock.readMonotonicMs()
+    const hadRunBefore = this.mayHaveRun
+    this.sentCount++
+    this.triedIds.add(upstream.entry.id)
+    this.mayHaveRun = true
+    if (this.sentCount === 1) this.parts.retries.recordFirst(this.service, nowMs)
+    upstream.inFlight++
+    const result = await sendAttempt({
+      upstream,
+      exchange: {
+        method: request.method,
+        path: request.target,
+        headers: this.parts.encodeHeaders(request, {
+          instanceId: upstream.entry.id,
+          timeLeftMs: deadlineAtMs - nowMs,
+          accountName: account?.name,
+          lastEventId: this.lastEventId,
+          priority: route.callKind === 'stream' ? Math.min(account?.priority ?? route.priority, 9) : undefined,
+          inputs: this.inputs
+        }),
+        body: body.length > 0 ? body : undefined,
+        requestId: request.id
+      },
+      isStream: route.callKind === 'stream',
+      lastEventId: this.lastEventId,
+      answer,
+      signal: this.controller.signal,
+      silenceMs: this.computeSilenceMs(upstream),
+      onEvents: lastEventId => { this.onEvents(upstream, lastEventId) }
+    })
+    upstream.inFlight--
+    if (result.type === 'not-run') {
+      this.mayHaveRun = hadRunBefore
+      if (!result.wasSent) {
+        this.sentCount--
+        this.unsentCount++
+      }
+    }
+    this.observeResult(upstream, result, this.parts.clock.readMonotonicMs() - nowMs)
+    return result
+  }
+
+  private onEvents (upstream: UpstreamState, lastEventId: string | undefined): void {
+    this.lastEventId = lastEventId ?? this.lastEventId
+    if (this.releaseInputs === noRelease && this.inputs.length > 0) return
+    // An engine has read the results of the stages by its first event.
+    this.releaseInputs()
+    this.releaseInputs = noRelease
+    this.parts.cache.record(upstream.entry.id, this.options.request.promptParts, this.parts.clock.readMonotonicMs())
+  }
+
+  /** Judges the upstream by the attempt. */
+  private observeResult (upstream: UpstreamState, result: AttemptResult, elapsedMs: number): void {
+    const { clock, logger } = this.parts
+    const nowMs = clock.readMonotonicMs()
+    if (result.type === 'cancelled') return
+    const hasFailed = result.type === 'uncertain' || (result.type === 'not-run' && !result.areInputsGone) || (result.type === 'answer' && result.head.status >= 500)
+    if (!hasFailed) {
+      if (result.type === 'answer') upstream.onSuccess(elapsedMs)
+    } else if (upstream.onFailure(nowMs)) {
+      logger.recordWarning('upstream ejected', { upstream: upstream.entry.id, service: upstream.entry.service, untilMs: Math.round(upstream.ejectedUntilMs - nowMs), reason: result.type })
+    }
+  }
+
+  private chooseUpstream (): UpstreamState | undefined {
+    const { directory, cache, clock, failureDomain, random } = this.parts
+    const { request, route } = this.options
+    const usable = directory.listUsable(this.service)
+    const fresh = usable.filter(state => !this.triedIds.has(state.entry.id))
+    const candidates = fresh.length > 0 ? fresh : usable
+    if (route.callKind === 'stream') {
+      return chooseEngine({ candidates, cache, promptParts: request.promptParts, promptTokens: request.promptTokens, inputDomain: this.inputDomain, nowMs: clock.readMonotonicMs() })
+    }
+    return chooseUpstream({ candidates, excludedIds: new Set(), failureDomain, random })
+  }
+
+  private findPreferredDomain (): string {
+    const { request, route } = this.options
+    if (route.callKind !== 'stream') return ''
+    const { directory, cache, clock } = this.parts
+    return chooseEngine({ candidates: directory.listUsable(this.service), cache, promptParts: request.promptParts, promptTokens: request.promptTokens, inputDomain: '', nowMs: clock.readMonotonicMs() })?.entry.failureDomain ?? ''
+  }
+
+  private isRepeatable (): boolean {
+    const { callKind, isResumable } = this.options.route
+    return callKind === 'idempotent' || (callKind === 'stream' && isResumable)
+  }
+
+  /** Time without a byte after which a repeatable request is sent elsewhere; undefined to wait until the deadline. */
+  private computeSilenceMs (upstream: UpstreamState): number | undefined {
+    const { route, deadlineAtMs } = this.options
+    if (!this.isRepeatable() || this.sentCount >= route.maxAttempts) return undefined
+    if (route.callKind === 'stream') return engineConstants.firstEventTimeoutMs
+    const leftMs = deadlineAtMs - this.parts.clock.readMonotonicMs()
+    return Math.min(Math.max(upstream.durationMs * ingressConstants.silenceFactor, ingressConstants.minSilenceMs), leftMs / 2)
+  }
+
+  private onTimeout (): void {
+    const { answer } = this.options
+    if (answer.isEnded) return
+    this.record('request timed out', { elapsedMs: this.computeElapsedMs(), mayHaveRun: this.mayHaveRun, sentCount: this.sentCount })
+    this.parts.metrics.addCount('requests_ended', { route: this.options.route.callKind, action: 'timed-out' })
+    if (this.mayHaveRun) answer.writeError(504, 'deadline_exceeded', 'no answer before the deadline')
+    else this.refuse('no upstream before the deadline', ingressConstants.busyRetryAfterMs)
+    this.controller.abort()
+  }
+
+  private refuse (reason: string, retryAfterMs: number): void {
+    const { answer } = this.options
+    // An earlier attempt that may have run makes a promise impossible.
+    if (this.mayHaveRun && !this.isRepeatable()) return answer.writeError(502, 'upstream_failed', reason)
+    if (answer.hasStarted) return answer.closeIncomplete()
+    answer.writeError(this.mayHaveRun ? 502 : 503, this.mayHaveRun ? 'upstream_failed' : 'overloaded', reason, retryAfterMs)
+  }
+
+  private record (message: string, fields: Readonly<Record<string, string | number | boolean | undefined>>): void {
+    this.parts.logger.recordInfo(message, { requestId: this.options.request.id, route: this.options.route.name, ...fields })
+  }
+
+  private computeElapsedMs (): number {
+    return Math.round(this.parts.clock.readMonotonicMs() - this.options.arrivedAtMs)
+  }
+}
+
+function findReason (result: AttemptResult): string | undefined {
+  return result.type === 'not-run' || result.type === 'uncertain' ? result.reason : undefined
+}
--- /dev/null
+++ b/src/node/gateway/ingress/requestRunParts.ts
@@ -0,0 +1,23 @@
+import type { Clock } from '../../../types/clock.js'
+import type { Logger } from '../../../types/logger.js'
+import type { Metrics } from '../../../types/metrics.js'
+import type { PromptCacheIndex } from '../engines/promptCacheIndex.js'
+import type { Random } from '../../../types/random.js'
+import type { RetryAllowance } from '../upstreams/retryAllowance.js'
+import type { StageClient } from '../stages/stageClient.js'
+import type { UpstreamDirectory } from '../upstreams/upstreamDirectory.js'
+import type { UpstreamHeaderEncoder } from './upstreamHeaderEncoder.js'
+
+/** What the requests of a host share. */
+export interface RequestRunParts {
+  readonly directory: UpstreamDirectory
+  readonly stages: StageClient
+  readonly cache: PromptCacheIndex
+  readonly retries: RetryAllowance
+  readonly encodeHeaders: UpstreamHeaderEncoder
+  readonly failureDomain: string
+  readonly clock: Clock
+  readonly random: Random
+  readonly logger: Logger
+  readonly metrics: Metrics
+}
--- /dev/null
+++ b/src/node/gateway/ingress/sendAttempt.ts
@@ -0,0 +1,107 @@
+import { EventSplitter } from './eventSplitter.js'
+import { ingressConstants } from './constants.js'
+import { upstreamConstants } from '../upstreams/constants.js'
+import type { AttemptResult } from './attemptResult.js'
+import type { ClientAnswer } from './clientAnswer.js'
+import type { ExchangeFailure } from '../upstreams/exchangeFailure.js'
+import type { ExchangeHandler } from '../upstreams/exchangeHandler.js'
+import type { ExchangeRequest } from '../upstreams/exchangeRequest.js'
+import type { UpstreamAnswerHead } from '../model/upstreamAnswerHead.js'
+import type { UpstreamState } from '../upstreams/upstreamState.js'
+
+interface AttemptOptions {
+  readonly upstream: UpstreamState
+  readonly exchange: ExchangeRequest
+  readonly isStream: boolean
+  /** Id of the last event that the client has, when the stream goes on after it. */
+  readonly lastEventId: string | undefined
+  readonly answer: ClientAnswer
+  readonly signal: AbortSignal
+  /** Time without a byte after which the attempt is given up; undefined to wait as long as the signal allows. */
+  readonly silenceMs: number | undefined
+  /** Whole events were forwarded. */
+  readonly onEvents: (lastEventId: string | undefined) => void
+}
+
+/** Sends a request to an upstream once. A successful stream is forwarded as it comes, anything else is read whole. */
+export async function sendAttempt (options: AttemptOptions): Promise<AttemptResult> {
+  return await new Promise(resolve => { new Attempt(options, resolve).start() })
+}
+
+class Attempt implements ExchangeHandler {
+  private head: UpstreamAnswerHead | undefined
+  private readonly chunks: Buffer[] = []
+  private size = 0
+  private splitter: EventSplitter | undefined
+  private silenceTimer: NodeJS.Timeout | undefined
+  private hasEnded = false
+  private giveUp = (): void => {}
+  private readonly onAbort = (): void => { this.end({ type: 'cancelled' }, true) }
+
+  constructor (private readonly options: AttemptOptions, private readonly resolve: (result: AttemptResult) => void) {}
+
+  start (): void {
+    const { upstream, exchange, signal, silenceMs } = this.options
+    if (signal.aborted) return this.end({ type: 'cancelled' })
+    signal.addEventListener('abort', this.onAbort, { once: true })
+    if (silenceMs !== undefined) this.silenceTimer = setTimeout(() => { this.end({ type: 'uncertain', reason: `silent for ${Math.round(silenceMs)} ms` }, true) }, silenceMs)
+    this.giveUp = upstream.pool.send(exchange, this)
+  }
+
+  onHead (head: UpstreamAnswerHead): void {
+    this.head = head
+    const { isStream, lastEventId } = this.options
+    if (isStream && head.status < 300 && head.isSigned) this.splitter = new EventSplitter(lastEventId)
+  }
+
+  onData (chunk: Buffer): void {
+    if (this.hasEnded) return
+    if (this.splitter !== undefined) return this.sendEvents(this.splitter, chunk)
+    this.size += chunk.length
+    if (this.size > upstreamConstants.maxAnswerBytes) this.end({ type: 'uncertain', reason: 'answer too large' }, true)
+    else this.chunks.push(chunk)
+  }
+
+  onEnd (): void {
+    const { head, splitter } = this
+    if (head === undefined) return this.end({ type: 'uncertain', reason: 'no answer' })
+    if (splitter?.hasPartialEvent() === true) return this.end({ type: 'uncertain', reason: 'stream ended within an event' })
+    if (splitter !== undefined) {
+      if (!this.options.answer.hasStarted) this.options.answer.startStream(head)
+      this.options.answer.endStream()
+      return this.end({ type: 'streamed' })
+    }
+    if (head.isNotRun) return this.end({ type: 'not-run', reason: `upstream status ${head.status}`, wasSent: true, areInputsGone: head.status === 409 })
+    this.end({ type: 'answer', head, body: Buffer.concat(this.chunks) })
+  }
+
+  onFailure ({ kind, detail, wasSent }: ExchangeFailure): void {
+    // The head of a refusal is a statement even when its body is cut off.
+    if (this.head?.isNotRun === true) return this.end({ type: 'not-run', reason: `upstream status ${this.head.status}`, wasSent: true, areInputsGone: false })
+    if (!wasSent) return this.end({ type: 'not-run', reason: `${kind}: ${detail}`, wasSent: false, areInputsGone: false })
+    this.end({ type: 'uncertain', reason: `${kind}: ${detail}` })
+  }
+
+  private sendEvents (splitter: EventSplitter, chunk: Buffer): void {
+    const { answer, onEvents } = this.options
+    const { events, lastEventId } = splitter.addChunk(chunk)
+    if (events.length === 0) return
+    clearTimeout(this.silenceTimer)
+    if (!answer.hasStarted) answer.startStream(this.head!)
+    answer.writeEvents(events)
+    onEvents(lastEventId)
+    if (answer.unreadBytes > ingressConstants.maxUnreadBytes) {
+      answer.closeIncomplete()
+      this.end({ type: 'cancelled' }, true)
+    }
+  }
+
+  private end (result: AttemptResult, mustGiveUp = false): void {
+    if (this.hasEnded) return
+    this.hasEnded = true
+    clearTimeout(this.silenceTimer)
+    this.options.signal.removeEventListener('abort', this.onAbort)
+    if (mustGiveUp) this.giveUp()
+    this.resolve(result)
+  }
+}
--- /dev/null
+++ b/src/node/gateway/ingress/statusServer.ts
@@ -0,0 +1,38 @@
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+
+/** Answer of a status server. */
+interface StatusAnswer {
+  readonly status: number
+  readonly contentType: string
+  readonly body: string
+}
+
+/** A small HTTP server for readiness, address queries or metrics. */
+export class StatusServer {
+  private readonly server: Server
+
+  constructor (private readonly handle: (method: string, target: string) => StatusAnswer) {
+    this.server = createServer((request, response) => { this.onRequest(request, response) })
+  }
+
+  async start (address: string): Promise<void> {
+    const [host, port] = address.split(':')
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject)
+      this.server.listen(Number(port), host, () => { resolve() })
+    })
+  }
+
+  stop (): void {
+    this.server.close()
+    this.server.closeAllConnections()
+  }
+
+  private onRequest (request: IncomingMessage, response: ServerResponse): void {
+    request.resume()
+    const { status, contentType, body } = this.handle(request.method ?? 'GET', request.url ?? '/')
+    response.writeHead(status, { 'content-type': contentType, 'content-length': Buffer.byteLength(body) })
+    response.end(body)
+  }
+}
--- /dev/null
+++ b/src/node/gateway/logs/boundedLogger.ts
@@ -0,0 +1,58 @@
+import { outputConstants } from './constants.js'
+import type { Clock } from '../../../types/clock.js'
+import type { LogFields } from '../../../types/logFields.js'
+import type { Logger } from '../../../types/logger.js'
+
+interface LineWindow {
+  startMs: number
+  written: number
+  leftOut: number
+}
+
+/**
+ * Bounds the lines of each message in a second, and says how many were left out. Warnings and errors, which explain
+ * failed requests, have a bound of their own by their message.
+ */
+export class BoundedLogger implements Logger {
+  private readonly windows: Map<string, LineWindow>
+
+  constructor (private readonly logger: Logger, private readonly clock: Clock, windows = new Map<string, LineWindow>()) {
+    this.windows = windows
+  }
+
+  createChild (fields: LogFields): Logger {
+    return new BoundedLogger(this.logger.createChild(fields), this.clock, this.windows)
+  }
+
+  recordDebug (message: string, fields?: LogFields): void {
+    if (this.admitLine(message)) this.logger.recordDebug(message, fields)
+  }
+
+  recordInfo (message: string, fields?: LogFields): void {
+    if (this.admitLine(message)) this.logger.recordInfo(message, fields)
+  }
+
+  recordWarning (message: string, fields?: LogFields): void {
+    if (this.admitLine(message)) this.logger.recordWarning(message, fields)
+  }
+
+  recordError (message: string, fields?: LogFields): void {
+    if (this.admitLine(message)) this.logger.recordError(message, fields)
+  }
+
+  private admitLine (message: string): boolean {
+    const nowMs = this.clock.readMonotonicMs()
+    const window = this.windows.get(message) ?? { startMs: nowMs, written: 0, leftOut: 0 }
+    this.windows.set(message, window)
+    if (nowMs - window.startMs >= outputConstants.windowMs) {
+      if (window.leftOut > 0) this.logger.recordWarning('log lines left out', { of: message, count: window.leftOut })
+      Object.assign(window, { startMs: nowMs, written: 0, leftOut: 0 })
+    }
+    if (window.written >= outputConstants.maxLinesPerSecond) {
+      window.leftOut++
+      return false
+    }
+    window.written++
+    return true
+  }
+}
--- /dev/null
+++ b/src/node/gateway/logs/createOutputWriter.ts
@@ -0,0 +1,18 @@
+import { SonicBoom } from 'sonic-boom'
+import { outputConstants } from './constants.js'
+
+/**
+ * Writes lines to standard output without ever waiting for its reader. While the reader is slow, lines beyond a
+ * bounded buffer are dropped, and their number is written when there is room again.
+ */
+export function createOutputWriter (fileDescriptor = 1): (line: string) => void {
+  const output = new SonicBoom({ fd: fileDescriptor, sync: false, maxLength: outputConstants.maxBufferedBytes })
+  let dropped = 0
+  output.on('drop', () => { dropped++ })
+  // Without a reader there is nowhere to report the failure; the lines are counted as dropped.
+  output.on('error', () => { dropped++ })
+  return line => {
+    if (dropped > 0 && output.write(`{"level":"warning","message":"log lines dropped","reason":"output is slow","count":${dropped}}\n`)) dropped = 0
+    output.write(`${line}\n`)
+  }
+}
--- /dev/null
+++ b/src/node/gateway/model/hostEntry.ts
@@ -0,0 +1,15 @@
+/** What a host publishes about itself for the other hosts. */
+export interface HostEntry {
+  readonly id: string
+  readonly failureDomain: string
+  /** Address at which clients reach the host, `ip:port`. */
+  readonly clientAddress: string
+  /** Address of the host's gRPC server, `ip:port`. */
+  readonly peerAddress: string
+  /** Processor cores available to the host. */
+  readonly cores: number
+  /** Takes new connections of clients. */
+  readonly isReady: boolean
+  /** Start of the process, milliseconds since the epoch. */
+  readonly startedAtMs: number
+}
--- /dev/null
+++ b/src/node/gateway/model/storeItem.ts
@@ -0,0 +1,7 @@
+/** An item of the store. */
+export interface StoreItem {
+  readonly key: string
+  readonly value: Buffer
+  /** Revision of the item's last change. */
+  readonly revision: number
+}
--- /dev/null
+++ b/src/node/gateway/model/upstreamAnswerHead.ts
@@ -0,0 +1,20 @@
+import type { UpstreamLoad } from './upstreamLoad.js'
+
+/** Head of an upstream's answer, decoded. */
+export interface UpstreamAnswerHead {
+  readonly status: number
+  /** Id of the request that this answer belongs to, as the upstream echoes it. */
+  readonly requestId?: string
+  /** The upstream states that it did not run the request. */
+  readonly isNotRun: boolean
+  /** Another upstream has this address now. */
+  readonly isOtherInstance: boolean
+  /** The upstream closes the connection after this answer. */
+  readonly closesConnection: boolean
+  readonly isSigned: boolean
+  /** Undefined when absent. */
+  readonly contentLength?: number
+  readonly load?: UpstreamLoad
+  /** End-to-end headers for the client, names and values in turn. */
+  readonly forwardedHeaders: readonly string[]
+}
--- /dev/null
+++ b/src/node/gateway/model/upstreamEntry.ts
@@ -0,0 +1,12 @@
+/** What an upstream has published about itself. */
+export interface UpstreamEntry {
+  readonly id: string
+  readonly service: string
+  /** `ip:port`. */
+  readonly address: string
+  readonly failureDomain: string
+  readonly slots: number
+  readonly isDraining: boolean
+  /** Start of this incarnation, milliseconds since the epoch; 0 when not published. */
+  readonly startedAtMs: number
+}
--- /dev/null
+++ b/src/node/gateway/stages/admitStageJob.ts
@@ -0,0 +1,60 @@
+import { stageConstants } from './constants.js'
+import type { StageJob } from './stageJob.js'
+import type { StageService } from './stageService.js'
+
+import type { StageAdmission } from './stageAdmission.js'
+
+/**
+ * Decides whether the stages of a job may start, from the queues and the measured call times of the services.
+ * The load it answers: crests of one to three times the mean for some seconds, at which the stage services are the
+ * bottleneck. Work that can be on time is taken; work that can't is taken only into capacity that is spare.
+ */
+export function admitStageJob (job: StageJob, services: ReadonlyMap<string, StageService>, nowMs: number): StageAdmission {
+  const missing = job.stages.find(stage => (services.get(stage.service)?.upstreams.size ?? 0) === 0)
+  if (missing !== undefined) return { isAccepted: false, reason: `no upstream of ${missing.service}`, retryAfterMs: stageConstants.minRetryAfterMs }
+  const finishInMs = computeFinishMs(job, services, nowMs)
+  const aimLeftMs = job.aimAtMs - nowMs - stageConstants.engineReserveMs
+  const timeLeftMs = job.deadlineAtMs - nowMs
+  if (finishInMs <= aimLeftMs) return { isAccepted: true, isLate: false, finishInMs }
+  const lateWaitMs = computeLateWaitMs(job, services, nowMs)
+  const finishLateMs = finishInMs + lateWaitMs
+  const { lateAcceptShare, maxLateWaitMs } = stageConstants
+  if (lateWaitMs <= maxLateWaitMs && finishLateMs <= timeLeftMs * lateAcceptShare) return { isAccepted: true, isLate: true, finishInMs: finishLateMs }
+  return { isAccepted: false, reason: 'stage queues are too long', retryAfterMs: computeRetryAfterMs(lateWaitMs) }
+}
+
+/** Expected time until the last stage is done, behind all work that has been accepted as on time. */
+function computeFinishMs (job: StageJob, services: ReadonlyMap<string, StageService>, nowMs: number): number {
+  const finish = new Map<number, number>()
+  let last = 0
+  for (const stage of [...job.stages].sort((a, b) => a.index - b.index)) {
+    const service = services.get(stage.service)!
+    const readyMs = Math.max(0, ...stage.after.map(index => finish.get(index) ?? 0))
+    const capacity = service.computeCapacity(nowMs)
+    const drainedMs = capacity === 0 ? Infinity : Math.max(service.backlog.onTime - service.spec.batchSize, 0) / capacity
+    const startMs = Math.max(readyMs, service.computeFirstFreeMs(nowMs), drainedMs)
+    const { batchSize, callMs, pieceMs } = service.spec
+    const shared = Math.min(batchSize, stage.pieceCount + service.backlog.onTime / Math.max(service.upstreams.size, 1))
+    const ownMs = service.costs.getFactor(`${job.route}:${stage.index}`) * pieceMs
+    const endMs = startMs + (callMs + shared * ownMs) * Math.ceil(stage.pieceCount / batchSize)
+    finish.set(stage.index, endMs)
+    last = Math.max(last, endMs)
+  }
+  return last
+}
+
+/** Expected wait of late work, which gets what work on time leaves over. */
+function computeLateWaitMs (job: StageJob, services: ReadonlyMap<string, StageService>, nowMs: number): number {
+  let waitMs = 0
+  for (const stage of job.stages) {
+    const service = services.get(stage.service)!
+    const capacity = service.computeCapacity(nowMs)
+    const spare = Math.max(capacity - service.computeLoad(nowMs), capacity * stageConstants.minSpareShare)
+    waitMs = Math.max(waitMs, spare === 0 ? Infinity : service.backlog.late / spare)
+  }
+  return waitMs
+}
+
+function computeRetryAfterMs (waitMs: number): number {
+  return Math.min(Math.max(waitMs, stageConstants.minRetryAfterMs), stageConstants.maxRetryAfterMs)
+}
--- /dev/null
+++ b/src/node/gateway/stages/decodeStageJob.ts
@@ -0,0 +1,24 @@
+import type { lycheetrack as messages } from '../../peers/generated/peer.js'
+import type { StageJob } from './stageJob.js'
+
+/** A job from another host, with times on this host's clock. */
+export function decodeStageJob (message: messages.IRunStagesRequest, nowMs: number): StageJob {
+  return {
+    id: message.jobId ?? '',
+    requestId: message.requestId ?? '',
+    pieceKey: message.pieceKey ?? '',
+    route: message.route ?? '',
+    stages: (message.stages ?? []).map(stage => ({
+      index: stage.index ?? 0,
+      service: stage.service ?? '',
+      after: stage.after ?? [],
+      pieceCount: stage.pieceCount ?? 0,
+      resultBytes: stage.resultBytes ?? 0
+    })),
+    aimAtMs: nowMs + (message.aimLeftMs ?? 0),
+    deadlineAtMs: nowMs + (message.timeLeftMs ?? 0),
+    worth: message.worth ?? 0,
+    priority: message.priority ?? 0,
+    preferredDomain: message.preferredDomain ?? ''
+  }
+}
--- /dev/null
+++ b/src/node/gateway/stages/decodeStageOutcome.ts
@@ -0,0 +1,16 @@
+import type { lycheetrack as messages } from '../../peers/generated/peer.js'
+import type { StageOutcome } from './stageOutcome.js'
+
+/** How a job ended at the scheduling host. */
+export function decodeStageOutcome (message: messages.IRunStagesResponse): StageOutcome {
+  const reason = message.reason ?? ''
+  switch (message.outcome) {
+    case 'completed': return {
+      type: 'completed',
+      outputs: (message.outputs ?? []).map(output => ({ index: output.index ?? 0, handles: output.handles ?? [] })),
+      outputDomain: message.outputDomain ?? ''
+    }
+    case 'refused': return { type: 'refused', reason, retryAfterMs: message.retryAfterMs ?? 0 }
+    default: return { type: 'failed', reason }
+  }
+}
--- /dev/null
+++ b/src/node/gateway/stages/encodeStageJob.ts
@@ -0,0 +1,18 @@
+import type { lycheetrack as messages } from '../../peers/generated/peer.js'
+import type { StageJob } from './stageJob.js'
+
+/** A job as a message to another host; times become relative. */
+export function encodeStageJob (job: StageJob, nowMs: number): messages.IRunStagesRequest {
+  return {
+    jobId: job.id,
+    requestId: job.requestId,
+    pieceKey: job.pieceKey,
+    route: job.route,
+    stages: job.stages.map(stage => ({ index: stage.index, service: stage.service, after: [...stage.after], pieceCount: stage.pieceCount, resultBytes: stage.resultBytes })),
+    aimLeftMs: job.aimAtMs - nowMs,
+    timeLeftMs: job.deadlineAtMs - nowMs,
+    worth: job.worth,
+    priority: job.priority,
+    preferredDomain: job.preferredDomain
+  }
+}
--- /dev/null
+++ b/src/node/gateway/stages/jobState.ts
@@ -0,0 +1,52 @@
+import { StageTask } from './stageTask.js'
+import type { StageJob } from './stageJob.js'
+
+/** A job in progress. Mutable; owned by the scheduler. */
+export class JobState {
+  readonly tasks: ReadonlyMap<number, StageTask>
+  failures = 0
+  restarts = 0
+  isEnded = false
+  readonly startedAtMs: number
+
+  constructor (readonly job: StageJob, nowMs: number) {
+    this.startedAtMs = nowMs
+    this.tasks = new Map(job.stages.map(stage => [stage.index, new StageTask(this, stage)]))
+  }
+
+  /** Tasks whose results the task takes as inputs. */
+  listInputTasks (task: StageTask): readonly StageTask[] {
+    return task.work.after.map(index => this.tasks.get(index)).filter(input => input !== undefined)
+  }
+
+  isDone (): boolean {
+    return [...this.tasks.values()].every(task => task.isDone())
+  }
+
+  /** Tasks whose results no other stage takes; they are the inputs of the request. */
+  listOutputTasks (): readonly StageTask[] {
+    const tasks = [...this.tasks.values()]
+    return tasks.filter(task => !tasks.some(other => other.work.after.includes(task.work.index)))
+  }
+
+  /** Longest chain of unfinished stages that begins with the task. */
+  listRemainingChain (): readonly StageTask[] {
+    let longest: readonly StageTask[] = []
+    for (const task of this.tasks.values()) {
+      const chain = this.buildChain(task)
+      if (chain.length > longest.length) longest = chain
+    }
+    return longest
+  }
+
+  /** Stages that still have to run up to and including the task, along its longest path. */
+  private buildChain (task: StageTask): readonly StageTask[] {
+    if (task.isDone()) return []
+    let longest: readonly StageTask[] = []
+    for (const input of this.listInputTasks(task)) {
+      const chain = this.buildChain(input)
+      if (chain.length > longest.length) longest = chain
+    }
+    return [...longest, task]
+  }
+}
--- /dev/null
+++ b/src/node/gateway/stages/readStageCall.ts
@@ -0,0 +1,54 @@
+import { upstreamConstants } from '../upstreams/constants.js'
+import type { StageCall } from './stageCall.js'
+import type { StageCallCodec } from '../model/stageCallCodec.js'
+import type { StagePieceResult } from '../model/stagePieceResult.js'
+import type { UpstreamPool } from '../upstreams/upstreamPool.js'
+
+interface StageCallOptions {
+  readonly pool: UpstreamPool
+  readonly codec: StageCallCodec
+  readonly call: StageCall
+  readonly onAnswer: (results: readonly StagePieceResult[]) => void
+  readonly onFailure: (reason: string) => void
+}
+
+/** Makes one stage call with its time limit; the returned function gives it up without a callback. */
+export function readStageCall ({ pool, codec, call, onAnswer, onFailure }: StageCallOptions): () => void {
+  const chunks: Buffer[] = []
+  let size = 0
+  let status = 0
+  let hasEnded = false
+  const end = (report: () => void): void => {
+    if (hasEnded) return
+    hasEnded = true
+    clearTimeout(timer)
+    report()
+  }
+  const cancel = pool.send({ method: 'POST', path: codec.runPath, headers: codec.encodeHeaders(call.upstreamId), body: codec.encodePieces(call.pieces) }, {
+    onHead: head => { status = head.status },
+    onData: chunk => {
+      size += chunk.length
+      if (size > upstreamConstants.maxAnswerBytes) cancelCall('answer too large')
+      else chunks.push(chunk)
+    },
+    onEnd: () => {
+      end(() => {
+        const results = status === 200 ? codec.decodeResults(Buffer.concat(chunks).toString('utf8'), call.pieces.length) : undefined
+        if (results === undefined) onFailure(status === 200 ? 'answer cannot be decoded' : `status ${status}`)
+        else onAnswer(results)
+      })
+    },
+    onFailure: failure => { end(() => { onFailure(`${failure.kind}: ${failure.detail}`) }) }
+  })
+  const timer = setTimeout(() => { cancelCall('no answer in time') }, call.timeoutMs)
+  function cancelCall (reason: string): void {
+    end(() => {
+      cancel()
+      onFailure(reason)
+    })
+  }
+  return () => {
+    end(() => {})
+    cancel()
+  }
+}
--- /dev/null
+++ b/src/node/gateway/stages/stageDispatcher.ts
@@ -0,0 +1,166 @@
+import { readStageCall } from './readStageCall.js'
+import { stageConstants } from './constants.js'
+import type { Clock } from '../../../types/clock.js'
+import type { Logger } from '../../../types/logger.js'
+import type { Metrics } from '../../../types/metrics.js'
+import type { StageCall } from './stageCall.js'
+import type { StageCallCodec } from '../model/stageCallCodec.js'
+import type { StageJob } from './stageJob.js'
+import type { StageOutcome } from './stageOutcome.js'
+import type { StageScheduler } from './stageScheduler.js'
+import type { UpstreamDirectory } from '../upstreams/upstreamDirectory.js'
+
+interface DispatcherOptions {
+  readonly scheduler: StageScheduler
+  readonly directory: UpstreamDirectory
+  readonly codec: StageCallCodec
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly metrics: Metrics
+}
+
+/** Drives the stage scheduler: makes its calls, feeds their results back and releases results. */
+export class StageDispatcher {
+  private readonly waiting = new Map<string, (outcome: StageOutcome) => void>()
+  private readonly callsInProgress = new Map<number, () => void>()
+  private planTimer: NodeJS.Timeout | undefined
+  private releaseTimer: NodeJS.Timeout | undefined
+
+  constructor (private readonly options: DispatcherOptions) {}
+
+  /** Runs the stages of a job. Results of a completed one must be released by `releaseJob`. */
+  async runJob (job: StageJob, signal: AbortSignal): Promise<StageOutcome> {
+    const { scheduler, clock, logger, metrics } = this.options
+    const nowMs = clock.readMonotonicMs()
+    const admission = scheduler.addJob(job, nowMs)
+    const queues = scheduler.listLoads(nowMs).map(load => `${load.service}=${load.queuedPieces}+${load.latePieces}/${load.idle}of${load.upstreams}`).join(' ')
+    const aimLeftMs = Math.round(job.aimAtMs - nowMs)
+    if (!admission.isAccepted) {
+      metrics.addCount('stage_jobs', { decision: 'refused' })
+      logger.recordInfo('stages refused', { requestId: job.requestId, reason: admission.reason, aimLeftMs, retryAfterMs: Math.round(admission.retryAfterMs), queues })
+      return { type: 'refused', reason: admission.reason, retryAfterMs: admission.retryAfterMs }
+    }
+    metrics.addCount('stage_jobs', { decision: admission.isLate ? 'accepted-late' : 'accepted' })
+    logger.recordInfo('stages accepted', { requestId: job.requestId, isLate: admission.isLate, expectedMs: Math.round(admission.finishInMs), aimLeftMs, queues })
+    return await new Promise(resolve => {
+      const onAbort = (): void => {
+        scheduler.cancelJob(job.id, clock.readMonotonicMs())
+        this.endJob(job.id, { type: 'failed', reason: 'the client left' })
+        this.schedulePlan(0)
+      }
+      signal.addEventListener('abort', onAbort, { once: true })
+      this.waiting.set(job.id, outcome => {
+        signal.removeEventListener('abort', onAbort)
+        const elapsedMs = clock.readMonotonicMs() - nowMs
+        metrics.recordDuration('stage_job', { outcome: outcome.type }, elapsedMs)
+        logger.recordInfo('stages ended', { requestId: job.requestId, outcome: outcome.type, reason: outcome.type === 'completed' ? undefined : outcome.reason, elapsedMs: Math.round(elapsedMs) })
+        resolve(outcome)
+      })
+      if (signal.aborted) onAbort()
+      else this.schedulePlan(stageConstants.gatherMs)
+    })
+  }
+
+  /** The results of a completed job have been used or are not wanted. */
+  releaseJob (jobId: string): void {
+    this.options.scheduler.releaseJob(jobId)
+    this.scheduleRelease()
+  }
+
+  /** The upstreams or the configuration have changed. */
+  onUpstreamsChanged (): void {
+    this.schedulePlan(0)
+  }
+
+  stop (): void {
+    clearTimeout(this.planTimer)
+    clearTimeout(this.releaseTimer)
+    for (const cancel of this.callsInProgress.values()) cancel()
+  }
+
+  private schedulePlan (delayMs: number): void {
+    clearTimeout(this.planTimer)
+    this.planTimer = setTimeout(() => { this.planNow() }, delayMs)
+  }
+
+  private planNow (): void {
+    const { scheduler, clock } = this.options
+    const nowMs = clock.readMonotonicMs()
+    for (const call of scheduler.planCalls(nowMs)) this.sendCall(call)
+    this.endJobs()
+    this.scheduleRelease()
+    const wakeMs = scheduler.findNextWakeMs(nowMs)
+    if (wakeMs !== undefined) this.schedulePlan(Math.max(wakeMs - nowMs, 1))
+  }
+
+  private sendCall (call: StageCall): void {
+    const { directory, codec, clock, logger, metrics } = this.options
+    const upstream = directory.find(call.upstreamId)
+    logger.recordDebug('stage call sent', { service: call.service, upstream: call.upstreamId, pieces: call.pieces.length, expectedMs: Math.round(call.expectedMs) })
+    metrics.addCount('stage_pieces', { service: call.service }, call.pieces.length)
+    if (upstream === undefined) return this.onCallFailed(call, 'upstream gone')
+    const cancel = readStageCall({
+      pool: upstream.pool,
+      codec,
+      call,
+      onAnswer: results => {
+        this.callsInProgress.delete(call.id)
+        const nowMs = clock.readMonotonicMs()
+        metrics.recordDuration('stage_call', { service: call.service }, nowMs - call.sentAtMs)
+        this.options.scheduler.onCallAnswered(call, results, nowMs)
+        for (const result of results) {
+          if ('failure' in result) metrics.addCount('stage_piece_failures', { service: call.service, reason: result.failure })
+        }
+        this.planNow()
+      },
+      onFailure: reason => {
+        this.callsInProgress.delete(call.id)
+        this.onCallFailed(call, reason)
+      }
+    })
+    this.callsInProgress.set(call.id, cancel)
+  }
+
+  private onCallFailed (call: StageCall, reason: string): void {
+    const { scheduler, clock, logger, metrics } = this.options
+    metrics.addCount('stage_calls_failed', { service: call.service })
+    logger.recordWarning('stage call failed', { service: call.service, upstream: call.upstreamId, pieces: call.pieces.length, reason, elapsedMs: Math.round(clock.readMonotonicMs() - call.sentAtMs), firstRequestId: call.pieces[0]?.requestId })
+    scheduler.onCallFailed(call, clock.readMonotonicMs())
+    this.schedulePlan(0)
+  }
+
+  private endJobs (): void {
+    for (const { jobId, outcome } of this.options.scheduler.takeEnded()) this.endJob(jobId, outcome)
+  }
+
+  private endJob (jobId: string, outcome: StageOutcome): void {
+    const resolve = this.waiting.get(jobId)
+    this.waiting.delete(jobId)
+    resolve?.(outcome)
+    // Nobody waits for the results any more.
+    if (resolve === undefined && outcome.type === 'completed') this.releaseJob(jobId)
+  }
+
+  private scheduleRelease (): void {
+    if (this.releaseTimer !== undefined || !this.options.scheduler.hasReleases()) return
+    this.releaseTimer = setTimeout(() => {
+      this.releaseTimer = undefined
+      this.sendReleases()
+    }, stageConstants.releaseDelayMs)
+  }
+
+  /** A release that is lost costs memory until the results expire; it is not sent again. */
+  private sendReleases (): void {
+    const { scheduler, directory, codec, metrics } = this.options
+    for (const [upstreamId, handles] of scheduler.takeReleases()) {
+      const pool = directory.find(upstreamId)?.pool
+      if (pool === undefined) continue
+      pool.send({ method: 'POST', path: codec.releasePath, headers: codec.encodeHeaders(upstreamId), body: codec.encodeRelease(handles) }, {
+        onHead: () => {},
+        onData: () => {},
+        onEnd: () => { metrics.addCount('stage_releases', { outcome: 'done' }) },
+        onFailure: () => { metrics.addCount('stage_releases', { outcome: 'failed' }) }
+      })
+    }
+  }
+}
--- /dev/null
+++ b/src/node/gateway/stages/stageOutcome.ts
@@ -0,0 +1,7 @@
+import type { StageOutput } from './stageOutput.js'
+
+/** How the stages of a request ended. */
+export type StageOutcome =
+  | { readonly type: 'completed', readonly outputs: readonly StageOutput[], readonly outputDomain: string }
+  | { readonly type: 'refused', readonly reason: string, readonly retryAfterMs: number }
+  | { readonly type: 'failed', readonly reason: string }
--- /dev/null
+++ b/src/node/gateway/stages/stageScheduler.ts
@@ -0,0 +1,335 @@
+import { admitStageJob } from './admitStageJob.js'
+import { buildStageCall } from './buildStageCall.js'
+import { JobState } from './jobState.js'
+import { listTasksByRank } from './listTasksByRank.js'
+import { stageConstants } from './constants.js'
+import { StageService } from './stageService.js'
+import { StageUpstream } from './stageUpstream.js'
+import type { ServiceSpec } from '../model/serviceSpec.js'
+import type { StageAdmission } from './stageAdmission.js'
+import type { StageCall } from './stageCall.js'
+import type { StageJob } from './stageJob.js'
+import type { StageOutcome } from './stageOutcome.js'
+import type { StagePieceResult } from '../model/stagePieceResult.js'
+import type { StageTask } from './stageTask.js'
+import type { UpstreamEntry } from '../model/upstreamEntry.js'
+
+/**
+ * Schedules the stages of all requests: one queue for each stage service, calls that are filled from the pieces of
+ * any requests, and admission by the expected end. Holds no clock, socket or timer.
+ */
+export class StageScheduler {
+  private readonly services = new Map<string, StageService>()
+  private readonly jobs = new Map<string, JobState>()
+  private readonly ended: Array<{ readonly jobId: string, readonly outcome: StageOutcome }> = []
+  /** Results that are no longer needed, by the upstream that holds them. */
+  private releases = new Map<string, string[]>()
+  private nextCallId = 1
+
+  /** Takes over the stage services of a configuration and the upstreams that serve them. */
+  applyUpstreams (specs: ReadonlyMap<string, ServiceSpec>, listUpstreams: (service: string) => readonly UpstreamEntry[]): void {
+    for (const { name, stage } of specs.values()) {
+      if (stage === undefined) continue
+      const service = this.services.get(name) ?? new StageService(name, stage)
+      service.spec = stage
+      this.services.set(name, service)
+      updateUpstreams(service, listUpstreams(name))
+    }
+  }
+
+  /** Accepts or refuses a job; an accepted one ends with an entry of `takeEnded`. */
+  addJob (job: StageJob, nowMs: number): StageAdmission {
+    const admission = admitStageJob(job, this.services, nowMs)
+    if (!admission.isAccepted) return admission
+    const state = new JobState(job, nowMs)
+    this.jobs.set(job.id, state)
+    this.updateReady(state)
+    this.countBacklog(nowMs)
+    return admission
+  }
+
+  /** Drops a job and the results made for it; pieces in a call run to their end. */
+  cancelJob (jobId: string, nowMs: number): void {
+    const state = this.jobs.get(jobId)
+    if (state === undefined) return
+    this.removeJob(state)
+    this.countBacklog(nowMs)
+  }
+
+  /** The results of a completed job have been used. */
+  releaseJob (jobId: string): void {
+    const state = this.jobs.get(jobId)
+    if (state !== undefined) this.removeJob(state)
+  }
+
+  /** Calls to make now. */
+  planCalls (nowMs: number): readonly StageCall[] {
+    this.endHopelessJobs(nowMs)
+    const calls: StageCall[] = []
+    for (const service of this.services.values()) {
+      while (service.ready.size > 0) {
+        const call = buildStageCall({ service, ranks: listTasksByRank(service, this.services, nowMs), nowMs, callId: this.nextCallId })
+        if (call === undefined) break
+        this.nextCallId++
+        this.onCallSent(service, call)
+        calls.push(call)
+      }
+    }
+    if (calls.length > 0) this.countBacklog(nowMs)
+    return calls
+  }
+
+  /** A call was answered; `results` in the order of its pieces. */
+  onCallAnswered (call: StageCall, results: readonly StagePieceResult[], nowMs: number): void {
+    const service = this.services.get(call.service)!
+    const upstream = service.upstreams.get(call.upstreamId)
+    if (upstream !== undefined) {
+      upstream.callsInFlight--
+      upstream.onSuccess(nowMs - call.sentAtMs, call.expectedMs)
+    }
+    this.observeCosts(service, call, nowMs, upstream?.slowdown ?? 1)
+    const tasks = new Set<StageTask>()
+    results.forEach((result, i) => {
+      const { task, pieceIndex } = call.refs[i]!
+      task.inFlight--
+      tasks.add(task)
+      this.onPieceResult(call, task, pieceIndex, result, nowMs)
+    })
+    for (const task of tasks) this.updateJob(task.job)
+    this.countBacklog(nowMs)
+  }
+
+  /** A call was refused or lost; its pieces are sent again. */
+  onCallFailed (call: StageCall, nowMs: number): void {
+    const upstream = this.services.get(call.service)!.upstreams.get(call.upstreamId)
+    if (upstream !== undefined) {
+      upstream.callsInFlight--
+      upstream.onFailure(nowMs)
+    }
+    for (const { task, pieceIndex } of call.refs) {
+      task.inFlight--
+      this.removeRoom(call.service, call.upstreamId, task.work.resultBytes)
+      this.retryPiece(task, pieceIndex)
+    }
+    this.countBacklog(nowMs)
+  }
+
+  /** Jobs that have ended since the last call. */
+  takeEnded (): ReadonlyArray<{ readonly jobId: string, readonly outcome: StageOutcome }> {
+    return this.ended.splice(0)
+  }
+
+  /** Results to release since the last call, by upstream. */
+  takeReleases (): ReadonlyMap<string, readonly string[]> {
+    const { releases } = this
+    this.releases = new Map()
+    return releases
+  }
+
+  hasReleases (): boolean {
+    return this.releases.size > 0
+  }
+
+  /** Next time at which a paused or overdue upstream may take calls again; undefined when nothing waits for one. */
+  findNextWakeMs (nowMs: number): number | undefined {
+    let next: number | undefined
+    for (const service of this.services.values()) {
+      if (service.ready.size === 0) continue
+      for (const { pausedUntilMs } of service.upstreams.values()) {
+        if (pausedUntilMs > nowMs) next = Math.min(next ?? Infinity, pausedUntilMs)
+      }
+      next = Math.min(next ?? Infinity, nowMs + stageConstants.domainPatienceMs)
+    }
+    return next
+  }
+
+  /** Queue lengths and busy upstreams by service, for logs and metrics. */
+  listLoads (nowMs: number): ReadonlyArray<{ readonly service: string, readonly queuedPieces: number, readonly latePieces: number, readonly idle: number, readonly upstreams: number }> {
+    return [...this.services.values()].map(service => ({
+      service: service.name,
+      queuedPieces: service.backlog.onTime,
+      latePieces: service.backlog.late,
+      idle: service.listIdle(nowMs).length,
+      upstreams: service.upstreams.size
+    }))
+  }
+
+  private onCallSent (service: StageService, call: StageCall): void {
+    const upstream = service.upstreams.get(call.upstreamId)!
+    upstream.callsInFlight++
+    upstream.busyUntilMs = call.sentAtMs + call.expectedMs
+    service.onSent(call.refs.length, call.sentAtMs)
+    for (const { task, pieceIndex } of call.refs) {
+      task.pending.splice(task.pending.indexOf(pieceIndex), 1)
+      task.inFlight++
+      upstream.usedRoomBytes += task.work.resultBytes
+      if (task.pending.length === 0) service.ready.delete(task)
+      this.updateReady(task.job)
+    }
+  }
+
+  private onPieceResult (call: StageCall, task: StageTask, pieceIndex: number, result: StagePieceResult, nowMs: number): void {
+    if ('handle' in result) {
+      if (task.job.isEnded) return this.addRelease(call.service, call.upstreamId, result.handle, task.work.resultBytes)
+      task.handles[pieceIndex] = result.handle
+      task.makers[pieceIndex] = call.upstreamId
+      task.domains[pieceIndex] = this.services.get(call.service)!.upstreams.get(call.upstreamId)?.failureDomain
+      return
+    }
+    this.removeRoom(call.service, call.upstreamId, task.work.resultBytes)
+    if (task.job.isEnded) return
+    if (result.failure === 'late') return this.endJob(task.job, { type: 'failed', reason: 'deadline passed in a stage' })
+    if (result.failure === 'input-gone') return this.startAgain(task.job)
+    if (result.failure === 'no-room') {
+      const upstream = this.services.get(call.service)!.upstreams.get(call.upstreamId)
+      if (upstream !== undefined) upstream.pausedUntilMs = nowMs + stageConstants.noRoomPauseMs
+    }
+    this.retryPiece(task, pieceIndex)
+  }
+
+  private retryPiece (task: StageTask, pieceIndex: number): void {
+    const { job } = task
+    if (job.isEnded) return
+    job.failures++
+    if (job.failures > stageConstants.maxPieceFailures * task.work.pieceCount) return this.endJob(job, { type: 'failed', reason: `stage ${task.work.service} failed` })
+    task.pending.push(pieceIndex)
+    this.services.get(task.work.service)!.ready.add(task)
+  }
+
+  /** Results were lost before they were used: the job begins again while pieces in calls run out unheeded. */
+  private startAgain (state: JobState): void {
+    this.removeJob(state)
+    if (state.restarts >= stageConstants.maxRestarts) {
+      this.ended.push({ jobId: state.job.id, outcome: { type: 'failed', reason: 'stage results were lost' } })
+      return
+    }
+    const next = new JobState(state.job, state.startedAtMs)
+    next.restarts = state.restarts + 1
+    this.jobs.set(state.job.id, next)
+    this.updateReady(next)
+  }
+
+  private updateJob (state: JobState): void {
+    if (state.isEnded) return
+    if (!state.isDone()) return this.updateReady(state)
+    const outputs = state.listOutputTasks()
+    this.releaseInputs(state, outputs)
+    this.ended.push({
+      jobId: state.job.id,
+      outcome: { type: 'completed', outputs: outputs.map(task => ({ index: task.work.index, handles: task.handles as string[] })), outputDomain: this.findHeaviestDomain(outputs) }
+    })
+  }
+
+  /** Makes those tasks ready whose inputs are there and, beside a longer chain, whose turn has come. */
+  private updateReady (state: JobState): void {
+    if (state.isEnded) return
+    const chainLength = state.listRemainingChain().filter(task => task.pending.length > 0).length
+    for (const task of state.tasks.values()) {
+      if (task.isReady || task.pending.length === 0) continue
+      if (!state.listInputTasks(task).every(input => input.isDone())) continue
+      // A short side stage starts when about as many stages are left on the longest chain, because its results hold memory.
+      const isSide = task.work.after.length === 0 && !state.listRemainingChain().includes(task)
+      if (isSide && chainLength > 1) continue
+      task.isReady = true
+      this.services.get(task.work.service)?.ready.add(task)
+    }
+  }
+
+  /** Ends jobs that can no longer be answered before their deadline. */
+  private endHopelessJobs (nowMs: number): void {
+    for (const state of this.jobs.values()) {
+      if (!state.isEnded && !state.isDone() && state.job.deadlineAtMs - stageConstants.engineReserveMs <= nowMs) {
+        this.endJob(state, { type: 'failed', reason: 'deadline passed before the stages were done' })
+      }
+    }
+  }
+
+  private endJob (state: JobState, outcome: StageOutcome): void {
+    this.removeJob(state)
+    this.ended.push({ jobId: state.job.id, outcome })
+  }
+
+  private removeJob (state: JobState): void {
+    state.isEnded = true
+    if (this.jobs.get(state.job.id) === state) this.jobs.delete(state.job.id)
+    for (const task of state.tasks.values()) {
+      this.services.get(task.work.service)?.ready.delete(task)
+      this.releaseTask(task)
+    }
+  }
+
+  private releaseInputs (state: JobState, outputs: readonly StageTask[]): void {
+    for (const task of state.tasks.values()) {
+      if (!outputs.includes(task)) this.releaseTask(task)
+    }
+  }
+
+  private releaseTask (task: StageTask): void {
+    task.handles.forEach((handle, i) => {
+      const maker = task.makers[i]
+      if (handle !== undefined && maker !== undefined) this.addRelease(task.work.service, maker, handle, task.work.resultBytes)
+      task.makers[i] = undefined
+    })
+  }
+
+  private addRelease (service: string, upstreamId: string, handle: string, bytes: number): void {
+    this.removeRoom(service, upstreamId, bytes)
+    const handles = this.releases.get(upstreamId) ?? []
+    handles.push(handle)
+    this.releases.set(upstreamId, handles)
+  }
+
+  private removeRoom (service: string, upstreamId: string, bytes: number): void {
+    const upstream = this.services.get(service)?.upstreams.get(upstreamId)
+    if (upstream !== undefined) upstream.usedRoomBytes = Math.max(0, upstream.usedRoomBytes - bytes)
+  }
+
+  private findHeaviestDomain (tasks: readonly StageTask[]): string {
+    const bytes = new Map<string, number>()
+    for (const task of tasks) {
+      for (const maker of task.makers) {
+        const domain = this.services.get(task.work.service)?.upstreams.get(maker ?? '')?.failureDomain ?? ''
+        bytes.set(domain, (bytes.get(domain) ?? 0) + task.work.resultBytes)
+      }
+    }
+    return [...bytes].sort((a, b) => b[1] - a[1])[0]?.[0] ?? ''
+  }
+
+  private observeCosts (service: StageService, call: StageCall, nowMs: number, slowdown: number): void {
+    const counts = new Map<string, number>()
+    for (const { task } of call.refs) {
+      const kind = `${task.job.job.route}:${task.work.index}`
+      counts.set(kind, (counts.get(kind) ?? 0) + 1)
+    }
+    // Calls of an upstream that is slow as a whole say nothing about the pieces.
+    if (slowdown < 1.5) service.costs.observe(counts, nowMs - call.sentAtMs - call.expectedMs, service.spec.pieceMs)
+  }
+
+  /** Counts the accepted pieces that wait, by service, including those of later stages. */
+  private countBacklog (nowMs: number): void {
+    for (const { backlog } of this.services.values()) {
+      backlog.onTime = 0
+      backlog.late = 0
+    }
+    for (const state of this.jobs.values()) {
+      if (state.isEnded) continue
+      const lane = state.job.aimAtMs < nowMs ? 'late' : 'onTime'
+      for (const task of state.tasks.values()) {
+        const service = this.services.get(task.work.service)
+        if (service !== undefined) service.backlog[lane] += task.pending.length
+      }
+    }
+  }
+}
+
+function updateUpstreams (service: StageService, entries: readonly UpstreamEntry[]): void {
+  const ids = new Set(entries.map(entry => entry.id))
+  for (const id of service.upstreams.keys()) {
+    if (!ids.has(id)) service.upstreams.delete(id)
+  }
+  for (const entry of entries) {
+    const upstream = service.upstreams.get(entry.id) ?? new StageUpstream(entry.id, entry.failureDomain)
+    upstream.isDraining = entry.isDraining
+    service.upstreams.set(entry.id, upstream)
+  }
+}
--- /dev/null
+++ b/src/node/gateway/stages/stageService.ts
@@ -0,0 +1,58 @@
+import { PieceCosts } from './pieceCosts.js'
+import { stageConstants } from './constants.js'
+import type { StageSpec } from '../model/stageSpec.js'
+import type { StageTask } from './stageTask.js'
+import type { StageUpstream } from './stageUpstream.js'
+
+/** Queue and upstreams of one stage service. */
+export class StageService {
+  readonly upstreams = new Map<string, StageUpstream>()
+  /** Tasks that have pieces to send. */
+  readonly ready = new Set<StageTask>()
+  readonly costs = new PieceCosts()
+  /** Accepted pieces that are not in a call yet, of jobs that can be on time and of late ones. */
+  readonly backlog = { onTime: 0, late: 0 }
+  private readonly sentPieces: Array<{ readonly atMs: number, readonly count: number }> = []
+
+  constructor (readonly name: string, public spec: StageSpec) {}
+
+  listIdle (nowMs: number): readonly StageUpstream[] {
+    return [...this.upstreams.values()].filter(upstream => upstream.isIdle(nowMs, this.spec.concurrentCalls))
+  }
+
+  /** Pieces that all upstreams together finish in a millisecond with full calls. */
+  computeCapacity (nowMs: number, pieceMs = this.spec.pieceMs): number {
+    const callMs = this.spec.callMs + this.spec.batchSize * pieceMs
+    let capacity = 0
+    for (const upstream of this.upstreams.values()) {
+      if (!upstream.isDraining && upstream.pausedUntilMs <= nowMs) capacity += this.spec.batchSize / (callMs * Math.max(upstream.slowdown, 0.5))
+    }
+    return capacity
+  }
+
+  /** Time until the first upstream can take a call; infinite without upstreams. */
+  computeFirstFreeMs (nowMs: number): number {
+    let first = Infinity
+    for (const upstream of this.upstreams.values()) {
+      if (upstream.isDraining) continue
+      const isBusy = upstream.callsInFlight >= this.spec.concurrentCalls
+      first = Math.min(first, Math.max(isBusy ? upstream.busyUntilMs : nowMs, upstream.pausedUntilMs, nowMs))
+    }
+    return first - nowMs
+  }
+
+  onSent (count: number, nowMs: number): void {
+    this.sentPieces.push({ atMs: nowMs, count })
+    this.removeOldLoad(nowMs)
+  }
+
+  /** Pieces sent in a millisecond, over the last seconds. */
+  computeLoad (nowMs: number): number {
+    this.removeOldLoad(nowMs)
+    return this.sentPieces.reduce((sum, sent) => sum + sent.count, 0) / stageConstants.loadWindowMs
+  }
+
+  private removeOldLoad (nowMs: number): void {
+    while (this.sentPieces.length > 0 && this.sentPieces[0]!.atMs < nowMs - stageConstants.loadWindowMs) this.sentPieces.shift()
+  }
+}
--- /dev/null
+++ b/src/node/gateway/stages/stageTask.ts
@@ -0,0 +1,26 @@
+import type { JobState } from './jobState.js'
+import type { StageWork } from './stageWork.js'
+
+/** One stage of one job in the scheduler. Mutable; owned by the scheduler. */
+export class StageTask {
+  isReady = false
+  /** Pieces that are not in a call and have no result. */
+  pending: number[]
+  inFlight = 0
+  readonly handles: Array<string | undefined>
+  /** Upstream that holds the result of each piece. */
+  readonly makers: Array<string | undefined>
+  /** Failure domain of each maker. */
+  readonly domains: Array<string | undefined>
+
+  constructor (readonly job: JobState, readonly work: StageWork) {
+    this.pending = Array.from({ length: work.pieceCount }, (_, i) => i)
+    this.handles = new Array(work.pieceCount)
+    this.makers = new Array(work.pieceCount)
+    this.domains = new Array(work.pieceCount)
+  }
+
+  isDone (): boolean {
+    return this.pending.length === 0 && this.inFlight === 0
+  }
+}
--- /dev/null
+++ b/src/node/gateway/stages/stageUpstream.ts
@@ -0,0 +1,33 @@
+import { stageConstants } from './constants.js'
+
+/** What the scheduler knows about one upstream of a stage service. */
+export class StageUpstream {
+  callsInFlight = 0
+  /** Expected end of the call in progress. */
+  busyUntilMs = 0
+  /** Measured duration of calls relative to the expected one. */
+  slowdown = 1
+  usedRoomBytes = 0
+  pausedUntilMs = 0
+  isDraining = false
+  private failures = 0
+
+  constructor (readonly id: string, readonly failureDomain: string) {}
+
+  isIdle (nowMs: number, concurrentCalls: number): boolean {
+    return !this.isDraining && this.callsInFlight < concurrentCalls && this.pausedUntilMs <= nowMs
+  }
+
+  onSuccess (durationMs: number, expectedMs: number): void {
+    this.failures = 0
+    const { slowdownWeight } = stageConstants
+    const measured = durationMs / Math.max(expectedMs, 1)
+    this.slowdown += slowdownWeight * (Math.min(measured, 10) - this.slowdown)
+  }
+
+  onFailure (nowMs: number): void {
+    const pauseMs = Math.min(stageConstants.backoffMs * 2 ** this.failures, stageConstants.maxBackoffMs)
+    this.failures++
+    this.pausedUntilMs = nowMs + pauseMs
+  }
+}
--- /dev/null
+++ b/src/node/gateway/store/prefixFollower.ts
@@ -0,0 +1,86 @@
+import { StoreHistoryLostError } from '../../../shared/storeHistoryLostError.js'
+import { storeConstants } from './constants.js'
+import type { Logger } from '../../../types/logger.js'
+import type { Random } from '../../../types/random.js'
+import type { StoreChange } from '../model/storeChange.js'
+import type { StoreClient } from '../model/storeClient.js'
+import type { StoreItem } from '../model/storeItem.js'
+
+interface FollowerOptions {
+  readonly store: StoreClient
+  readonly prefix: string
+  readonly logger: Logger
+  readonly random: Random
+  /** All items; `isAfterGap` when changes may have been missed before. */
+  readonly onSnapshot: (items: readonly StoreItem[], isAfterGap: boolean) => void
+  readonly onChange: (change: StoreChange) => void
+}
+
+/**
+ * Follows the items below a prefix: a whole read, then watches. After a broken or silent watch, or lost history,
+ * it reads again, because a watch may have missed changes.
+ */
+export class PrefixFollower {
+  private readonly stopped = new AbortController()
+  private hasRead = false
+  private isConnected = false
+
+  constructor (private readonly options: FollowerOptions) {}
+
+  /** Follows until `stop`. */
+  async run (): Promise<void> {
+    const { signal } = this.stopped
+    let retryMs: number = storeConstants.retryMs
+    while (!signal.aborted) {
+      try {
+        let revision = await this.readAll()
+        retryMs = storeConstants.retryMs
+        while (!signal.aborted) revision = await this.watchOnce(revision)
+      } catch (error) {
+        if (signal.aborted) return
+        if (!(error instanceof StoreHistoryLostError)) {
+          this.recordLost(error)
+          await waitMs(retryMs * (0.5 + this.options.random()), signal)
+          retryMs = Math.min(retryMs * 2, storeConstants.maxRetryMs)
+        } else this.options.logger.recordInfo('store history lost', { prefix: this.options.prefix, reason: error.message })
+      }
+    }
+  }
+
+  stop (): void {
+    this.stopped.abort()
+  }
+
+  private async readAll (): Promise<number> {
+    const { store, prefix, onSnapshot } = this.options
+    const { items, revision } = await store.readPrefix(prefix)
+    this.recordRegained(revision)
+    onSnapshot(items, this.hasRead)
+    this.hasRead = true
+    return revision
+  }
+
+  private async watchOnce (revision: number): Promise<number> {
+    const { store, prefix, onChange } = this.options
+    const answer = await store.watchPrefix(prefix, revision, storeConstants.watchMs, this.stopped.signal)
+    for (const change of answer.changes) onChange(change)
+    return Math.max(answer.revision, revision)
+  }
+
+  private recordLost (error: unknown): void {
+    if (this.isConnected) this.options.logger.recordWarning('store lost', { prefix: this.options.prefix, reason: (error as Error).message })
+    this.isConnected = false
+  }
+
+  private recordRegained (revision: number): void {
+    if (!this.isConnected) this.options.logger.recordInfo('store regained', { prefix: this.options.prefix, revision })
+    this.isConnected = true
+  }
+}
+
+async function waitMs (ms: number, signal: AbortSignal): Promise<void> {
+  await new Promise<void>(resolve => {
+    const timer = setTimeout(resolve, ms)
+    signal.addEventListener('abort', () => { clearTimeout(timer); resolve() }, { once: true })
+  })
+}
--- /dev/null
+++ b/src/node/gateway/upstreams/exchangeHandler.ts
@@ -0,0 +1,11 @@
+import type { ExchangeFailure } from './exchangeFailure.js'
+import type { UpstreamAnswerHead } from '../model/upstreamAnswerHead.js'
+
+/** Receives an upstream's answer. Ends with exactly one of `onEnd` and `onFailure`. */
+export interface ExchangeHandler {
+  onHead (head: UpstreamAnswerHead): void
+  onData (chunk: Buffer): void
+  /** The answer is whole. */
+  onEnd (): void
+  onFailure (failure: ExchangeFailure): void
+}
--- /dev/null
+++ b/src/node/gateway/upstreams/openUpstreamSocket.ts
@@ -0,0 +1,25 @@
+import { connect } from 'node:net'
+import { UpstreamConnectError } from './upstreamConnectError.js'
+import { upstreamConstants } from './constants.js'
+import type { Socket } from 'node:net'
+
+type Callback = (...result: [error: null, socket: Socket] | [error: Error, socket: null]) => void
+
+/** Opens a TCP connection with the time limit of upstreams; `onReset` is called before anyone else when it breaks. */
+export function openUpstreamSocket (address: string, onReset: () => void, callback: Callback): void {
+  const [host, port] = address.split(':')
+  const socket = connect({ host: host!, port: Number(port), noDelay: true, keepAlive: true, keepAliveInitialDelay: 1000 })
+  const timer = setTimeout(() => { socket.destroy(new UpstreamConnectError(`${address} did not accept a connection in ${upstreamConstants.connectTimeoutMs} ms`)) }, upstreamConstants.connectTimeoutMs)
+  const onError = (error: Error): void => {
+    clearTimeout(timer)
+    callback(new UpstreamConnectError(`${address}: ${error.message}`, { cause: error }), null)
+  }
+  socket.once('error', onError)
+  socket.once('connect', () => {
+    clearTimeout(timer)
+    socket.off('error', onError)
+    // undici takes the data before a reset for a whole answer when the answer has no length.
+    socket.on('error', onReset)
+    callback(null, socket)
+  })
+}
--- /dev/null
+++ b/src/node/gateway/upstreams/upstreamConnection.ts
@@ -0,0 +1,57 @@
+import { Client } from 'undici'
+import { openUpstreamSocket } from './openUpstreamSocket.js'
+import { upstreamConstants } from './constants.js'
+import { UpstreamExchange } from './upstreamExchange.js'
+import type { AnswerDecoder } from './answerDecoder.js'
+import type { ExchangeHandler } from './exchangeHandler.js'
+import type { ExchangeRequest } from './exchangeRequest.js'
+
+/** One kept connection to an upstream; carries one request at a time. */
+export class UpstreamConnection {
+  /** The connection broke or must not be used again. */
+  isClosed = false
+  /** The TCP connection was opened. */
+  isOpen = false
+  private wasReset = false
+  private readonly client: Client
+
+  constructor (address: string, private readonly decodeAnswer: AnswerDecoder, private readonly onClosed: (connection: UpstreamConnection) => void, onOpened: () => void) {
+    this.client = new Client(`http://${address}`, {
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: upstreamConstants.idleTimeoutMs,
+      keepAliveMaxTimeout: upstreamConstants.maxIdleTimeoutMs,
+      keepAliveTimeoutThreshold: upstreamConstants.idleMarginMs,
+      connect: (_, callback) => {
+        // A connection is opened once: a request on a broken one fails instead of being sent on another.
+        if (this.isOpen) return callback(new Error('the connection is closed'), null)
+        openUpstreamSocket(address, () => { this.wasReset = true }, callback)
+      }
+    })
+    this.client.on('connect', () => {
+      this.isOpen = true
+      onOpened()
+    })
+    this.client.on('disconnect', () => { this.close() })
+    this.client.on('connectionError', () => { this.close() })
+  }
+
+  /** Sends a request; the returned function gives it up and closes the connection. */
+  send (request: ExchangeRequest, handler: ExchangeHandler): () => void {
+    const exchange = new UpstreamExchange(request.requestId, this.decodeAnswer, handler, () => this.wasReset)
+    this.client.dispatch({ method: request.method as 'GET', path: request.path, headers: request.headers, body: request.body ?? null }, exchange)
+    return () => {
+      exchange.cancel()
+      this.close()
+    }
+  }
+
+  close (): void {
+    if (this.isClosed) return
+    this.isClosed = true
+    this.onClosed(this)
+    // Requests in progress are reported through their handlers.
+    this.client.destroy().catch(() => {})
+  }
+}
--- /dev/null
+++ b/src/node/gateway/upstreams/upstreamExchange.ts
@@ -0,0 +1,66 @@
+import { UpstreamAnswerForeignError } from './upstreamAnswerForeignError.js'
+import { UpstreamConnectError } from './upstreamConnectError.js'
+import type { AnswerDecoder } from './answerDecoder.js'
+import type { Dispatcher } from 'undici'
+import type { ExchangeFailure } from './exchangeFailure.js'
+import type { ExchangeHandler } from './exchangeHandler.js'
+
+/** One request and its answer on a connection; undici's callbacks in, those of `ExchangeHandler` out. */
+export class UpstreamExchange implements Dispatcher.DispatchHandler {
+  private controller: Dispatcher.DispatchController | undefined
+  private hasEnded = false
+  private isAborted = false
+
+  constructor (
+    private readonly requestId: string | undefined,
+    private readonly decodeAnswer: AnswerDecoder,
+    private readonly handler: ExchangeHandler,
+    /** Whether the connection was reset. */
+    private readonly wasReset: () => boolean
+  ) {}
+
+  cancel (): void {
+    if (this.hasEnded) return
+    this.isAborted = true
+    this.controller?.abort(new UpstreamConnectError('given up'))
+    this.endFailed('aborted', 'given up')
+  }
+
+  onRequestStart (controller: Dispatcher.DispatchController): void {
+    this.controller = controller
+    if (this.isAborted) controller.abort(new UpstreamConnectError('given up'))
+  }
+
+  onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
+    if (this.hasEnded || status < 200) return
+    const head = this.decodeAnswer(status, headers)
+    // An extra answer of an earlier request may arrive where this one is expected.
+    if (this.requestId !== undefined && head.requestId !== undefined && head.requestId !== this.requestId) {
+      this.endFailed('foreign-answer', `answer to ${head.requestId}`)
+      controller.abort(new UpstreamAnswerForeignError('an answer to another request'))
+      return
+    }
+    this.handler.onHead(head)
+  }
+
+  onResponseData (_: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (!this.hasEnded) this.handler.onData(chunk)
+  }
+
+  onResponseEnd (): void {
+    if (this.hasEnded) return
+    if (this.wasReset()) return this.endFailed('broken', 'reset before the end of the answer')
+    this.hasEnded = true
+    this.handler.onEnd()
+  }
+
+  onResponseError (_: Dispatcher.DispatchController, error: Error): void {
+    this.endFailed(this.controller === undefined ? 'connect' : 'broken', error.message)
+  }
+
+  private endFailed (kind: ExchangeFailure['kind'], detail: string): void {
+    if (this.hasEnded) return
+    this.hasEnded = true
+    this.handler.onFailure({ kind, detail, wasSent: this.controller !== undefined })
+  }
+}
--- /dev/null
+++ b/src/node/gateway/upstreams/upstreamPool.ts
@@ -0,0 +1,93 @@
+import { UpstreamConnection } from './upstreamConnection.js'
+import type { AnswerDecoder } from './answerDecoder.js'
+import type { ExchangeHandler } from './exchangeHandler.js'
+import type { ExchangeRequest } from './exchangeRequest.js'
+
+interface PoolOptions {
+  readonly address: string
+  readonly decodeAnswer: AnswerDecoder
+  readonly getConnectionLimit: () => number
+  readonly onOpened: () => void
+}
+
+/** Kept connections to one upstream. The connection used last is used first, so that surplus ones run out. */
+export class UpstreamPool {
+  private readonly idle: UpstreamConnection[] = []
+  private readonly busy = new Set<UpstreamConnection>()
+
+  constructor (private readonly options: PoolOptions) {}
+
+  get busyCount (): number {
+    return this.busy.size
+  }
+
+  /** Whether a request can be sent without exceeding the connection limit. */
+  hasRoom (): boolean {
+    return this.idle.length > 0 || this.busy.size < this.options.getConnectionLimit()
+  }
+
+  /** Sends a request; the returned function gives it up. Fails with `no-connection` at the connection limit. */
+  send (request: ExchangeRequest, handler: ExchangeHandler): () => void {
+    const connection = this.takeConnection()
+    if (connection === undefined) {
+      queueMicrotask(() => { handler.onFailure({ kind: 'no-connection', wasSent: false, detail: 'connection limit reached' }) })
+      return () => {}
+    }
+    let mustClose = false
+    return connection.send(request, {
+      onHead: head => {
+        mustClose = head.closesConnection
+        handler.onHead(head)
+      },
+      onData: chunk => { handler.onData(chunk) },
+      onEnd: () => {
+        this.releaseConnection(connection, mustClose)
+        handler.onEnd()
+      },
+      onFailure: failure => {
+        connection.close()
+        // After a broken connection the idle ones are suspect too: something between the two ends may have dropped them.
+        if (failure.kind === 'broken' || failure.kind === 'foreign-answer') this.closeIdle()
+        handler.onFailure(failure)
+      }
+    })
+  }
+
+  /** Closes the connections that no request uses. */
+  closeIdle (): void {
+    for (const connection of this.idle.splice(0)) connection.close()
+  }
+
+  /** Requests in progress run to their end. */
+  close (): void {
+    this.closeIdle()
+    this.isClosing = true
+  }
+
+  private isClosing = false
+
+  private takeConnection (): UpstreamConnection | undefined {
+    const kept = this.idle.pop()
+    if (kept !== undefined) {
+      this.busy.add(kept)
+      return kept
+    }
+    if (this.busy.size >= this.options.getConnectionLimit()) return undefined
+    const { address, decodeAnswer, onOpened } = this.options
+    const connection = new UpstreamConnection(address, decodeAnswer, closed => { this.removeConnection(closed) }, onOpened)
+    this.busy.add(connection)
+    return connection
+  }
+
+  private releaseConnection (connection: UpstreamConnection, mustClose: boolean): void {
+    this.busy.delete(connection)
+    if (mustClose || this.isClosing) connection.close()
+    else if (!connection.isClosed) this.idle.push(connection)
+  }
+
+  private removeConnection (connection: UpstreamConnection): void {
+    this.busy.delete(connection)
+    const index = this.idle.indexOf(connection)
+    if (index >= 0) this.idle.splice(index, 1)
+  }
+}
--- /dev/null
+++ b/src/node/gateway/upstreams/upstreamState.ts
@@ -0,0 +1,44 @@
+import { upstreamConstants } from './constants.js'
+import type { UpstreamEntry } from '../model/upstreamEntry.js'
+import type { UpstreamPool } from './upstreamPool.js'
+
+/** An upstream with what this host has seen of it. Mutable; owned by the directory. */
+export class UpstreamState {
+  /** Requests of this host in progress. */
+  inFlight = 0
+  /** Average time to the first byte, 0 before the first answer. */
+  durationMs = 0
+  ejectedUntilMs = 0
+  /** The upstream has said on a connection that it is leaving. */
+  leavingUntilMs = 0
+  /** Set while the entry is missing after an outage of the store; the upstream is removed at this time. */
+  missingUntilMs: number | undefined
+  private failures = 0
+  private ejections = 0
+
+  constructor (public entry: UpstreamEntry, readonly pool: UpstreamPool) {}
+
+  isUsable (nowMs: number): boolean {
+    return !this.entry.isDraining && this.leavingUntilMs <= nowMs
+  }
+
+  isEjected (nowMs: number): boolean {
+    return this.ejectedUntilMs > nowMs
+  }
+
+  onSuccess (durationMs: number): void {
+    this.failures = 0
+    this.ejections = 0
+    this.durationMs = this.durationMs === 0 ? durationMs : this.durationMs + upstreamConstants.durationWeight * (durationMs - this.durationMs)
+  }
+
+  /** Returns whether the upstream is set aside by this failure. */
+  onFailure (nowMs: number): boolean {
+    this.failures++
+    if (this.failures < upstreamConstants.failuresToEject) return false
+    this.failures = 0
+    this.ejectedUntilMs = nowMs + Math.min(upstreamConstants.ejectMs * 2 ** this.ejections, upstreamConstants.maxEjectMs)
+    this.ejections++
+    return true
+  }
+}
--- a/src/node/peers/peerMethods.ts
+++ b/src/node/peers/peerMethods.ts
@@ -17,5 +17,7 @@
   rateReport: createPeerMethod('RateReport', messages.RateReportRequest, messages.RateReportResponse),
   writeClaim: createPeerMethod('WriteClaim', messages.WriteClaimRequest, messages.WriteClaimResponse),
   modelDemand: createPeerMethod('ModelDemand', messages.ModelDemandRequest, messages.ModelDemandResponse),
+  runStages: createPeerMethod('RunStages', messages.RunStagesRequest, messages.RunStagesResponse, true),
+  releaseResults: createPeerMethod('ReleaseResults', messages.ReleaseResultsRequest, messages.ReleaseResultsResponse),
   burn: createPeerMethod('Burn', messages.BurnRequest, messages.BurnResponse)
 } as const
--- a/src/node/platform/constants.ts
+++ b/src/node/platform/constants.ts
@@ -1,10 +1,22 @@
-/** Time limits of the calls to the platform, in milliseconds. */
+/** Names and limits of the platform's interfaces. */
 export const platformConstants = {
-  callTimeoutMs: 1000,
-  /** A watch sends a heartbeat each second; three missed ones mean that the connection is dead. */
-  watchSilenceMs: 3000,
-  watchReopenMinMs: 100,
-  watchReopenMaxMs: 1000,
-  /** Upper bound of open connections to one platform service; more calls wait for a free one. */
-  maxConnections: 32
+  /** Variable with the path of the settings file. */
+  settingsVariable: 'LYCHEETRACK_SETTINGS',
+  configurationKey: 'op/config',
+  configurationPrefix: 'op/',
+  upstreamPrefix: 'servers/',
+  /** Keys that the hosts write themselves. */
+  hostPrefix: 'lycheetrack/hosts/',
+  peerSecretKey: 'lycheetrack/peer-secret',
+  /** A read or write of the store that is not answered within this time is given up. The usual answer takes 4 ms, a slow one some hundred. */
+  storeCallTimeoutMs: 1500,
+  /** Time beyond its own wait after which a watch counts as broken. */
+  watchGraceMs: 700,
+  /** Connections for reads and writes, besides one for each watch. */
+  storeConnections: 2,
+  connectTimeoutMs: 600,
+  /** Longest wait that the store accepts for a watch. */
+  maxWatchMs: 30_000,
+  /** Answers of the store are at most about 1 MB of values, a third larger in base64. */
+  maxStoreAnswerBytes: 4_194_304
 } as const
--- /dev/null
+++ b/src/node/platform/decodeClientRequest.ts
@@ -0,0 +1,64 @@
+import { headerNames } from './headerNames.js'
+import type { ClientRequest } from '../gateway/model/clientRequest.js'
+import type { IncomingMessage } from 'node:http'
+import type { PromptPart } from '../gateway/model/promptPart.js'
+
+/** Headers that concern one connection only, or that this system sets towards upstreams itself. */
+const ownHeaders = new Set([
+  'connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'proxy-authorization', 'te', 'trailer', 'transfer-encoding', 'upgrade',
+  'content-length', 'host', 'expect', headerNames.authorization, headerNames.account, headerNames.expectedInstance, headerNames.timeLeft,
+  headerNames.priority, headerNames.inputs, headerNames.lastEventId, 'x-hold', 'x-pin-milliseconds', 'x-cache-backup', 'x-expected-version',
+  'kv-from', 'kv-fetch'
+])
+
+/** Decodes the head of a client's request; undefined when it has no id. */
+export function decodeClientRequest (request: IncomingMessage): ClientRequest | undefined {
+  const { headers } = request
+  const id = headers[headerNames.requestId]
+  if (typeof id !== 'string' || id === '') return undefined
+  const [promptTokens = 0, maxOutputTokens = 0] = parseNumbers(headers[headerNames.tokenCounts])
+  return {
+    id,
+    method: request.method ?? 'GET',
+    target: request.url ?? '/',
+    hostName: (headers.host ?? '').replace(/:\d+$/, '').toLowerCase(),
+    timeLeftMs: parseNumbers(headers[headerNames.timeLeft])[0],
+    apiKey: parseApiKey(headers.authorization),
+    lastEventId: headers[headerNames.lastEventId] as string | undefined,
+    promptParts: parsePromptParts(headers[headerNames.promptParts]),
+    promptTokens,
+    maxOutputTokens,
+    pieceCounts: parseNumbers(headers[headerNames.pieceCounts]),
+    pieceKey: String(headers[headerNames.pieceKey] ?? ''),
+    forwardedHeaders: listForwardedHeaders(request)
+  }
+}
+
+function parseApiKey (authorization: string | undefined): string | undefined {
+  return authorization === undefined ? undefined : /^Token\s+(\S+)\s*$/i.exec(authorization)?.[1] ?? ''
+}
+
+function parseNumbers (value: string | readonly string[] | undefined): readonly number[] {
+  if (typeof value !== 'string' || value === '') return []
+  const numbers = value.split(',').map(Number)
+  return numbers.every(number => Number.isFinite(number) && number >= 0) ? numbers : []
+}
+
+function parsePromptParts (value: string | readonly string[] | undefined): readonly PromptPart[] {
+  if (typeof value !== 'string') return []
+  return value.split(',').map(entry => {
+    const [id = '', tokens] = entry.trim().split(':')
+    return { id, tokens: Number(tokens) || 0 }
+  })
+}
+
+function listForwardedHeaders (request: IncomingMessage): readonly string[] {
+  const dropped = request.headers.connection?.toLowerCase().split(',').map(name => name.trim()) ?? []
+  const { rawHeaders } = request
+  const forwarded: string[] = []
+  for (let i = 0; i < rawHeaders.length; i += 2) {
+    const name = rawHeaders[i]!.toLowerCase()
+    if (!ownHeaders.has(name) && !dropped.includes(name)) forwarded.push(rawHeaders[i]!, rawHeaders[i + 1]!)
+  }
+  return forwarded
+}
--- /dev/null
+++ b/src/node/platform/decodeUpstreamAnswer.ts
@@ -0,0 +1,49 @@
+import { headerNames } from './headerNames.js'
+import type { UpstreamAnswerHead } from '../gateway/model/upstreamAnswerHead.js'
+import type { UpstreamLoad } from '../gateway/model/upstreamLoad.js'
+
+type Headers = Readonly<Record<string, string | string[] | undefined>>
+
+const misdirected = 421
+const connectionHeaders = new Set(['connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'content-length', headerNames.load, headerNames.notRun])
+
+/** Decodes the head of an upstream's answer. */
+export function decodeUpstreamAnswer (status: number, headers: Headers): UpstreamAnswerHead {
+  const length = headers['content-length']
+  const isOtherInstance = status === misdirected
+  return {
+    status,
+    requestId: findText(headers, headerNames.requestId),
+    isNotRun: headers[headerNames.notRun] !== undefined || isOtherInstance,
+    isOtherInstance,
+    closesConnection: findText(headers, 'connection')?.toLowerCase().includes('close') === true,
+    isSigned: headers[headerNames.signature] !== undefined,
+    contentLength: typeof length === 'string' ? Number(length) : undefined,
+    load: parseLoad(findText(headers, headerNames.load)),
+    forwardedHeaders: listForwardedHeaders(headers)
+  }
+}
+
+function findText (headers: Headers, name: string): string | undefined {
+  const value = headers[name]
+  return typeof value === 'string' ? value : value?.[0]
+}
+
+/** The fourth figure states how long work takes, where 100 is usual. */
+function parseLoad (value: string | undefined): UpstreamLoad | undefined {
+  if (value === undefined) return undefined
+  const [running = 0, waiting = 0, slots = 1, percent = 100] = value.split(',').map(Number)
+  if (![running, waiting, slots, percent].every(Number.isFinite)) return undefined
+  return { running, waiting, slots, slowdown: Math.max(percent, 1) / 100 }
+}
+
+function listForwardedHeaders (headers: Headers): readonly string[] {
+  const forwarded: string[] = []
+  for (const name in headers) {
+    if (connectionHeaders.has(name)) continue
+    const value = headers[name]
+    if (typeof value === 'string') forwarded.push(name, value)
+    else for (const item of value ?? []) forwarded.push(name, item)
+  }
+  return forwarded
+}
--- /dev/null
+++ b/src/node/platform/decodeUpstreamEntry.ts
@@ -0,0 +1,30 @@
+import { z } from 'zod'
+import { platformConstants } from './constants.js'
+import type { UpstreamEntry } from '../gateway/model/upstreamEntry.js'
+
+const schema = z.object({
+  service: z.string().min(1),
+  address: z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/),
+  zone: z.string(),
+  slots: z.number().positive(),
+  state: z.enum(['ready', 'draining']),
+  born: z.number().int().nonnegative().optional()
+})
+
+/** Decodes the entry that an upstream wrote under `key`; undefined when it cannot be read and names no upstream to use. */
+export function decodeUpstreamEntry (key: string, value: Buffer): UpstreamEntry | undefined {
+  const id = key.slice(platformConstants.upstreamPrefix.length)
+  const parsed = schema.safeParse(parseJson(value))
+  if (!parsed.success || id === '') return undefined
+  const { service, address, zone, slots, state, born } = parsed.data
+  return { id, service, address, failureDomain: zone, slots, isDraining: state === 'draining', startedAtMs: born ?? 0 }
+}
+
+function parseJson (value: Buffer): unknown {
+  try {
+    return JSON.parse(value.toString('utf8'))
+  } catch {
+    // Entries of other writers may hold anything; the caller logs the key.
+    return undefined
+  }
+}
--- /dev/null
+++ b/src/node/platform/encodeUpstreamHeaders.ts
@@ -0,0 +1,13 @@
+import { headerNames } from './headerNames.js'
+import type { ClientRequest } from '../gateway/model/clientRequest.js'
+import type { UpstreamRequestOptions } from '../gateway/model/upstreamRequestOptions.js'
+
+/** Headers of a request to an upstream, names and values in turn. */
+export function encodeUpstreamHeaders (request: ClientRequest, options: UpstreamRequestOptions): string[] {
+  const headers = ['host', request.hostName, ...request.forwardedHeaders, headerNames.timeLeft, String(Math.max(1, Math.floor(options.timeLeftMs))), headerNames.expectedInstance, options.instanceId]
+  if (options.accountName !== undefined) headers.push(headerNames.account, options.accountName)
+  if (options.lastEventId !== undefined) headers.push(headerNames.lastEventId, options.lastEventId)
+  if (options.priority !== undefined) headers.push(headerNames.priority, String(options.priority))
+  if (options.inputs.length > 0) headers.push(headerNames.inputs, options.inputs.join(','))
+  return headers
+}
--- /dev/null
+++ b/src/node/platform/headerNames.ts
@@ -0,0 +1,22 @@
+/** Header names of requests and answers, in lower case as Node.js delivers them. */
+export const headerNames = {
+  requestId: 'x-request-id',
+  /** Milliseconds that the client will wait from now on. */
+  timeLeft: 'x-time-remaining',
+  promptParts: 'x-prompt-prefix',
+  lastEventId: 'last-event-id',
+  signature: 'x-response-signature',
+  account: 'x-tenant',
+  expectedInstance: 'x-expected-instance',
+  load: 'x-server-load',
+  notRun: 'x-not-executed',
+  retryAfter: 'retry-after',
+  instance: 'x-instance-id',
+  /** Prompt tokens and the maximum of output tokens. */
+  tokenCounts: 'x-token-counts',
+  priority: 'x-request-priority',
+  pieceCounts: 'x-pieces',
+  pieceKey: 'x-piece-key',
+  inputs: 'x-inputs',
+  authorization: 'authorization'
+} as const
--- /dev/null
+++ b/src/node/platform/readHostSettings.ts
@@ -0,0 +1,19 @@
+import { readFile } from 'node:fs/promises'
+import { SettingsError } from '../settings/settingsError.js'
+import { parseHostSettings } from './parseHostSettings.js'
+import { platformConstants } from './constants.js'
+import type { HostSettings } from '../gateway/model/hostSettings.js'
+
+/** Reads the settings file that the environment names. Throws `SettingsError` with all faults. */
+export async function readHostSettings (environment: Readonly<Record<string, string | undefined>>): Promise<HostSettings> {
+  const path = environment[platformConstants.settingsVariable]
+  if (path === undefined || path === '') {
+    throw new SettingsError([{ setting: platformConstants.settingsVariable, expected: 'must be the path of the settings file' }])
+  }
+  try {
+    return parseHostSettings(await readFile(path, 'utf8'))
+  } catch (error) {
+    if (error instanceof SettingsError) throw error
+    throw new SettingsError([{ setting: platformConstants.settingsVariable, value: (error as Error).message, expected: 'must name a readable file' }])
+  }
+}
--- /dev/null
+++ b/src/node/platform/stageCallCodec.ts
@@ -0,0 +1,40 @@
+import { z } from 'zod'
+import type { StageCallCodec } from '../gateway/model/stageCallCodec.js'
+import type { StagePiece } from '../gateway/model/stagePiece.js'
+import type { StagePieceResult } from '../gateway/model/stagePieceResult.js'
+import { headerNames } from './headerNames.js'
+
+const failures = { late: 'late', gone: 'input-gone', room: 'no-room', error: 'error' } as const
+const answerSchema = z.object({ items: z.array(z.object({ handle: z.string().min(1).optional(), reason: z.string().optional() })) })
+
+/** Calls of stage services in the platform's format. */
+export const stageCallCodec: StageCallCodec = {
+  runPath: '/-/stage-run',
+  releasePath: '/-/stage-free',
+  encodeHeaders: instanceId => ['content-type', 'application/json', headerNames.expectedInstance, instanceId],
+  encodePieces: pieces => JSON.stringify({ items: pieces.map(encodePiece) }),
+  encodeRelease: handles => JSON.stringify({ handles }),
+  decodeResults
+}
+
+function encodePiece (piece: StagePiece): unknown {
+  const { requestId, stageIndex, pieceIndex, timeLeftMs, pieceKey, inputs } = piece
+  return { id: requestId, stage: stageIndex, piece: pieceIndex, remainingMs: Math.max(1, Math.floor(timeLeftMs)), ...inputs === undefined ? { key: pieceKey } : { inputs } }
+}
+
+/** Undefined when the body is no answer to a call of `count` pieces. */
+function decodeResults (body: string, count: number): readonly StagePieceResult[] | undefined {
+  const parsed = answerSchema.safeParse(parseJson(body))
+  if (!parsed.success || parsed.data.items.length !== count) return undefined
+  return parsed.data.items.map(({ handle, reason }) =>
+    handle === undefined ? { failure: failures[reason as keyof typeof failures] ?? 'error' } : { handle })
+}
+
+function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    // The caller reports an answer that cannot be decoded as a failed call.
+    return undefined
+  }
+}
--- /dev/null
+++ b/src/node/platform/storeLink.ts
@@ -0,0 +1,91 @@
+import { Pool } from 'undici'
+import { StoreUnavailableError } from '../../shared/storeUnavailableError.js'
+import { StoreUncertainError } from '../../shared/storeUncertainError.js'
+import { platformConstants } from './constants.js'
+import type { Metrics } from '../../types/metrics.js'
+
+interface StoreAnswer {
+  readonly status: number
+  readonly body: unknown
+}
+
+/**
+ * HTTP connections to the store. Watches have a connection each, so that a waiting one delays no call. A call
+ * that is given up closes its connection, because nothing more comes over one whose answer was lost.
+ */
+export class StoreLink {
+  private readonly calls: Pool
+  private readonly watches = new Map<string, Pool>()
+
+  constructor (private readonly address: string, private readonly metrics: Metrics) {
+    this.calls = this.createPool(platformConstants.storeConnections)
+  }
+
+  /** Rejects with `StoreUnavailableError`, or `StoreUncertainError` when a call that changes something got no answer. */
+  async send (method: 'GET' | 'POST' | 'DELETE', path: string, body?: unknown): Promise<StoreAnswer> {
+    try {
+      return await this.sendCall(this.calls, { method, path, body, timeoutMs: platformConstants.storeCallTimeoutMs })
+    } catch (error) {
+      const message = `no answer of the store: ${(error as Error).message}`
+      throw method === 'GET' ? new StoreUnavailableError(message, { cause: error }) : new StoreUncertainError(message, { cause: error })
+    }
+  }
+
+  /** A call on the connection that is kept for `name`. Rejects with `StoreUnavailableError`. */
+  async watch (name: string, path: string, timeoutMs: number, signal: AbortSignal): Promise<StoreAnswer> {
+    const pool = this.watches.get(name) ?? this.createPool(1)
+    this.watches.set(name, pool)
+    try {
+      return await this.sendCall(pool, { method: 'GET', path, timeoutMs, signal })
+    } catch (error) {
+      throw new StoreUnavailableError(`the watch broke: ${(error as Error).message}`, { cause: error })
+    }
+  }
+
+  close (): void {
+    closePool(this.calls)
+    for (const pool of this.watches.values()) closePool(pool)
+  }
+
+  private createPool (connections: number): Pool {
+    return new Pool(`http://${this.address}`, {
+      connections,
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      maxResponseSize: platformConstants.maxStoreAnswerBytes,
+      connect: { timeout: platformConstants.connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: 1000 }
+    })
+  }
+
+  private async sendCall (pool: Pool, call: { readonly method: 'GET' | 'POST' | 'DELETE', readonly path: string, readonly body?: unknown, readonly timeoutMs: number, readonly signal?: AbortSignal }): Promise<StoreAnswer> {
+    const timeout = AbortSignal.timeout(call.timeoutMs)
+    const startMs = performance.now()
+    const operation = call.path.split('?')[0]!.replace(/\/\d+$/, '').split('/').at(-1)!
+    const response = await pool.request({
+      method: call.method,
+      path: call.path,
+      headers: call.body === undefined ? {} : { 'content-type': 'application/json' },
+      body: call.body === undefined ? undefined : JSON.stringify(call.body),
+      signal: call.signal === undefined ? timeout : AbortSignal.any([timeout, call.signal])
+    })
+    const text = await response.body.text()
+    this.metrics.recordDuration('store_call', { operation }, performance.now() - startMs)
+    this.metrics.addCount('store_calls', { operation, status: String(response.statusCode) })
+    return { status: response.statusCode, body: parseJson(text) }
+  }
+}
+
+/** Requests in progress on the pool are reported by their own calls. */
+function closePool (pool: Pool): void {
+  pool.destroy().catch(() => {})
+}
+
+function parseJson (text: string): unknown {
+  try {
+    return text === '' ? undefined : JSON.parse(text)
+  } catch {
+    // The reader of the body reports an answer that cannot be decoded.
+    return undefined
+  }
+}
--- a/tap-snapshots/src/node/cli/__tests__/runCommandLine.test.ts.test.cjs
+++ b/tap-snapshots/src/node/cli/__tests__/runCommandLine.test.ts.test.cjs
@@ -35,6 +35,7 @@
   Available Commands
     contract            Commands for a contract; each one has a --help of its own:
     serve               Runs an entry host; SIGTERM or SIGINT drains it, a second signal stops it at once.
+    gateway             Runs a host on the platform; the settings file is named by LYCHEETRACK_SETTINGS.
     contract apply      Accepts the contract, or the list of contracts, of a JSON file
     contract read       Prints the contract of an account as JSON, ready to be edited and applied
     contract list       Lists the contracts of all accounts with their revisions and volumes
