--- a/src/node/gateway/engines/chooseEngine.ts
+++ b/src/node/gateway/engines/chooseEngine.ts
@@ -1,5 +1,5 @@
 import { engineConstants } from './constants.js'
-import { hashText } from '../../../shared/hashText.js'
+import { chooseByRendezvous } from '../../../shared/chooseByRendezvous.js'
 import type { PromptCacheIndex } from './promptCacheIndex.js'
 import type { PromptPart } from '../model/promptPart.js'
 import type { UpstreamState } from '../upstreams/upstreamState.js'
@@ -11,22 +11,23 @@
   readonly promptTokens: number
   /** Failure domain that holds the results of the stages; empty when there are none. */
   readonly inputDomain: string
+  /** Size of these results. */
+  readonly inputBytes: number
   readonly nowMs: number
 }
 
-/** Spread of the hash preference in milliseconds: less than the time to read a usual prompt, more than noise. */
-const preferenceMs = 15
-
 /**
- * The engine with the lowest expected time to the first event. Among equal ones, a hash of the shared part of the
- * prompt decides, so that all hosts send requests with that part to the same engine without talking to each other.
+ * The engine with the lowest expected cost of a request, in milliseconds of reading. The longest part of the prompt
+ * that other requests share has a home engine by rendezvous hashing, so that all hosts send requests with that part
+ * to the same engine without talking to each other.
  * The load it answers: many engines below their capacity, where reading long prompts again is the main cost.
  */
 export function chooseEngine (options: EngineOptions): UpstreamState | undefined {
+  const home = findHomeId(options.candidates, options.promptParts)
   let best: UpstreamState | undefined
   let bestMs = Infinity
   for (const candidate of options.candidates) {
-    const costMs = computeCostMs(candidate, options)
+    const costMs = computeCostMs(candidate, options, home)
     if (costMs >= bestMs || !candidate.pool.hasRoom()) continue
     best = candidate
     bestMs = costMs
@@ -34,13 +35,23 @@
   return best
 }
 
-function computeCostMs (engine: UpstreamState, { cache, promptParts, promptTokens, inputDomain, nowMs }: EngineOptions): number {
+/** The last part belongs to the request or its session; the one before it is the longest that others share. */
+function findHomeId (candidates: readonly UpstreamState[], parts: readonly PromptPart[]): string | undefined {
+  const key = (parts.at(-2) ?? parts.at(-1))?.id
+  return key === undefined ? undefined : chooseByRendezvous(key, candidates.map(candidate => candidate.entry.id), 1)[0]
+}
+
+function computeCostMs (engine: UpstreamState, options: EngineOptions, homeId: string | undefined): number {
+  const { cache, promptParts, promptTokens, inputDomain, inputBytes, nowMs } = options
   const { entry } = engine
-  const cached = cache.countCachedTokens(entry.id, promptParts, nowMs)
+  const known = cache.countCachedTokens(entry.id, promptParts, nowMs)
+  const cached = entry.id === homeId ? Math.max(known, countSharedTokens(promptParts)) : known
   const prefillMs = Math.max(promptTokens - cached, 0) / engineConstants.prefillTokensPerMs
-  const moveMs = inputDomain !== '' && entry.failureDomain !== inputDomain ? engineConstants.crossDomainMs : 0
-  // The last part belongs to the request alone; the one before it is the longest that others share.
-  const shared = promptParts.at(-2)?.id ?? promptParts.at(-1)?.id ?? ''
-  const preference = hashText(`${shared}\n${entry.id}`) / 0xffffffff * preferenceMs
-  return prefillMs + moveMs + preference + engine.inFlight * engineConstants.shareMs + engine.durationMs * 0.1
+  const isElsewhere = inputDomain !== '' && entry.failureDomain !== inputDomain
+  const moveMs = isElsewhere ? inputBytes * engineConstants.moveMsPerByte : 0
+  return prefillMs + moveMs + engine.inFlight * engineConstants.shareMs + engine.computeDurationMs(nowMs) * engineConstants.durationShare
+}
+
+function countSharedTokens (parts: readonly PromptPart[]): number {
+  return parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0)
 }
--- a/src/node/gateway/engines/constants.ts
+++ b/src/node/gateway/engines/constants.ts
@@ -3,9 +3,11 @@
   /** Prompt tokens that an engine reads in a millisecond; measured engines read 48 to 55. */
   prefillTokensPerMs: 50,
   /** Time that each request in progress adds for a new one, as all share the batch. */
-  shareMs: 4,
-  /** Cost of stage results that cross failure domains, in milliseconds. */
-  crossDomainMs: 400,
+  shareMs: 2,
+  /** Cost of a byte of stage results that crosses failure domains, in milliseconds of reading: a megabyte is worth about 350 tokens. */
+  moveMsPerByte: 7 / 1_000_000,
+  /** Part of an engine's measured time to the first event that counts against it. */
+  durationShare: 0.2,
   /** Time for which a prompt part is expected to stay in an engine's cache. */
   cacheLifeMs: 30_000,
   /** Prompt parts remembered for each engine. */
--- /dev/null
+++ b/src/node/gateway/ingress/__tests__/decideNextAttempt.test.ts
@@ -0,0 +1,31 @@
+import t from 'tap'
+import { decideNextAttempt } from '../decideNextAttempt.js'
+import type { AttemptResult } from '../attemptResult.js'
+import type { UpstreamAnswerHead } from '../../model/upstreamAnswerHead.js'
+
+const head = (status: number, isSigned = true): UpstreamAnswerHead => ({ status, isNotRun: false, isOtherInstance: false, closesConnection: false, isSigned, forwardedHeaders: [] })
+const answer = (status: number, isSigned = true): AttemptResult => ({ type: 'answer', head: head(status, isSigned), body: Buffer.alloc(0) })
+const results: Readonly<Record<string, AttemptResult>> = {
+  'signed success': answer(200),
+  'unsigned success': answer(200, false),
+  'upstream 400': answer(400),
+  'upstream 500': answer(500),
+  'upstream 503 without a statement': answer(503),
+  'upstream 504': answer(504),
+  'refused by the upstream': { type: 'not-run', reason: 'upstream status 503', wasSent: true, areInputsGone: false },
+  'no connection': { type: 'not-run', reason: 'connect', wasSent: false, areInputsGone: false },
+  'inputs gone': { type: 'not-run', reason: 'upstream status 409', wasSent: true, areInputsGone: true },
+  uncertain: { type: 'uncertain', reason: 'broken' },
+  streamed: { type: 'streamed' },
+  cancelled: { type: 'cancelled' }
+}
+
+t.test('a request that may have run is sent again only when it is repeatable', async t => {
+  const rows = Object.entries(results).map(([name, result]) => {
+    const decide = (isRepeatable: boolean, options: { sentCount?: number, hasBudget?: boolean, timeLeftMs?: number } = {}) => decideNextAttempt({
+      result, isRepeatable, sentCount: options.sentCount ?? 1, unsentCount: 1, maxAttempts: 2, stageRuns: 1, timeLeftMs: options.timeLeftMs ?? 500, takeRepeat: () => options.hasBudget ?? true
+    }).action
+    return `${name}: repeatable ${decide(true)}, once ${decide(false)}, last attempt ${decide(true, { sentCount: 2 })}, no budget ${decide(true, { hasBudget: false })}, no time ${decide(true, { timeLeftMs: 5 })}`
+  })
+  t.matchSnapshot(rows.join('\n'))
+})
--- /dev/null
+++ b/src/node/gateway/ingress/__tests__/eventSplitter.test.ts
@@ -0,0 +1,25 @@
+import t from 'tap'
+import fc from 'fast-check'
+import { EventSplitter } from '../eventSplitter.js'
+
+t.test('whole events pass however the bytes are cut', async t => {
+  const stream = Buffer.from('id: 1\ndata: ä\n\nid: 2\r\ndata: b\r\n\r\nx-version: 3\nid: 3\ndata: c\n\n')
+  t.doesNotThrow(() => fc.assert(fc.property(fc.array(fc.integer({ min: 1, max: stream.length - 1 })), cuts => {
+    const splitter = new EventSplitter()
+    const bounds = [0, ...[...new Set(cuts)].sort((a, b) => a - b), stream.length]
+    const parts = bounds.slice(1).map((end, i) => splitter.addChunk(stream.subarray(bounds[i], end)))
+    const forwarded = Buffer.concat(parts.map(part => part.events))
+    return forwarded.equals(stream) && !splitter.hasPartialEvent() && parts.findLast(part => part.lastEventId !== undefined)?.lastEventId === '3'
+  })))
+})
+
+t.test('an event that is cut off is held back', async t => {
+  const splitter = new EventSplitter()
+  t.same(splitter.addChunk(Buffer.from('id: 1\ndata: a\n\nid: 2\nda')), { events: Buffer.from('id: 1\ndata: a\n\n'), lastEventId: '1' })
+  t.ok(splitter.hasPartialEvent())
+})
+
+t.test('a resumed stream repeats no event that the client has', async t => {
+  const splitter = new EventSplitter('2')
+  t.equal(splitter.addChunk(Buffer.from('id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n')).events.toString(), 'id: 3\ndata: c\n\n')
+})
--- a/src/node/gateway/ingress/requestRun.ts
+++ b/src/node/gateway/ingress/requestRun.ts
@@ -26,9 +26,13 @@
   private stageRuns = 0
   private inputs: readonly string[] = []
   private inputDomain = ''
+  private inputBytes = 0
   private releaseInputs = noRelease
   /** An upstream has the request, or has had it and did not say that it was not run. */
   private mayHaveRun = false
+  private sentAtMs = 0
+  /** The attempt in progress has forwarded an event. */
+  private hasEvents = false
   /** Id of the last event that the client has. */
   private lastEventId: string | undefined
 
@@ -70,6 +74,7 @@
     if (outcome.type === 'completed') {
       this.inputs = outcome.outputs.flatMap((output: StageOutput) => output.handles)
       this.inputDomain = outcome.outputDomain
+      this.inputBytes = outcome.outputs.reduce((sum, output) => sum + output.handles.length * (route.stages[output.index]?.resultBytes ?? 0), 0)
       return true
     }
     const retryAfterMs = outcome.type === 'refused' ? outcome.retryAfterMs : ingressConstants.busyRetryAfterMs
@@ -132,6 +137,8 @@
     const { request, route, account, body, answer, deadlineAtMs } = this.options
     const nowMs = this.parts.clock.readMonotonicMs()
     const hadRunBefore = this.mayHaveRun
+    this.hasEvents = false
+    this.sentAtMs = nowMs
     this.sentCount++
     this.triedIds.add(upstream.entry.id)
     this.mayHaveRun = true
@@ -174,11 +181,15 @@
 
   private onEvents (upstream: UpstreamState, lastEventId: string | undefined): void {
     this.lastEventId = lastEventId ?? this.lastEventId
-    if (this.releaseInputs === noRelease && this.inputs.length > 0) return
+    if (this.hasEvents) return
+    this.hasEvents = true
+    const nowMs = this.parts.clock.readMonotonicMs()
+    upstream.onSuccess(nowMs - this.sentAtMs, nowMs)
     // An engine has read the results of the stages by its first event.
     this.releaseInputs()
     this.releaseInputs = noRelease
-    this.parts.cache.record(upstream.entry.id, this.options.request.promptParts, this.parts.clock.readMonotonicMs())
+    this.parts.cache.record(upstream.entry.id, this.options.request.promptParts, nowMs)
+    this.record('first event', { upstream: upstream.entry.id, sentMs: Math.round(nowMs - this.sentAtMs), elapsedMs: this.computeElapsedMs(), aimLeftMs: Math.round(this.options.aimAtMs - nowMs) })
   }
 
   /** Judges the upstream by the attempt. */
@@ -188,7 +199,7 @@
     if (result.type === 'cancelled') return
     const hasFailed = result.type === 'uncertain' || (result.type === 'not-run' && !result.areInputsGone) || (result.type === 'answer' && result.head.status >= 500)
     if (!hasFailed) {
-      if (result.type === 'answer') upstream.onSuccess(elapsedMs)
+      if (result.type === 'answer') upstream.onSuccess(elapsedMs, nowMs)
     } else if (upstream.onFailure(nowMs)) {
       logger.recordWarning('upstream ejected', { upstream: upstream.entry.id, service: upstream.entry.service, untilMs: Math.round(upstream.ejectedUntilMs - nowMs), reason: result.type })
     }
@@ -201,16 +212,16 @@
     const fresh = usable.filter(state => !this.triedIds.has(state.entry.id))
     const candidates = fresh.length > 0 ? fresh : usable
     if (route.callKind === 'stream') {
-      return chooseEngine({ candidates, cache, promptParts: request.promptParts, promptTokens: request.promptTokens, inputDomain: this.inputDomain, nowMs: clock.readMonotonicMs() })
+      return chooseEngine({ candidates, cache, promptParts: request.promptParts, promptTokens: request.promptTokens, inputDomain: this.inputDomain, inputBytes: this.inputBytes, nowMs: clock.readMonotonicMs() })
     }
-    return chooseUpstream({ candidates, excludedIds: new Set(), failureDomain, random })
+    return chooseUpstream({ candidates, excludedIds: new Set(), failureDomain, random, nowMs: clock.readMonotonicMs() })
   }
 
   private findPreferredDomain (): string {
     const { request, route } = this.options
     if (route.callKind !== 'stream') return ''
     const { directory, cache, clock } = this.parts
-    return chooseEngine({ candidates: directory.listUsable(this.service), cache, promptParts: request.promptParts, promptTokens: request.promptTokens, inputDomain: '', nowMs: clock.readMonotonicMs() })?.entry.failureDomain ?? ''
+    return chooseEngine({ candidates: directory.listUsable(this.service), cache, promptParts: request.promptParts, promptTokens: request.promptTokens, inputDomain: '', inputBytes: 0, nowMs: clock.readMonotonicMs() })?.entry.failureDomain ?? ''
   }
 
   private isRepeatable (): boolean {
@@ -224,7 +235,7 @@
     if (!this.isRepeatable() || this.sentCount >= route.maxAttempts) return undefined
     if (route.callKind === 'stream') return engineConstants.firstEventTimeoutMs
     const leftMs = deadlineAtMs - this.parts.clock.readMonotonicMs()
-    return Math.min(Math.max(upstream.durationMs * ingressConstants.silenceFactor, ingressConstants.minSilenceMs), leftMs / 2)
+    return Math.min(Math.max(upstream.computeDurationMs(this.parts.clock.readMonotonicMs()) * ingressConstants.silenceFactor, ingressConstants.minSilenceMs), leftMs / 2)
   }
 
   private onTimeout (): void {
--- /dev/null
+++ b/src/node/gateway/stages/__tests__/createTestScheduler.ts
@@ -0,0 +1,46 @@
+import { StageScheduler } from '../stageScheduler.js'
+import type { ServiceSpec } from '../../model/serviceSpec.js'
+import type { StageCall } from '../stageCall.js'
+import type { StageJob } from '../stageJob.js'
+import type { StagePieceResult } from '../../model/stagePieceResult.js'
+import type { UpstreamEntry } from '../../model/upstreamEntry.js'
+
+interface TestService {
+  readonly name: string
+  /** Failure domain of each upstream. */
+  readonly domains: readonly string[]
+  readonly batchSize?: number
+  readonly roomBytes?: number
+}
+
+/** A scheduler with services of 240 ms a call and 10 ms a piece, and helpers to drive it. */
+export function createTestScheduler (services: readonly TestService[]) {
+  const scheduler = new StageScheduler()
+  const specs = new Map<string, ServiceSpec>(services.map(({ name, batchSize = 10, roomBytes = 1e9 }) => [name, {
+    name,
+    connectionLimit: 100,
+    healthPath: '/health',
+    stage: { concurrentCalls: 1, batchSize, callMs: 240, pieceMs: 10, resultRoomBytes: roomBytes, resultLifetimeMs: 4000 }
+  }]))
+  const applyDomains = (domainsOf: (name: string) => readonly string[]): void => {
+    scheduler.applyUpstreams(specs, service => domainsOf(service).map((failureDomain, i): UpstreamEntry => ({ id: `${service}-${i}`, service, address: '127.0.0.1:1', failureDomain, slots: 1, isDraining: false, startedAtMs: 0 })))
+  }
+  applyDomains(name => services.find(service => service.name === name)?.domains ?? [])
+  const answerCall = (call: StageCall, nowMs: number, results?: readonly StagePieceResult[]): void => {
+    scheduler.onCallAnswered(call, results ?? call.pieces.map(piece => ({ handle: `${call.upstreamId}/${piece.requestId}.${piece.stageIndex}.${piece.pieceIndex}` })), nowMs)
+  }
+  const buildJob = (id: string, stages: ReadonlyArray<Partial<StageJob['stages'][number]>>, job: Partial<StageJob> = {}): StageJob => ({
+    id,
+    requestId: id,
+    pieceKey: `key-${id}`,
+    route: 'r',
+    aimAtMs: 2000,
+    deadlineAtMs: 10_000,
+    priority: 1,
+    worth: 1,
+    preferredDomain: '',
+    ...job,
+    stages: stages.map((stage, index) => ({ index, service: 'a', after: [], pieceCount: 1, resultBytes: 1000, ...stage }))
+  })
+  return { scheduler, answerCall, buildJob, applyDomains }
+}
--- /dev/null
+++ b/src/node/gateway/stages/__tests__/stageScheduler.test.ts
@@ -0,0 +1,131 @@
+import t from 'tap'
+import { createTestScheduler } from './createTestScheduler.js'
+import type { StageCall } from '../stageCall.js'
+
+const listPieces = (calls: readonly StageCall[]) => calls.map(call => `${call.upstreamId}: ${call.pieces.map(piece => `${piece.requestId}.${piece.stageIndex}.${piece.pieceIndex}`).join(' ')}`)
+
+t.test('pieces of several requests share a call, because its fixed time is the main cost', async t => {
+  const { scheduler, buildJob } = createTestScheduler([{ name: 'a', domains: ['x', 'x'] }])
+  for (const id of ['p', 'q', 'r']) t.ok(scheduler.addJob(buildJob(id, [{ pieceCount: 3 }]), 0).isAccepted)
+  t.same(listPieces(scheduler.planCalls(0)), ['a-0: p.0.0 p.0.1 p.0.2 q.0.0 q.0.1 q.0.2 r.0.0 r.0.1 r.0.2'])
+})
+
+t.test('results pass from stage to stage and the handles of the last stages come back', async t => {
+  const { scheduler, buildJob, answerCall } = createTestScheduler([{ name: 'a', domains: ['x'] }, { name: 'b', domains: ['y'] }])
+  scheduler.addJob(buildJob('p', [{ pieceCount: 2 }, { service: 'b', after: [0], pieceCount: 2 }]), 0)
+  const [first] = scheduler.planCalls(0)
+  t.same(first!.pieces.map(piece => piece.pieceKey), ['key-p', 'key-p'])
+  answerCall(first!, 260)
+  const [second] = scheduler.planCalls(260)
+  t.same(second!.pieces[1], { requestId: 'p', stageIndex: 1, pieceIndex: 1, timeLeftMs: 9740, inputs: ['a-0/p.0.0', 'a-0/p.0.1'] })
+  t.same(scheduler.takeReleases(), [], 'inputs stay until they are used')
+  answerCall(second!, 520)
+  t.same(scheduler.takeEnded(), [{ jobId: 'p', outcome: { type: 'completed', outputs: [{ index: 1, handles: ['b-0/p.1.0', 'b-0/p.1.1'] }], outputDomain: 'y' } }])
+  t.same(scheduler.takeReleases().map(release => release.handles), [['a-0/p.0.0', 'a-0/p.0.1']])
+  scheduler.releaseJob('p')
+  t.same(scheduler.takeReleases().map(release => release.handles), [['b-0/p.1.0', 'b-0/p.1.1']])
+})
+
+t.test('a side stage waits until the longest chain is near its end, because its results hold memory', async t => {
+  const { scheduler, buildJob, answerCall } = createTestScheduler([{ name: 'a', domains: ['x', 'x'] }, { name: 'b', domains: ['x'] }, { name: 'c', domains: ['x'] }])
+  scheduler.addJob(buildJob('p', [{ resultBytes: 800_000 }, {}, { service: 'b', after: [1] }, { service: 'c', after: [2] }]), 0)
+  const [first] = scheduler.planCalls(0)
+  t.same(listPieces([first!]), ['a-0: p.1.0'])
+  answerCall(first!, 250)
+  t.same(listPieces(scheduler.planCalls(250)), ['b-0: p.2.0'])
+  t.same(listPieces(scheduler.planCalls(251)), ['a-0: p.0.0'])
+})
+
+t.test('work on time goes before late work, and more urgent work before less urgent work', async t => {
+  const { scheduler, buildJob, answerCall } = createTestScheduler([{ name: 'a', domains: ['x'], batchSize: 2 }])
+  scheduler.addJob(buildJob('blocker', [{ pieceCount: 2 }]), 0)
+  const [blocker] = scheduler.planCalls(0)
+  scheduler.addJob(buildJob('late', [{}], { aimAtMs: -100 }), 0)
+  scheduler.addJob(buildJob('usual', [{}], { priority: 2 }), 0)
+  scheduler.addJob(buildJob('urgent', [{}], { priority: 0 }), 0)
+  answerCall(blocker!, 260)
+  t.same(listPieces(scheduler.planCalls(260)), ['a-0: urgent.0.0 usual.0.0'])
+})
+
+t.test('work that cannot be on time is refused when late work fills the capacity that is left', async t => {
+  const { scheduler, buildJob } = createTestScheduler([{ name: 'a', domains: ['x'] }])
+  const admissions = Array.from({ length: 40 }, (_, i) => scheduler.addJob(buildJob(`p${i}`, [{ pieceCount: 10 }]), 0))
+  const onTime = admissions.filter(admission => admission.isAccepted && !admission.isLate).length
+  const refused = admissions.find(admission => !admission.isAccepted)
+  // A call takes 340 ms, and 1880 ms are left before the aim.
+  t.ok(onTime >= 4 && onTime <= 6, `${onTime} accepted as on time`)
+  t.match(refused, { isAccepted: false, reason: 'stage queues are too long' })
+  t.ok(!refused!.isAccepted && refused!.retryAfterMs >= 300)
+})
+
+t.test('a service without upstreams refuses at once', async t => {
+  const { scheduler, buildJob } = createTestScheduler([{ name: 'a', domains: [] }])
+  t.match(scheduler.addJob(buildJob('p', [{}]), 0), { isAccepted: false, reason: 'no upstream of a' })
+})
+
+t.test('a failed call is sent to another upstream while the first one pauses', async t => {
+  const { scheduler, buildJob } = createTestScheduler([{ name: 'a', domains: ['x', 'x'] }])
+  scheduler.addJob(buildJob('p', [{}]), 0)
+  const [call] = scheduler.planCalls(0)
+  scheduler.onCallFailed(call!, 10)
+  t.same(listPieces(scheduler.planCalls(10)), ['a-1: p.0.0'])
+})
+
+t.test('a job whose upstreams keep failing ends instead of trying for ever', async t => {
+  const { scheduler, buildJob } = createTestScheduler([{ name: 'a', domains: ['x'] }])
+  scheduler.addJob(buildJob('p', [{}], { deadlineAtMs: 1e9, aimAtMs: 1e9 }), 0)
+  let nowMs = 0
+  for (let i = 0; i < 20; i++) {
+    for (const call of scheduler.planCalls(nowMs)) scheduler.onCallFailed(call, nowMs)
+    nowMs += 4000
+  }
+  t.match(scheduler.takeEnded(), [{ jobId: 'p', outcome: { type: 'failed' } }])
+})
+
+t.test('a lost input starts the job again', async t => {
+  const { scheduler, buildJob, answerCall } = createTestScheduler([{ name: 'a', domains: ['x'] }, { name: 'b', domains: ['x'] }])
+  scheduler.addJob(buildJob('p', [{}, { service: 'b', after: [0] }]), 0)
+  answerCall(scheduler.planCalls(0)[0]!, 250)
+  answerCall(scheduler.planCalls(250)[0]!, 300, [{ failure: 'input-gone' }])
+  t.same(listPieces(scheduler.planCalls(300)), ['a-0: p.0.0'])
+})
+
+t.test('results are made only where there is memory for them until they are released', async t => {
+  const { scheduler, buildJob, answerCall } = createTestScheduler([{ name: 'a', domains: ['x'], roomBytes: 2_500_000 }])
+  for (const id of ['p', 'q', 'r']) scheduler.addJob(buildJob(id, [{ resultBytes: 1_000_000 }]), 0)
+  const [first] = scheduler.planCalls(0)
+  t.equal(first!.pieces.length, 2)
+  answerCall(first!, 260)
+  t.same(scheduler.planCalls(260), [], 'two results still fill the memory')
+  scheduler.releaseJob('p')
+  const [release] = scheduler.takeReleases()
+  t.same(scheduler.planCalls(300), [], 'the release has not arrived yet')
+  scheduler.onReleased(release!)
+  t.same(listPieces(scheduler.planCalls(310)), ['a-0: r.0.0'])
+})
+
+t.test('heavy inputs are taken in their failure domain while there is time to wait', async t => {
+  const { scheduler, buildJob, answerCall } = createTestScheduler([{ name: 'a', domains: ['x'] }, { name: 'b', domains: ['y', 'x'] }])
+  scheduler.addJob(buildJob('p', [{ resultBytes: 400_000 }, { service: 'b', after: [0] }]), 0)
+  answerCall(scheduler.planCalls(0)[0]!, 250)
+  t.same(listPieces(scheduler.planCalls(250)), ['b-1: p.1.0'])
+})
+
+t.test('a client that leaves takes its waiting pieces and results along', async t => {
+  const { scheduler, buildJob, answerCall } = createTestScheduler([{ name: 'a', domains: ['x'] }])
+  scheduler.addJob(buildJob('p', [{}]), 0)
+  const [call] = scheduler.planCalls(0)
+  scheduler.cancelJob('p', 100)
+  answerCall(call!, 250)
+  t.same(scheduler.takeEnded(), [])
+  t.same(scheduler.takeReleases().map(release => release.handles), [['a-0/p.0.0']])
+})
+
+t.test('a job ends when its deadline passes in the queue', async t => {
+  const { scheduler, buildJob, answerCall } = createTestScheduler([{ name: 'a', domains: ['x'], batchSize: 1 }])
+  scheduler.addJob(buildJob('p', [{}]), 0)
+  scheduler.addJob(buildJob('q', [{}], { deadlineAtMs: 1500 }), 0)
+  answerCall(scheduler.planCalls(0)[0]!, 1450)
+  t.same(scheduler.planCalls(1450), [])
+  t.match(scheduler.takeEnded().find(ended => ended.jobId === 'q'), { outcome: { type: 'failed' } })
+})
--- a/src/node/gateway/stages/admitStageJob.ts
+++ b/src/node/gateway/stages/admitStageJob.ts
@@ -31,10 +31,11 @@
     const service = services.get(stage.service)!
     const readyMs = Math.max(0, ...stage.after.map(index => finish.get(index) ?? 0))
     const capacity = service.computeCapacity(nowMs)
-    const drainedMs = capacity === 0 ? Infinity : Math.max(service.backlog.onTime - service.spec.batchSize, 0) / capacity
+    const ahead = countPiecesAhead(job, service, nowMs)
+    const drainedMs = capacity === 0 ? Infinity : Math.max(ahead - service.spec.batchSize, 0) / capacity
     const startMs = Math.max(readyMs, service.computeFirstFreeMs(nowMs), drainedMs)
     const { batchSize, callMs, pieceMs } = service.spec
-    const shared = Math.min(batchSize, stage.pieceCount + service.backlog.onTime / Math.max(service.upstreams.size, 1))
+    const shared = Math.min(batchSize, stage.pieceCount + ahead / Math.max(service.upstreams.size, 1))
     const ownMs = service.costs.getFactor(`${job.route}:${stage.index}`) * pieceMs
     const endMs = startMs + (callMs + shared * ownMs) * Math.ceil(stage.pieceCount / batchSize)
     finish.set(stage.index, endMs)
@@ -43,6 +44,16 @@
   return last
 }
 
+/** Pieces of accepted work on time that goes before the job: those with less time to spare, by the order of the queues. */
+function countPiecesAhead (job: StageJob, service: StageService, nowMs: number): number {
+  const orderMs = job.aimAtMs + job.priority * stageConstants.priorityStepMs
+  let count = 0
+  for (const waiting of service.backlog.jobs) {
+    if (waiting.aimAtMs >= nowMs && waiting.orderMs <= orderMs) count += waiting.pieces
+  }
+  return count
+}
+
 /** Expected wait of late work, which gets what work on time leaves over. */
 function computeLateWaitMs (job: StageJob, services: ReadonlyMap<string, StageService>, nowMs: number): number {
   let waitMs = 0
--- a/src/node/gateway/stages/buildStageCall.ts
+++ b/src/node/gateway/stages/buildStageCall.ts
@@ -51,7 +51,7 @@
   return upstream.usedRoomBytes + bytes <= service.spec.resultRoomBytes || upstream.usedRoomBytes === 0
 }
 
-/** Takes pieces in order of rank while there is room; a task is split only when it does not fit into a call at all. */
+/** Takes pieces in order of rank while there is room; the last task may be split, because a place left empty is lost. */
 function choosePieces (service: StageService, upstream: StageUpstream, ranks: readonly TaskRank[]): readonly StagePieceRef[] {
   const refs: StagePieceRef[] = []
   const { batchSize, resultRoomBytes } = service.spec
@@ -60,7 +60,7 @@
     const free = batchSize - refs.length
     if (free === 0) break
     const isElsewhere = hasHeavyInputs(task) && findWantedDomain(task) !== upstream.failureDomain
-    if (refs.length > 0 && (isElsewhere || task.pending.length > free)) continue
+    if (refs.length > 0 && isElsewhere) continue
     for (const pieceIndex of task.pending.slice(0, free)) {
       if (roomBytes < task.work.resultBytes && refs.length > 0) break
       roomBytes -= task.work.resultBytes
--- a/src/node/gateway/stages/constants.ts
+++ b/src/node/gateway/stages/constants.ts
@@ -2,6 +2,8 @@
 export const stageConstants = {
   /** Work that arrives within this time shares a call: clients send in clumps, and the fixed part of a call is 240 ms. */
   gatherMs: 8,
+  /** Each step of priority counts as this much time to spare. */
+  priorityStepMs: 100,
   /** Time for the prompt and the network after the last stage, kept free before the aim. */
   engineReserveMs: 120,
   /** Inputs above this size are taken where they lie: results that cross failure domains are dear. */
@@ -21,7 +23,7 @@
   /** Weight of the newest call in the estimate of an upstream's slowdown. */
   slowdownWeight: 0.3,
   /** Results are released in one call for each upstream and this time. */
-  releaseDelayMs: 100,
+  releaseDelayMs: 30,
   /** A scheduling host that did not answer is passed over for this time. */
   avoidHostMs: 3000,
   /** Time beyond a job's deadline until its scheduling host must have answered. */
--- a/src/node/gateway/stages/listTasksByRank.ts
+++ b/src/node/gateway/stages/listTasksByRank.ts
@@ -4,17 +4,19 @@
 import type { TaskRank } from './taskRank.js'
 
 /**
- * Orders the ready tasks of a service: work that can still be on time before late work, each by the time to spare.
+ * Orders the ready tasks of a service: work that can still be on time before late work, each by the time to spare and the priority.
  * The load it answers: queues of some calls, in which requests have different aims and different stages before them.
  */
 export function listTasksByRank (service: StageService, services: ReadonlyMap<string, StageService>, nowMs: number): readonly TaskRank[] {
   const ranks = [...service.ready].map(task => {
     const remainingMs = computeRemainingMs(task.job, services)
-    const onTimeSlackMs = task.job.job.aimAtMs - nowMs - remainingMs - stageConstants.engineReserveMs
+    const { aimAtMs, deadlineAtMs, priority } = task.job.job
+    const onTimeSlackMs = aimAtMs - nowMs - remainingMs - stageConstants.engineReserveMs
     const isLate = onTimeSlackMs < 0
-    return { task, isLate, slackMs: isLate ? task.job.job.deadlineAtMs - nowMs - remainingMs : onTimeSlackMs }
+    const slackMs = isLate ? deadlineAtMs - nowMs - remainingMs : onTimeSlackMs
+    return { task, isLate, slackMs, orderMs: slackMs + priority * stageConstants.priorityStepMs }
   })
-  return ranks.sort((a, b) => Number(a.isLate) - Number(b.isLate) || a.slackMs - b.slackMs)
+  return ranks.sort((a, b) => Number(a.isLate) - Number(b.isLate) || a.orderMs - b.orderMs)
 }
 
 /** Time that the unfinished stages need when nothing waits. */
--- a/src/node/gateway/stages/stageDispatcher.ts
+++ b/src/node/gateway/stages/stageDispatcher.ts
@@ -7,6 +7,8 @@
 import type { StageCallCodec } from '../model/stageCallCodec.js'
 import type { StageJob } from './stageJob.js'
 import type { StageOutcome } from './stageOutcome.js'
+import type { StagePieceResult } from '../model/stagePieceResult.js'
+import type { StageRelease } from './stageRelease.js'
 import type { StageScheduler } from './stageScheduler.js'
 import type { UpstreamDirectory } from '../upstreams/upstreamDirectory.js'
 
@@ -108,9 +110,7 @@
         const nowMs = clock.readMonotonicMs()
         metrics.recordDuration('stage_call', { service: call.service }, nowMs - call.sentAtMs)
         this.options.scheduler.onCallAnswered(call, results, nowMs)
-        for (const result of results) {
-          if ('failure' in result) metrics.addCount('stage_piece_failures', { service: call.service, reason: result.failure })
-        }
+        this.recordPieceFailures(call, results)
         this.planNow()
       },
       onFailure: reason => {
@@ -121,6 +121,14 @@
     this.callsInProgress.set(call.id, cancel)
   }
 
+  private recordPieceFailures (call: StageCall, results: readonly StagePieceResult[]): void {
+    const failures = results.flatMap(result => 'failure' in result ? [result.failure] : [])
+    if (failures.length === 0) return
+    const { logger, metrics } = this.options
+    for (const failure of failures) metrics.addCount('stage_piece_failures', { service: call.service, reason: failure })
+    logger.recordWarning('stage pieces failed', { service: call.service, upstream: call.upstreamId, pieces: call.pieces.length, failed: failures.length, reason: failures[0], firstRequestId: call.pieces[0]?.requestId })
+  }
+
   private onCallFailed (call: StageCall, reason: string): void {
     const { scheduler, clock, logger, metrics } = this.options
     metrics.addCount('stage_calls_failed', { service: call.service })
@@ -141,6 +149,12 @@
     if (resolve === undefined && outcome.type === 'completed') this.releaseJob(jobId)
   }
 
+  private onReleased (release: StageRelease, outcome: 'done' | 'failed'): void {
+    this.options.metrics.addCount('stage_releases', { outcome })
+    this.options.scheduler.onReleased(release)
+    this.schedulePlan(0)
+  }
+
   private scheduleRelease (): void {
     if (this.releaseTimer !== undefined || !this.options.scheduler.hasReleases()) return
     this.releaseTimer = setTimeout(() => {
@@ -151,15 +165,17 @@
 
   /** A release that is lost costs memory until the results expire; it is not sent again. */
   private sendReleases (): void {
-    const { scheduler, directory, codec, metrics } = this.options
-    for (const [upstreamId, handles] of scheduler.takeReleases()) {
+    const { scheduler, directory, codec } = this.options
+    for (const release of scheduler.takeReleases()) {
+      const { upstreamId, handles } = release
       const pool = directory.find(upstreamId)?.pool
       if (pool === undefined) continue
       pool.send({ method: 'POST', path: codec.releasePath, headers: codec.encodeHeaders(upstreamId), body: codec.encodeRelease(handles) }, {
         onHead: () => {},
         onData: () => {},
-        onEnd: () => { metrics.addCount('stage_releases', { outcome: 'done' }) },
-        onFailure: () => { metrics.addCount('stage_releases', { outcome: 'failed' }) }
+        onEnd: () => { this.onReleased(release, 'done') },
+        // The results expire by themselves; counting their memory as free too early costs a refused piece at most.
+        onFailure: () => { this.onReleased(release, 'failed') }
       })
     }
   }
--- /dev/null
+++ b/src/node/gateway/stages/stageRelease.ts
@@ -0,0 +1,8 @@
+/** Results of an upstream that are no longer needed. */
+export interface StageRelease {
+  readonly service: string
+  readonly upstreamId: string
+  readonly handles: readonly string[]
+  /** Approximate size of the results. */
+  readonly bytes: number
+}
--- a/src/node/gateway/stages/stageScheduler.ts
+++ b/src/node/gateway/stages/stageScheduler.ts
@@ -11,6 +11,7 @@
 import type { StageJob } from './stageJob.js'
 import type { StageOutcome } from './stageOutcome.js'
 import type { StagePieceResult } from '../model/stagePieceResult.js'
+import type { StageRelease } from './stageRelease.js'
 import type { StageTask } from './stageTask.js'
 import type { UpstreamEntry } from '../model/upstreamEntry.js'
 
@@ -23,7 +24,7 @@
   private readonly jobs = new Map<string, JobState>()
   private readonly ended: Array<{ readonly jobId: string, readonly outcome: StageOutcome }> = []
   /** Results that are no longer needed, by the upstream that holds them. */
-  private releases = new Map<string, string[]>()
+  private releases = new Map<string, StageRelease>()
   private nextCallId = 1
 
   /** Takes over the stage services of a configuration and the upstreams that serve them. */
@@ -120,12 +121,17 @@
   }
 
   /** Results to release since the last call, by upstream. */
-  takeReleases (): ReadonlyMap<string, readonly string[]> {
-    const { releases } = this
-    this.releases = new Map()
+  takeReleases (): readonly StageRelease[] {
+    const releases = [...this.releases.values()]
+    this.releases.clear()
     return releases
   }
 
+  /** An upstream has dropped the results of a release; their memory is free again. */
+  onReleased ({ service, upstreamId, bytes }: StageRelease): void {
+    this.removeRoom(service, upstreamId, bytes)
+  }
+
   hasReleases (): boolean {
     return this.releases.size > 0
   }
@@ -273,10 +279,8 @@
   }
 
   private addRelease (service: string, upstreamId: string, handle: string, bytes: number): void {
-    this.removeRoom(service, upstreamId, bytes)
-    const handles = this.releases.get(upstreamId) ?? []
-    handles.push(handle)
-    this.releases.set(upstreamId, handles)
+    const release = this.releases.get(upstreamId)
+    this.releases.set(upstreamId, { service, upstreamId, handles: [...release?.handles ?? [], handle], bytes: (release?.bytes ?? 0) + bytes })
   }
 
   private removeRoom (service: string, upstreamId: string, bytes: number): void {
@@ -310,13 +314,18 @@
     for (const { backlog } of this.services.values()) {
       backlog.onTime = 0
       backlog.late = 0
+      backlog.jobs = []
     }
     for (const state of this.jobs.values()) {
       if (state.isEnded) continue
-      const lane = state.job.aimAtMs < nowMs ? 'late' : 'onTime'
+      const { aimAtMs, priority } = state.job
+      const lane = aimAtMs < nowMs ? 'late' : 'onTime'
       for (const task of state.tasks.values()) {
-        const service = this.services.get(task.work.service)
-        if (service !== undefined) service.backlog[lane] += task.pending.length
+        const backlog = this.services.get(task.work.service)?.backlog
+        const pieces = task.pending.length
+        if (backlog === undefined || pieces === 0) continue
+        backlog[lane] += pieces
+        backlog.jobs.push({ aimAtMs, orderMs: aimAtMs + priority * stageConstants.priorityStepMs, pieces })
       }
     }
   }
--- a/src/node/gateway/stages/stageService.ts
+++ b/src/node/gateway/stages/stageService.ts
@@ -11,7 +11,7 @@
   readonly ready = new Set<StageTask>()
   readonly costs = new PieceCosts()
   /** Accepted pieces that are not in a call yet, of jobs that can be on time and of late ones. */
-  readonly backlog = { onTime: 0, late: 0 }
+  readonly backlog: { onTime: number, late: number, jobs: Array<{ readonly aimAtMs: number, readonly orderMs: number, readonly pieces: number }> } = { onTime: 0, late: 0, jobs: [] }
   private readonly sentPieces: Array<{ readonly atMs: number, readonly count: number }> = []
 
   constructor (readonly name: string, public spec: StageSpec) {}
--- a/src/node/gateway/stages/taskRank.ts
+++ b/src/node/gateway/stages/taskRank.ts
@@ -7,4 +7,6 @@
   readonly isLate: boolean
   /** Time to spare before the aim, or before the deadline for late work. */
   readonly slackMs: number
+  /** Place among tasks of the same lane. */
+  readonly orderMs: number
 }
--- a/src/node/gateway/upstreams/constants.ts
+++ b/src/node/gateway/upstreams/constants.ts
@@ -16,6 +16,8 @@
   reappearMs: 1900,
   /** Weight of the newest duration in an upstream's average. */
   durationWeight: 0.2,
+  /** Time after which an average that is not renewed counts half; neighbours slow upstreams for seconds. */
+  durationHalfLifeMs: 3000,
   /** Failures in a row after which an upstream is set aside. */
   failuresToEject: 3,
   ejectMs: 1000,
--- a/src/node/gateway/upstreams/upstreamState.ts
+++ b/src/node/gateway/upstreams/upstreamState.ts
@@ -6,8 +6,9 @@
 export class UpstreamState {
   /** Requests of this host in progress. */
   inFlight = 0
-  /** Average time to the first byte, 0 before the first answer. */
-  durationMs = 0
+  /** Average time to the answer, or to the first event of a stream; 0 before the first one. */
+  private durationMs = 0
+  private measuredAtMs = 0
   ejectedUntilMs = 0
   /** The upstream has said on a connection that it is leaving. */
   leavingUntilMs = 0
@@ -26,9 +27,15 @@
     return this.ejectedUntilMs > nowMs
   }
 
-  onSuccess (durationMs: number): void {
+  /** The average, which loses weight when nothing is measured, so that an upstream that was slow is tried again. */
+  computeDurationMs (nowMs: number): number {
+    return this.durationMs * 0.5 ** ((nowMs - this.measuredAtMs) / upstreamConstants.durationHalfLifeMs)
+  }
+
+  onSuccess (durationMs: number, nowMs: number): void {
     this.failures = 0
     this.ejections = 0
+    this.measuredAtMs = nowMs
     this.durationMs = this.durationMs === 0 ? durationMs : this.durationMs + upstreamConstants.durationWeight * (durationMs - this.durationMs)
   }
 
