--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -10,10 +10,13 @@
 import { decodeUpstreamAnswer } from '../platform/decodeUpstreamAnswer.js'
 import { decodeUpstreamEntry } from '../platform/decodeUpstreamEntry.js'
 import { encodeUpstreamHeaders } from '../platform/encodeUpstreamHeaders.js'
+import { EnginePlanner } from '../gateway/engines/enginePlanner.js'
+import { EngineTimes } from '../gateway/engines/engineTimes.js'
 import { gatewayConstants } from './gatewayConstants.js'
 import { GatewayHost } from './gatewayHost.js'
 import { HostDirectory } from '../gateway/hosts/hostDirectory.js'
 import { hostEntryCodec } from '../gateway/hosts/hostEntryCodec.js'
+import { HostSettingsHolder } from '../gateway/hosts/hostSettingsHolder.js'
 import { HostRegistrar } from '../gateway/hosts/hostRegistrar.js'
 import { ingressConstants } from '../gateway/ingress/constants.js'
 import { IngressServer } from '../gateway/ingress/ingressServer.js'
@@ -21,7 +24,6 @@
 import { platformConstants } from '../platform/constants.js'
 import { PlatformStore } from '../platform/platformStore.js'
 import { PrefixFollower } from '../gateway/store/prefixFollower.js'
-import { PromptCacheIndex } from '../gateway/engines/promptCacheIndex.js'
 import { readPeerSecretPatiently } from '../gateway/hosts/readPeerSecretPatiently.js'
 import { RetryAllowance } from '../gateway/upstreams/retryAllowance.js'
 import { stageCallCodec } from '../platform/stageCallCodec.js'
@@ -34,19 +36,20 @@
 import { upstreamConstants } from '../gateway/upstreams/constants.js'
 import { UpstreamDirectory } from '../gateway/upstreams/upstreamDirectory.js'
 import type { HostSettings } from '../gateway/model/hostSettings.js'
-import type { RunningHost } from '../cli/runningHost.js'
+import type { ReloadableHost } from '../cli/reloadableHost.js'
 import type { StoreItem } from '../gateway/model/storeItem.js'
 import type { UpstreamEntry } from '../gateway/model/upstreamEntry.js'
 
 /** Builds a host on the platform and starts it. This is the only module that constructs its parts. */
-export async function createGatewayHost (settings: HostSettings): Promise<RunningHost> {
-  const { hostId, failureDomain, timings } = settings
+export async function createGatewayHost (settings: HostSettings): Promise<ReloadableHost> {
+  const { hostId, failureDomain } = settings
   const clock = systemClock
   const random = Math.random
   const metrics = createMetrics()
   const logger = new BoundedLogger(createLogger({ host: hostId, failureDomain, write: createOutputWriter() }), clock)
   logger.recordInfo('host starting', { pid: process.pid })
 
+  const settingsHolder = new HostSettingsHolder(settings, logger)
   const storeLink = new StoreLink(settings.storeAddress, metrics)
   const store = new PlatformStore(storeLink)
 
@@ -90,7 +93,7 @@
     startedAtMs: clock.readWallMs()
   }, logger, () => {})
   const scheduler = new StageScheduler()
-  const dispatcher = new StageDispatcher({ scheduler, directory: upstreams, codec: stageCallCodec, clock, logger, metrics })
+  const dispatcher = new StageDispatcher({ scheduler, directory: upstreams, engines: new EnginePlanner(service => upstreams.listUsable(service)), codec: stageCallCodec, clock, logger, metrics })
 
   const followUpstreams = (item: StoreItem): UpstreamEntry | undefined => {
     const entry = decodeUpstreamEntry(item.key, item.value)
@@ -152,8 +155,9 @@
     parts: {
       directory: upstreams,
       stages,
-      cache: new PromptCacheIndex(),
-      retries: new RetryAllowance(timings, () => hosts.countHosts()),
+      engines: new EnginePlanner(service => upstreams.listUsable(service)),
+      engineTimes: new EngineTimes(),
+      retries: new RetryAllowance(() => settingsHolder.get().timings, () => hosts.countHosts()),
       encodeHeaders: encodeUpstreamHeaders,
       failureDomain,
       clock,
@@ -172,14 +176,14 @@
       if (!platformCalls.isDirectoryCall(method, target)) return { status: 404, contentType: 'text/plain', body: '' }
       const addresses = chooseAddresses(hosts.listReady(), platformCalls.findClientDomain(target))
       if (addresses.length === 0) return { status: 503, contentType: 'text/plain', body: '' }
-      const lifetimeMs = Math.min(ingressConstants.addressLifetimeMs, timings.maxAddressLifetimeMs)
+      const lifetimeMs = Math.min(ingressConstants.addressLifetimeMs, settingsHolder.get().timings.maxAddressLifetimeMs)
       return { status: 200, contentType: 'application/json', body: platformCalls.encodeDirectoryAnswer(addresses, lifetimeMs) }
     })
   const metricsServer = new StatusServer((method, target) => method === 'GET' && target === gatewayConstants.metricsPath
     ? { status: 200, contentType: 'text/plain; version=0.0.4', body: metrics.render() }
     : { status: 404, contentType: 'text/plain', body: '' })
   const host: GatewayHost = new GatewayHost({
-    settings,
+    settings: settingsHolder,
     logger,
     clock,
     configuration,
--- a/src/node/app/gatewayHost.ts
+++ b/src/node/app/gatewayHost.ts
@@ -1,9 +1,10 @@
 import { gatewayConstants } from './gatewayConstants.js'
 import type { GatewayParts } from './gatewayParts.js'
-import type { RunningHost } from '../cli/runningHost.js'
+import type { HostSettings } from '../gateway/model/hostSettings.js'
+import type { ReloadableHost } from '../cli/reloadableHost.js'
 
 /** A host on the platform, from its start to the end of its drain. */
-export class GatewayHost implements RunningHost {
+export class GatewayHost implements ReloadableHost {
   private readonly stopped: Promise<void>
   private resolveStopped = (): void => {}
   private isDraining = false
@@ -15,7 +16,8 @@
   }
 
   async start (): Promise<void> {
-    const { settings, ingress, readiness, directoryServer, metricsServer, configurationFollower, upstreamFollower, hostFollower, logger } = this.parts
+    const settings = this.parts.settings.get()
+    const { ingress, readiness, directoryServer, metricsServer, configurationFollower, upstreamFollower, hostFollower, logger } = this.parts
     await Promise.all([
       readiness.start(settings.readinessAddress),
       directoryServer !== undefined && settings.directoryAddress !== undefined ? directoryServer.start(settings.directoryAddress) : undefined,
@@ -48,6 +50,14 @@
     registrar.updateNow()
   }
 
+  applySettings (settings: HostSettings): void {
+    this.parts.settings.apply(settings)
+  }
+
+  recordSettingsFault (message: string): void {
+    this.parts.logger.recordError('settings not readable', { reason: message, outcome: 'the old settings stay' })
+  }
+
   drain (): void {
     if (this.isDraining) return
     this.isDraining = true
@@ -67,8 +77,9 @@
   /** Serves what clients still send while they learn other addresses, then closes the connections that are left. */
   private async runDrain (): Promise<void> {
     const { ingress, settings, logger, clock } = this.parts
+    const { gracePeriodMs } = settings.get().timings
     const startMs = clock.readMonotonicMs()
-    const endMs = startMs + settings.timings.gracePeriodMs - gatewayConstants.stopReserveMs
+    const endMs = startMs + gracePeriodMs - gatewayConstants.stopReserveMs
     await waitMs(Math.min(gatewayConstants.lingerMs, endMs - startMs))
     const closed = ingress.stop()
     const closing = setInterval(() => { ingress.closeIdle() }, gatewayConstants.idleCloseMs)
@@ -93,7 +104,8 @@
   }
 
   private async startPeers (): Promise<void> {
-    const { settings, transport, registrar, logger } = this.parts
+    const { transport, registrar, logger } = this.parts
+    const settings = this.parts.settings.get()
     const port = await transport.start(`${settings.ipAddress}:${settings.firstPeerPort}`)
     logger.recordInfo('peer server started', { port })
     registrar.updateNow()
--- a/src/node/app/gatewayParts.ts
+++ b/src/node/app/gatewayParts.ts
@@ -2,7 +2,7 @@
 import type { ConfigurationHolder } from '../gateway/configuration/configurationHolder.js'
 import type { HostDirectory } from '../gateway/hosts/hostDirectory.js'
 import type { HostRegistrar } from '../gateway/hosts/hostRegistrar.js'
-import type { HostSettings } from '../gateway/model/hostSettings.js'
+import type { HostSettingsHolder } from '../gateway/hosts/hostSettingsHolder.js'
 import type { IngressServer } from '../gateway/ingress/ingressServer.js'
 import type { Logger } from '../../types/logger.js'
 import type { PrefixFollower } from '../gateway/store/prefixFollower.js'
@@ -12,7 +12,7 @@
 
 /** The parts of a host on the platform. */
 export interface GatewayParts {
-  readonly settings: HostSettings
+  readonly settings: HostSettingsHolder
   readonly logger: Logger
   readonly clock: Clock
   readonly configuration: ConfigurationHolder
--- a/src/node/cli/__tests__/createTestDependencies.ts
+++ b/src/node/cli/__tests__/createTestDependencies.ts
@@ -8,12 +8,13 @@
   const output: string[] = []
   const errors: string[] = []
   const files = new Map<string, string>()
+  const reloadListeners = new Set<() => void>()
   const listeners = new Set<(signal: NodeJS.Signals) => void>()
   const dependencies: CommandLineDependencies = {
     version: '9.9.9',
     environment: {},
     startEntryHost: async () => ({ drain () {}, waitUntilStopped: async () => {} }),
-    startGatewayHost: async () => ({ drain () {}, waitUntilStopped: async () => {} }),
+    startGatewayHost: async () => ({ drain () {}, waitUntilStopped: async () => {}, applySettings () {}, recordSettingsFault () {} }),
     parseContract: value => {
       if (typeof (value as Contract).account !== 'string') throw new TestContractError('account: is missing')
       return value as Contract
@@ -26,9 +27,14 @@
       listeners.add(listener)
       return () => listeners.delete(listener)
     },
+    onReload: listener => {
+      reloadListeners.add(listener)
+      return () => reloadListeners.delete(listener)
+    },
     wait: async () => { await new Promise(resolve => setImmediate(resolve)) },
     ...parts
   }
+  const sendReload = () => { for (const listener of reloadListeners) listener() }
   const sendSignal = (signal: NodeJS.Signals) => { for (const listener of listeners) listener(signal) }
-  return { dependencies, output, errors, files, sendSignal }
+  return { dependencies, output, errors, files, sendSignal, sendReload }
 }
--- a/src/node/cli/commandLineDependencies.ts
+++ b/src/node/cli/commandLineDependencies.ts
@@ -1,5 +1,6 @@
 import type { Contract } from '../../types/contract.js'
 import type { HostSettings } from '../gateway/model/hostSettings.js'
+import type { ReloadableHost } from './reloadableHost.js'
 import type { ResolvedSettings } from '../settings/resolvedSettings.js'
 import type { RunningHost } from './runningHost.js'
 
@@ -10,7 +11,7 @@
   /** Starts an entry host; resolves when it is ready to serve. */
   startEntryHost (settings: ResolvedSettings): Promise<RunningHost>
   /** Starts a host on the platform. */
-  startGatewayHost (settings: HostSettings): Promise<RunningHost>
+  startGatewayHost (settings: HostSettings): Promise<ReloadableHost>
   /** Checks a contract; throws a `LycheetrackError` that names all faults. */
   parseContract (value: unknown): Contract
   readTextFile (path: string): Promise<string>
@@ -21,6 +22,8 @@
   writeError (line: string): void
   /** Calls `listener` at each SIGTERM or SIGINT; the returned function removes it. */
   onSignal (listener: (signal: NodeJS.Signals) => void): () => void
+  /** Calls `listener` at each SIGHUP and when the settings file changes; the returned function removes it. */
+  onReload (listener: () => void): () => void
   /** Resolves after `ms`. */
   wait (ms: number): Promise<void>
 }
--- a/src/node/cli/constants.ts
+++ b/src/node/cli/constants.ts
@@ -1,6 +1,8 @@
 /** Parameters of the command line. */
 export const cliConstants = {
   exitStatus: { success: 0, failure: 1, usage: 2 },
+  /** Interval at which the settings file is checked for changes. */
+  settingsPollMs: 1000,
   /** Codes with which a server says that a change may have been accepted. */
   uncertainCodes: ['contract_change_uncertain', 'key_value_uncertain', 'internal_error'] as readonly string[],
   /** Time within which a server must begin to answer. */
--- a/src/node/cli/createCommandLineDependencies.ts
+++ b/src/node/cli/createCommandLineDependencies.ts
@@ -1,5 +1,8 @@
 import { CommandUnavailableError } from './commandUnavailableError.js'
+import { unwatchFile, watchFile } from 'node:fs'
 import { readFile, writeFile } from 'node:fs/promises'
+import { cliConstants } from './constants.js'
+import { platformConstants } from '../platform/constants.js'
 import { setTimeout as delay } from 'node:timers/promises'
 import type { CommandLineDependencies } from './commandLineDependencies.js'
 
@@ -22,6 +25,7 @@
     writeOutput: line => process.stdout.write(`${line}\n`),
     writeError: line => process.stderr.write(`${line}\n`),
     onSignal: addSignalListener,
+    onReload: addReloadListener,
     wait: async ms => { await delay(ms) }
   }
 }
@@ -31,6 +35,17 @@
   return () => process.off('SIGTERM', listener).off('SIGINT', listener)
 }
 
+/** The file is polled, because a change may come without a signal and file events are not available everywhere. */
+function addReloadListener (listener: () => void): () => void {
+  const path = process.env[platformConstants.settingsVariable]
+  process.on('SIGHUP', listener)
+  if (path !== undefined) watchFile(path, { interval: cliConstants.settingsPollMs, persistent: false }, listener)
+  return () => {
+    process.off('SIGHUP', listener)
+    if (path !== undefined) unwatchFile(path, listener)
+  }
+}
+
 function refusePart (name: string): never {
   throw new CommandUnavailableError(`this build does not contain ${name}`)
 }
--- a/src/node/gateway/engines/chooseEngine.ts
+++ b/src/node/gateway/engines/chooseEngine.ts
@@ -1,5 +1,8 @@
-import { engineConstants } from './constants.js'
 import { chooseByRendezvous } from '../../../shared/chooseByRendezvous.js'
+import { computePrefillMs } from './computePrefillMs.js'
+import { engineConstants } from './constants.js'
+import type { EngineLoads } from './engineLoads.js'
+import type { EnginePrompt } from './enginePrompt.js'
 import type { PromptCacheIndex } from './promptCacheIndex.js'
 import type { PromptPart } from '../model/promptPart.js'
 import type { UpstreamState } from '../upstreams/upstreamState.js'
@@ -7,8 +10,8 @@
 interface EngineOptions {
   readonly candidates: readonly UpstreamState[]
   readonly cache: PromptCacheIndex
-  readonly promptParts: readonly PromptPart[]
-  readonly promptTokens: number
+  readonly loads: EngineLoads
+  readonly prompt: EnginePrompt
   /** Failure domain that holds the results of the stages; empty when there are none. */
   readonly inputDomain: string
   /** Size of these results. */
@@ -17,13 +20,14 @@
 }
 
 /**
- * The engine with the lowest expected cost of a request, in milliseconds of reading. The longest part of the prompt
- * that other requests share has a home engine by rendezvous hashing, so that all hosts send requests with that part
- * to the same engine without talking to each other.
- * The load it answers: many engines below their capacity, where reading long prompts again is the main cost.
+ * The engine with the lowest expected cost of a request, in milliseconds: reading what it does not hold, waiting for
+ * prompts that it still reads, and moving stage results. While an engine reads a long prompt, its streams pause; two
+ * at the same time make them late. The longest part of the prompt that other requests share has a home engine by
+ * rendezvous hashing, so that hosts that do not talk to each other choose the same engine.
+ * The load it answers: many engines below their capacity, where reading long prompts is the main cost.
  */
 export function chooseEngine (options: EngineOptions): UpstreamState | undefined {
-  const home = findHomeId(options.candidates, options.promptParts)
+  const home = findHomeId(options.candidates, options.prompt.parts)
   let best: UpstreamState | undefined
   let bestMs = Infinity
   for (const candidate of options.candidates) {
@@ -42,14 +46,14 @@
 }
 
 function computeCostMs (engine: UpstreamState, options: EngineOptions, homeId: string | undefined): number {
-  const { cache, promptParts, promptTokens, inputDomain, inputBytes, nowMs } = options
-  const { entry } = engine
-  const known = cache.countCachedTokens(entry.id, promptParts, nowMs)
-  const cached = entry.id === homeId ? Math.max(known, countSharedTokens(promptParts)) : known
-  const prefillMs = Math.max(promptTokens - cached, 0) / engineConstants.prefillTokensPerMs
-  const isElsewhere = inputDomain !== '' && entry.failureDomain !== inputDomain
+  const { cache, loads, prompt, inputDomain, inputBytes, nowMs } = options
+  const { id, failureDomain } = engine.entry
+  const known = cache.countCachedTokens(id, prompt.parts, nowMs)
+  const cached = id === homeId ? Math.max(known, countSharedTokens(prompt.parts)) : known
+  const isElsewhere = inputDomain !== '' && failureDomain !== inputDomain
   const moveMs = isElsewhere ? inputBytes * engineConstants.moveMsPerByte : 0
-  return prefillMs + moveMs + engine.inFlight * engineConstants.shareMs + engine.computeDurationMs(nowMs) * engineConstants.durationShare
+  return computePrefillMs(prompt.tokens - cached) + loads.computeBusyMs(id, nowMs) * engineConstants.busyWeight + moveMs +
+    engine.inFlight * engineConstants.shareMs + engine.computeDurationMs(nowMs) * engineConstants.durationShare
 }
 
 function countSharedTokens (parts: readonly PromptPart[]): number {
--- a/src/node/gateway/engines/constants.ts
+++ b/src/node/gateway/engines/constants.ts
@@ -2,6 +2,9 @@
 export const engineConstants = {
   /** Prompt tokens that an engine reads in a millisecond; measured engines read 48 to 55. */
   prefillTokensPerMs: 50,
+  /** Weight of the time that an engine still reads other prompts: the request waits for it, and streams there pause longer. */
+  busyWeight: 1.5,
+  maxBusyMs: 3000,
   /** Time that each request in progress adds for a new one, as all share the batch. */
   shareMs: 2,
   /** Cost of a byte of stage results that crosses failure domains, in milliseconds of reading: a megabyte is worth about 350 tokens. */
@@ -12,6 +15,12 @@
   cacheLifeMs: 30_000,
   /** Prompt parts remembered for each engine. */
   maxParts: 4000,
+  /** Share of the requests whose first event comes within the time reserved for it. */
+  reserveQuantile: 0.75,
+  reserveStep: 0.1,
+  initialReserveMs: 120,
+  minReserveMs: 30,
+  maxReserveMs: 1000,
   /** An engine without a first event for this time is given up, when the request may be sent again. */
   firstEventTimeoutMs: 2500
 } as const
--- /dev/null
+++ b/src/node/gateway/engines/engineTimes.ts
@@ -0,0 +1,20 @@
+import { engineConstants } from './constants.js'
+
+/**
+ * Time from sending a request to its first event, by route: the quantile that the stages before it must leave free.
+ * Tracked by steps in proportion to the value, because routes differ tenfold.
+ */
+export class EngineTimes {
+  private readonly quantiles = new Map<string, number>()
+
+  getReserveMs (route: string): number {
+    return this.quantiles.get(route) ?? engineConstants.initialReserveMs
+  }
+
+  observe (route: string, durationMs: number): void {
+    const { reserveQuantile, reserveStep, minReserveMs, maxReserveMs } = engineConstants
+    const current = this.getReserveMs(route)
+    const factor = durationMs > current ? 1 + reserveStep * reserveQuantile : 1 - reserveStep * (1 - reserveQuantile)
+    this.quantiles.set(route, Math.min(Math.max(current * factor, minReserveMs), maxReserveMs))
+  }
+}
--- a/src/node/gateway/ingress/__tests__/decideNextAttempt.test.ts
+++ b/src/node/gateway/ingress/__tests__/decideNextAttempt.test.ts
@@ -16,7 +16,7 @@
   'no connection': { type: 'not-run', reason: 'connect', wasSent: false, areInputsGone: false },
   'inputs gone': { type: 'not-run', reason: 'upstream status 409', wasSent: true, areInputsGone: true },
   uncertain: { type: 'uncertain', reason: 'broken' },
-  streamed: { type: 'streamed' },
+  streamed: { type: 'streamed', longestPauseMs: 0 },
   cancelled: { type: 'cancelled' }
 }
 
--- a/src/node/gateway/ingress/attemptResult.ts
+++ b/src/node/gateway/ingress/attemptResult.ts
@@ -5,7 +5,7 @@
   /** A whole answer that has not been forwarded. */
   | { readonly type: 'answer', readonly head: UpstreamAnswerHead, readonly body: Buffer }
   /** A stream was forwarded to its end. */
-  | { readonly type: 'streamed' }
+  | { readonly type: 'streamed', /** Longest time between two arrivals of events. */ readonly longestPauseMs: number }
   /** The upstream certainly did not run the request. `wasSent` is false when no connection could be had. */
   | { readonly type: 'not-run', readonly reason: string, readonly wasSent: boolean, readonly areInputsGone: boolean }
   /** The upstream may have run the request, or is in the middle of its stream. */
--- a/src/node/gateway/ingress/buildStageJob.ts
+++ b/src/node/gateway/ingress/buildStageJob.ts
@@ -5,7 +5,7 @@
 const outputTokenWeight = 10
 
 /** The stage work of a request; undefined when it has none. */
-export function buildStageJob ({ request, route, account, aimAtMs, deadlineAtMs }: RequestRunOptions, run: { readonly attempt: number, readonly preferredDomain: string }): StageJob | undefined {
+export function buildStageJob ({ request, route, account, aimAtMs, deadlineAtMs }: RequestRunOptions, run: { readonly attempt: number, /** Service of the engine to choose with the stages. */ readonly engineService: string | undefined, /** Time for the request after its stages. */ readonly reserveMs: number }): StageJob | undefined {
   const stages = route.stages
     .map(stage => ({ ...stage, pieceCount: request.pieceCounts[stage.index] ?? 0 }))
     .filter(stage => stage.pieceCount > 0)
@@ -16,10 +16,12 @@
     pieceKey: request.pieceKey,
     route: route.name,
     stages,
-    aimAtMs,
-    deadlineAtMs,
+    aimAtMs: aimAtMs - run.reserveMs,
+    deadlineAtMs: deadlineAtMs - run.reserveMs,
     priority: account?.priority ?? route.priority,
     worth: request.promptTokens + outputTokenWeight * request.maxOutputTokens,
-    preferredDomain: run.preferredDomain
+    preferredDomain: '',
+    engineService: run.engineService,
+    prompt: { tokens: request.promptTokens, parts: request.promptParts }
   }
 }
--- a/src/node/gateway/ingress/constants.ts
+++ b/src/node/gateway/ingress/constants.ts
@@ -4,6 +4,9 @@
   answerMarginMs: 25,
   /** A burst of clients connects at once after an outage. */
   listenBacklog: 2048,
+  /** Clients wait for 0.85 to 1 times the time-out of a route; with less time left, an attempt is not the first one. */
+  shortestPatienceShare: 0.84,
+  usualPatienceShare: 0.925,
   /** Largest head of a request that the parser takes; the operator's limit is 16 KB. */
   maxHeaderBytes: 65_536,
   /** Interval at which connections are checked for time limits. */
--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -1,4 +1,5 @@
 import { createServer } from 'node:http'
+import { computeAimLeftMs } from './computeAimLeftMs.js'
 import { ClientAnswer } from './clientAnswer.js'
 import { ingressConstants } from './constants.js'
 import { readRequestBody } from './readRequestBody.js'
@@ -101,7 +102,6 @@
     const account = configuration.findAccount(route, request.apiKey)
     if (account === undefined) return this.refuse(answer, { request, status: 401, code: 'unauthorized', reason: 'unknown API key' })
     const limitMs = Math.min((request.timeLeftMs ?? route.timeoutMs) - ingressConstants.answerMarginMs, route.timeoutMs)
-    const elapsedMs = Math.max(route.timeoutMs - (request.timeLeftMs ?? route.timeoutMs), 0)
     const run = new RequestRun({
       request,
       route,
@@ -111,8 +111,7 @@
       configurationVersion: version,
       arrivedAtMs,
       deadlineAtMs: arrivedAtMs + limitMs,
-      // The aim counts from the client's first attempt; what is missing from the usual deadline has passed already.
-      aimAtMs: arrivedAtMs + route.latencyAimMs - elapsedMs
+      aimAtMs: arrivedAtMs + computeAimLeftMs(route, request.timeLeftMs)
     }, parts)
     response.once('close', () => { run.cancel() })
     if (!response.destroyed) await run.run()
--- a/src/node/gateway/ingress/requestRun.ts
+++ b/src/node/gateway/ingress/requestRun.ts
@@ -1,5 +1,4 @@
 import { buildStageJob } from './buildStageJob.js'
-import { chooseEngine } from '../engines/chooseEngine.js'
 import { chooseTarget } from './chooseTarget.js'
 import { chooseUpstream } from '../upstreams/chooseUpstream.js'
 import { decideNextAttempt } from './decideNextAttempt.js'
@@ -27,6 +26,8 @@
   private inputs: readonly string[] = []
   private inputDomain = ''
   private inputBytes = 0
+  /** Engine that was chosen with the stages. */
+  private chosenEngineId: string | undefined
   private releaseInputs = noRelease
   /** An upstream has the request, or has had it and did not say that it was not run. */
   private mayHaveRun = false
@@ -64,7 +65,7 @@
   /** Whether the request may go on to an upstream. */
   private async runStages (): Promise<boolean> {
     const { request, route, answer } = this.options
-    const job = buildStageJob(this.options, { attempt: this.stageRuns, preferredDomain: this.findPreferredDomain() })
+    const job = buildStageJob(this.options, { attempt: this.stageRuns, engineService: route.callKind === 'stream' ? this.service : undefined, reserveMs: this.parts.engineTimes.getReserveMs(route.name) })
     this.stageRuns++
     if (job === undefined) return true
     this.releaseInputs()
@@ -74,6 +75,7 @@
     if (outcome.type === 'completed') {
       this.inputs = outcome.outputs.flatMap((output: StageOutput) => output.handles)
       this.inputDomain = outcome.outputDomain
+      this.chosenEngineId = outcome.engineId
       this.inputBytes = outcome.outputs.reduce((sum, output) => sum + output.handles.length * (route.stages[output.index]?.resultBytes ?? 0), 0)
       return true
     }
@@ -96,6 +98,7 @@
         attempt: this.sentCount,
         result: result.type,
         status: result.type === 'answer' ? result.head.status : undefined,
+        longestPauseMs: result.type === 'streamed' ? result.longestPauseMs : undefined,
         reason: findReason(result),
         action: decision.action,
         elapsedMs: this.computeElapsedMs(),
@@ -164,6 +167,7 @@
       lastEventId: this.lastEventId,
       answer,
       signal: this.controller.signal,
+      clock: this.parts.clock,
       silenceMs: this.computeSilenceMs(upstream),
       onEvents: lastEventId => { this.onEvents(upstream, lastEventId) }
     })
@@ -185,10 +189,10 @@
     this.hasEvents = true
     const nowMs = this.parts.clock.readMonotonicMs()
     upstream.onSuccess(nowMs - this.sentAtMs, nowMs)
+    this.parts.engineTimes.observe(this.options.route.name, nowMs - this.sentAtMs)
     // An engine has read the results of the stages by its first event.
     this.releaseInputs()
     this.releaseInputs = noRelease
-    this.parts.cache.record(upstream.entry.id, this.options.request.promptParts, nowMs)
     this.record('first event', { upstream: upstream.entry.id, sentMs: Math.round(nowMs - this.sentAtMs), elapsedMs: this.computeElapsedMs(), aimLeftMs: Math.round(this.options.aimAtMs - nowMs) })
   }
 
@@ -206,22 +210,17 @@
   }
 
   private chooseUpstream (): UpstreamState | undefined {
-    const { directory, cache, clock, failureDomain, random } = this.parts
+    const { directory, engines, clock, failureDomain, random } = this.parts
     const { request, route } = this.options
+    const nowMs = clock.readMonotonicMs()
     const usable = directory.listUsable(this.service)
-    const fresh = usable.filter(state => !this.triedIds.has(state.entry.id))
-    const candidates = fresh.length > 0 ? fresh : usable
     if (route.callKind === 'stream') {
-      return chooseEngine({ candidates, cache, promptParts: request.promptParts, promptTokens: request.promptTokens, inputDomain: this.inputDomain, inputBytes: this.inputBytes, nowMs: clock.readMonotonicMs() })
+      const chosen = usable.find(state => state.entry.id === this.chosenEngineId && !this.triedIds.has(state.entry.id))
+      if (chosen?.pool.hasRoom() === true) return chosen
+      return engines.placeRequest(this.service, { tokens: request.promptTokens, parts: request.promptParts }, { domain: this.inputDomain, bytes: this.inputBytes }, this.triedIds, nowMs)
     }
-    return chooseUpstream({ candidates, excludedIds: new Set(), failureDomain, random, nowMs: clock.readMonotonicMs() })
-  }
-
-  private findPreferredDomain (): string {
-    const { request, route } = this.options
-    if (route.callKind !== 'stream') return ''
-    const { directory, cache, clock } = this.parts
-    return chooseEngine({ candidates: directory.listUsable(this.service), cache, promptParts: request.promptParts, promptTokens: request.promptTokens, inputDomain: '', inputBytes: 0, nowMs: clock.readMonotonicMs() })?.entry.failureDomain ?? ''
+    const fresh = usable.filter(state => !this.triedIds.has(state.entry.id))
+    return chooseUpstream({ candidates: fresh.length > 0 ? fresh : usable, failureDomain, random, nowMs })
   }
 
   private isRepeatable (): boolean {
--- a/src/node/gateway/ingress/requestRunParts.ts
+++ b/src/node/gateway/ingress/requestRunParts.ts
@@ -1,7 +1,8 @@
 import type { Clock } from '../../../types/clock.js'
+import type { EnginePlanner } from '../engines/enginePlanner.js'
+import type { EngineTimes } from '../engines/engineTimes.js'
 import type { Logger } from '../../../types/logger.js'
 import type { Metrics } from '../../../types/metrics.js'
-import type { PromptCacheIndex } from '../engines/promptCacheIndex.js'
 import type { Random } from '../../../types/random.js'
 import type { RetryAllowance } from '../upstreams/retryAllowance.js'
 import type { StageClient } from '../stages/stageClient.js'
@@ -12,7 +13,8 @@
 export interface RequestRunParts {
   readonly directory: UpstreamDirectory
   readonly stages: StageClient
-  readonly cache: PromptCacheIndex
+  readonly engines: EnginePlanner
+  readonly engineTimes: EngineTimes
   readonly retries: RetryAllowance
   readonly encodeHeaders: UpstreamHeaderEncoder
   readonly failureDomain: string
--- a/src/node/gateway/ingress/sendAttempt.ts
+++ b/src/node/gateway/ingress/sendAttempt.ts
@@ -3,6 +3,7 @@
 import { upstreamConstants } from '../upstreams/constants.js'
 import type { AttemptResult } from './attemptResult.js'
 import type { ClientAnswer } from './clientAnswer.js'
+import type { Clock } from '../../../types/clock.js'
 import type { ExchangeFailure } from '../upstreams/exchangeFailure.js'
 import type { ExchangeHandler } from '../upstreams/exchangeHandler.js'
 import type { ExchangeRequest } from '../upstreams/exchangeRequest.js'
@@ -17,6 +18,7 @@
   readonly lastEventId: string | undefined
   readonly answer: ClientAnswer
   readonly signal: AbortSignal
+  readonly clock: Clock
   /** Time without a byte after which the attempt is given up; undefined to wait as long as the signal allows. */
   readonly silenceMs: number | undefined
   /** Whole events were forwarded. */
@@ -34,6 +36,8 @@
   private size = 0
   private splitter: EventSplitter | undefined
   private silenceTimer: NodeJS.Timeout | undefined
+  private lastEventsAtMs: number | undefined
+  private longestPauseMs = 0
   private hasEnded = false
   private giveUp = (): void => {}
   private readonly onAbort = (): void => { this.end({ type: 'cancelled' }, true) }
@@ -69,7 +73,7 @@
     if (splitter !== undefined) {
       if (!this.options.answer.hasStarted) this.options.answer.startStream(head)
       this.options.answer.endStream()
-      return this.end({ type: 'streamed' })
+      return this.end({ type: 'streamed', longestPauseMs: Math.round(this.longestPauseMs) })
     }
     if (head.isNotRun) return this.end({ type: 'not-run', reason: `upstream status ${head.status}`, wasSent: true, areInputsGone: head.status === 409 })
     this.end({ type: 'answer', head, body: Buffer.concat(this.chunks) })
@@ -87,6 +91,7 @@
     const { events, lastEventId } = splitter.addChunk(chunk)
     if (events.length === 0) return
     clearTimeout(this.silenceTimer)
+    this.observePause(this.options.clock.readMonotonicMs())
     if (!answer.hasStarted) answer.startStream(this.head!)
     answer.writeEvents(events)
     onEvents(lastEventId)
@@ -96,6 +101,11 @@
     }
   }
 
+  private observePause (nowMs: number): void {
+    if (this.lastEventsAtMs !== undefined) this.longestPauseMs = Math.max(this.longestPauseMs, nowMs - this.lastEventsAtMs)
+    this.lastEventsAtMs = nowMs
+  }
+
   private end (result: AttemptResult, mustGiveUp = false): void {
     if (this.hasEnded) return
     this.hasEnded = true
--- a/src/node/gateway/stages/__tests__/createTestScheduler.ts
+++ b/src/node/gateway/stages/__tests__/createTestScheduler.ts
@@ -39,6 +39,7 @@
     priority: 1,
     worth: 1,
     preferredDomain: '',
+    prompt: { tokens: 0, parts: [] },
     ...job,
     stages: stages.map((stage, index) => ({ index, service: 'a', after: [], pieceCount: 1, resultBytes: 1000, ...stage }))
   })
--- a/src/node/gateway/stages/admitStageJob.ts
+++ b/src/node/gateway/stages/admitStageJob.ts
@@ -9,13 +9,13 @@
  * The load it answers: crests of one to three times the mean for some seconds, at which the stage services are the
  * bottleneck. Work that can be on time is taken; work that can't is taken only into capacity that is spare.
  */
-export function admitStageJob (job: StageJob, services: ReadonlyMap<string, StageService>, nowMs: number): StageAdmission {
+export function admitStageJob (job: StageJob, services: ReadonlyMap<string, StageService>, nowMs: number, marginMs: number): StageAdmission {
   const missing = job.stages.find(stage => (services.get(stage.service)?.upstreams.size ?? 0) === 0)
   if (missing !== undefined) return { isAccepted: false, reason: `no upstream of ${missing.service}`, retryAfterMs: stageConstants.minRetryAfterMs }
   const finishInMs = computeFinishMs(job, services, nowMs)
-  const aimLeftMs = job.aimAtMs - nowMs - stageConstants.engineReserveMs
+  const aimLeftMs = job.aimAtMs - nowMs
   const timeLeftMs = job.deadlineAtMs - nowMs
-  if (finishInMs <= aimLeftMs) return { isAccepted: true, isLate: false, finishInMs }
+  if (finishInMs + marginMs <= aimLeftMs) return { isAccepted: true, isLate: false, finishInMs }
   const lateWaitMs = computeLateWaitMs(job, services, nowMs)
   const finishLateMs = finishInMs + lateWaitMs
   const { lateAcceptShare, maxLateWaitMs } = stageConstants
@@ -23,25 +23,30 @@
   return { isAccepted: false, reason: 'stage queues are too long', retryAfterMs: computeRetryAfterMs(lateWaitMs) }
 }
 
-/** Expected time until the last stage is done, behind all work that has been accepted as on time. */
+/**
+ * Expected time until the last stage is done: the path through the stages, and the longest of the queues on it. The
+ * queues are counted with all accepted work that goes before the job, also where it has not arrived yet; as that work
+ * cannot be drained before it arrives, the longest queue is added to the path instead of overlapping with it.
+ */
 function computeFinishMs (job: StageJob, services: ReadonlyMap<string, StageService>, nowMs: number): number {
   const finish = new Map<number, number>()
-  let last = 0
+  let pathMs = 0
+  let queueMs = 0
   for (const stage of [...job.stages].sort((a, b) => a.index - b.index)) {
     const service = services.get(stage.service)!
+    const { batchSize, callMs, pieceMs } = service.spec
     const readyMs = Math.max(0, ...stage.after.map(index => finish.get(index) ?? 0))
-    const capacity = service.computeCapacity(nowMs)
     const ahead = countPiecesAhead(job, service, nowMs)
-    const drainedMs = capacity === 0 ? Infinity : Math.max(ahead - service.spec.batchSize, 0) / capacity
-    const startMs = Math.max(readyMs, service.computeFirstFreeMs(nowMs), drainedMs)
-    const { batchSize, callMs, pieceMs } = service.spec
+    const capacity = service.computeCapacity(nowMs)
+    queueMs = Math.max(queueMs, capacity === 0 ? Infinity : Math.max(ahead - batchSize, 0) / capacity)
     const shared = Math.min(batchSize, stage.pieceCount + ahead / Math.max(service.upstreams.size, 1))
     const ownMs = service.costs.getFactor(`${job.route}:${stage.index}`) * pieceMs
+    const startMs = Math.max(readyMs, service.computeFirstFreeMs(nowMs))
     const endMs = startMs + (callMs + shared * ownMs) * Math.ceil(stage.pieceCount / batchSize)
     finish.set(stage.index, endMs)
-    last = Math.max(last, endMs)
+    pathMs = Math.max(pathMs, endMs)
   }
-  return last
+  return pathMs + queueMs
 }
 
 /** Pieces of accepted work on time that goes before the job: those with less time to spare, by the order of the queues. */
--- a/src/node/gateway/stages/buildStageCall.ts
+++ b/src/node/gateway/stages/buildStageCall.ts
@@ -5,6 +5,7 @@
 import type { StageService } from './stageService.js'
 import type { StageTask } from './stageTask.js'
 import type { StageUpstream } from './stageUpstream.js'
+import { TaskLane } from './taskLane.js'
 import type { TaskRank } from './taskRank.js'
 
 interface BuildOptions {
@@ -33,13 +34,13 @@
 }
 
 /** The fastest idle upstream, in the domain of the inputs when they are heavy; undefined to wait for one there. */
-function chooseUpstream (service: StageService, { task, isLate, slackMs }: TaskRank, idle: readonly StageUpstream[]): StageUpstream | undefined {
+function chooseUpstream (service: StageService, { task, lane, slackMs }: TaskRank, idle: readonly StageUpstream[]): StageUpstream | undefined {
   const withRoom = idle.filter(upstream => hasRoom(service, upstream, task.work.resultBytes))
   const domain = findWantedDomain(task)
   const local = withRoom.filter(upstream => upstream.failureDomain === domain)
   const isServedThere = [...service.upstreams.values()].some(upstream => upstream.failureDomain === domain && !upstream.isDraining)
   if (local.length > 0) return findFastest(local)
-  if (isServedThere && hasHeavyInputs(task) && (isLate || slackMs > stageConstants.domainPatienceMs)) return undefined
+  if (isServedThere && hasHeavyInputs(task) && (lane !== TaskLane.onTime || slackMs > stageConstants.domainPatienceMs)) return undefined
   return findFastest(withRoom)
 }
 
--- /dev/null
+++ b/src/node/gateway/stages/computeRemainingMs.ts
@@ -0,0 +1,11 @@
+import type { StageService } from './stageService.js'
+import type { StageTask } from './stageTask.js'
+
+/** Time that a stage and the longest chain of stages after it need when nothing waits. */
+export function computeRemainingMs (task: StageTask, services: ReadonlyMap<string, StageService>): number {
+  const { work } = task
+  const spec = services.get(work.service)?.spec
+  const ownMs = spec === undefined ? 0 : spec.callMs + Math.min(work.pieceCount, spec.batchSize) * spec.pieceMs
+  const followers = [...task.job.tasks.values()].filter(other => other.work.after.includes(work.index))
+  return ownMs + Math.max(0, ...followers.map(follower => computeRemainingMs(follower, services)))
+}
--- a/src/node/gateway/stages/constants.ts
+++ b/src/node/gateway/stages/constants.ts
@@ -2,10 +2,17 @@
 export const stageConstants = {
   /** Work that arrives within this time shares a call: clients send in clumps, and the fixed part of a call is 240 ms. */
   gatherMs: 8,
+  /** Share of the jobs accepted as on time that shall end in time. */
+  marginQuantile: 0.7,
+  /** Step by which the margin of the estimate follows its error; a crest has some hundred jobs. */
+  marginStepMs: 15,
+  initialMarginMs: 0,
+  minMarginMs: -300,
+  maxMarginMs: 600,
   /** Each step of priority counts as this much time to spare. */
   priorityStepMs: 100,
-  /** Time for the prompt and the network after the last stage, kept free before the aim. */
-  engineReserveMs: 120,
+  /** Late work whose inputs have waited for this time goes along with work on time, before they expire. */
+  maxInputAgeMs: 1500,
   /** Inputs above this size are taken where they lie: results that cross failure domains are dear. */
   heavyInputBytes: 300_000,
   /** A heavy result of a first stage; it is made where the engine is wanted. */
@@ -36,7 +43,7 @@
   /** Share of the remaining time within which late work must be expected to finish in order to be accepted. */
   lateAcceptShare: 0.4,
   /** Longest expected wait of late work. */
-  maxLateWaitMs: 4000,
+  maxLateWaitMs: 2500,
   /** Share of the capacity that late work counts on even when all of it is in use. */
   minSpareShare: 0.1,
   /** Window of the measured load. */
--- a/src/node/gateway/stages/decodeStageJob.ts
+++ b/src/node/gateway/stages/decodeStageJob.ts
@@ -19,6 +19,8 @@
     deadlineAtMs: nowMs + (message.timeLeftMs ?? 0),
     worth: message.worth ?? 0,
     priority: message.priority ?? 0,
-    preferredDomain: message.preferredDomain ?? ''
+    preferredDomain: '',
+    engineService: message.engineService === '' ? undefined : message.engineService ?? undefined,
+    prompt: { tokens: message.promptTokens ?? 0, parts: (message.partIds ?? []).map((id, i) => ({ id, tokens: message.partTokens?.[i] ?? 0 })) }
   }
 }
--- a/src/node/gateway/stages/decodeStageOutcome.ts
+++ b/src/node/gateway/stages/decodeStageOutcome.ts
@@ -8,7 +8,8 @@
     case 'completed': return {
       type: 'completed',
       outputs: (message.outputs ?? []).map(output => ({ index: output.index ?? 0, handles: output.handles ?? [] })),
-      outputDomain: message.outputDomain ?? ''
+      outputDomain: message.outputDomain ?? '',
+      engineId: message.engineId === '' ? undefined : message.engineId ?? undefined
     }
     case 'refused': return { type: 'refused', reason, retryAfterMs: message.retryAfterMs ?? 0 }
     default: return { type: 'failed', reason }
--- a/src/node/gateway/stages/encodeStageJob.ts
+++ b/src/node/gateway/stages/encodeStageJob.ts
@@ -13,6 +13,9 @@
     timeLeftMs: job.deadlineAtMs - nowMs,
     worth: job.worth,
     priority: job.priority,
-    preferredDomain: job.preferredDomain
+    engineService: job.engineService ?? '',
+    promptTokens: job.prompt.tokens,
+    partIds: job.prompt.parts.map(part => part.id),
+    partTokens: job.prompt.parts.map(part => part.tokens)
   }
 }
--- a/src/node/gateway/stages/jobState.ts
+++ b/src/node/gateway/stages/jobState.ts
@@ -9,7 +9,8 @@
   isEnded = false
   readonly startedAtMs: number
 
-  constructor (readonly job: StageJob, nowMs: number) {
+  /** `expectedMs` is the time that the job was expected to take, for a job accepted as on time. */
+  constructor (readonly job: StageJob, nowMs: number, readonly expectedMs: number | undefined) {
     this.startedAtMs = nowMs
     this.tasks = new Map(job.stages.map(stage => [stage.index, new StageTask(this, stage)]))
   }
--- a/src/node/gateway/stages/stageDispatcher.ts
+++ b/src/node/gateway/stages/stageDispatcher.ts
@@ -1,6 +1,7 @@
 import { readStageCall } from './readStageCall.js'
 import { stageConstants } from './constants.js'
 import type { Clock } from '../../../types/clock.js'
+import type { EnginePlanner } from '../engines/enginePlanner.js'
 import type { Logger } from '../../../types/logger.js'
 import type { Metrics } from '../../../types/metrics.js'
 import type { StageCall } from './stageCall.js'
@@ -15,6 +16,7 @@
 interface DispatcherOptions {
   readonly scheduler: StageScheduler
   readonly directory: UpstreamDirectory
+  readonly engines: EnginePlanner
   readonly codec: StageCallCodec
   readonly clock: Clock
   readonly logger: Logger
@@ -31,9 +33,11 @@
   constructor (private readonly options: DispatcherOptions) {}
 
   /** Runs the stages of a job. Results of a completed one must be released by `releaseJob`. */
-  async runJob (job: StageJob, signal: AbortSignal): Promise<StageOutcome> {
-    const { scheduler, clock, logger, metrics } = this.options
+  async runJob (request: StageJob, signal: AbortSignal): Promise<StageOutcome> {
+    const { scheduler, engines, clock, logger, metrics } = this.options
     const nowMs = clock.readMonotonicMs()
+    const { engineService, prompt } = request
+    const job = engineService === undefined ? request : { ...request, preferredDomain: engines.findDomain(engineService, prompt, nowMs) }
     const admission = scheduler.addJob(job, nowMs)
     const queues = scheduler.listLoads(nowMs).map(load => `${load.service}=${load.queuedPieces}+${load.latePieces}/${load.idle}of${load.upstreams}`).join(' ')
     const aimLeftMs = Math.round(job.aimAtMs - nowMs)
@@ -56,13 +60,21 @@
         const elapsedMs = clock.readMonotonicMs() - nowMs
         metrics.recordDuration('stage_job', { outcome: outcome.type }, elapsedMs)
         logger.recordInfo('stages ended', { requestId: job.requestId, outcome: outcome.type, reason: outcome.type === 'completed' ? undefined : outcome.reason, elapsedMs: Math.round(elapsedMs) })
-        resolve(outcome)
+        resolve(outcome.type === 'completed' ? this.addEngine(job, outcome) : outcome)
       })
       if (signal.aborted) onAbort()
       else this.schedulePlan(stageConstants.gatherMs)
     })
   }
 
+  /** Chooses the engine when the results are there, with a view of all requests with stages. */
+  private addEngine (job: StageJob, outcome: StageOutcome & { readonly type: 'completed' }): StageOutcome {
+    if (job.engineService === undefined) return outcome
+    const bytes = outcome.outputs.reduce((sum, { index, handles }) => sum + handles.length * (job.stages.find(stage => stage.index === index)?.resultBytes ?? 0), 0)
+    const engine = this.options.engines.placeRequest(job.engineService, job.prompt, { domain: outcome.outputDomain, bytes }, new Set(), this.options.clock.readMonotonicMs())
+    return { ...outcome, engineId: engine?.entry.id }
+  }
+
   /** The results of a completed job have been used or are not wanted. */
   releaseJob (jobId: string): void {
     this.options.scheduler.releaseJob(jobId)
@@ -98,7 +110,7 @@
   private sendCall (call: StageCall): void {
     const { directory, codec, clock, logger, metrics } = this.options
     const upstream = directory.find(call.upstreamId)
-    logger.recordDebug('stage call sent', { service: call.service, upstream: call.upstreamId, pieces: call.pieces.length, expectedMs: Math.round(call.expectedMs) })
+    logger.recordInfo('stage call sent', { service: call.service, upstream: call.upstreamId, pieces: call.pieces.length, expectedMs: Math.round(call.expectedMs) })
     metrics.addCount('stage_pieces', { service: call.service }, call.pieces.length)
     if (upstream === undefined) return this.onCallFailed(call, 'upstream gone')
     const cancel = readStageCall({
--- a/src/node/gateway/stages/stageJob.ts
+++ b/src/node/gateway/stages/stageJob.ts
@@ -1,3 +1,4 @@
+import type { EnginePrompt } from '../engines/enginePrompt.js'
 import type { StageWork } from './stageWork.js'
 
 /** The stages of one request. Times are on the monotonic clock of the scheduling host. */
@@ -10,8 +11,9 @@
   readonly route: string
   /** Stages with at least one piece. */
   readonly stages: readonly StageWork[]
-  /** Time by which the first event is on time. */
+  /** Time by which the stages must be done for the request to be on time. */
   readonly aimAtMs: number
+  /** Time by which the stages must be done for the request to be answered at all. */
   readonly deadlineAtMs: number
   /** 0 is the most urgent. */
   readonly priority: number
@@ -19,4 +21,7 @@
   readonly worth: number
   /** Failure domain in which the engine is wanted; empty when any will do. */
   readonly preferredDomain: string
+  /** Service of the engine that takes the results; undefined when no engine is chosen with the stages. */
+  readonly engineService?: string
+  readonly prompt: EnginePrompt
 }
--- a/src/node/gateway/stages/stageScheduler.ts
+++ b/src/node/gateway/stages/stageScheduler.ts
@@ -1,6 +1,8 @@
 import { admitStageJob } from './admitStageJob.js'
 import { buildStageCall } from './buildStageCall.js'
+import { EstimateMargin } from './estimateMargin.js'
 import { JobState } from './jobState.js'
+import { computeRemainingMs } from './computeRemainingMs.js'
 import { listTasksByRank } from './listTasksByRank.js'
 import { stageConstants } from './constants.js'
 import { StageService } from './stageService.js'
@@ -25,6 +27,7 @@
   private readonly ended: Array<{ readonly jobId: string, readonly outcome: StageOutcome }> = []
   /** Results that are no longer needed, by the upstream that holds them. */
   private releases = new Map<string, StageRelease>()
+  private readonly margin = new EstimateMargin()
   private nextCallId = 1
 
   /** Takes over the stage services of a configuration and the upstreams that serve them. */
@@ -40,11 +43,11 @@
 
   /** Accepts or refuses a job; an accepted one ends with an entry of `takeEnded`. */
   addJob (job: StageJob, nowMs: number): StageAdmission {
-    const admission = admitStageJob(job, this.services, nowMs)
+    const admission = admitStageJob(job, this.services, nowMs, this.margin.valueMs)
     if (!admission.isAccepted) return admission
-    const state = new JobState(job, nowMs)
+    const state = new JobState(job, nowMs, admission.isLate ? undefined : admission.finishInMs)
     this.jobs.set(job.id, state)
-    this.updateReady(state)
+    this.updateReady(state, nowMs)
     this.countBacklog(nowMs)
     return admission
   }
@@ -69,7 +72,7 @@
     const calls: StageCall[] = []
     for (const service of this.services.values()) {
       while (service.ready.size > 0) {
-        const call = buildStageCall({ service, ranks: listTasksByRank(service, this.services, nowMs), nowMs, callId: this.nextCallId })
+        const call = buildStageCall({ service, ranks: listTasksByRank(service, nowMs), nowMs, callId: this.nextCallId })
         if (call === undefined) break
         this.nextCallId++
         this.onCallSent(service, call)
@@ -96,7 +99,7 @@
       tasks.add(task)
       this.onPieceResult(call, task, pieceIndex, result, nowMs)
     })
-    for (const task of tasks) this.updateJob(task.job)
+    for (const task of tasks) this.updateJob(task.job, nowMs)
     this.countBacklog(nowMs)
   }
 
@@ -170,7 +173,7 @@
       task.inFlight++
       upstream.usedRoomBytes += task.work.resultBytes
       if (task.pending.length === 0) service.ready.delete(task)
-      this.updateReady(task.job)
+      this.updateReady(task.job, call.sentAtMs)
     }
   }
 
@@ -185,7 +188,7 @@
     this.removeRoom(call.service, call.upstreamId, task.work.resultBytes)
     if (task.job.isEnded) return
     if (result.failure === 'late') return this.endJob(task.job, { type: 'failed', reason: 'deadline passed in a stage' })
-    if (result.failure === 'input-gone') return this.startAgain(task.job)
+    if (result.failure === 'input-gone') return this.startAgain(task.job, nowMs)
     if (result.failure === 'no-room') {
       const upstream = this.services.get(call.service)!.upstreams.get(call.upstreamId)
       if (upstream !== undefined) upstream.pausedUntilMs = nowMs + stageConstants.noRoomPauseMs
@@ -203,21 +206,22 @@
   }
 
   /** Results were lost before they were used: the job begins again while pieces in calls run out unheeded. */
-  private startAgain (state: JobState): void {
+  private startAgain (state: JobState, nowMs: number): void {
     this.removeJob(state)
     if (state.restarts >= stageConstants.maxRestarts) {
       this.ended.push({ jobId: state.job.id, outcome: { type: 'failed', reason: 'stage results were lost' } })
       return
     }
-    const next = new JobState(state.job, state.startedAtMs)
+    const next = new JobState(state.job, state.startedAtMs, undefined)
     next.restarts = state.restarts + 1
     this.jobs.set(state.job.id, next)
-    this.updateReady(next)
+    this.updateReady(next, nowMs)
   }
 
-  private updateJob (state: JobState): void {
+  private updateJob (state: JobState, nowMs: number): void {
     if (state.isEnded) return
-    if (!state.isDone()) return this.updateReady(state)
+    if (!state.isDone()) return this.updateReady(state, nowMs)
+    if (state.expectedMs !== undefined) this.margin.observe(nowMs - state.startedAtMs - state.expectedMs)
     const outputs = state.listOutputTasks()
     this.releaseInputs(state, outputs)
     this.ended.push({
@@ -227,7 +231,7 @@
   }
 
   /** Makes those tasks ready whose inputs are there and, beside a longer chain, whose turn has come. */
-  private updateReady (state: JobState): void {
+  private updateReady (state: JobState, nowMs: number): void {
     if (state.isEnded) return
     const chainLength = state.listRemainingChain().filter(task => task.pending.length > 0).length
     for (const task of state.tasks.values()) {
@@ -237,6 +241,8 @@
       const isSide = task.work.after.length === 0 && !state.listRemainingChain().includes(task)
       if (isSide && chainLength > 1) continue
       task.isReady = true
+      task.readyAtMs = nowMs
+      task.remainingMs = computeRemainingMs(task, this.services)
       this.services.get(task.work.service)?.ready.add(task)
     }
   }
@@ -244,7 +250,7 @@
   /** Ends jobs that can no longer be answered before their deadline. */
   private endHopelessJobs (nowMs: number): void {
     for (const state of this.jobs.values()) {
-      if (!state.isEnded && !state.isDone() && state.job.deadlineAtMs - stageConstants.engineReserveMs <= nowMs) {
+      if (!state.isEnded && !state.isDone() && state.job.deadlineAtMs <= nowMs) {
         this.endJob(state, { type: 'failed', reason: 'deadline passed before the stages were done' })
       }
     }
--- a/src/node/gateway/stages/stageTask.ts
+++ b/src/node/gateway/stages/stageTask.ts
@@ -7,6 +7,10 @@
   /** Pieces that are not in a call and have no result. */
   pending: number[]
   inFlight = 0
+  /** Time at which the inputs were there. */
+  readyAtMs = 0
+  /** Time that this stage and the longest chain after it need when nothing waits. */
+  remainingMs = 0
   readonly handles: Array<string | undefined>
   /** Upstream that holds the result of each piece. */
   readonly makers: Array<string | undefined>
--- a/src/node/gateway/upstreams/chooseUpstream.ts
+++ b/src/node/gateway/upstreams/chooseUpstream.ts
@@ -6,7 +6,6 @@
 
 interface UpstreamOptions {
   readonly candidates: readonly UpstreamState[]
-  readonly excludedIds: ReadonlySet<string>
   readonly failureDomain: string
   readonly random: Random
   readonly nowMs: number
@@ -16,11 +15,11 @@
  * The upstream of a plain service with the lowest expected duration: measured time, times the requests of this host
  * in progress. The load it answers: short calls far below the capacity, while single upstreams turn slow or fail.
  */
-export function chooseUpstream ({ candidates, excludedIds, failureDomain, random, nowMs }: UpstreamOptions): UpstreamState | undefined {
+export function chooseUpstream ({ candidates, failureDomain, random, nowMs }: UpstreamOptions): UpstreamState | undefined {
   let best: UpstreamState | undefined
   let bestCost = Infinity
   for (const candidate of candidates) {
-    if (excludedIds.has(candidate.entry.id) || !candidate.pool.hasRoom()) continue
+    if (!candidate.pool.hasRoom()) continue
     const duration = Math.max(candidate.computeDurationMs(nowMs), shortestDurationMs)
     // Equal upstreams share the load at random, with a slight preference for the own domain.
     const nearness = candidate.entry.failureDomain === failureDomain ? 0.9 : 1
--- a/src/node/gateway/upstreams/retryAllowance.ts
+++ b/src/node/gateway/upstreams/retryAllowance.ts
@@ -11,7 +11,7 @@
 export class RetryAllowance {
   private readonly windows = new Map<string, { firsts: number[], repeats: number[] }>()
 
-  constructor (private readonly timings: HostTimings, private readonly countHosts: () => number) {}
+  constructor (private readonly getTimings: () => HostTimings, private readonly countHosts: () => number) {}
 
   /** A request was sent for the first time. */
   recordFirst (service: string, nowMs: number): void {
@@ -21,7 +21,7 @@
   /** Takes one second sending from the budget; false when it is used up. */
   takeRepeat (service: string, nowMs: number): boolean {
     const { firsts, repeats } = this.getWindow(service, nowMs)
-    const { extraRetries, retryRatio } = this.timings
+    const { extraRetries, retryRatio } = this.getTimings()
     const allowed = usableShare * (extraRetries / this.countHosts() + retryRatio * firsts.length)
     if (repeats.length + 1 > allowed) return false
     repeats.push(nowMs)
@@ -31,8 +31,9 @@
   private getWindow (service: string, nowMs: number): { firsts: number[], repeats: number[] } {
     const window = this.windows.get(service) ?? { firsts: [], repeats: [] }
     this.windows.set(service, window)
-    removeOld(window.firsts, nowMs - this.timings.retryWindowMs)
-    removeOld(window.repeats, nowMs - this.timings.retryWindowMs)
+    const { retryWindowMs } = this.getTimings()
+    removeOld(window.firsts, nowMs - retryWindowMs)
+    removeOld(window.repeats, nowMs - retryWindowMs)
     return window
   }
 }
