--- a/src/node/gateway/engines/constants.ts
+++ b/src/node/gateway/engines/constants.ts
@@ -16,7 +16,7 @@
   /** Prompt parts remembered for each engine. */
   maxParts: 4000,
   /** Share of the requests whose first event comes within the time reserved for it. */
-  reserveQuantile: 0.75,
+  reserveQuantile: 0.9,
   reserveStep: 0.1,
   initialReserveMs: 120,
   minReserveMs: 30,
--- a/src/node/gateway/stages/__tests__/stageScheduler.test.ts
+++ b/src/node/gateway/stages/__tests__/stageScheduler.test.ts
@@ -124,8 +124,30 @@
 t.test('a job ends when its deadline passes in the queue', async t => {
   const { scheduler, buildJob, answerCall } = createTestScheduler([{ name: 'a', domains: ['x'], batchSize: 1 }])
   scheduler.addJob(buildJob('p', [{}]), 0)
-  scheduler.addJob(buildJob('q', [{}], { deadlineAtMs: 1500 }), 0)
+  scheduler.addJob(buildJob('q', [{}], { deadlineAtMs: 1400 }), 0)
   answerCall(scheduler.planCalls(0)[0]!, 1450)
   t.same(scheduler.planCalls(1450), [])
   t.match(scheduler.takeEnded().find(ended => ended.jobId === 'q'), { outcome: { type: 'failed' } })
 })
+
+t.test('fetched inputs are released before the call ends where memory is scarce, and a failed call begins again', async t => {
+  const { scheduler, buildJob, answerCall } = createTestScheduler([{ name: 'a', domains: ['x'], roomBytes: 2000 }, { name: 'b', domains: ['x'] }])
+  scheduler.addJob(buildJob('p', [{ resultBytes: 1000 }, { service: 'b', after: [0] }]), 0)
+  answerCall(scheduler.planCalls(0)[0]!, 250)
+  const [call] = scheduler.planCalls(250)
+  t.same(scheduler.takeReleases(), [], 'the inputs are being fetched')
+  scheduler.planCalls(340)
+  t.same(scheduler.takeReleases().map(release => release.handles), [['a-0/p.0.0']])
+  scheduler.onCallFailed(call!, 400)
+  t.same(listPieces(scheduler.planCalls(400)), ['a-0: p.0.0'])
+})
+
+t.test('work accepted as late gives way to work that can be on time, although it came first', async t => {
+  const { scheduler, buildJob, answerCall } = createTestScheduler([{ name: 'a', domains: ['x'], batchSize: 1 }])
+  scheduler.addJob(buildJob('first', [{}]), 0)
+  const [first] = scheduler.planCalls(0)
+  t.match(scheduler.addJob(buildJob('late', [{}], { aimAtMs: 300 }), 10), { isAccepted: true, isLate: true })
+  t.match(scheduler.addJob(buildJob('fresh', [{}]), 20), { isAccepted: true, isLate: false })
+  answerCall(first!, 260)
+  t.same(listPieces(scheduler.planCalls(260)), ['a-0: fresh.0.0'])
+})
--- a/src/node/gateway/stages/admitStageJob.ts
+++ b/src/node/gateway/stages/admitStageJob.ts
@@ -11,7 +11,7 @@
  */
 export function admitStageJob (job: StageJob, services: ReadonlyMap<string, StageService>, nowMs: number, marginMs: number): StageAdmission {
   const missing = job.stages.find(stage => (services.get(stage.service)?.upstreams.size ?? 0) === 0)
-  if (missing !== undefined) return { isAccepted: false, reason: `no upstream of ${missing.service}`, retryAfterMs: stageConstants.minRetryAfterMs }
+  if (missing !== undefined) return { isAccepted: false, reason: `no upstream of ${missing.service}`, retryAfterMs: stageConstants.minRetryAfterMs, finishInMs: Infinity }
   const finishInMs = computeFinishMs(job, services, nowMs)
   const aimLeftMs = job.aimAtMs - nowMs
   const timeLeftMs = job.deadlineAtMs - nowMs
@@ -20,41 +20,39 @@
   const finishLateMs = finishInMs + lateWaitMs
   const { lateAcceptShare, maxLateWaitMs } = stageConstants
   if (lateWaitMs <= maxLateWaitMs && finishLateMs <= timeLeftMs * lateAcceptShare) return { isAccepted: true, isLate: true, finishInMs: finishLateMs }
-  return { isAccepted: false, reason: 'stage queues are too long', retryAfterMs: computeRetryAfterMs(lateWaitMs) }
+  return { isAccepted: false, reason: 'stage queues are too long', retryAfterMs: computeRetryAfterMs(lateWaitMs), finishInMs }
 }
 
 /**
- * Expected time until the last stage is done: the path through the stages, and the longest of the queues on it. The
- * queues are counted with all accepted work that goes before the job, also where it has not arrived yet; as that work
- * cannot be drained before it arrives, the longest queue is added to the path instead of overlapping with it.
+ * Expected time until the last stage is done. A stage starts when its inputs are there, after the wait that work has
+ * lately had in its queue, and not before the accepted work that goes before the job is drained.
  */
 function computeFinishMs (job: StageJob, services: ReadonlyMap<string, StageService>, nowMs: number): number {
   const finish = new Map<number, number>()
-  let pathMs = 0
-  let queueMs = 0
+  let lastMs = 0
   for (const stage of [...job.stages].sort((a, b) => a.index - b.index)) {
     const service = services.get(stage.service)!
     const { batchSize, callMs, pieceMs } = service.spec
     const readyMs = Math.max(0, ...stage.after.map(index => finish.get(index) ?? 0))
     const ahead = countPiecesAhead(job, service, nowMs)
     const capacity = service.computeCapacity(nowMs)
-    queueMs = Math.max(queueMs, capacity === 0 ? Infinity : Math.max(ahead - batchSize, 0) / capacity)
+    const drainedMs = capacity === 0 ? Infinity : Math.max(ahead - batchSize, 0) / capacity
+    const startMs = stage.after.length === 0 ? Math.max(service.computeFirstFreeMs(nowMs), drainedMs) : Math.max(readyMs + service.recentWaitMs, drainedMs)
     const shared = Math.min(batchSize, stage.pieceCount + ahead / Math.max(service.upstreams.size, 1))
     const ownMs = service.costs.getFactor(`${job.route}:${stage.index}`) * pieceMs
-    const startMs = Math.max(readyMs, service.computeFirstFreeMs(nowMs))
     const endMs = startMs + (callMs + shared * ownMs) * Math.ceil(stage.pieceCount / batchSize)
     finish.set(stage.index, endMs)
-    pathMs = Math.max(pathMs, endMs)
+    lastMs = Math.max(lastMs, endMs)
   }
-  return pathMs + queueMs
+  return lastMs
 }
 
 /** Pieces of accepted work on time that goes before the job: those with less time to spare, by the order of the queues. */
 function countPiecesAhead (job: StageJob, service: StageService, nowMs: number): number {
-  const orderMs = job.aimAtMs + job.priority * stageConstants.priorityStepMs
+  const orderMs = nowMs + job.priority * stageConstants.priorityStepMs
   let count = 0
   for (const waiting of service.backlog.jobs) {
-    if (waiting.aimAtMs >= nowMs && waiting.orderMs <= orderMs) count += waiting.pieces
+    if (waiting.orderMs <= orderMs) count += waiting.pieces
   }
   return count
 }
--- a/src/node/gateway/stages/constants.ts
+++ b/src/node/gateway/stages/constants.ts
@@ -2,13 +2,22 @@
 export const stageConstants = {
   /** Work that arrives within this time shares a call: clients send in clumps, and the fixed part of a call is 240 ms. */
   gatherMs: 8,
+  /**
+   * Time from sending a call until its upstream has fetched the inputs: a call is sent to an idle upstream only, and
+   * some hundred kilobytes take a few milliseconds. Until then the inputs are held.
+   */
+  inputFetchMs: 80,
+  /** Fetched inputs are released before the call ends only when this share of the memory is in use: a failed call needs them again. */
+  scarceRoomShare: 0.3,
+  /** Weight of the newest wait in the average wait of a queue. */
+  waitWeight: 0.1,
   /** Share of the jobs accepted as on time that shall end in time. */
-  marginQuantile: 0.7,
+  marginQuantile: 0.8,
   /** Step by which the margin of the estimate follows its error; a crest has some hundred jobs. */
-  marginStepMs: 15,
+  marginStepMs: 20,
   initialMarginMs: 0,
-  minMarginMs: -300,
-  maxMarginMs: 600,
+  minMarginMs: -100,
+  maxMarginMs: 400,
   /** Each step of priority counts as this much time to spare. */
   priorityStepMs: 100,
   /** Late work whose inputs have waited for this time goes along with work on time, before they expire. */
--- a/src/node/gateway/stages/jobState.ts
+++ b/src/node/gateway/stages/jobState.ts
@@ -7,9 +7,15 @@
   failures = 0
   restarts = 0
   isEnded = false
+
+  /** The job gives way to those that were accepted as on time. */
+  get isLate (): boolean {
+    return this.expectedMs === undefined
+  }
+
   readonly startedAtMs: number
 
-  /** `expectedMs` is the time that the job was expected to take, for a job accepted as on time. */
+  /** `expectedMs` is the time that the job was expected to take; undefined for a job that was accepted as late. */
   constructor (readonly job: StageJob, nowMs: number, readonly expectedMs: number | undefined) {
     this.startedAtMs = nowMs
     this.tasks = new Map(job.stages.map(stage => [stage.index, new StageTask(this, stage)]))
@@ -20,14 +26,18 @@
     return task.work.after.map(index => this.tasks.get(index)).filter(input => input !== undefined)
   }
 
+  /** Tasks that take the results of the task. */
+  listFollowers (task: StageTask): readonly StageTask[] {
+    return [...this.tasks.values()].filter(other => other.work.after.includes(task.work.index))
+  }
+
   isDone (): boolean {
     return [...this.tasks.values()].every(task => task.isDone())
   }
 
   /** Tasks whose results no other stage takes; they are the inputs of the request. */
   listOutputTasks (): readonly StageTask[] {
-    const tasks = [...this.tasks.values()]
-    return tasks.filter(task => !tasks.some(other => other.work.after.includes(task.work.index)))
+    return [...this.tasks.values()].filter(task => this.listFollowers(task).length === 0)
   }
 
   /** Longest chain of unfinished stages that begins with the task. */
--- a/src/node/gateway/stages/listTasksByRank.ts
+++ b/src/node/gateway/stages/listTasksByRank.ts
@@ -17,9 +17,9 @@
 function buildRank (task: StageTask, nowMs: number): TaskRank {
   const { aimAtMs, deadlineAtMs, priority } = task.job.job
   const onTimeSlackMs = aimAtMs - nowMs - task.remainingMs
-  const isLate = onTimeSlackMs < 0
+  const isLate = task.job.isLate || onTimeSlackMs < 0
   const slackMs = isLate ? deadlineAtMs - nowMs - task.remainingMs : onTimeSlackMs
-  const orderMs = slackMs + priority * stageConstants.priorityStepMs
+  const orderMs = task.job.startedAtMs + priority * stageConstants.priorityStepMs
   return { task, slackMs, orderMs: isLate && isExpiring(task, nowMs) ? 0 : orderMs, lane: findLane(task, isLate, nowMs) }
 }
 
--- a/src/node/gateway/stages/stageDispatcher.ts
+++ b/src/node/gateway/stages/stageDispatcher.ts
@@ -43,11 +43,11 @@
     const aimLeftMs = Math.round(job.aimAtMs - nowMs)
     if (!admission.isAccepted) {
       metrics.addCount('stage_jobs', { decision: 'refused' })
-      logger.recordInfo('stages refused', { requestId: job.requestId, reason: admission.reason, aimLeftMs, retryAfterMs: Math.round(admission.retryAfterMs), queues })
+      logger.recordInfo('stages refused', { requestId: job.requestId, reason: admission.reason, expectedMs: Math.round(admission.finishInMs), marginMs: Math.round(scheduler.marginMs), aimLeftMs, retryAfterMs: Math.round(admission.retryAfterMs), queues })
       return { type: 'refused', reason: admission.reason, retryAfterMs: admission.retryAfterMs }
     }
     metrics.addCount('stage_jobs', { decision: admission.isLate ? 'accepted-late' : 'accepted' })
-    logger.recordInfo('stages accepted', { requestId: job.requestId, isLate: admission.isLate, expectedMs: Math.round(admission.finishInMs), aimLeftMs, queues })
+    logger.recordInfo('stages accepted', { requestId: job.requestId, isLate: admission.isLate, expectedMs: Math.round(admission.finishInMs), marginMs: Math.round(scheduler.marginMs), aimLeftMs, queues })
     return await new Promise(resolve => {
       const onAbort = (): void => {
         scheduler.cancelJob(job.id, clock.readMonotonicMs())
--- a/src/node/gateway/stages/stageScheduler.ts
+++ b/src/node/gateway/stages/stageScheduler.ts
@@ -28,6 +28,8 @@
   /** Results that are no longer needed, by the upstream that holds them. */
   private releases = new Map<string, StageRelease>()
   private readonly margin = new EstimateMargin()
+  /** Tasks whose inputs are being fetched. */
+  private readonly fetching = new Set<StageTask>()
   private nextCallId = 1
 
   /** Takes over the stage services of a configuration and the upstreams that serve them. */
@@ -69,6 +71,7 @@
   /** Calls to make now. */
   planCalls (nowMs: number): readonly StageCall[] {
     this.endHopelessJobs(nowMs)
+    this.releaseFetchedInputs(nowMs)
     const calls: StageCall[] = []
     for (const service of this.services.values()) {
       while (service.ready.size > 0) {
@@ -113,7 +116,7 @@
     for (const { task, pieceIndex } of call.refs) {
       task.inFlight--
       this.removeRoom(call.service, call.upstreamId, task.work.resultBytes)
-      this.retryPiece(task, pieceIndex)
+      this.retryPiece(task, pieceIndex, nowMs)
     }
     this.countBacklog(nowMs)
   }
@@ -135,13 +138,18 @@
     this.removeRoom(service, upstreamId, bytes)
   }
 
+  /** Time added to the expected end of jobs. */
+  get marginMs (): number {
+    return this.margin.valueMs
+  }
+
   hasReleases (): boolean {
     return this.releases.size > 0
   }
 
   /** Next time at which a paused or overdue upstream may take calls again; undefined when nothing waits for one. */
   findNextWakeMs (nowMs: number): number | undefined {
-    let next: number | undefined
+    let next: number | undefined = this.fetching.size > 0 ? nowMs + stageConstants.inputFetchMs / 2 : undefined
     for (const service of this.services.values()) {
       if (service.ready.size === 0) continue
       for (const { pausedUntilMs } of service.upstreams.values()) {
@@ -169,8 +177,11 @@
     upstream.busyUntilMs = call.sentAtMs + call.expectedMs
     service.onSent(call.refs.length, call.sentAtMs)
     for (const { task, pieceIndex } of call.refs) {
+      if (task.pending.length === task.work.pieceCount && task.job.job.aimAtMs > call.sentAtMs) service.observeWait(call.sentAtMs - task.readyAtMs)
       task.pending.splice(task.pending.indexOf(pieceIndex), 1)
       task.inFlight++
+      task.sentAtMs = call.sentAtMs
+      if (task.work.after.length > 0) this.fetching.add(task)
       upstream.usedRoomBytes += task.work.resultBytes
       if (task.pending.length === 0) service.ready.delete(task)
       this.updateReady(task.job, call.sentAtMs)
@@ -193,12 +204,14 @@
       const upstream = this.services.get(call.service)!.upstreams.get(call.upstreamId)
       if (upstream !== undefined) upstream.pausedUntilMs = nowMs + stageConstants.noRoomPauseMs
     }
-    this.retryPiece(task, pieceIndex)
+    this.retryPiece(task, pieceIndex, nowMs)
   }
 
-  private retryPiece (task: StageTask, pieceIndex: number): void {
+  private retryPiece (task: StageTask, pieceIndex: number, nowMs: number): void {
     const { job } = task
     if (job.isEnded) return
+    // The inputs were released when the call was sent.
+    if (job.listInputTasks(task).some(input => input.isReleased)) return this.startAgain(job, nowMs)
     job.failures++
     if (job.failures > stageConstants.maxPieceFailures * task.work.pieceCount) return this.endJob(job, { type: 'failed', reason: `stage ${task.work.service} failed` })
     task.pending.push(pieceIndex)
@@ -212,7 +225,7 @@
       this.ended.push({ jobId: state.job.id, outcome: { type: 'failed', reason: 'stage results were lost' } })
       return
     }
-    const next = new JobState(state.job, state.startedAtMs, undefined)
+    const next = new JobState(state.job, state.startedAtMs, state.expectedMs)
     next.restarts = state.restarts + 1
     this.jobs.set(state.job.id, next)
     this.updateReady(next, nowMs)
@@ -270,6 +283,30 @@
     }
   }
 
+  /** Releases results that the next stage has fetched: memory for results bounds the size of calls. */
+  private releaseFetchedInputs (nowMs: number): void {
+    for (const task of this.fetching) {
+      if (task.job.isEnded || task.isDone()) {
+        this.fetching.delete(task)
+        continue
+      }
+      if (!task.hasFetchedInputs(nowMs, stageConstants.inputFetchMs) || !this.isRoomScarce(task)) continue
+      this.fetching.delete(task)
+      for (const input of task.job.listInputTasks(task)) {
+        const isFetched = task.job.listFollowers(input).every(follower => follower.hasFetchedInputs(nowMs, stageConstants.inputFetchMs))
+        if (isFetched && !input.isReleased) this.releaseTask(input)
+      }
+    }
+  }
+
+  /** Whether an upstream that holds inputs of the task has little memory left for other results. */
+  private isRoomScarce (task: StageTask): boolean {
+    return task.job.listInputTasks(task).some(input => {
+      const service = this.services.get(input.work.service)
+      return input.makers.some(maker => (service?.upstreams.get(maker ?? '')?.usedRoomBytes ?? 0) > (service?.spec.resultRoomBytes ?? 0) * stageConstants.scarceRoomShare)
+    })
+  }
+
   private releaseInputs (state: JobState, outputs: readonly StageTask[]): void {
     for (const task of state.tasks.values()) {
       if (!outputs.includes(task)) this.releaseTask(task)
@@ -277,6 +314,7 @@
   }
 
   private releaseTask (task: StageTask): void {
+    task.isReleased = true
     task.handles.forEach((handle, i) => {
       const maker = task.makers[i]
       if (handle !== undefined && maker !== undefined) this.addRelease(task.work.service, maker, handle, task.work.resultBytes)
@@ -325,13 +363,13 @@
     for (const state of this.jobs.values()) {
       if (state.isEnded) continue
       const { aimAtMs, priority } = state.job
-      const lane = aimAtMs < nowMs ? 'late' : 'onTime'
+      const isLate = state.isLate || aimAtMs < nowMs
       for (const task of state.tasks.values()) {
         const backlog = this.services.get(task.work.service)?.backlog
         const pieces = task.pending.length
         if (backlog === undefined || pieces === 0) continue
-        backlog[lane] += pieces
-        backlog.jobs.push({ aimAtMs, orderMs: aimAtMs + priority * stageConstants.priorityStepMs, pieces })
+        backlog[isLate ? 'late' : 'onTime'] += pieces
+        if (!isLate) backlog.jobs.push({ orderMs: state.startedAtMs + priority * stageConstants.priorityStepMs, pieces })
       }
     }
   }
--- a/src/node/gateway/stages/stageTask.ts
+++ b/src/node/gateway/stages/stageTask.ts
@@ -24,6 +24,16 @@
     this.domains = new Array(work.pieceCount)
   }
 
+  /** Time at which the last piece was sent; undefined while pieces wait. */
+  sentAtMs: number | undefined
+  /** The results were released. */
+  isReleased = false
+
+  /** Whether the upstreams have fetched the inputs of all pieces. */
+  hasFetchedInputs (nowMs: number, fetchMs: number): boolean {
+    return this.pending.length === 0 && (this.inFlight === 0 || (this.sentAtMs !== undefined && nowMs - this.sentAtMs >= fetchMs))
+  }
+
   isDone (): boolean {
     return this.pending.length === 0 && this.inFlight === 0
   }
