feat(gateway): results held for less time, gathered watches, urgency of account and route

Cause: portal calls carried 7 of 16 pieces at a crest of the grown site, because results of first stages filled the memory until the first event; 142 upstreams that register before 29 hosts made about 4,000 store calls; all accounts have the same priority, which hid that of the routes.

--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -31,6 +31,7 @@
 import { StageDispatcher } from '../gateway/stages/stageDispatcher.js'
 import { StageScheduler } from '../gateway/stages/stageScheduler.js'
 import { StatusServer } from '../gateway/ingress/statusServer.js'
+import { storeConstants } from '../gateway/store/constants.js'
 import { StoreLink } from '../platform/storeLink.js'
 import { systemClock } from '../../shared/systemClock.js'
 import { upstreamConstants } from '../gateway/upstreams/constants.js'
@@ -111,6 +112,7 @@
   const configurationFollower = new PrefixFollower({
     store,
     prefix: platformConstants.configurationPrefix,
+    gatherMs: 0,
     logger,
     random,
     onSnapshot: items => { items.forEach(applyConfiguration) },
@@ -119,6 +121,7 @@
   const upstreamFollower = new PrefixFollower({
     store,
     prefix: platformConstants.upstreamPrefix,
+    gatherMs: storeConstants.gatherMs,
     logger,
     random,
     onSnapshot: (items, isAfterGap) => {
@@ -135,6 +138,7 @@
   const hostFollower = new PrefixFollower({
     store,
     prefix: platformConstants.hostPrefix,
+    gatherMs: storeConstants.gatherMs,
     logger,
     random,
     onSnapshot: items => { hosts.applySnapshot(items.map(item => hostEntryCodec.decode(item.value)).filter(entry => entry !== undefined)) },
--- a/src/node/gateway/engines/constants.ts
+++ b/src/node/gateway/engines/constants.ts
@@ -21,6 +21,11 @@
   initialReserveMs: 120,
   minReserveMs: 30,
   maxReserveMs: 1000,
+  /**
+   * Time from sending a request until its engine has fetched the results of the stages, which it does before it reads
+   * the prompt. One that comes too late refuses without running, and the stages run again.
+   */
+  inputFetchMs: 200,
   /** An engine without a first event for this time is given up, when the request may be sent again. */
   firstEventTimeoutMs: 2500
 } as const
--- a/src/node/gateway/ingress/buildStageJob.ts
+++ b/src/node/gateway/ingress/buildStageJob.ts
@@ -1,3 +1,4 @@
+import { computeUrgency } from './computeUrgency.js'
 import type { RequestRunOptions } from './requestRunOptions.js'
 import type { StageJob } from '../stages/stageJob.js'
 
@@ -18,7 +19,7 @@
     stages,
     aimAtMs: aimAtMs - run.reserveMs,
     deadlineAtMs: deadlineAtMs - run.reserveMs,
-    priority: account?.priority ?? route.priority,
+    priority: computeUrgency(route, account),
     worth: request.promptTokens + outputTokenWeight * request.maxOutputTokens,
     preferredDomain: '',
     engineService: run.engineService,
--- a/src/node/gateway/ingress/requestRun.ts
+++ b/src/node/gateway/ingress/requestRun.ts
@@ -1,6 +1,7 @@
 import { buildStageJob } from './buildStageJob.js'
 import { chooseTarget } from './chooseTarget.js'
 import { chooseUpstream } from '../upstreams/chooseUpstream.js'
+import { computeUrgency } from './computeUrgency.js'
 import { decideNextAttempt } from './decideNextAttempt.js'
 import { engineConstants } from '../engines/constants.js'
 import { ingressConstants } from './constants.js'
@@ -147,6 +148,7 @@
     this.mayHaveRun = true
     if (this.sentCount === 1) this.parts.retries.recordFirst(this.service, nowMs)
     upstream.inFlight++
+    const releaseTimer = setTimeout(() => { this.releaseUsedInputs() }, engineConstants.inputFetchMs)
     const result = await sendAttempt({
       upstream,
       exchange: {
@@ -157,7 +159,7 @@
           timeLeftMs: deadlineAtMs - nowMs,
           accountName: account?.name,
           lastEventId: this.lastEventId,
-          priority: route.callKind === 'stream' ? Math.min(account?.priority ?? route.priority, 9) : undefined,
+          priority: route.callKind === 'stream' ? computeUrgency(route, account) : undefined,
           inputs: this.inputs
         }),
         body: body.length > 0 ? body : undefined,
@@ -172,6 +174,7 @@
       onEvents: lastEventId => { this.onEvents(upstream, lastEventId) }
     })
     upstream.inFlight--
+    clearTimeout(releaseTimer)
     if (result.type === 'not-run') {
       this.mayHaveRun = hadRunBefore
       if (!result.wasSent) {
@@ -190,10 +193,14 @@
     const nowMs = this.parts.clock.readMonotonicMs()
     upstream.onSuccess(nowMs - this.sentAtMs, nowMs)
     this.parts.engineTimes.observe(this.options.route.name, nowMs - this.sentAtMs)
-    // An engine has read the results of the stages by its first event.
+    this.releaseUsedInputs()
+    this.record('first event', { upstream: upstream.entry.id, sentMs: Math.round(nowMs - this.sentAtMs), elapsedMs: this.computeElapsedMs(), aimLeftMs: Math.round(this.options.aimAtMs - nowMs) })
+  }
+
+  /** The engine has fetched the results of the stages. */
+  private releaseUsedInputs (): void {
     this.releaseInputs()
     this.releaseInputs = noRelease
-    this.record('first event', { upstream: upstream.entry.id, sentMs: Math.round(nowMs - this.sentAtMs), elapsedMs: this.computeElapsedMs(), aimLeftMs: Math.round(this.options.aimAtMs - nowMs) })
   }
 
   /** Judges the upstream by the attempt. */
--- a/src/node/gateway/stages/buildStageCall.ts
+++ b/src/node/gateway/stages/buildStageCall.ts
@@ -25,6 +25,7 @@
   const idle = service.listIdle(nowMs)
   if (idle.length === 0) return undefined
   for (const first of ranks) {
+    if (first.lane !== TaskLane.onTime && !isFreeForLate(service, idle)) return undefined
     const upstream = chooseUpstream(service, first, idle)
     if (upstream === undefined) continue
     const refs = choosePieces(service, upstream, [first, ...ranks.filter(rank => rank !== first)])
@@ -33,6 +34,11 @@
   return undefined
 }
 
+/** Late work alone does not take the last idle upstream while work on time is on its way: a call would block it for long. */
+function isFreeForLate (service: StageService, idle: readonly StageUpstream[]): boolean {
+  return service.backlog.onTime === 0 || idle.length > stageConstants.idleForOnTime
+}
+
 /** The fastest idle upstream, in the domain of the inputs when they are heavy; undefined to wait for one there. */
 function chooseUpstream (service: StageService, { task, lane, slackMs }: TaskRank, idle: readonly StageUpstream[]): StageUpstream | undefined {
   const withRoom = idle.filter(upstream => hasRoom(service, upstream, task.work.resultBytes))
--- a/src/node/gateway/stages/constants.ts
+++ b/src/node/gateway/stages/constants.ts
@@ -7,8 +7,6 @@
    * some hundred kilobytes take a few milliseconds. Until then the inputs are held.
    */
   inputFetchMs: 80,
-  /** Fetched inputs are released before the call ends only when this share of the memory is in use: a failed call needs them again. */
-  scarceRoomShare: 0.3,
   /** Weight of the newest wait in the average wait of a queue. */
   waitWeight: 0.1,
   /** Share of the jobs accepted as on time that shall end in time. */
@@ -19,7 +17,7 @@
   minMarginMs: -100,
   maxMarginMs: 400,
   /** Each step of priority counts as this much time to spare. */
-  priorityStepMs: 100,
+  priorityStepMs: 300,
   /** Late work whose inputs have waited for this time goes along with work on time, before they expire. */
   maxInputAgeMs: 1500,
   /** Inputs above this size are taken where they lie: results that cross failure domains are dear. */
@@ -50,13 +48,15 @@
   /** Times that a job begins again because results were lost. */
   maxRestarts: 2,
   /** Share of the remaining time within which late work must be expected to finish in order to be accepted. */
-  lateAcceptShare: 0.4,
+  lateAcceptShare: 0.5,
+  /** Idle upstreams of a service that late work alone leaves to work on time. */
+  idleForOnTime: 1,
   /** Longest expected wait of late work. */
   maxLateWaitMs: 2500,
   /** Share of the capacity that late work counts on even when all of it is in use. */
   minSpareShare: 0.1,
   /** Window of the measured load. */
-  loadWindowMs: 3000,
+  loadWindowMs: 1000,
   /** Bounds of the pause that a refused client is told. */
   minRetryAfterMs: 300,
   maxRetryAfterMs: 6000,
--- a/src/node/gateway/stages/stageScheduler.ts
+++ b/src/node/gateway/stages/stageScheduler.ts
@@ -250,9 +250,9 @@
     for (const task of state.tasks.values()) {
       if (task.isReady || task.pending.length === 0) continue
       if (!state.listInputTasks(task).every(input => input.isDone())) continue
-      // A short side stage starts when about as many stages are left on the longest chain, because its results hold memory.
+      // A side stage runs beside the last stage of the longest chain, because its results hold memory until both are done.
       const isSide = task.work.after.length === 0 && !state.listRemainingChain().includes(task)
-      if (isSide && chainLength > 1) continue
+      if (isSide && chainLength > 0) continue
       task.isReady = true
       task.readyAtMs = nowMs
       task.remainingMs = computeRemainingMs(task, this.services)
@@ -299,11 +299,13 @@
     }
   }
 
-  /** Whether an upstream that holds inputs of the task has little memory left for other results. */
+  /** Whether an upstream that holds inputs of the task has no memory for another full call; a failed call needs its inputs again. */
   private isRoomScarce (task: StageTask): boolean {
-    return task.job.listInputTasks(task).some(input => {
-      const service = this.services.get(input.work.service)
-      return input.makers.some(maker => (service?.upstreams.get(maker ?? '')?.usedRoomBytes ?? 0) > (service?.spec.resultRoomBytes ?? 0) * stageConstants.scarceRoomShare)
+    return task.job.listInputTasks(task).some(({ work, makers }) => {
+      const service = this.services.get(work.service)
+      if (service === undefined) return false
+      const neededBytes = service.spec.batchSize * work.resultBytes
+      return makers.some(maker => (service.upstreams.get(maker ?? '')?.usedRoomBytes ?? 0) + neededBytes > service.spec.resultRoomBytes)
     })
   }
 
--- a/src/node/gateway/stages/stageService.ts
+++ b/src/node/gateway/stages/stageService.ts
@@ -53,7 +53,7 @@
     this.removeOldLoad(nowMs)
   }
 
-  /** Pieces sent in a millisecond, over the last seconds. */
+  /** Pieces that were sent in a millisecond, over the last second. */
   computeLoad (nowMs: number): number {
     this.removeOldLoad(nowMs)
     return this.sentPieces.reduce((sum, sent) => sum + sent.count, 0) / stageConstants.loadWindowMs
--- a/src/node/gateway/store/constants.ts
+++ b/src/node/gateway/store/constants.ts
@@ -2,10 +2,15 @@
 export const storeConstants = {
   /** Wait of a watch. A silent one is noticed after it; it must stay below the time in which a configuration is in force. */
   watchMs: 2500,
+  /**
+   * Least time between two watches of upstreams or hosts, so that a series of changes costs one call: a start of 140
+   * upstreams before 30 hosts made 4,000 calls without it. A leaving upstream is noticed this much later at most.
+   */
+  gatherMs: 250,
   /** First pause after a failed call; doubles up to the maximum. Calls are priced, refused ones too. */
   retryMs: 100,
   maxRetryMs: 800,
-  /** Life of a host's entry after its last renewal: three renewals. */
-  leaseMs: 3000,
-  renewMs: 1000
+  /** Life of a host's entry after its last renewal: two renewals that fail. */
+  leaseMs: 4000,
+  renewMs: 1400
 } as const
--- a/src/node/gateway/store/prefixFollower.ts
+++ b/src/node/gateway/store/prefixFollower.ts
@@ -11,6 +11,8 @@
   readonly prefix: string
   readonly logger: Logger
   readonly random: Random
+  /** Least time between two watches; 0 to see each change at once. */
+  readonly gatherMs: number
   /** All items; `isAfterGap` when changes may have been missed before. */
   readonly onSnapshot: (items: readonly StoreItem[], isAfterGap: boolean) => void
   readonly onChange: (change: StoreChange) => void
@@ -61,9 +63,10 @@
   }
 
   private async watchOnce (revision: number): Promise<number> {
-    const { store, prefix, onChange } = this.options
+    const { store, prefix, gatherMs, onChange } = this.options
     const answer = await store.watchPrefix(prefix, revision, storeConstants.watchMs, this.stopped.signal)
     for (const change of answer.changes) onChange(change)
+    if (answer.changes.length > 0 && gatherMs > 0) await waitMs(gatherMs, this.stopped.signal)
     return Math.max(answer.revision, revision)
   }
 
@@ -80,7 +83,12 @@
 
 async function waitMs (ms: number, signal: AbortSignal): Promise<void> {
   await new Promise<void>(resolve => {
-    const timer = setTimeout(resolve, ms)
-    signal.addEventListener('abort', () => { clearTimeout(timer); resolve() }, { once: true })
+    const end = (): void => {
+      clearTimeout(timer)
+      signal.removeEventListener('abort', end)
+      resolve()
+    }
+    const timer = setTimeout(end, ms)
+    signal.addEventListener('abort', end)
   })
 }
--- a/src/node/platform/storeLink.ts
+++ b/src/node/platform/storeLink.ts
@@ -4,6 +4,14 @@
 import { platformConstants } from './constants.js'
 import type { Metrics } from '../../types/metrics.js'
 
+interface StoreCall {
+  readonly method: 'GET' | 'POST' | 'DELETE'
+  readonly path: string
+  readonly body?: unknown
+  readonly timeoutMs: number
+  readonly signal?: AbortSignal
+}
+
 interface StoreAnswer {
   readonly status: number
   readonly body: unknown
@@ -58,8 +66,20 @@
     })
   }
 
-  private async sendCall (pool: Pool, call: { readonly method: 'GET' | 'POST' | 'DELETE', readonly path: string, readonly body?: unknown, readonly timeoutMs: number, readonly signal?: AbortSignal }): Promise<StoreAnswer> {
-    const timeout = AbortSignal.timeout(call.timeoutMs)
+  private async sendCall (pool: Pool, call: StoreCall): Promise<StoreAnswer> {
+    const controller = new AbortController()
+    const cancel = (): void => { controller.abort(call.signal?.reason ?? new StoreUnavailableError(`no answer in ${call.timeoutMs} ms`)) }
+    const timer = setTimeout(cancel, call.timeoutMs)
+    call.signal?.addEventListener('abort', cancel)
+    try {
+      return await this.readAnswer(pool, call, controller.signal)
+    } finally {
+      clearTimeout(timer)
+      call.signal?.removeEventListener('abort', cancel)
+    }
+  }
+
+  private async readAnswer (pool: Pool, call: StoreCall, signal: AbortSignal): Promise<StoreAnswer> {
     const startMs = performance.now()
     const operation = call.path.split('?')[0]!.replace(/\/\d+$/, '').split('/').at(-1)!
     const response = await pool.request({
@@ -67,7 +87,7 @@
       path: call.path,
       headers: call.body === undefined ? {} : { 'content-type': 'application/json' },
       body: call.body === undefined ? undefined : JSON.stringify(call.body),
-      signal: call.signal === undefined ? timeout : AbortSignal.any([timeout, call.signal])
+      signal
     })
     const text = await response.body.text()
     this.metrics.recordDuration('store_call', { operation }, performance.now() - startMs)
