--- a/src/node/gateway/stages/__tests__/stageScheduler.test.ts
+++ b/src/node/gateway/stages/__tests__/stageScheduler.test.ts
@@ -154,3 +154,12 @@
   answerCall(first!, 260)
   t.same(listPieces(scheduler.planCalls(260)), ['a-0: fresh.0.0'])
 })
+
+t.test('heavy inputs move to another failure domain when theirs stays busy, instead of leaving upstreams idle', async t => {
+  const { scheduler, buildJob, answerCall } = createTestScheduler([{ name: 'a', domains: ['x'] }, { name: 'b', domains: ['x', 'y'], batchSize: 1 }])
+  for (const id of ['p', 'q']) scheduler.addJob(buildJob(id, [{ resultBytes: 400_000 }, { service: 'b', after: [0] }]), 0)
+  answerCall(scheduler.planCalls(0)[0]!, 250)
+  t.same(listPieces(scheduler.planCalls(250)), ['b-0: p.1.0'], 'the second one waits for its domain')
+  t.same(scheduler.planCalls(500), [])
+  t.same(listPieces(scheduler.planCalls(600)), ['b-1: q.1.0'])
+})
--- a/src/node/gateway/stages/buildStageCall.ts
+++ b/src/node/gateway/stages/buildStageCall.ts
@@ -26,7 +26,7 @@
   if (idle.length === 0) return undefined
   for (const first of ranks) {
     if (first.lane !== TaskLane.onTime && !isFreeForLate(service, idle)) return undefined
-    const upstream = chooseUpstream(service, first, idle)
+    const upstream = chooseUpstream(service, first, idle, nowMs)
     if (upstream === undefined) continue
     const refs = choosePieces(service, upstream, [first, ...ranks.filter(rank => rank !== first)])
     if (refs.length > 0) return buildCall(service, upstream, refs, nowMs, callId)
@@ -40,13 +40,14 @@
 }
 
 /** The fastest idle upstream, in the domain of the inputs when they are heavy; undefined to wait for one there. */
-function chooseUpstream (service: StageService, { task, lane, slackMs }: TaskRank, idle: readonly StageUpstream[]): StageUpstream | undefined {
+function chooseUpstream (service: StageService, { task, lane, slackMs }: TaskRank, idle: readonly StageUpstream[], nowMs: number): StageUpstream | undefined {
   const withRoom = idle.filter(upstream => hasRoom(service, upstream, task.work.resultBytes))
   const domain = findWantedDomain(task)
   const local = withRoom.filter(upstream => upstream.failureDomain === domain)
   const isServedThere = [...service.upstreams.values()].some(upstream => upstream.failureDomain === domain && !upstream.isDraining)
   if (local.length > 0) return findFastest(local)
-  if (isServedThere && hasHeavyInputs(task) && (lane !== TaskLane.onTime || slackMs > stageConstants.domainPatienceMs)) return undefined
+  const hasWaited = nowMs - task.readyAtMs >= stageConstants.maxDomainWaitMs
+  if (isServedThere && hasHeavyInputs(task) && !hasWaited && (lane !== TaskLane.onTime || slackMs > stageConstants.domainPatienceMs)) return undefined
   return findFastest(withRoom)
 }
 
--- a/src/node/gateway/stages/constants.ts
+++ b/src/node/gateway/stages/constants.ts
@@ -26,6 +26,8 @@
   heavyResultBytes: 200_000,
   /** A task with this much time to spare waits for an upstream in the domain of its inputs. */
   domainPatienceMs: 150,
+  /** Longest such wait: about one call. */
+  maxDomainWaitMs: 350,
   /** A call that takes this many times its expected duration is given up; neighbours slow upstreams by up to five times for seconds. */
   callTimeoutFactor: 3,
   callTimeoutSlackMs: 300,
