--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -114,6 +114,7 @@
   const configurationFollower = new PrefixFollower({
     store,
     prefix: platformConstants.configurationPrefix,
+    watchMs: storeConstants.watchMs,
     gatherMs: 0,
     logger,
     random,
@@ -123,6 +124,7 @@
   const upstreamFollower = new PrefixFollower({
     store,
     prefix: platformConstants.upstreamPrefix,
+    watchMs: storeConstants.watchMs,
     gatherMs: storeConstants.gatherMs,
     logger,
     random,
@@ -140,7 +142,8 @@
   const hostFollower = new PrefixFollower({
     store,
     prefix: platformConstants.hostPrefix,
-    gatherMs: storeConstants.gatherMs,
+    watchMs: storeConstants.hostWatchMs,
+    gatherMs: storeConstants.hostGatherMs,
     logger,
     random,
     onSnapshot: items => { hosts.applySnapshot(items.map(item => hostEntryCodec.decode(item.value)).filter(entry => entry !== undefined)) },
--- a/src/node/cli/__tests__/createTestDependencies.ts
+++ b/src/node/cli/__tests__/createTestDependencies.ts
@@ -20,6 +20,7 @@
       return value as Contract
     },
     readTextFile: async path => files.get(path) ?? await readFile(path, 'utf8'),
+    readInput: async () => '',
     writeTextFile: async (path, text) => { files.set(path, text) },
     writeOutput: line => { output.push(line) },
     writeError: line => { errors.push(line) },
--- a/src/node/cli/commandLineDependencies.ts
+++ b/src/node/cli/commandLineDependencies.ts
@@ -15,6 +15,8 @@
   /** Checks a contract; throws a `LycheetrackError` that names all faults. */
   parseContract (value: unknown): Contract
   readTextFile (path: string): Promise<string>
+  /** All of standard input. */
+  readInput (): Promise<string>
   writeTextFile (path: string, text: string): Promise<void>
   /** Writes one line to standard output. */
   writeOutput (line: string): void
--- /dev/null
+++ b/src/node/cli/commands/explain.ts
@@ -0,0 +1,25 @@
+import { explainRequest } from '../../explain/explainRequest.js'
+import { cliConstants } from '../constants.js'
+import type { Command } from '../command.js'
+
+/** `explain`: the way of one request through log files, with the cause of its end. */
+export const explain: Command = {
+  usage: 'explain <request-id> [file...]',
+  description: 'Prints what log lines tell of a request, from files or standard input; exit status 1 when no line names it',
+  options: [],
+  example: 'explain 9c41d07be2a35f68 host-1.log host-2.log',
+  validate: () => [],
+  run: async ({ positional, dependencies }) => {
+    const [requestId = '', ...files] = positional
+    const texts = files.length === 0 ? [await dependencies.readInput()] : await Promise.all(files.map(async file => await dependencies.readTextFile(file)))
+    const { timeline, cause, unreadable } = explainRequest(requestId, texts.join('\n'))
+    for (const row of timeline) dependencies.writeOutput(row)
+    if (unreadable > 0) dependencies.writeError(`warning: ${unreadable} lines with this id cannot be read`)
+    if (cause === undefined) {
+      dependencies.writeError(`error: no line names request ${requestId}`)
+      return cliConstants.exitStatus.failure
+    }
+    dependencies.writeOutput(`cause: ${cause}`)
+    return cliConstants.exitStatus.success
+  }
+}
--- a/src/node/cli/createCommandLineDependencies.ts
+++ b/src/node/cli/createCommandLineDependencies.ts
@@ -3,6 +3,7 @@
 import { readFile, writeFile } from 'node:fs/promises'
 import { cliConstants } from './constants.js'
 import { platformConstants } from '../platform/constants.js'
+import { text as readStreamText } from 'node:stream/consumers'
 import { setTimeout as delay } from 'node:timers/promises'
 import type { CommandLineDependencies } from './commandLineDependencies.js'
 
@@ -21,6 +22,7 @@
     startGatewayHost: wired.startGatewayHost ?? (() => refusePart('the gateway host')),
     parseContract: wired.parseContract ?? (() => refusePart('the contract check')),
     readTextFile: path => readFile(path, 'utf8'),
+    readInput: async () => await readStreamText(process.stdin),
     writeTextFile: (path, text) => writeFile(path, text),
     writeOutput: line => process.stdout.write(`${line}\n`),
     writeError: line => process.stderr.write(`${line}\n`),
--- a/src/node/cli/listCommands.ts
+++ b/src/node/cli/listCommands.ts
@@ -9,6 +9,7 @@
 import { contractStatus } from './commands/contractStatus.js'
 import { contractWatch } from './commands/contractWatch.js'
 import { drain } from './commands/drain.js'
+import { explain } from './commands/explain.js'
 import { gateway } from './commands/gateway.js'
 import { route } from './commands/route.js'
 import { serve } from './commands/serve.js'
@@ -19,6 +20,6 @@
   return [
     serve, gateway,
     contractApply, contractRead, contractList, contractDiff, contractWatch, contractHistory, contractStatus, contractDelete,
-    route, drain, burn, check
+    route, drain, burn, check, explain
   ]
 }
--- /dev/null
+++ b/src/node/explain/parseLogLine.ts
@@ -0,0 +1,28 @@
+import { z } from 'zod'
+import type { LogLine } from './logLine.js'
+
+const schema = z.looseObject({
+  time: z.string(),
+  host: z.string().default('unknown host'),
+  message: z.string(),
+  requestId: z.string().optional(),
+  firstRequestId: z.string().optional()
+})
+
+/** A line of the log; text before its JSON object, as collectors add it, is passed over. Undefined when there is none. */
+export function parseLogLine (row: string): LogLine | undefined {
+  const parsed = schema.safeParse(parseJson(row.slice(Math.max(row.indexOf('{'), 0))))
+  if (!parsed.success) return undefined
+  const { time, host, message, requestId, firstRequestId } = parsed.data
+  const timeMs = Date.parse(time)
+  return Number.isNaN(timeMs) ? undefined : { timeMs, host, message, requestId, firstRequestId, fields: parsed.data }
+}
+
+function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    // Truncated and foreign lines are counted by the caller.
+    return undefined
+  }
+}
--- a/src/node/gateway/hosts/hostDirectory.ts
+++ b/src/node/gateway/hosts/hostDirectory.ts
@@ -2,6 +2,9 @@
 import type { HostEntry } from '../model/hostEntry.js'
 import type { Logger } from '../../../types/logger.js'
 
+/** Hosts with this share of the cores of the largest one may schedule stage work. */
+const largeHostShare = 0.9
+
 /** The hosts that the store lists. This host is always among them, as it sees itself. */
 export class HostDirectory {
   private readonly others = new Map<string, HostEntry>()
@@ -54,7 +57,10 @@
    * for a moment fill their calls less, which costs efficiency only.
    */
   chooseScheduler (excludedIds: ReadonlySet<string>): HostEntry {
-    const candidates = this.listReady().filter(host => !excludedIds.has(host.id))
+    const ready = this.listReady().filter(host => !excludedIds.has(host.id))
+    // The work of one host grows with the fleet, so it goes to one of those with the most processor time.
+    const mostCores = Math.max(0, ...ready.map(host => host.cores))
+    const candidates = ready.filter(host => host.cores >= mostCores * largeHostShare)
     const [id] = chooseByRendezvous('stage-scheduler', candidates.map(host => host.id), 1)
     return candidates.find(host => host.id === id) ?? this.self
   }
--- a/src/node/gateway/ingress/requestRun.ts
+++ b/src/node/gateway/ingress/requestRun.ts
@@ -65,7 +65,7 @@
 
   /** Whether the request may go on to an upstream. */
   private async runStages (): Promise<boolean> {
-    const { request, route, answer } = this.options
+    const { route, answer } = this.options
     const job = buildStageJob(this.options, { attempt: this.stageRuns, engineService: route.callKind === 'stream' ? this.service : undefined, reserveMs: this.parts.engineTimes.getReserveMs(route.name) })
     this.stageRuns++
     if (job === undefined) return true
@@ -82,8 +82,6 @@
     }
     const retryAfterMs = outcome.type === 'refused' ? outcome.retryAfterMs : ingressConstants.busyRetryAfterMs
     this.refuse(`stages ${outcome.type}: ${outcome.reason}`, retryAfterMs)
-    this.parts.metrics.addCount('requests_refused', { route: route.callKind, phase: 'stages' })
-    this.record('request refused', { requestId: request.id, reason: outcome.reason, retryAfterMs: Math.round(retryAfterMs) })
     return false
   }
 
@@ -255,7 +253,10 @@
   }
 
   private refuse (reason: string, retryAfterMs: number): void {
-    const { answer } = this.options
+    const { answer, route } = this.options
+    if (answer.isEnded) return
+    this.parts.metrics.addCount('requests_refused', { route: route.callKind, ran: this.mayHaveRun ? 'unknown' : 'not_run' })
+    this.record('request refused', { reason, retryAfterMs: Math.round(retryAfterMs), mayHaveRun: this.mayHaveRun, elapsedMs: this.computeElapsedMs() })
     // An earlier attempt that may have run makes a promise impossible.
     if (this.mayHaveRun && !this.isRepeatable()) return answer.writeError(502, 'upstream_failed', reason)
     if (answer.hasStarted) return answer.closeIncomplete()
--- a/src/node/gateway/store/prefixFollower.ts
+++ b/src/node/gateway/store/prefixFollower.ts
@@ -11,6 +11,8 @@
   readonly prefix: string
   readonly logger: Logger
   readonly random: Random
+  /** Wait of a watch without changes. */
+  readonly watchMs: number
   /** Least time between two watches; 0 to see each change at once. */
   readonly gatherMs: number
   /** All items; `isAfterGap` when changes may have been missed before. */
@@ -63,8 +65,8 @@
   }
 
   private async watchOnce (revision: number): Promise<number> {
-    const { store, prefix, gatherMs, onChange } = this.options
-    const answer = await store.watchPrefix(prefix, revision, storeConstants.watchMs, this.stopped.signal)
+    const { store, prefix, watchMs, gatherMs, onChange } = this.options
+    const answer = await store.watchPrefix(prefix, revision, watchMs, this.stopped.signal)
     for (const change of answer.changes) onChange(change)
     if (answer.changes.length > 0 && gatherMs > 0) await waitMs(gatherMs, this.stopped.signal)
     return Math.max(answer.revision, revision)
--- a/tap-snapshots/src/node/cli/__tests__/runCommandLine.test.ts.test.cjs
+++ b/tap-snapshots/src/node/cli/__tests__/runCommandLine.test.ts.test.cjs
@@ -48,6 +48,7 @@
     drain               Starts the planned stop of the host at --server; no running request is cut off
     burn                Reports attainment, error budget and what spent it, by account and kind
     check               Checks contract files, and the settings of serve when any are given, without a server
+    explain             Prints what log lines tell of a request, from files or standard input; exit status 1 when no line names it
 
   For more info, run any command with the \`--help\` flag
     $ lycheetrack contract --help
