refactor(stages): result ledger beside the scheduler; unreleased results expire

Results of a completed job were kept for ever when the host that asked for them died, and filled the memory counted for their upstreams; a test shows it (6 s).

--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -84,7 +84,11 @@
       const limit = configuration.getCurrent()?.services.get(service)?.connectionLimit ?? 0
       return Math.max(Math.floor(limit * upstreamConstants.connectionShare / hosts.countHosts()), upstreamConstants.minConnections)
     },
-    onChanged: scheduleUpdate
+    onChanged: scheduleUpdate,
+    onRemoved: upstreamId => {
+      ownEngines.removeEngine(upstreamId)
+      stageEngines.removeEngine(upstreamId)
+    }
   })
   const hosts = new HostDirectory({
     id: hostId,
@@ -95,8 +99,11 @@
     isReady: false,
     startedAtMs: clock.readWallMs()
   }, logger, () => {})
+  /** Engines of requests without stages, and of all requests with stages when this host schedules them. */
+  const ownEngines = new EnginePlanner(service => upstreams.listUsable(service))
+  const stageEngines = new EnginePlanner(service => upstreams.listUsable(service))
   const scheduler = new StageScheduler()
-  const dispatcher = new StageDispatcher({ scheduler, directory: upstreams, engines: new EnginePlanner(service => upstreams.listUsable(service)), codec: stageCallCodec, clock, logger, metrics })
+  const dispatcher = new StageDispatcher({ scheduler, directory: upstreams, engines: stageEngines, codec: stageCallCodec, clock, logger, metrics })
 
   const followUpstreams = (item: StoreItem): UpstreamEntry | undefined => {
     const entry = decodeUpstreamEntry(item.key, item.value)
@@ -165,7 +172,7 @@
     parts: {
       directory: upstreams,
       stages,
-      engines: new EnginePlanner(service => upstreams.listUsable(service)),
+      engines: ownEngines,
       engineTimes: new EngineTimes(),
       retries: new RetryAllowance(() => settingsHolder.get().timings, () => hosts.countHosts()),
       encodeHeaders: encodeUpstreamHeaders,
--- a/src/node/gateway/engines/enginePlanner.ts
+++ b/src/node/gateway/engines/enginePlanner.ts
@@ -32,6 +32,12 @@
     return this.chooseAmong(this.listEngines(service), prompt, { domain: '', bytes: 0 }, nowMs)?.entry.failureDomain ?? ''
   }
 
+  /** The engine is gone; an engine that comes back holds nothing. */
+  removeEngine (engineId: string): void {
+    this.cache.removeEngine(engineId)
+    this.loads.removeEngine(engineId)
+  }
+
   private chooseAmong (candidates: readonly UpstreamState[], prompt: EnginePrompt, inputs: { readonly domain: string, readonly bytes: number }, nowMs: number): UpstreamState | undefined {
     return chooseEngine({ candidates, cache: this.cache, loads: this.loads, prompt, inputDomain: inputs.domain, inputBytes: inputs.bytes, nowMs })
   }
--- a/src/node/gateway/ingress/buildStageJob.ts
+++ b/src/node/gateway/ingress/buildStageJob.ts
@@ -2,9 +2,6 @@
 import type { RequestRunOptions } from './requestRunOptions.js'
 import type { StageJob } from '../stages/stageJob.js'
 
-/** Worth of an output token relative to a prompt token. */
-const outputTokenWeight = 10
-
 /** The stage work of a request; undefined when it has none. */
 export function buildStageJob ({ request, route, account, aimAtMs, deadlineAtMs }: RequestRunOptions, run: { readonly attempt: number, /** Service of the engine to choose with the stages. */ readonly engineService: string | undefined, /** Time for the request after its stages. */ readonly reserveMs: number }): StageJob | undefined {
   const stages = route.stages
@@ -20,7 +17,6 @@
     aimAtMs: aimAtMs - run.reserveMs,
     deadlineAtMs: deadlineAtMs - run.reserveMs,
     priority: computeUrgency(route, account),
-    worth: request.promptTokens + outputTokenWeight * request.maxOutputTokens,
     preferredDomain: '',
     engineService: run.engineService,
     prompt: { tokens: request.promptTokens, parts: request.promptParts }
--- a/src/node/gateway/stages/__tests__/createTestScheduler.ts
+++ b/src/node/gateway/stages/__tests__/createTestScheduler.ts
@@ -37,7 +37,6 @@
     aimAtMs: 2000,
     deadlineAtMs: 10_000,
     priority: 1,
-    worth: 1,
     preferredDomain: '',
     prompt: { tokens: 0, parts: [] },
     ...job,
--- a/src/node/gateway/stages/__tests__/stageScheduler.test.ts
+++ b/src/node/gateway/stages/__tests__/stageScheduler.test.ts
@@ -163,3 +163,13 @@
   t.same(scheduler.planCalls(500), [])
   t.same(listPieces(scheduler.planCalls(600)), ['b-1: q.1.0'])
 })
+
+t.test('results that nobody releases, because their host died, do not hold memory for ever', async t => {
+  const { scheduler, buildJob, answerCall } = createTestScheduler([{ name: 'a', domains: ['x'], roomBytes: 1000 }])
+  scheduler.addJob(buildJob('p', [{ resultBytes: 1000 }], { deadlineAtMs: 60_000 }), 0)
+  answerCall(scheduler.planCalls(0)[0]!, 250)
+  scheduler.planCalls(6000)
+  t.same(scheduler.takeReleases(), [])
+  scheduler.planCalls(6300)
+  t.same(scheduler.takeReleases().map(release => release.handles), [['a-0/p.0.0']])
+})
--- a/src/node/gateway/stages/constants.ts
+++ b/src/node/gateway/stages/constants.ts
@@ -45,6 +45,8 @@
   /** Time beyond a job's deadline until its scheduling host must have answered. */
   peerSlackMs: 300,
   peerCallTimeoutMs: 1000,
+  /** Time after which unreleased results of a completed job are given up: the host that asked for them is gone. */
+  maxResultAgeMs: 6000,
   /** Failed sendings after which a job fails. */
   maxPieceFailures: 6,
   /** Times that a job begins again because results were lost. */
--- a/src/node/gateway/stages/decodeStageJob.ts
+++ b/src/node/gateway/stages/decodeStageJob.ts
@@ -17,7 +17,6 @@
     })),
     aimAtMs: nowMs + (message.aimLeftMs ?? 0),
     deadlineAtMs: nowMs + (message.timeLeftMs ?? 0),
-    worth: message.worth ?? 0,
     priority: message.priority ?? 0,
     preferredDomain: '',
     engineService: message.engineService === '' ? undefined : message.engineService ?? undefined,
--- a/src/node/gateway/stages/encodeStageJob.ts
+++ b/src/node/gateway/stages/encodeStageJob.ts
@@ -11,7 +11,6 @@
     stages: job.stages.map(stage => ({ index: stage.index, service: stage.service, after: [...stage.after], pieceCount: stage.pieceCount, resultBytes: stage.resultBytes })),
     aimLeftMs: job.aimAtMs - nowMs,
     timeLeftMs: job.deadlineAtMs - nowMs,
-    worth: job.worth,
     priority: job.priority,
     engineService: job.engineService ?? '',
     promptTokens: job.prompt.tokens,
--- a/src/node/gateway/stages/jobState.ts
+++ b/src/node/gateway/stages/jobState.ts
@@ -7,6 +7,8 @@
   failures = 0
   restarts = 0
   isEnded = false
+  /** Time at which all stages were done. */
+  doneAtMs: number | undefined
 
   /** The job gives way to those that were accepted as on time. */
   get isLate (): boolean {
--- a/src/node/gateway/stages/stageJob.ts
+++ b/src/node/gateway/stages/stageJob.ts
@@ -17,8 +17,6 @@
   readonly deadlineAtMs: number
   /** 0 is the most urgent. */
   readonly priority: number
-  /** Credit of the request when it is on time. */
-  readonly worth: number
   /** Failure domain in which the engine is wanted; empty when any will do. */
   readonly preferredDomain: string
   /** Service of the engine that takes the results; undefined when no engine is chosen with the stages. */
--- a/src/node/gateway/stages/stageScheduler.ts
+++ b/src/node/gateway/stages/stageScheduler.ts
@@ -5,6 +5,7 @@
 import { computeRemainingMs } from './computeRemainingMs.js'
 import { listTasksByRank } from './listTasksByRank.js'
 import { stageConstants } from './constants.js'
+import { ResultLedger } from './resultLedger.js'
 import { StageService } from './stageService.js'
 import { StageUpstream } from './stageUpstream.js'
 import type { ServiceSpec } from '../model/serviceSpec.js'
@@ -25,11 +26,8 @@
   private readonly services = new Map<string, StageService>()
   private readonly jobs = new Map<string, JobState>()
   private readonly ended: Array<{ readonly jobId: string, readonly outcome: StageOutcome }> = []
-  /** Results that are no longer needed, by the upstream that holds them. */
-  private releases = new Map<string, StageRelease>()
   private readonly margin = new EstimateMargin()
-  /** Tasks whose inputs are being fetched. */
-  private readonly fetching = new Set<StageTask>()
+  private readonly ledger = new ResultLedger(this.services)
   private nextCallId = 1
 
   /** Takes over the stage services of a configuration and the upstreams that serve them. */
@@ -71,7 +69,7 @@
   /** Calls to make now. */
   planCalls (nowMs: number): readonly StageCall[] {
     this.endHopelessJobs(nowMs)
-    this.releaseFetchedInputs(nowMs)
+    this.ledger.releaseFetchedInputs(nowMs)
     const calls: StageCall[] = []
     for (const service of this.services.values()) {
       while (service.ready.size > 0) {
@@ -115,7 +113,7 @@
     }
     for (const { task, pieceIndex } of call.refs) {
       task.inFlight--
-      this.removeRoom(call.service, call.upstreamId, task.work.resultBytes)
+      this.ledger.removeRoom(call.service, call.upstreamId, task.work.resultBytes)
       this.retryPiece(task, pieceIndex, nowMs)
     }
     this.countBacklog(nowMs)
@@ -128,14 +126,16 @@
 
   /** Results to release since the last call, by upstream. */
   takeReleases (): readonly StageRelease[] {
-    const releases = [...this.releases.values()]
-    this.releases.clear()
-    return releases
+    return this.ledger.takeReleases()
   }
 
   /** An upstream has dropped the results of a release; their memory is free again. */
-  onReleased ({ service, upstreamId, bytes }: StageRelease): void {
-    this.removeRoom(service, upstreamId, bytes)
+  onReleased (release: StageRelease): void {
+    this.ledger.removeRoom(release.service, release.upstreamId, release.bytes)
+  }
+
+  hasReleases (): boolean {
+    return this.ledger.hasReleases()
   }
 
   /** Time added to the expected end of jobs. */
@@ -143,13 +143,9 @@
     return this.margin.valueMs
   }
 
-  hasReleases (): boolean {
-    return this.releases.size > 0
-  }
-
   /** Next time at which a paused or overdue upstream may take calls again; undefined when nothing waits for one. */
   findNextWakeMs (nowMs: number): number | undefined {
-    let next: number | undefined = this.fetching.size > 0 ? nowMs + stageConstants.inputFetchMs / 2 : undefined
+    let next: number | undefined = this.ledger.isFetching() ? nowMs + stageConstants.inputFetchMs / 2 : undefined
     for (const service of this.services.values()) {
       if (service.ready.size === 0) continue
       for (const { pausedUntilMs } of service.upstreams.values()) {
@@ -181,7 +177,7 @@
       task.pending.splice(task.pending.indexOf(pieceIndex), 1)
       task.inFlight++
       task.sentAtMs = call.sentAtMs
-      if (task.work.after.length > 0) this.fetching.add(task)
+      if (task.work.after.length > 0) this.ledger.addFetching(task)
       upstream.usedRoomBytes += task.work.resultBytes
       if (task.pending.length === 0) service.ready.delete(task)
       this.updateReady(task.job, call.sentAtMs)
@@ -190,13 +186,13 @@
 
   private onPieceResult (call: StageCall, task: StageTask, pieceIndex: number, result: StagePieceResult, nowMs: number): void {
     if ('handle' in result) {
-      if (task.job.isEnded) return this.addRelease(call.service, call.upstreamId, result.handle, task.work.resultBytes)
+      if (task.job.isEnded) return this.ledger.addRelease(call.service, call.upstreamId, result.handle, task.work.resultBytes)
       task.handles[pieceIndex] = result.handle
       task.makers[pieceIndex] = call.upstreamId
       task.domains[pieceIndex] = this.services.get(call.service)!.upstreams.get(call.upstreamId)?.failureDomain
       return
     }
-    this.removeRoom(call.service, call.upstreamId, task.work.resultBytes)
+    this.ledger.removeRoom(call.service, call.upstreamId, task.work.resultBytes)
     if (task.job.isEnded) return
     if (result.failure === 'late') return this.endJob(task.job, { type: 'failed', reason: 'deadline passed in a stage' })
     if (result.failure === 'input-gone') return this.startAgain(task.job, nowMs)
@@ -234,6 +230,7 @@
   private updateJob (state: JobState, nowMs: number): void {
     if (state.isEnded) return
     if (!state.isDone()) return this.updateReady(state, nowMs)
+    state.doneAtMs = nowMs
     if (state.expectedMs !== undefined) this.margin.observe(nowMs - state.startedAtMs - state.expectedMs)
     const outputs = state.listOutputTasks()
     this.releaseInputs(state, outputs)
@@ -260,10 +257,11 @@
     }
   }
 
-  /** Ends jobs that can no longer be answered before their deadline. */
+  /** Ends jobs that can no longer be answered before their deadline, and completed ones that nobody releases. */
   private endHopelessJobs (nowMs: number): void {
     for (const state of this.jobs.values()) {
-      if (!state.isEnded && !state.isDone() && state.job.deadlineAtMs <= nowMs) {
+      if (state.doneAtMs !== undefined && nowMs - state.doneAtMs >= stageConstants.maxResultAgeMs) this.removeJob(state)
+      else if (!state.isEnded && !state.isDone() && state.job.deadlineAtMs <= nowMs) {
         this.endJob(state, { type: 'failed', reason: 'deadline passed before the stages were done' })
       }
     }
@@ -279,61 +277,16 @@
     if (this.jobs.get(state.job.id) === state) this.jobs.delete(state.job.id)
     for (const task of state.tasks.values()) {
       this.services.get(task.work.service)?.ready.delete(task)
-      this.releaseTask(task)
-    }
-  }
-
-  /** Releases results that the next stage has fetched: memory for results bounds the size of calls. */
-  private releaseFetchedInputs (nowMs: number): void {
-    for (const task of this.fetching) {
-      if (task.job.isEnded || task.isDone()) {
-        this.fetching.delete(task)
-        continue
-      }
-      if (!task.hasFetchedInputs(nowMs, stageConstants.inputFetchMs) || !this.isRoomScarce(task)) continue
-      this.fetching.delete(task)
-      for (const input of task.job.listInputTasks(task)) {
-        const isFetched = task.job.listFollowers(input).every(follower => follower.hasFetchedInputs(nowMs, stageConstants.inputFetchMs))
-        if (isFetched && !input.isReleased) this.releaseTask(input)
-      }
+      this.ledger.releaseTask(task)
     }
   }
 
-  /** Whether an upstream that holds inputs of the task has no memory for another full call; a failed call needs its inputs again. */
-  private isRoomScarce (task: StageTask): boolean {
-    return task.job.listInputTasks(task).some(({ work, makers }) => {
-      const service = this.services.get(work.service)
-      if (service === undefined) return false
-      const neededBytes = service.spec.batchSize * work.resultBytes
-      return makers.some(maker => (service.upstreams.get(maker ?? '')?.usedRoomBytes ?? 0) + neededBytes > service.spec.resultRoomBytes)
-    })
-  }
-
   private releaseInputs (state: JobState, outputs: readonly StageTask[]): void {
     for (const task of state.tasks.values()) {
-      if (!outputs.includes(task)) this.releaseTask(task)
+      if (!outputs.includes(task)) this.ledger.releaseTask(task)
     }
   }
 
-  private releaseTask (task: StageTask): void {
-    task.isReleased = true
-    task.handles.forEach((handle, i) => {
-      const maker = task.makers[i]
-      if (handle !== undefined && maker !== undefined) this.addRelease(task.work.service, maker, handle, task.work.resultBytes)
-      task.makers[i] = undefined
-    })
-  }
-
-  private addRelease (service: string, upstreamId: string, handle: string, bytes: number): void {
-    const release = this.releases.get(upstreamId)
-    this.releases.set(upstreamId, { service, upstreamId, handles: [...release?.handles ?? [], handle], bytes: (release?.bytes ?? 0) + bytes })
-  }
-
-  private removeRoom (service: string, upstreamId: string, bytes: number): void {
-    const upstream = this.services.get(service)?.upstreams.get(upstreamId)
-    if (upstream !== undefined) upstream.usedRoomBytes = Math.max(0, upstream.usedRoomBytes - bytes)
-  }
-
   private findHeaviestDomain (tasks: readonly StageTask[]): string {
     const bytes = new Map<string, number>()
     for (const task of tasks) {
--- a/src/node/gateway/upstreams/constants.ts
+++ b/src/node/gateway/upstreams/constants.ts
@@ -23,7 +23,5 @@
   ejectMs: 1000,
   maxEjectMs: 8000,
   /** Share of a service's upstreams that may be set aside at the same time. */
-  maxEjectedShare: 0.5,
-  /** Time for which an upstream that said it is leaving is not used, until the store says so too. */
-  leavingMs: 5000
+  maxEjectedShare: 0.5
 } as const
--- a/src/node/gateway/upstreams/upstreamDirectory.ts
+++ b/src/node/gateway/upstreams/upstreamDirectory.ts
@@ -15,6 +15,7 @@
   /** Connections that one host may hold to an upstream of a service. */
   readonly getConnectionLimit: (service: string) => number
   readonly onChanged: () => void
+  readonly onRemoved: (upstreamId: string) => void
 }
 
 /** The upstreams that the store lists, with their connections. */
@@ -57,6 +58,7 @@
     const { service } = state.entry
     this.byService.set(service, (this.byService.get(service) ?? []).filter(other => other !== state))
     state.pool.close()
+    this.options.onRemoved(id)
     this.recordChange('upstream gone', state.entry, reason)
     this.options.onChanged()
   }
@@ -84,7 +86,7 @@
    */
   listUsable (service: string): readonly UpstreamState[] {
     const nowMs = this.options.clock.readMonotonicMs()
-    const usable = this.listService(service).filter(state => state.isUsable(nowMs))
+    const usable = this.listService(service).filter(state => !state.entry.isDraining)
     const sound = usable.filter(state => !state.isEjected(nowMs))
     return sound.length >= usable.length * (1 - upstreamConstants.maxEjectedShare) ? sound : usable
   }
--- a/src/node/gateway/upstreams/upstreamPool.ts
+++ b/src/node/gateway/upstreams/upstreamPool.ts
@@ -14,13 +14,10 @@
 export class UpstreamPool {
   private readonly idle: UpstreamConnection[] = []
   private readonly busy = new Set<UpstreamConnection>()
+  private isClosing = false
 
   constructor (private readonly options: PoolOptions) {}
 
-  get busyCount (): number {
-    return this.busy.size
-  }
-
   /** Whether a request can be sent without exceeding the connection limit. */
   hasRoom (): boolean {
     return this.idle.length > 0 || this.busy.size < this.options.getConnectionLimit()
@@ -64,8 +61,6 @@
     this.isClosing = true
   }
 
-  private isClosing = false
-
   private takeConnection (): UpstreamConnection | undefined {
     const kept = this.idle.pop()
     if (kept !== undefined) {
--- a/src/node/gateway/upstreams/upstreamState.ts
+++ b/src/node/gateway/upstreams/upstreamState.ts
@@ -10,8 +10,6 @@
   private durationMs = 0
   private measuredAtMs = 0
   ejectedUntilMs = 0
-  /** The upstream has said on a connection that it is leaving. */
-  leavingUntilMs = 0
   /** Set while the entry is missing after an outage of the store; the upstream is removed at this time. */
   missingUntilMs: number | undefined
   private failures = 0
@@ -19,10 +17,6 @@
 
   constructor (public entry: UpstreamEntry, readonly pool: UpstreamPool) {}
 
-  isUsable (nowMs: number): boolean {
-    return !this.entry.isDraining && this.leavingUntilMs <= nowMs
-  }
-
   isEjected (nowMs: number): boolean {
     return this.ejectedUntilMs > nowMs
   }
