--- a/playground/platform/platformTestFleet.ts
+++ b/playground/platform/platformTestFleet.ts
@@ -50,7 +50,16 @@
       cores: 1,
       memoryBytes: 500_000_000,
       fileDescriptors: 4000,
-      timings: { drainMs: 2000, gracePeriodMs: 1200, configurationMs: 2000, maxAddressLifetimeMs: 5000, retryRatio: 0.2, retryWindowMs: 10_000, extraRetries: 50, heartbeatMs: 1200 }
+      timings: {
+        drainMs: 2000,
+        gracePeriodMs: 1200,
+        configurationMs: 2000,
+        maxAddressLifetimeMs: 5000,
+        retryRatio: 0.2,
+        retryWindowMs: 10_000,
+        extraRetries: 50,
+        heartbeatMs: 1200
+      }
     }
     this.host = await createGatewayHost(this.settings, { metricsPort: ports[4]!, writeLine: line => { this.lines.push(line) } })
     return this
@@ -63,7 +72,11 @@
   }
 
   /** Writes the next version; routes get defaults. */
-  writeConfiguration (part: { readonly routes?: ReadonlyArray<Record<string, unknown>>, readonly services?: ReadonlyArray<Record<string, unknown>>, readonly tenants?: unknown }): number {
+  writeConfiguration (part: {
+    readonly routes?: ReadonlyArray<Record<string, unknown>>,
+    readonly services?: ReadonlyArray<Record<string, unknown>>,
+    readonly tenants?: unknown
+  }): number {
     const { routes = [], services = [], ...rest } = part
     this.version += 3
     this.store.write('op/config', {
@@ -77,7 +90,17 @@
   }
 
   addUpstream (standIn: UpstreamStandIn, service: string, state = 'ready'): void {
-    this.store.write(`servers/${standIn.id}`, { service, address: standIn.address, zone: 'quay-a', version: 'v1', slots: 4, state, coldRemainingMs: 0, sequence: 1, born: 1 })
+    this.store.write(`servers/${standIn.id}`, {
+      service,
+      address: standIn.address,
+      zone: 'quay-a',
+      version: 'v1',
+      slots: 4,
+      state,
+      coldRemainingMs: 0,
+      sequence: 1,
+      born: 1
+    })
   }
 
   /** Resolves when a log line has this message and text. */
@@ -90,9 +113,24 @@
     const [host, port] = this.settings.clientAddress.split(':')
     const id = `request-${++this.requestCount}`
     return await new Promise((resolve, reject) => {
-      const request = sendRequest({ host, port, method, path, signal, agent: false, headers: { host: 'shop.example', 'x-request-id': id, 'x-time-remaining': '2000', ...headers } }, response => {
+      const request = sendRequest({
+        host,
+        port,
+        method,
+        path,
+        signal,
+        agent: false,
+        headers: { host: 'shop.example', 'x-request-id': id, 'x-time-remaining': '2000', ...headers }
+      }, response => {
         const chunks: Buffer[] = []
-        const end = (): void => { resolve({ status: response.statusCode ?? 0, headers: response.headers, body: Buffer.concat(chunks).toString('utf8'), isWhole: response.complete }) }
+        const end = (): void => {
+          resolve({
+            status: response.statusCode ?? 0,
+            headers: response.headers,
+            body: Buffer.concat(chunks).toString('utf8'),
+            isWhole: response.complete
+          })
+        }
         response.on('data', (chunk: Buffer) => chunks.push(chunk))
         response.on('end', end)
         response.on('error', end)
--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -103,7 +103,15 @@
   const ownEngines = new EnginePlanner(service => upstreams.listUsable(service))
   const stageEngines = new EnginePlanner(service => upstreams.listUsable(service))
   const scheduler = new StageScheduler()
-  const dispatcher = new StageDispatcher({ scheduler, directory: upstreams, engines: stageEngines, codec: stageCallCodec, clock, logger, metrics })
+  const dispatcher = new StageDispatcher({
+    scheduler,
+    directory: upstreams,
+    engines: stageEngines,
+    codec: stageCallCodec,
+    clock,
+    logger,
+    metrics
+  })
 
   const followUpstreams = (item: StoreItem): UpstreamEntry | undefined => {
     const entry = decodeUpstreamEntry(item.key, item.value)
--- a/src/node/app/gatewayHost.ts
+++ b/src/node/app/gatewayHost.ts
@@ -91,7 +91,18 @@
   }
 
   private async stopParts (): Promise<void> {
-    const { registrar, configurationFollower, upstreamFollower, hostFollower, transport, storeLink, readiness, directoryServer, metricsServer, dispatcher } = this.parts
+    const {
+      registrar,
+      configurationFollower,
+      upstreamFollower,
+      hostFollower,
+      transport,
+      storeLink,
+      readiness,
+      directoryServer,
+      metricsServer,
+      dispatcher
+    } = this.parts
     clearInterval(this.missingTimer)
     for (const follower of [configurationFollower, upstreamFollower, hostFollower]) follower.stop()
     await Promise.race([registrar.stop(), waitMs(gatewayConstants.stopReserveMs / 2)])
--- a/src/node/gateway/configuration/configurationHolder.ts
+++ b/src/node/gateway/configuration/configurationHolder.ts
@@ -19,7 +19,11 @@
   apply (configuration: GatewayConfiguration): void {
     const { version } = configuration
     if (this.current !== undefined && version <= this.current.version) return
-    this.logger.recordInfo('configuration in force', { version, previousVersion: this.current?.version, routes: configuration.routes.length })
+    this.logger.recordInfo('configuration in force', {
+      version,
+      previousVersion: this.current?.version,
+      routes: configuration.routes.length
+    })
     this.metrics.setGauge('configuration_version', {}, version)
     this.current = configuration
     this.routesByHost = buildRouteIndex(configuration.routes)
--- a/src/node/gateway/engines/enginePlanner.ts
+++ b/src/node/gateway/engines/enginePlanner.ts
@@ -2,6 +2,7 @@
 import { computePrefillMs } from './computePrefillMs.js'
 import { EngineLoads } from './engineLoads.js'
 import { PromptCacheIndex } from './promptCacheIndex.js'
+import type { EngineDemand } from './engineDemand.js'
 import type { EnginePrompt } from './enginePrompt.js'
 import type { UpstreamState } from '../upstreams/upstreamState.js'
 
@@ -16,7 +17,7 @@
   constructor (private readonly listEngines: (service: string) => readonly UpstreamState[]) {}
 
   /** Places a request and remembers it; undefined without a usable engine. */
-  placeRequest (service: string, prompt: EnginePrompt, inputs: { readonly domain: string, readonly bytes: number }, excludedIds: ReadonlySet<string>, nowMs: number): UpstreamState | undefined {
+  placeRequest ({ service, prompt, inputs, excludedIds }: EngineDemand, nowMs: number): UpstreamState | undefined {
     const usable = this.listEngines(service)
     const fresh = usable.filter(state => !excludedIds.has(state.entry.id))
     const engine = this.chooseAmong(fresh.length > 0 ? fresh : usable, prompt, inputs, nowMs)
@@ -38,7 +39,20 @@
     this.loads.removeEngine(engineId)
   }
 
-  private chooseAmong (candidates: readonly UpstreamState[], prompt: EnginePrompt, inputs: { readonly domain: string, readonly bytes: number }, nowMs: number): UpstreamState | undefined {
-    return chooseEngine({ candidates, cache: this.cache, loads: this.loads, prompt, inputDomain: inputs.domain, inputBytes: inputs.bytes, nowMs })
+  private chooseAmong (
+    candidates: readonly UpstreamState[],
+    prompt: EnginePrompt,
+    inputs: EngineDemand['inputs'],
+    nowMs: number
+  ): UpstreamState | undefined {
+    return chooseEngine({
+      candidates,
+      cache: this.cache,
+      loads: this.loads,
+      prompt,
+      inputDomain: inputs.domain,
+      inputBytes: inputs.bytes,
+      nowMs
+    })
   }
 }
--- a/src/node/gateway/hosts/hostDirectory.ts
+++ b/src/node/gateway/hosts/hostDirectory.ts
@@ -32,7 +32,13 @@
     if (entry.id === this.self.id) return
     const known = this.others.get(entry.id)
     this.others.set(entry.id, entry)
-    if (known === undefined || known.isReady !== entry.isReady) this.logger.recordInfo('host seen', { peer: entry.id, address: entry.clientAddress, isReady: entry.isReady })
+    if (known === undefined || known.isReady !== entry.isReady) {
+      this.logger.recordInfo('host seen', {
+        peer: entry.id,
+        address: entry.clientAddress,
+        isReady: entry.isReady
+      })
+    }
     this.onChanged()
   }
 
--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -100,7 +100,14 @@
     // The newest version counts, also when it came while the body was read.
     const { version } = configuration.getCurrent()!
     const route = configuration.findRoute(request.hostName, request.target.split('?')[0]!)
-    if (route === undefined) return this.refuse(answer, { request, status: 404, code: 'unknown_route', reason: `no route for ${request.hostName}` })
+    if (route === undefined) {
+      return this.refuse(answer, {
+        request,
+        status: 404,
+        code: 'unknown_route',
+        reason: `no route for ${request.hostName}`
+      })
+    }
     const account = configuration.findAccount(route, request.apiKey)
     if (account === undefined) return this.refuse(answer, { request, status: 401, code: 'unauthorized', reason: 'unknown API key' })
     const limitMs = Math.min((request.timeLeftMs ?? route.timeoutMs) - ingressConstants.answerMarginMs, route.timeoutMs)
@@ -119,11 +126,23 @@
     if (!response.destroyed) await run.run()
   }
 
-  private refuse (answer: ClientAnswer, refusal: { readonly request?: ClientRequest, readonly status: number, readonly code: string, readonly reason: string }): void {
+  private refuse (answer: ClientAnswer, refusal: {
+    readonly request?: ClientRequest,
+    readonly status: number,
+    readonly code: string,
+    readonly reason: string
+  }): void {
     const { logger, metrics } = this.options.parts
     const { request, status, code, reason } = refusal
     const version = this.options.configuration.getCurrent()?.version
-    logger.recordInfo('request rejected', { requestId: request?.id, status, code, reason, path: request?.target, configurationVersion: version })
+    logger.recordInfo('request rejected', {
+      requestId: request?.id,
+      status,
+      code,
+      reason,
+      path: request?.target,
+      configurationVersion: version
+    })
     metrics.addCount('requests_rejected', { code })
     answer.writeError(status, code, reason, status === 503 ? ingressConstants.unreadyRetryAfterMs : undefined)
   }
--- a/src/node/gateway/ingress/requestRun.ts
+++ b/src/node/gateway/ingress/requestRun.ts
@@ -66,7 +66,11 @@
   /** Whether the request may go on to an upstream. */
   private async runStages (): Promise<boolean> {
     const { route, answer } = this.options
-    const job = buildStageJob(this.options, { attempt: this.stageRuns, engineService: route.callKind === 'stream' ? this.service : undefined, reserveMs: this.parts.engineTimes.getReserveMs(route.name) })
+    const job = buildStageJob(this.options, {
+      attempt: this.stageRuns,
+      engineService: route.callKind === 'stream' ? this.service : undefined,
+      reserveMs: this.parts.engineTimes.getReserveMs(route.name)
+    })
     this.stageRuns++
     if (job === undefined) return true
     this.releaseInputs()
@@ -192,7 +196,12 @@
     upstream.onSuccess(nowMs - this.sentAtMs, nowMs)
     this.parts.engineTimes.observe(this.options.route.name, nowMs - this.sentAtMs)
     this.releaseUsedInputs()
-    this.record('first event', { upstream: upstream.entry.id, sentMs: Math.round(nowMs - this.sentAtMs), elapsedMs: this.computeElapsedMs(), aimLeftMs: Math.round(this.options.aimAtMs - nowMs) })
+    this.record('first event', {
+      upstream: upstream.entry.id,
+      sentMs: Math.round(nowMs - this.sentAtMs),
+      elapsedMs: this.computeElapsedMs(),
+      aimLeftMs: Math.round(this.options.aimAtMs - nowMs)
+    })
   }
 
   /** The engine has fetched the results of the stages. */
@@ -210,7 +219,12 @@
     if (!hasFailed) {
       if (result.type === 'answer') upstream.onSuccess(elapsedMs, nowMs)
     } else if (upstream.onFailure(nowMs)) {
-      logger.recordWarning('upstream ejected', { upstream: upstream.entry.id, service: upstream.entry.service, untilMs: Math.round(upstream.ejectedUntilMs - nowMs), reason: result.type })
+      logger.recordWarning('upstream ejected', {
+        upstream: upstream.entry.id,
+        service: upstream.entry.service,
+        untilMs: Math.round(upstream.ejectedUntilMs - nowMs),
+        reason: result.type
+      })
     }
   }
 
@@ -222,7 +236,12 @@
     if (route.callKind === 'stream') {
       const chosen = usable.find(state => state.entry.id === this.chosenEngineId && !this.triedIds.has(state.entry.id))
       if (chosen?.pool.hasRoom() === true) return chosen
-      return engines.placeRequest(this.service, { tokens: request.promptTokens, parts: request.promptParts }, { domain: this.inputDomain, bytes: this.inputBytes }, this.triedIds, nowMs)
+      return engines.placeRequest({
+        service: this.service,
+        prompt: { tokens: request.promptTokens, parts: request.promptParts },
+        inputs: { domain: this.inputDomain, bytes: this.inputBytes },
+        excludedIds: this.triedIds
+      }, nowMs)
     }
     const fresh = usable.filter(state => !this.triedIds.has(state.entry.id))
     return chooseUpstream({ candidates: fresh.length > 0 ? fresh : usable, failureDomain, random, nowMs })
@@ -256,7 +275,12 @@
     const { answer, route } = this.options
     if (answer.isEnded) return
     this.parts.metrics.addCount('requests_refused', { route: route.callKind, ran: this.mayHaveRun ? 'unknown' : 'not_run' })
-    this.record('request refused', { reason, retryAfterMs: Math.round(retryAfterMs), mayHaveRun: this.mayHaveRun, elapsedMs: this.computeElapsedMs() })
+    this.record('request refused', {
+      reason,
+      retryAfterMs: Math.round(retryAfterMs),
+      mayHaveRun: this.mayHaveRun,
+      elapsedMs: this.computeElapsedMs()
+    })
     // An earlier attempt that may have run makes a promise impossible.
     if (this.mayHaveRun && !this.isRepeatable()) return answer.writeError(502, 'upstream_failed', reason)
     if (answer.hasStarted) return answer.closeIncomplete()
--- a/src/node/gateway/ingress/sendAttempt.ts
+++ b/src/node/gateway/ingress/sendAttempt.ts
@@ -75,13 +75,27 @@
       this.options.answer.endStream()
       return this.end({ type: 'streamed', longestPauseMs: Math.round(this.longestPauseMs) })
     }
-    if (head.isNotRun) return this.end({ type: 'not-run', reason: `upstream status ${head.status}`, wasSent: true, areInputsGone: head.status === 409 })
+    if (head.isNotRun) {
+      return this.end({
+        type: 'not-run',
+        reason: `upstream status ${head.status}`,
+        wasSent: true,
+        areInputsGone: head.status === 409
+      })
+    }
     this.end({ type: 'answer', head, body: Buffer.concat(this.chunks) })
   }
 
   onFailure ({ kind, detail, wasSent }: ExchangeFailure): void {
     // The head of a refusal is a statement even when its body is cut off.
-    if (this.head?.isNotRun === true) return this.end({ type: 'not-run', reason: `upstream status ${this.head.status}`, wasSent: true, areInputsGone: false })
+    if (this.head?.isNotRun === true) {
+      return this.end({
+        type: 'not-run',
+        reason: `upstream status ${this.head.status}`,
+        wasSent: true,
+        areInputsGone: false
+      })
+    }
     if (!wasSent) return this.end({ type: 'not-run', reason: `${kind}: ${detail}`, wasSent: false, areInputsGone: false })
     this.end({ type: 'uncertain', reason: `${kind}: ${detail}` })
   }
--- a/src/node/gateway/model/storeClient.ts
+++ b/src/node/gateway/model/storeClient.ts
@@ -13,7 +13,12 @@
   /** All items below a prefix, and the revision from which a watch may go on. */
   readPrefix (prefix: string): Promise<{ readonly items: readonly StoreItem[], readonly revision: number }>
   /** Changes after `afterRevision`, in order; waits up to `waitMs` for the first one. */
-  watchPrefix (prefix: string, afterRevision: number, waitMs: number, signal: AbortSignal): Promise<{ readonly changes: readonly StoreChange[], readonly revision: number }>
+  watchPrefix (
+    prefix: string,
+    afterRevision: number,
+    waitMs: number,
+    signal: AbortSignal
+  ): Promise<{ readonly changes: readonly StoreChange[], readonly revision: number }>
   /** Resolves to whether the conditions held and the changes were made. */
   writeConditionally (write: StoreWrite): Promise<boolean>
   /** Resolves to the id of a new lease. */
--- a/src/node/gateway/stages/admitStageJob.ts
+++ b/src/node/gateway/stages/admitStageJob.ts
@@ -9,9 +9,21 @@
  * The load it answers: crests of one to three times the mean for some seconds, at which the stage services are the
  * bottleneck. Work that can be on time is taken; work that can't is taken only into capacity that is spare.
  */
-export function admitStageJob (job: StageJob, services: ReadonlyMap<string, StageService>, nowMs: number, marginMs: number): StageAdmission {
+export function admitStageJob (
+  job: StageJob,
+  services: ReadonlyMap<string, StageService>,
+  nowMs: number,
+  marginMs: number
+): StageAdmission {
   const missing = job.stages.find(stage => (services.get(stage.service)?.upstreams.size ?? 0) === 0)
-  if (missing !== undefined) return { isAccepted: false, reason: `no upstream of ${missing.service}`, retryAfterMs: stageConstants.minRetryAfterMs, finishInMs: Infinity }
+  if (missing !== undefined) {
+    return {
+      isAccepted: false,
+      reason: `no upstream of ${missing.service}`,
+      retryAfterMs: stageConstants.minRetryAfterMs,
+      finishInMs: Infinity
+    }
+  }
   const finishInMs = computeFinishMs(job, services, nowMs)
   const aimLeftMs = job.aimAtMs - nowMs
   const timeLeftMs = job.deadlineAtMs - nowMs
--- a/src/node/gateway/stages/buildStageCall.ts
+++ b/src/node/gateway/stages/buildStageCall.ts
@@ -40,7 +40,12 @@
 }
 
 /** The fastest idle upstream, in the domain of the inputs when they are heavy; undefined to wait for one there. */
-function chooseUpstream (service: StageService, { task, lane, slackMs }: TaskRank, idle: readonly StageUpstream[], nowMs: number): StageUpstream | undefined {
+function chooseUpstream (
+  service: StageService,
+  { task, lane, slackMs }: TaskRank,
+  idle: readonly StageUpstream[],
+  nowMs: number
+): StageUpstream | undefined {
   const withRoom = idle.filter(upstream => hasRoom(service, upstream, task.work.resultBytes))
   const domain = findWantedDomain(task)
   const local = withRoom.filter(upstream => upstream.failureDomain === domain)
--- a/src/node/gateway/stages/encodeStageJob.ts
+++ b/src/node/gateway/stages/encodeStageJob.ts
@@ -8,7 +8,13 @@
     requestId: job.requestId,
     pieceKey: job.pieceKey,
     route: job.route,
-    stages: job.stages.map(stage => ({ index: stage.index, service: stage.service, after: [...stage.after], pieceCount: stage.pieceCount, resultBytes: stage.resultBytes })),
+    stages: job.stages.map(stage => ({
+      index: stage.index,
+      service: stage.service,
+      after: [...stage.after],
+      pieceCount: stage.pieceCount,
+      resultBytes: stage.resultBytes
+    })),
     aimLeftMs: job.aimAtMs - nowMs,
     timeLeftMs: job.deadlineAtMs - nowMs,
     priority: job.priority,
--- a/src/node/gateway/stages/encodeStageOutcome.ts
+++ b/src/node/gateway/stages/encodeStageOutcome.ts
@@ -4,7 +4,12 @@
 /** How a job ended, as a message to the host that asked for it. */
 export function encodeStageOutcome (outcome: StageOutcome): messages.IRunStagesResponse {
   switch (outcome.type) {
-    case 'completed': return { outcome: outcome.type, outputs: outcome.outputs.map(({ index, handles }) => ({ index, handles: [...handles] })), outputDomain: outcome.outputDomain, engineId: outcome.engineId ?? '' }
+    case 'completed': return {
+      outcome: outcome.type,
+      outputs: outcome.outputs.map(({ index, handles }) => ({ index, handles: [...handles] })),
+      outputDomain: outcome.outputDomain,
+      engineId: outcome.engineId ?? ''
+    }
     case 'refused': return { outcome: outcome.type, reason: outcome.reason, retryAfterMs: outcome.retryAfterMs }
     case 'failed': return { outcome: outcome.type, reason: outcome.reason }
   }
--- a/src/node/gateway/stages/readStageCall.ts
+++ b/src/node/gateway/stages/readStageCall.ts
@@ -24,7 +24,12 @@
     clearTimeout(timer)
     report()
   }
-  const cancel = pool.send({ method: 'POST', path: codec.runPath, headers: codec.encodeHeaders(call.upstreamId), body: codec.encodePieces(call.pieces) }, {
+  const cancel = pool.send({
+    method: 'POST',
+    path: codec.runPath,
+    headers: codec.encodeHeaders(call.upstreamId),
+    body: codec.encodePieces(call.pieces)
+  }, {
     onHead: head => { status = head.status },
     onData: chunk => {
       size += chunk.length
--- a/src/node/gateway/stages/resultLedger.ts
+++ b/src/node/gateway/stages/resultLedger.ts
@@ -24,7 +24,12 @@
 
   addRelease (service: string, upstreamId: string, handle: string, bytes: number): void {
     const release = this.releases.get(upstreamId)
-    this.releases.set(upstreamId, { service, upstreamId, handles: [...release?.handles ?? [], handle], bytes: (release?.bytes ?? 0) + bytes })
+    this.releases.set(upstreamId, {
+      service,
+      upstreamId,
+      handles: [...release?.handles ?? [], handle],
+      bytes: (release?.bytes ?? 0) + bytes
+    })
   }
 
   takeReleases (): readonly StageRelease[] {
--- a/src/node/gateway/stages/stageClient.ts
+++ b/src/node/gateway/stages/stageClient.ts
@@ -34,7 +34,11 @@
 
   constructor (private readonly options: StageClientOptions) {
     const { transport, dispatcher, clock } = options
-    transport.handleStream(peerMethods.runStages, (request, _, signal) => runForPeer(dispatcher, decodeStageJob(request, clock.readMonotonicMs()), signal))
+    transport.handleStream(peerMethods.runStages, (request, _, signal) => runForPeer(
+      dispatcher,
+      decodeStageJob(request, clock.readMonotonicMs()),
+      signal
+    ))
     transport.handle(peerMethods.releaseResults, ({ jobIds }) => {
       for (const jobId of jobIds ?? []) dispatcher.releaseJob(jobId)
       return {}
@@ -103,6 +107,10 @@
   }
 }
 
-async function * runForPeer (dispatcher: StageDispatcher, job: StageJob, signal: AbortSignal): AsyncIterable<ReturnType<typeof encodeStageOutcome>> {
+async function * runForPeer (
+  dispatcher: StageDispatcher,
+  job: StageJob,
+  signal: AbortSignal
+): AsyncIterable<ReturnType<typeof encodeStageOutcome>> {
   yield encodeStageOutcome(await dispatcher.runJob(job, signal))
 }
--- a/src/node/gateway/stages/stageDispatcher.ts
+++ b/src/node/gateway/stages/stageDispatcher.ts
@@ -43,11 +43,26 @@
     const aimLeftMs = Math.round(job.aimAtMs - nowMs)
     if (!admission.isAccepted) {
       metrics.addCount('stage_jobs', { decision: 'refused' })
-      logger.recordInfo('stages refused', { requestId: job.requestId, reason: admission.reason, expectedMs: Math.round(admission.finishInMs), marginMs: Math.round(scheduler.marginMs), aimLeftMs, retryAfterMs: Math.round(admission.retryAfterMs), queues })
+      logger.recordInfo('stages refused', {
+        requestId: job.requestId,
+        reason: admission.reason,
+        expectedMs: Math.round(admission.finishInMs),
+        marginMs: Math.round(scheduler.marginMs),
+        aimLeftMs,
+        retryAfterMs: Math.round(admission.retryAfterMs),
+        queues
+      })
       return { type: 'refused', reason: admission.reason, retryAfterMs: admission.retryAfterMs }
     }
     metrics.addCount('stage_jobs', { decision: admission.isLate ? 'accepted-late' : 'accepted' })
-    logger.recordInfo('stages accepted', { requestId: job.requestId, isLate: admission.isLate, expectedMs: Math.round(admission.finishInMs), marginMs: Math.round(scheduler.marginMs), aimLeftMs, queues })
+    logger.recordInfo('stages accepted', {
+      requestId: job.requestId,
+      isLate: admission.isLate,
+      expectedMs: Math.round(admission.finishInMs),
+      marginMs: Math.round(scheduler.marginMs),
+      aimLeftMs,
+      queues
+    })
     return await new Promise(resolve => {
       const onAbort = (): void => {
         scheduler.cancelJob(job.id, clock.readMonotonicMs())
@@ -59,7 +74,12 @@
         signal.removeEventListener('abort', onAbort)
         const elapsedMs = clock.readMonotonicMs() - nowMs
         metrics.recordDuration('stage_job', { outcome: outcome.type }, elapsedMs)
-        logger.recordInfo('stages ended', { requestId: job.requestId, outcome: outcome.type, reason: outcome.type === 'completed' ? undefined : outcome.reason, elapsedMs: Math.round(elapsedMs) })
+        logger.recordInfo('stages ended', {
+          requestId: job.requestId,
+          outcome: outcome.type,
+          reason: outcome.type === 'completed' ? undefined : outcome.reason,
+          elapsedMs: Math.round(elapsedMs)
+        })
         resolve(outcome.type === 'completed' ? this.addEngine(job, outcome) : outcome)
       })
       if (signal.aborted) onAbort()
@@ -71,7 +91,12 @@
   private addEngine (job: StageJob, outcome: StageOutcome & { readonly type: 'completed' }): StageOutcome {
     if (job.engineService === undefined) return outcome
     const bytes = outcome.outputs.reduce((sum, { index, handles }) => sum + handles.length * (job.stages.find(stage => stage.index === index)?.resultBytes ?? 0), 0)
-    const engine = this.options.engines.placeRequest(job.engineService, job.prompt, { domain: outcome.outputDomain, bytes }, new Set(), this.options.clock.readMonotonicMs())
+    const engine = this.options.engines.placeRequest({
+      service: job.engineService,
+      prompt: job.prompt,
+      inputs: { domain: outcome.outputDomain, bytes },
+      excludedIds: new Set()
+    }, this.options.clock.readMonotonicMs())
     return { ...outcome, engineId: engine?.entry.id }
   }
 
@@ -110,7 +135,12 @@
   private sendCall (call: StageCall): void {
     const { directory, codec, clock, logger, metrics } = this.options
     const upstream = directory.find(call.upstreamId)
-    logger.recordInfo('stage call sent', { service: call.service, upstream: call.upstreamId, pieces: call.pieces.length, expectedMs: Math.round(call.expectedMs) })
+    logger.recordInfo('stage call sent', {
+      service: call.service,
+      upstream: call.upstreamId,
+      pieces: call.pieces.length,
+      expectedMs: Math.round(call.expectedMs)
+    })
     metrics.addCount('stage_pieces', { service: call.service }, call.pieces.length)
     if (upstream === undefined) return this.onCallFailed(call, 'upstream gone')
     const cancel = readStageCall({
@@ -138,13 +168,27 @@
     if (failures.length === 0) return
     const { logger, metrics } = this.options
     for (const failure of failures) metrics.addCount('stage_piece_failures', { service: call.service, reason: failure })
-    logger.recordWarning('stage pieces failed', { service: call.service, upstream: call.upstreamId, pieces: call.pieces.length, failed: failures.length, reason: failures[0], firstRequestId: call.pieces[0]?.requestId })
+    logger.recordWarning('stage pieces failed', {
+      service: call.service,
+      upstream: call.upstreamId,
+      pieces: call.pieces.length,
+      failed: failures.length,
+      reason: failures[0],
+      firstRequestId: call.pieces[0]?.requestId
+    })
   }
 
   private onCallFailed (call: StageCall, reason: string): void {
     const { scheduler, clock, logger, metrics } = this.options
     metrics.addCount('stage_calls_failed', { service: call.service })
-    logger.recordWarning('stage call failed', { service: call.service, upstream: call.upstreamId, pieces: call.pieces.length, reason, elapsedMs: Math.round(clock.readMonotonicMs() - call.sentAtMs), firstRequestId: call.pieces[0]?.requestId })
+    logger.recordWarning('stage call failed', {
+      service: call.service,
+      upstream: call.upstreamId,
+      pieces: call.pieces.length,
+      reason,
+      elapsedMs: Math.round(clock.readMonotonicMs() - call.sentAtMs),
+      firstRequestId: call.pieces[0]?.requestId
+    })
     scheduler.onCallFailed(call, clock.readMonotonicMs())
     this.schedulePlan(0)
   }
--- a/src/node/gateway/stages/stageOutcome.ts
+++ b/src/node/gateway/stages/stageOutcome.ts
@@ -2,6 +2,11 @@
 
 /** How the stages of a request ended. */
 export type StageOutcome =
-  | { readonly type: 'completed', readonly outputs: readonly StageOutput[], readonly outputDomain: string, /** Engine chosen for the request. */ readonly engineId?: string }
+  | {
+    readonly type: 'completed',
+    readonly outputs: readonly StageOutput[],
+    readonly outputDomain: string,
+    /** Engine chosen for the request. */ readonly engineId?: string
+  }
   | { readonly type: 'refused', readonly reason: string, readonly retryAfterMs: number }
   | { readonly type: 'failed', readonly reason: string }
--- a/src/node/gateway/stages/stageScheduler.ts
+++ b/src/node/gateway/stages/stageScheduler.ts
@@ -157,7 +157,13 @@
   }
 
   /** Queue lengths and busy upstreams by service, for logs and metrics. */
-  listLoads (nowMs: number): ReadonlyArray<{ readonly service: string, readonly queuedPieces: number, readonly latePieces: number, readonly idle: number, readonly upstreams: number }> {
+  listLoads (nowMs: number): ReadonlyArray<{
+    readonly service: string,
+    readonly queuedPieces: number,
+    readonly latePieces: number,
+    readonly idle: number,
+    readonly upstreams: number
+  }> {
     return [...this.services.values()].map(service => ({
       service: service.name,
       queuedPieces: service.backlog.onTime,
@@ -236,7 +242,11 @@
     this.releaseInputs(state, outputs)
     this.ended.push({
       jobId: state.job.id,
-      outcome: { type: 'completed', outputs: outputs.map(task => ({ index: task.work.index, handles: task.handles as string[] })), outputDomain: this.findHeaviestDomain(outputs) }
+      outcome: {
+        type: 'completed',
+        outputs: outputs.map(task => ({ index: task.work.index, handles: task.handles as string[] })),
+        outputDomain: this.findHeaviestDomain(outputs)
+      }
     })
   }
 
--- a/src/node/gateway/stages/stageService.ts
+++ b/src/node/gateway/stages/stageService.ts
@@ -11,7 +11,12 @@
   readonly ready = new Set<StageTask>()
   readonly costs = new PieceCosts()
   /** Accepted pieces that are not in a call yet, of jobs that can be on time and of late ones. */
-  readonly backlog: { onTime: number, late: number, jobs: Array<{ readonly orderMs: number, readonly pieces: number }> } = { onTime: 0, late: 0, jobs: [] }
+  readonly backlog: {
+    onTime: number,
+    late: number,
+    jobs: Array<{ readonly orderMs: number, readonly pieces: number }>
+  } = { onTime: 0, late: 0, jobs: [] }
+
   /** Average time that work on time has lately waited for a call, since its inputs were there. */
   recentWaitMs = 0
   private readonly sentPieces: Array<{ readonly atMs: number, readonly count: number }> = []
--- a/src/node/gateway/upstreams/upstreamConnection.ts
+++ b/src/node/gateway/upstreams/upstreamConnection.ts
@@ -40,7 +40,12 @@
   /** Sends a request; the returned function gives it up and closes the connection. */
   send (request: ExchangeRequest, handler: ExchangeHandler): () => void {
     const exchange = new UpstreamExchange(request.requestId, this.decodeAnswer, handler, () => this.wasReset)
-    this.client.dispatch({ method: request.method as 'GET', path: request.path, headers: request.headers, body: request.body ?? null }, exchange)
+    this.client.dispatch({
+      method: request.method as 'GET',
+      path: request.path,
+      headers: request.headers,
+      body: request.body ?? null
+    }, exchange)
     return () => {
       exchange.cancel()
       this.close()
--- a/src/node/gateway/upstreams/upstreamDirectory.ts
+++ b/src/node/gateway/upstreams/upstreamDirectory.ts
@@ -41,7 +41,13 @@
   applyEntry (entry: UpstreamEntry): void {
     const known = this.states.get(entry.id)
     if (known !== undefined && known.entry.address === entry.address && known.entry.service === entry.service) {
-      if (known.entry.isDraining !== entry.isDraining) this.recordChange(entry.isDraining ? 'upstream draining' : 'upstream ready', entry, 'entry changed')
+      if (known.entry.isDraining !== entry.isDraining) {
+        this.recordChange(
+          entry.isDraining ? 'upstream draining' : 'upstream ready',
+          entry,
+          'entry changed'
+        )
+      }
       known.entry = entry
       known.missingUntilMs = undefined
     } else {
--- a/src/node/gateway/upstreams/upstreamExchange.ts
+++ b/src/node/gateway/upstreams/upstreamExchange.ts
@@ -31,7 +31,12 @@
     if (this.isAborted) controller.abort(new UpstreamConnectError('given up'))
   }
 
-  onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
+  onResponseStart (
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: Record<string,
+    string | string[] | undefined>
+  ): void {
     if (this.hasEnded || status < 200) return
     const head = this.decodeAnswer(status, headers)
     // An extra answer of an earlier request may arrive where this one is expected.
--- a/src/node/platform/configurationSchema.ts
+++ b/src/node/platform/configurationSchema.ts
@@ -19,7 +19,11 @@
     maxAttempts: z.number().int().positive().optional(),
     allowAnonymous: z.boolean().optional(),
     resumeStreams: z.boolean().optional(),
-    stages: z.array(z.object({ service: z.string(), after: z.array(z.number().int().nonnegative()).nullish(), bytes: count.optional() })).nullish()
+    stages: z.array(z.object({
+      service: z.string(),
+      after: z.array(z.number().int().nonnegative()).nullish(),
+      bytes: count.optional()
+    })).nullish()
   })),
   services: z.array(z.object({
     name: z.string(),
--- a/src/node/platform/decodeConfiguration.ts
+++ b/src/node/platform/decodeConfiguration.ts
@@ -55,7 +55,12 @@
     targets: route.trafficSplit ?? (route.service === undefined ? [] : [{ service: route.service, weight: 1 }]),
     maxAttempts: route.maxAttempts ?? 1,
     allowsAnonymous: route.allowAnonymous === true,
-    stages: (route.stages ?? []).map((stage, index) => ({ index, service: stage.service, after: stage.after ?? [], resultBytes: stage.bytes ?? 0 }))
+    stages: (route.stages ?? []).map((stage, index) => ({
+      index,
+      service: stage.service,
+      after: stage.after ?? [],
+      resultBytes: stage.bytes ?? 0
+    }))
   }
 }
 
--- a/src/node/platform/parseHostSettings.ts
+++ b/src/node/platform/parseHostSettings.ts
@@ -47,7 +47,11 @@
 function buildFault (issue: { readonly path: readonly PropertyKey[], readonly message: string }, text: string): SettingFault {
   const setting = issue.path.join('.')
   const given = findValue(parseToml(text), issue.path)
-  return { setting, value: given === undefined ? undefined : JSON.stringify(given), expected: issue.message.startsWith('must') ? issue.message : `must be valid: ${issue.message}` }
+  return {
+    setting,
+    value: given === undefined ? undefined : JSON.stringify(given),
+    expected: issue.message.startsWith('must') ? issue.message : `must be valid: ${issue.message}`
+  }
 }
 
 function findValue (root: unknown, path: readonly PropertyKey[]): unknown {
--- a/src/node/platform/platformStore.ts
+++ b/src/node/platform/platformStore.ts
@@ -16,7 +16,15 @@
 const eventSchema = z.union([z.object({ key: z.string(), revision: z.number(), deleted: z.literal(true) }), itemSchema])
 const watchSchema = z.object({ events: z.array(eventSchema), storeRevision: z.number() })
 const leaseSchema = z.object({ lease: z.number() })
-const paths = { item: '/-/kv-key', range: '/-/kv-range', watch: '/-/kv-watch', write: '/-/kv-txn', lease: '/-/kv-lease', keep: '/-/kv-keep/', end: '/-/kv-lease-end/' } as const
+const paths = {
+  item: '/-/kv-key',
+  range: '/-/kv-range',
+  watch: '/-/kv-watch',
+  write: '/-/kv-txn',
+  lease: '/-/kv-lease',
+  keep: '/-/kv-keep/',
+  end: '/-/kv-lease-end/'
+} as const
 
 /** The platform's store over HTTP. */
 export class PlatformStore implements StoreClient {
@@ -47,7 +55,12 @@
     }
   }
 
-  async watchPrefix (prefix: string, afterRevision: number, waitMs: number, signal: AbortSignal): Promise<{ readonly changes: readonly StoreChange[], readonly revision: number }> {
+  async watchPrefix (
+    prefix: string,
+    afterRevision: number,
+    waitMs: number,
+    signal: AbortSignal
+  ): Promise<{ readonly changes: readonly StoreChange[], readonly revision: number }> {
     const wait = Math.min(Math.floor(waitMs), platformConstants.maxWatchMs)
     const query = `${paths.watch}?pathPrefix=${encodeURIComponent(prefix)}&after=${afterRevision}&waitMs=${wait}`
     const { status, body } = await this.link.watch(prefix, query, wait + platformConstants.watchGraceMs, signal)
--- a/src/node/platform/readHostSettings.ts
+++ b/src/node/platform/readHostSettings.ts
@@ -14,6 +14,10 @@
     return parseHostSettings(await readFile(path, 'utf8'))
   } catch (error) {
     if (error instanceof SettingsError) throw error
-    throw new SettingsError([{ setting: platformConstants.settingsVariable, value: (error as Error).message, expected: 'must name a readable file' }])
+    throw new SettingsError([{
+      setting: platformConstants.settingsVariable,
+      value: (error as Error).message,
+      expected: 'must name a readable file'
+    }])
   }
 }
--- a/src/node/platform/stageCallCodec.ts
+++ b/src/node/platform/stageCallCodec.ts
@@ -19,7 +19,13 @@
 
 function encodePiece (piece: StagePiece): unknown {
   const { requestId, stageIndex, pieceIndex, timeLeftMs, pieceKey, inputs } = piece
-  return { id: requestId, stage: stageIndex, piece: pieceIndex, remainingMs: Math.max(1, Math.floor(timeLeftMs)), ...inputs === undefined ? { key: pieceKey } : { inputs } }
+  return {
+    id: requestId,
+    stage: stageIndex,
+    piece: pieceIndex,
+    remainingMs: Math.max(1, Math.floor(timeLeftMs)),
+    ...inputs === undefined ? { key: pieceKey } : { inputs }
+  }
 }
 
 /** Undefined when the body is no answer to a call of `count` pieces. */
