refactor(gateway): one wait with a signal, the status of lost inputs is decoded in the adapter

Read-through of the change: prefixFollower.ts had written waitForDelay of keyValueWatch.ts again, without its check of a signal that is aborted already; both use src/shared/waitForDelay.ts now. Status 409 as lost inputs stood in sendAttempt.ts.

--- a/src/node/app/gatewayConstants.ts
+++ b/src/node/app/gatewayConstants.ts
@@ -9,7 +9,5 @@
   idleCloseMs: 50,
   /** Port of the metrics; outside the range for traffic between hosts. */
   metricsPort: 9464,
-  metricsPath: '/metrics',
-  /** Connections of one host to an upstream: the others get their parts as well. */
-  reservedDescriptors: 400
+  metricsPath: '/metrics'
 } as const
--- a/src/node/app/gatewayHost.ts
+++ b/src/node/app/gatewayHost.ts
@@ -1,3 +1,4 @@
+import { setTimeout as delay } from 'node:timers/promises'
 import { gatewayConstants } from './gatewayConstants.js'
 import type { GatewayParts } from './gatewayParts.js'
 import type { HostSettings } from '../gateway/model/hostSettings.js'
@@ -80,10 +81,10 @@
     const { gracePeriodMs } = settings.get().timings
     const startMs = clock.readMonotonicMs()
     const endMs = startMs + gracePeriodMs - gatewayConstants.stopReserveMs
-    await waitMs(Math.min(gatewayConstants.lingerMs, endMs - startMs))
+    await delay(Math.min(gatewayConstants.lingerMs, Math.max(endMs - startMs, 0)))
     const closed = ingress.stop()
     const closing = setInterval(() => { ingress.closeIdle() }, gatewayConstants.idleCloseMs)
-    await Promise.race([closed, waitMs(endMs - clock.readMonotonicMs())])
+    await Promise.race([closed, delay(Math.max(endMs - clock.readMonotonicMs(), 0))])
     clearInterval(closing)
     logger.recordInfo('host stopped', { unfinishedRequests: ingress.requestCount, drainMs: Math.round(clock.readMonotonicMs() - startMs) })
     await this.stopParts()
@@ -105,7 +106,7 @@
     } = this.parts
     clearInterval(this.missingTimer)
     for (const follower of [configurationFollower, upstreamFollower, hostFollower]) follower.stop()
-    await Promise.race([registrar.stop(), waitMs(gatewayConstants.stopReserveMs / 2)])
+    await Promise.race([registrar.stop(), delay(gatewayConstants.stopReserveMs / 2)])
     dispatcher.stop()
     await transport.stop()
     storeLink.close()
@@ -126,7 +127,3 @@
     follower.run().catch(error => { this.parts.logger.recordError('store follower failed', { reason: (error as Error).message }) })
   }
 }
-
-async function waitMs (ms: number): Promise<void> {
-  await new Promise(resolve => setTimeout(resolve, Math.max(ms, 0)))
-}
--- a/src/node/gateway/hosts/readPeerSecretPatiently.ts
+++ b/src/node/gateway/hosts/readPeerSecretPatiently.ts
@@ -1,3 +1,4 @@
+import { setTimeout as delay } from 'node:timers/promises'
 import { readPeerSecret } from './readPeerSecret.js'
 import { storeConstants } from '../store/constants.js'
 import type { Logger } from '../../../types/logger.js'
@@ -10,7 +11,7 @@
       return await readPeerSecret(store, key)
     } catch (error) {
       if (failures === 0) logger.recordWarning('peer secret not readable', { reason: (error as Error).message })
-      await new Promise(resolve => setTimeout(resolve, Math.min(storeConstants.retryMs * 2 ** failures, storeConstants.maxRetryMs)))
+      await delay(Math.min(storeConstants.retryMs * 2 ** failures, storeConstants.maxRetryMs))
     }
   }
 }
--- a/src/node/gateway/ingress/sendAttempt.ts
+++ b/src/node/gateway/ingress/sendAttempt.ts
@@ -80,7 +80,7 @@
         type: 'not-run',
         reason: `upstream status ${head.status}`,
         wasSent: true,
-        areInputsGone: head.status === 409
+        areInputsGone: head.areInputsGone
       })
     }
     this.end({ type: 'answer', head, body: Buffer.concat(this.chunks) })
--- a/src/node/gateway/model/upstreamAnswerHead.ts
+++ b/src/node/gateway/model/upstreamAnswerHead.ts
@@ -7,6 +7,8 @@
   readonly requestId?: string
   /** The upstream states that it did not run the request. */
   readonly isNotRun: boolean
+  /** Results of stages that the request takes no longer exist; it was not run. */
+  readonly areInputsGone: boolean
   /** Another upstream has this address now. */
   readonly isOtherInstance: boolean
   /** The upstream closes the connection after this answer. */
--- a/src/node/gateway/store/prefixFollower.ts
+++ b/src/node/gateway/store/prefixFollower.ts
@@ -1,4 +1,5 @@
 import { StoreHistoryLostError } from '../../../shared/storeHistoryLostError.js'
+import { waitForDelay } from '../../../shared/waitForDelay.js'
 import { storeConstants } from './constants.js'
 import type { Logger } from '../../../types/logger.js'
 import type { Random } from '../../../types/random.js'
@@ -44,7 +45,7 @@
         if (signal.aborted) return
         if (!(error instanceof StoreHistoryLostError)) {
           this.recordLost(error)
-          await waitMs(retryMs * (0.5 + this.options.random()), signal)
+          await waitForDelay(retryMs * (0.5 + this.options.random()), signal)
           retryMs = Math.min(retryMs * 2, storeConstants.maxRetryMs)
         } else this.options.logger.recordInfo('store history lost', { prefix: this.options.prefix, reason: error.message })
       }
@@ -68,7 +69,7 @@
     const { store, prefix, watchMs, gatherMs, onChange } = this.options
     const answer = await store.watchPrefix(prefix, revision, watchMs, this.stopped.signal)
     for (const change of answer.changes) onChange(change)
-    if (answer.changes.length > 0 && gatherMs > 0) await waitMs(gatherMs, this.stopped.signal)
+    if (answer.changes.length > 0 && gatherMs > 0) await waitForDelay(gatherMs, this.stopped.signal)
     return Math.max(answer.revision, revision)
   }
 
@@ -82,15 +83,3 @@
     this.isConnected = true
   }
 }
-
-async function waitMs (ms: number, signal: AbortSignal): Promise<void> {
-  await new Promise<void>(resolve => {
-    const end = (): void => {
-      clearTimeout(timer)
-      signal.removeEventListener('abort', end)
-      resolve()
-    }
-    const timer = setTimeout(end, ms)
-    signal.addEventListener('abort', end)
-  })
-}
--- a/src/node/keyValue/keyValueWatch.ts
+++ b/src/node/keyValue/keyValueWatch.ts
@@ -1,3 +1,4 @@
+import { waitForDelay } from '../../shared/waitForDelay.js'
 import { Client } from 'undici'
 import { z } from 'zod'
 import type { KeyValueChange } from '../../types/keyValueChange.js'
@@ -68,16 +69,3 @@
     this.revision = change.revision
   }
 }
-
-async function waitForDelay (ms: number, signal: AbortSignal): Promise<void> {
-  if (signal.aborted) return
-  await new Promise<void>(resolve => {
-    const onDone = (): void => {
-      clearTimeout(timer)
-      signal.removeEventListener('abort', onDone)
-      resolve()
-    }
-    const timer = setTimeout(onDone, ms)
-    signal.addEventListener('abort', onDone)
-  })
-}
--- a/src/node/platform/__tests__/decode.test.ts
+++ b/src/node/platform/__tests__/decode.test.ts
@@ -86,5 +86,7 @@
   fc.assert(fc.property(fc.string(), fc.string(), (a, b) => { decode({ host: a, 'x-request-id': 'id', 'x-time-remaining': b, 'x-token-counts': a, 'x-prompt-prefix': b, 'x-pieces': a, authorization: b }) }))
   fc.assert(fc.property(fc.integer({ min: 200, max: 599 }), fc.string(), (status, text) => { decodeUpstreamAnswer(status, { 'x-server-load': text, 'content-length': text, connection: text }) }))
   t.match(decodeUpstreamAnswer(200, { 'x-server-load': '3,1,8,250', connection: 'Close' }), { load: { running: 3, waiting: 1, slots: 8, slowdown: 2.5 }, closesConnection: true, isNotRun: false })
+  t.match([409, 503].map(status => decodeUpstreamAnswer(status, { 'x-not-executed': '1' })), [{ isNotRun: true, areInputsGone: true }, { isNotRun: true, areInputsGone: false }])
+  t.match(decodeUpstreamAnswer(409, {}), { isNotRun: false, areInputsGone: false })
   t.match(decodeUpstreamAnswer(421, {}), { isNotRun: true, isOtherInstance: true })
 })
--- a/src/node/platform/decodeUpstreamAnswer.ts
+++ b/src/node/platform/decodeUpstreamAnswer.ts
@@ -5,6 +5,7 @@
 type Headers = Readonly<Record<string, string | string[] | undefined>>
 
 const misdirected = 421
+const inputsGone = 409
 const connectionHeaders = new Set(['connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'content-length', headerNames.load, headerNames.notRun])
 
 /** Decodes the head of an upstream's answer. */
@@ -15,6 +16,7 @@
     status,
     requestId: findText(headers, headerNames.requestId),
     isNotRun: headers[headerNames.notRun] !== undefined || isOtherInstance,
+    areInputsGone: headers[headerNames.notRun] !== undefined && status === inputsGone,
     isOtherInstance,
     closesConnection: findText(headers, 'connection')?.toLowerCase().includes('close') === true,
     isSigned: headers[headerNames.signature] !== undefined,
