fix(gateway): a stopping host answers everything that it holds

Cause: at the end of a drain the connections were closed while requests that had come late still waited.

Ruled out: a lost connection and a kill at the end of the grace period; the host logged its own stop with one unfinished request.

Now requests that come during a drain have a deadline before the stop, streams that would be cut are refused at once with host_stopping, and what is left at the end gets its final answer.

--- a/playground/platform/platformTestFleet.ts
+++ b/playground/platform/platformTestFleet.ts
@@ -108,6 +108,11 @@
     await waitUntil(() => this.lines.some(line => line.includes(`"message":"${message}"`) && line.includes(text)))
   }
 
+  /** Resolves when an upstream has received this many requests. */
+  async waitUntilUpstreamHas (standIn: UpstreamStandIn, count: number): Promise<void> {
+    await waitUntil(() => standIn.requests.length >= count)
+  }
+
   /** A client's request on a connection of its own. */
   async send (path: string, { method = 'GET', headers = {}, body, signal }: SendOptions = {}): Promise<ClientAnswer> {
     const [host, port] = this.settings.clientAddress.split(':')
--- a/src/node/app/gatewayConstants.ts
+++ b/src/node/app/gatewayConstants.ts
@@ -6,6 +6,8 @@
   lingerMs: 6000,
   /** Time for the stop itself before the process is killed. */
   stopReserveMs: 600,
+  /** Time in which the last answers leave on a slow link before the connections are closed. */
+  lastAnswersMs: 150,
   idleCloseMs: 50,
   /** Port of the metrics; outside the range for traffic between hosts. */
   metricsPort: 9464,
--- a/src/node/app/gatewayHost.ts
+++ b/src/node/app/gatewayHost.ts
@@ -63,9 +63,12 @@
     if (this.isDraining) return
     this.isDraining = true
     this.parts.logger.recordInfo('drain started', { requests: this.parts.ingress.requestCount })
-    this.parts.ingress.startClosing()
+    const { clock, settings } = this.parts
+    const startMs = clock.readMonotonicMs()
+    const endMs = startMs + settings.get().timings.gracePeriodMs - gatewayConstants.stopReserveMs
+    this.parts.ingress.startClosing(endMs)
     this.updateEntry()
-    this.runDrain().catch(error => {
+    this.runDrain(startMs, endMs).catch(error => {
       this.parts.logger.recordError('drain failed', { reason: (error as Error).message })
       this.resolveStopped()
     })
@@ -76,17 +79,17 @@
   }
 
   /** Serves what clients still send while they learn other addresses, then closes the connections that are left. */
-  private async runDrain (): Promise<void> {
-    const { ingress, settings, logger, clock } = this.parts
-    const { gracePeriodMs } = settings.get().timings
-    const startMs = clock.readMonotonicMs()
-    const endMs = startMs + gracePeriodMs - gatewayConstants.stopReserveMs
+  private async runDrain (startMs: number, endMs: number): Promise<void> {
+    const { ingress, logger, clock } = this.parts
     await delay(Math.min(gatewayConstants.lingerMs, Math.max(endMs - startMs, 0)))
     const closed = ingress.stop()
     const closing = setInterval(() => { ingress.closeIdle() }, gatewayConstants.idleCloseMs)
     await Promise.race([closed, delay(Math.max(endMs - clock.readMonotonicMs(), 0))])
     clearInterval(closing)
-    logger.recordInfo('host stopped', { unfinishedRequests: ingress.requestCount, drainMs: Math.round(clock.readMonotonicMs() - startMs) })
+    const unfinishedRequests = ingress.requestCount
+    ingress.endRequests()
+    if (unfinishedRequests > 0) await delay(gatewayConstants.lastAnswersMs)
+    logger.recordInfo('host stopped', { unfinishedRequests, drainMs: Math.round(clock.readMonotonicMs() - startMs) })
     await this.stopParts()
     this.resolveStopped()
   }
--- a/src/node/gateway/ingress/constants.ts
+++ b/src/node/gateway/ingress/constants.ts
@@ -16,6 +16,10 @@
   initialHeaderTimeoutMs: 5000,
   /** Pause told to clients when the host has no configuration or no upstream is known. */
   unreadyRetryAfterMs: 500,
+  /** Pause told to clients of a host that stops. */
+  stoppingRetryAfterMs: 20,
+  /** A host that stops within this time takes no streams: half of them last longer, and a cut one has to begin again. */
+  streamDrainMs: 5000,
   /** Pause told to clients whose request found no free upstream. */
   busyRetryAfterMs: 400,
   /** An idempotent call without an answer after this many times the usual duration is sent elsewhere. */
--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -21,8 +21,10 @@
 /** The HTTP server for clients. */
 export class IngressServer {
   private readonly server: Server
-  private isClosing = false
+  /** Monotonic time at which the host stops; undefined until it drains. */
+  private stopsAtMs: number | undefined
   private activeCount = 0
+  private readonly runs = new Set<RequestRun>()
 
   constructor (private readonly options: IngressOptions) {
     this.server = createServer({
@@ -58,9 +60,14 @@
     this.server.headersTimeout = limits.headerTimeoutMs
   }
 
-  /** Asks clients to close their connections after the answers to come. */
-  startClosing (): void {
-    this.isClosing = true
+  /** Asks clients to close their connections after the answers to come; requests have their answer by `stopsAtMs`. */
+  startClosing (stopsAtMs: number): void {
+    this.stopsAtMs = stopsAtMs
+  }
+
+  /** Gives the requests in progress their final answer, and cuts streams. */
+  endRequests (): void {
+    for (const run of this.runs) run.endNow('the host stops')
   }
 
   /** Closes the connections without a request. */
@@ -90,7 +97,7 @@
     const { configuration, parts, decodeRequest } = this.options
     const arrivedAtMs = parts.clock.readMonotonicMs()
     const request = decodeRequest(message)
-    const answer = new ClientAnswer(response, request?.id, this.options.encodeErrorHeaders, () => this.isClosing)
+    const answer = new ClientAnswer(response, request?.id, this.options.encodeErrorHeaders, () => this.stopsAtMs !== undefined)
     const current = configuration.getCurrent()
     const body = await readRequestBody(message, current?.limits.maxBodyBytes ?? 0)
     if (current === undefined) return this.refuse(answer, { request, status: 503, code: 'not_ready', reason: 'no configuration yet' })
@@ -110,7 +117,11 @@
     }
     const account = configuration.findAccount(route, request.apiKey)
     if (account === undefined) return this.refuse(answer, { request, status: 401, code: 'unauthorized', reason: 'unknown API key' })
-    const limitMs = Math.min((request.timeLeftMs ?? route.timeoutMs) - ingressConstants.answerMarginMs, route.timeoutMs)
+    const timeToStopMs = (this.stopsAtMs ?? Infinity) - arrivedAtMs
+    if (route.callKind === 'stream' && timeToStopMs < ingressConstants.streamDrainMs) {
+      return this.refuse(answer, { request, status: 503, code: 'host_stopping', reason: 'the host stops before the stream would end' })
+    }
+    const limitMs = Math.min(timeToStopMs, (request.timeLeftMs ?? route.timeoutMs) - ingressConstants.answerMarginMs, route.timeoutMs)
     const run = new RequestRun({
       request,
       route,
@@ -123,7 +134,13 @@
       aimAtMs: arrivedAtMs + computeAimLeftMs(route, request.timeLeftMs)
     }, parts)
     response.once('close', () => { run.cancel() })
-    if (!response.destroyed) await run.run()
+    if (response.destroyed) return
+    this.runs.add(run)
+    try {
+      await run.run()
+    } finally {
+      this.runs.delete(run)
+    }
   }
 
   private refuse (answer: ClientAnswer, refusal: {
@@ -144,6 +161,11 @@
       configurationVersion: version
     })
     metrics.addCount('requests_rejected', { code })
-    answer.writeError(status, code, reason, status === 503 ? ingressConstants.unreadyRetryAfterMs : undefined)
+    answer.writeError(status, code, reason, status === 503 ? computeRetryAfterMs(code) : undefined)
   }
 }
+
+/** Other hosts serve what a stopping host refuses, so its clients need not wait. */
+function computeRetryAfterMs (code: string): number {
+  return code === 'host_stopping' ? ingressConstants.stoppingRetryAfterMs : ingressConstants.unreadyRetryAfterMs
+}
--- a/src/node/gateway/ingress/requestRun.ts
+++ b/src/node/gateway/ingress/requestRun.ts
@@ -46,7 +46,7 @@
   /** Resolves when the request has its final answer or its client has left. */
   async run (): Promise<void> {
     const timeLeftMs = this.options.deadlineAtMs - this.parts.clock.readMonotonicMs()
-    const timer = setTimeout(() => { this.onTimeout() }, Math.max(timeLeftMs, 0))
+    const timer = setTimeout(() => { this.endNow('deadline') }, Math.max(timeLeftMs, 0))
     try {
       if (await this.runStages()) await this.runAttempts()
     } finally {
@@ -63,6 +63,17 @@
     this.controller.abort()
   }
 
+  /** Gives the request its final answer now; `reason` is logged. */
+  endNow (reason: string): void {
+    const { answer } = this.options
+    if (answer.isEnded) return
+    this.record('request timed out', { reason, elapsedMs: this.computeElapsedMs(), mayHaveRun: this.mayHaveRun, sentCount: this.sentCount })
+    this.parts.metrics.addCount('requests_ended', { route: this.options.route.callKind, action: 'timed-out' })
+    if (this.mayHaveRun) answer.writeError(504, 'deadline_exceeded', 'no answer before the deadline')
+    else this.refuse('no upstream before the deadline', ingressConstants.busyRetryAfterMs)
+    this.controller.abort()
+  }
+
   /** Whether the request may go on to an upstream. */
   private async runStages (): Promise<boolean> {
     const { route, answer } = this.options
@@ -261,16 +272,6 @@
     return Math.min(Math.max(upstream.computeDurationMs(this.parts.clock.readMonotonicMs()) * ingressConstants.silenceFactor, ingressConstants.minSilenceMs), leftMs / 2)
   }
 
-  private onTimeout (): void {
-    const { answer } = this.options
-    if (answer.isEnded) return
-    this.record('request timed out', { elapsedMs: this.computeElapsedMs(), mayHaveRun: this.mayHaveRun, sentCount: this.sentCount })
-    this.parts.metrics.addCount('requests_ended', { route: this.options.route.callKind, action: 'timed-out' })
-    if (this.mayHaveRun) answer.writeError(504, 'deadline_exceeded', 'no answer before the deadline')
-    else this.refuse('no upstream before the deadline', ingressConstants.busyRetryAfterMs)
-    this.controller.abort()
-  }
-
   private refuse (reason: string, retryAfterMs: number): void {
     const { answer, route } = this.options
     if (answer.isEnded) return
