feat(experiment): stage scheduling in virtual time, with an experiment tool

The dispatcher takes its timers as an argument. Its plan was put off by each new job for as long as work arrived within the gathering time; an earlier plan now stands. The new test failed before: no call was sent in 250 ms.

--- /dev/null
+++ b/playground/experiment/__tests__/runExperiment.test.ts
@@ -0,0 +1,27 @@
+import t from 'tap'
+import { computeReport } from '../computeReport.js'
+import { exampleWorlds } from '../exampleWorlds.js'
+import { renderReport } from '../renderReport.js'
+import { runExperiment } from '../runExperiment.js'
+import { stageConstants } from '../../../src/node/gateway/stages/constants.js'
+
+const ferry = exampleWorlds.find(world => world.name === 'ferry')!
+
+t.test('guards against crests in which late work displaces work that could be on time', async t => {
+  const day = ferry.days.find(({ name }) => name === 'crests')!
+  for (const seed of [1, 2]) {
+    const { total } = computeReport(await runExperiment(ferry, day, seed))
+    // Admission lets this share of the accepted work be late.
+    const lateShare = total.late / (total.late + total.onTime)
+    t.ok(lateShare <= 1 - stageConstants.marginQuantile, `seed ${seed}: ${lateShare.toFixed(3)} of the answers are late`)
+  }
+})
+
+t.test('each request of a day has one outcome, and the same seed gives the same day', async t => {
+  const day = { ...ferry.days[0]!, lengthMs: 3000 }
+  const first = computeReport(await runExperiment(ferry, day, 7))
+  const { asked, onTime, late, refused, failed } = first.total
+  t.equal(onTime + late + refused + failed, asked)
+  t.same(computeReport(await runExperiment(ferry, day, 7)), first)
+  t.matchSnapshot(renderReport(first))
+})
--- /dev/null
+++ b/playground/experiment/decodeSite.ts
@@ -0,0 +1,131 @@
+import { parse } from 'smol-toml'
+import { siteSchema } from './siteSchema.js'
+import type { Distribution } from './distribution.js'
+import type { ExperimentDay } from './experimentDay.js'
+import type { ExperimentWorld } from './experimentWorld.js'
+import type { RequestKind } from './requestKind.js'
+import type { Site } from './site.js'
+import type { TrafficSource } from './trafficSource.js'
+import type { UpstreamTrouble } from './upstreamTrouble.js'
+
+const bytesPerMb = 1_000_000
+/** Shared parts of a prompt in the order of the file come before a part of the request's own. */
+const fewestPieces: Distribution = { mean: 1, spread: 0, max: 1 }
+
+/** Reads a site file of the bench. Throws a `ZodError` for a file of another form. */
+export function decodeSite (text: string): ExperimentWorld {
+  const site = siteSchema.parse(parse(text))
+  const engines = site.services.find(service => service.llm !== undefined)!
+  const kinds = site.classes.filter(kind => kind.stream !== undefined)
+  const names = new Set(kinds.map(kind => kind.name))
+  return {
+    name: site.name,
+    hosts: site.machines.reduce((sum, machine) => sum + machine.count, 0),
+    linkMs: { betweenDomains: site.net.cross_zone_ms, toClients: site.net.client_ms },
+    stageServices: site.services.flatMap(service => service.stage === undefined
+      ? []
+      : [{
+          name: service.name,
+          upstreams: countUpstreams(service.servers, site.thin),
+          spec: {
+            concurrentCalls: 1,
+            batchSize: service.stage.batch,
+            callMs: service.stage.call_ms,
+            pieceMs: service.stage.item_ms,
+            resultRoomBytes: service.stage.room_mb * bytesPerMb,
+            resultLifetimeMs: service.stage.handle_s * 1000
+          }
+        }]),
+    engines: {
+      name: engines.name,
+      upstreams: countUpstreams(engines.servers, site.thin),
+      slots: engines.slots,
+      prefillTokensPerMs: engines.llm!.prefill_tokens_per_ms,
+      firstEventMs: engines.llm!.first_ms,
+      stepMs: engines.llm!.step_ms,
+      stepMsPerRequest: engines.llm!.step_ms_per_slot,
+      tokensPerEvent: engines.llm!.stride,
+      cacheTokens: engines.llm!.kv_tokens
+    },
+    noise: { share: engines.noise.share, factor: engines.noise.x, everyMs: engines.noise.every_ms },
+    kinds: kinds.map(buildKind),
+    days: site.day.map(day => buildDay(day, site, names))
+  }
+}
+
+/** A file with a `thin` share is played at that share of its upstreams and requests. */
+function countUpstreams (servers: Site['services'][number]['servers'], thin: number): Readonly<Record<string, number>> {
+  const total = Math.round(servers.reduce((sum, { count }) => sum + count, 0) * thin)
+  const counts: Record<string, number> = {}
+  for (let placed = 0; placed < total; placed++) {
+    const { zone } = servers[placed % servers.length]!
+    counts[zone] = (counts[zone] ?? 0) + 1
+  }
+  return counts
+}
+
+function buildKind (kind: Site['classes'][number]): RequestKind {
+  const stream = kind.stream!
+  return {
+    name: kind.name,
+    latencyAimMs: kind.aim_ms,
+    timeoutMs: kind.timeout_ms ?? kind.deadline_ms,
+    worth: kind.worth,
+    lateWorth: kind.late_worth,
+    priority: kind.priority,
+    retries: kind.retries,
+    stages: kind.stages.map(stage => ({
+      service: stage.service,
+      after: stage.after,
+      resultBytes: stage.bytes,
+      share: stage.share,
+      pieces: stage.pieces ?? fewestPieces,
+      workFactor: stage.work_x
+    })),
+    sharedParts: stream.chain.map(part => ({ tokens: part.tokens, count: part.things })),
+    ownTokens: stream.prompt_tokens,
+    events: stream.pieces
+  }
+}
+
+function buildDay (day: Site['day'][number], site: Site, kinds: ReadonlySet<string>): ExperimentDay {
+  const lengthMs = site.length_s * 1000
+  const bursts = day.faults.filter(fault => fault.kind === 'burst')
+  const troubles = day.faults.filter(fault => isStageTrouble(fault, site))
+  return {
+    name: day.name,
+    lengthMs,
+    traffic: day.traffic.map(source => buildSource(source, site, kinds)),
+    bursts: bursts.map(burst => ({ atMs: burst.at * 1000, forMs: (burst.for_s ?? 0) * 1000, factor: burst.x ?? 1, kind: burst.class })),
+    troubles: troubles.map((trouble): UpstreamTrouble => ({
+      atMs: trouble.at * 1000,
+      forMs: (trouble.for_s ?? 0) * 1000,
+      service: trouble.service!,
+      share: trouble.share ?? 0,
+      slowdown: trouble.kind === 'srv_crash' ? Infinity : trouble.x ?? slowServerFactor
+    })),
+    notPlayed: [...new Set([...day.plan, ...day.faults].filter(fault => fault.kind !== 'burst' && !isStageTrouble(fault, site)).map(fault => fault.kind))]
+  }
+}
+
+/** Slowdown of a trouble that states none. */
+const slowServerFactor = 3
+
+function isStageTrouble ({ kind, service }: Site['day'][number]['faults'][number], site: Site): boolean {
+  const isStage = site.services.some(({ name, stage }) => name === service && stage !== undefined)
+  return isStage && (kind === 'srv_slow' || kind === 'srv_crash')
+}
+
+/** The rate counts all kinds of request; only those with a generation are played. */
+function buildSource (source: Site['day'][number]['traffic'][number], site: Site, kinds: ReadonlySet<string>): TrafficSource {
+  const all = Object.values(source.mix).reduce((sum, weight) => sum + weight, 0)
+  const mix = Object.fromEntries(Object.entries(source.mix).filter(([name]) => kinds.has(name)))
+  const played = Object.values(mix).reduce((sum, weight) => sum + weight, 0)
+  return {
+    failureDomain: source.zone,
+    requestsPerSecond: source.per_s * site.thin * played / all,
+    mix,
+    wave: { swing: source.shape.swing, periodMs: source.shape.period_s * 1000, phase: source.shape.phase },
+    clump: source.shape.clump
+  }
+}
--- /dev/null
+++ b/playground/experiment/distribution.ts
@@ -0,0 +1,7 @@
+/** Log-normal distribution, cut at `max`. */
+export interface Distribution {
+  readonly mean: number
+  /** Standard deviation of the logarithm; 0 for a constant. */
+  readonly spread: number
+  readonly max: number
+}
--- /dev/null
+++ b/playground/experiment/experimentReport.ts
@@ -0,0 +1,19 @@
+import type { ExperimentResult } from './experimentResult.js'
+import type { KindSummary } from './kindSummary.js'
+
+/** Summary of an experiment. */
+export interface ExperimentReport {
+  readonly world: string
+  readonly day: string
+  readonly seed: number
+  readonly total: KindSummary
+  readonly kinds: readonly KindSummary[]
+  /** Outcomes by the time at which requests were sent, in steps of two seconds. */
+  readonly windows: readonly KindSummary[]
+  readonly services: ReadonlyArray<ExperimentResult['services'][number] & { readonly piecesPerCall: number }>
+  readonly queues: ExperimentResult['samples']
+  /** Attempts that were refused. */
+  readonly refusals: number
+  readonly readTokens: number
+  readonly notPlayed: readonly string[]
+}
--- /dev/null
+++ b/playground/experiment/listUpstreamEntries.ts
@@ -0,0 +1,14 @@
+import type { UpstreamEntry } from '../../src/node/gateway/model/upstreamEntry.js'
+
+/** Entries of a service's upstreams, the failure domains in turn. */
+export function listUpstreamEntries (service: string, counts: Readonly<Record<string, number>>): readonly UpstreamEntry[] {
+  const most = Math.max(...Object.values(counts))
+  const entries: UpstreamEntry[] = []
+  for (let number = 0; number < most; number++) {
+    for (const [failureDomain, count] of Object.entries(counts)) {
+      if (number >= count) continue
+      entries.push({ id: `${service}-${entries.length}`, service, address: '', failureDomain, slots: 1, isDraining: false, startedAtMs: 0 })
+    }
+  }
+  return entries
+}
--- /dev/null
+++ b/playground/experiment/requestSimulation.ts
@@ -0,0 +1,128 @@
+import { computeAimLeftMs } from '../../src/node/gateway/ingress/computeAimLeftMs.js'
+import { engineConstants } from '../../src/node/gateway/engines/constants.js'
+import { ingressConstants } from '../../src/node/gateway/ingress/constants.js'
+import type { EngineModel } from './engineModel.js'
+import type { EngineTimes } from '../../src/node/gateway/engines/engineTimes.js'
+import type { ExperimentWorld } from './experimentWorld.js'
+import type { RequestOutcome } from './requestOutcome.js'
+import type { SimulatedRequest } from './simulatedRequest.js'
+import type { StageDispatcher } from '../../src/node/gateway/stages/stageDispatcher.js'
+import type { StageJob } from '../../src/node/gateway/stages/stageJob.js'
+import type { StageOutcome } from '../../src/node/gateway/stages/stageOutcome.js'
+import type { UpstreamState } from '../../src/node/gateway/upstreams/upstreamState.js'
+import type { VirtualClock } from '../fakes/virtualClock.js'
+
+/** Clients wait for a Retry-After of up to this share of the time they have left. */
+const retryAfterShare = 1 / 3
+
+interface SimulationParts {
+  readonly world: ExperimentWorld
+  readonly clock: VirtualClock
+  readonly dispatcher: StageDispatcher
+  readonly engines: ReadonlyMap<string, { readonly state: UpstreamState, readonly model: EngineModel }>
+  readonly engineTimes: EngineTimes
+}
+
+/** A client with one request, and the host that serves it: stages, engine, retries after refusals. */
+export class RequestSimulation {
+  private refusals = 0
+  private stagesMs: number | undefined
+  private readonly controller = new AbortController()
+
+  constructor (private readonly request: SimulatedRequest, private readonly parts: SimulationParts) {}
+
+  async run (): Promise<RequestOutcome> {
+    const { clock } = this.parts
+    const { request } = this
+    await clock.wait(request.sentAtMs - clock.readMonotonicMs())
+    const cancelPatience = clock.schedule(request.patienceMs, () => { this.controller.abort() })
+    for (let attempt = 0; attempt <= request.kind.retries; attempt++) {
+      const result = await this.runAttempt(attempt)
+      if (typeof result === 'object') {
+        cancelPatience()
+        return result
+      }
+      if (this.controller.signal.aborted) break
+      this.refusals++
+      await clock.wait(Math.min(result, this.computeTimeLeftMs() * retryAfterShare))
+    }
+    cancelPatience()
+    return { request, type: this.controller.signal.aborted ? 'failed' : 'refused', refusals: this.refusals }
+  }
+
+  /** Resolves to the outcome, or to the pause after a refusal in milliseconds. */
+  private async runAttempt (attempt: number): Promise<RequestOutcome | number> {
+    const { clock, dispatcher, engineTimes, world } = this.parts
+    const { request } = this
+    await clock.wait(world.linkMs.toClients)
+    const reserveMs = engineTimes.getReserveMs(request.kind.name)
+    const job = this.buildJob(attempt, reserveMs)
+    const startedAtMs = clock.readMonotonicMs()
+    await clock.wait(world.linkMs.betweenDomains)
+    const outcome: StageOutcome = job.stages.length === 0 ? { type: 'completed', outputs: [], outputDomain: '' } : await dispatcher.runJob(job, this.controller.signal)
+    await clock.wait(world.linkMs.betweenDomains)
+    this.stagesMs = clock.readMonotonicMs() - startedAtMs
+    if (outcome.type === 'refused') return outcome.retryAfterMs
+    if (outcome.type === 'failed') return ingressConstants.busyRetryAfterMs
+    return await this.runEngine(job, outcome)
+  }
+
+  private async runEngine (job: StageJob, outcome: StageOutcome & { readonly type: 'completed' }): Promise<RequestOutcome | number> {
+    const { clock, dispatcher, engines, engineTimes, world } = this.parts
+    const engine = engines.get(outcome.engineId ?? '') ?? [...engines.values()][0]!
+    const { request } = this
+    const sentAtMs = clock.readMonotonicMs()
+    engine.state.inFlight++
+    const release = (): void => { dispatcher.releaseJob(job.id) }
+    const cancelRelease = clock.schedule(engineConstants.inputFetchMs + world.linkMs.betweenDomains, release)
+    const result = await new Promise<RequestOutcome | number>(resolve => {
+      engine.model.addRequest({
+        prompt: request.prompt,
+        events: request.events,
+        inputs: outcome.outputs.flatMap(output => output.handles),
+        onRefused: () => { resolve(ingressConstants.busyRetryAfterMs) },
+        onFirstEvent: () => {
+          const nowMs = clock.readMonotonicMs()
+          engineTimes.observe(request.kind.name, nowMs - sentAtMs)
+          engine.state.onSuccess(nowMs - sentAtMs, nowMs)
+          resolve(this.buildOutcome(nowMs + world.linkMs.toClients - request.sentAtMs))
+        },
+        onEnd: () => { engine.state.inFlight-- }
+      })
+    })
+    cancelRelease()
+    clock.schedule(world.linkMs.betweenDomains, release)
+    return result
+  }
+
+  private buildOutcome (firstEventMs: number): RequestOutcome {
+    const { request, stagesMs, refusals } = this
+    if (firstEventMs > request.patienceMs) return { request, type: 'failed', stagesMs, refusals }
+    return { request, type: firstEventMs <= request.kind.latencyAimMs ? 'on-time' : 'late', firstEventMs, stagesMs, refusals }
+  }
+
+  private buildJob (attempt: number, reserveMs: number): StageJob {
+    const { request } = this
+    const { kind } = request
+    const nowMs = this.parts.clock.readMonotonicMs()
+    return {
+      id: `${request.id}:${attempt}`,
+      requestId: request.id,
+      pieceKey: '',
+      route: kind.name,
+      stages: kind.stages
+        .map((stage, index) => ({ index, service: stage.service, after: stage.after, resultBytes: stage.resultBytes, pieceCount: request.pieceCounts[index]! }))
+        .filter(stage => stage.pieceCount > 0),
+      aimAtMs: nowMs + computeAimLeftMs(kind, this.computeTimeLeftMs()) - reserveMs,
+      deadlineAtMs: request.sentAtMs + request.patienceMs - reserveMs,
+      priority: kind.priority,
+      preferredDomain: '',
+      engineService: this.parts.world.engines.name,
+      prompt: request.prompt
+    }
+  }
+
+  private computeTimeLeftMs (): number {
+    return this.request.sentAtMs + this.request.patienceMs - this.parts.clock.readMonotonicMs()
+  }
+}
--- /dev/null
+++ b/playground/experiment/runExperiment.ts
@@ -0,0 +1,113 @@
+import { buildRequests } from './buildRequests.js'
+import { buildServiceSpecs } from './buildServiceSpecs.js'
+import { createSeededRandom } from '../../src/shared/createSeededRandom.js'
+import { createSilentLogger } from '../fakes/createSilentLogger.js'
+import { createSilentMetrics } from '../fakes/createSilentMetrics.js'
+import { EngineModel } from './engineModel.js'
+import { EnginePlanner } from '../../src/node/gateway/engines/enginePlanner.js'
+import { EngineTimes } from '../../src/node/gateway/engines/engineTimes.js'
+import { listUpstreamEntries } from './listUpstreamEntries.js'
+import { memoryCallCodec } from './memoryCallCodec.js'
+import { RequestSimulation } from './requestSimulation.js'
+import { StageDispatcher } from '../../src/node/gateway/stages/stageDispatcher.js'
+import { StageScheduler } from '../../src/node/gateway/stages/stageScheduler.js'
+import { StageUpstreamModel } from './stageUpstreamModel.js'
+import { StageWorkTable } from './stageWorkTable.js'
+import { UpstreamNoise } from './upstreamNoise.js'
+import { UpstreamState } from '../../src/node/gateway/upstreams/upstreamState.js'
+import { VirtualClock } from '../fakes/virtualClock.js'
+import type { ExperimentDay } from './experimentDay.js'
+import type { ExperimentResult } from './experimentResult.js'
+import type { ExperimentWorld } from './experimentWorld.js'
+import type { RequestOutcome } from './requestOutcome.js'
+import type { StageResult } from './stageResult.js'
+import type { UpstreamEntry } from '../../src/node/gateway/model/upstreamEntry.js'
+import type { UpstreamPool } from '../../src/node/gateway/upstreams/upstreamPool.js'
+
+/** Interval at which queues are sampled. */
+const sampleMs = 250
+
+/** Plays a day in virtual time: the product's own scheduling and placing against models of upstreams and clients. */
+export async function runExperiment (world: ExperimentWorld, day: ExperimentDay, seed: number): Promise<ExperimentResult> {
+  const clock = new VirtualClock()
+  const random = createSeededRandom(seed * 31 + 7)
+  const requests = buildRequests(world, day, seed)
+  const results = new Map<string, StageResult>()
+  const work = new StageWorkTable()
+  for (const request of requests) work.addRequest(request)
+
+  const createNoise = (service: string, position: number, count: number): UpstreamNoise =>
+    new UpstreamNoise(world.noise, day.troubles.filter(trouble => trouble.service === service && position < Math.round(trouble.share * count)), createSeededRandom(random() * 2 ** 32))
+  const stageEntries = new Map(world.stageServices.map(service => [service.name, listUpstreamEntries(service.name, service.upstreams)]))
+  const stages = new Map(world.stageServices.flatMap(service => stageEntries.get(service.name)!.map((entry, i, entries) => [entry.id, new StageUpstreamModel({
+    id: entry.id,
+    failureDomain: entry.failureDomain,
+    service,
+    work,
+    noise: createNoise(service.name, i, entries.length),
+    clock,
+    random,
+    linkMs: world.linkMs.betweenDomains,
+    results
+  })] as const)))
+  const engineEntries = listUpstreamEntries(world.engines.name, world.engines.upstreams)
+  const engines = new Map(engineEntries.map((entry, i) => [entry.id, {
+    state: createEngineState(entry),
+    model: new EngineModel(world.engines, createNoise(world.engines.name, i, engineEntries.length), clock, results)
+  }]))
+
+  const scheduler = new StageScheduler()
+  const states = [...engines.values()].map(engine => engine.state)
+  const dispatcher = new StageDispatcher({
+    scheduler,
+    findPool: id => stages.get(id),
+    engines: new EnginePlanner(() => states),
+    codec: memoryCallCodec,
+    clock,
+    timers: clock,
+    logger: createSilentLogger(),
+    metrics: createSilentMetrics()
+  })
+  scheduler.applyUpstreams(buildServiceSpecs(world.stageServices), service => stageEntries.get(service) ?? [])
+
+  const engineTimes = new EngineTimes()
+  const outcomes: RequestOutcome[] = []
+  for (const request of requests) {
+    const simulation = new RequestSimulation(request, { world, clock, dispatcher, engines, engineTimes })
+    simulation.run().then(outcome => { outcomes.push(outcome) }, (error: unknown) => { throw error })
+  }
+  const samples: Array<ExperimentResult['samples'][number]> = []
+  const endMs = day.lengthMs + Math.max(...world.kinds.map(kind => kind.timeoutMs))
+  while (clock.readMonotonicMs() < endMs && outcomes.length < requests.length) {
+    await clock.runFor(sampleMs)
+    const nowMs = clock.readMonotonicMs()
+    for (const load of scheduler.listLoads(nowMs)) samples.push({ atMs: nowMs, service: load.service, queuedPieces: load.queuedPieces + load.latePieces })
+  }
+  dispatcher.stop()
+  return {
+    world: world.name,
+    day,
+    seed,
+    outcomes,
+    samples,
+    services: world.stageServices.map(service => {
+      const models = stageEntries.get(service.name)!.map(entry => stages.get(entry.id)!)
+      return {
+        name: service.name,
+        upstreams: models.length,
+        calls: models.reduce((sum, model) => sum + model.calls, 0),
+        pieces: models.reduce((sum, model) => sum + model.pieces, 0),
+        busyShare: models.reduce((sum, model) => sum + model.busyMs, 0) / models.length / day.lengthMs,
+        inputsGone: models.reduce((sum, model) => sum + (model.failures.get('input-gone') ?? 0), 0),
+        crossedBytes: models.reduce((sum, model) => sum + model.crossedBytes, 0),
+        withoutRoom: models.reduce((sum, model) => sum + (model.failures.get('no-room') ?? 0), 0)
+      }
+    }),
+    readTokens: [...engines.values()].reduce((sum, engine) => sum + engine.model.readTokens, 0)
+  }
+}
+
+/** The planner asks the pool only whether it has room, which the models always have. */
+function createEngineState (entry: UpstreamEntry): UpstreamState {
+  return new UpstreamState(entry, { hasRoom: () => true } as unknown as UpstreamPool)
+}
--- /dev/null
+++ b/playground/experiment/sharedPart.ts
@@ -0,0 +1,8 @@
+import type { Distribution } from './distribution.js'
+
+/** A part of a prompt that requests of a kind share. */
+export interface SharedPart {
+  readonly tokens: Distribution
+  /** Number of different parts. */
+  readonly count: number
+}
--- /dev/null
+++ b/playground/experiment/stageServiceModel.ts
@@ -0,0 +1,9 @@
+import type { StageSpec } from '../../src/node/gateway/model/stageSpec.js'
+
+/** A stage service of an experiment. */
+export interface StageServiceModel {
+  readonly name: string
+  readonly spec: StageSpec
+  /** Upstreams in each failure domain. */
+  readonly upstreams: Readonly<Record<string, number>>
+}
--- /dev/null
+++ b/playground/experiment/trafficSource.ts
@@ -0,0 +1,11 @@
+/** Clients of one failure domain. */
+export interface TrafficSource {
+  readonly failureDomain: string
+  readonly requestsPerSecond: number
+  /** Weight of each kind of request. */
+  readonly mix: Readonly<Record<string, number>>
+  /** Rate over time: 1 + swing * sin(2 pi (t / period + phase)). */
+  readonly wave: { readonly swing: number, readonly periodMs: number, readonly phase: number }
+  /** Mean number of requests that are sent at the same time. */
+  readonly clump: number
+}
--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -35,6 +35,7 @@
 import { storeConstants } from '../gateway/store/constants.js'
 import { StoreLink } from '../platform/storeLink.js'
 import { systemClock } from '../../shared/systemClock.js'
+import { systemScheduler } from '../../shared/systemScheduler.js'
 import { upstreamConstants } from '../gateway/upstreams/constants.js'
 import { UpstreamDirectory } from '../gateway/upstreams/upstreamDirectory.js'
 import type { GatewayOptions } from './gatewayOptions.js'
@@ -105,10 +106,11 @@
   const scheduler = new StageScheduler()
   const dispatcher = new StageDispatcher({
     scheduler,
-    directory: upstreams,
+    findPool: upstreamId => upstreams.find(upstreamId)?.pool,
     engines: stageEngines,
     codec: stageCallCodec,
     clock,
+    timers: systemScheduler,
     logger,
     metrics
   })
--- /dev/null
+++ b/src/node/gateway/stages/__tests__/stageDispatcher.test.ts
@@ -0,0 +1,37 @@
+import t from 'tap'
+import { createSilentLogger } from '../../../../../playground/fakes/createSilentLogger.js'
+import { createSilentMetrics } from '../../../../../playground/fakes/createSilentMetrics.js'
+import { createTestScheduler } from './createTestScheduler.js'
+import { EnginePlanner } from '../../engines/enginePlanner.js'
+import { memoryCallCodec } from '../../../../../playground/experiment/memoryCallCodec.js'
+import { StageDispatcher } from '../stageDispatcher.js'
+import { VirtualClock } from '../../../../../playground/fakes/virtualClock.js'
+
+t.test('guards against calls that are put off for as long as work keeps arriving', async t => {
+  const { scheduler, buildJob } = createTestScheduler([{ name: 'a', domains: ['x'] }])
+  const clock = new VirtualClock()
+  const sentAtMs: number[] = []
+  const dispatcher = new StageDispatcher({
+    scheduler,
+    findPool: () => ({
+      send: () => {
+        sentAtMs.push(clock.readMonotonicMs())
+        return () => {}
+      }
+    }),
+    engines: new EnginePlanner(() => []),
+    codec: memoryCallCodec,
+    clock,
+    timers: clock,
+    logger: createSilentLogger(),
+    metrics: createSilentMetrics()
+  })
+  const controller = new AbortController()
+  for (let i = 0; i < 50; i++) {
+    dispatcher.runJob(buildJob(`p${i}`, [{}]), controller.signal).catch(() => {})
+    await clock.runFor(5)
+  }
+  dispatcher.stop()
+  t.equal(sentAtMs.length, 1, 'the only upstream has its call')
+  t.ok(sentAtMs[0]! <= 30, `sent after ${sentAtMs[0]} ms`)
+})
--- a/src/node/gateway/stages/readStageCall.ts
+++ b/src/node/gateway/stages/readStageCall.ts
@@ -1,19 +1,21 @@
 import { upstreamConstants } from '../upstreams/constants.js'
+import type { Scheduler } from '../../../types/scheduler.js'
 import type { StageCall } from './stageCall.js'
 import type { StageCallCodec } from '../model/stageCallCodec.js'
 import type { StagePieceResult } from '../model/stagePieceResult.js'
 import type { UpstreamPool } from '../upstreams/upstreamPool.js'
 
 interface StageCallOptions {
-  readonly pool: UpstreamPool
+  readonly pool: Pick<UpstreamPool, 'send'>
   readonly codec: StageCallCodec
   readonly call: StageCall
+  readonly timers: Scheduler
   readonly onAnswer: (results: readonly StagePieceResult[]) => void
   readonly onFailure: (reason: string) => void
 }
 
 /** Makes one stage call with its time limit; the returned function gives it up without a callback. */
-export function readStageCall ({ pool, codec, call, onAnswer, onFailure }: StageCallOptions): () => void {
+export function readStageCall ({ pool, codec, call, timers, onAnswer, onFailure }: StageCallOptions): () => void {
   const chunks: Buffer[] = []
   let size = 0
   let status = 0
@@ -21,7 +23,7 @@
   const end = (report: () => void): void => {
     if (hasEnded) return
     hasEnded = true
-    clearTimeout(timer)
+    cancelTimeout()
     report()
   }
   const cancel = pool.send({
@@ -45,7 +47,7 @@
     },
     onFailure: failure => { end(() => { onFailure(`${failure.kind}: ${failure.detail}`) }) }
   })
-  const timer = setTimeout(() => { cancelCall('no answer in time') }, call.timeoutMs)
+  const cancelTimeout = timers.schedule(call.timeoutMs, () => { cancelCall('no answer in time') })
   function cancelCall (reason: string): void {
     end(() => {
       cancel()
--- a/src/node/gateway/stages/stageDispatcher.ts
+++ b/src/node/gateway/stages/stageDispatcher.ts
@@ -10,15 +10,18 @@
 import type { StageOutcome } from './stageOutcome.js'
 import type { StagePieceResult } from '../model/stagePieceResult.js'
 import type { StageRelease } from './stageRelease.js'
+import type { Scheduler } from '../../../types/scheduler.js'
 import type { StageScheduler } from './stageScheduler.js'
-import type { UpstreamDirectory } from '../upstreams/upstreamDirectory.js'
+import type { UpstreamPool } from '../upstreams/upstreamPool.js'
 
 interface DispatcherOptions {
   readonly scheduler: StageScheduler
-  readonly directory: UpstreamDirectory
+  /** Connections to an upstream; undefined when it is gone. */
+  readonly findPool: (upstreamId: string) => Pick<UpstreamPool, 'send'> | undefined
   readonly engines: EnginePlanner
   readonly codec: StageCallCodec
   readonly clock: Clock
+  readonly timers: Scheduler
   readonly logger: Logger
   readonly metrics: Metrics
 }
@@ -27,8 +30,8 @@
 export class StageDispatcher {
   private readonly waiting = new Map<string, (outcome: StageOutcome) => void>()
   private readonly callsInProgress = new Map<number, () => void>()
-  private planTimer: NodeJS.Timeout | undefined
-  private releaseTimer: NodeJS.Timeout | undefined
+  private plan: { readonly atMs: number, readonly cancel: () => void } | undefined
+  private cancelRelease: (() => void) | undefined
 
   constructor (private readonly options: DispatcherOptions) {}
 
@@ -112,19 +115,24 @@
   }
 
   stop (): void {
-    clearTimeout(this.planTimer)
-    clearTimeout(this.releaseTimer)
+    this.plan?.cancel()
+    this.cancelRelease?.()
     for (const cancel of this.callsInProgress.values()) cancel()
   }
 
+  /** An earlier plan stands: work that keeps arriving must not put it off. */
   private schedulePlan (delayMs: number): void {
-    clearTimeout(this.planTimer)
-    this.planTimer = setTimeout(() => { this.planNow() }, delayMs)
+    const atMs = this.options.clock.readMonotonicMs() + delayMs
+    if (this.plan !== undefined && this.plan.atMs <= atMs) return
+    this.plan?.cancel()
+    this.plan = { atMs, cancel: this.options.timers.schedule(delayMs, () => { this.planNow() }) }
   }
 
   private planNow (): void {
     const { scheduler, clock } = this.options
     const nowMs = clock.readMonotonicMs()
+    this.plan?.cancel()
+    this.plan = undefined
     for (const call of scheduler.planCalls(nowMs)) this.sendCall(call)
     this.endJobs()
     this.scheduleRelease()
@@ -133,8 +141,8 @@
   }
 
   private sendCall (call: StageCall): void {
-    const { directory, codec, clock, logger, metrics } = this.options
-    const upstream = directory.find(call.upstreamId)
+    const { findPool, codec, clock, timers, logger, metrics } = this.options
+    const pool = findPool(call.upstreamId)
     logger.recordInfo('stage call sent', {
       service: call.service,
       upstream: call.upstreamId,
@@ -142,11 +150,12 @@
       expectedMs: Math.round(call.expectedMs)
     })
     metrics.addCount('stage_pieces', { service: call.service }, call.pieces.length)
-    if (upstream === undefined) return this.onCallFailed(call, 'upstream gone')
+    if (pool === undefined) return this.onCallFailed(call, 'upstream gone')
     const cancel = readStageCall({
-      pool: upstream.pool,
+      pool,
       codec,
       call,
+      timers,
       onAnswer: results => {
         this.callsInProgress.delete(call.id)
         const nowMs = clock.readMonotonicMs()
@@ -212,19 +221,19 @@
   }
 
   private scheduleRelease (): void {
-    if (this.releaseTimer !== undefined || !this.options.scheduler.hasReleases()) return
-    this.releaseTimer = setTimeout(() => {
-      this.releaseTimer = undefined
+    if (this.cancelRelease !== undefined || !this.options.scheduler.hasReleases()) return
+    this.cancelRelease = this.options.timers.schedule(stageConstants.releaseDelayMs, () => {
+      this.cancelRelease = undefined
       this.sendReleases()
-    }, stageConstants.releaseDelayMs)
+    })
   }
 
   /** A release that is lost costs memory until the results expire; it is not sent again. */
   private sendReleases (): void {
-    const { scheduler, directory, codec } = this.options
+    const { scheduler, findPool, codec } = this.options
     for (const release of scheduler.takeReleases()) {
       const { upstreamId, handles } = release
-      const pool = directory.find(upstreamId)?.pool
+      const pool = findPool(upstreamId)
       if (pool === undefined) continue
       pool.send({ method: 'POST', path: codec.releasePath, headers: codec.encodeHeaders(upstreamId), body: codec.encodeRelease(handles) }, {
         onHead: () => {},
