feat(soak): hosts as processes under random faults, with a checker of the promises

Stops, kills, freezes, reloads, store outages, failing, replaced and draining upstreams and configurations come in random series and overlap. Clients keep their connections. Draining within its time and closed connections are not checked yet.

--- a/playground/processes/managedProcess.ts
+++ b/playground/processes/managedProcess.ts
@@ -63,6 +63,11 @@
     throw new ProcessError(`${this.id} did not start: ${this.errorLines.join('\n')}`)
   }
 
+  /** Asks the process to read its settings again. */
+  reload (): void {
+    this.child?.kill('SIGHUP')
+  }
+
   /** Ends the process at once, as a crash does. */
   async kill (): Promise<void> {
     this.child?.kill('SIGKILL')
@@ -91,6 +96,11 @@
     return code
   }
 
+  /** Lines of standard output since the last start. */
+  listOutputLines (): readonly string[] {
+    return this.outputLines
+  }
+
   /** The last lines of standard error. */
   listErrorLines (): readonly string[] {
     return this.errorLines
--- /dev/null
+++ b/playground/soak/buildFaultPlan.ts
@@ -0,0 +1,18 @@
+import { createSeededRandom } from '../../src/shared/createSeededRandom.js'
+import { listFaultTypes } from './listFaultTypes.js'
+import type { SoakFault } from './soakFault.js'
+
+/** Faults at random times, so that some overlap; the same seed gives the same plan. */
+export function buildFaultPlan (seed: number, lengthMs: number, count: number): readonly SoakFault[] {
+  const random = createSeededRandom(seed)
+  const types = listFaultTypes()
+  return Array.from({ length: count }, (): SoakFault => {
+    const atMs = 500 + random() * (lengthMs - 1500)
+    return {
+      type: types[Math.floor(random() * types.length)]!,
+      atMs,
+      forMs: Math.min(300 + random() * 2700, lengthMs - atMs),
+      target: Math.floor(random() * 1000)
+    }
+  }).sort((a, b) => a.atMs - b.atMs)
+}
--- /dev/null
+++ b/playground/soak/checkAnswers.ts
@@ -0,0 +1,23 @@
+import type { SoakRecords } from './soakRecords.js'
+import type { SoakRun } from './soakRun.js'
+
+/** Statuses that promise that a request has not run and never will. */
+const refusals: ReadonlySet<number> = new Set([408, 421, 429, 503])
+
+/** Whole answers are those of an upstream that ran the request, and a refused request has not run. */
+export function checkAnswers ({ requests, runs }: SoakRecords): readonly string[] {
+  const runsById = new Map<string, SoakRun[]>()
+  for (const run of runs) runsById.set(run.requestId, [...runsById.get(run.requestId) ?? [], run])
+  return requests.flatMap(({ id, kind, status, signature, answer, isWhole }) => {
+    if (status === undefined) return []
+    const own = runsById.get(id) ?? []
+    if (refusals.has(status) && kind !== 'safe' && kind !== 'stream' && own.length > 0) return [`REFUSED: ${id} was answered ${status} and ran at ${own[0]!.upstreamId}`]
+    const maker = own.find(run => run.signature === signature)
+    if (signature !== undefined && maker === undefined) return [`MIXED: ${id} has an answer with the signature ${signature} of no run of its own`]
+    if (maker !== undefined && maker.status !== status) return [`MIXED: ${id} was answered ${status}, the upstream answered ${maker.status}`]
+    if (status < 300 && signature === undefined) return [`MIXED: ${id} was answered ${status} without a signature`]
+    const isStream = kind === 'stream' || kind === 'brittle' || kind === 'pipe'
+    if (isWhole && !isStream && maker !== undefined && maker.answer !== answer) return [`MIXED: ${id} has another body than its upstream sent`]
+    return []
+  })
+}
--- /dev/null
+++ b/playground/soak/faultLink.ts
@@ -0,0 +1,58 @@
+import { connect, createServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
+import type { LinkFault } from './linkFault.js'
+
+/** A loopback proxy on one link that delays, silences, cuts one way or resets its connections. */
+export class FaultLink {
+  address = ''
+  private fault: LinkFault = 'none'
+  private readonly sockets = new Set<Socket>()
+  private readonly server = createServer(near => { this.openPair(near) })
+
+  /** `target`: `ip:port` behind the link. */
+  constructor (public target: string) {}
+
+  async start (): Promise<this> {
+    await new Promise<void>(resolve => { this.server.listen(0, '127.0.0.1', resolve) })
+    this.address = `127.0.0.1:${(this.server.address() as AddressInfo).port}`
+    return this
+  }
+
+  stop (): void {
+    this.server.close()
+    for (const socket of this.sockets) socket.destroy()
+  }
+
+  /** A reset ends the connections that are open; the other faults last until the next call. */
+  applyFault (fault: LinkFault): void {
+    this.fault = fault
+    if (fault === 'reset') for (const socket of this.sockets) socket.resetAndDestroy()
+  }
+
+  private openPair (near: Socket): void {
+    const [host, port] = this.target.split(':')
+    const far = connect({ host, port: Number(port), noDelay: true })
+    near.setNoDelay(true)
+    this.joinSockets(near, far, ['silent', 'silent-forth'])
+    this.joinSockets(far, near, ['silent', 'silent-back'])
+  }
+
+  /** Bytes that meet a silent link are lost for good, so its connections stay silent. */
+  private joinSockets (from: Socket, to: Socket, silent: readonly LinkFault[]): void {
+    let isDead = false
+    this.sockets.add(from)
+    from.on('data', chunk => {
+      isDead ||= silent.includes(this.fault)
+      if (isDead) return
+      if (this.fault === 'delay') setTimeout(() => { if (!to.destroyed) to.write(chunk) }, delayMs)
+      else to.write(chunk)
+    })
+    from.on('error', () => {})
+    from.on('close', () => {
+      this.sockets.delete(from)
+      if (!isDead) setTimeout(() => { to.destroy() }, this.fault === 'delay' ? delayMs : 0)
+    })
+  }
+}
+
+const delayMs = 150
--- /dev/null
+++ b/playground/soak/runFault.ts
@@ -0,0 +1,82 @@
+import { setTimeout as waitMs } from 'node:timers/promises'
+import { soakConstants } from './constants.js'
+import type { LinkFault } from './linkFault.js'
+import type { SoakDeployment } from './soakDeployment.js'
+import type { SoakFault } from './soakFault.js'
+import type { SoakHost } from './soakHost.js'
+import type { SoakUpstream } from './soakUpstream.js'
+import type { StoreFault } from '../platform/storeFault.js'
+import type { UpstreamFault } from './upstreamFault.js'
+
+/** Time from an upstream's report that it drains to its end. */
+const drainMs = 2200
+
+/** Injects a fault and takes it back; resolves when it has ended. */
+export async function runFault (fault: SoakFault, deployment: SoakDeployment): Promise<void> {
+  const { type, target, forMs } = fault
+  const host = deployment.hosts[target % deployment.hosts.length]!
+  const upstream = deployment.upstreams[target % deployment.upstreams.length]!
+  if (type.startsWith('host-')) return await runHostFault(type.slice('host-'.length), host, forMs)
+  if (type === 'store-history') return deployment.store.removeHistory()
+  if (type.startsWith('store-link-')) return await runLinkFault(chooseLinkFault(type.slice('store-link-'.length), target), host.storeLink, forMs)
+  if (type.startsWith('store-')) return await runStoreFault(type.slice('store-'.length) as StoreFault, deployment, forMs)
+  if (type.startsWith('upstream-link-')) return await runLinkFault(chooseLinkFault(type.slice('upstream-link-'.length), target), upstream.link, forMs)
+  if (type === 'upstream-replaced') return await killUpstream(upstream, deployment)
+  if (type === 'upstream-drained') return await stopUpstream(upstream, deployment)
+  if (type === 'configuration') return deployment.writeConfiguration(target % 2 === 0 ? 'shop' : 'shop-b')
+  upstream.fault = type.slice('upstream-'.length) as UpstreamFault
+  await waitMs(forMs)
+  upstream.fault = 'none'
+}
+
+async function runHostFault (name: string, host: SoakHost, forMs: number): Promise<void> {
+  if (!host.process.isRunning) return
+  if (name === 'reloaded') {
+    host.writeSettings()
+    host.process.reload()
+    return
+  }
+  if (name === 'frozen') {
+    host.process.freeze()
+    await waitMs(forMs)
+    host.process.resume()
+    return
+  }
+  if (name === 'stopped') await host.process.stop(soakConstants.gracePeriodMs)
+  else await host.process.kill()
+  await waitMs(forMs)
+  // Another fault may have started it meanwhile.
+  if (!host.process.isRunning) host.process.start()
+}
+
+/** The direction of a one-way cut follows from the number of the target. */
+function chooseLinkFault (name: string, target: number): LinkFault {
+  if (name === 'one-way') return target % 2 === 0 ? 'silent-forth' : 'silent-back'
+  return name as LinkFault
+}
+
+async function runLinkFault (fault: LinkFault, link: { applyFault (fault: LinkFault): void }, forMs: number): Promise<void> {
+  link.applyFault(fault)
+  await waitMs(forMs)
+  link.applyFault('none')
+}
+
+async function runStoreFault (fault: StoreFault, { store }: SoakDeployment, forMs: number): Promise<void> {
+  store.fault = fault
+  store.closeConnections()
+  await waitMs(forMs)
+  store.fault = 'none'
+}
+
+/** The upstream crashes and another one of its service starts. */
+async function killUpstream (upstream: SoakUpstream, deployment: SoakDeployment): Promise<void> {
+  deployment.removeUpstream(upstream)
+  await deployment.addUpstream(upstream.options.service, upstream.options.type)
+}
+
+async function stopUpstream (upstream: SoakUpstream, deployment: SoakDeployment): Promise<void> {
+  await deployment.addUpstream(upstream.options.service, upstream.options.type)
+  deployment.writeEntry(upstream, 'draining')
+  await waitMs(drainMs)
+  if (deployment.upstreams.includes(upstream)) deployment.removeUpstream(upstream)
+}
--- /dev/null
+++ b/playground/soak/runSoak.ts
@@ -0,0 +1,49 @@
+import { setTimeout as waitMs } from 'node:timers/promises'
+import { buildFaultPlan } from './buildFaultPlan.js'
+import { checkSoak } from './checkSoak.js'
+import { createSeededRandom } from '../../src/shared/createSeededRandom.js'
+import { runFault } from './runFault.js'
+import { soakConstants } from './constants.js'
+import { SoakClient } from './soakClient.js'
+import { SoakDeployment } from './soakDeployment.js'
+import type { SoakOptions } from './soakOptions.js'
+import type { SoakRequest } from './soakRequest.js'
+import type { SoakResult } from './soakResult.js'
+
+/** Runs the product's hosts as processes under the faults of a seed and checks what clients and upstreams have seen. */
+export async function runSoak ({ seed, hosts, clients, faults, faultMs }: SoakOptions): Promise<SoakResult> {
+  const deployment = new SoakDeployment()
+  const requests: SoakRequest[] = []
+  const plan = buildFaultPlan(seed, faultMs, faults)
+  try {
+    await deployment.start(hosts, seed % 250)
+    await deployment.waitReady(20_000)
+    const running = Array.from({ length: clients }, (_, i) => new SoakClient({
+      name: `s${seed}c${i}`,
+      directories: deployment.hosts.map(host => host.directoryAddress),
+      random: createSeededRandom(seed * 1000 + i),
+      onRequest: request => { requests.push(request) }
+    }))
+    const ended = running.map(async client => { await client.run() })
+    await Promise.all(plan.map(async fault => {
+      await waitMs(fault.atMs)
+      await runFault(fault, deployment)
+    }))
+    await waitMs(soakConstants.recoveryMs)
+    const endedAtMs = performance.now()
+    for (const client of running) client.stop()
+    await Promise.all(ended)
+    const { runs, pieces, allowedServices } = deployment
+    return {
+      seed,
+      plan,
+      requests: requests.length,
+      served: requests.filter(request => request.status === 200 && request.isWhole).length,
+      runs: runs.length,
+      violations: checkSoak({ requests, runs, pieces, allowedServices, endedAtMs }),
+      logs: deployment.hosts.map(host => ({ host: host.id, lines: host.process.listOutputLines() }))
+    }
+  } finally {
+    await deployment.stop()
+  }
+}
--- /dev/null
+++ b/playground/soak/soakClient.ts
@@ -0,0 +1,103 @@
+import { Agent, request as sendRequest } from 'node:http'
+import { setTimeout as waitMs } from 'node:timers/promises'
+import { soakConstants } from './constants.js'
+import type { IncomingMessage } from 'node:http'
+import type { Random } from '../../src/types/random.js'
+import type { SoakRequest } from './soakRequest.js'
+
+const kinds: ReadonlyArray<SoakRequest['kind']> = ['safe', 'once', 'stream', 'brittle', 'pipe']
+
+interface SoakClientOptions {
+  readonly name: string
+  readonly directories: readonly string[]
+  readonly random: Random
+  readonly onRequest: (request: SoakRequest) => void
+}
+
+/** A client: asks hosts for addresses, keeps its connections, and sends requests of all kinds one after another. */
+export class SoakClient {
+  private readonly agent = new Agent({ keepAlive: true, maxSockets: 4 })
+  private addresses: readonly string[] = []
+  private addressesUntilMs = 0
+  private count = 0
+  private isStopped = false
+
+  constructor (private readonly options: SoakClientOptions) {}
+
+  /** Sends requests until `stop`. */
+  async run (): Promise<void> {
+    while (!this.isStopped) {
+      if (performance.now() >= this.addressesUntilMs) await this.readAddresses()
+      const address = this.chooseItem(this.addresses)
+      if (address === undefined) await waitMs(soakConstants.clientPauseMs * 5)
+      else this.options.onRequest(await this.sendOne(address))
+      await waitMs(soakConstants.clientPauseMs * this.options.random())
+    }
+    this.agent.destroy()
+  }
+
+  stop (): void {
+    this.isStopped = true
+  }
+
+  /** Clients go on with the addresses that they have when no host answers. */
+  private async readAddresses (): Promise<void> {
+    for (let attempt = 0; attempt < 3; attempt++) {
+      const directory = this.chooseItem(this.options.directories)!
+      try {
+        const answer = await fetch(`http://${directory}/-/resolution?name=soak.example&region=region-1&zone=zone-1`, { signal: AbortSignal.timeout(soakConstants.directoryTimeoutMs) })
+        const { addresses } = await answer.json() as { addresses?: readonly string[] }
+        if (answer.status !== 200 || addresses === undefined) continue
+        this.addresses = addresses
+        this.addressesUntilMs = performance.now() + soakConstants.addressLifeMs
+        return
+      } catch {
+        // The next host is asked; a host that is down or cut off answers nothing.
+        continue
+      }
+    }
+  }
+
+  private async sendOne (address: string): Promise<SoakRequest> {
+    const kind = this.chooseItem(kinds)!
+    const id = `${this.options.name}-${++this.count}`
+    const method = kind === 'safe' ? 'GET' : 'POST'
+    const body = method === 'POST' ? `body of ${id}` : ''
+    const path = `/${kind}/${id}`
+    const leavesEarly = this.options.random() < 0.05
+    const timeoutMs = soakConstants.clientTimeoutMs
+    const request = { id, kind, method, path, body, timeoutMs, sentAtMs: performance.now() }
+    const [host, port] = address.split(':')
+    const headers: Record<string, string> = {
+      host: 'soak.example',
+      authorization: 'Token soak-key',
+      'x-request-id': id,
+      'x-time-remaining': String(timeoutMs),
+      ...method === 'POST' ? { 'content-length': String(body.length) } : {},
+      ...kind === 'safe' || kind === 'once' ? {} : { 'x-model': 'm', 'x-token-counts': '10,80', 'x-prompt-prefix': `aa:4,${this.count.toString(16)}:6` },
+      ...kind === 'pipe' ? { 'x-pieces': '2,2', 'x-piece-key': `key-${id}` } : {}
+    }
+    return await new Promise(resolve => {
+      let answer = ''
+      let head: IncomingMessage | undefined
+      const end = (isWhole: boolean): void => {
+        clearTimeout(timer)
+        resolve({ ...request, status: head?.statusCode, signature: head?.headers['x-response-signature'] as string | undefined, answer, isWhole })
+      }
+      const call = sendRequest({ host, port, method, path, headers, agent: this.agent }, response => {
+        head = response
+        response.setEncoding('utf8')
+        response.on('data', (text: string) => { answer += text })
+        response.on('close', () => { end(response.complete) })
+      })
+      const timer = setTimeout(() => { call.destroy() }, leavesEarly ? timeoutMs * this.options.random() / 4 : timeoutMs)
+      call.on('error', () => { end(false) })
+      call.on('close', () => { if (head === undefined) end(false) })
+      call.end(body)
+    })
+  }
+
+  private chooseItem<T> (items: readonly T[]): T | undefined {
+    return items[Math.floor(this.options.random() * items.length)]
+  }
+}
--- /dev/null
+++ b/playground/soak/soakDeployment.ts
@@ -0,0 +1,121 @@
+import { mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { setTimeout as waitMs } from 'node:timers/promises'
+import { ProcessError } from '../processes/processError.js'
+import { SoakHost } from './soakHost.js'
+import { SoakUpstream } from './soakUpstream.js'
+import { StoreStandIn } from '../platform/storeStandIn.js'
+import type { SoakPiece } from './soakPiece.js'
+import type { SoakRun } from './soakRun.js'
+
+const program = 'dist/lycheetrack.cjs'
+const services = [
+  { name: 'shop', type: 'plain', count: 3 },
+  { name: 'shop-b', type: 'plain', count: 2 },
+  { name: 'engines', type: 'engine', count: 3 },
+  { name: 'first', type: 'stage', count: 2 },
+  { name: 'second', type: 'stage', count: 2 }
+] as const
+
+/** The hosts, the store and the upstreams of a soak. */
+export class SoakDeployment {
+  readonly store = new StoreStandIn()
+  readonly hosts: SoakHost[] = []
+  readonly upstreams: SoakUpstream[] = []
+  readonly runs: SoakRun[] = []
+  readonly pieces: SoakPiece[] = []
+  readonly allowedServices = new Map<string, Set<string>>()
+  private readonly folder = mkdtempSync(join(tmpdir(), 'lycheetrack-soak-'))
+  private version = 0
+  private upstreamCount = 0
+  private sequence = 0
+
+  async start (hostCount: number, network: number): Promise<void> {
+    await this.store.start()
+    this.writeConfiguration('shop')
+    for (const service of services) {
+      for (let i = 0; i < service.count; i++) await this.addUpstream(service.name, service.type)
+    }
+    for (let number = 0; number < hostCount; number++) {
+      this.hosts.push(await new SoakHost({ number, network, folder: this.folder, program, storeAddress: this.store.address }).start())
+    }
+  }
+
+  /** Resolves when all hosts are ready. */
+  async waitReady (timeoutMs: number): Promise<void> {
+    const untilMs = performance.now() + timeoutMs
+    for (const host of this.hosts) {
+      while (!await this.isReady(host)) {
+        if (performance.now() > untilMs) throw new ProcessError(`${host.id} was not ready: ${host.process.listErrorLines().slice(-3).join('\n')}`)
+        await waitMs(50)
+      }
+    }
+  }
+
+  async addUpstream (service: string, type: 'plain' | 'engine' | 'stage'): Promise<SoakUpstream> {
+    const upstream = await new SoakUpstream({
+      id: `i-${++this.upstreamCount}`,
+      service,
+      type,
+      onRun: run => { this.runs.push(run) },
+      onPiece: piece => { this.pieces.push(piece) }
+    }).start()
+    this.upstreams.push(upstream)
+    this.writeEntry(upstream, 'ready')
+    return upstream
+  }
+
+  writeEntry (upstream: SoakUpstream, state: 'ready' | 'draining'): void {
+    this.store.write(`servers/${upstream.options.id}`, upstream.buildEntry(state, ++this.sequence))
+  }
+
+  removeUpstream (upstream: SoakUpstream): void {
+    this.store.remove(`servers/${upstream.options.id}`)
+    this.upstreams.splice(this.upstreams.indexOf(upstream), 1)
+    upstream.stop()
+  }
+
+  /** Writes the next version; requests without a generation go to the given service. */
+  writeConfiguration (service: 'shop' | 'shop-b'): void {
+    this.version += 3
+    const route = { host: 'soak.example', timeoutMs: 2500, targetLatencyMs: 500, priority: 1, maxAttempts: 2 }
+    const stages = [{ service: 'first', after: [], bytes: 1000 }, { service: 'second', after: [0], bytes: 1000 }]
+    const routes = [
+      { ...route, name: 'safe', pathPrefix: '/safe/', kind: 'safe', service },
+      { ...route, name: 'once', pathPrefix: '/once/', kind: 'unsafe', service, maxAttempts: 1 },
+      { ...route, name: 'stream', pathPrefix: '/stream/', kind: 'streaming', resumeStreams: true, service: 'engines' },
+      { ...route, name: 'brittle', pathPrefix: '/brittle/', kind: 'streaming', service: 'engines' },
+      { ...route, name: 'pipe', pathPrefix: '/pipe/', kind: 'streaming', service: 'engines', stages }
+    ]
+    for (const { pathPrefix, service: target } of routes) {
+      this.allowedServices.set(pathPrefix, new Set([...this.allowedServices.get(pathPrefix) ?? [], target]))
+    }
+    const pieces = { slots: 1, queue: 2, batch: 8, callMs: 10, itemMs: 1, headroomMb: 10, handleS: 4, linkMbps: 1000 }
+    this.store.write('op/config', {
+      version: this.version,
+      routes,
+      services: services.map(({ name, type }) => ({
+        name,
+        healthCheckPath: '/health',
+        connectionLimit: 60,
+        ...type === 'stage' ? { pieces } : {},
+        ...type === 'engine' ? { engine: { slots: 8, kvCacheTokens: 10_000 } } : {}
+      })),
+      limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
+      tenants: [{ name: 'account-1', apiKeys: ['soak-key'] }]
+    })
+  }
+
+  async stop (): Promise<void> {
+    await Promise.all(this.hosts.map(async host => { await host.stop() }))
+    for (const upstream of this.upstreams) upstream.stop()
+    this.store.stop()
+    rmSync(this.folder, { recursive: true })
+  }
+
+  private async isReady (host: SoakHost): Promise<boolean> {
+    const answer = await fetch(`http://${host.ipAddress}:7002/-/readiness`, { signal: AbortSignal.timeout(500) }).catch(() => undefined)
+    return answer?.status === 200
+  }
+}
--- /dev/null
+++ b/playground/soak/soakHost.ts
@@ -0,0 +1,78 @@
+import { writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { FaultLink } from './faultLink.js'
+import { ManagedProcess } from '../processes/managedProcess.js'
+import { soakConstants } from './constants.js'
+
+interface SoakHostOptions {
+  readonly number: number
+  /** Third byte of the loopback addresses, so that runs beside each other do not meet. */
+  readonly network: number
+  readonly folder: string
+  readonly program: string
+  readonly storeAddress: string
+}
+
+/** One host of a soak: the product's program as a process of its own, behind a faulty link to the store. */
+export class SoakHost {
+  readonly id: string
+  readonly storeLink: FaultLink
+  readonly process: ManagedProcess
+  readonly directoryAddress: string
+  readonly ipAddress: string
+  private readonly settingsPath: string
+  private heartbeatMs = 1200
+
+  constructor ({ number, network, folder, program, storeAddress }: SoakHostOptions) {
+    this.id = `host-${number}`
+    this.ipAddress = `127.1.${network}.${number + 1}`
+    this.directoryAddress = `${this.ipAddress}:7003`
+    this.settingsPath = join(folder, `${this.id}.toml`)
+    this.storeLink = new FaultLink(storeAddress)
+    this.process = new ManagedProcess({ id: this.id, args: [program, 'gateway'], environment: { LYCHEETRACK_SETTINGS: this.settingsPath } })
+  }
+
+  async start (): Promise<this> {
+    await this.storeLink.start()
+    this.writeSettings()
+    this.process.start()
+    return this
+  }
+
+  /** Writes the settings file with another value in it. */
+  writeSettings (): void {
+    this.heartbeatMs++
+    writeFileSync(this.settingsPath, `
+nodeName = "${this.id}"
+ipAddress = "${this.ipAddress}"
+zone = "zone-1"
+region = "region-1"
+internalPortRange = [7300, 7310]
+heartbeatIntervalMs = ${this.heartbeatMs}
+[listenAddresses]
+front = "${this.ipAddress}:7001"
+ready = "${this.ipAddress}:7002"
+directory = "${this.directoryAddress}"
+[limits]
+cpuShare = 1.0
+cores = 1
+memoryMb = 400
+fileDescriptors = 1024
+[bounds]
+drainMs = 2000
+gracePeriodS = ${soakConstants.gracePeriodMs / 1000}
+configurationMs = 2000
+ttl_max_s = 5
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+budgetExtraRetries = 56
+[platform]
+address = "${this.storeLink.address}"
+`)
+  }
+
+  async stop (): Promise<void> {
+    await this.process.stop(soakConstants.gracePeriodMs)
+    this.storeLink.stop()
+  }
+}
--- /dev/null
+++ b/playground/soak/soakOptions.ts
@@ -0,0 +1,9 @@
+/** Size of a soak run. */
+export interface SoakOptions {
+  readonly seed: number
+  readonly hosts: number
+  readonly clients: number
+  readonly faults: number
+  /** Time in which faults begin and end; the recovery follows. */
+  readonly faultMs: number
+}
--- /dev/null
+++ b/playground/soak/soakUpstream.ts
@@ -0,0 +1,139 @@
+import { FaultLink } from './faultLink.js'
+import { soakConstants } from './constants.js'
+import { UpstreamStandIn } from '../platform/upstreamStandIn.js'
+import type { Socket } from 'node:net'
+import type { SoakPiece } from './soakPiece.js'
+import type { SoakRun } from './soakRun.js'
+import type { StandInRequest } from '../platform/standInRequest.js'
+import type { UpstreamFault } from './upstreamFault.js'
+
+interface SoakUpstreamOptions {
+  readonly id: string
+  readonly service: string
+  readonly type: 'plain' | 'engine' | 'stage'
+  readonly onRun: (run: SoakRun) => void
+  readonly onPiece: (piece: SoakPiece) => void
+}
+
+/** An upstream of a soak behind a faulty link; it records what it runs before it answers. */
+export class SoakUpstream {
+  fault: UpstreamFault = 'none'
+  readonly link = new FaultLink('')
+  private readonly standIn: UpstreamStandIn
+  private runCount = 0
+
+  constructor (readonly options: SoakUpstreamOptions) {
+    this.standIn = new UpstreamStandIn(options.id, (request, socket) => { this.onRequest(request, socket) })
+  }
+
+  async start (): Promise<this> {
+    await this.standIn.start()
+    this.link.target = this.standIn.address
+    await this.link.start()
+    return this
+  }
+
+  stop (): void {
+    this.standIn.stop()
+    this.link.stop()
+  }
+
+  /** The entry that the upstream publishes. */
+  buildEntry (state: 'ready' | 'draining', sequence: number): Readonly<Record<string, unknown>> {
+    return { service: this.options.service, address: this.link.address, zone: 'zone-1', version: 'v1', slots: 8, state, coldRemainingMs: 0, sequence, born: 1 }
+  }
+
+  private onRequest (request: StandInRequest, socket: Socket): void {
+    const { id, type } = this.options
+    const expected = request.headers['x-expected-instance']
+    if (expected !== undefined && expected !== id) return this.sendAnswer(request, socket, 421, 'another instance', { 'X-Not-Executed': '1' })
+    if (request.path === '/health') return this.sendAnswer(request, socket, 200, 'ok', { 'X-Instance-Id': id })
+    if (request.path === '/-/stage-free') return this.sendAnswer(request, socket, 200, '{}')
+    if (type === 'stage') return this.runPieces(request, socket)
+    const run = this.recordRun(request)
+    setTimeout(() => { this.sendRunAnswer(request, socket, run) }, soakConstants.workMs)
+  }
+
+  private recordRun (request: StandInRequest): SoakRun {
+    const { id, service, onRun } = this.options
+    const requestId = request.headers['x-request-id'] ?? ''
+    const run: SoakRun = {
+      requestId,
+      upstreamId: id,
+      service,
+      method: request.method,
+      path: request.path,
+      body: request.body,
+      account: request.headers['x-tenant'],
+      hasKey: request.headers['authorization'] !== undefined,
+      inputs: (request.headers['x-inputs'] ?? '').split(',').filter(input => input !== ''),
+      timeLeftMs: Number(request.headers['x-time-remaining']),
+      atMs: performance.now(),
+      status: this.fault === 'errors' ? 500 : 200,
+      signature: `${id}.${++this.runCount}.${requestId}`,
+      answer: `answer ${this.runCount} of ${id} to ${requestId}`
+    }
+    onRun(run)
+    return run
+  }
+
+  private sendRunAnswer (request: StandInRequest, socket: Socket, run: SoakRun): void {
+    if (this.fault === 'hang') return
+    if (this.fault === 'answer-lost') {
+      socket.destroy()
+      return
+    }
+    if (run.status === 200 && this.options.type === 'engine') return this.sendEvents(request, socket, run)
+    if (this.fault === 'torn') {
+      socket.write(this.buildHead(request, run.status, run.answer.length, run.signature) + run.answer.slice(0, 5))
+      socket.destroy()
+      return
+    }
+    this.sendAnswer(request, socket, run.status, run.answer, { 'X-Response-Signature': run.signature })
+    if (this.fault === 'extra') socket.write(this.buildHead({ ...request, headers: { 'x-request-id': 'nobody' } }, 200, 5, 'forged') + 'extra')
+  }
+
+  private sendEvents (request: StandInRequest, socket: Socket, run: SoakRun): void {
+    socket.write(`HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: ${run.requestId}\r\nX-Response-Signature: ${run.signature}\r\nTransfer-Encoding: chunked\r\n\r\n`)
+    let number = Number(request.headers['last-event-id'] ?? 0)
+    const timer = setInterval(() => {
+      if (socket.destroyed) return clearInterval(timer)
+      number++
+      const event = `id: ${number}\ndata: ${run.requestId}:${number}\n\n`
+      if (this.fault === 'torn' && number > 3) {
+        socket.write(`${event.length.toString(16)}\r\n${event.slice(0, 7)}`)
+        socket.destroy()
+        return
+      }
+      socket.write(`${event.length.toString(16)}\r\n${event}\r\n`)
+      if (number < soakConstants.eventCount) return
+      clearInterval(timer)
+      socket.write('0\r\n\r\n')
+    }, soakConstants.eventGapMs)
+  }
+
+  private runPieces (request: StandInRequest, socket: Socket): void {
+    const { id, onPiece } = this.options
+    const { items } = JSON.parse(request.body) as { items: ReadonlyArray<{ id: string, stage: number, piece: number, key?: string, inputs?: readonly string[] }> }
+    for (const item of items) onPiece({ requestId: item.id, stage: item.stage, piece: item.piece, key: item.key, inputs: item.inputs })
+    setTimeout(() => {
+      if (this.fault === 'hang') return
+      if (this.fault === 'answer-lost' || this.fault === 'torn') {
+        socket.destroy()
+        return
+      }
+      const results = items.map(item => this.fault === 'errors' ? { reason: 'error' } : { handle: `${id}|${item.id}|${item.stage}|${item.piece}|${++this.runCount}` })
+      this.sendAnswer(request, socket, 200, JSON.stringify({ items: results }))
+    }, soakConstants.workMs)
+  }
+
+  private sendAnswer (request: StandInRequest, socket: Socket, status: number, body: string, headers: Readonly<Record<string, string>> = {}): void {
+    if (!socket.destroyed) socket.write(this.buildHead(request, status, Buffer.byteLength(body), undefined, headers) + body)
+  }
+
+  private buildHead (request: StandInRequest, status: number, length: number, signature?: string, headers: Readonly<Record<string, string>> = {}): string {
+    const fields: Record<string, string | undefined> = { 'X-Request-Id': request.headers['x-request-id'], 'X-Response-Signature': signature, 'Content-Length': String(length), ...headers }
+    const lines = Object.entries(fields).filter(([, value]) => value !== undefined).map(([name, value]) => `${name}: ${value}\r\n`)
+    return `HTTP/1.1 ${status} X\r\n${lines.join('')}\r\n`
+  }
+}
