--- a/playground/experiment/__tests__/runExperiment.test.ts
+++ b/playground/experiment/__tests__/runExperiment.test.ts
@@ -10,10 +10,11 @@
 t.test('guards against crests in which late work displaces work that could be on time', async t => {
   const day = ferry.days.find(({ name }) => name === 'crests')!
   for (const seed of [1, 2]) {
-    const { total } = computeReport(await runExperiment(ferry, day, seed))
+    const { total, creditBound } = computeReport(await runExperiment(ferry, day, seed))
     // Admission lets this share of the accepted work be late.
     const lateShare = total.late / (total.late + total.onTime)
     t.ok(lateShare <= 1 - stageConstants.marginQuantile, `seed ${seed}: ${lateShare.toFixed(3)} of the answers are late`)
+    t.ok(total.credit <= creditBound, 'no more than the capacity allows')
   }
 })
 
--- /dev/null
+++ b/playground/experiment/computeCreditBound.ts
@@ -0,0 +1,53 @@
+import type { ExperimentWorld } from './experimentWorld.js'
+import type { SimulatedRequest } from './simulatedRequest.js'
+import type { StageServiceModel } from './stageServiceModel.js'
+
+/** Requests of a window compete for the capacity of its time and of the longest aim after it; each length gives a bound. */
+const windowLengthsMs = [2000, 4000, 8000, 16_000]
+
+/**
+ * Upper bound of the share of the credit that any scheduling can earn: in each window, each stage service alone gives
+ * its whole capacity, in full calls and with the usual noise, to the requests that earn most for it; all others earn
+ * the credit of late ones. The least bound over the services holds for a window.
+ */
+export function computeCreditBound (world: ExperimentWorld, requests: readonly SimulatedRequest[]): number {
+  return Math.min(...windowLengthsMs.map(windowMs => computeBound(world, requests, windowMs)))
+}
+
+function computeBound (world: ExperimentWorld, requests: readonly SimulatedRequest[], windowMs: number): number {
+  const windows = new Map<number, SimulatedRequest[]>()
+  for (const request of requests) {
+    const window = Math.floor(request.sentAtMs / windowMs)
+    windows.set(window, [...windows.get(window) ?? [], request])
+  }
+  const longestAimMs = Math.max(...world.kinds.map(kind => kind.latencyAimMs))
+  const slowdown = 1 + world.noise.share * (world.noise.factor - 1)
+  let earned = 0
+  for (const group of windows.values()) {
+    earned += Math.min(...world.stageServices.map(service => computeServiceBound(service, group, (windowMs + longestAimMs) / slowdown)))
+  }
+  return earned / requests.reduce((sum, { kind }) => sum + kind.worth, 0)
+}
+
+/** Credit of the requests when only this service is limited. */
+function computeServiceBound (service: StageServiceModel, requests: readonly SimulatedRequest[], timeMs: number): number {
+  const upstreams = Object.values(service.upstreams).reduce((sum, count) => sum + count, 0)
+  let leftMs = upstreams * timeMs
+  let earned = 0
+  const demands = requests.map(request => ({ kind: request.kind, workMs: computeWorkMs(service, request) }))
+  demands.sort((a, b) => a.workMs / (a.kind.worth - a.kind.lateWorth) - b.workMs / (b.kind.worth - b.kind.lateWorth))
+  for (const { kind, workMs } of demands) {
+    const share = workMs === 0 ? 1 : Math.min(leftMs / workMs, 1)
+    leftMs -= share * workMs
+    earned += share * kind.worth + (1 - share) * kind.lateWorth
+  }
+  return earned
+}
+
+/** Time of the service that a request takes when it shares full calls. */
+function computeWorkMs ({ name, spec }: StageServiceModel, { kind, pieceCounts }: SimulatedRequest): number {
+  return kind.stages.reduce((sum, stage, i) => {
+    if (stage.service !== name) return sum
+    return sum + pieceCounts[i]! * (spec.callMs / spec.batchSize + spec.pieceMs * stage.workFactor)
+  }, 0)
+}
--- a/playground/experiment/computeReport.ts
+++ b/playground/experiment/computeReport.ts
@@ -24,6 +24,7 @@
     windows: [...windows].sort((a, b) => a[0] - b[0]).map(([window, group]) => computeSummary(`${window * windowMs / 1000} s`, group)),
     services: result.services.map(service => ({ ...service, piecesPerCall: service.calls === 0 ? 0 : service.pieces / service.calls })),
     queues: result.samples,
+    creditBound: result.creditBound,
     refusals: outcomes.reduce((sum, outcome) => sum + outcome.refusals, 0),
     readTokens: result.readTokens,
     notPlayed: day.notPlayed
--- a/playground/experiment/experimentReport.ts
+++ b/playground/experiment/experimentReport.ts
@@ -12,6 +12,8 @@
   readonly windows: readonly KindSummary[]
   readonly services: ReadonlyArray<ExperimentResult['services'][number] & { readonly piecesPerCall: number }>
   readonly queues: ExperimentResult['samples']
+  /** Upper bound of the total credit, from the capacity of the stage services. */
+  readonly creditBound: number
   /** Attempts that were refused. */
   readonly refusals: number
   readonly readTokens: number
--- a/playground/experiment/experimentResult.ts
+++ b/playground/experiment/experimentResult.ts
@@ -22,6 +22,8 @@
     readonly inputsGone: number,
     readonly withoutRoom: number
   }>
+  /** Upper bound of the share of the credit, from the capacity of the stage services. */
+  readonly creditBound: number
   /** Prompt tokens that the engines had to read. */
   readonly readTokens: number
 }
--- a/playground/experiment/runExperiment.ts
+++ b/playground/experiment/runExperiment.ts
@@ -1,5 +1,6 @@
 import { buildRequests } from './buildRequests.js'
 import { buildServiceSpecs } from './buildServiceSpecs.js'
+import { computeCreditBound } from './computeCreditBound.js'
 import { createSeededRandom } from '../../src/shared/createSeededRandom.js'
 import { createSilentLogger } from '../fakes/createSilentLogger.js'
 import { createSilentMetrics } from '../fakes/createSilentMetrics.js'
@@ -103,6 +104,7 @@
         withoutRoom: models.reduce((sum, model) => sum + (model.failures.get('no-room') ?? 0), 0)
       }
     }),
+    creditBound: computeCreditBound(world, requests),
     readTokens: [...engines.values()].reduce((sum, engine) => sum + engine.model.readTokens, 0)
   }
 }
--- a/tap-snapshots/playground/experiment/__tests__/runExperiment.test.ts.test.cjs
+++ b/tap-snapshots/playground/experiment/__tests__/runExperiment.test.ts.test.cjs
@@ -6,7 +6,7 @@
  */
 'use strict'
 exports[`playground/experiment/__tests__/runExperiment.test.ts > TAP > each request of a day has one outcome, and the same seed gives the same day > must match snapshot 1`] = `
-ferry calm seed 7: credit 0.996, 0 refused attempts, 2143110 prompt tokens read
+ferry calm seed 7: credit 0.996 of at most 1.000, 0 refused attempts, 2143110 prompt tokens read
 
 requests                asked    on time       late    refused     failed     credit     p50 ms     p95 ms
 all                       617        614          3          0          0      0.996       1101       1847
