--- a/playground/experiment/decodeSite.ts
+++ b/playground/experiment/decodeSite.ts
@@ -9,8 +9,8 @@
 import type { UpstreamTrouble } from './upstreamTrouble.js'
 
 const bytesPerMb = 1_000_000
-/** Shared parts of a prompt in the order of the file come before a part of the request's own. */
-const fewestPieces: Distribution = { mean: 1, spread: 0, max: 1 }
+/** Stages without a number of pieces have one. */
+const onePiece: Distribution = { mean: 1, spread: 0, max: 1 }
 
 /** Reads a site file of the bench. Throws a `ZodError` for a file of another form. */
 export function decodeSite (text: string): ExperimentWorld {
@@ -79,7 +79,7 @@
       after: stage.after,
       resultBytes: stage.bytes,
       share: stage.share,
-      pieces: stage.pieces ?? fewestPieces,
+      pieces: stage.pieces ?? onePiece,
       workFactor: stage.work_x
     })),
     sharedParts: stream.chain.map(part => ({ tokens: part.tokens, count: part.things })),
@@ -104,7 +104,9 @@
       share: trouble.share ?? 0,
       slowdown: trouble.kind === 'srv_crash' ? Infinity : trouble.x ?? slowServerFactor
     })),
-    notPlayed: [...new Set([...day.plan, ...day.faults].filter(fault => fault.kind !== 'burst' && !isStageTrouble(fault, site)).map(fault => fault.kind))]
+    notPlayed: [...new Set([...day.plan, ...day.faults]
+      .filter(fault => fault.kind !== 'burst' && !isStageTrouble(fault, site))
+      .map(fault => fault.kind))]
   }
 }
 
--- a/playground/experiment/exampleWorlds.ts
+++ b/playground/experiment/exampleWorlds.ts
@@ -1,6 +1,7 @@
 import type { ExperimentDay } from './experimentDay.js'
 import type { ExperimentWorld } from './experimentWorld.js'
 import type { RequestKind } from './requestKind.js'
+import type { StageServiceModel } from './stageServiceModel.js'
 import type { TrafficSource } from './trafficSource.js'
 
 const engines = {
@@ -89,9 +90,35 @@
   return Object.fromEntries(domains.map((domain, i) => [domain, Math.floor((count + domains.length - 1 - i) / domains.length)]))
 }
 
-function buildWorld (name: string, size: { readonly hosts: number, readonly stageUpstreams: number, readonly batchSize: number, readonly engines: number, readonly requestsPerSecond: number }, domains: readonly string[]): ExperimentWorld {
-  const spec = { concurrentCalls: 1, callMs: 240, resultLifetimeMs: 4000 }
+interface WorldSize {
+  readonly hosts: number
+  /** Upstreams of each stage service. */
+  readonly stageUpstreams: number
+  /** Pieces in a call of the first stage; later stages take four and three times as many. */
+  readonly batchSize: number
+  readonly engines: number
+  readonly requestsPerSecond: number
+}
+
+/** Pieces of a full call take this time together, beside its fixed time. */
+const fullCallPiecesMs = 200
+/** Memory for results relative to the stated room of a full call. */
+const roomShare = 1.1
+
+function buildWorld (name: string, size: WorldSize, domains: readonly string[]): ExperimentWorld {
   const upstreams = buildCounts(size.stageUpstreams, domains)
+  const buildService = (service: string, batchSize: number, roomBytesPerPiece: number): StageServiceModel => ({
+    name: service,
+    upstreams,
+    spec: {
+      concurrentCalls: 1,
+      batchSize,
+      callMs: 240,
+      pieceMs: fullCallPiecesMs / batchSize,
+      resultRoomBytes: batchSize * roomBytesPerPiece * roomShare,
+      resultLifetimeMs: 4000
+    }
+  })
   return {
     name,
     hosts: size.hosts,
@@ -99,9 +126,9 @@
     noise,
     engines: { ...engines, upstreams: buildCounts(size.engines, domains) },
     stageServices: [
-      { name: 'archive', upstreams, spec: { ...spec, batchSize: size.batchSize, pieceMs: 200 / size.batchSize, resultRoomBytes: size.batchSize * 1_100_000 } },
-      { name: 'roster', upstreams, spec: { ...spec, batchSize: size.batchSize * 4, pieceMs: 200 / (size.batchSize * 4), resultRoomBytes: size.batchSize * 4 * 110_000 } },
-      { name: 'notices', upstreams, spec: { ...spec, batchSize: size.batchSize * 3, pieceMs: 200 / (size.batchSize * 3), resultRoomBytes: size.batchSize * 3 * 11_000 } }
+      buildService('archive', size.batchSize, 1_000_000),
+      buildService('roster', size.batchSize * 4, 100_000),
+      buildService('notices', size.batchSize * 3, 10_000)
     ],
     kinds: [report, question, label],
     days: buildDays(size.requestsPerSecond, domains)
--- a/playground/experiment/renderPlots.ts
+++ b/playground/experiment/renderPlots.ts
@@ -53,8 +53,12 @@
   const mostY = Math.max(...points.map(([, y]) => y), 1)
   const computeX = (x: number): number => margin + x / mostX * (width - 2 * margin)
   const computeY = (y: number): number => height - margin - y / mostY * (height - 2 * margin)
-  const lines = series.map((line, i) => `<polyline fill="none" stroke="${colours[i % colours.length]}" points="${line.points.map(([x, y]) => `${computeX(x).toFixed(1)},${computeY(y).toFixed(1)}`).join(' ')}"/>
-<text x="${margin + i * 110}" y="14" fill="${colours[i % colours.length]}">${line.name}</text>`)
+  const lines = series.map(({ name, points }, i) => {
+    const colour = colours[i % colours.length]
+    const path = points.map(([x, y]) => `${computeX(x).toFixed(1)},${computeY(y).toFixed(1)}`).join(' ')
+    return `<polyline fill="none" stroke="${colour}" points="${path}"/>
+<text x="${margin + i * 110}" y="14" fill="${colour}">${name}</text>`
+  })
   return `<h3>${title}</h3>
 <svg width="${width}" height="${height}" role="img" aria-label="${title}">
 <path d="M${margin} ${margin}V${height - margin}H${width - margin}" fill="none" stroke="#999"/>
--- a/playground/experiment/renderReport.ts
+++ b/playground/experiment/renderReport.ts
@@ -4,7 +4,8 @@
 /** The report as text. */
 export function renderReport (report: ExperimentReport): string {
   const lines = [
-    `${report.world} ${report.day} seed ${report.seed}: credit ${report.total.credit.toFixed(3)} of at most ${report.creditBound.toFixed(3)}, ${report.refusals} refused attempts, ${report.readTokens} prompt tokens read`,
+    `${report.world} ${report.day} seed ${report.seed}: credit ${report.total.credit.toFixed(3)} of at most ${report.creditBound.toFixed(3)}, ` +
+      `${report.refusals} refused attempts, ${report.readTokens} prompt tokens read`,
     '',
     renderRow(['requests', 'asked', 'on time', 'late', 'refused', 'failed', 'credit', 'p50 ms', 'p95 ms']),
     ...[report.total, ...report.kinds].map(renderSummary),
--- a/playground/experiment/requestSimulation.ts
+++ b/playground/experiment/requestSimulation.ts
@@ -59,7 +59,9 @@
     const job = this.buildJob(attempt, reserveMs)
     const startedAtMs = clock.readMonotonicMs()
     await clock.wait(world.linkMs.betweenDomains)
-    const outcome: StageOutcome = job.stages.length === 0 ? { type: 'completed', outputs: [], outputDomain: '' } : await dispatcher.runJob(job, this.controller.signal)
+    const outcome: StageOutcome = job.stages.length === 0
+      ? { type: 'completed', outputs: [], outputDomain: '' }
+      : await dispatcher.runJob(job, this.controller.signal)
     await clock.wait(world.linkMs.betweenDomains)
     this.stagesMs = clock.readMonotonicMs() - startedAtMs
     if (outcome.type === 'refused') return outcome.retryAfterMs
@@ -111,7 +113,7 @@
       pieceKey: '',
       route: kind.name,
       stages: kind.stages
-        .map((stage, index) => ({ index, service: stage.service, after: stage.after, resultBytes: stage.resultBytes, pieceCount: request.pieceCounts[index]! }))
+        .map(({ service, after, resultBytes }, index) => ({ index, service, after, resultBytes, pieceCount: request.pieceCounts[index]! }))
         .filter(stage => stage.pieceCount > 0),
       aimAtMs: nowMs + computeAimLeftMs(kind, this.computeTimeLeftMs()) - reserveMs,
       deadlineAtMs: request.sentAtMs + request.patienceMs - reserveMs,
--- a/playground/experiment/runExperiment.ts
+++ b/playground/experiment/runExperiment.ts
@@ -38,7 +38,11 @@
   for (const request of requests) work.addRequest(request)
 
   const createNoise = (service: string, position: number, count: number): UpstreamNoise =>
-    new UpstreamNoise(world.noise, day.troubles.filter(trouble => trouble.service === service && position < Math.round(trouble.share * count)), createSeededRandom(random() * 2 ** 32))
+    new UpstreamNoise(
+      world.noise,
+      day.troubles.filter(trouble => trouble.service === service && position < Math.round(trouble.share * count)),
+      createSeededRandom(random() * 2 ** 32)
+    )
   const stageEntries = new Map(world.stageServices.map(service => [service.name, listUpstreamEntries(service.name, service.upstreams)]))
   const stages = new Map(world.stageServices.flatMap(service => stageEntries.get(service.name)!.map((entry, i, entries) => [entry.id, new StageUpstreamModel({
     id: entry.id,
--- a/playground/experiment/stageUpstreamModel.ts
+++ b/playground/experiment/stageUpstreamModel.ts
@@ -14,6 +14,10 @@
 const queueLength = 2
 /** Sizes of results vary by this share around the declared one. */
 const sizeSpread = 0.25
+/** So do times of pieces. */
+const workSpread = 0.2
+/** Noise beyond this factor counts as this one. */
+const maxSlowdown = 10
 
 interface WaitingCall {
   readonly pieces: readonly StagePiece[]
@@ -84,8 +88,11 @@
     const nowMs = clock.readMonotonicMs()
     this.isBusy = true
     const results = call.pieces.map(piece => this.takePiece(piece))
-    const workMs = call.pieces.reduce((sum, piece) => sum + service.spec.pieceMs * work.getFactor(piece.requestId, piece.stageIndex) * (0.8 + 0.4 * random()), service.spec.callMs)
-    const durationMs = workMs * Math.min(noise.computeFactor(nowMs), 10)
+    const workMs = call.pieces.reduce(
+      (sum, { requestId, stageIndex }) => sum + service.spec.pieceMs * work.getFactor(requestId, stageIndex) * computeFactor(workSpread, random),
+      service.spec.callMs
+    )
+    const durationMs = workMs * Math.min(noise.computeFactor(nowMs), maxSlowdown)
     this.calls++
     this.pieces += call.pieces.length
     this.busyMs += durationMs
@@ -100,7 +107,7 @@
   private takePiece (piece: StagePiece): StagePieceResult {
     const { service, results, work, random } = this.options
     if ((piece.inputs ?? []).some(input => !results.has(input))) return this.refusePiece('input-gone')
-    const bytes = work.getResultBytes(piece.requestId, piece.stageIndex) * (1 - sizeSpread + 2 * sizeSpread * random())
+    const bytes = work.getResultBytes(piece.requestId, piece.stageIndex) * computeFactor(sizeSpread, random)
     if (this.usedBytes + bytes > service.spec.resultRoomBytes) return this.refusePiece('no-room')
     for (const input of piece.inputs ?? []) {
       const { bytes, failureDomain } = results.get(input)!
@@ -120,7 +127,16 @@
   private sendAnswer ({ handler, isCancelled }: WaitingCall, status: number, results: readonly StagePieceResult[]): void {
     this.options.clock.schedule(this.options.linkMs, () => {
       if (isCancelled) return
-      handler.onHead({ status, isNotRun: status === 503, areInputsGone: false, isOtherInstance: false, closesConnection: false, isSigned: false, isFramed: true, forwardedHeaders: [] })
+      handler.onHead({
+        status,
+        isNotRun: status === 503,
+        areInputsGone: false,
+        isOtherInstance: false,
+        closesConnection: false,
+        isSigned: false,
+        isFramed: true,
+        forwardedHeaders: []
+      })
       handler.onData(Buffer.from(JSON.stringify(results)))
       handler.onEnd()
     })
@@ -135,3 +151,8 @@
     this.options.results.delete(handle)
   }
 }
+
+/** A factor around 1. */
+function computeFactor (spread: number, random: Random): number {
+  return 1 - spread + 2 * spread * random()
+}
--- a/playground/soak/checkAnswers.ts
+++ b/playground/soak/checkAnswers.ts
@@ -11,13 +11,22 @@
   return requests.flatMap(({ id, kind, status, signature, answer, isWhole }) => {
     if (status === undefined) return []
     const own = runsById.get(id) ?? []
-    if (refusals.has(status) && kind !== 'safe' && kind !== 'stream' && own.length > 0) return [`REFUSED: ${id} was answered ${status} and ran at ${own[0]!.upstreamId}`]
+    const mayRepeat = kind === 'safe' || kind === 'stream'
+    if (refusals.has(status) && !mayRepeat && own.length > 0) {
+      return [`REFUSED: ${id} was answered ${status} and ran at ${own[0]!.upstreamId}`]
+    }
     const maker = own.find(run => run.signature === signature)
-    if (signature !== undefined && maker === undefined) return [`MIXED: ${id} has an answer with the signature ${signature} of no run of its own`]
-    if (maker !== undefined && maker.status !== status) return [`MIXED: ${id} was answered ${status}, the upstream answered ${maker.status}`]
+    if (signature !== undefined && maker === undefined) {
+      return [`MIXED: ${id} has an answer with the signature ${signature} of no run of its own`]
+    }
+    if (maker !== undefined && maker.status !== status) {
+      return [`MIXED: ${id} was answered ${status}, the upstream answered ${maker.status}`]
+    }
     if (status < 300 && signature === undefined) return [`MIXED: ${id} was answered ${status} without a signature`]
     const isStream = kind === 'stream' || kind === 'brittle' || kind === 'pipe'
-    if (isWhole && !isStream && maker !== undefined && maker.answer !== answer) return [`MIXED: ${id} has another body than its upstream sent`]
+    if (isWhole && !isStream && maker !== undefined && maker.answer !== answer) {
+      return [`MIXED: ${id} has another body than its upstream sent`]
+    }
     return []
   })
 }
--- a/playground/soak/main.ts
+++ b/playground/soak/main.ts
@@ -15,8 +15,16 @@
   const first = Number(user['seed'])
   let broken = 0
   for (let seed = first; seed < first + Number(user['runs']); seed++) {
-    const result = await runSoak({ seed, hosts: Number(user['hosts']), clients: Number(user['clients']), faults: Number(user['faults']), faultMs: Number(user['seconds']) * 1000 })
-    console.log(`seed ${seed}: ${result.violations.length === 0 ? 'ok' : 'BROKEN'}; ${result.served} of ${result.requests} requests served, ${result.runs} runs; ${result.plan.map(fault => fault.type).join(' ')}`)
+    const result = await runSoak({
+      seed,
+      hosts: Number(user['hosts']),
+      clients: Number(user['clients']),
+      faults: Number(user['faults']),
+      faultMs: Number(user['seconds']) * 1000
+    })
+    const outcome = result.violations.length === 0 ? 'ok' : 'BROKEN'
+    const faults = result.plan.map(fault => fault.type).join(' ')
+    console.log(`seed ${seed}: ${outcome}; ${result.served} of ${result.requests} requests served, ${result.runs} runs; ${faults}`)
     for (const violation of result.violations.slice(0, 5)) console.log(`  ${violation}`)
     if (result.violations.length === 0) continue
     broken++
--- a/playground/soak/soakClient.ts
+++ b/playground/soak/soakClient.ts
@@ -45,7 +45,9 @@
     for (let attempt = 0; attempt < 3; attempt++) {
       const directory = this.chooseItem(this.options.directories)!
       try {
-        const answer = await fetch(`http://${directory}/-/resolution?name=soak.example&region=region-1&zone=zone-1`, { signal: AbortSignal.timeout(soakConstants.directoryTimeoutMs) })
+        const answer = await fetch(`http://${directory}/-/resolution?name=soak.example&region=region-1&zone=zone-1`, {
+          signal: AbortSignal.timeout(soakConstants.directoryTimeoutMs)
+        })
         const { addresses } = await answer.json() as { addresses?: readonly string[] }
         if (answer.status !== 200 || addresses === undefined) continue
         this.addresses = addresses
