--- a/playground/soak/main.ts
+++ b/playground/soak/main.ts
@@ -16,6 +16,7 @@
   let broken = 0
   for (let seed = first; seed < first + Number(user['runs']); seed++) {
     const result = await runSoak({
+      program: 'dist/lycheetrack.cjs',
       seed,
       hosts: Number(user['hosts']),
       clients: Number(user['clients']),
--- a/playground/soak/runSoak.ts
+++ b/playground/soak/runSoak.ts
@@ -10,13 +10,16 @@
 import type { SoakRequest } from './soakRequest.js'
 import type { SoakResult } from './soakResult.js'
 
+/** Loopback networks of runs beside each other. */
+const networkCount = 250
+
 /** Runs the product's hosts as processes under the faults of a seed and checks what clients and upstreams have seen. */
-export async function runSoak ({ seed, hosts, clients, faults, faultMs }: SoakOptions): Promise<SoakResult> {
+export async function runSoak ({ program, seed, hosts, clients, faults, faultMs }: SoakOptions): Promise<SoakResult> {
   const deployment = new SoakDeployment()
   const requests: SoakRequest[] = []
   const plan = buildFaultPlan(seed, faultMs, faults)
   try {
-    await deployment.start(hosts, seed % 250)
+    await deployment.start(program, hosts, seed % networkCount)
     await deployment.waitReady(20_000)
     const running = Array.from({ length: clients }, (_, i) => new SoakClient({
       name: `s${seed}c${i}`,
--- a/playground/soak/soakDeployment.ts
+++ b/playground/soak/soakDeployment.ts
@@ -9,7 +9,6 @@
 import type { SoakPiece } from './soakPiece.js'
 import type { SoakRun } from './soakRun.js'
 
-const program = 'dist/lycheetrack.cjs'
 const services = [
   { name: 'shop', type: 'plain', count: 3 },
   { name: 'shop-b', type: 'plain', count: 2 },
@@ -31,7 +30,7 @@
   private upstreamCount = 0
   private sequence = 0
 
-  async start (hostCount: number, network: number): Promise<void> {
+  async start (program: string, hostCount: number, network: number): Promise<void> {
     await this.store.start()
     this.writeConfiguration('shop')
     for (const service of services) {
--- a/playground/soak/soakOptions.ts
+++ b/playground/soak/soakOptions.ts
@@ -1,5 +1,7 @@
-/** Size of a soak run. */
+/** A soak run. */
 export interface SoakOptions {
+  /** Path of the bundled product. */
+  readonly program: string
   readonly seed: number
   readonly hosts: number
   readonly clients: number
