--- a/src/node/gateway/ingress/clientAnswer.ts
+++ b/src/node/gateway/ingress/clientAnswer.ts
@@ -27,8 +27,7 @@
     if (this.isEnded || this.hasStarted) return
     this.isEnded = true
     const length = method === 'HEAD' && head.contentLength !== undefined ? head.contentLength : body.length
-    if (head.isFramed || method === 'HEAD') this.writeHead(head.status, [...head.forwardedHeaders, 'content-length', String(length)])
-    else this.writeUnframedHead(head)
+    this.writeUpstreamHead(head, head.isFramed || method === 'HEAD', ['content-length', String(length)])
     this.response.end(body)
   }
 
@@ -36,8 +35,7 @@
   startStream (head: UpstreamAnswerHead): void {
     this.hasStarted = true
     this.isFramed = head.isFramed
-    if (head.isFramed) this.writeHead(head.status, [...head.forwardedHeaders])
-    else this.writeUnframedHead(head)
+    this.writeUpstreamHead(head, head.isFramed, [])
   }
 
   writeEvents (events: Buffer): void {
@@ -67,10 +65,11 @@
     this.response.destroy()
   }
 
-  /** The answer ends with the connection, as the upstream's does: a length or chunks would state that it is whole. */
-  private writeUnframedHead (head: UpstreamAnswerHead): void {
+  /** An answer without framing ends with the connection, as the upstream's does: a length or chunks would state that it is whole. */
+  private writeUpstreamHead ({ status, forwardedHeaders }: UpstreamAnswerHead, isFramed: boolean, framing: readonly string[]): void {
+    if (isFramed) return this.writeHead(status, [...forwardedHeaders, ...framing])
     this.response.removeHeader('transfer-encoding')
-    this.response.writeHead(head.status, [...head.forwardedHeaders, 'connection', 'close'])
+    this.response.writeHead(status, [...forwardedHeaders, 'connection', 'close'])
   }
 
   private writeHead (status: number, headers: string[]): void {
--- a/src/node/gateway/ingress/constants.ts
+++ b/src/node/gateway/ingress/constants.ts
@@ -16,7 +16,7 @@
   initialHeaderTimeoutMs: 5000,
   /** Pause told to clients when the host has no configuration or no upstream is known. */
   unreadyRetryAfterMs: 500,
-  /** Pause told to clients of a host that stops. */
+  /** Pause told to clients of a host that stops: other hosts serve what it refuses, so they need not wait. */
   stoppingRetryAfterMs: 20,
   /** A host that stops within this time takes no streams: half of them last longer, and a cut one has to begin again. */
   streamDrainMs: 5000,
--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -100,7 +100,15 @@
     const answer = new ClientAnswer(response, request?.id, this.options.encodeErrorHeaders, () => this.stopsAtMs !== undefined)
     const current = configuration.getCurrent()
     const body = await readRequestBody(message, current?.limits.maxBodyBytes ?? 0)
-    if (current === undefined) return this.refuse(answer, { request, status: 503, code: 'not_ready', reason: 'no configuration yet' })
+    if (current === undefined) {
+      return this.refuse(answer, {
+        request,
+        status: 503,
+        code: 'not_ready',
+        reason: 'no configuration yet',
+        retryAfterMs: ingressConstants.unreadyRetryAfterMs
+      })
+    }
     if (body === 'too-large') return this.refuse(answer, { request, status: 413, code: 'body_too_large', reason: 'body too large' })
     if (body === 'incomplete') return answer.closeIncomplete()
     if (request === undefined) return this.refuse(answer, { status: 400, code: 'request_id_required', reason: 'no request id' })
@@ -119,7 +127,13 @@
     if (account === undefined) return this.refuse(answer, { request, status: 401, code: 'unauthorized', reason: 'unknown API key' })
     const timeToStopMs = (this.stopsAtMs ?? Infinity) - arrivedAtMs
     if (route.callKind === 'stream' && timeToStopMs < ingressConstants.streamDrainMs) {
-      return this.refuse(answer, { request, status: 503, code: 'host_stopping', reason: 'the host stops before the stream would end' })
+      return this.refuse(answer, {
+        request,
+        status: 503,
+        code: 'host_stopping',
+        reason: 'the host stops before the stream would end',
+        retryAfterMs: ingressConstants.stoppingRetryAfterMs
+      })
     }
     const limitMs = Math.min(timeToStopMs, (request.timeLeftMs ?? route.timeoutMs) - ingressConstants.answerMarginMs, route.timeoutMs)
     const run = new RequestRun({
@@ -147,10 +161,11 @@
     readonly request?: ClientRequest,
     readonly status: number,
     readonly code: string,
-    readonly reason: string
+    readonly reason: string,
+    readonly retryAfterMs?: number
   }): void {
     const { logger, metrics } = this.options.parts
-    const { request, status, code, reason } = refusal
+    const { request, status, code, reason, retryAfterMs } = refusal
     const version = this.options.configuration.getCurrent()?.version
     logger.recordInfo('request rejected', {
       requestId: request?.id,
@@ -161,11 +176,6 @@
       configurationVersion: version
     })
     metrics.addCount('requests_rejected', { code })
-    answer.writeError(status, code, reason, status === 503 ? computeRetryAfterMs(code) : undefined)
+    answer.writeError(status, code, reason, retryAfterMs)
   }
 }
-
-/** Other hosts serve what a stopping host refuses, so its clients need not wait. */
-function computeRetryAfterMs (code: string): number {
-  return code === 'host_stopping' ? ingressConstants.stoppingRetryAfterMs : ingressConstants.unreadyRetryAfterMs
-}
--- a/src/node/gateway/stages/stageScheduler.ts
+++ b/src/node/gateway/stages/stageScheduler.ts
@@ -8,6 +8,7 @@
 import { ResultLedger } from './resultLedger.js'
 import { StageService } from './stageService.js'
 import { StageUpstream } from './stageUpstream.js'
+import { updateBacklogs } from './updateBacklogs.js'
 import type { ServiceSpec } from '../model/serviceSpec.js'
 import type { StageAdmission } from './stageAdmission.js'
 import type { StageCall } from './stageCall.js'
@@ -48,7 +49,7 @@
     const state = new JobState(job, nowMs, admission.isLate ? undefined : admission.finishInMs)
     this.jobs.set(job.id, state)
     this.updateReady(state, nowMs)
-    this.countBacklog(nowMs)
+    updateBacklogs(this.services, this.jobs.values(), nowMs)
     return admission
   }
 
@@ -57,7 +58,7 @@
     const state = this.jobs.get(jobId)
     if (state === undefined) return
     this.removeJob(state)
-    this.countBacklog(nowMs)
+    updateBacklogs(this.services, this.jobs.values(), nowMs)
   }
 
   /** The results of a completed job have been used. */
@@ -80,7 +81,7 @@
         calls.push(call)
       }
     }
-    if (calls.length > 0) this.countBacklog(nowMs)
+    if (calls.length > 0) updateBacklogs(this.services, this.jobs.values(), nowMs)
     return calls
   }
 
@@ -101,7 +102,7 @@
       this.onPieceResult(call, task, pieceIndex, result, nowMs)
     })
     for (const task of tasks) this.updateJob(task.job, nowMs)
-    this.countBacklog(nowMs)
+    updateBacklogs(this.services, this.jobs.values(), nowMs)
   }
 
   /** A call was refused or lost; its pieces are sent again. */
@@ -116,7 +117,7 @@
       this.ledger.removeRoom(call.service, call.upstreamId, task.work.resultBytes)
       this.retryPiece(task, pieceIndex, nowMs)
     }
-    this.countBacklog(nowMs)
+    updateBacklogs(this.services, this.jobs.values(), nowMs)
   }
 
   /** Jobs that have ended since the last call. */
@@ -323,29 +324,6 @@
     // Calls of an upstream that is slow as a whole say nothing about the pieces.
     if (slowdown < 1.5) service.costs.observe(counts, nowMs - call.sentAtMs - call.expectedMs, service.spec.pieceMs)
   }
-
-  /** Counts the accepted pieces that wait, by service, including those of later stages. */
-  private countBacklog (nowMs: number): void {
-    for (const { backlog } of this.services.values()) {
-      backlog.onTime = 0
-      backlog.late = 0
-      backlog.committed = 0
-      backlog.jobs = []
-    }
-    for (const state of this.jobs.values()) {
-      if (state.isEnded) continue
-      const { aimAtMs, priority } = state.job
-      const isLate = state.isLate || aimAtMs < nowMs
-      for (const task of state.tasks.values()) {
-        const backlog = this.services.get(task.work.service)?.backlog
-        const pieces = task.pending.length
-        if (backlog === undefined || pieces === 0) continue
-        backlog[isLate ? 'late' : 'onTime'] += pieces
-        if (!isLate || state.hasBegun) backlog.committed += pieces
-        if (!isLate) backlog.jobs.push({ orderMs: state.startedAtMs + priority * stageConstants.priorityStepMs, pieces })
-      }
-    }
-  }
 }
 
 function updateUpstreams (service: StageService, entries: readonly UpstreamEntry[]): void {
--- /dev/null
+++ b/src/node/gateway/stages/updateBacklogs.ts
@@ -0,0 +1,26 @@
+import { stageConstants } from './constants.js'
+import type { JobState } from './jobState.js'
+import type { StageService } from './stageService.js'
+
+/** Counts the accepted pieces that wait at each service, including those of later stages. */
+export function updateBacklogs (services: ReadonlyMap<string, StageService>, jobs: Iterable<JobState>, nowMs: number): void {
+  for (const { backlog } of services.values()) {
+    backlog.onTime = 0
+    backlog.late = 0
+    backlog.committed = 0
+    backlog.jobs = []
+  }
+  for (const state of jobs) {
+    if (state.isEnded) continue
+    const { aimAtMs, priority } = state.job
+    const isLate = state.isLate || aimAtMs < nowMs
+    for (const task of state.tasks.values()) {
+      const backlog = services.get(task.work.service)?.backlog
+      const pieces = task.pending.length
+      if (backlog === undefined || pieces === 0) continue
+      backlog[isLate ? 'late' : 'onTime'] += pieces
+      if (!isLate || state.hasBegun) backlog.committed += pieces
+      if (!isLate) backlog.jobs.push({ orderMs: state.startedAtMs + priority * stageConstants.priorityStepMs, pieces })
+    }
+  }
+}
