--- a/playground/soak/buildFaultPlan.ts
+++ b/playground/soak/buildFaultPlan.ts
@@ -1,15 +1,14 @@
 import { createSeededRandom } from '../../src/shared/createSeededRandom.js'
-import { listFaultTypes } from './listFaultTypes.js'
+import { soakFaultTypes } from './soakFaultTypes.js'
 import type { SoakFault } from './soakFault.js'
 
 /** Faults at random times, so that some overlap; the same seed gives the same plan. */
 export function buildFaultPlan (seed: number, lengthMs: number, count: number): readonly SoakFault[] {
   const random = createSeededRandom(seed)
-  const types = listFaultTypes()
   return Array.from({ length: count }, (): SoakFault => {
     const atMs = 500 + random() * (lengthMs - 1500)
     return {
-      type: types[Math.floor(random() * types.length)]!,
+      type: soakFaultTypes[Math.floor(random() * soakFaultTypes.length)]!,
       atMs,
       forMs: Math.min(300 + random() * 2700, lengthMs - atMs),
       target: Math.floor(random() * 1000)
