fix(experiment): requests without stages are placed by a planner

Cause: a request whose stages were all left out (three in ten labels) had no engine and went to the first one of the list, which was overloaded by them.

--- a/playground/experiment/runExperiment.ts
+++ b/playground/experiment/runExperiment.ts
@@ -76,9 +76,10 @@
   scheduler.applyUpstreams(buildServiceSpecs(world.stageServices), service => stageEntries.get(service) ?? [])
 
   const engineTimes = new EngineTimes()
+  const planner = new EnginePlanner(() => states)
   const outcomes: RequestOutcome[] = []
   for (const request of requests) {
-    const simulation = new RequestSimulation(request, { world, clock, dispatcher, engines, engineTimes })
+    const simulation = new RequestSimulation(request, { world, clock, dispatcher, engines, planner, engineTimes })
     simulation.run().then(outcome => { outcomes.push(outcome) }, (error: unknown) => { throw error })
   }
   const samples: Array<ExperimentResult['samples'][number]> = []
