--- a/playground/experiment/requestSimulation.ts
+++ b/playground/experiment/requestSimulation.ts
@@ -66,7 +66,7 @@
     await clock.wait(deployment.linkMs.betweenDomains)
     this.stagesMs = clock.readMonotonicMs() - startedAtMs
     if (outcome.type === 'refused') return outcome.retryAfterMs
-    if (outcome.type === 'failed') return ingressConstants.busyRetryAfterMs
+    if (outcome.type !== 'completed') return ingressConstants.busyRetryAfterMs
     return await this.runEngine(job, outcome)
   }
 
@@ -128,7 +128,9 @@
       priority: kind.priority,
       preferredDomain: '',
       engineService: this.dependencies.deployment.engines.name,
-      prompt: request.prompt
+      prompt: request.prompt,
+      // The experiment plays one scheduling cell.
+      isDeclinable: false
     }
   }
 
--- a/playground/platform/gatewayTestHarness.ts
+++ b/playground/platform/gatewayTestHarness.ts
@@ -55,6 +55,7 @@
         drainMs: 2000,
         gracePeriodMs: 1200,
         configurationMs: 2000,
+        faultGraceMs: 3000,
         maxAddressLifetimeMs: 5000,
         retryRatio: 0.2,
         retryWindowMs: 10_000,
--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -1,5 +1,6 @@
 import { chooseAddresses } from '../gateway/hosts/chooseAddresses.js'
 import { RateLimitedLogger } from '../gateway/logs/rateLimitedLogger.js'
+import { CellRegistry } from '../gateway/stages/cellRegistry.js'
 import { ConfigurationHolder } from '../gateway/configuration/configurationHolder.js'
 import { createGrpcPeerTransport } from '../peers/createGrpcPeerTransport.js'
 import { createLogger } from '../logging/createLogger.js'
@@ -24,16 +25,17 @@
 import { platformEndpoints } from '../platform/platformEndpoints.js'
 import { platformConstants } from '../platform/constants.js'
 import { PlatformStore } from '../platform/platformStore.js'
-import { PrefixWatcher } from '../gateway/store/prefixWatcher.js'
 import { readPeerSecretWithRetry } from '../gateway/hosts/readPeerSecretWithRetry.js'
 import { RetryBudget } from '../gateway/upstreams/retryBudget.js'
 import { stageCallCodec } from '../platform/stageCallCodec.js'
 import { StageClient } from '../gateway/stages/stageClient.js'
 import { StageDispatcher } from '../gateway/stages/stageDispatcher.js'
+import { StageOrderServer } from '../gateway/stages/stageOrderServer.js'
 import { StageScheduler } from '../gateway/stages/stageScheduler.js'
 import { StatusServer } from '../gateway/ingress/statusServer.js'
-import { storeConstants } from '../gateway/store/constants.js'
+import { computeWatchTimes } from '../gateway/store/computeWatchTimes.js'
 import { StoreHttpClient } from '../platform/storeHttpClient.js'
+import { StoreWatcher } from '../gateway/store/storeWatcher.js'
 import { systemClock } from '../../shared/systemClock.js'
 import { systemScheduler } from '../../shared/systemScheduler.js'
 import { upstreamConstants } from '../gateway/upstreams/constants.js'
@@ -42,6 +44,7 @@
 import type { HostSettings } from '../gateway/model/hostSettings.js'
 import type { ReloadableHost } from '../cli/reloadableHost.js'
 import type { StoreItem } from '../gateway/model/storeItem.js'
+import type { StoreSection } from '../gateway/store/storeSection.js'
 import type { UpstreamEntry } from '../gateway/model/upstreamEntry.js'
 
 /** Builds a gateway host from its settings and starts it. This is the only module that constructs its components. */
@@ -58,7 +61,7 @@
   const store = new PlatformStore(storeClient)
 
   let isUpdateScheduled = false
-  /** Applies upstream and configuration changes to the stage scheduler, at most once per turn of the event loop. */
+  /** Applies upstream and configuration changes to the stage schedulers, at most once per turn of the event loop. */
   const scheduleUpdate = (): void => {
     if (isUpdateScheduled) return
     isUpdateScheduled = true
@@ -66,8 +69,7 @@
       isUpdateScheduled = false
       const current = configuration.getCurrent()
       if (current === undefined) return
-      scheduler.applyUpstreams(current.services, service => upstreams.listService(service).map(state => state.entry))
-      dispatcher.onUpstreamsChanged()
+      cells.applyUpstreams(current.services, service => upstreams.listService(service).map(state => state.entry))
     })
   }
 
@@ -88,7 +90,7 @@
     onChanged: scheduleUpdate,
     onRemoved: upstreamId => {
       directEngines.removeEngine(upstreamId)
-      stageEngines.removeEngine(upstreamId)
+      cells.removeEngine(upstreamId)
     }
   })
   const hosts = new HostDirectory({
@@ -102,18 +104,25 @@
   }, logger, () => {})
   /** Places requests without stages on engines. */
   const directEngines = new EnginePlanner(service => upstreams.listUsable(service))
-  /** Places all requests with stages on engines, while this host is the one that schedules stages. */
-  const stageEngines = new EnginePlanner(service => upstreams.listUsable(service))
-  const scheduler = new StageScheduler()
-  const dispatcher = new StageDispatcher({
-    scheduler,
-    findPool: upstreamId => upstreams.find(upstreamId)?.pool,
-    engines: stageEngines,
-    codec: stageCallCodec,
-    clock,
-    timers: systemScheduler,
-    logger,
-    metrics
+  const cells: CellRegistry = new CellRegistry(domains => {
+    const scheduler = new StageScheduler()
+    /** Places requests on the engines of the cell, which have read the prompts of its sessions, and on those outside all cells. */
+    const engines = new EnginePlanner(service => {
+      const usable = upstreams.listUsable(service)
+      const local = usable.filter(({ entry }) => domains.has(entry.failureDomain) || !cells.hasDomain(entry.failureDomain))
+      return local.length > 0 ? local : usable
+    })
+    const dispatcher = new StageDispatcher({
+      scheduler,
+      findPool: upstreamId => upstreams.find(upstreamId)?.pool,
+      engines,
+      codec: stageCallCodec,
+      clock,
+      timers: systemScheduler,
+      logger,
+      metrics
+    })
+    return { scheduler, dispatcher, engines }
   })
 
   const decodeUpstream = (item: StoreItem): UpstreamEntry | undefined => {
@@ -129,23 +138,13 @@
       logger.recordError('configuration not readable', { revision: item.revision, reason: (error as Error).message })
     }
   }
-  const configurationWatcher = new PrefixWatcher({
-    store,
+  const configurationSection: StoreSection = {
     prefix: platformConstants.configurationPrefix,
-    watchWaitMs: storeConstants.watchWaitMs,
-    coalesceMs: 0,
-    logger,
-    random,
     onSnapshot: items => { items.forEach(applyConfiguration) },
     onChange: change => { if (change.type === 'written') applyConfiguration(change.item) }
-  })
-  const upstreamWatcher = new PrefixWatcher({
-    store,
+  }
+  const upstreamSection: StoreSection = {
     prefix: platformConstants.upstreamPrefix,
-    watchWaitMs: storeConstants.watchWaitMs,
-    coalesceMs: storeConstants.coalesceMs,
-    logger,
-    random,
     onSnapshot: (items, isAfterGap) => {
       upstreams.applySnapshot(items.map(decodeUpstream).filter(entry => entry !== undefined), isAfterGap)
       host.onUpstreamsLoaded()
@@ -156,26 +155,29 @@
       if (entry === undefined) upstreams.removeUpstream(id, change.type === 'removed' ? 'entry removed' : 'entry not readable')
       else upstreams.applyEntry(entry)
     }
-  })
-  const hostWatcher = new PrefixWatcher({
-    store,
+  }
+  const hostSection: StoreSection = {
     prefix: platformConstants.hostPrefix,
-    watchWaitMs: storeConstants.hostWatchWaitMs,
-    coalesceMs: storeConstants.hostCoalesceMs,
-    logger,
-    random,
-    onSnapshot: items => { hosts.applySnapshot(items.map(item => hostEntryCodec.decode(item.value)).filter(entry => entry !== undefined)) },
+    onSnapshot: (items, isAfterGap) => { hosts.applySnapshot(items.map(item => hostEntryCodec.decode(item.value)).filter(entry => entry !== undefined), isAfterGap, clock.readMonotonicMs()) },
     onChange: change => {
       const entry = change.type === 'written' ? hostEntryCodec.decode(change.item.value) : undefined
       if (entry !== undefined) hosts.applyEntry(entry)
       else if (change.type === 'removed') hosts.removeHost(change.key.slice(platformConstants.hostPrefix.length))
     }
+  }
+  const storeWatcher = new StoreWatcher({
+    store,
+    logger,
+    random,
+    getTimes: () => computeWatchTimes(settingsHolder.get().timings),
+    sections: [configurationSection, upstreamSection, hostSection]
   })
   const registrar = new HostRegistrar({ store, key: `${platformConstants.hostPrefix}${hostId}`, logger, getEntry: () => hosts.getSelf() })
 
   const secret = await readPeerSecretWithRetry(store, platformConstants.peerSecretKey, logger)
   const transport = createGrpcPeerTransport({ hostId, secret, metrics })
-  const stages = new StageClient({ dispatcher, hosts, transport, clock, logger, metrics })
+  const stages = new StageClient({ cells, hosts, sessions: transport, clock, logger, metrics })
+  new StageOrderServer({ cells, sessions: transport, clock, logger }).start()
   const ingress = new IngressServer({
     configuration,
     decodeRequest: decodeClientRequest,
@@ -202,7 +204,7 @@
     ? undefined
     : new StatusServer((method, target) => {
       if (!platformEndpoints.isAddressQuery(method, target)) return { status: 404, contentType: 'text/plain', body: '' }
-      const addresses = chooseAddresses(hosts.listReady(), platformEndpoints.findClientDomain(target))
+      const addresses = chooseAddresses(hosts.listReady(), platformEndpoints.findClientDomain(target), random)
       if (addresses.length === 0) return { status: 503, contentType: 'text/plain', body: '' }
       const lifetimeMs = Math.min(ingressConstants.addressLifetimeMs, settingsHolder.get().timings.maxAddressLifetimeMs)
       return { status: 200, contentType: 'application/json', body: platformEndpoints.encodeAddressResponse(addresses, lifetimeMs) }
@@ -218,15 +220,14 @@
     upstreams,
     hosts,
     registrar,
-    dispatcher,
+    cells,
+    stages,
     ingress,
     readinessServer,
     directoryServer,
     metricsServer,
     metricsAddress: `${settings.ipAddress}:${options.metricsPort ?? gatewayConstants.metricsPort}`,
-    configurationWatcher,
-    upstreamWatcher,
-    hostWatcher,
+    storeWatcher,
     transport,
     storeClient
   })
--- a/src/node/app/gatewayComponents.ts
+++ b/src/node/app/gatewayComponents.ts
@@ -1,3 +1,4 @@
+import type { CellRegistry } from '../gateway/stages/cellRegistry.js'
 import type { Clock } from '../../types/clock.js'
 import type { ConfigurationHolder } from '../gateway/configuration/configurationHolder.js'
 import type { HostDirectory } from '../gateway/hosts/hostDirectory.js'
@@ -5,8 +6,8 @@
 import type { HostSettingsHolder } from '../gateway/hosts/hostSettingsHolder.js'
 import type { IngressServer } from '../gateway/ingress/ingressServer.js'
 import type { Logger } from '../../types/logger.js'
-import type { PrefixWatcher } from '../gateway/store/prefixWatcher.js'
-import type { StageDispatcher } from '../gateway/stages/stageDispatcher.js'
+import type { StoreWatcher } from '../gateway/store/storeWatcher.js'
+import type { StageClient } from '../gateway/stages/stageClient.js'
 import type { StatusServer } from '../gateway/ingress/statusServer.js'
 import type { UpstreamDirectory } from '../gateway/upstreams/upstreamDirectory.js'
 
@@ -19,7 +20,8 @@
   readonly upstreams: UpstreamDirectory
   readonly hosts: HostDirectory
   readonly registrar: HostRegistrar
-  readonly dispatcher: StageDispatcher
+  readonly cells: CellRegistry
+  readonly stages: StageClient
   readonly ingress: IngressServer
   readonly readinessServer: StatusServer
   /** Undefined when the host does not answer address queries. */
@@ -27,9 +29,7 @@
   readonly metricsServer: StatusServer
   /** `ip:port`. */
   readonly metricsAddress: string
-  readonly configurationWatcher: PrefixWatcher
-  readonly upstreamWatcher: PrefixWatcher
-  readonly hostWatcher: PrefixWatcher
+  readonly storeWatcher: StoreWatcher
   readonly transport: { start (address: string): Promise<number>, stop (): Promise<void> }
   readonly storeClient: { close (): void }
 }
--- a/src/node/app/gatewayConstants.ts
+++ b/src/node/app/gatewayConstants.ts
@@ -1,7 +1,7 @@
 /** Constants of the lifecycle of a gateway host. */
 export const gatewayConstants = {
-  /** Interval at which upstreams whose entries are still missing after a store outage are removed. */
-  missingUpstreamCheckMs: 200,
+  /** Interval at which upstreams and hosts whose entries are still missing after a store outage are removed. */
+  missingEntryCheckMs: 200,
   /**
    * Time for which a draining host still accepts requests, because clients may use a cached address:
    * three lifetimes of a response to an address query.
--- a/src/node/app/gatewayHost.ts
+++ b/src/node/app/gatewayHost.ts
@@ -10,7 +10,7 @@
   private resolveStopped = (): void => {}
   private isDraining = false
   private areUpstreamsLoaded = false
-  private missingUpstreamTimer: NodeJS.Timeout | undefined
+  private missingEntryTimer: NodeJS.Timeout | undefined
 
   constructor (private readonly components: GatewayComponents) {
     this.stopped = new Promise(resolve => { this.resolveStopped = resolve })
@@ -18,16 +18,19 @@
 
   async start (): Promise<void> {
     const settings = this.components.settings.get()
-    const { ingress, readinessServer, directoryServer, metricsServer, configurationWatcher, upstreamWatcher, hostWatcher, logger } = this.components
+    const { ingress, readinessServer, directoryServer, metricsServer, storeWatcher, logger } = this.components
     await Promise.all([
       readinessServer.start(settings.readinessAddress),
       directoryServer !== undefined && settings.directoryAddress !== undefined ? directoryServer.start(settings.directoryAddress) : undefined,
       metricsServer.start(this.components.metricsAddress),
       ingress.start(settings.clientAddress)
     ])
-    for (const watcher of [configurationWatcher, upstreamWatcher, hostWatcher]) this.runWatcher(watcher)
+    storeWatcher.run().catch(error => { logger.recordError('store watcher failed', { reason: (error as Error).message }) })
     await this.startPeers()
-    this.missingUpstreamTimer = setInterval(() => { this.components.upstreams.removeMissing() }, gatewayConstants.missingUpstreamCheckMs)
+    this.missingEntryTimer = setInterval(() => {
+      this.components.upstreams.removeMissing()
+      this.components.hosts.removeMissing(this.components.clock.readMonotonicMs())
+    }, gatewayConstants.missingEntryCheckMs)
     logger.recordInfo('host started', { clientAddress: settings.clientAddress, cores: settings.cores })
   }
 
@@ -97,20 +100,20 @@
   private async stopComponents (): Promise<void> {
     const {
       registrar,
-      configurationWatcher,
-      upstreamWatcher,
-      hostWatcher,
+      storeWatcher,
       transport,
       storeClient,
       readinessServer,
       directoryServer,
       metricsServer,
-      dispatcher
+      cells,
+      stages
     } = this.components
-    clearInterval(this.missingUpstreamTimer)
-    for (const watcher of [configurationWatcher, upstreamWatcher, hostWatcher]) watcher.stop()
+    clearInterval(this.missingEntryTimer)
+    storeWatcher.stop()
     await Promise.race([registrar.stop(), delay(gatewayConstants.stopReserveMs / 2)])
-    dispatcher.stop()
+    cells.stop()
+    stages.stop()
     await transport.stop()
     storeClient.close()
     readinessServer.stop()
@@ -125,8 +128,4 @@
     logger.recordInfo('peer server started', { port })
     registrar.updateNow()
   }
-
-  private runWatcher (watcher: GatewayComponents['hostWatcher']): void {
-    watcher.run().catch(error => { this.components.logger.recordError('store watcher failed', { reason: (error as Error).message }) })
-  }
 }
--- a/src/node/gateway/ingress/buildStageJob.ts
+++ b/src/node/gateway/ingress/buildStageJob.ts
@@ -20,6 +20,7 @@
     // Set by the scheduling host, which knows the loads of the engines.
     preferredDomain: '',
     engineService: run.engineService,
-    prompt: { tokens: request.promptTokens, parts: request.promptParts }
+    prompt: { tokens: request.promptTokens, parts: request.promptParts },
+    isDeclinable: false
   }
 }
--- a/src/node/gateway/model/hostTimings.ts
+++ b/src/node/gateway/model/hostTimings.ts
@@ -4,7 +4,10 @@
   readonly drainMs: number
   /** A process that was asked to stop is killed after this time. */
   readonly gracePeriodMs: number
+  /** A new configuration must be in force after this time. */
   readonly configurationMs: number
+  /** Time after the end of a fault within which a host must have caught up with the store. */
+  readonly faultGraceMs: number
   /** Longest time for which clients cache the response to an address query. */
   readonly maxAddressLifetimeMs: number
   /** Retries per request, over all hosts. */
--- a/src/node/gateway/stages/__tests__/createTestScheduler.ts
+++ b/src/node/gateway/stages/__tests__/createTestScheduler.ts
@@ -41,6 +41,7 @@
     priority: 1,
     preferredDomain: '',
     prompt: { tokens: 0, parts: [] },
+    isDeclinable: false,
     ...job,
     stages: stages.map((stage, index) => ({ index, service: 'a', after: [], pieceCount: 1, resultBytes: 1000, ...stage }))
   })
--- a/src/node/gateway/stages/admitStageJob.ts
+++ b/src/node/gateway/stages/admitStageJob.ts
@@ -19,6 +19,7 @@
   if (missing !== undefined) {
     return {
       isAccepted: false,
+      isDeclined: job.isDeclinable,
       reason: `no upstream of ${missing.service}`,
       retryAfterMs: stageConstants.minRetryAfterMs,
       finishInMs: Infinity
@@ -28,11 +29,12 @@
   const targetLeftMs = job.targetAtMs - nowMs
   const timeLeftMs = job.deadlineAtMs - nowMs
   if (finishInMs + marginMs <= targetLeftMs) return { isAccepted: true, isLate: false, finishInMs }
+  if (job.isDeclinable) return { isAccepted: false, isDeclined: true, reason: 'not expected to be on time', retryAfterMs: stageConstants.minRetryAfterMs, finishInMs }
   const lateWaitMs = computeLateWaitMs(job, services, nowMs)
   const lateFinishMs = finishInMs + lateWaitMs
   const { lateDeadlineShare, maxLateWaitMs } = stageConstants
   if (lateWaitMs <= maxLateWaitMs && lateFinishMs <= timeLeftMs * lateDeadlineShare) return { isAccepted: true, isLate: true, finishInMs: lateFinishMs }
-  return { isAccepted: false, reason: 'stage queues are too long', retryAfterMs: computeRetryAfterMs(lateWaitMs), finishInMs }
+  return { isAccepted: false, isDeclined: false, reason: 'stage queues are too long', retryAfterMs: computeRetryAfterMs(lateWaitMs), finishInMs }
 }
 
 /**
--- a/src/node/gateway/stages/buildStageCall.ts
+++ b/src/node/gateway/stages/buildStageCall.ts
@@ -102,7 +102,7 @@
     id,
     service: service.name,
     upstreamId: upstream.id,
-    pieces: pieceRefs.map(ref => buildPiece(ref, nowMs)),
+    pieces: buildPieces(pieceRefs, nowMs),
     pieceRefs,
     sentAtMs: nowMs,
     expectedMs,
@@ -110,11 +110,17 @@
   }
 }
 
-function buildPiece ({ task, pieceIndex }: StagePieceRef, nowMs: number): StagePiece {
-  const { job } = task.jobState
-  const piece = { requestId: job.requestId, stageIndex: task.work.index, pieceIndex, timeLeftMs: job.deadlineAtMs - nowMs }
-  if (task.work.after.length === 0) return { ...piece, pieceKey: job.pieceKey }
-  return { ...piece, inputs: task.jobState.listInputTasks(task).flatMap(input => input.handles as string[]) }
+function buildPieces (pieceRefs: readonly StagePieceRef[], nowMs: number): readonly StagePiece[] {
+  /** All pieces of a task take the same inputs. */
+  const inputsByTask = new Map<StageTask, readonly string[]>()
+  return pieceRefs.map(({ task, pieceIndex }) => {
+    const { job } = task.jobState
+    const piece = { requestId: job.requestId, stageIndex: task.work.index, pieceIndex, timeLeftMs: job.deadlineAtMs - nowMs }
+    if (task.work.after.length === 0) return { ...piece, pieceKey: job.pieceKey }
+    const inputs = inputsByTask.get(task) ?? task.jobState.listInputTasks(task).flatMap(input => input.handles as string[])
+    inputsByTask.set(task, inputs)
+    return { ...piece, inputs }
+  })
 }
 
 function hasLargeInputs (task: StageTask): boolean {
--- /dev/null
+++ b/src/node/gateway/stages/cellRegistry.ts
@@ -0,0 +1,81 @@
+import { buildSchedulingCells } from './buildSchedulingCells.js'
+import { listRankedCells } from './listRankedCells.js'
+import type { EnginePlanner } from '../engines/enginePlanner.js'
+import type { SchedulingCell } from './schedulingCell.js'
+import type { ServiceSpec } from '../model/serviceSpec.js'
+import type { StageDispatcher } from './stageDispatcher.js'
+import type { StageJob } from './stageJob.js'
+import type { StageScheduler } from './stageScheduler.js'
+import type { UpstreamEntry } from '../model/upstreamEntry.js'
+
+/** What schedules the stage work of one cell, at the host that schedules it. */
+interface CellRuntime {
+  readonly domains: ReadonlySet<string>
+  readonly scheduler: StageScheduler
+  readonly dispatcher: StageDispatcher
+  readonly engines: EnginePlanner
+}
+
+/** The scheduling cells, and the schedulers of the cells for which this host was sent work. */
+export class CellRegistry {
+  private readonly runtimes = new Map<string, CellRuntime>()
+  private cells: readonly SchedulingCell[] = [{ domains: [], shares: new Map() }]
+  private specs: ReadonlyMap<string, ServiceSpec> = new Map()
+  private upstreamsByService: ReadonlyMap<string, readonly UpstreamEntry[]> = new Map()
+
+  constructor (private readonly createRuntime: (domains: ReadonlySet<string>) => Omit<CellRuntime, 'domains'>) {}
+
+  /** Applies the services of a configuration and the upstreams that serve them. */
+  applyUpstreams (specs: ReadonlyMap<string, ServiceSpec>, listUpstreams: (service: string) => readonly UpstreamEntry[]): void {
+    this.specs = specs
+    this.upstreamsByService = new Map([...specs.keys()].map(service => [service, listUpstreams(service)]))
+    const stageServices = new Set([...specs.values()].filter(spec => spec.stage !== undefined).map(spec => spec.name))
+    const cells = buildSchedulingCells(this.upstreamsByService, stageServices)
+    this.cells = cells.length > 0 ? cells : [{ domains: [], shares: new Map() }]
+    for (const runtime of this.runtimes.values()) this.updateRuntime(runtime)
+  }
+
+  /** Whether a failure domain belongs to one of the cells. */
+  hasDomain (domain: string): boolean {
+    return this.cells.some(cell => cell.domains.includes(domain))
+  }
+
+  /** Cells for the stages of a job, the preferred one first; never empty. */
+  listRankedCells (job: StageJob): readonly SchedulingCell[] {
+    const { parts } = job.prompt
+    const services = [...job.stages.map(stage => stage.service), ...job.engineService === undefined ? [] : [job.engineService]]
+    // The last part of a prompt is its own; the one before it is the longest that other requests share.
+    return listRankedCells(this.cells, (parts.at(-2) ?? parts.at(-1))?.id ?? job.requestId, services)
+  }
+
+  /** Dispatcher of the cell of these domains. Hosts may disagree on the cells for a moment, so any set of domains is served. */
+  getDispatcher (domains: readonly string[]): StageDispatcher {
+    const id = domains.join('\n')
+    const known = this.runtimes.get(id)
+    if (known !== undefined) return known.dispatcher
+    const domainSet = new Set(domains)
+    const runtime = { domains: domainSet, ...this.createRuntime(domainSet) }
+    this.runtimes.set(id, runtime)
+    this.updateRuntime(runtime)
+    return runtime.dispatcher
+  }
+
+  /** Releases the results of a completed job, whichever cell it ran in. */
+  releaseJob (jobId: string): void {
+    for (const { dispatcher } of this.runtimes.values()) dispatcher.releaseJob(jobId)
+  }
+
+  /** Forgets an engine that is gone. */
+  removeEngine (engineId: string): void {
+    for (const { engines } of this.runtimes.values()) engines.removeEngine(engineId)
+  }
+
+  stop (): void {
+    for (const { dispatcher } of this.runtimes.values()) dispatcher.stop()
+  }
+
+  private updateRuntime ({ domains, scheduler, dispatcher }: CellRuntime): void {
+    scheduler.applyUpstreams(this.specs, service => (this.upstreamsByService.get(service) ?? []).filter(entry => domains.has(entry.failureDomain)))
+    dispatcher.onUpstreamsChanged()
+  }
+}
--- a/src/node/gateway/stages/constants.ts
+++ b/src/node/gateway/stages/constants.ts
@@ -1,5 +1,7 @@
 /** Parameters of stage scheduling. */
 export const stageConstants = {
+  /** Fewest upstreams of each stage service in a scheduling cell: with two, a lost or slow one would halve the cell. */
+  minUpstreamsPerCell: 3,
   /** Delay from the arrival of a job to the planning of calls, so that requests sent in bursts share calls; the fixed part of a call is ten times as long. */
   batchDelayMs: 25,
   /**
@@ -45,7 +47,18 @@
   avoidHostMs: 3000,
   /** Time after a job's deadline within which its scheduling host must have answered. */
   peerTimeoutMarginMs: 300,
-  peerCallTimeoutMs: 1000,
+  /** Time within which a scheduling host must accept a session: connecting takes two round trips, a start of the process more. */
+  sessionConnectMs: 600,
+  /** A session that was not used for this long is closed when another one is opened: its host no longer schedules. */
+  sessionIdleMs: 30_000,
+  /** Answers of each upstream that are remembered to recognize a second copy. */
+  recentAnswers: 16,
+  /** Largest answer to a stage call: a fixed part and a handle or a reason for each piece. */
+  answerBaseBytes: 4096,
+  answerBytesPerPiece: 1024,
+  /** Timeout and largest answer of a release. */
+  releaseTimeoutMs: 1000,
+  maxReleaseAnswerBytes: 65_536,
   /** Time after which unreleased results of a completed job are released: the host that requested them is gone. */
   maxResultAgeMs: 6000,
   /** Failed sends per piece of a stage after which a job fails. */
--- a/src/node/gateway/stages/decodeStageJob.ts
+++ b/src/node/gateway/stages/decodeStageJob.ts
@@ -2,7 +2,7 @@
 import type { StageJob } from './stageJob.js'
 
 /** Decodes a job from another host; its relative times become times on this host's clock. */
-export function decodeStageJob (message: messages.IRunStagesRequest, nowMs: number): StageJob {
+export function decodeStageJob (message: messages.IStageJob, nowMs: number): StageJob {
   return {
     id: message.jobId ?? '',
     requestId: message.requestId ?? '',
@@ -21,6 +21,7 @@
     // Set by the scheduling host, which knows the loads of the engines.
     preferredDomain: '',
     engineService: message.engineService === '' ? undefined : message.engineService ?? undefined,
-    prompt: { tokens: message.promptTokens ?? 0, parts: (message.partIds ?? []).map((id, i) => ({ id, tokens: message.partTokens?.[i] ?? 0 })) }
+    prompt: { tokens: message.promptTokens ?? 0, parts: (message.partIds ?? []).map((id, i) => ({ id, tokens: message.partTokens?.[i] ?? 0 })) },
+    isDeclinable: message.isDeclinable ?? false
   }
 }
--- a/src/node/gateway/stages/decodeStageOutcome.ts
+++ b/src/node/gateway/stages/decodeStageOutcome.ts
@@ -2,7 +2,7 @@
 import type { StageOutcome } from './stageOutcome.js'
 
 /** Decodes the outcome of a job at the scheduling host. */
-export function decodeStageOutcome (message: messages.IRunStagesResponse): StageOutcome {
+export function decodeStageOutcome (message: messages.IStageJobOutcome): StageOutcome {
   const reason = message.reason ?? ''
   switch (message.outcome) {
     case 'completed': return {
@@ -12,6 +12,7 @@
       engineId: message.engineId === '' ? undefined : message.engineId ?? undefined
     }
     case 'refused': return { type: 'refused', reason, retryAfterMs: message.retryAfterMs ?? 0 }
+    case 'declined': return { type: 'declined', reason }
     default: return { type: 'failed', reason }
   }
 }
--- a/src/node/gateway/stages/encodeStageJob.ts
+++ b/src/node/gateway/stages/encodeStageJob.ts
@@ -1,8 +1,8 @@
 import type { lycheetrack as messages } from '../../peers/generated/peer.js'
 import type { StageJob } from './stageJob.js'
 
-/** Encodes a job for another host; its times become relative to `nowMs`. */
-export function encodeStageJob (job: StageJob, nowMs: number): messages.IRunStagesRequest {
+/** Encodes a job for the host that schedules the cell of `domains`; its times become relative to `nowMs`. */
+export function encodeStageJob (job: StageJob, domains: readonly string[], nowMs: number): messages.IStageJob {
   return {
     jobId: job.id,
     requestId: job.requestId,
@@ -21,6 +21,8 @@
     engineService: job.engineService ?? '',
     promptTokens: job.prompt.tokens,
     partIds: job.prompt.parts.map(part => part.id),
-    partTokens: job.prompt.parts.map(part => part.tokens)
+    partTokens: job.prompt.parts.map(part => part.tokens),
+    isDeclinable: job.isDeclinable,
+    cellDomains: [...domains]
   }
 }
--- a/src/node/gateway/stages/encodeStageOutcome.ts
+++ b/src/node/gateway/stages/encodeStageOutcome.ts
@@ -2,7 +2,7 @@
 import type { StageOutcome } from './stageOutcome.js'
 
 /** Encodes the outcome of a job for the host that requested it. */
-export function encodeStageOutcome (outcome: StageOutcome): messages.IRunStagesResponse {
+export function encodeStageOutcome (outcome: StageOutcome): messages.IStageJobOutcome {
   switch (outcome.type) {
     case 'completed': return {
       outcome: outcome.type,
@@ -11,6 +11,7 @@
       engineId: outcome.engineId ?? ''
     }
     case 'refused': return { outcome: outcome.type, reason: outcome.reason, retryAfterMs: outcome.retryAfterMs }
-    case 'failed': return { outcome: outcome.type, reason: outcome.reason }
+    case 'failed':
+    case 'declined': return { outcome: outcome.type, reason: outcome.reason }
   }
 }
--- a/src/node/gateway/stages/sendStageCall.ts
+++ b/src/node/gateway/stages/sendStageCall.ts
@@ -1,4 +1,4 @@
-import { upstreamConstants } from '../upstreams/constants.js'
+import { stageConstants } from './constants.js'
 import type { Scheduler } from '../../../types/scheduler.js'
 import type { StageCall } from './stageCall.js'
 import type { StageCallCodec } from '../model/stageCallCodec.js'
@@ -10,12 +10,15 @@
   readonly codec: StageCallCodec
   readonly call: StageCall
   readonly timers: Scheduler
+  /** Whether an answer with these results is the first one. */
+  readonly isFirstAnswer: (results: readonly StagePieceResult[]) => boolean
   readonly onAnswer: (results: readonly StagePieceResult[]) => void
   readonly onFailure: (reason: string) => void
 }
 
 /** Sends one stage call with a timeout. The returned function cancels the call without invoking a callback. */
-export function sendStageCall ({ pool, codec, call, timers, onAnswer, onFailure }: StageCallOptions): () => void {
+export function sendStageCall ({ pool, codec, call, timers, isFirstAnswer, onAnswer, onFailure }: StageCallOptions): () => void {
+  const maxBytes = stageConstants.answerBaseBytes + stageConstants.answerBytesPerPiece * call.pieces.length
   const chunks: Buffer[] = []
   let size = 0
   let status = 0
@@ -35,14 +38,17 @@
     onHead: head => { status = head.status },
     onData: chunk => {
       size += chunk.length
-      if (size > upstreamConstants.maxResponseBytes) cancelCall('answer too large')
+      if (size > maxBytes) cancelCall('answer too large')
       else chunks.push(chunk)
     },
     onEnd: () => {
       end(() => {
         const results = status === 200 ? codec.decodeResults(Buffer.concat(chunks).toString('utf8'), call.pieces.length) : undefined
-        if (results === undefined) onFailure(status === 200 ? 'answer cannot be decoded' : `status ${status}`)
-        else onAnswer(results)
+        if (results === undefined) return onFailure(status === 200 ? 'answer cannot be decoded' : `status ${status}`)
+        if (isFirstAnswer(results)) return onAnswer(results)
+        // The answer to this call may still arrive, and must not be taken for that of the next one.
+        cancel()
+        onFailure('second copy of an earlier answer')
       })
     },
     onFailure: failure => { end(() => { onFailure(`${failure.kind}: ${failure.detail}`) }) }
--- a/src/node/gateway/stages/stageClient.ts
+++ b/src/node/gateway/stages/stageClient.ts
@@ -1,83 +1,99 @@
-import { peerMethods } from '../../peers/peerMethods.js'
-import { decodeStageJob } from './decodeStageJob.js'
-import { encodeStageJob } from './encodeStageJob.js'
-import { encodeStageOutcome } from './encodeStageOutcome.js'
-import { decodeStageOutcome } from './decodeStageOutcome.js'
+import { SchedulingSession } from './schedulingSession.js'
 import { stageConstants } from './constants.js'
+import type { CellRegistry } from './cellRegistry.js'
 import type { Clock } from '../../../types/clock.js'
 import type { HostDirectory } from '../hosts/hostDirectory.js'
 import type { HostEntry } from '../model/hostEntry.js'
 import type { Logger } from '../../../types/logger.js'
 import type { Metrics } from '../../../types/metrics.js'
-import type { PeerTransport } from '../../../types/peerTransport.js'
-import type { StageDispatcher } from './stageDispatcher.js'
+import type { PeerSessions } from '../../../types/peerSessions.js'
+import type { SchedulingCell } from './schedulingCell.js'
 import type { StageJob } from './stageJob.js'
 import type { StageOutcome } from './stageOutcome.js'
 
 interface StageClientOptions {
-  readonly dispatcher: StageDispatcher
+  readonly cells: CellRegistry
   readonly hosts: HostDirectory
-  readonly transport: PeerTransport
+  readonly sessions: PeerSessions
   readonly clock: Clock
   readonly logger: Logger
   readonly metrics: Metrics
 }
 
+/** The outcome of a request's stages. `release` releases the results and must be called when they are no longer needed. */
+interface StageRun {
+  readonly outcome: StageOutcome
+  readonly release: () => void
+}
+
+const noRelease = (): void => {}
+
 /**
- * Runs the stages of a request at the host that schedules all stage work, or at the next candidate when that host
- * cannot be reached. Also serves the jobs of other hosts when this host is the scheduling host.
+ * Runs the stages of a request at the host that schedules the work of its cell, or at the next candidate when that host
+ * cannot be reached. A cell that cannot be on time passes the request on to the next one: load peaks and lost upstreams
+ * hit single cells.
  */
 export class StageClient {
   private readonly avoidedUntilMs = new Map<string, number>()
-  private readonly releasedJobIds = new Map<string, string[]>()
-  private releaseTimer: NodeJS.Timeout | undefined
+  /** Sessions by the address of the scheduling host. */
+  private readonly sessions = new Map<string, SchedulingSession>()
 
-  constructor (private readonly options: StageClientOptions) {
-    const { transport, dispatcher, clock } = options
-    transport.handleStream(peerMethods.runStages, (request, _, signal) => runForPeer(
-      dispatcher,
-      decodeStageJob(request, clock.readMonotonicMs()),
-      signal
-    ))
-    transport.handle(peerMethods.releaseResults, ({ jobIds }) => {
-      for (const jobId of jobIds ?? []) dispatcher.releaseJob(jobId)
-      return {}
-    })
+  constructor (private readonly options: StageClientOptions) {}
+
+  /** Runs the stages in the cell of the job, or in the next one when that cell declines it. */
+  async runStages (job: StageJob, signal: AbortSignal): Promise<StageRun> {
+    const [first, second] = this.options.cells.listRankedCells(job)
+    if (second === undefined) return await this.runInCell(first!, job, signal)
+    const run = await this.runInCell(first!, { ...job, isDeclinable: true }, signal)
+    return run.outcome.type === 'declined' ? await this.runInCell(second, job, signal) : run
   }
 
-  /** Runs the stages. `release` releases the results and must be called when they are no longer needed. */
-  async runStages (job: StageJob, signal: AbortSignal): Promise<{ readonly outcome: StageOutcome, readonly release: () => void }> {
-    const { hosts, dispatcher, clock, logger } = this.options
+  stop (): void {
+    for (const session of [...this.sessions.values()]) session.close()
+  }
+
+  private async runInCell ({ domains }: SchedulingCell, job: StageJob, signal: AbortSignal): Promise<StageRun> {
+    const { hosts, cells, clock, logger } = this.options
     for (;;) {
-      const host = hosts.chooseScheduler(this.listAvoidedHosts())
-      const isSelf = host.id === hosts.getSelf().id
-      if (isSelf) {
-        const outcome = await dispatcher.runJob(job, signal)
-        return { outcome, release: () => { dispatcher.releaseJob(job.id) } }
+      const host = hosts.chooseScheduler(this.listAvoidedHosts(), domains)
+      if (host.id === hosts.getSelf().id) {
+        const dispatcher = cells.getDispatcher(domains)
+        return { outcome: await dispatcher.runJob(job, signal), release: () => { dispatcher.releaseJob(job.id) } }
       }
-      const outcome = await this.runAtPeer(host, job, signal)
-      if (outcome !== undefined) return { outcome, release: () => { this.scheduleRelease(host, job.id) } }
-      if (signal.aborted) return { outcome: { type: 'failed', reason: 'the client left' }, release: () => {} }
+      const session = this.getSession(host)
+      const outcome = await session.runJob(job, domains, signal)
+      if (outcome !== undefined) return { outcome, release: () => { session.releaseJob(job.id) } }
+      if (signal.aborted) return { outcome: { type: 'failed', reason: 'the client left' }, release: noRelease }
       logger.recordWarning('stage scheduler lost', { requestId: job.requestId, peer: host.id, avoidedMs: stageConstants.avoidHostMs })
       this.avoidedUntilMs.set(host.id, clock.readMonotonicMs() + stageConstants.avoidHostMs)
     }
   }
 
-  /** Resolves to undefined when the host did not answer. */
-  private async runAtPeer (host: HostEntry, job: StageJob, signal: AbortSignal): Promise<StageOutcome | undefined> {
-    const { transport, clock, metrics } = this.options
-    const nowMs = clock.readMonotonicMs()
-    const timeoutMs = Math.max(job.deadlineAtMs - nowMs, 1) + stageConstants.peerTimeoutMarginMs
-    try {
-      const answers = transport.openStream(host.peerAddress, peerMethods.runStages, encodeStageJob(job, nowMs), timeoutMs, signal)
-      const iterator = answers[Symbol.asyncIterator]()
-      const first = await iterator.next()
-      await iterator.return?.()
-      return first.done === true ? undefined : decodeStageOutcome(first.value)
-    } catch (error) {
-      metrics.addCount('stage_peer_failures', { reason: error instanceof Error ? error.name : 'unknown' })
-      this.options.logger.recordWarning('stage scheduler call failed', { requestId: job.requestId, peer: host.id, reason: (error as Error).message })
-      return undefined
+  private getSession ({ id, peerAddress }: HostEntry): SchedulingSession {
+    const known = this.sessions.get(peerAddress)
+    if (known !== undefined) return known
+    this.closeIdleSessions()
+    const { sessions, clock, logger, metrics } = this.options
+    const session = new SchedulingSession({
+      sessions,
+      address: peerAddress,
+      clock,
+      onClosed: reason => {
+        if (this.sessions.get(peerAddress) !== session) return
+        this.sessions.delete(peerAddress)
+        metrics.addCount('stage_sessions_closed', {})
+        logger.recordInfo('stage session closed', { peer: id, reason })
+      }
+    })
+    this.sessions.set(peerAddress, session)
+    logger.recordInfo('stage session opened', { peer: id })
+    return session
+  }
+
+  private closeIdleSessions (): void {
+    const nowMs = this.options.clock.readMonotonicMs()
+    for (const session of [...this.sessions.values()]) {
+      if (session.isIdle(nowMs)) session.close()
     }
   }
 
@@ -88,29 +104,4 @@
     }
     return new Set(this.avoidedUntilMs.keys())
   }
-
-  private scheduleRelease (host: HostEntry, jobId: string): void {
-    const jobIds = this.releasedJobIds.get(host.peerAddress) ?? []
-    jobIds.push(jobId)
-    this.releasedJobIds.set(host.peerAddress, jobIds)
-    this.releaseTimer ??= setTimeout(() => {
-      this.releaseTimer = undefined
-      for (const [address, ids] of this.releasedJobIds) this.sendRelease(address, ids)
-      this.releasedJobIds.clear()
-    }, stageConstants.releaseDelayMs)
-  }
-
-  /** Not retried: after a lost release, the results occupy memory until they expire. */
-  private sendRelease (address: string, jobIds: readonly string[]): void {
-    this.options.transport.send(address, peerMethods.releaseResults, { jobIds: [...jobIds] }, stageConstants.peerCallTimeoutMs)
-      .catch(() => { this.options.metrics.addCount('stage_releases', { outcome: 'failed' }) })
-  }
-}
-
-async function * runForPeer (
-  dispatcher: StageDispatcher,
-  job: StageJob,
-  signal: AbortSignal
-): AsyncIterable<ReturnType<typeof encodeStageOutcome>> {
-  yield encodeStageOutcome(await dispatcher.runJob(job, signal))
 }
--- a/src/node/gateway/stages/stageDispatcher.ts
+++ b/src/node/gateway/stages/stageDispatcher.ts
@@ -1,3 +1,5 @@
+import { RecentAnswers } from './recentAnswers.js'
+import { sendRelease } from './sendRelease.js'
 import { sendStageCall } from './sendStageCall.js'
 import { stageConstants } from './constants.js'
 import type { Clock } from '../../../types/clock.js'
@@ -32,18 +34,24 @@
   private readonly callsInProgress = new Map<number, () => void>()
   private scheduledPlanning: { readonly atMs: number, readonly cancel: () => void } | undefined
   private cancelRelease: (() => void) | undefined
+  private readonly recentAnswers = new RecentAnswers()
 
   constructor (private readonly options: DispatcherOptions) {}
 
   /** Runs the stages of a job. The results of a completed job must be released with `releaseJob`. */
-  async runJob (request: StageJob, signal: AbortSignal): Promise<StageOutcome> {
+  async runJob (job: StageJob, signal: AbortSignal): Promise<StageOutcome> {
     const { scheduler, engines, clock, logger, metrics } = this.options
     const nowMs = clock.readMonotonicMs()
-    const { engineService, prompt } = request
-    const job = engineService === undefined ? request : { ...request, preferredDomain: engines.findDomain(engineService, prompt, nowMs) }
-    const admission = scheduler.addJob(job, nowMs)
+    const { engineService, prompt } = job
+    // The queues as they are when the decision is made.
     const queues = scheduler.listLoads(nowMs).map(load => `${load.service}=${load.queuedPieces}+${load.latePieces}/${load.idle}of${load.upstreams}`).join(' ')
     const aimLeftMs = Math.round(job.targetAtMs - nowMs)
+    const admission = scheduler.addJob(job, nowMs, () => engineService === undefined ? '' : engines.findDomain(engineService, prompt, nowMs))
+    if (!admission.isAccepted && admission.isDeclined) {
+      metrics.addCount('stage_jobs', { decision: 'declined' })
+      logger.recordInfo('stages declined', { requestId: job.requestId, reason: admission.reason, expectedMs: Math.round(admission.finishInMs), marginMs: Math.round(scheduler.marginMs), aimLeftMs, queues })
+      return { type: 'declined', reason: admission.reason }
+    }
     if (!admission.isAccepted) {
       metrics.addCount('stage_jobs', { decision: 'refused' })
       logger.recordInfo('stages refused', {
@@ -68,7 +76,7 @@
     })
     return await new Promise(resolve => {
       const onAbort = (): void => {
-        scheduler.cancelJob(job.id, clock.readMonotonicMs())
+        scheduler.cancelJob(job.id)
         this.endJob(job.id, { type: 'failed', reason: 'the client left' })
         this.schedulePlanning(0)
       }
@@ -111,6 +119,7 @@
 
   /** Plans calls after a change of the upstreams or the configuration. */
   onUpstreamsChanged (): void {
+    this.recentAnswers.removeOthers(this.options.scheduler.listUpstreamIds())
     this.schedulePlanning(0)
   }
 
@@ -156,6 +165,7 @@
       codec,
       call,
       timers,
+      isFirstAnswer: results => this.recentAnswers.addAnswer(call.upstreamId, results),
       onAnswer: results => {
         this.callsInProgress.delete(call.id)
         const nowMs = clock.readMonotonicMs()
@@ -230,18 +240,12 @@
 
   /** Not retried: after a lost release, the results occupy memory until they expire. */
   private sendReleases (): void {
-    const { scheduler, findPool, codec } = this.options
+    const { scheduler, findPool, codec, timers } = this.options
     for (const release of scheduler.takeReleases()) {
-      const { upstreamId, handles } = release
-      const pool = findPool(upstreamId)
-      if (pool === undefined) continue
-      pool.send({ method: 'POST', path: codec.releasePath, headers: codec.encodeHeaders(upstreamId), body: codec.encodeRelease(handles) }, {
-        onHead: () => {},
-        onData: () => {},
-        onEnd: () => { this.onReleased(release, 'done') },
-        // The results expire by themselves; counting their memory as free too early costs at most a refused piece.
-        onFailure: () => { this.onReleased(release, 'failed') }
-      })
+      const pool = findPool(release.upstreamId)
+      // The results expire by themselves; counting their memory as free too early costs at most a refused piece.
+      if (pool === undefined) this.onReleased(release, 'failed')
+      else sendRelease({ pool, codec, release, timers, onEnd: outcome => { this.onReleased(release, outcome) } })
     }
   }
 }
--- a/src/node/gateway/stages/stageJob.ts
+++ b/src/node/gateway/stages/stageJob.ts
@@ -23,4 +23,6 @@
   /** Service of the engine that takes the results; undefined when the engine is not chosen together with the stages. */
   readonly engineService?: string
   readonly prompt: EnginePrompt
+  /** The job is declined instead of being accepted as late or refused, because it will be tried in another cell. */
+  readonly isDeclinable: boolean
 }
--- a/src/node/gateway/stages/stageOutcome.ts
+++ b/src/node/gateway/stages/stageOutcome.ts
@@ -12,3 +12,5 @@
   }
   | { readonly type: 'refused', readonly reason: string, readonly retryAfterMs: number }
   | { readonly type: 'failed', readonly reason: string }
+  /** No stage was started; the job may be tried in another cell. */
+  | { readonly type: 'declined', readonly reason: string }
--- a/src/node/gateway/stages/stageScheduler.ts
+++ b/src/node/gateway/stages/stageScheduler.ts
@@ -1,3 +1,4 @@
+import { addToBacklogs } from './addToBacklogs.js'
 import { admitStageJob } from './admitStageJob.js'
 import { buildStageCall } from './buildStageCall.js'
 import { EstimateMargin } from './estimateMargin.js'
@@ -30,6 +31,8 @@
   private readonly margin = new EstimateMargin()
   private readonly resultTracker = new ResultTracker(this.services)
   private nextCallId = 1
+  /** Work was added, sent or ended since the backlogs were counted. */
+  private areBacklogsStale = false
 
   /** Applies the stage services of a configuration and the upstreams that serve them. */
   applyUpstreams (specs: ReadonlyMap<string, ServiceSpec>, listUpstreams: (service: string) => readonly UpstreamEntry[]): void {
@@ -42,23 +45,29 @@
     }
   }
 
-  /** Accepts or refuses a job. `takeEndedJobs` returns the outcome of an accepted one. */
-  addJob (job: StageJob, nowMs: number): StageAdmission {
+  listUpstreamIds (): ReadonlySet<string> {
+    return new Set([...this.services.values()].flatMap(service => [...service.upstreams.keys()]))
+  }
+
+  /**
+   * Accepts or refuses a job. `takeEndedJobs` returns the outcome of an accepted one. `findDomain` finds the failure domain
+   * preferred for its engine; it is called for accepted jobs only.
+   */
+  addJob (job: StageJob, nowMs: number, findDomain = () => job.preferredDomain): StageAdmission {
+    this.countBacklogs(nowMs)
     const admission = admitStageJob(job, this.services, nowMs, this.margin.valueMs)
     if (!admission.isAccepted) return admission
-    const state = new JobState(job, nowMs, admission.isLate ? undefined : admission.finishInMs)
+    const state = new JobState({ ...job, preferredDomain: findDomain() }, nowMs, admission.isLate ? undefined : admission.finishInMs)
     this.jobs.set(job.id, state)
     this.updateReadyTasks(state, nowMs)
-    updateBacklogs(this.services, this.jobs.values(), nowMs)
+    addToBacklogs(this.services, state, nowMs)
     return admission
   }
 
   /** Removes a job and releases its results; pieces that are in a call run to completion. */
-  cancelJob (jobId: string, nowMs: number): void {
+  cancelJob (jobId: string): void {
     const state = this.jobs.get(jobId)
-    if (state === undefined) return
-    this.removeJob(state)
-    updateBacklogs(this.services, this.jobs.values(), nowMs)
+    if (state !== undefined) this.removeJob(state)
   }
 
   /** Releases the results of a completed job. */
@@ -70,6 +79,7 @@
   /** Plans the calls to send now. */
   planCalls (nowMs: number): readonly StageCall[] {
     this.endExpiredJobs(nowMs)
+    this.countBacklogs(nowMs)
     this.resultTracker.releaseFetchedInputs(nowMs)
     const calls: StageCall[] = []
     for (const service of this.services.values()) {
@@ -81,7 +91,6 @@
         calls.push(call)
       }
     }
-    if (calls.length > 0) updateBacklogs(this.services, this.jobs.values(), nowMs)
     return calls
   }
 
@@ -102,7 +111,7 @@
       this.onPieceResult(call, task, pieceIndex, result, nowMs)
     })
     for (const task of tasks) this.updateJob(task.jobState, nowMs)
-    updateBacklogs(this.services, this.jobs.values(), nowMs)
+    this.areBacklogsStale = true
   }
 
   /** Handles a call that was refused or lost; its pieces are sent again. */
@@ -117,7 +126,7 @@
       this.resultTracker.releaseMemory(call.service, call.upstreamId, task.work.resultBytes)
       this.retryPiece(task, pieceIndex, nowMs)
     }
-    updateBacklogs(this.services, this.jobs.values(), nowMs)
+    this.areBacklogsStale = true
   }
 
   /** Returns the jobs that have ended since the last invocation. */
@@ -165,6 +174,7 @@
     readonly idle: number,
     readonly upstreams: number
   }> {
+    this.countBacklogs(nowMs)
     return [...this.services.values()].map(service => ({
       service: service.name,
       queuedPieces: service.backlog.onTime,
@@ -174,6 +184,13 @@
     }))
   }
 
+  /** Counts the backlogs only when they are read after a change: they are read less often than calls and jobs end. */
+  private countBacklogs (nowMs: number): void {
+    if (!this.areBacklogsStale) return
+    this.areBacklogsStale = false
+    updateBacklogs(this.services, this.jobs.values(), nowMs)
+  }
+
   /** Late work waits before its first stage, where it occupies no memory, until all services of its job have spare capacity. */
   private isStartAllowed ({ jobState }: StageTask): boolean {
     return jobState.hasStarted || [...jobState.tasks.values()].every(task => this.services.get(task.work.service)?.hasSpareCapacity() ?? false)
@@ -184,6 +201,8 @@
     upstream.callsInFlight++
     upstream.busyUntilMs = call.sentAtMs + call.expectedMs
     service.recordSentPieces(call.pieceRefs.length, call.sentAtMs)
+    this.areBacklogsStale = true
+    const states = new Set<JobState>()
     for (const { task, pieceIndex } of call.pieceRefs) {
       if (task.pendingPieces.length === task.work.pieceCount && task.jobState.job.targetAtMs > call.sentAtMs) service.observeWait(call.sentAtMs - task.readyAtMs)
       task.pendingPieces.splice(task.pendingPieces.indexOf(pieceIndex), 1)
@@ -193,8 +212,9 @@
       if (task.work.after.length > 0) this.resultTracker.addFetchingTask(task)
       upstream.reservedResultBytes += task.work.resultBytes
       if (task.pendingPieces.length === 0) service.readyTasks.delete(task)
-      this.updateReadyTasks(task.jobState, call.sentAtMs)
+      states.add(task.jobState)
     }
+    for (const state of states) this.updateReadyTasks(state, call.sentAtMs)
   }
 
   private onPieceResult (call: StageCall, task: StageTask, pieceIndex: number, result: StagePieceResult, nowMs: number): void {
@@ -260,13 +280,14 @@
   /** Marks the tasks as ready whose inputs are available, and first stages off the critical path when their turn has come. */
   private updateReadyTasks (state: JobState, nowMs: number): void {
     if (state.isEnded) return
-    const unsentPathLength = state.listCriticalPath().filter(task => task.pendingPieces.length > 0).length
+    const criticalPath = state.listCriticalPath()
+    const isPathUnsent = criticalPath.some(task => task.pendingPieces.length > 0)
     for (const task of state.tasks.values()) {
       if (task.isReady || task.pendingPieces.length === 0) continue
       if (!state.listInputTasks(task).every(input => input.isDone())) continue
       // A first stage off the critical path runs alongside the last stage of that path, because its results occupy memory until both are done.
-      const isOffCriticalPath = task.work.after.length === 0 && !state.listCriticalPath().includes(task)
-      if (isOffCriticalPath && unsentPathLength > 0) continue
+      const isOffCriticalPath = task.work.after.length === 0 && !criticalPath.includes(task)
+      if (isOffCriticalPath && isPathUnsent) continue
       task.isReady = true
       task.readyAtMs = nowMs
       task.remainingMs = computeRemainingMs(task, this.services)
@@ -291,6 +312,7 @@
 
   private removeJob (state: JobState): void {
     state.isEnded = true
+    this.areBacklogsStale = true
     if (this.jobs.get(state.job.id) === state) this.jobs.delete(state.job.id)
     for (const task of state.tasks.values()) {
       this.services.get(task.work.service)?.readyTasks.delete(task)
--- /dev/null
+++ b/src/node/gateway/store/computeWatchTimes.ts
@@ -0,0 +1,15 @@
+import { storeConstants } from './constants.js'
+import type { HostTimings } from '../model/hostTimings.js'
+import type { WatchTimes } from './watchTimes.js'
+
+/**
+ * Computes the wait and the pause of the watch from the bounds of the deployment: every host is woken by the changes of all
+ * others, so the number of calls to the store grows with the square of the fleet unless changes are collected.
+ */
+export function computeWatchTimes ({ drainMs, configurationMs, faultGraceMs }: HostTimings): WatchTimes {
+  const { watchGraceMs, minWatchWaitMs, coalesceShare } = storeConstants
+  return {
+    waitMs: Math.max(faultGraceMs - watchGraceMs, minWatchWaitMs),
+    coalesceMs: Math.min(drainMs, configurationMs) * coalesceShare
+  }
+}
--- a/src/node/gateway/store/storeWatcher.ts
+++ b/src/node/gateway/store/storeWatcher.ts
@@ -3,29 +3,28 @@
 import { storeConstants } from './constants.js'
 import type { Logger } from '../../../types/logger.js'
 import type { Random } from '../../../types/random.js'
-import type { StoreChange } from '../model/storeChange.js'
 import type { StoreClient } from '../model/storeClient.js'
-import type { StoreItem } from '../model/storeItem.js'
+import type { StoreSection } from './storeSection.js'
+import type { WatchTimes } from './watchTimes.js'
+
+/** Prefix of all keys. */
+const wholeStore = ''
 
 interface WatcherOptions {
   readonly store: StoreClient
-  readonly prefix: string
   readonly logger: Logger
   readonly random: Random
-  /** Long-poll wait of a watch. */
-  readonly watchWaitMs: number
-  /** Pause after a watch that returned changes; 0 to see each change at once. */
-  readonly coalesceMs: number
-  /** Receives all items; `isAfterGap` is true when changes may have been missed before. */
-  readonly onSnapshot: (items: readonly StoreItem[], isAfterGap: boolean) => void
-  readonly onChange: (change: StoreChange) => void
+  readonly getTimes: () => WatchTimes
+  /** The parts of the store that the host follows; other keys are ignored. */
+  readonly sections: readonly StoreSection[]
 }
 
 /**
- * Watches the items below a prefix: reads all of them, then long-polls for changes. After a watch that failed or timed
- * out, or when the store no longer holds the changes, it reads all items again, because changes may have been missed.
+ * Follows the whole store with one watch, because calls are charged for: reads all items, then long-polls for changes and
+ * passes them to the sections. After a watch that failed or timed out, or when the store no longer holds the changes, it
+ * reads all items again, because changes may have been missed.
  */
-export class PrefixWatcher {
+export class StoreWatcher {
   private readonly stopController = new AbortController()
   private hasSnapshot = false
   private isConnected = false
@@ -47,7 +46,7 @@
           this.recordDisconnected(error)
           await waitForDelay(retryMs * (0.5 + this.options.random()), signal)
           retryMs = Math.min(retryMs * 2, storeConstants.maxRetryMs)
-        } else this.options.logger.recordInfo('store history lost', { prefix: this.options.prefix, reason: error.message })
+        } else this.options.logger.recordInfo('store history lost', { reason: error.message })
       }
     }
   }
@@ -57,29 +56,34 @@
   }
 
   private async readAll (): Promise<number> {
-    const { store, prefix, onSnapshot } = this.options
-    const { items, revision } = await store.readPrefix(prefix)
+    const { items, revision } = await this.options.store.readPrefix(wholeStore)
     this.recordConnected(revision)
-    onSnapshot(items, this.hasSnapshot)
+    for (const section of this.options.sections) {
+      section.onSnapshot(items.filter(item => item.key.startsWith(section.prefix)), this.hasSnapshot)
+    }
     this.hasSnapshot = true
     return revision
   }
 
   private async watchOnce (revision: number): Promise<number> {
-    const { store, prefix, watchWaitMs, coalesceMs, onChange } = this.options
-    const result = await store.watchPrefix(prefix, revision, watchWaitMs, this.stopController.signal)
-    for (const change of result.changes) onChange(change)
-    if (result.changes.length > 0 && coalesceMs > 0) await waitForDelay(coalesceMs, this.stopController.signal)
+    const { store, getTimes, sections } = this.options
+    const { waitMs, coalesceMs } = getTimes()
+    const result = await store.watchPrefix(wholeStore, revision, waitMs, this.stopController.signal)
+    for (const change of result.changes) {
+      const key = change.type === 'written' ? change.item.key : change.key
+      sections.find(section => key.startsWith(section.prefix))?.onChange(change)
+    }
+    if (result.changes.length > 0) await waitForDelay(coalesceMs, this.stopController.signal)
     return Math.max(result.revision, revision)
   }
 
   private recordDisconnected (error: unknown): void {
-    if (this.isConnected) this.options.logger.recordWarning('store lost', { prefix: this.options.prefix, reason: (error as Error).message })
+    if (this.isConnected) this.options.logger.recordWarning('store lost', { reason: (error as Error).message })
     this.isConnected = false
   }
 
   private recordConnected (revision: number): void {
-    if (!this.isConnected) this.options.logger.recordInfo('store regained', { prefix: this.options.prefix, revision })
+    if (!this.isConnected) this.options.logger.recordInfo('store regained', { revision })
     this.isConnected = true
   }
 }
--- a/src/node/gateway/upstreams/__tests__/retryBudget.test.ts
+++ b/src/node/gateway/upstreams/__tests__/retryBudget.test.ts
@@ -2,7 +2,17 @@
 import { RetryBudget } from '../retryBudget.js'
 import type { HostTimings } from '../../model/hostTimings.js'
 
-const timings: HostTimings = { drainMs: 2000, gracePeriodMs: 8000, configurationMs: 2000, maxAddressLifetimeMs: 5000, retryRatio: 0.2, retryWindowMs: 10_000, extraRetries: 56, heartbeatMs: 1200 }
+const timings: HostTimings = {
+  drainMs: 2000,
+  gracePeriodMs: 8000,
+  configurationMs: 2000,
+  faultGraceMs: 3000,
+  maxAddressLifetimeMs: 5000,
+  retryRatio: 0.2,
+  retryWindowMs: 10_000,
+  extraRetries: 56,
+  heartbeatMs: 1200
+}
 
 t.test('retries of all hosts together stay within the budget of the fleet while every upstream fails', async t => {
   for (const hostCount of [1, 4, 30]) {
--- a/src/node/peers/createGrpcPeerTransport.ts
+++ b/src/node/peers/createGrpcPeerTransport.ts
@@ -1,6 +1,7 @@
 import { systemClock } from '../../shared/systemClock.js'
 import type { Clock } from '../../types/clock.js'
 import type { Metrics } from '../../types/metrics.js'
+import type { PeerSessions } from '../../types/peerSessions.js'
 import type { PeerTransport } from '../../types/peerTransport.js'
 import { GrpcPeerTransport } from './grpcPeerTransport.js'
 
@@ -13,7 +14,7 @@
   readonly clock?: Clock
 }
 
-interface RunningPeerTransport extends PeerTransport {
+interface RunningPeerTransport extends PeerTransport, PeerSessions {
   /** Starts listening on `ip:port` and resolves to the bound port. */
   start (listenAddress: string): Promise<number>
   stop (): Promise<void>
--- a/src/node/peers/grpcPeerTransport.ts
+++ b/src/node/peers/grpcPeerTransport.ts
@@ -2,6 +2,9 @@
 import type { Clock } from '../../types/clock.js'
 import type { Metrics } from '../../types/metrics.js'
 import type { PeerMethod } from '../../types/peerMethod.js'
+import type { PeerSession } from '../../types/peerSession.js'
+import type { PeerSessionHandler } from '../../types/peerSessionHandler.js'
+import type { PeerSessions } from '../../types/peerSessions.js'
 import type { PeerTransport } from '../../types/peerTransport.js'
 import { PeerUnavailableError } from '../../shared/peerUnavailableError.js'
 import { peerConstants } from './constants.js'
@@ -11,8 +14,8 @@
 import { PeerReceiver } from './peerReceiver.js'
 import { PeerTrafficCounter } from './peerTrafficCounter.js'
 
-/** `PeerTransport` over gRPC without TLS; hosts authenticate each other with a shared secret. */
-export class GrpcPeerTransport implements PeerTransport {
+/** `PeerTransport` and `PeerSessions` over gRPC without TLS; hosts authenticate each other with a shared secret. */
+export class GrpcPeerTransport implements PeerTransport, PeerSessions {
   private readonly server = new Server({
     'grpc.keepalive_time_ms': peerConstants.serverKeepaliveMs,
     'grpc.keepalive_timeout_ms': peerConstants.serverKeepaliveTimeoutMs,
@@ -61,4 +64,12 @@
   handleStream<Request, Response> (method: PeerMethod<Request, Response>, handler: (request: Request, peerId: string, signal: AbortSignal) => AsyncIterable<Response>): void {
     this.receiver.handleStream(method, handler)
   }
+
+  openSession<Request, Response> (peerAddress: string, method: PeerMethod<Request, Response>, connectMs: number, handler: PeerSessionHandler<Response>): PeerSession<Request> {
+    return this.caller.openSession(peerAddress, method, connectMs, handler)
+  }
+
+  handleSession<Request, Response> (method: PeerMethod<Request, Response>, accept: (session: PeerSession<Response>, peerId: string) => PeerSessionHandler<Request>): void {
+    this.receiver.handleSession(method, accept)
+  }
 }
--- a/src/node/peers/peerCaller.ts
+++ b/src/node/peers/peerCaller.ts
@@ -1,9 +1,11 @@
-import type { Client, ClientReadableStream, Metadata, ServiceError } from '@grpc/grpc-js'
+import type { Client, ClientDuplexStream, ClientReadableStream, Metadata, ServiceError } from '@grpc/grpc-js'
 import { status } from '@grpc/grpc-js'
 import { PeerRefusedError } from '../../shared/peerRefusedError.js'
 import { PeerUnavailableError } from '../../shared/peerUnavailableError.js'
 import type { PeerMethod } from '../../types/peerMethod.js'
 import type { PeerAuthenticator } from './peerAuthenticator.js'
+import type { PeerSession } from '../../types/peerSession.js'
+import type { PeerSessionHandler } from '../../types/peerSessionHandler.js'
 import type { PeerChannels } from './peerChannels.js'
 import type { PeerTrafficCounter } from './peerTrafficCounter.js'
 
@@ -58,6 +60,38 @@
     }
   }
 
+  openSession<Request, Response> (peerAddress: string, method: PeerMethod<Request, Response>, connectMs: number, handler: PeerSessionHandler<Response>): PeerSession<Request> {
+    const client = this.channels.getClient(peerAddress)
+    const metadata = this.createMetadata(method.path)
+    const serialize = this.traffic.createSerializer(method.path, method.encodeRequest)
+    const parse = this.traffic.createParser(method.path, method.decodeResponse)
+    const call: ClientDuplexStream<Request, Response> = client.makeBidiStreamRequest(method.path, serialize, parse, metadata)
+    let isClosed = false
+    const close = (): void => {
+      isClosed = true
+      clearTimeout(connectTimer)
+      call.cancel()
+    }
+    const end = (reason: string): void => {
+      if (isClosed) return
+      close()
+      handler.onClosed(reason)
+    }
+    const connectTimer = setTimeout(() => {
+      this.channels.onTimeout(peerAddress, client)
+      end(`${peerAddress} did not accept the session within ${connectMs} ms`)
+    }, connectMs)
+    call.on('metadata', responseMetadata => {
+      clearTimeout(connectTimer)
+      this.channels.onResponse(peerAddress, client)
+      if (!this.isResponseAuthentic(method.path, metadata, responseMetadata)) end(`${peerAddress} did not prove the shared secret`)
+    })
+    call.on('data', (message: Response) => { if (!isClosed) handler.onMessage(message) })
+    call.on('error', error => { end(buildPeerError(peerAddress, error).message) })
+    call.on('end', () => { end(`${peerAddress} closed the session`) })
+    return { send: message => { if (!isClosed) call.write(message) }, close }
+  }
+
   // The silence timer runs only while the consumer waits for an item, so a slow consumer does not count as a silent peer.
   private async readItem<Response> (iterator: AsyncIterator<Response>, call: ClientReadableStream<Response>, peerAddress: string, client: Client, silenceMs: number): Promise<IteratorResult<Response>> {
     const silenceTimer = setTimeout(() => {
--- a/src/node/peers/peerMethods.ts
+++ b/src/node/peers/peerMethods.ts
@@ -17,7 +17,6 @@
   rateReport: createPeerMethod('RateReport', messages.RateReportRequest, messages.RateReportResponse),
   writeClaim: createPeerMethod('WriteClaim', messages.WriteClaimRequest, messages.WriteClaimResponse),
   modelDemand: createPeerMethod('ModelDemand', messages.ModelDemandRequest, messages.ModelDemandResponse),
-  runStages: createPeerMethod('RunStages', messages.RunStagesRequest, messages.RunStagesResponse, true),
-  releaseResults: createPeerMethod('ReleaseResults', messages.ReleaseResultsRequest, messages.ReleaseResultsResponse),
+  scheduleStages: createPeerMethod('ScheduleStages', messages.StageOrder, messages.StageReport, true),
   burn: createPeerMethod('Burn', messages.BurnRequest, messages.BurnResponse)
 } as const
--- a/src/node/peers/peerReceiver.ts
+++ b/src/node/peers/peerReceiver.ts
@@ -1,8 +1,10 @@
 import { once } from 'node:events'
-import type { Metadata, Server, sendUnaryData, ServerUnaryCall, ServerWritableStream, ServiceError } from '@grpc/grpc-js'
+import type { Metadata, Server, sendUnaryData, ServerDuplexStream, ServerUnaryCall, ServerWritableStream, ServiceError } from '@grpc/grpc-js'
 import { Metadata as GrpcMetadata, status } from '@grpc/grpc-js'
 import { LycheetrackError } from '../../shared/lycheetrackError.js'
 import type { PeerMethod } from '../../types/peerMethod.js'
+import type { PeerSession } from '../../types/peerSession.js'
+import type { PeerSessionHandler } from '../../types/peerSessionHandler.js'
 import type { PeerAuthenticator } from './peerAuthenticator.js'
 import type { PeerTrafficCounter } from './peerTrafficCounter.js'
 
@@ -45,6 +47,34 @@
     }, serialize, parse, 'serverStream')
   }
 
+  handleSession<Request, Response> (method: PeerMethod<Request, Response>, accept: (session: PeerSession<Response>, peerId: string) => PeerSessionHandler<Request>): void {
+    const serialize = this.traffic.createSerializer(method.path, method.encodeResponse)
+    const parse = this.traffic.createParser(method.path, method.decodeRequest)
+    this.server.register<Request, Response>(method.path, (call: ServerDuplexStream<Request, Response>) => {
+      let isClosed = false
+      const close = (): void => {
+        isClosed = true
+        call.end()
+      }
+      try {
+        const peerId = this.authenticator.validateCallMetadata(call.metadata, method.path)
+        call.sendMetadata(this.createMetadata(method.path, call.metadata))
+        const handler = accept({ send: message => { if (!isClosed) call.write(message) }, close }, peerId)
+        const end = (reason: string): void => {
+          if (isClosed) return
+          close()
+          handler.onClosed(reason)
+        }
+        call.on('data', (message: Request) => { if (!isClosed) handler.onMessage(message) })
+        call.on('end', () => { end('closed by the peer') })
+        call.on('cancelled', () => { end('cancelled by the peer') })
+        call.on('error', error => { end(error.message) })
+      } catch (error) {
+        call.emit('error', buildServiceError(error))
+      }
+    }, serialize, parse, 'bidi')
+  }
+
   private createMetadata (path: string, call: Metadata): Metadata {
     const metadata = this.authenticator.createResponseMetadata(call)
     this.traffic.recordReceived(path, this.traffic.computeMetadataBytes(call))
--- a/src/node/platform/constants.ts
+++ b/src/node/platform/constants.ts
@@ -10,9 +10,7 @@
   peerSecretKey: 'lycheetrack/peer-secret',
   /** Timeout of a read or write of the store. A response usually takes 4 ms, a slow one some hundred milliseconds. */
   storeCallTimeoutMs: 1500,
-  /** Time beyond its own wait after which a watch fails. */
-  watchGraceMs: 700,
-  /** Connections for reads and writes; each watch has one in addition. */
+  /** Connections for reads and writes; the watch has one in addition. */
   storeConnections: 2,
   connectTimeoutMs: 600,
   /** Longest wait that the store accepts for a watch. */
--- a/src/node/platform/parseHostSettings.ts
+++ b/src/node/platform/parseHostSettings.ts
@@ -26,6 +26,7 @@
       drainMs: bounds.drainMs,
       gracePeriodMs: bounds.gracePeriodS * 1000,
       configurationMs: bounds.configurationMs,
+      faultGraceMs: bounds.stableWindowMs,
       maxAddressLifetimeMs: bounds.ttl_max_s * 1000,
       retryRatio: bounds.retryBudgetRatio,
       retryWindowMs: bounds.budgetWindowS * 1000,
--- a/src/node/platform/platformStore.ts
+++ b/src/node/platform/platformStore.ts
@@ -3,6 +3,7 @@
 import { StoreUnavailableError } from '../../shared/storeUnavailableError.js'
 import { StoreUncertainError } from '../../shared/storeUncertainError.js'
 import { platformConstants } from './constants.js'
+import { storeConstants } from '../gateway/store/constants.js'
 import type { StoreChange } from '../gateway/model/storeChange.js'
 import type { StoreClient } from '../gateway/model/storeClient.js'
 import type { StoreItem } from '../gateway/model/storeItem.js'
@@ -63,7 +64,7 @@
   ): Promise<{ readonly changes: readonly StoreChange[], readonly revision: number }> {
     const wait = Math.min(Math.floor(waitMs), platformConstants.maxWatchMs)
     const query = `${paths.watch}?pathPrefix=${encodeURIComponent(prefix)}&after=${afterRevision}&waitMs=${wait}`
-    const { status, body } = await this.client.watch(prefix, query, wait + platformConstants.watchGraceMs, signal)
+    const { status, body } = await this.client.watch(prefix, query, wait + storeConstants.watchGraceMs, signal)
     if (status === 410) throw new StoreHistoryLostError(`changes after revision ${afterRevision} are no longer in the store`)
     checkRead(status)
     const result = parseBody(watchSchema, body)
--- a/src/node/platform/settingsSchema.ts
+++ b/src/node/platform/settingsSchema.ts
@@ -16,6 +16,7 @@
     drainMs: positive,
     gracePeriodS: positive,
     configurationMs: positive,
+    stableWindowMs: positive.default(3000),
     ttl_max_s: positive,
     retryBudgetRatio: z.number().nonnegative(),
     budgetWindowS: positive,
--- a/tap-snapshots/src/node/platform/__tests__/decode.test.ts.test.cjs
+++ b/tap-snapshots/src/node/platform/__tests__/decode.test.ts.test.cjs
@@ -187,6 +187,7 @@
     "configurationMs": 2000,
     "drainMs": 2000,
     "extraRetries": 56,
+    "faultGraceMs": 3000,
     "gracePeriodMs": 8000,
     "heartbeatMs": 1200,
     "maxAddressLifetimeMs": 5000,
