fix(gateway): bound answers without end, resume stalled streams, recognize surplus answers without an id

Cause: a second copy of an answer that carried no id was taken for the answer to the next request. An event without end was searched again with each chunk (16 MB took 19 s) and kept whole; bodies without signature were kept up to 8 MB each; interim responses were not counted. After its first event a stream ended only at its deadline, also when only a byte came now and then. Change: answers that upstreams sign, or with which they state that they did not run a request, must echo its id. A stream without a complete event for 8 times its declared pause is resumed elsewhere, or ends when its client no longer waits. Chunked and sized copies with an id, copies on idle connections and endless heads were handled before: by the id and by undici, which closes a connection with unexpected bytes.

--- a/src/node/gateway/ingress/__tests__/eventSplitter.test.ts
+++ b/src/node/gateway/ingress/__tests__/eventSplitter.test.ts
@@ -9,14 +9,14 @@
     const bounds = [0, ...[...new Set(cuts)].sort((a, b) => a - b), stream.length]
     const parts = bounds.slice(1).map((end, i) => splitter.addChunk(stream.subarray(bounds[i], end)))
     const forwarded = Buffer.concat(parts.map(part => part.events))
-    return forwarded.equals(stream) && !splitter.hasPartialEvent() && parts.findLast(part => part.lastEventId !== undefined)?.lastEventId === '3'
+    return forwarded.equals(stream) && splitter.partialEventBytes === 0 && parts.findLast(part => part.lastEventId !== undefined)?.lastEventId === '3'
   })))
 })
 
 t.test('an incomplete event is held back', async t => {
   const splitter = new EventSplitter()
   t.same(splitter.addChunk(Buffer.from('id: 1\ndata: a\n\nid: 2\nda')), { events: Buffer.from('id: 1\ndata: a\n\n'), lastEventId: '1' })
-  t.ok(splitter.hasPartialEvent())
+  t.equal(splitter.partialEventBytes, 'id: 2\nda'.length)
 })
 
 t.test('a resumed stream omits events that the client already has', async t => {
--- a/src/node/gateway/ingress/constants.ts
+++ b/src/node/gateway/ingress/constants.ts
@@ -33,6 +33,12 @@
   maxUnsentAttempts: 4,
   /** Runs of the stages of one request: the first one and one after its results were lost. */
   maxStageRuns: 2,
+  /** An upstream whose event has no end within this many bytes sends no events; an event holds a few tokens. */
+  maxPartialEventBytes: 262_144,
+  /** Clients abandon a stream after the longest of these: this time, a multiple of the route's pause and a multiple of its latency target. */
+  minStallMs: 2000,
+  stallPauseFactor: 8,
+  patienceAimFactor: 4,
   /** A client that does not read its stream is disconnected at this many buffered bytes. */
   maxUnreadBytes: 1_048_576,
   /** Time to live of a response to an address query: short, so that clients soon stop using a stopped host. */
--- a/src/node/gateway/ingress/requestRun.ts
+++ b/src/node/gateway/ingress/requestRun.ts
@@ -2,6 +2,7 @@
 import { chooseTarget } from './chooseTarget.js'
 import { chooseUpstream } from '../upstreams/chooseUpstream.js'
 import { computeRequestPriority } from './computeRequestPriority.js'
+import { computeStallTimeoutMs } from './computeStallTimeoutMs.js'
 import { decideNextAttempt } from './decideNextAttempt.js'
 import { engineConstants } from '../engines/constants.js'
 import { ingressConstants } from './constants.js'
@@ -188,6 +189,7 @@
       signal: this.controller.signal,
       clock: this.dependencies.clock,
       attemptTimeoutMs: this.computeAttemptTimeoutMs(upstream),
+      stallTimeoutMs: computeStallTimeoutMs(route, this.isRepeatable()),
       onEvents: lastEventId => { this.onEvents(upstream, lastEventId) }
     })
     upstream.inFlight--
--- a/src/node/gateway/ingress/sendAttempt.ts
+++ b/src/node/gateway/ingress/sendAttempt.ts
@@ -21,6 +21,8 @@
   readonly clock: Clock
   /** Timeout until the complete response, or until the first event of a stream; undefined to wait until the signal aborts. */
   readonly attemptTimeoutMs: number | undefined
+  /** Timeout between complete events of a stream. */
+  readonly stallTimeoutMs: number
   /** Called after complete events were forwarded. */
   readonly onEvents: (lastEventId: string | undefined) => void
 }
@@ -62,14 +64,14 @@
     if (this.hasEnded) return
     if (this.splitter !== undefined) return this.sendEvents(this.splitter, chunk)
     this.size += chunk.length
-    if (this.size > upstreamConstants.maxResponseBytes) this.end({ type: 'uncertain', reason: 'answer too large' }, true)
+    if (this.size > this.computeMaxBytes()) this.end({ type: 'uncertain', reason: `answer of more than ${this.computeMaxBytes()} bytes` }, true)
     else this.chunks.push(chunk)
   }
 
   onEnd (): void {
     const { head, splitter } = this
     if (head === undefined) return this.end({ type: 'uncertain', reason: 'no answer' })
-    if (splitter?.hasPartialEvent() === true) return this.end({ type: 'uncertain', reason: 'stream ended within an event' })
+    if (splitter !== undefined && splitter.partialEventBytes > 0) return this.end({ type: 'uncertain', reason: 'stream ended within an event' })
     // The client's stream has chunked encoding, whose end would claim that the stream is complete.
     if (splitter !== undefined && !head.isFramed && this.options.response.hasStarted && this.options.response.isFramed) {
       return this.end({ type: 'uncertain', reason: 'resumed stream without a stated end' })
@@ -104,12 +106,19 @@
     this.end({ type: 'uncertain', reason: `${kind}: ${detail}` })
   }
 
+  /** A response without a signature is an error message, or not a response of the upstream at all. */
+  private computeMaxBytes (): number {
+    return this.head?.isSigned === true ? upstreamConstants.maxResponseBytes : upstreamConstants.maxUnsignedResponseBytes
+  }
+
   private sendEvents (splitter: EventSplitter, chunk: Buffer): void {
     const { response, onEvents } = this.options
     const { events, lastEventId } = splitter.addChunk(chunk)
+    if (splitter.partialEventBytes > ingressConstants.maxPartialEventBytes) return this.end({ type: 'uncertain', reason: `unfinished event of more than ${ingressConstants.maxPartialEventBytes} bytes` }, true)
     if (events.length === 0) return
-    clearTimeout(this.timeoutTimer)
-    this.observePause(this.options.clock.readMonotonicMs())
+    const nowMs = this.options.clock.readMonotonicMs()
+    if (this.lastEventsAtMs === undefined) this.startStallTimer(this.options.stallTimeoutMs)
+    this.observePause(nowMs)
     if (!response.hasStarted) response.startStream(this.head!)
     response.writeEvents(events)
     onEvents(lastEventId)
@@ -119,6 +128,17 @@
     }
   }
 
+  /** Checks when the next event is due at the latest; events do not restart the timer, because a stream has many. */
+  private startStallTimer (delayMs: number): void {
+    clearTimeout(this.timeoutTimer)
+    this.timeoutTimer = setTimeout(() => {
+      const { clock, stallTimeoutMs } = this.options
+      const silentMs = clock.readMonotonicMs() - this.lastEventsAtMs!
+      if (silentMs < stallTimeoutMs) this.startStallTimer(stallTimeoutMs - silentMs)
+      else this.end({ type: 'uncertain', reason: `stalled: no complete event for ${Math.round(silentMs)} ms, ${this.splitter!.partialEventBytes} bytes of one` }, true)
+    }, delayMs)
+  }
+
   private observePause (nowMs: number): void {
     if (this.lastEventsAtMs !== undefined) this.longestPauseMs = Math.max(this.longestPauseMs, nowMs - this.lastEventsAtMs)
     this.lastEventsAtMs = nowMs
--- a/src/node/gateway/upstreams/constants.ts
+++ b/src/node/gateway/upstreams/constants.ts
@@ -9,6 +9,10 @@
   idleMarginMs: 400,
   /** Responses of plain and stage services are buffered; the operator's limit for bodies is 4 MB. */
   maxResponseBytes: 8_388_608,
+  /** Responses without a signature are buffered up to this size; bodies of errors have some hundred bytes. */
+  maxUnsignedResponseBytes: 65_536,
+  /** Interim responses (1xx) after which a connection is closed; upstreams send at most one. */
+  maxInterimResponses: 8,
   /** A host uses at most this share of an upstream's connection limit divided by the number of live hosts. */
   connectionShare: 0.9,
   minConnections: 2,
--- a/src/node/gateway/upstreams/upstreamExchange.ts
+++ b/src/node/gateway/upstreams/upstreamExchange.ts
@@ -1,5 +1,6 @@
 import { UpstreamResponseMismatchError } from './upstreamResponseMismatchError.js'
 import { UpstreamConnectError } from './upstreamConnectError.js'
+import { upstreamConstants } from './constants.js'
 import type { ResponseDecoder } from './responseDecoder.js'
 import type { Dispatcher } from 'undici'
 import type { ExchangeFailure } from './exchangeFailure.js'
@@ -10,6 +11,7 @@
   private controller: Dispatcher.DispatchController | undefined
   private hasEnded = false
   private isAborted = false
+  private interimResponses = 0
 
   constructor (
     private readonly requestId: string | undefined,
@@ -37,12 +39,16 @@
     headers: Record<string,
     string | string[] | undefined>
   ): void {
-    if (this.hasEnded || status < 200) return
+    if (this.hasEnded) return
+    if (status < 200) return this.countInterimResponse(controller)
     const head = this.decodeResponse(status, headers)
-    // A surplus response to an earlier request may arrive where this request's response is expected.
-    if (this.requestId !== undefined && head.requestId !== undefined && head.requestId !== this.requestId) {
-      this.endFailed('foreign-answer', `answer to ${head.requestId}`)
-      controller.abort(new UpstreamResponseMismatchError(`response to request ${head.requestId} instead of ${this.requestId}`))
+    // A surplus response to an earlier request may arrive where this request's response is expected. Upstreams echo the id
+    // in every response of their own, so one without an id cannot be attributed to this request either.
+    const isForeign = this.requestId !== undefined && head.requestId !== this.requestId && (head.requestId !== undefined || head.isSigned || head.isNotRun)
+    if (isForeign) {
+      const responseTo = head.requestId === undefined ? 'an unnamed request' : `request ${head.requestId}`
+      this.endFailed('foreign-answer', `answer to ${responseTo}`)
+      controller.abort(new UpstreamResponseMismatchError(`response to ${responseTo} instead of ${this.requestId}`))
       return
     }
     this.handler.onHead(head)
@@ -63,6 +69,14 @@
     this.endFailed(this.controller === undefined ? 'connect' : 'broken', error.message)
   }
 
+  /** An upstream may send interim responses without end. */
+  private countInterimResponse (controller: Dispatcher.DispatchController): void {
+    this.interimResponses++
+    if (this.interimResponses <= upstreamConstants.maxInterimResponses) return
+    this.endFailed('broken', `more than ${upstreamConstants.maxInterimResponses} interim responses`)
+    controller.abort(new UpstreamResponseMismatchError('interim responses without a final one'))
+  }
+
   private endFailed (kind: ExchangeFailure['kind'], detail: string): void {
     if (this.hasEnded) return
     this.hasEnded = true
--- a/tap-snapshots/src/node/explain/__tests__/explainRequest.test.ts.test.cjs
+++ b/tap-snapshots/src/node/explain/__tests__/explainRequest.test.ts.test.cjs
@@ -13,6 +13,9 @@
 the client disconnected after 7 ms
 streamed completely from upstream i of s; longest pause 500 ms
 answered with status 500 from upstream i of s
+fail after upstream i of s: stalled: no complete event for 2001 ms, 7 bytes of one
+fail after upstream i of s: unfinished event of more than 262144 bytes
+fail after upstream i of s: foreign-answer: answer to an unnamed request
 no log line states how the request ended; the line may have been dropped or the host may have crashed
 `
 
