--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -15,6 +15,7 @@
 import { EnginePlanner } from '../gateway/engines/enginePlanner.js'
 import { FirstEventTimes } from '../gateway/engines/firstEventTimes.js'
 import { gatewayConstants } from './gatewayConstants.js'
+import { ErrorGuard } from './errorGuard.js'
 import { GatewayHost } from './gatewayHost.js'
 import { HostDirectory } from '../gateway/hosts/hostDirectory.js'
 import { hostEntryCodec } from '../gateway/hosts/hostEntryCodec.js'
@@ -55,6 +56,8 @@
   const metrics = createMetrics()
   const logger = new RateLimitedLogger(createLogger({ host: hostId, failureDomain, write: options.writeLine ?? createOutputWriter() }), clock)
   logger.recordInfo('host starting', { pid: process.pid })
+  const errorGuard = new ErrorGuard({ process, logger, clock })
+  errorGuard.start()
 
   const settingsHolder = new HostSettingsHolder(settings, logger)
   const storeClient = new StoreHttpClient(settings.storeAddress, metrics)
@@ -229,7 +232,8 @@
     metricsAddress: `${settings.ipAddress}:${options.metricsPort ?? gatewayConstants.metricsPort}`,
     storeWatcher,
     transport,
-    storeClient
+    storeClient,
+    errorGuard
   })
   await host.start()
   return host
--- a/src/node/app/gatewayComponents.ts
+++ b/src/node/app/gatewayComponents.ts
@@ -1,6 +1,7 @@
 import type { CellRegistry } from '../gateway/stages/cellRegistry.js'
 import type { Clock } from '../../types/clock.js'
 import type { ConfigurationHolder } from '../gateway/configuration/configurationHolder.js'
+import type { ErrorGuard } from './errorGuard.js'
 import type { HostDirectory } from '../gateway/hosts/hostDirectory.js'
 import type { HostRegistrar } from '../gateway/hosts/hostRegistrar.js'
 import type { HostSettingsHolder } from '../gateway/hosts/hostSettingsHolder.js'
@@ -32,4 +33,5 @@
   readonly storeWatcher: StoreWatcher
   readonly transport: { start (address: string): Promise<number>, stop (): Promise<void> }
   readonly storeClient: { close (): void }
+  readonly errorGuard: ErrorGuard
 }
--- a/src/node/app/gatewayConstants.ts
+++ b/src/node/app/gatewayConstants.ts
@@ -13,6 +13,11 @@
   responseFlushMs: 150,
   /** Interval at which a stopping host closes connections that have become idle. */
   idleCloseIntervalMs: 50,
+  /** Unexpected errors within the window after which the process ends: a fault of one request shows once or a few times. */
+  maxUnexpectedErrors: 20,
+  unexpectedErrorWindowMs: 10_000,
+  /** Exit status after too many unexpected errors. */
+  unexpectedErrorStatus: 70,
   /** Port of the metrics endpoint; outside the port range for traffic between hosts. */
   metricsPort: 9464,
   metricsPath: '/metrics'
--- a/src/node/app/gatewayHost.ts
+++ b/src/node/app/gatewayHost.ts
@@ -107,7 +107,8 @@
       directoryServer,
       metricsServer,
       cells,
-      stages
+      stages,
+      errorGuard
     } = this.components
     clearInterval(this.missingEntryTimer)
     storeWatcher.stop()
@@ -119,6 +120,7 @@
     readinessServer.stop()
     directoryServer?.stop()
     metricsServer.stop()
+    errorGuard.stop()
   }
 
   private async startPeers (): Promise<void> {
--- a/src/node/platform/constants.ts
+++ b/src/node/platform/constants.ts
@@ -8,6 +8,8 @@
   /** Keys that the hosts write themselves. */
   hostPrefix: 'lycheetrack/hosts/',
   peerSecretKey: 'lycheetrack/peer-secret',
+  /** Largest number of pieces of a stage that a request may state; stages have up to some tens. */
+  maxPieceCount: 1000,
   /** Timeout of a read or write of the store. A response usually takes 4 ms, a slow one some hundred milliseconds. */
   storeCallTimeoutMs: 1500,
   /** Connections for reads and writes; the watch has one in addition. */
--- a/src/node/platform/decodeClientRequest.ts
+++ b/src/node/platform/decodeClientRequest.ts
@@ -1,3 +1,4 @@
+import { platformConstants } from './constants.js'
 import { headerNames } from './headerNames.js'
 import type { ClientRequest } from '../gateway/model/clientRequest.js'
 import type { IncomingMessage } from 'node:http'
@@ -28,7 +29,7 @@
     promptParts: parsePromptParts(headers[headerNames.promptParts]),
     promptTokens,
     maxOutputTokens,
-    pieceCounts: parseNumbers(headers[headerNames.pieceCounts]),
+    pieceCounts: parsePieceCounts(headers[headerNames.pieceCounts]),
     pieceKey: String(headers[headerNames.pieceKey] ?? ''),
     forwardedHeaders: listForwardedHeaders(request)
   }
@@ -44,6 +45,12 @@
   return numbers.every(number => Number.isFinite(number) && number >= 0) ? numbers : []
 }
 
+/** Memory is reserved for each piece, so a count beyond any real one must not be taken at its word. */
+function parsePieceCounts (value: string | readonly string[] | undefined): readonly number[] {
+  const counts = parseNumbers(value)
+  return counts.every(count => Number.isInteger(count) && count <= platformConstants.maxPieceCount) ? counts : []
+}
+
 function parsePromptParts (value: string | readonly string[] | undefined): readonly PromptPart[] {
   if (typeof value !== 'string') return []
   return value.split(',').map(entry => {
