--- a/src/node/gateway/stages/stageDispatcher.ts
+++ b/src/node/gateway/stages/stageDispatcher.ts
@@ -76,7 +76,7 @@
     })
     return await new Promise(resolve => {
       const onAbort = (): void => {
-        scheduler.cancelJob(job.id)
+        scheduler.cancelJob(job.id, clock.readMonotonicMs())
         this.endJob(job.id, { type: 'failed', reason: 'the client left' })
         this.schedulePlanning(0)
       }
--- a/src/node/gateway/stages/stageScheduler.ts
+++ b/src/node/gateway/stages/stageScheduler.ts
@@ -1,4 +1,3 @@
-import { addToBacklogs } from './addToBacklogs.js'
 import { admitStageJob } from './admitStageJob.js'
 import { buildStageCall } from './buildStageCall.js'
 import { EstimateMargin } from './estimateMargin.js'
@@ -31,8 +30,8 @@
   private readonly margin = new EstimateMargin()
   private readonly resultTracker = new ResultTracker(this.services)
   private nextCallId = 1
-  /** Work was added, sent or ended since the backlogs were counted. */
-  private areBacklogsStale = false
+  /** Time of the last change of the jobs that the backlogs do not contain yet. */
+  private uncountedChangeAtMs: number | undefined
 
   /** Applies the stage services of a configuration and the upstreams that serve them. */
   applyUpstreams (specs: ReadonlyMap<string, ServiceSpec>, listUpstreams: (service: string) => readonly UpstreamEntry[]): void {
@@ -54,20 +53,22 @@
    * preferred for its engine; it is called for accepted jobs only.
    */
   addJob (job: StageJob, nowMs: number, findDomain = () => job.preferredDomain): StageAdmission {
-    this.countBacklogs(nowMs)
+    this.countBacklogs()
     const admission = admitStageJob(job, this.services, nowMs, this.margin.valueMs)
     if (!admission.isAccepted) return admission
     const state = new JobState({ ...job, preferredDomain: findDomain() }, nowMs, admission.isLate ? undefined : admission.finishInMs)
     this.jobs.set(job.id, state)
     this.updateReadyTasks(state, nowMs)
-    addToBacklogs(this.services, state, nowMs)
+    this.uncountedChangeAtMs = nowMs
     return admission
   }
 
   /** Removes a job and releases its results; pieces that are in a call run to completion. */
-  cancelJob (jobId: string): void {
+  cancelJob (jobId: string, nowMs: number): void {
     const state = this.jobs.get(jobId)
-    if (state !== undefined) this.removeJob(state)
+    if (state === undefined) return
+    this.removeJob(state)
+    this.uncountedChangeAtMs = nowMs
   }
 
   /** Releases the results of a completed job. */
@@ -78,8 +79,8 @@
 
   /** Plans the calls to send now. */
   planCalls (nowMs: number): readonly StageCall[] {
+    this.countBacklogs()
     this.endExpiredJobs(nowMs)
-    this.countBacklogs(nowMs)
     this.resultTracker.releaseFetchedInputs(nowMs)
     const calls: StageCall[] = []
     for (const service of this.services.values()) {
@@ -111,7 +112,7 @@
       this.onPieceResult(call, task, pieceIndex, result, nowMs)
     })
     for (const task of tasks) this.updateJob(task.jobState, nowMs)
-    this.areBacklogsStale = true
+    this.uncountedChangeAtMs = nowMs
   }
 
   /** Handles a call that was refused or lost; its pieces are sent again. */
@@ -126,7 +127,7 @@
       this.resultTracker.releaseMemory(call.service, call.upstreamId, task.work.resultBytes)
       this.retryPiece(task, pieceIndex, nowMs)
     }
-    this.areBacklogsStale = true
+    this.uncountedChangeAtMs = nowMs
   }
 
   /** Returns the jobs that have ended since the last invocation. */
@@ -174,7 +175,7 @@
     readonly idle: number,
     readonly upstreams: number
   }> {
-    this.countBacklogs(nowMs)
+    this.countBacklogs()
     return [...this.services.values()].map(service => ({
       service: service.name,
       queuedPieces: service.backlog.onTime,
@@ -185,10 +186,10 @@
   }
 
   /** Counts the backlogs only when they are read after a change: they are read less often than calls and jobs end. */
-  private countBacklogs (nowMs: number): void {
-    if (!this.areBacklogsStale) return
-    this.areBacklogsStale = false
-    updateBacklogs(this.services, this.jobs.values(), nowMs)
+  private countBacklogs (): void {
+    if (this.uncountedChangeAtMs === undefined) return
+    updateBacklogs(this.services, this.jobs.values(), this.uncountedChangeAtMs)
+    this.uncountedChangeAtMs = undefined
   }
 
   /** Late work waits before its first stage, where it occupies no memory, until all services of its job have spare capacity. */
@@ -201,7 +202,7 @@
     upstream.callsInFlight++
     upstream.busyUntilMs = call.sentAtMs + call.expectedMs
     service.recordSentPieces(call.pieceRefs.length, call.sentAtMs)
-    this.areBacklogsStale = true
+    this.uncountedChangeAtMs = call.sentAtMs
     const states = new Set<JobState>()
     for (const { task, pieceIndex } of call.pieceRefs) {
       if (task.pendingPieces.length === task.work.pieceCount && task.jobState.job.targetAtMs > call.sentAtMs) service.observeWait(call.sentAtMs - task.readyAtMs)
@@ -312,7 +313,6 @@
 
   private removeJob (state: JobState): void {
     state.isEnded = true
-    this.areBacklogsStale = true
     if (this.jobs.get(state.job.id) === state) this.jobs.delete(state.job.id)
     for (const task of state.tasks.values()) {
       this.services.get(task.work.service)?.readyTasks.delete(task)
--- a/src/node/gateway/stages/updateBacklogs.ts
+++ b/src/node/gateway/stages/updateBacklogs.ts
@@ -1,8 +1,8 @@
-import { addToBacklogs } from './addToBacklogs.js'
+import { stageConstants } from './constants.js'
 import type { JobState } from './jobState.js'
 import type { StageService } from './stageService.js'
 
-/** Counts the accepted pieces that wait at each service. */
+/** Counts the accepted pieces that wait at each service, including pieces of stages that are not ready yet. */
 export function updateBacklogs (services: ReadonlyMap<string, StageService>, jobs: Iterable<JobState>, nowMs: number): void {
   for (const { backlog } of services.values()) {
     backlog.onTime = 0
@@ -11,6 +11,16 @@
     backlog.jobs = []
   }
   for (const state of jobs) {
-    if (!state.isEnded) addToBacklogs(services, state, nowMs)
+    if (state.isEnded) continue
+    const { targetAtMs, priority } = state.job
+    const isLate = state.isLate || targetAtMs < nowMs
+    for (const task of state.tasks.values()) {
+      const backlog = services.get(task.work.service)?.backlog
+      const pieces = task.pendingPieces.length
+      if (backlog === undefined || pieces === 0) continue
+      backlog[isLate ? 'late' : 'onTime'] += pieces
+      if (!isLate || state.hasStarted) backlog.committed += pieces
+      if (!isLate) backlog.jobs.push({ sortKeyMs: state.startedAtMs + priority * stageConstants.priorityStepMs, pieces })
+    }
   }
 }
