--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -109,7 +109,7 @@
   const directEngines = new EnginePlanner(service => upstreams.listUsable(service))
   const cells: CellRegistry = new CellRegistry(domains => {
     const scheduler = new StageScheduler()
-    /** Places requests on the engines of the cell, which have read the prompts of its sessions, and on those outside all cells. */
+    // The engines of the cell have read the prompts of its sessions; those outside all cells serve every cell.
     const engines = new EnginePlanner(service => {
       const usable = upstreams.listUsable(service)
       const local = usable.filter(({ entry }) => domains.has(entry.failureDomain) || !cells.hasDomain(entry.failureDomain))
@@ -161,7 +161,10 @@
   }
   const hostSection: StoreSection = {
     prefix: platformConstants.hostPrefix,
-    onSnapshot: (items, isAfterGap) => { hosts.applySnapshot(items.map(item => hostEntryCodec.decode(item.value)).filter(entry => entry !== undefined), isAfterGap, clock.readMonotonicMs()) },
+    onSnapshot: (items, isAfterGap) => {
+      const entries = items.map(item => hostEntryCodec.decode(item.value)).filter(entry => entry !== undefined)
+      hosts.applySnapshot(entries, isAfterGap, clock.readMonotonicMs())
+    },
     onChange: change => {
       const entry = change.type === 'written' ? hostEntryCodec.decode(change.item.value) : undefined
       if (entry !== undefined) hosts.applyEntry(entry)
--- a/src/node/app/errorGuard.ts
+++ b/src/node/app/errorGuard.ts
@@ -42,7 +42,8 @@
     while (this.errorTimesMs[0]! < nowMs - unexpectedErrorWindowMs) this.errorTimesMs.shift()
     const { message, stack } = error instanceof Error ? error : { message: String(error), stack: undefined }
     const isFatal = this.errorTimesMs.length > maxUnexpectedErrors
-    logger.recordError('unexpected error', { reason: message, stack, outcome: isFatal ? `the process ends with status ${unexpectedErrorStatus}` : 'the process goes on' })
+    const outcome = isFatal ? `the process ends with status ${unexpectedErrorStatus}` : 'the process goes on'
+    logger.recordError('unexpected error', { reason: message, stack, outcome })
     if (isFatal) process.exit(unexpectedErrorStatus)
   }
 }
--- a/src/node/gateway/ingress/sendAttempt.ts
+++ b/src/node/gateway/ingress/sendAttempt.ts
@@ -114,7 +114,9 @@
   private sendEvents (splitter: EventSplitter, chunk: Buffer): void {
     const { response, onEvents } = this.options
     const { events, lastEventId } = splitter.addChunk(chunk)
-    if (splitter.partialEventBytes > ingressConstants.maxPartialEventBytes) return this.end({ type: 'uncertain', reason: `unfinished event of more than ${ingressConstants.maxPartialEventBytes} bytes` }, true)
+    if (splitter.partialEventBytes > ingressConstants.maxPartialEventBytes) {
+      return this.end({ type: 'uncertain', reason: `unfinished event of more than ${ingressConstants.maxPartialEventBytes} bytes` }, true)
+    }
     if (events.length === 0) return
     const nowMs = this.options.clock.readMonotonicMs()
     if (this.lastEventsAtMs === undefined) this.startStallTimer(this.options.stallTimeoutMs)
@@ -134,8 +136,9 @@
     this.timeoutTimer = setTimeout(() => {
       const { clock, stallTimeoutMs } = this.options
       const silentMs = clock.readMonotonicMs() - this.lastEventsAtMs!
-      if (silentMs < stallTimeoutMs) this.startStallTimer(stallTimeoutMs - silentMs)
-      else this.end({ type: 'uncertain', reason: `stalled: no complete event for ${Math.round(silentMs)} ms, ${this.splitter!.partialEventBytes} bytes of one` }, true)
+      if (silentMs < stallTimeoutMs) return this.startStallTimer(stallTimeoutMs - silentMs)
+      const reason = `stalled: no complete event for ${Math.round(silentMs)} ms, ${this.splitter!.partialEventBytes} bytes of one`
+      this.end({ type: 'uncertain', reason }, true)
     }, delayMs)
   }
 
--- a/src/node/gateway/stages/stageDispatcher.ts
+++ b/src/node/gateway/stages/stageDispatcher.ts
@@ -46,10 +46,18 @@
     // The queues as they are when the decision is made.
     const queues = scheduler.listLoads(nowMs).map(load => `${load.service}=${load.queuedPieces}+${load.latePieces}/${load.idle}of${load.upstreams}`).join(' ')
     const aimLeftMs = Math.round(job.targetAtMs - nowMs)
-    const admission = scheduler.addJob(job, nowMs, () => engineService === undefined ? '' : engines.findDomain(engineService, prompt, nowMs))
+    const findDomain = (): string => engineService === undefined ? '' : engines.findDomain(engineService, prompt, nowMs)
+    const admission = scheduler.addJob(job, nowMs, findDomain)
     if (!admission.isAccepted && admission.isDeclined) {
       metrics.addCount('stage_jobs', { decision: 'declined' })
-      logger.recordInfo('stages declined', { requestId: job.requestId, reason: admission.reason, expectedMs: Math.round(admission.finishInMs), marginMs: Math.round(scheduler.marginMs), aimLeftMs, queues })
+      logger.recordInfo('stages declined', {
+        requestId: job.requestId,
+        reason: admission.reason,
+        expectedMs: Math.round(admission.finishInMs),
+        marginMs: Math.round(scheduler.marginMs),
+        aimLeftMs,
+        queues
+      })
       return { type: 'declined', reason: admission.reason }
     }
     if (!admission.isAccepted) {
--- a/src/node/gateway/stages/stageScheduler.ts
+++ b/src/node/gateway/stages/stageScheduler.ts
@@ -185,7 +185,7 @@
     }))
   }
 
-  /** Counts the backlogs only when they are read after a change: they are read less often than calls and jobs end. */
+  /** Counts the backlogs when they are read after a change: counting them at each change would cost more than the scheduling. */
   private countBacklogs (): void {
     if (this.uncountedChangeAtMs === undefined) return
     updateBacklogs(this.services, this.jobs.values(), this.uncountedChangeAtMs)
