fix(stages): keep all requests of a session in one cell, also those without stages

Cause: requests without stage work chose their engine among all engines, those with stages among the engines of their cell; the rank of a cell also depended on the services that a request needs. So the prompt parts of a session were read by engines in two cells. Change: the weights of cells no longer depend on the request; requests without stages are placed in the first cell of their session. Tests: sessions keep their cell for any set of services.

--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -47,6 +47,7 @@
 import type { StoreItem } from '../gateway/model/storeItem.js'
 import type { StoreSection } from '../gateway/store/storeSection.js'
 import type { UpstreamEntry } from '../gateway/model/upstreamEntry.js'
+import type { UpstreamState } from '../gateway/upstreams/upstreamState.js'
 
 /** Builds a gateway host from its settings and starts it. This is the only module that constructs its components. */
 export async function createGatewayHost (settings: HostSettings, options: GatewayOptions = {}): Promise<ReloadableHost> {
@@ -105,16 +106,17 @@
     isReady: false,
     startedAtMs: clock.readWallMs()
   }, logger, () => {})
-  /** Places requests without stages on engines. */
-  const directEngines = new EnginePlanner(service => upstreams.listUsable(service))
+  /** Engines for the requests of a cell: those of its domains have read the prompts of its sessions. */
+  const listCellEngines = (service: string, domains: ReadonlySet<string> | readonly string[]): readonly UpstreamState[] => {
+    const usable = upstreams.listUsable(service)
+    const local = usable.filter(({ entry }) => cells.isEngineOf(domains, entry.failureDomain))
+    return local.length > 0 ? local : usable
+  }
+  /** Places requests without stages on engines of the cell that has the stages of the same session. */
+  const directEngines = new EnginePlanner((service, prompt) => listCellEngines(service, cells.listRankedCells(prompt, [service])[0]!.domains))
   const cells: CellRegistry = new CellRegistry(domains => {
     const scheduler = new StageScheduler()
-    // The engines of the cell have read the prompts of its sessions; those outside all cells serve every cell.
-    const engines = new EnginePlanner(service => {
-      const usable = upstreams.listUsable(service)
-      const local = usable.filter(({ entry }) => domains.has(entry.failureDomain) || !cells.hasDomain(entry.failureDomain))
-      return local.length > 0 ? local : usable
-    })
+    const engines = new EnginePlanner(service => listCellEngines(service, domains))
     const dispatcher = new StageDispatcher({
       scheduler,
       findPool: upstreamId => upstreams.find(upstreamId)?.pool,
--- a/src/node/gateway/engines/chooseEngine.ts
+++ b/src/node/gateway/engines/chooseEngine.ts
@@ -1,5 +1,6 @@
 import { chooseByRendezvous } from '../../../shared/chooseByRendezvous.js'
 import { computePrefillMs } from './computePrefillMs.js'
+import { findSharedPartId } from './findSharedPartId.js'
 import { engineConstants } from './constants.js'
 import type { EngineLoads } from './engineLoads.js'
 import type { EnginePrompt } from './enginePrompt.js'
@@ -39,9 +40,8 @@
   return best
 }
 
-/** The last part of a prompt belongs to the request or its session; the one before it is the longest that other requests share. */
 function findHomeEngineId (candidates: readonly UpstreamState[], parts: readonly PromptPart[]): string | undefined {
-  const key = (parts.at(-2) ?? parts.at(-1))?.id
+  const key = findSharedPartId(parts)
   return key === undefined ? undefined : chooseByRendezvous(key, candidates.map(candidate => candidate.entry.id), 1)[0]
 }
 
--- a/src/node/gateway/engines/enginePlanner.ts
+++ b/src/node/gateway/engines/enginePlanner.ts
@@ -14,11 +14,12 @@
   private readonly cache = new PromptCacheIndex()
   private readonly loads = new EngineLoads()
 
-  constructor (private readonly listEngines: (service: string) => readonly UpstreamState[]) {}
+  /** `listEngines` lists the usable engines of a service for a prompt. */
+  constructor (private readonly listEngines: (service: string, prompt: EnginePrompt) => readonly UpstreamState[]) {}
 
   /** Chooses an engine for a request and records the request there; undefined without a usable engine. */
   placeRequest ({ service, prompt, inputs, excludedIds }: EngineDemand, nowMs: number): UpstreamState | undefined {
-    const engines = this.listEngines(service)
+    const engines = this.listEngines(service, prompt)
     const untried = engines.filter(state => !excludedIds.has(state.entry.id))
     const engine = this.chooseAmong(untried.length > 0 ? untried : engines, prompt, inputs, nowMs)
     if (engine === undefined) return undefined
@@ -30,7 +31,7 @@
 
   /** Failure domain of the engine that would be chosen for a request now; empty without one. */
   findDomain (service: string, prompt: EnginePrompt, nowMs: number): string {
-    return this.chooseAmong(this.listEngines(service), prompt, { domain: '', bytes: 0 }, nowMs)?.entry.failureDomain ?? ''
+    return this.chooseAmong(this.listEngines(service, prompt), prompt, { domain: '', bytes: 0 }, nowMs)?.entry.failureDomain ?? ''
   }
 
   /** Removes an engine that is gone; one that comes back has an empty cache. */
--- a/src/node/gateway/stages/__tests__/schedulingCells.test.ts
+++ b/src/node/gateway/stages/__tests__/schedulingCells.test.ts
@@ -35,13 +35,21 @@
   const cells = buildCells({ a: 32, b: 26 }, 6)
   const counts = cells.map(cell => Array.from({ length: 3000 }, (_, i) => listRankedCells(cells, `session-${i}`, ['a', 'b'])[0]).filter(first => first === cell).length / 3000)
   cells.forEach((cell, i) => {
-    const expected = Math.min(cell.shares.get('a')!, cell.shares.get('b')!)
+    const expected = Math.min(...cell.shares.values())
     t.ok(Math.abs(counts[i]! - expected) < 0.05, `${cell.domains[0]}: ${counts[i]}, ${expected} of the upstreams`)
   })
   const first = listRankedCells(cells, 'session-1', ['a', 'b'])
   t.same(listRankedCells([...cells].reverse(), 'session-1', ['a', 'b']), first, 'the order in which a host sees the cells does not matter')
 })
 
+t.test('requests of one session go to one cell, whichever services they need: another cell would read their prompt again', async t => {
+  const cells = buildCells({ a: 30, b: 26, c: 28, llm: 100 }, 6)
+  for (let i = 0; i < 300; i++) {
+    const [first] = listRankedCells(cells, `session-${i}`, ['a', 'b', 'c', 'llm'])
+    for (const services of [['llm'], ['a', 'llm'], ['a', 'c', 'llm'], ['c']]) t.equal(listRankedCells(cells, `session-${i}`, services)[0], first)
+  }
+})
+
 t.test('a cell that lost its last upstream of a service gets no job that needs it', async t => {
   const cells = [
     { domains: ['quay-a'], shares: new Map([['a', 0.5], ['b', 0]]) },
--- a/src/node/gateway/stages/buildSchedulingCells.ts
+++ b/src/node/gateway/stages/buildSchedulingCells.ts
@@ -3,7 +3,7 @@
 import type { UpstreamEntry } from '../model/upstreamEntry.js'
 
 /**
- * Divides the failure domains into cells whose stage work is scheduled separately, so that the work of one scheduling host
+ * Divides the failure domains of stage services and engines into cells whose stage work is scheduled separately, so that the work of one scheduling host
  * does not grow with the fleet and results stay in their domain. Every cell has enough upstreams of each stage service to
  * fill calls and to lose one; small deployments have one cell. All hosts that see the same upstreams build the same cells.
  */
--- a/src/node/gateway/stages/cellRegistry.ts
+++ b/src/node/gateway/stages/cellRegistry.ts
@@ -1,10 +1,11 @@
 import { buildSchedulingCells } from './buildSchedulingCells.js'
+import { findSharedPartId } from '../engines/findSharedPartId.js'
 import { listRankedCells } from './listRankedCells.js'
 import type { EnginePlanner } from '../engines/enginePlanner.js'
+import type { EnginePrompt } from '../engines/enginePrompt.js'
 import type { SchedulingCell } from './schedulingCell.js'
 import type { ServiceSpec } from '../model/serviceSpec.js'
 import type { StageDispatcher } from './stageDispatcher.js'
-import type { StageJob } from './stageJob.js'
 import type { StageScheduler } from './stageScheduler.js'
 import type { UpstreamEntry } from '../model/upstreamEntry.js'
 
@@ -28,24 +29,23 @@
   /** Applies the services of a configuration and the upstreams that serve them. */
   applyUpstreams (specs: ReadonlyMap<string, ServiceSpec>, listUpstreams: (service: string) => readonly UpstreamEntry[]): void {
     this.specs = specs
-    this.upstreamsByService = new Map([...specs.keys()].map(service => [service, listUpstreams(service)]))
+    // Plain services are called by all hosts and do not count for the cells.
+    const cellServices = [...specs.values()].filter(spec => spec.stage !== undefined || spec.engine !== undefined)
+    this.upstreamsByService = new Map(cellServices.map(({ name }) => [name, listUpstreams(name)]))
     const stageServices = new Set([...specs.values()].filter(spec => spec.stage !== undefined).map(spec => spec.name))
     const cells = buildSchedulingCells(this.upstreamsByService, stageServices)
     this.cells = cells.length > 0 ? cells : [{ domains: [], shares: new Map() }]
     for (const runtime of this.runtimes.values()) this.updateRuntime(runtime)
   }
 
-  /** Whether a failure domain belongs to one of the cells. */
-  hasDomain (domain: string): boolean {
-    return this.cells.some(cell => cell.domains.includes(domain))
+  /** Cells for a request that needs these services, the preferred one first; never empty. */
+  listRankedCells (prompt: EnginePrompt, services: readonly string[]): readonly SchedulingCell[] {
+    return listRankedCells(this.cells, findSharedPartId(prompt.parts) ?? '', services)
   }
 
-  /** Cells for the stages of a job, the preferred one first; never empty. */
-  listRankedCells (job: StageJob): readonly SchedulingCell[] {
-    const { parts } = job.prompt
-    const services = [...job.stages.map(stage => stage.service), ...job.engineService === undefined ? [] : [job.engineService]]
-    // The last part of a prompt is its own; the one before it is the longest that other requests share.
-    return listRankedCells(this.cells, (parts.at(-2) ?? parts.at(-1))?.id ?? job.requestId, services)
+  /** Whether an engine of this failure domain takes requests of a cell: it is in the cell, or outside all cells. */
+  isEngineOf (cellDomains: ReadonlySet<string> | readonly string[], engineDomain: string): boolean {
+    return [...cellDomains].includes(engineDomain) || !this.cells.some(cell => cell.domains.includes(engineDomain))
   }
 
   /** Dispatcher of the cell of these domains. Hosts may disagree on the cells for a moment, so any set of domains is served. */
