fix(stages): spread requests without a session over all cells

Change: such a request ranks the cells by its own id, and takes any engine when it has no stages. Test: 30 requests/s without parts at half of a cell's capacity use both cells, each with 0.3 or more of them.

--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -13,6 +13,7 @@
 import { encodeErrorHeaders } from '../platform/encodeErrorHeaders.js'
 import { encodeUpstreamHeaders } from '../platform/encodeUpstreamHeaders.js'
 import { EnginePlanner } from '../gateway/engines/enginePlanner.js'
+import { findSharedPartId } from '../gateway/engines/findSharedPartId.js'
 import { FirstEventTimes } from '../gateway/engines/firstEventTimes.js'
 import { gatewayConstants } from './gatewayConstants.js'
 import { ErrorGuard } from './errorGuard.js'
@@ -113,7 +114,11 @@
     return local.length > 0 ? local : usable
   }
   /** Places requests without stages on engines of the cell that has the stages of the same session. */
-  const directEngines = new EnginePlanner((service, prompt) => listCellEngines(service, cells.listRankedCells(prompt, [service])[0]!.domains))
+  const directEngines = new EnginePlanner((service, prompt) => {
+    const session = findSharedPartId(prompt.parts)
+    if (session === undefined) return upstreams.listUsable(service)
+    return listCellEngines(service, cells.listRankedCells(session, [service])[0]!.domains)
+  })
   const cells: CellRegistry = new CellRegistry(domains => {
     const scheduler = new StageScheduler()
     const engines = new EnginePlanner(service => listCellEngines(service, domains))
--- a/src/node/gateway/stages/__tests__/stageClient.test.ts
+++ b/src/node/gateway/stages/__tests__/stageClient.test.ts
@@ -60,11 +60,12 @@
   const client = new StageClient({ cells, hosts, sessions, clock, logger, metrics })
 
   /** Plays jobs of one piece at a steady rate; returns the shares that ended on time and that were refused. */
-  const play = async (jobsPerSecond: number, seconds: number, chooseSession: (index: number) => string) => {
+  const play = async (jobsPerSecond: number, seconds: number, chooseSession: (index: number) => string | undefined) => {
     const counts = { onTime: 0, refused: 0 }
     const count = jobsPerSecond * seconds
     for (let i = 0; i < count; i++) {
       const sentAtMs = clock.readMonotonicMs()
+      const session = chooseSession(i)
       client.runStages({
         id: `j${i}`,
         requestId: `j${i}`,
@@ -75,7 +76,7 @@
         deadlineAtMs: sentAtMs + 5000,
         priority: 0,
         preferredDomain: '',
-        prompt: { tokens: 10, parts: [{ id: chooseSession(i), tokens: 5 }, { id: `own-${i}`, tokens: 5 }] },
+        prompt: { tokens: 10, parts: session === undefined ? [] : [{ id: session, tokens: 5 }, { id: `own-${i}`, tokens: 5 }] },
         isDeclinable: false
       }, new AbortController().signal).then(({ outcome, release }) => {
         if (outcome.type === 'completed' && clock.readMonotonicMs() - sentAtMs <= targetMs) counts.onTime++
@@ -104,6 +105,12 @@
   t.equal(callsByDomain.size, 2)
 })
 
+t.test('requests without a session are spread over all cells', async t => {
+  const { onTime, callsByDomain } = await createCells().play(cellCapacity / 2, 5, () => undefined)
+  t.equal(onTime, 1)
+  for (const domain of domains) t.ok((callsByDomain.get(domain) ?? 0) > 0.3 * cellCapacity / 2 * 5, `${callsByDomain.get(domain)} in ${domain}`)
+})
+
 t.test('a load above the capacity of all cells is refused at once for the part that cannot be on time', async t => {
   const { onTime, refused } = await createCells().play(cellCapacity * 3, 8, i => `session-${i % 50}`)
   t.ok(onTime > 0.55, `${onTime} on time; the capacity allows 0.67`)
--- a/src/node/gateway/stages/cellRegistry.ts
+++ b/src/node/gateway/stages/cellRegistry.ts
@@ -1,8 +1,6 @@
 import { buildSchedulingCells } from './buildSchedulingCells.js'
-import { findSharedPartId } from '../engines/findSharedPartId.js'
 import { listRankedCells } from './listRankedCells.js'
 import type { EnginePlanner } from '../engines/enginePlanner.js'
-import type { EnginePrompt } from '../engines/enginePrompt.js'
 import type { SchedulingCell } from './schedulingCell.js'
 import type { ServiceSpec } from '../model/serviceSpec.js'
 import type { StageDispatcher } from './stageDispatcher.js'
@@ -38,9 +36,9 @@
     for (const runtime of this.runtimes.values()) this.updateRuntime(runtime)
   }
 
-  /** Cells for a request that needs these services, the preferred one first; never empty. */
-  listRankedCells (prompt: EnginePrompt, services: readonly string[]): readonly SchedulingCell[] {
-    return listRankedCells(this.cells, findSharedPartId(prompt.parts) ?? '', services)
+  /** Cells for a request of the session `key` that needs these services, the preferred one first; never empty. */
+  listRankedCells (key: string, services: readonly string[]): readonly SchedulingCell[] {
+    return listRankedCells(this.cells, key, services)
   }
 
   /** Whether an engine of this failure domain takes requests of a cell: it is in the cell, or outside all cells. */
--- a/src/node/gateway/stages/stageClient.ts
+++ b/src/node/gateway/stages/stageClient.ts
@@ -1,3 +1,4 @@
+import { findSharedPartId } from '../engines/findSharedPartId.js'
 import { SchedulingSession } from './schedulingSession.js'
 import { stageConstants } from './constants.js'
 import type { CellRegistry } from './cellRegistry.js'
@@ -43,7 +44,7 @@
   /** Runs the stages in the cell of the job, or in the next one when that cell declines it. */
   async runStages (job: StageJob, signal: AbortSignal): Promise<StageRun> {
     const services = [...job.stages.map(stage => stage.service), ...job.engineService === undefined ? [] : [job.engineService]]
-    const [first, second] = this.options.cells.listRankedCells(job.prompt, services)
+    const [first, second] = this.options.cells.listRankedCells(findSharedPartId(job.prompt.parts) ?? job.requestId, services)
     if (second === undefined) return await this.runInCell(first!, job, signal)
     const run = await this.runInCell(first!, { ...job, isDeclinable: true }, signal)
     return run.outcome.type === 'declined' ? await this.runInCell(second, job, signal) : run
