feat(gateway): log what requests have in common whose attempts break

The logs did not tell the account, the prompt parts and the size of these requests, nor whether the attempt had events, so that the cause could not be narrowed down to a part of the prompt.

--- a/src/node/gateway/ingress/constants.ts
+++ b/src/node/gateway/ingress/constants.ts
@@ -39,6 +39,8 @@
   minStallMs: 2000,
   stallPauseFactor: 8,
   patienceAimFactor: 4,
+  /** Prompt parts that the log names for a failed attempt; prompts have up to four. */
+  maxLoggedParts: 8,
   /** A client that does not read its stream is disconnected at this many buffered bytes. */
   maxUnreadBytes: 1_048_576,
   /** Time to live of a response to an address query: short, so that clients soon stop using a stopped host. */
--- a/src/node/gateway/ingress/requestRun.ts
+++ b/src/node/gateway/ingress/requestRun.ts
@@ -121,7 +121,8 @@
         reason: findReason(result),
         action: decision.action,
         elapsedMs: this.computeElapsedMs(),
-        configurationVersion: this.options.configurationVersion
+        configurationVersion: this.options.configurationVersion,
+        ...result.type === 'uncertain' ? this.describeRequest() : {}
       })
       if (decision.action === 'run-stages-again' && await this.runStages()) continue
       if (decision.action === 'send-again') continue
@@ -202,6 +203,9 @@
       }
     }
     this.observeResult(upstream, result, this.dependencies.clock.readMonotonicMs() - nowMs)
+    if (result.type === 'uncertain') {
+      this.dependencies.metrics.addCount('attempts_uncertain', { route: route.callKind, hadEvents: String(this.hasEvents) })
+    }
     return result
   }
 
@@ -298,6 +302,17 @@
     this.dependencies.logger.recordInfo(message, { requestId: this.options.request.id, route: this.options.route.name, ...fields })
   }
 
+  /** What requests that fail at the same upstream may have in common. */
+  private describeRequest (): Readonly<Record<string, string | number | boolean | undefined>> {
+    const { request, account } = this.options
+    return {
+      account: account?.name,
+      hadEvents: this.hasEvents,
+      promptTokens: request.promptTokens,
+      promptParts: request.promptParts.slice(0, ingressConstants.maxLoggedParts).map(part => part.id).join(' ')
+    }
+  }
+
   private computeElapsedMs (): number {
     return Math.round(this.dependencies.clock.readMonotonicMs() - this.options.arrivedAtMs)
   }
