--- /dev/null
+++ b/playground/platform/crashingEngines.ts
@@ -0,0 +1,73 @@
+import { buildStandInAnswer } from './buildStandInAnswer.js'
+import { UpstreamStandIn } from './upstreamStandIn.js'
+import type { GatewayTestHarness } from './gatewayTestHarness.js'
+import type { Socket } from 'node:net'
+import type { StandInRequest } from './standInRequest.js'
+
+interface EnginesOptions {
+  readonly fleet: GatewayTestHarness
+  readonly service: string
+  /** Prompt part that ends each engine that begins an answer on it. */
+  readonly crashingPart: string
+  /** Time until an engine begins an answer. */
+  readonly prefillMs: number
+  /** Time after which an engine that has ended is back under another id. */
+  readonly restartMs: number
+}
+
+/** Engines of one service, registered in the store of a test harness. Each ends when it begins an answer on the crashing part. */
+export class CrashingEngines {
+  readonly engines: UpstreamStandIn[] = []
+  /** Requests with the crashing part that reached an engine. */
+  arrivals = 0
+  crashes = 0
+  private startedCount = 0
+  private isStopped = false
+
+  constructor (private readonly options: EnginesOptions) {}
+
+  async start (count: number): Promise<this> {
+    for (let i = 0; i < count; i++) await this.startEngine()
+    return this
+  }
+
+  stop (): void {
+    this.isStopped = true
+    for (const engine of this.engines.splice(0)) engine.stop()
+  }
+
+  /** Ends an engine with all its connections; another one takes its place after a while. */
+  kill (engine: UpstreamStandIn): void {
+    const index = this.engines.indexOf(engine)
+    if (index < 0) return
+    this.engines.splice(index, 1)
+    engine.stop()
+    setTimeout(() => {
+      if (this.isStopped) return
+      this.options.fleet.store.remove(`servers/${engine.id}`)
+      this.startEngine().catch(() => {})
+    }, this.options.restartMs)
+  }
+
+  private async startEngine (): Promise<void> {
+    const { fleet, service } = this.options
+    const engine: UpstreamStandIn = new UpstreamStandIn(`i-engine-${++this.startedCount}`, (request, socket) => { this.onRequest(engine, request, socket) })
+    await engine.start()
+    this.engines.push(engine)
+    fleet.addUpstream(engine, service)
+  }
+
+  private onRequest (engine: UpstreamStandIn, request: StandInRequest, socket: Socket): void {
+    const { crashingPart, prefillMs } = this.options
+    const parts = (request.headers['x-prompt-prefix'] ?? '').split(',').map(part => part.split(':')[0])
+    const isCrashing = parts.slice(0, -1).includes(crashingPart)
+    if (isCrashing) this.arrivals++
+    setTimeout(() => {
+      if (isCrashing && this.engines.includes(engine)) {
+        this.crashes++
+        this.kill(engine)
+      }
+      socket.write(buildStandInAnswer(request, { body: 'id: 1\ndata: a\n\n', headers: { 'Content-Type': 'text/event-stream' } }))
+    }, prefillMs)
+  }
+}
--- a/playground/platform/gatewayTestHarness.ts
+++ b/playground/platform/gatewayTestHarness.ts
@@ -24,9 +24,9 @@
 
 const routeDefaults = { host: 'shop.example', kind: 'safe', timeoutMs: 2000, targetLatencyMs: 500, priority: 1, maxAttempts: 2 }
 
-/** Test harness with a store stand-in and one real gateway host, all in this process. */
+/** Test harness with a store stand-in and one real gateway host, all in this process. Several hosts can share a store. */
 export class GatewayTestHarness {
-  readonly store = new StoreStandIn()
+  readonly store: StoreStandIn
   /** Log lines of the host. */
   readonly logLines: string[] = []
   settings!: HostSettings
@@ -34,12 +34,19 @@
   private version = 1
   private requestCount = 0
 
+  /** `sharedStore` is the store of another harness, which starts, configures and stops it. */
+  constructor (private readonly hostId = 'host-1', private readonly sharedStore?: StoreStandIn) {
+    this.store = sharedStore ?? new StoreStandIn()
+  }
+
   async start (): Promise<this> {
-    await this.store.start()
-    this.writeConfiguration({})
+    if (this.sharedStore === undefined) {
+      await this.store.start()
+      this.writeConfiguration({})
+    }
     const ports = await Promise.all(Array.from({ length: 5 }, findFreePort))
     this.settings = {
-      hostId: 'host-1',
+      hostId: this.hostId,
       failureDomain: 'quay-a',
       ipAddress: '127.0.0.1',
       clientAddress: `127.0.0.1:${ports[0]}`,
@@ -70,7 +77,7 @@
   async stop (): Promise<void> {
     this.host.drain()
     await this.host.waitUntilStopped()
-    this.store.stop()
+    if (this.sharedStore === undefined) this.store.stop()
   }
 
   /** Writes the next version of the configuration, with defaults for routes and services; returns its version. */
@@ -118,7 +125,7 @@
   /** Sends a client's request on a new connection. */
   async send (path: string, { method = 'GET', headers = {}, body, signal }: SendOptions = {}): Promise<ClientAnswer> {
     const [host, port] = this.settings.clientAddress.split(':')
-    const id = `request-${++this.requestCount}`
+    const id = `request-${this.hostId === 'host-1' ? '' : `${this.hostId}-`}${++this.requestCount}`
     return await new Promise((resolve, reject) => {
       const request = sendRequest({
         host,
--- /dev/null
+++ b/src/node/app/__tests__/crashingPrompts.test.ts
@@ -0,0 +1,57 @@
+import { setTimeout as delay } from 'node:timers/promises'
+import t from 'tap'
+import { CrashingEngines } from '../../../../playground/platform/crashingEngines.js'
+import { GatewayTestHarness } from '../../../../playground/platform/gatewayTestHarness.js'
+
+/** Bounds that the operator states: crashes until a part is known, time until the hosts have agreed, requests after it. */
+const knownAfterCrashes = 5
+const stableWindowMs = 3000
+const maxArrivals = 3
+const hostCount = 5
+
+t.test('crashing prompts', { timeout: 60_000 }, async t => {
+  const first = await new GatewayTestHarness().start()
+  const hosts = [first]
+  for (let i = 2; i <= hostCount; i++) hosts.push(await new GatewayTestHarness(`host-${i}`, first.store).start())
+  const engines = await new CrashingEngines({ fleet: first, service: 'llm', crashingPart: 'bad', prefillMs: 20, restartMs: 500 }).start(6)
+  t.teardown(async () => {
+    engines.stop()
+    for (const host of [...hosts].reverse()) await host.stop()
+  })
+  const version = first.writeConfiguration({
+    services: [{ name: 'llm', connectionLimit: 400, engine: { slots: 8, kvCacheTokens: 100_000 } }],
+    routes: [{ name: 'ask', pathPrefix: '/ask/', kind: 'streaming', service: 'llm', maxAttempts: 1 }],
+    tenants: [{ name: 'pier', apiKeys: ['key-1'] }]
+  })
+  for (const host of hosts) {
+    await host.waitForLogLine('configuration in force', `"version":${version}`)
+    await host.waitForLogLine('upstream added', 'i-engine-6')
+  }
+  let sentCount = 0
+  const send = async (host: GatewayTestHarness, sharedPart: string): Promise<Awaited<ReturnType<GatewayTestHarness['send']>>> => {
+    const promptParts = `common:40,${sharedPart}:80,own-${++sentCount}:30`
+    return await host.send('/ask/x', {
+      headers: { authorization: 'Token key-1', 'x-model': 'm', 'x-token-counts': '150,10', 'x-prompt-prefix': promptParts }
+    })
+  }
+
+  await t.test('guards against a prompt part that ends one engine after another, at hosts that each see one of the crashes', async t => {
+    for (const host of hosts) t.match(await send(host, 'sound'), { status: 200 })
+    // The requests come at hosts in turn, so that no host sees more than one of the first crashes.
+    for (let i = 0; i < 3 * hostCount && engines.crashes < knownAfterCrashes; i++) {
+      await Promise.all([send(hosts[i % hostCount]!, 'bad').catch(() => {}), send(hosts[(i + 1) % hostCount]!, `session-${i}`).catch(() => {})])
+      await delay(100)
+    }
+    await delay(stableWindowMs)
+    const arrivalsBefore = engines.arrivals
+    const crashesBefore = engines.crashes
+    for (const host of [...hosts, ...hosts]) {
+      const [answer, sound] = await Promise.all([send(host, 'bad').catch(() => undefined), send(host, `session-${sentCount}`).catch(() => undefined)])
+      t.match(answer, { status: 503, body: /not_run/ }, 'the answer states that the request was not run')
+      t.match(sound, { status: 200 }, 'a sound request of the same account with the same first part is served')
+      await delay(50)
+    }
+    t.ok(engines.arrivals - arrivalsBefore <= maxArrivals, `requests that reached engines: ${engines.arrivals - arrivalsBefore}`)
+    t.ok(engines.crashes - crashesBefore <= maxArrivals, `engines that ended: ${engines.crashes - crashesBefore}`)
+  })
+})
