fix(gateway): keep prompt parts that end upstreams away from them

Cause: a host judged upstreams by their failures, but never the requests that were there when they ended. Each request with the crashing part was new to it, was sent to the next sound engine and ended that one too. No host saw more than some of the crashes.

Change: when a connection breaks before the answer begins and the address refuses connections, the parts of the prompt are accused that no answer has begun on; hosts share this through the store, which a host that starts reads as well. After two ends of upstreams a part is refused at once, before its stages run and again before it is sent. The beginning of an answer clears a part everywhere. One request of all hosts is a trial, at growing intervals, so that a part that was accused by chance returns. Ruled out: counts by account or route (they would hit sound requests), messages from host to host (a host that starts has none of them).

Test: crashingPrompts.test.ts failed before (six arrivals and six ends after the fifth, bound three) and passes now. Its check of the answers now allows for the up to three requests that may reach engines; the bound is unchanged.

--- a/src/node/app/__tests__/crashingPrompts.test.ts
+++ b/src/node/app/__tests__/crashingPrompts.test.ts
@@ -2,6 +2,7 @@
 import t from 'tap'
 import { CrashingEngines } from '../../../../playground/platform/crashingEngines.js'
 import { GatewayTestHarness } from '../../../../playground/platform/gatewayTestHarness.js'
+import { waitUntil } from '../../../../playground/fakes/waitUntil.js'
 
 /** Bounds that the operator states: crashes until a part is known, time until the hosts have agreed, requests after it. */
 const knownAfterCrashes = 5
@@ -45,13 +46,52 @@
     await delay(stableWindowMs)
     const arrivalsBefore = engines.arrivals
     const crashesBefore = engines.crashes
+    const answers: Array<Awaited<ReturnType<typeof send>> | undefined> = []
     for (const host of [...hosts, ...hosts]) {
       const [answer, sound] = await Promise.all([send(host, 'bad').catch(() => undefined), send(host, `session-${sentCount}`).catch(() => undefined)])
-      t.match(answer, { status: 503, body: /not_run/ }, 'the answer states that the request was not run')
+      answers.push(answer)
       t.match(sound, { status: 200 }, 'a sound request of the same account with the same first part is served')
       await delay(50)
     }
+    const refused = answers.filter(answer => answer?.status === 503 && answer.body.includes('not_run'))
+    t.equal(refused.length, answers.length - (engines.arrivals - arrivalsBefore), 'the answers to all others state that they were not run')
     t.ok(engines.arrivals - arrivalsBefore <= maxArrivals, `requests that reached engines: ${engines.arrivals - arrivalsBefore}`)
     t.ok(engines.crashes - crashesBefore <= maxArrivals, `engines that ended: ${engines.crashes - crashesBefore}`)
   })
+  await t.test('a host that has just started knows the part', async t => {
+    const host = await new GatewayTestHarness('host-new', first.store).start()
+    hosts.push(host)
+    await host.waitForLogLine('configuration in force', `"version":${version}`)
+    const arrivalsBefore = engines.arrivals
+    t.match(await send(host, 'bad'), { status: 503, body: /prompt_refused/, headers: { 'retry-after': /^[\d.]+$/ } })
+    t.match(await send(host, 'session-new'), { status: 200 })
+    t.equal(engines.arrivals, arrivalsBefore)
+  })
+
+  await t.test('the part stays refused while the store is away', async t => {
+    first.store.fault = 'busy'
+    first.store.closeConnections()
+    for (const host of hosts) await host.waitForLogLine('store lost')
+    const arrivalsBefore = engines.arrivals
+    for (const host of hosts) t.match(await send(host, 'bad'), { status: 503, body: /not_run/ })
+    for (const host of hosts) t.match(await send(host, 'session-away'), { status: 200 })
+    t.equal(engines.arrivals, arrivalsBefore)
+    first.store.fault = 'none'
+    for (const host of hosts) await waitUntil(() => host.logLines.filter(line => line.includes('"message":"store regained"')).length >= 2)
+  })
+
+  await t.test('guards against refusing sound parts for long when many engines end for another reason', async t => {
+    const pending = Array.from({ length: 4 * hostCount }, async (_, i) => await send(hosts[i % hosts.length]!, 'fresh').catch(() => undefined))
+    await waitUntil(() => engines.engines.some(engine => engine.requests.some(request => request.headers['x-prompt-prefix']?.includes('fresh') === true)))
+    for (const engine of [...engines.engines]) engines.kill(engine)
+    await Promise.all(pending)
+    for (let waitedMs = 0; waitedMs < stableWindowMs; waitedMs += 200) {
+      await send(hosts[waitedMs / 200 % hosts.length]!, 'fresh').catch(() => undefined)
+      await delay(200)
+    }
+    for (const host of hosts) {
+      t.match(await send(host, 'fresh'), { status: 200 })
+      t.match(await send(host, 'sound'), { status: 200 })
+    }
+  })
 })
--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -1,7 +1,10 @@
 import { chooseAddresses } from '../gateway/hosts/chooseAddresses.js'
 import { RateLimitedLogger } from '../gateway/logs/rateLimitedLogger.js'
 import { CellRegistry } from '../gateway/stages/cellRegistry.js'
+import { checkUpstreamEnded } from '../gateway/crashes/checkUpstreamEnded.js'
 import { ConfigurationHolder } from '../gateway/configuration/configurationHolder.js'
+import { CrashGuard } from '../gateway/crashes/crashGuard.js'
+import { CrashReporter } from '../gateway/crashes/crashReporter.js'
 import { createGrpcPeerTransport } from '../peers/createGrpcPeerTransport.js'
 import { createLogger } from '../logging/createLogger.js'
 import { createMetrics } from '../metrics/createMetrics.js'
@@ -178,12 +181,36 @@
       else if (change.type === 'removed') hosts.removeHost(change.key.slice(platformConstants.hostPrefix.length))
     }
   }
+  const crashReporter = new CrashReporter({
+    store,
+    prefix: platformConstants.crashReportPrefix,
+    clock,
+    timers: systemScheduler,
+    logger
+  })
+  const crashGuard = new CrashGuard({
+    store,
+    reporter: crashReporter,
+    claimPrefix: platformConstants.promptTrialPrefix,
+    checkEnded: checkUpstreamEnded,
+    clock,
+    logger,
+    metrics
+  })
+  const crashSection: StoreSection = {
+    prefix: platformConstants.crashReportPrefix,
+    onSnapshot: items => { crashGuard.applySnapshot(items) },
+    onChange: change => {
+      if (change.type === 'written') crashGuard.applyReports([change.item])
+      else crashGuard.removeReport(change.key)
+    }
+  }
   const storeWatcher = new StoreWatcher({
     store,
     logger,
     random,
     getTimes: () => computeWatchTimes(settingsHolder.get().timings),
-    sections: [configurationSection, upstreamSection, hostSection]
+    sections: [configurationSection, upstreamSection, hostSection, crashSection]
   })
   const registrar = new HostRegistrar({ store, key: `${platformConstants.hostPrefix}${hostId}`, logger, getEntry: () => hosts.getSelf() })
 
@@ -199,6 +226,7 @@
       directory: upstreams,
       stages,
       engines: directEngines,
+      crashGuard,
       firstEventTimes: new FirstEventTimes(),
       retryBudget: new RetryBudget(() => settingsHolder.get().timings, () => hosts.countHosts()),
       encodeHeaders: encodeUpstreamHeaders,
@@ -235,6 +263,7 @@
     registrar,
     cells,
     stages,
+    crashReporter,
     ingress,
     readinessServer,
     directoryServer,
--- a/src/node/app/gatewayComponents.ts
+++ b/src/node/app/gatewayComponents.ts
@@ -1,6 +1,7 @@
 import type { CellRegistry } from '../gateway/stages/cellRegistry.js'
 import type { Clock } from '../../types/clock.js'
 import type { ConfigurationHolder } from '../gateway/configuration/configurationHolder.js'
+import type { CrashReporter } from '../gateway/crashes/crashReporter.js'
 import type { ErrorGuard } from './errorGuard.js'
 import type { HostDirectory } from '../gateway/hosts/hostDirectory.js'
 import type { HostRegistrar } from '../gateway/hosts/hostRegistrar.js'
@@ -15,6 +16,7 @@
 /** Components of a gateway host. */
 export interface GatewayComponents {
   readonly settings: HostSettingsHolder
+  readonly crashReporter: CrashReporter
   readonly logger: Logger
   readonly clock: Clock
   readonly configuration: ConfigurationHolder
--- a/src/node/app/gatewayHost.ts
+++ b/src/node/app/gatewayHost.ts
@@ -108,10 +108,12 @@
       metricsServer,
       cells,
       stages,
+      crashReporter,
       errorGuard
     } = this.components
     clearInterval(this.missingEntryTimer)
     storeWatcher.stop()
+    crashReporter.stop()
     await Promise.race([registrar.stop(), delay(gatewayConstants.stopReserveMs / 2)])
     cells.stop()
     stages.stop()
--- /dev/null
+++ b/src/node/gateway/crashes/__tests__/promptPartRecords.test.ts
@@ -0,0 +1,103 @@
+import t from 'tap'
+import { crashConstants } from '../constants.js'
+import { PromptPartRecords } from '../promptPartRecords.js'
+
+const { crashesToRefuse, crashesToRefuseSound, maxSuspects, recentlySoundMs, roundMs, settleMs, soundMs, trialDelayFactor, trialDelayMs } = crashConstants
+
+t.test('a part that ends upstreams is refused, and the sound parts of the same prompts are not', t => {
+  const records = new PromptPartRecords()
+  records.recordAnswer(['common', 'session-1'], 0)
+  const timeline = []
+  for (let i = 0; i < 6; i++) {
+    const nowMs = 5000 + i * 1000
+    const suspects = records.listSuspects(['common', 'bad'], nowMs)
+    records.recordCrash({ instance: `i-${i}`, partIds: suspects }, nowMs)
+    timeline.push(`${i + 1} crashes: accused ${suspects.join(' ')}; ${JSON.stringify(records.findRefusal(['common', 'bad'], nowMs) ?? 'admitted')}`)
+  }
+  t.equal(records.findRefusal(['common', 'session-1'], 10_000), undefined)
+  t.matchSnapshot(timeline.join('\n'), 'refusals')
+  t.end()
+})
+
+t.test('crashes that several hosts report count once for each instance', t => {
+  const records = new PromptPartRecords()
+  for (let i = 0; i < 5; i++) records.applyReport({ crashes: [{ instance: 'i-1@7', partIds: ['bad'] }], soundPartIds: [] }, 0)
+  t.equal(records.findRefusal(['bad'], 0), undefined)
+  records.applyReport({ crashes: [{ instance: 'i-1@9', partIds: ['bad'] }], soundPartIds: [] }, 0)
+  t.match(records.findRefusal(['bad'], 0), { crashCount: crashesToRefuse }, 'an instance that started again under the same id counts')
+  t.end()
+})
+
+t.test('a refused part is admitted again as soon as an answer on it begins anywhere', t => {
+  const records = new PromptPartRecords()
+  for (const instance of ['i-1', 'i-2']) records.recordCrash({ instance, partIds: ['part'] }, 0)
+  t.match(records.findRefusal(['part'], settleMs - 1), { trialInMs: 1 })
+  t.match(records.findRefusal(['part'], settleMs), { trialInMs: 0 }, 'a trial is due')
+  records.applyReport({ crashes: [], soundPartIds: ['part'] }, settleMs)
+  t.equal(records.findRefusal(['part'], settleMs), undefined)
+  t.end()
+})
+
+t.test('a failed trial refuses the part for longer each time', t => {
+  const records = new PromptPartRecords()
+  const delays = [0, 1, 2, 3].map(excess => {
+    const lastAtMs = (crashesToRefuse + excess - 1) * roundMs
+    for (let atMs = 0; atMs <= lastAtMs; atMs += roundMs) records.recordCrash({ instance: `i-${atMs}`, partIds: ['bad'] }, atMs)
+    return records.findRefusal(['bad'], lastAtMs)?.trialInMs
+  })
+  t.same(delays, [settleMs, trialDelayMs, trialDelayMs * trialDelayFactor, trialDelayMs * trialDelayFactor ** 2])
+  t.end()
+})
+
+t.test('guards against refusing a part that many requests share when a failure domain is lost', t => {
+  const records = new PromptPartRecords()
+  records.recordAnswer(['common'], 0)
+  const nowMs = recentlySoundMs
+  for (let i = 0; i < 10; i++) records.recordCrash({ instance: `i-${i}`, partIds: records.listSuspects(['common'], nowMs) }, nowMs)
+  t.equal(records.findRefusal(['common'], nowMs), undefined)
+  t.end()
+})
+
+t.test('guards against refusing a new part for long when several of its upstreams are lost at once', t => {
+  const records = new PromptPartRecords()
+  for (let i = 0; i < 6; i++) records.recordCrash({ instance: `i-${i}`, partIds: ['new'] }, i)
+  t.match(records.findRefusal(['new'], 5 + settleMs), { crashCount: 6, trialInMs: 0 })
+  t.end()
+})
+
+t.test('a part that was sound and now ends upstreams is refused after more crashes', t => {
+  const records = new PromptPartRecords()
+  records.recordAnswer(['common', 'turned'], 0)
+  const crashes = [recentlySoundMs - 100, 3000, 4000, 5000, 6000].map((nowMs, i) => {
+    records.recordAnswer(['common'], nowMs - 10)
+    records.recordCrash({ instance: `i-${i}`, partIds: records.listSuspects(['common', 'turned'], nowMs) }, nowMs)
+    return records.findRefusal(['common', 'turned'], nowMs)
+  })
+  t.same(crashes.map(refusal => refusal?.partId), [undefined, undefined, undefined, undefined, 'turned'])
+  t.equal(crashes.at(-1)?.crashCount, crashesToRefuseSound)
+  t.match(records.findRefusal(['turned'], soundMs + 1), { partId: 'turned' })
+  t.end()
+})
+
+t.test('a storm of parts that are no two alike displaces no part that requests still ask for', t => {
+  const records = new PromptPartRecords()
+  for (const instance of ['i-1', 'i-2']) records.recordCrash({ instance, partIds: ['bad'] }, 0)
+  for (let i = 0; i < 3 * maxSuspects; i++) {
+    if (i % 1000 === 0) records.takeExpiringCrashes('bad', 0)
+    records.recordCrash({ instance: 'i-3', partIds: [`storm-${i}`] }, 0)
+  }
+  t.match(records.findRefusal(['bad'], 0), { partId: 'bad' })
+  t.end()
+})
+
+t.test('evidence on a part that is still refused is reported again before it expires in the store', t => {
+  const records = new PromptPartRecords()
+  for (const instance of ['i-1', 'i-2']) records.recordCrash({ instance, partIds: ['bad'] }, 0)
+  t.same(records.takeExpiringCrashes('bad', crashConstants.reportRefreshMs - 1), [])
+  t.same(records.takeExpiringCrashes('bad', crashConstants.reportRefreshMs), [
+    { instance: 'i-1', partIds: ['bad'] },
+    { instance: 'i-2', partIds: ['bad'] }
+  ])
+  t.same(records.takeExpiringCrashes('bad', crashConstants.reportRefreshMs), [], 'once')
+  t.end()
+})
--- /dev/null
+++ b/src/node/gateway/crashes/crashReporter.ts
@@ -0,0 +1,98 @@
+import { v4 as createUuid } from 'uuid'
+import { crashConstants } from './constants.js'
+import { crashReportCodec } from './crashReportCodec.js'
+import type { Clock } from '../../../types/clock.js'
+import type { Logger } from '../../../types/logger.js'
+import type { Scheduler } from '../../../types/scheduler.js'
+import type { StoreClient } from '../model/storeClient.js'
+import type { UpstreamCrash } from '../model/upstreamCrash.js'
+
+interface ReporterOptions {
+  readonly store: StoreClient
+  /** Prefix of the keys of the reports. */
+  readonly prefix: string
+  readonly clock: Clock
+  readonly timers: Scheduler
+  readonly logger: Logger
+}
+
+/** Writes this host's evidence on prompt parts to the store, for all hosts. Evidence outlives the host that reported it. */
+export class CrashReporter {
+  private crashes: UpstreamCrash[] = []
+  private soundPartIds = new Set<string>()
+  private cancelTimer: (() => void) | undefined
+  private isWriting = false
+  private isStopped = false
+  private lease: { readonly id: number, readonly createdAtMs: number } | undefined
+
+  constructor (private readonly options: ReporterOptions) {}
+
+  addCrashes (crashes: readonly UpstreamCrash[]): void {
+    if (crashes.length === 0) return
+    this.crashes.push(...crashes)
+    this.scheduleWrite(crashConstants.reportDelayMs)
+  }
+
+  /** Reports parts on which an answer has begun. */
+  addSoundParts (partIds: readonly string[]): void {
+    if (partIds.length === 0) return
+    for (const id of partIds) this.soundPartIds.add(id)
+    this.scheduleWrite(crashConstants.reportDelayMs)
+  }
+
+  stop (): void {
+    this.isStopped = true
+    this.cancelTimer?.()
+  }
+
+  /** Lease of the reports and of the claims of trials. */
+  async getLeaseId (): Promise<number> {
+    const nowMs = this.options.clock.readMonotonicMs()
+    if (this.lease === undefined || nowMs - this.lease.createdAtMs >= crashConstants.reportRefreshMs) {
+      this.lease = { id: await this.options.store.createLease(crashConstants.reportLeaseMs), createdAtMs: nowMs }
+    }
+    return this.lease.id
+  }
+
+  private scheduleWrite (delayMs: number): void {
+    if (this.isStopped || this.isWriting || this.cancelTimer !== undefined) return
+    this.cancelTimer = this.options.timers.schedule(delayMs, () => {
+      this.cancelTimer = undefined
+      this.writePending().catch(error => {
+        this.options.logger.recordError('crash report failed unexpectedly', { reason: (error as Error).message })
+      })
+    })
+  }
+
+  private async writePending (): Promise<void> {
+    const { logger, prefix, store } = this.options
+    const { maxReportEntries } = crashConstants
+    const crashes = this.crashes.splice(0)
+    const soundPartIds = [...this.soundPartIds]
+    this.soundPartIds.clear()
+    const leftOut = Math.max(crashes.length - maxReportEntries, 0) + Math.max(soundPartIds.length - maxReportEntries, 0)
+    if (leftOut > 0) logger.recordWarning('crash report shortened', { leftOut })
+    const report = { crashes: crashes.slice(0, maxReportEntries), soundPartIds: soundPartIds.slice(0, maxReportEntries) }
+    this.isWriting = true
+    let isWritten = false
+    try {
+      const leaseId = await this.getLeaseId()
+      isWritten = await store.writeConditionally({
+        conditions: [],
+        writes: [{ key: `${prefix}${createUuid()}`, value: crashReportCodec.encode(report), leaseId }],
+        removals: []
+      })
+      // Without conditions, the store refuses a write only because its lease has ended.
+      if (!isWritten) this.lease = undefined
+    } catch (error) {
+      logger.recordWarning('crash report not written', { reason: (error as Error).message, retryMs: crashConstants.reportRetryMs })
+    }
+    this.isWriting = false
+    if (!isWritten) {
+      // A report that was written without an answer is written twice, which changes nothing.
+      this.crashes.unshift(...report.crashes)
+      for (const id of report.soundPartIds) this.soundPartIds.add(id)
+    }
+    if (this.crashes.length > 0 || this.soundPartIds.size > 0) this.scheduleWrite(isWritten ? crashConstants.reportDelayMs : crashConstants.reportRetryMs)
+  }
+}
--- a/src/node/gateway/ingress/requestRun.ts
+++ b/src/node/gateway/ingress/requestRun.ts
@@ -2,6 +2,7 @@
 import { chooseTarget } from './chooseTarget.js'
 import { chooseUpstream } from '../upstreams/chooseUpstream.js'
 import { computeRequestPriority } from './computeRequestPriority.js'
+import { computePromptRetryMs } from '../crashes/computePromptRetryMs.js'
 import { computeStallTimeoutMs } from './computeStallTimeoutMs.js'
 import { decideNextAttempt } from './decideNextAttempt.js'
 import { engineConstants } from '../engines/constants.js'
@@ -9,6 +10,8 @@
 import { sendAttempt } from './sendAttempt.js'
 import type { AttemptDecision } from './attemptDecision.js'
 import type { AttemptResult } from './attemptResult.js'
+import type { PartRefusal } from '../crashes/partRefusal.js'
+import type { PromptTrial } from '../crashes/promptTrial.js'
 import type { RequestRunOptions } from './requestRunOptions.js'
 import type { RequestRunDependencies } from './requestRunDependencies.js'
 import type { StageOutput } from '../stages/stageOutput.js'
@@ -35,6 +38,8 @@
   /** Engine that was chosen together with the stages. */
   private chosenEngineId: string | undefined
   private releaseInputs = noRelease
+  /** Set when the request is the trial of a refused prompt part. */
+  private trial: PromptTrial | undefined
   /** Whether an upstream was sent the request and did not state that it was not run. */
   private mayHaveRun = false
   private sentAtMs = 0
@@ -53,10 +58,11 @@
     const timeLeftMs = this.options.deadlineAtMs - this.dependencies.clock.readMonotonicMs()
     const timer = setTimeout(() => { this.endNow('deadline') }, Math.max(timeLeftMs, 0))
     try {
-      if (await this.runStages()) await this.runAttempts()
+      if (await this.admitPrompt() && await this.runStages()) await this.runAttempts()
     } finally {
       clearTimeout(timer)
       this.releaseInputs()
+      if (this.trial !== undefined) await this.dependencies.crashGuard.endTrial(this.trial)
     }
   }
 
@@ -79,6 +85,22 @@
     this.controller.abort()
   }
 
+  /** Resolves to whether the parts of the prompt may be sent to an upstream; refuses the request otherwise. */
+  private async admitPrompt (): Promise<boolean> {
+    const admission = await this.dependencies.crashGuard.admit(this.options.request.promptParts)
+    if (admission.type === 'refused') {
+      this.refusePrompt(admission.refusal)
+      return false
+    }
+    this.trial = admission.trial
+    return !this.controller.signal.aborted && !this.options.response.isEnded
+  }
+
+  private refusePrompt (refusal: PartRefusal): void {
+    const reason = `upstreams ended on part ${refusal.partId} of the prompt`
+    this.refuse(reason, computePromptRetryMs(refusal), 'prompt_refused')
+  }
+
   /** Runs the stages of the request. Resolves to whether the request can now be sent to an upstream. */
   private async runStages (): Promise<boolean> {
     const { route, response } = this.options
@@ -106,10 +128,16 @@
   }
 
   private async runAttempts (): Promise<void> {
+    const { crashGuard } = this.dependencies
+    const { promptParts } = this.options.request
     for (;;) {
+      // Other requests may have shown since the admission that the prompt ends upstreams.
+      const refusal = crashGuard.findRefusal(promptParts, this.trial)
+      if (refusal !== undefined) return this.refusePrompt(refusal)
       const upstream = this.chooseUpstream()
       if (upstream === undefined) return this.refuse('no upstream is free', ingressConstants.busyRetryAfterMs)
       const result = await this.runAttempt(upstream)
+      if (result.type === 'uncertain' && result.isConnectionLost === true && !this.hasEvents) await crashGuard.onConnectionLost(upstream.entry, promptParts)
       const decision = this.decide(result)
       this.record('attempt ended', {
         upstream: upstream.entry.id,
@@ -215,6 +243,7 @@
     this.hasEvents = true
     const nowMs = this.dependencies.clock.readMonotonicMs()
     upstream.onSuccess(nowMs - this.sentAtMs, nowMs)
+    this.dependencies.crashGuard.onAnswerBegan(this.options.request.promptParts)
     this.dependencies.firstEventTimes.observe(this.options.route.name, nowMs - this.sentAtMs)
     this.releaseFetchedInputs()
     this.record('first event', {
@@ -282,7 +311,7 @@
     return Math.min(Math.max(upstream.computeDurationMs(this.dependencies.clock.readMonotonicMs()) * ingressConstants.attemptTimeoutFactor, ingressConstants.minAttemptTimeoutMs), leftMs / 2)
   }
 
-  private refuse (reason: string, retryAfterMs: number): void {
+  private refuse (reason: string, retryAfterMs: number, code = 'overloaded'): void {
     const { response, route } = this.options
     if (response.isEnded) return
     this.dependencies.metrics.addCount('requests_refused', { route: route.callKind, ran: this.mayHaveRun ? 'unknown' : 'not_run' })
@@ -295,7 +324,7 @@
     // An earlier attempt may have run, so the response must not state that the request was not run.
     if (this.mayHaveRun && !this.isRepeatable()) return response.writeError(502, 'upstream_failed', reason)
     if (response.hasStarted) return response.closeIncomplete()
-    response.writeError(this.mayHaveRun ? 502 : 503, this.mayHaveRun ? 'upstream_failed' : 'overloaded', reason, retryAfterMs)
+    response.writeError(this.mayHaveRun ? 502 : 503, this.mayHaveRun ? 'upstream_failed' : code, reason, retryAfterMs)
   }
 
   private record (message: string, fields: Readonly<Record<string, string | number | boolean | undefined>>): void {
--- a/src/node/gateway/ingress/requestRunDependencies.ts
+++ b/src/node/gateway/ingress/requestRunDependencies.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../../../types/clock.js'
+import type { CrashGuard } from '../crashes/crashGuard.js'
 import type { EnginePlanner } from '../engines/enginePlanner.js'
 import type { FirstEventTimes } from '../engines/firstEventTimes.js'
 import type { Logger } from '../../../types/logger.js'
@@ -14,6 +15,7 @@
   readonly directory: UpstreamDirectory
   readonly stages: StageClient
   readonly engines: EnginePlanner
+  readonly crashGuard: CrashGuard
   readonly firstEventTimes: FirstEventTimes
   readonly retryBudget: RetryBudget
   readonly encodeHeaders: UpstreamHeaderEncoder
--- a/src/node/gateway/ingress/sendAttempt.ts
+++ b/src/node/gateway/ingress/sendAttempt.ts
@@ -103,7 +103,7 @@
       })
     }
     if (!wasSent) return this.end({ type: 'not-run', reason: `${kind}: ${detail}`, wasSent: false, areInputsGone: false })
-    this.end({ type: 'uncertain', reason: `${kind}: ${detail}` })
+    this.end({ type: 'uncertain', reason: `${kind}: ${detail}`, isConnectionLost: kind === 'broken' })
   }
 
   /** A response without a signature is an error message, or not a response of the upstream at all. */
--- a/src/node/platform/constants.ts
+++ b/src/node/platform/constants.ts
@@ -7,6 +7,8 @@
   upstreamPrefix: 'servers/',
   /** Keys that the hosts write themselves. */
   hostPrefix: 'lycheetrack/hosts/',
+  crashReportPrefix: 'lycheetrack/crash-reports/',
+  promptTrialPrefix: 'lycheetrack/prompt-trials/',
   peerSecretKey: 'lycheetrack/peer-secret',
   /** Largest number of pieces of a stage that a request may state; stages have up to some tens. */
   maxPieceCount: 1000,
