feat(gateway): decode and log the request limits that upstreams name

Upstreams in need name the requests a second that they take from all hosts together. No log line or metric told so, which left open whether hosts ignore the limit or each keep it alone. A value that cannot be read is logged and changes nothing.

--- a/src/node/gateway/model/upstreamResponseHead.ts
+++ b/src/node/gateway/model/upstreamResponseHead.ts
@@ -20,6 +20,8 @@
   /** Undefined when absent. */
   readonly contentLength?: number
   readonly load?: UpstreamLoad
+  /** Requests a second that the upstream takes from all hosts together; undefined when it names no limit. */
+  readonly requestLimit?: number | 'unreadable'
   /** End-to-end headers for the client, as alternating names and values. */
   readonly forwardedHeaders: readonly string[]
 }
--- a/src/node/gateway/upstreams/upstreamDirectory.ts
+++ b/src/node/gateway/upstreams/upstreamDirectory.ts
@@ -6,6 +6,7 @@
 import type { Logger } from '../../../types/logger.js'
 import type { Metrics } from '../../../types/metrics.js'
 import type { UpstreamEntry } from '../model/upstreamEntry.js'
+import type { UpstreamResponseHead } from '../model/upstreamResponseHead.js'
 
 interface DirectoryOptions {
   readonly clock: Clock
@@ -103,14 +104,34 @@
       address: entry.address,
       decodeResponse: this.options.decodeResponse,
       getConnectionLimit: () => this.options.getConnectionLimit(entry.service),
-      onOpened: () => { metrics.addCount('upstream_connections_opened', { service: entry.service }) }
+      onOpened: () => { metrics.addCount('upstream_connections_opened', { service: entry.service }) },
+      onHead: head => { this.observeLimit(state, head) }
     })
-    const state = new UpstreamState(entry, pool)
+    const state: UpstreamState = new UpstreamState(entry, pool)
     this.states.set(entry.id, state)
     this.byService.set(entry.service, [...this.byService.get(entry.service) ?? [], state])
     this.recordChange('upstream added', entry, entry.isDraining ? 'registered as draining' : 'registered as ready')
   }
 
+  private observeLimit (state: UpstreamState, { requestLimit }: UpstreamResponseHead): void {
+    if (requestLimit === state.requestLimit) return
+    const { logger, metrics } = this.options
+    const { id, service } = state.entry
+    // A limit that cannot be read says neither that there is none nor how much the upstream takes.
+    if (requestLimit === 'unreadable') {
+      logger.recordWarning('upstream limit not readable', { upstream: id, service, limitInForce: state.requestLimit })
+      return
+    }
+    metrics.addCount('upstream_limit_changes', { service })
+    logger.recordInfo(requestLimit === undefined ? 'upstream limit ended' : 'upstream limit named', {
+      upstream: id,
+      service,
+      requestsPerSecond: requestLimit,
+      before: state.requestLimit
+    })
+    state.requestLimit = requestLimit
+  }
+
   private recordChange (message: string, { id, service, address, failureDomain }: UpstreamEntry, reason: string): void {
     this.options.logger.recordInfo(message, { upstream: id, service, address, upstreamDomain: failureDomain, reason })
   }
--- a/src/node/gateway/upstreams/upstreamPool.ts
+++ b/src/node/gateway/upstreams/upstreamPool.ts
@@ -2,12 +2,15 @@
 import type { ResponseDecoder } from './responseDecoder.js'
 import type { ExchangeHandler } from './exchangeHandler.js'
 import type { ExchangeRequest } from './exchangeRequest.js'
+import type { UpstreamResponseHead } from '../model/upstreamResponseHead.js'
 
 interface PoolOptions {
   readonly address: string
   readonly decodeResponse: ResponseDecoder
   readonly getConnectionLimit: () => number
   readonly onOpened: () => void
+  /** The head of an answer from the upstream. */
+  readonly onHead: (head: UpstreamResponseHead) => void
 }
 
 /** Keep-alive connections to one upstream. The most recently used connection is reused first, so that surplus ones reach their idle timeout. */
@@ -34,6 +37,7 @@
     return connection.send(request, {
       onHead: head => {
         mustClose = head.closesConnection
+        this.options.onHead(head)
         handler.onHead(head)
       },
       onData: chunk => { handler.onData(chunk) },
--- a/src/node/platform/decodeUpstreamResponse.ts
+++ b/src/node/platform/decodeUpstreamResponse.ts
@@ -8,7 +8,7 @@
 const inputsGoneStatus = 409
 /** Responses with these statuses have no body. */
 const bodylessStatuses: ReadonlySet<number> = new Set([204, 304])
-const unforwardedHeaders = new Set(['connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'content-length', headerNames.load, headerNames.notRun])
+const unforwardedHeaders = new Set(['connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'content-length', headerNames.load, headerNames.limit, headerNames.notRun])
 
 /** Decodes the head of an upstream's response. */
 export function decodeUpstreamResponse (status: number, headers: Headers): UpstreamResponseHead {
@@ -25,6 +25,7 @@
     isFramed: length !== undefined || headers['transfer-encoding'] !== undefined || bodylessStatuses.has(status),
     contentLength: typeof length === 'string' ? Number(length) : undefined,
     load: parseLoad(findHeader(headers, headerNames.load)),
+    requestLimit: parseLimit(findHeader(headers, headerNames.limit)),
     forwardedHeaders: listForwardedHeaders(headers)
   }
 }
@@ -42,6 +43,11 @@
   return { running, waiting, slots, slowdown: Math.max(percent, 1) / 100 }
 }
 
+function parseLimit (value: string | undefined): number | 'unreadable' | undefined {
+  if (value === undefined) return undefined
+  return /^\d+(\.\d+)?$/.test(value.trim()) ? Number(value) : 'unreadable'
+}
+
 function listForwardedHeaders (headers: Headers): readonly string[] {
   const forwarded: string[] = []
   for (const name in headers) {
--- a/src/node/platform/headerNames.ts
+++ b/src/node/platform/headerNames.ts
@@ -9,6 +9,8 @@
   account: 'x-tenant',
   expectedInstance: 'x-expected-instance',
   load: 'x-server-load',
+  /** Requests a second that the upstream takes from all hosts together. */
+  limit: 'server-limit',
   notRun: 'x-not-executed',
   retryAfter: 'retry-after',
   instance: 'x-instance-id',
