--- /dev/null
+++ b/src/node/app/__tests__/upstreamLimits.test.ts
@@ -0,0 +1,78 @@
+import { setTimeout as delay } from 'node:timers/promises'
+import t from 'tap'
+import { buildStandInAnswer } from '../../../../playground/platform/buildStandInAnswer.js'
+import { GatewayTestHarness } from '../../../../playground/platform/gatewayTestHarness.js'
+import { UpstreamStandIn } from '../../../../playground/platform/upstreamStandIn.js'
+
+/** Bounds that the operator states: time after which a limit counts, span that is counted, allowed factor and excess. */
+const stableWindowMs = 3000
+const countedSpanMs = 4000
+const allowedFactor = 1.5
+const allowedExcess = 5
+const limitPerSecond = 1
+const hostCount = 3
+const loadMs = 11_000
+const loadIntervalMs = 50
+
+t.test('upstream limits', { timeout: 60_000 }, async t => {
+  const first = await new GatewayTestHarness().start()
+  const hosts = [first]
+  for (let i = 2; i <= hostCount; i++) hosts.push(await new GatewayTestHarness(`host-${i}`, first.store).start())
+  const arrivalsMs = new Map<string, number[]>()
+  let limits: Readonly<Record<string, string>> = {}
+  const upstreams: UpstreamStandIn[] = []
+  const startUpstream = async (id: string, service: string): Promise<void> => {
+    const upstream = await new UpstreamStandIn(id, (request, socket) => {
+      arrivalsMs.get(id)!.push(Date.now())
+      const limit = limits[id]
+      socket.write(buildStandInAnswer(request, { body: 'id: 1\ndata: a\n\n', headers: limit === undefined ? {} : { 'Server-Limit': limit } }))
+    }).start()
+    arrivalsMs.set(id, [])
+    upstreams.push(upstream)
+    first.addUpstream(upstream, service)
+  }
+  t.teardown(async () => {
+    for (const upstream of upstreams) upstream.stop()
+    for (const host of [...hosts].reverse()) await host.stop()
+  })
+  for (const [id, service] of [['i-limited', 'shop'], ['i-free', 'shop'], ['i-engine-limited', 'llm'], ['i-engine-free', 'llm']] as const) await startUpstream(id, service)
+  const version = first.writeConfiguration({
+    services: [{ name: 'shop', connectionLimit: 200 }, { name: 'llm', connectionLimit: 200, engine: { slots: 8, kvCacheTokens: 100_000 } }],
+    routes: [
+      { name: 'order', pathPrefix: '/order/', kind: 'unsafe', service: 'shop' },
+      { name: 'ask', pathPrefix: '/ask/', kind: 'streaming', service: 'llm' }
+    ]
+  })
+  for (const host of hosts) {
+    await host.waitForLogLine('configuration in force', `"version":${version}`)
+    await host.waitForLogLine('upstream added', 'i-engine-free')
+  }
+  /** Sends requests of both routes to all hosts in turn; resolves to their statuses. */
+  const sendLoad = async (durationMs: number): Promise<readonly number[]> => {
+    const answers: Array<Promise<number>> = []
+    for (let i = 0; i * loadIntervalMs < durationMs; i++) {
+      const host = hosts[i % hosts.length]!
+      answers.push(host.send('/order/x', { method: 'POST' }).then(answer => answer.status))
+      answers.push(host.send('/ask/x', { headers: { 'x-token-counts': '100,10', 'x-prompt-prefix': `own-${i}:100` } }).then(answer => answer.status))
+      await delay(loadIntervalMs)
+    }
+    return await Promise.all(answers)
+  }
+  const countMostArrivals = (id: string, fromMs: number): number => {
+    const counted = arrivalsMs.get(id)!.filter(atMs => atMs >= fromMs)
+    return Math.max(0, ...counted.map(atMs => counted.filter(other => other >= atMs && other < atMs + countedSpanMs).length))
+  }
+  const allowed = limitPerSecond * countedSpanMs / 1000 * allowedFactor + allowedExcess
+
+  await t.test('guards against all hosts together sending an upstream more than the limit that it named', async t => {
+    limits = { 'i-limited': String(limitPerSecond), 'i-engine-limited': String(limitPerSecond) }
+    const namedAtMs = Date.now()
+    const statuses = await sendLoad(loadMs)
+    for (const id of Object.keys(limits)) {
+      const most = countMostArrivals(id, namedAtMs + stableWindowMs)
+      t.ok(most <= allowed, `requests that reached ${id} in 4 s: ${most}`)
+      t.ok(most > 0, `${id} is used within its limit`)
+    }
+    t.same([...new Set(statuses)], [200], 'other upstreams take what a limited one does not')
+  })
+})
