fix(gateway): keep the limits that upstreams name, over all hosts together

Callers' requests made upstreams in need worse off: an engine that named a limit of 1 request a second got 14 in 4 s (LIMIT, allowed 11).

Change: a limit is shared by up to four hosts, chosen by rendezvous hashing over the ready hosts; each uses its share as a token bucket that starts empty and holds one request. The others leave the upstream alone and ask rarely whether the limit still holds. Upstreams without a free place take part in no choice. When all upstreams of a service have named a limit, a request takes its place before its stages run, or is refused at once with the time until the next place. Repeats and resumptions take places as well. Calls to stage upstreams are spaced by the host that schedules their cell, which makes all of them. Ruled out: equal shares over all hosts (at 78 hosts a share of 1 a second is one request in 78 s), an owner that deals out places by message (what is in doubt when it is cut off or paused has to be safe without it).

--- a/src/node/app/__tests__/upstreamLimits.test.ts
+++ b/src/node/app/__tests__/upstreamLimits.test.ts
@@ -75,4 +75,24 @@
     }
     t.same([...new Set(statuses)], [200], 'other upstreams take what a limited one does not')
   })
+  await t.test('when all upstreams have reached their limits, requests are refused at once and stated as not run', async t => {
+    limits = { 'i-limited': '1', 'i-free': '1', 'i-engine-limited': '1', 'i-engine-free': '1' }
+    await sendLoad(2000)
+    const fromMs = Date.now()
+    const answers = await Promise.all(hosts.flatMap(host => Array.from({ length: 10 }, async () => await host.send('/order/x', { method: 'POST' }))))
+    t.ok(Date.now() - fromMs < 1000, 'nothing waits for its deadline')
+    const refused = answers.filter(answer => answer.status !== 200)
+    t.ok(refused.length >= answers.length - 2 * hostCount, `${refused.length} of ${answers.length} are refused`)
+    for (const answer of refused) t.match(answer, { status: 503, body: /not_run/, headers: { 'retry-after': /^[\d.]+$/ } })
+  })
+
+  await t.test('a limit that cannot be read changes nothing, and an answer without one ends it', async t => {
+    limits = { 'i-limited': 'some', 'i-free': 'some' }
+    await sendLoad(5000)
+    for (const host of hosts) await host.waitForLogLine('upstream limit not readable', '"limitInForce":1')
+    limits = {}
+    await sendLoad(5000)
+    for (const host of hosts) await host.waitForLogLine('upstream limit ended', 'i-free')
+    t.same([...new Set(await sendLoad(1000))], [200])
+  })
 })
--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -38,6 +38,7 @@
 import { StageOrderServer } from '../gateway/stages/stageOrderServer.js'
 import { StageScheduler } from '../gateway/stages/stageScheduler.js'
 import { StatusServer } from '../gateway/ingress/statusServer.js'
+import { computeLimitShare } from '../gateway/upstreams/computeLimitShare.js'
 import { computeWatchTimes } from '../gateway/store/computeWatchTimes.js'
 import { StoreHttpClient } from '../platform/storeHttpClient.js'
 import { StoreWatcher } from '../gateway/store/storeWatcher.js'
@@ -95,6 +96,8 @@
       const limit = configuration.getCurrent()?.services.get(service)?.connectionLimit ?? 0
       return Math.max(Math.floor(limit * upstreamConstants.connectionShare / hosts.countHosts()), upstreamConstants.minConnections)
     },
+    computeLimitShare: upstreamId => computeLimitShare(upstreamId, hostId, hosts.listReady().map(host => host.id)),
+    countHosts: () => hosts.countHosts(),
     onChanged: scheduleUpdate,
     onRemoved: upstreamId => {
       directEngines.removeEngine(upstreamId)
@@ -128,6 +131,7 @@
     const dispatcher = new StageDispatcher({
       scheduler,
       findPool: upstreamId => upstreams.find(upstreamId)?.pool,
+      findLimit: upstreamId => upstreams.getRequestLimit(upstreamId),
       engines,
       codec: stageCallCodec,
       clock,
--- a/src/node/gateway/ingress/constants.ts
+++ b/src/node/gateway/ingress/constants.ts
@@ -23,6 +23,8 @@
   minStreamTimeMs: 5000,
   /** Retry-After of responses to requests that found no free upstream. */
   busyRetryAfterMs: 400,
+  /** Largest Retry-After while the limits of all upstreams are reached. */
+  maxLimitRetryAfterMs: 5000,
   /** An idempotent call without a response after this many times the usual duration is retried at another upstream. */
   attemptTimeoutFactor: 6,
   /** Lower bound of the time after which such a call is retried. */
--- a/src/node/gateway/ingress/requestRun.ts
+++ b/src/node/gateway/ingress/requestRun.ts
@@ -38,6 +38,8 @@
   /** Engine that was chosen together with the stages. */
   private chosenEngineId: string | undefined
   private releaseInputs = noRelease
+  /** Upstream at which the request has a place within its limit, before it is sent. */
+  private reservation: UpstreamState | undefined
   /** Set when the request is the trial of a refused prompt part. */
   private trial: PromptTrial | undefined
   /** Whether an upstream was sent the request and did not state that it was not run. */
@@ -58,10 +60,11 @@
     const timeLeftMs = this.options.deadlineAtMs - this.dependencies.clock.readMonotonicMs()
     const timer = setTimeout(() => { this.endNow('deadline') }, Math.max(timeLeftMs, 0))
     try {
-      if (await this.admitPrompt() && await this.runStages()) await this.runAttempts()
+      if (await this.admitPrompt() && this.admitWithinLimits() && await this.runStages()) await this.runAttempts()
     } finally {
       clearTimeout(timer)
       this.releaseInputs()
+      this.reservation?.limit?.share.releaseToken()
       if (this.trial !== undefined) await this.dependencies.crashGuard.endTrial(this.trial)
     }
   }
@@ -96,6 +99,24 @@
     return !this.controller.signal.aborted && !this.options.response.isEnded
   }
 
+  /**
+   * When all upstreams of the service have named a limit, takes a place at one of them before the stages run, whose work would
+   * be wasted otherwise. Returns false when there is none; the request is then refused.
+   */
+  private admitWithinLimits (): boolean {
+    const { directory, clock } = this.dependencies
+    if (!directory.isLimited(this.service)) return true
+    this.reservation = this.chooseUpstream()
+    this.reservation?.limit?.share.takeToken(clock.readMonotonicMs())
+    if (this.reservation === undefined) this.refuse('limits of all upstreams are reached', this.computeLimitRetryMs())
+    return this.reservation !== undefined
+  }
+
+  private computeLimitRetryMs (): number {
+    const waitMs = this.dependencies.directory.computeServiceWaitMs(this.service)
+    return Math.min(Math.max(waitMs, ingressConstants.busyRetryAfterMs), ingressConstants.maxLimitRetryAfterMs)
+  }
+
   private refusePrompt (refusal: PartRefusal): void {
     const reason = `upstreams ended on part ${refusal.partId} of the prompt`
     this.refuse(reason, computePromptRetryMs(refusal), 'prompt_refused')
@@ -135,7 +156,7 @@
       const refusal = crashGuard.findRefusal(promptParts, this.trial)
       if (refusal !== undefined) return this.refusePrompt(refusal)
       const upstream = this.chooseUpstream()
-      if (upstream === undefined) return this.refuse('no upstream is free', ingressConstants.busyRetryAfterMs)
+      if (upstream === undefined) return this.refuse('no upstream is free', this.computeLimitRetryMs())
       const result = await this.runAttempt(upstream)
       if (result.type === 'uncertain' && result.isConnectionLost === true && !this.hasEvents) await crashGuard.onConnectionLost(upstream.entry, promptParts)
       const decision = this.decide(result)
@@ -194,6 +215,7 @@
     this.triedIds.add(upstream.entry.id)
     this.mayHaveRun = true
     if (this.sentCount === 1) this.dependencies.retryBudget.recordRequest(this.service, nowMs)
+    this.takeLimitToken(upstream, nowMs)
     upstream.inFlight++
     const releaseTimer = setTimeout(() => { this.releaseFetchedInputs() }, engineConstants.inputFetchMs)
     const result = await sendAttempt({
@@ -228,6 +250,7 @@
       if (!result.wasSent) {
         this.sentCount--
         this.unsentCount++
+        upstream.limit?.share.releaseToken()
       }
     }
     this.observeResult(upstream, result, this.dependencies.clock.readMonotonicMs() - nowMs)
@@ -237,6 +260,12 @@
     return result
   }
 
+  /** Counts the request against the limit of the upstream, unless it has a place there already. */
+  private takeLimitToken (upstream: UpstreamState, nowMs: number): void {
+    if (this.reservation === upstream) this.reservation = undefined
+    else upstream.limit?.share.takeToken(nowMs)
+  }
+
   private onEvents (upstream: UpstreamState, lastEventId: string | undefined): void {
     this.lastEventId = lastEventId ?? this.lastEventId
     if (this.hasEvents) return
@@ -282,6 +311,7 @@
     const { directory, engines, clock, failureDomain, random } = this.dependencies
     const { request, route } = this.options
     const nowMs = clock.readMonotonicMs()
+    if (this.reservation !== undefined && directory.isAvailable(this.reservation)) return this.reservation
     const usable = directory.listUsable(this.service)
     if (route.callKind === 'stream') {
       const chosen = usable.find(state => state.entry.id === this.chosenEngineId && !this.triedIds.has(state.entry.id))
--- a/src/node/gateway/stages/__tests__/stageScheduler.test.ts
+++ b/src/node/gateway/stages/__tests__/stageScheduler.test.ts
@@ -204,3 +204,19 @@
   answerCall(busy!, 520)
   t.same(listPieces(scheduler.planCalls(520)), ['b-0: r.1.0 s.1.0'])
 })
+
+t.test('a stage upstream that named a limit gets no more calls than it allows', t => {
+  const { scheduler, answerCall, buildJob } = createTestScheduler([{ name: 'a', domains: ['x'], batchSize: 1 }])
+  const sentAtMs: number[] = []
+  for (let i = 0; i < 40; i++) scheduler.addJob(buildJob(`p${i}`, [{}], { targetAtMs: 100_000, deadlineAtMs: 100_000 }), 0)
+  for (let nowMs = 0; nowMs < 12_000; nowMs += 250) {
+    for (const call of scheduler.planCalls(nowMs)) {
+      sentAtMs.push(nowMs)
+      scheduler.applyLimit(call, 1)
+      answerCall(call, nowMs + 250)
+    }
+  }
+  t.equal(sentAtMs.length, 12)
+  t.ok(scheduler.findNextPlanAtMs(11_750)! <= 12_000, 'the next call is planned when the limit allows it at the latest')
+  t.end()
+})
--- a/src/node/gateway/stages/constants.ts
+++ b/src/node/gateway/stages/constants.ts
@@ -83,5 +83,7 @@
   /** Step size of the estimate of piece durations relative to the declared duration. */
   pieceFactorStep: 0.05,
   minPieceFactor: 0.1,
-  maxPieceFactor: 4
+  maxPieceFactor: 4,
+  /** Longest time between two calls to an upstream that has named a limit, after which one shows whether it still holds. */
+  maxCallIntervalMs: 20_000
 } as const
--- a/src/node/gateway/stages/stageDispatcher.ts
+++ b/src/node/gateway/stages/stageDispatcher.ts
@@ -20,6 +20,8 @@
   readonly scheduler: StageScheduler
   /** Connection pool of an upstream; undefined when the upstream is gone. */
   readonly findPool: (upstreamId: string) => Pick<UpstreamPool, 'send'> | undefined
+  /** Request limit that an upstream has named, in requests a second. */
+  readonly findLimit: (upstreamId: string) => number | undefined
   readonly engines: EnginePlanner
   readonly codec: StageCallCodec
   readonly clock: Clock
@@ -178,6 +180,7 @@
         this.callsInProgress.delete(call.id)
         const nowMs = clock.readMonotonicMs()
         metrics.recordDuration('stage_call', { service: call.service }, nowMs - call.sentAtMs)
+        this.options.scheduler.applyLimit(call, this.options.findLimit(call.upstreamId))
         this.options.scheduler.onCallAnswered(call, results, nowMs)
         this.recordPieceFailures(call, results)
         this.planCalls()
@@ -216,6 +219,7 @@
       elapsedMs: Math.round(clock.readMonotonicMs() - call.sentAtMs),
       firstRequestId: call.pieces[0]?.requestId
     })
+    scheduler.applyLimit(call, this.options.findLimit(call.upstreamId))
     scheduler.onCallFailed(call, clock.readMonotonicMs())
     this.schedulePlanning(0)
   }
--- a/src/node/gateway/stages/stageScheduler.ts
+++ b/src/node/gateway/stages/stageScheduler.ts
@@ -95,6 +95,12 @@
     return calls
   }
 
+  /** Applies the limit, in requests a second, that the upstream of a call names by now. */
+  applyLimit ({ service, upstreamId }: StageCall, requestsPerSecond: number | undefined): void {
+    const upstream = this.services.get(service)?.upstreams.get(upstreamId)
+    if (upstream !== undefined) upstream.requestsPerSecond = requestsPerSecond
+  }
+
   /** Handles the answer to a call; `results` are in the order of its pieces. */
   onCallAnswered (call: StageCall, results: readonly StagePieceResult[], nowMs: number): void {
     const service = this.services.get(call.service)!
@@ -159,8 +165,9 @@
     let next: number | undefined = this.resultTracker.hasFetchingTasks() ? nowMs + stageConstants.inputFetchMs / 2 : undefined
     for (const service of this.services.values()) {
       if (service.readyTasks.size === 0) continue
-      for (const { pausedUntilMs } of service.upstreams.values()) {
-        if (pausedUntilMs > nowMs) next = Math.min(next ?? Infinity, pausedUntilMs)
+      for (const upstream of service.upstreams.values()) {
+        const availableAtMs = upstream.computeAvailableAtMs()
+        if (availableAtMs > nowMs) next = Math.min(next ?? Infinity, availableAtMs)
       }
       next = Math.min(next ?? Infinity, nowMs + stageConstants.minDomainWaitSlackMs)
     }
@@ -201,6 +208,7 @@
     const upstream = service.upstreams.get(call.upstreamId)!
     upstream.callsInFlight++
     upstream.busyUntilMs = call.sentAtMs + call.expectedMs
+    upstream.lastCallAtMs = call.sentAtMs
     service.recordSentPieces(call.pieceRefs.length, call.sentAtMs)
     this.uncountedChangeAtMs = call.sentAtMs
     const states = new Set<JobState>()
--- a/src/node/gateway/stages/stageService.ts
+++ b/src/node/gateway/stages/stageService.ts
@@ -36,7 +36,9 @@
     let capacity = 0
     for (const upstream of this.upstreams.values()) {
       // An upstream counts as at most twice as fast as expected.
-      if (!upstream.isDraining && upstream.pausedUntilMs <= nowMs) capacity += this.spec.batchSize / (callMs * Math.max(upstream.slowdown, 0.5))
+      if (upstream.isDraining || upstream.pausedUntilMs > nowMs) continue
+      const intervalMs = upstream.requestsPerSecond === undefined ? 0 : 1000 / upstream.requestsPerSecond
+      capacity += this.spec.batchSize / Math.max(callMs * Math.max(upstream.slowdown, 0.5), intervalMs)
     }
     return capacity
   }
@@ -52,7 +54,7 @@
     for (const upstream of this.upstreams.values()) {
       if (upstream.isDraining) continue
       const isBusy = upstream.callsInFlight >= this.spec.concurrentCalls
-      first = Math.min(first, Math.max(isBusy ? upstream.busyUntilMs : nowMs, upstream.pausedUntilMs, nowMs))
+      first = Math.min(first, Math.max(isBusy ? upstream.busyUntilMs : nowMs, upstream.computeAvailableAtMs(), nowMs))
     }
     return first - nowMs
   }
--- a/src/node/gateway/stages/stageUpstream.ts
+++ b/src/node/gateway/stages/stageUpstream.ts
@@ -12,12 +12,22 @@
   /** The upstream gets no call before this time: set after failed calls and when it reported no memory for results. */
   pausedUntilMs = 0
   isDraining = false
+  /** Limit that the upstream has named. The host that schedules its cell makes all calls, so it may use the whole limit. */
+  requestsPerSecond: number | undefined
+  lastCallAtMs = -Infinity
   private failures = 0
 
   constructor (readonly id: string, readonly failureDomain: string) {}
 
   isIdle (nowMs: number, concurrentCalls: number): boolean {
-    return !this.isDraining && this.callsInFlight < concurrentCalls && this.pausedUntilMs <= nowMs
+    return !this.isDraining && this.callsInFlight < concurrentCalls && this.computeAvailableAtMs() <= nowMs
+  }
+
+  /** Earliest time of the next call, after a pause and within the limit; busy or not. */
+  computeAvailableAtMs (): number {
+    if (this.requestsPerSecond === undefined) return this.pausedUntilMs
+    const intervalMs = Math.min(1000 / this.requestsPerSecond, stageConstants.maxCallIntervalMs)
+    return Math.max(this.pausedUntilMs, this.lastCallAtMs + intervalMs)
   }
 
   onSuccess (durationMs: number, expectedMs: number): void {
--- a/src/node/gateway/upstreams/constants.ts
+++ b/src/node/gateway/upstreams/constants.ts
@@ -28,5 +28,13 @@
   ejectMs: 1000,
   maxEjectMs: 8000,
   /** Share of a service's upstreams that may be ejected at the same time. */
-  maxEjectedShare: 0.5
+  maxEjectedShare: 0.5,
+  /** Hosts that share the request limit of an upstream. Each may be one request ahead of its share. */
+  maxLimitHosts: 4,
+  /** Part of a limit that goes to requests of hosts without a share, which ask whether it still holds. */
+  limitProbeShare: 0.1,
+  minLimitLifetimeMs: 20_000,
+  maxLimitLifetimeMs: 600_000,
+  /** Interval at which the hosts that share a limit are chosen again. */
+  limitShareRefreshMs: 1000
 } as const
--- a/src/node/gateway/upstreams/upstreamDirectory.ts
+++ b/src/node/gateway/upstreams/upstreamDirectory.ts
@@ -1,3 +1,5 @@
+import { computeLimitLifetimeMs } from './computeLimitLifetimeMs.js'
+import { LimitShare } from './limitShare.js'
 import { upstreamConstants } from './constants.js'
 import { UpstreamPool } from './upstreamPool.js'
 import { UpstreamState } from './upstreamState.js'
@@ -6,6 +8,7 @@
 import type { Logger } from '../../../types/logger.js'
 import type { Metrics } from '../../../types/metrics.js'
 import type { UpstreamEntry } from '../model/upstreamEntry.js'
+import type { UpstreamLimit } from './upstreamLimit.js'
 import type { UpstreamResponseHead } from '../model/upstreamResponseHead.js'
 
 interface DirectoryOptions {
@@ -15,6 +18,9 @@
   readonly decodeResponse: ResponseDecoder
   /** Largest number of connections that this host may hold to one upstream of a service. */
   readonly getConnectionLimit: (service: string) => number
+  /** Part of an upstream's request limit that this host may use, from 0 to 1. */
+  readonly computeLimitShare: (upstreamId: string) => number
+  readonly countHosts: () => number
   readonly onChanged: () => void
   readonly onRemoved: (upstreamId: string) => void
 }
@@ -23,6 +29,7 @@
 export class UpstreamDirectory {
   private readonly states = new Map<string, UpstreamState>()
   private readonly byService = new Map<string, UpstreamState[]>()
+  private limitSharesUpdatedAtMs = 0
 
   constructor (private readonly options: DirectoryOptions) {}
 
@@ -87,12 +94,42 @@
     return this.byService.get(service) ?? []
   }
 
-  /**
-   * Upstreams of a service that may get a new request. Ejected upstreams are left out, unless too many are ejected:
-   * then the cause of the failures is more likely on this host's side.
-   */
+  /** Upstreams of a service that may get a new request now, also within the limits that they named. */
   listUsable (service: string): readonly UpstreamState[] {
     const nowMs = this.options.clock.readMonotonicMs()
+    return this.listHealthy(service, nowMs).filter(state => this.computeLimitWaitMs(state, nowMs) === 0)
+  }
+
+  /** Time until an upstream of a service may get a request within its limit; 0 when one may now, or when there is none. */
+  computeServiceWaitMs (service: string): number {
+    const nowMs = this.options.clock.readMonotonicMs()
+    const healthy = this.listHealthy(service, nowMs)
+    return healthy.length === 0 ? 0 : Math.min(...healthy.map(state => this.computeLimitWaitMs(state, nowMs)))
+  }
+
+  /** Whether all upstreams of a service that may get requests have named a limit. */
+  isLimited (service: string): boolean {
+    const nowMs = this.options.clock.readMonotonicMs()
+    const healthy = this.listHealthy(service, nowMs)
+    return healthy.length > 0 && healthy.every(state => this.findLimit(state, nowMs) !== undefined)
+  }
+
+  /** Whether an upstream may get a request, its limit aside. */
+  isAvailable (state: UpstreamState): boolean {
+    const isHealthy = !state.entry.isDraining && !state.isEjected(this.options.clock.readMonotonicMs())
+    return isHealthy && this.states.get(state.entry.id) === state && state.pool.hasFreeConnection()
+  }
+
+  /** Request limit that an upstream has named, in requests a second. */
+  getRequestLimit (id: string): number | undefined {
+    return this.states.get(id)?.limit?.requestsPerSecond
+  }
+
+  /**
+   * Upstreams that are not leaving. Ejected upstreams are left out, unless too many are ejected: then the cause of the
+   * failures is more likely on this host's side.
+   */
+  private listHealthy (service: string, nowMs: number): readonly UpstreamState[] {
     const usable = this.listService(service).filter(state => !state.entry.isDraining)
     const healthy = usable.filter(state => !state.isEjected(nowMs))
     return healthy.length >= usable.length * (1 - upstreamConstants.maxEjectedShare) ? healthy : usable
@@ -113,23 +150,63 @@
     this.recordChange('upstream added', entry, entry.isDraining ? 'registered as draining' : 'registered as ready')
   }
 
+  private computeLimitWaitMs (state: UpstreamState, nowMs: number): number {
+    return this.findLimit(state, nowMs)?.share.computeWaitMs(nowMs) ?? 0
+  }
+
+  /** The limit of an upstream with this host's current share of it. */
+  private findLimit (state: UpstreamState, nowMs: number): UpstreamLimit | undefined {
+    if (state.limit === undefined) return undefined
+    if (state.limit.endsAtMs <= nowMs) {
+      this.recordLimit(state, undefined, 'no answer for long')
+      state.limit = undefined
+      return undefined
+    }
+    this.updateLimitShares(nowMs)
+    return state.limit
+  }
+
+  /** Chooses the hosts that share the limits again, because hosts come and go. */
+  private updateLimitShares (nowMs: number): void {
+    if (nowMs - this.limitSharesUpdatedAtMs < upstreamConstants.limitShareRefreshMs) return
+    this.limitSharesUpdatedAtMs = nowMs
+    for (const { entry, limit } of this.states.values()) {
+      limit?.share.setRate(limit.requestsPerSecond * this.options.computeLimitShare(entry.id), nowMs)
+    }
+  }
+
   private observeLimit (state: UpstreamState, { requestLimit }: UpstreamResponseHead): void {
-    if (requestLimit === state.requestLimit) return
-    const { logger, metrics } = this.options
+    const before = state.limit
+    if (requestLimit === undefined && before === undefined) return
+    const { clock, logger, countHosts, computeLimitShare } = this.options
     const { id, service } = state.entry
     // A limit that cannot be read says neither that there is none nor how much the upstream takes.
     if (requestLimit === 'unreadable') {
-      logger.recordWarning('upstream limit not readable', { upstream: id, service, limitInForce: state.requestLimit })
+      logger.recordWarning('upstream limit not readable', { upstream: id, service, limitInForce: before?.requestsPerSecond })
+      return
+    }
+    if (requestLimit !== before?.requestsPerSecond) this.recordLimit(state, requestLimit, 'named in an answer')
+    if (requestLimit === undefined) {
+      state.limit = undefined
       return
     }
-    metrics.addCount('upstream_limit_changes', { service })
-    logger.recordInfo(requestLimit === undefined ? 'upstream limit ended' : 'upstream limit named', {
+    const nowMs = clock.readMonotonicMs()
+    const rate = requestLimit * computeLimitShare(id)
+    const share = before?.share ?? new LimitShare(rate, nowMs)
+    share.setRate(rate, nowMs)
+    state.limit = { requestsPerSecond: requestLimit, namedAtMs: nowMs, endsAtMs: nowMs + computeLimitLifetimeMs(requestLimit, countHosts()), share }
+  }
+
+  private recordLimit (state: UpstreamState, requestsPerSecond: number | undefined, reason: string): void {
+    const { id, service } = state.entry
+    this.options.metrics.addCount('upstream_limit_changes', { service })
+    this.options.logger.recordInfo(requestsPerSecond === undefined ? 'upstream limit ended' : 'upstream limit named', {
       upstream: id,
       service,
-      requestsPerSecond: requestLimit,
-      before: state.requestLimit
+      requestsPerSecond,
+      before: state.limit?.requestsPerSecond,
+      reason
     })
-    state.requestLimit = requestLimit
   }
 
   private recordChange (message: string, { id, service, address, failureDomain }: UpstreamEntry, reason: string): void {
--- a/src/node/gateway/upstreams/upstreamState.ts
+++ b/src/node/gateway/upstreams/upstreamState.ts
@@ -1,4 +1,5 @@
 import { upstreamConstants } from './constants.js'
+import type { UpstreamLimit } from './upstreamLimit.js'
 import type { UpstreamEntry } from '../model/upstreamEntry.js'
 import type { UpstreamPool } from './upstreamPool.js'
 
@@ -10,8 +11,8 @@
   private durationMs = 0
   private measuredAtMs = 0
   ejectedUntilMs = 0
-  /** Requests a second that the upstream takes from all hosts together, as its last answer named them. */
-  requestLimit: number | undefined
+  /** Undefined while the upstream names no limit. */
+  limit: UpstreamLimit | undefined
   /** Time at which the upstream is removed; set while its entry is missing after a store outage. */
   removeAtMs: number | undefined
   private consecutiveFailures = 0
