fix(gateway): a stream without events and without a stated end has broken off

An engine that ends after the head of an answer with neither length nor chunks closes the connection as if the stream were complete: callers got an empty 200, and the end of the engine accused no prompt part. Found while looking for cases that the detection of crashing prompt parts would miss. The test failed before (200 in place of 502).

--- a/src/node/gateway/ingress/sendAttempt.ts
+++ b/src/node/gateway/ingress/sendAttempt.ts
@@ -72,6 +72,10 @@
     const { head, splitter } = this
     if (head === undefined) return this.end({ type: 'uncertain', reason: 'no answer' })
     if (splitter !== undefined && splitter.partialEventBytes > 0) return this.end({ type: 'uncertain', reason: 'stream ended within an event' })
+    // An upstream that ends closes such a stream as if it were complete.
+    if (splitter !== undefined && !head.isFramed && this.lastEventsAtMs === undefined && this.options.lastEventId === undefined) {
+      return this.end({ type: 'uncertain', reason: 'stream without a stated end and without events', isConnectionLost: true })
+    }
     // The client's stream has chunked encoding, whose end would claim that the stream is complete.
     if (splitter !== undefined && !head.isFramed && this.options.response.hasStarted && this.options.response.isFramed) {
       return this.end({ type: 'uncertain', reason: 'resumed stream without a stated end' })
