fix(gateway): bound what moves to upstreams without a limit while others have one

Cause: an engine that has not answered since the others named limits counted as free, took all traffic, and so answered even later. Evidence: in these failures the request waits at one engine for 4.5 s until its deadline, or is sent to the same engine twice after its silence.

Change: while upstreams of a service have limits, each host has as many requests in progress at one of the others as its part of the places, and a request is refused before its stages when none has room.

--- a/src/node/app/__tests__/upstreamLimits.test.ts
+++ b/src/node/app/__tests__/upstreamLimits.test.ts
@@ -95,4 +95,24 @@
     for (const host of hosts) await host.waitForLogLine('upstream limit ended', 'i-free')
     t.same([...new Set(await sendLoad(1000))], [200])
   })
+  await t.test('guards against moving all traffic to the only upstream that has not named a limit yet', async t => {
+    limits = { 'i-engine-limited': '1' }
+    await sendLoad(1000)
+    const silent = upstreams.find(upstream => upstream.id === 'i-engine-free')!
+    let inProgress = 0
+    let mostInProgress = 0
+    silent.answer = (_, socket) => {
+      mostInProgress = Math.max(mostInProgress, ++inProgress)
+      socket.once('close', () => { inProgress-- })
+    }
+    const fromMs = Date.now()
+    const refusedMs: number[] = []
+    await Promise.all(hosts.flatMap(host => Array.from({ length: 15 }, async () => {
+      const { status } = await host.send('/ask/x', { headers: { 'x-token-counts': '100,10', 'x-prompt-prefix': 'own:100' } })
+      if (status === 503) refusedMs.push(Date.now() - fromMs)
+    })))
+    t.ok(mostInProgress <= 2 * hostCount, `requests in progress at an upstream with 4 places: ${mostInProgress}`)
+    t.ok(refusedMs.length >= 15 * hostCount - 4 * hostCount, `${refusedMs.length} are refused`)
+    t.ok(Math.max(...refusedMs) < 1000, 'nothing waits for its deadline to be refused')
+  })
 })
--- a/src/node/gateway/ingress/requestRun.ts
+++ b/src/node/gateway/ingress/requestRun.ts
@@ -100,12 +100,13 @@
   }
 
   /**
-   * When all upstreams of the service have named a limit, takes a place at one of them before the stages run, whose work would
-   * be wasted otherwise. Returns false when there is none; the request is then refused.
+   * Refuses the request before its stages run, whose work would be wasted, when upstreams have named limits and none of the
+   * service has room. When only limited ones have, takes a place at one of them.
    */
   private admitWithinLimits (): boolean {
     const { directory, clock } = this.dependencies
-    if (!directory.isLimited(this.service)) return true
+    if (!directory.hasLimits(this.service)) return true
+    if (directory.listUsable(this.service).some(state => state.limit === undefined)) return true
     this.reservation = this.chooseUpstream()
     this.reservation?.limit?.share.takeToken(clock.readMonotonicMs())
     if (this.reservation === undefined) this.refuse('limits of all upstreams are reached', this.computeLimitRetryMs())
--- a/src/node/gateway/upstreams/upstreamDirectory.ts
+++ b/src/node/gateway/upstreams/upstreamDirectory.ts
@@ -94,10 +94,15 @@
     return this.byService.get(service) ?? []
   }
 
-  /** Upstreams of a service that may get a new request now, also within the limits that they named. */
+  /**
+   * Upstreams of a service that may get a new request now, also within the limits that they named. While there are limits,
+   * the other upstreams get as many requests as they have places: all traffic would move to one that has not answered yet.
+   */
   listUsable (service: string): readonly UpstreamState[] {
     const nowMs = this.options.clock.readMonotonicMs()
-    return this.listHealthy(service, nowMs).filter(state => this.computeLimitWaitMs(state, nowMs) === 0)
+    const healthy = this.listHealthy(service, nowMs)
+    if (!healthy.some(state => this.findLimit(state, nowMs) !== undefined)) return healthy
+    return healthy.filter(state => state.limit === undefined ? this.hasPlace(state) : this.computeLimitWaitMs(state, nowMs) === 0)
   }
 
   /** Time until an upstream of a service may get a request within its limit; 0 when one may now, or when there is none. */
@@ -107,11 +112,10 @@
     return healthy.length === 0 ? 0 : Math.min(...healthy.map(state => this.computeLimitWaitMs(state, nowMs)))
   }
 
-  /** Whether all upstreams of a service that may get requests have named a limit. */
-  isLimited (service: string): boolean {
+  /** Whether an upstream of a service that may get requests has named a limit. */
+  hasLimits (service: string): boolean {
     const nowMs = this.options.clock.readMonotonicMs()
-    const healthy = this.listHealthy(service, nowMs)
-    return healthy.length > 0 && healthy.every(state => this.findLimit(state, nowMs) !== undefined)
+    return this.listHealthy(service, nowMs).some(state => this.findLimit(state, nowMs) !== undefined)
   }
 
   /** Whether an upstream may get a request, its limit aside. */
@@ -150,6 +154,11 @@
     this.recordChange('upstream added', entry, entry.isDraining ? 'registered as draining' : 'registered as ready')
   }
 
+  /** Whether the requests of this host take less than its part of the upstream's places. */
+  private hasPlace ({ entry, inFlight }: UpstreamState): boolean {
+    return inFlight < Math.max(Math.ceil(entry.slots / this.options.countHosts()), upstreamConstants.minPlaces)
+  }
+
   private computeLimitWaitMs (state: UpstreamState, nowMs: number): number {
     return this.findLimit(state, nowMs)?.share.computeWaitMs(nowMs) ?? 0
   }
