--- a/src/node/gateway/crashes/crashGuard.ts
+++ b/src/node/gateway/crashes/crashGuard.ts
@@ -87,7 +87,7 @@
       suspects: suspects.join(' ')
     })
     if (crash.partIds.length === 0) return
-    this.recordCrash(() => { this.records.recordCrash(crash, nowMs) }, crash.partIds)
+    this.applyEvidence(() => { this.records.recordCrash(crash, nowMs) }, crash.partIds)
     this.options.reporter.addCrashes([crash])
   }
 
@@ -126,12 +126,12 @@
         continue
       }
       const partIds = report.crashes.flatMap(crash => crash.partIds)
-      this.recordCrash(() => { this.records.applyReport(report, this.readNowMs()) }, partIds)
+      this.applyEvidence(() => { this.records.applyReport(report, this.readNowMs()) }, partIds)
     }
   }
 
   /** Applies evidence and logs the parts that are refused because of it. */
-  private recordCrash (apply: () => void, partIds: readonly string[]): void {
+  private applyEvidence (apply: () => void, partIds: readonly string[]): void {
     const nowMs = this.readNowMs()
     const known = new Set(partIds.filter(id => this.records.findRefusal([id], nowMs) !== undefined))
     apply()
