feat(gateway): log and count restores of the store

Nothing read the era that the store names in its answers, so a restore looked like a plain outage in logs and metrics.

--- a/playground/platform/storeStandIn.ts
+++ b/playground/platform/storeStandIn.ts
@@ -10,12 +10,22 @@
   readonly lease: number
 }
 
+interface StandInCopy {
+  readonly items: ReadonlyMap<string, StandInItem>
+  readonly leaseIds: readonly number[]
+  readonly revision: number
+  readonly nextLeaseId: number
+}
+
 interface StandInEvent {
   readonly revision: number
   readonly key: string
   readonly body: unknown
 }
 
+/** Leases of a copy are not renewed until their owners notice the restore. */
+const restoredLeaseMs = 30_000
+
 /** In-memory stand-in for the platform's store, with faults that a test switches on. */
 export class StoreStandIn {
   fault: StoreFault = 'none'
@@ -27,6 +37,7 @@
   private events: StandInEvent[] = []
   private oldestRevision = 0
   private revision = 1
+  private era = 1
   private nextLeaseId = 1
   private readonly server: Server = createServer((request, response) => { this.onRequest(request, response).catch(() => { response.destroy() }) })
   address = ''
@@ -75,6 +86,25 @@
     this.server.closeAllConnections()
   }
 
+  /** Copies the store's contents, as a backup does. */
+  createCopy (): StandInCopy {
+    const { revision, nextLeaseId } = this
+    return { items: new Map(this.items), leaseIds: [...this.leases.keys()], revision, nextLeaseId }
+  }
+
+  /** Goes back to a copy. Connections and waiting watches live on; revisions and lease ids are given out again. */
+  applyCopy (copy: StandInCopy): void {
+    this.era++
+    for (const timer of this.leases.values()) clearTimeout(timer)
+    this.leases.clear()
+    for (const id of copy.leaseIds) this.startLease(id, restoredLeaseMs)
+    this.items.clear()
+    for (const [key, item] of copy.items) this.items.set(key, item)
+    this.revision = copy.revision
+    this.nextLeaseId = copy.nextLeaseId
+    this.events = this.events.filter(event => event.revision <= copy.revision)
+  }
+
   closeConnections (): void {
     this.server.closeAllConnections()
   }
@@ -93,11 +123,15 @@
       request.socket.destroy()
       return
     }
-    if (this.fault === 'busy') return writeJson(response, 503, {})
-    if (this.fault === 'many') return writeJson(response, 429, {})
+    if (this.fault === 'busy') return this.writeAnswer(response, 503, {})
+    if (this.fault === 'many') return this.writeAnswer(response, 429, {})
     const answer = await this.handleCall(request.method ?? 'GET', url, text === '' ? {} : JSON.parse(text))
     if (this.fault === 'lost' && request.method === 'POST') return
-    writeJson(response, answer.status, answer.body)
+    this.writeAnswer(response, answer.status, answer.body)
+  }
+
+  private writeAnswer (response: ServerResponse, status: number, body: unknown): void {
+    response.writeHead(status, { 'content-type': 'application/json', 'store-era': String(this.era) }).end(JSON.stringify(body))
   }
 
   private async handleCall (method: string, url: URL, body: Record<string, never>): Promise<{ readonly status: number, readonly body: unknown }> {
@@ -125,7 +159,7 @@
   }
 
   private async waitForEvents (prefix: string, after: number, waitMs: number): Promise<{ readonly status: number, readonly body: unknown }> {
-    if (after < this.oldestRevision) return { status: 410, body: {} }
+    if (after < this.oldestRevision || after > this.revision) return { status: 410, body: {} }
     const listEvents = (): readonly StandInEvent[] => this.events.filter(event => event.revision > after && event.key.startsWith(prefix))
     if (listEvents().length === 0) {
       await new Promise<void>(resolve => {
@@ -155,10 +189,14 @@
 
   private createLease (ttlMs: number): number {
     const lease = this.nextLeaseId++
-    const timer = setTimeout(() => { this.endLease(lease) }, ttlMs * 10)
+    this.startLease(lease, ttlMs * 10)
+    return lease
+  }
+
+  private startLease (lease: number, durationMs: number): void {
+    const timer = setTimeout(() => { this.endLease(lease) }, durationMs)
     timer.unref()
     this.leases.set(lease, timer)
-    return lease
   }
 
   private endLease (lease: number): void {
@@ -175,7 +213,3 @@
   for await (const chunk of request) chunks.push(chunk as Buffer)
   return Buffer.concat(chunks).toString('utf8')
 }
-
-function writeJson (response: ServerResponse, status: number, body: unknown): void {
-  response.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body))
-}
--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -40,6 +40,7 @@
 import { StatusServer } from '../gateway/ingress/statusServer.js'
 import { computeLimitShare } from '../gateway/upstreams/computeLimitShare.js'
 import { computeWatchTimes } from '../gateway/store/computeWatchTimes.js'
+import { StoreEra } from '../gateway/store/storeEra.js'
 import { StoreHttpClient } from '../platform/storeHttpClient.js'
 import { StoreWatcher } from '../gateway/store/storeWatcher.js'
 import { systemClock } from '../../shared/systemClock.js'
@@ -66,7 +67,8 @@
   errorGuard.start()
 
   const settingsHolder = new HostSettingsHolder(settings, logger)
-  const storeClient = new StoreHttpClient(settings.storeAddress, metrics)
+  const storeEra = new StoreEra(logger, metrics)
+  const storeClient = new StoreHttpClient(settings.storeAddress, metrics, storeEra)
   const store = new PlatformStore(storeClient)
 
   let isUpdateScheduled = false
--- a/src/node/gateway/store/__tests__/storeWatcher.test.ts
+++ b/src/node/gateway/store/__tests__/storeWatcher.test.ts
@@ -4,6 +4,7 @@
 import { createSilentLogger } from '../../../../../playground/fakes/createSilentLogger.js'
 import { computeWatchTimes } from '../computeWatchTimes.js'
 import { PlatformStore } from '../../../platform/platformStore.js'
+import { StoreEra } from '../storeEra.js'
 import { StoreHttpClient } from '../../../platform/storeHttpClient.js'
 import { StoreStandIn } from '../../../../../playground/platform/storeStandIn.js'
 import { StoreWatcher } from '../storeWatcher.js'
@@ -23,7 +24,7 @@
 }
 
 async function startWatcher (store: StoreStandIn, times: { readonly waitMs: number, readonly coalesceMs: number }) {
-  const client = new StoreHttpClient(store.address, createMemoryMetrics())
+  const client = new StoreHttpClient(store.address, createMemoryMetrics(), new StoreEra(createSilentLogger(), createMemoryMetrics()))
   const seen: string[] = []
   const watcher = new StoreWatcher({
     store: new PlatformStore(client),
--- a/src/node/platform/__tests__/platformStore.test.ts
+++ b/src/node/platform/__tests__/platformStore.test.ts
@@ -1,7 +1,9 @@
 import t from 'tap'
 import { createMemoryMetrics } from '../../../../playground/fakes/createMemoryMetrics.js'
+import { createSilentLogger } from '../../../../playground/fakes/createSilentLogger.js'
 import { PlatformStore } from '../platformStore.js'
 import { StoreHistoryLostError } from '../../../shared/storeHistoryLostError.js'
+import { StoreEra } from '../../gateway/store/storeEra.js'
 import { StoreHttpClient } from '../storeHttpClient.js'
 import { StoreStandIn } from '../../../../playground/platform/storeStandIn.js'
 import { StoreUnavailableError } from '../../../shared/storeUnavailableError.js'
@@ -9,7 +11,7 @@
 
 t.test('the client of the platform\'s store', async t => {
   const standIn = await new StoreStandIn().start()
-  const link = new StoreHttpClient(standIn.address, createMemoryMetrics())
+  const link = new StoreHttpClient(standIn.address, createMemoryMetrics(), new StoreEra(createSilentLogger(), createMemoryMetrics()))
   const store = new PlatformStore(link)
   const { signal } = new AbortController()
   t.teardown(() => {
--- a/src/node/platform/headerNames.ts
+++ b/src/node/platform/headerNames.ts
@@ -20,5 +20,7 @@
   pieceCounts: 'x-pieces',
   pieceKey: 'x-piece-key',
   inputs: 'x-inputs',
+  /** In all answers of the store: rises each time it comes back from an older copy. */
+  storeEra: 'store-era',
   authorization: 'authorization'
 } as const
--- a/src/node/platform/storeHttpClient.ts
+++ b/src/node/platform/storeHttpClient.ts
@@ -1,8 +1,10 @@
 import { Pool } from 'undici'
 import { StoreUnavailableError } from '../../shared/storeUnavailableError.js'
 import { StoreUncertainError } from '../../shared/storeUncertainError.js'
+import { headerNames } from './headerNames.js'
 import { platformConstants } from './constants.js'
 import type { Metrics } from '../../types/metrics.js'
+import type { StoreEra } from '../gateway/store/storeEra.js'
 
 interface StoreCall {
   readonly method: 'GET' | 'POST' | 'DELETE'
@@ -15,6 +17,8 @@
 interface StoreResponse {
   readonly status: number
   readonly body: unknown
+  /** Era of the store when it answered; the current one when the answer names none. */
+  readonly era: number
 }
 
 /**
@@ -25,7 +29,11 @@
   private readonly calls: Pool
   private readonly watches = new Map<string, Pool>()
 
-  constructor (private readonly address: string, private readonly metrics: Metrics) {
+  constructor (
+    private readonly address: string,
+    private readonly metrics: Metrics,
+    private readonly storeEra: StoreEra
+  ) {
     this.calls = this.createPool(platformConstants.storeConnections)
   }
 
@@ -93,8 +101,24 @@
     const text = await response.body.text()
     this.metrics.recordDuration('store_call', { operation }, performance.now() - startMs)
     this.metrics.addCount('store_calls', { operation, status: String(response.statusCode) })
-    return { status: response.statusCode, body: parseJson(text) }
+    const body = parseJson(text)
+    const era = this.parseEra(response.headers[headerNames.storeEra])
+    this.storeEra.observeAnswer(era, findRevision(body))
+    return { status: response.statusCode, body, era }
   }
+
+  private parseEra (value: string | string[] | undefined): number {
+    if (typeof value === 'string' && /^\d{1,15}$/.test(value)) return Number(value)
+    if (value !== undefined) this.metrics.addCount('store_era_unreadable', {})
+    return this.storeEra.getCurrent()
+  }
+}
+
+/** Revision of the store that the body of an answer names, if any. */
+function findRevision (body: unknown): number | undefined {
+  const { storeRevision, revision } = (body ?? {}) as Readonly<Record<string, unknown>>
+  const named = storeRevision ?? revision
+  return typeof named === 'number' ? named : undefined
 }
 
 /** Closes the pool; its requests in progress reject. */
