fix(gateway): read everything again when the store was restored, compare no revisions across eras

Callers saw 404 for a new route: a watch that lives through a restore went on from the larger revision of the old history, and the changes that the new history made below it were missed. The watcher took the maximum of two revisions, and nothing read the era. Positions now hold era and revision. An answer to any call that names a later era ends the watch and starts a new read of the store; answers of an era that has ended count as none, and a listing whose pages are of two eras is read again. Reads of the fleet are spread over 300 ms. Ruled out: waiting for the watch to end by itself, which takes up to stableWindowMs, longer than configurationMs on some deployments.

--- a/playground/platform/storeStandIn.ts
+++ b/playground/platform/storeStandIn.ts
@@ -29,6 +29,8 @@
 /** In-memory stand-in for the platform's store, with faults that a test switches on. */
 export class StoreStandIn {
   fault: StoreFault = 'none'
+  /** Delays an answer that is ready. */
+  delayAnswer: (path: string) => Promise<void> = async () => {}
   /** Number of calls by path. */
   readonly callCounts = new Map<string, number>()
   private readonly items = new Map<string, StandInItem>()
@@ -127,11 +129,13 @@
     if (this.fault === 'many') return this.writeAnswer(response, 429, {})
     const answer = await this.handleCall(request.method ?? 'GET', url, text === '' ? {} : JSON.parse(text))
     if (this.fault === 'lost' && request.method === 'POST') return
-    this.writeAnswer(response, answer.status, answer.body)
+    const { era } = this
+    await this.delayAnswer(url.pathname)
+    this.writeAnswer(response, answer.status, answer.body, era)
   }
 
-  private writeAnswer (response: ServerResponse, status: number, body: unknown): void {
-    response.writeHead(status, { 'content-type': 'application/json', 'store-era': String(this.era) }).end(JSON.stringify(body))
+  private writeAnswer (response: ServerResponse, status: number, body: unknown, era = this.era): void {
+    response.writeHead(status, { 'content-type': 'application/json', 'store-era': String(era) }).end(JSON.stringify(body))
   }
 
   private async handleCall (method: string, url: URL, body: Record<string, never>): Promise<{ readonly status: number, readonly body: unknown }> {
--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -69,7 +69,7 @@
   const settingsHolder = new HostSettingsHolder(settings, logger)
   const storeEra = new StoreEra(logger, metrics)
   const storeClient = new StoreHttpClient(settings.storeAddress, metrics, storeEra)
-  const store = new PlatformStore(storeClient)
+  const store = new PlatformStore(storeClient, storeEra)
 
   let isUpdateScheduled = false
   /** Applies upstream and configuration changes to the stage schedulers, at most once per turn of the event loop. */
@@ -213,6 +213,7 @@
   }
   const storeWatcher = new StoreWatcher({
     store,
+    storeEra,
     logger,
     random,
     getTimes: () => computeWatchTimes(settingsHolder.get().timings),
--- a/src/node/gateway/store/__tests__/storeWatcher.test.ts
+++ b/src/node/gateway/store/__tests__/storeWatcher.test.ts
@@ -24,10 +24,12 @@
 }
 
 async function startWatcher (store: StoreStandIn, times: { readonly waitMs: number, readonly coalesceMs: number }) {
-  const client = new StoreHttpClient(store.address, createMemoryMetrics(), new StoreEra(createSilentLogger(), createMemoryMetrics()))
+  const storeEra = new StoreEra(createSilentLogger(), createMemoryMetrics())
+  const client = new StoreHttpClient(store.address, createMemoryMetrics(), storeEra)
   const seen: string[] = []
   const watcher = new StoreWatcher({
-    store: new PlatformStore(client),
+    store: new PlatformStore(client, storeEra),
+    storeEra,
     logger: createSilentLogger(),
     random: () => 0.5,
     getTimes: () => times,
--- a/src/node/gateway/store/constants.ts
+++ b/src/node/gateway/store/constants.ts
@@ -8,6 +8,8 @@
   /** First pause after a failed call; doubles up to the maximum. Calls are charged for, including refused ones. */
   retryMs: 100,
   maxRetryMs: 800,
+  /** Time over which the hosts spread reading the store again when it has lost its history or was restored. */
+  rereadSpreadMs: 300,
   /** Lifetime of a host's entry after its last renewal; spans two failed renewals. */
   leaseMs: 4000,
   renewMs: 1400
--- a/src/node/gateway/store/storeEra.ts
+++ b/src/node/gateway/store/storeEra.ts
@@ -8,6 +8,7 @@
  */
 export class StoreEra {
   private newest: StorePosition = { era: 0, revision: 0 }
+  private readonly listeners = new Set<() => void>()
 
   constructor (private readonly logger: Logger, private readonly metrics: Metrics) {}
 
@@ -16,6 +17,12 @@
     return this.newest.era
   }
 
+  /** Calls the listener each time the store turns out to be restored, until the returned function is called. */
+  addListener (listener: () => void): () => void {
+    this.listeners.add(listener)
+    return () => { this.listeners.delete(listener) }
+  }
+
   /** Records the era of an answer and the revision that it names, if any. */
   observeAnswer (era: number, revision: number | undefined): void {
     const previous = this.newest
@@ -32,5 +39,6 @@
       revision,
       previousRevision: previous.revision
     })
+    for (const notify of [...this.listeners]) notify()
   }
 }
--- a/src/node/gateway/store/storeWatcher.ts
+++ b/src/node/gateway/store/storeWatcher.ts
@@ -4,6 +4,8 @@
 import type { Logger } from '../../../types/logger.js'
 import type { Random } from '../../../types/random.js'
 import type { StoreClient } from '../model/storeClient.js'
+import type { StoreEra } from './storeEra.js'
+import type { StorePosition } from '../model/storePosition.js'
 import type { StoreSection } from './storeSection.js'
 import type { WatchTimes } from './watchTimes.js'
 
@@ -12,6 +14,7 @@
 
 interface WatcherOptions {
   readonly store: StoreClient
+  readonly storeEra: StoreEra
   readonly logger: Logger
   readonly random: Random
   readonly getTimes: () => WatchTimes
@@ -21,8 +24,8 @@
 
 /**
  * Follows the whole store with one watch, because calls are charged for: reads all items, then long-polls for changes and
- * passes them to the sections. After a watch that failed or timed out, or when the store no longer holds the changes, it
- * reads all items again, because changes may have been missed.
+ * passes them to the sections. After a watch that failed or timed out, or when the store no longer holds the changes or
+ * was restored, it reads all items again, because changes may have been missed.
  */
 export class StoreWatcher {
   private readonly stopController = new AbortController()
@@ -37,16 +40,20 @@
     let retryMs: number = storeConstants.retryMs
     while (!signal.aborted) {
       try {
-        let revision = await this.readAll()
+        let position = await this.readAll()
         retryMs = storeConstants.retryMs
-        while (!signal.aborted) revision = await this.watchOnce(revision)
+        while (!signal.aborted) position = await this.watchOnce(position)
       } catch (error) {
         if (signal.aborted) return
         if (!(error instanceof StoreHistoryLostError)) {
           this.recordDisconnected(error)
           await waitForDelay(retryMs * (0.5 + this.options.random()), signal)
           retryMs = Math.min(retryMs * 2, storeConstants.maxRetryMs)
-        } else this.options.logger.recordInfo('store history lost', { reason: error.message })
+          continue
+        }
+        this.options.logger.recordInfo('store history lost', { reason: error.message })
+        // All hosts read the store again at the same time.
+        await waitForDelay(storeConstants.rereadSpreadMs * this.options.random(), signal)
       }
     }
   }
@@ -55,26 +62,46 @@
     this.stopController.abort()
   }
 
-  private async readAll (): Promise<number> {
-    const { items, revision } = await this.options.store.readPrefix(wholeStore)
-    this.recordConnected(revision)
+  private async readAll (): Promise<StorePosition> {
+    const { items, position } = await this.options.store.readPrefix(wholeStore)
+    this.recordConnected(position)
     for (const section of this.options.sections) {
       section.onSnapshot(items.filter(item => item.key.startsWith(section.prefix)), this.hasSnapshot)
     }
     this.hasSnapshot = true
-    return revision
+    return position
   }
 
-  private async watchOnce (revision: number): Promise<number> {
-    const { store, getTimes, sections } = this.options
+  private async watchOnce (after: StorePosition): Promise<StorePosition> {
+    const { getTimes, sections } = this.options
     const { waitMs, coalesceMs } = getTimes()
-    const result = await store.watchPrefix(wholeStore, revision, waitMs, this.stopController.signal)
+    const result = await this.watchEra(after, waitMs)
     for (const change of result.changes) {
       const key = change.type === 'written' ? change.item.key : change.key
       sections.find(section => key.startsWith(section.prefix))?.onChange(change)
     }
     if (result.changes.length > 0) await waitForDelay(coalesceMs, this.stopController.signal)
-    return Math.max(result.revision, revision)
+    return { era: after.era, revision: Math.max(result.position.revision, after.revision) }
+  }
+
+  /** Watches until the first change, or until an answer to another call shows that the store was restored. */
+  private async watchEra (after: StorePosition, waitMs: number): ReturnType<StoreClient['watchPrefix']> {
+    const { store, storeEra } = this.options
+    const checkEra = (): void => {
+      const era = storeEra.getCurrent()
+      if (era !== after.era) throw new StoreHistoryLostError(`era ${era} follows era ${after.era}`)
+    }
+    const controller = new AbortController()
+    const removeListener = storeEra.addListener(() => { controller.abort() })
+    try {
+      checkEra()
+      return await store.watchPrefix(wholeStore, after, waitMs, AbortSignal.any([this.stopController.signal, controller.signal]))
+    } catch (error) {
+      checkEra()
+      throw error
+    } finally {
+      removeListener()
+    }
   }
 
   private recordDisconnected (error: unknown): void {
@@ -82,8 +109,8 @@
     this.isConnected = false
   }
 
-  private recordConnected (revision: number): void {
-    if (!this.isConnected) this.options.logger.recordInfo('store regained', { revision })
+  private recordConnected ({ era, revision }: StorePosition): void {
+    if (!this.isConnected) this.options.logger.recordInfo('store regained', { era, revision })
     this.isConnected = true
   }
 }
--- a/src/node/platform/__tests__/platformStore.test.ts
+++ b/src/node/platform/__tests__/platformStore.test.ts
@@ -11,8 +11,9 @@
 
 t.test('the client of the platform\'s store', async t => {
   const standIn = await new StoreStandIn().start()
-  const link = new StoreHttpClient(standIn.address, createMemoryMetrics(), new StoreEra(createSilentLogger(), createMemoryMetrics()))
-  const store = new PlatformStore(link)
+  const storeEra = new StoreEra(createSilentLogger(), createMemoryMetrics())
+  const link = new StoreHttpClient(standIn.address, createMemoryMetrics(), storeEra)
+  const store = new PlatformStore(link, storeEra)
   const { signal } = new AbortController()
   t.teardown(() => {
     link.close()
@@ -20,7 +21,7 @@
   })
 
   t.test('reads items and all pages of a prefix', async t => {
-    t.match(await store.readItem('a/none'), { item: undefined })
+    t.equal(await store.readItem('a/none'), undefined)
     for (let i = 0; i < 8; i++) standIn.write(`a/${i}`, i)
     standIn.write('b/x', 9)
     const { items } = await store.readPrefix('a/')
@@ -28,17 +29,17 @@
   })
 
   t.test('a watch returns writes and removals, and rejects when the history is lost', async t => {
-    const { revision } = await store.readPrefix('a/')
-    const waiting = store.watchPrefix('a/', revision, 2000, signal)
+    const { position } = await store.readPrefix('a/')
+    const waiting = store.watchPrefix('a/', position, 2000, signal)
     standIn.write('a/new', 1)
     t.match(await waiting, { changes: [{ type: 'written', item: { key: 'a/new' } }] })
     standIn.remove('a/new')
-    t.match((await store.watchPrefix('a/', revision, 2000, signal)).changes.at(-1), { type: 'removed', key: 'a/new' })
-    t.same((await store.watchPrefix('none/', revision, 20, signal)).changes, [])
+    t.match((await store.watchPrefix('a/', position, 2000, signal)).changes.at(-1), { type: 'removed', key: 'a/new' })
+    t.same((await store.watchPrefix('none/', position, 20, signal)).changes, [])
     standIn.removeHistory()
     // The client notices the closed connection before the next call.
     await new Promise(resolve => setTimeout(resolve, 30))
-    await t.rejects(store.watchPrefix('a/', revision, 100, signal), StoreHistoryLostError)
+    await t.rejects(store.watchPrefix('a/', position, 100, signal), StoreHistoryLostError)
   })
 
   t.test('conditional writes and leases', async t => {
@@ -50,8 +51,8 @@
     await store.writeConditionally({ conditions: [], writes: [{ key: 'd', value: Buffer.from('v'), leaseId }], removals: ['c'] })
     await store.closeLease(leaseId)
     t.equal(await store.updateLease(leaseId), false)
-    t.equal((await store.readItem('d')).item, undefined)
-    t.equal((await store.readItem('c')).item, undefined)
+    t.equal(await store.readItem('d'), undefined)
+    t.equal(await store.readItem('c'), undefined)
   })
 
   t.test('a refused call changed nothing; a write whose response is lost may have taken effect', async t => {
@@ -67,16 +68,43 @@
     standIn.fault = 'lost'
     await t.rejects(write(), StoreUncertainError)
     standIn.fault = 'none'
-    t.ok((await store.readItem('w')).item)
+    t.ok(await store.readItem('w'))
+  })
+
+  t.test('guards against a listing whose pages are of different eras', async t => {
+    const copy = standIn.createCopy()
+    standIn.delayAnswer = async () => {
+      standIn.delayAnswer = async () => {}
+      standIn.applyCopy(copy)
+    }
+    await t.rejects(store.readPrefix('a/'), StoreHistoryLostError)
+    t.equal((await store.readPrefix('a/')).position.era, storeEra.getCurrent())
+  })
+
+  t.test('guards against late answers of an era that has ended', async t => {
+    const copy = standIn.createCopy()
+    const write = async (): Promise<unknown> => await store.writeConditionally({ conditions: [], writes: [{ key: 'late', value: Buffer.from('v'), leaseId: 0 }], removals: [] })
+    for (const [call, expected] of [[async (): Promise<unknown> => await store.readItem('a/1'), StoreUnavailableError], [write, StoreUncertainError]] as const) {
+      let release = (): void => {}
+      standIn.delayAnswer = async () => { await new Promise<void>(resolve => { release = resolve }) }
+      const late = t.rejects(call(), expected)
+      await new Promise(resolve => setTimeout(resolve, 50))
+      const releaseLate = release
+      standIn.applyCopy(copy)
+      standIn.delayAnswer = async () => {}
+      t.match(await store.readItem('a/1'), { key: 'a/1' })
+      releaseLate()
+      await late
+    }
   })
 
   t.test('calls time out when the store does not respond', async t => {
     standIn.fault = 'silent'
     const startMs = Date.now()
     await t.rejects(store.readItem('a'), StoreUnavailableError)
-    await t.rejects(store.watchPrefix('a/', 1, 50, signal), StoreUnavailableError)
+    await t.rejects(store.watchPrefix('a/', { era: 1, revision: 1 }, 50, signal), StoreUnavailableError)
     t.ok(Date.now() - startMs < 4000)
     standIn.fault = 'none'
-    t.match(await store.readItem('a/1'), { item: { key: 'a/1' } }, 'other connections work at once')
+    t.match(await store.readItem('a/1'), { key: 'a/1' }, 'other connections work at once')
   })
 })
--- a/src/node/platform/platformStore.ts
+++ b/src/node/platform/platformStore.ts
@@ -7,13 +7,14 @@
 import type { StoreChange } from '../gateway/model/storeChange.js'
 import type { StoreClient } from '../gateway/model/storeClient.js'
 import type { StoreItem } from '../gateway/model/storeItem.js'
+import type { StorePosition } from '../gateway/model/storePosition.js'
 import type { StoreWrite } from '../gateway/model/storeWrite.js'
+import type { StoreEra } from '../gateway/store/storeEra.js'
 import type { StoreHttpClient } from './storeHttpClient.js'
+import type { StoreResponse } from './storeResponse.js'
 
 const itemSchema = z.object({ key: z.string(), value: z.string(), revision: z.number() })
 const pageSchema = z.object({ items: z.array(itemSchema), truncated: z.boolean(), storeRevision: z.number() })
-const readSchema = itemSchema.extend({ storeRevision: z.number() })
-const missingSchema = z.object({ storeRevision: z.number().default(0) })
 const eventSchema = z.union([z.object({ key: z.string(), revision: z.number(), deleted: z.literal(true) }), itemSchema])
 const watchSchema = z.object({ events: z.array(eventSchema), storeRevision: z.number() })
 const leaseSchema = z.object({ lease: z.number() })
@@ -29,50 +30,51 @@
 
 /** Client of the platform's store over HTTP. */
 export class PlatformStore implements StoreClient {
-  constructor (private readonly client: StoreHttpClient) {}
+  constructor (private readonly client: StoreHttpClient, private readonly storeEra: StoreEra) {}
 
-  async readItem (key: string): Promise<{ readonly item?: StoreItem, readonly revision: number }> {
-    const { status, body } = await this.client.send('GET', `${paths.item}?key=${encodeURIComponent(key)}`)
-    if (status === 404) return { revision: parseBody(missingSchema, body ?? {}).storeRevision }
+  async readItem (key: string): Promise<StoreItem | undefined> {
+    const { status, body } = await this.sendRead(`${paths.item}?key=${encodeURIComponent(key)}`)
+    if (status === 404) return undefined
     checkRead(status)
-    const item = parseBody(readSchema, body)
-    return { item: decodeItem(item), revision: item.storeRevision }
+    return decodeItem(parseBody(itemSchema, body))
   }
 
-  async readPrefix (prefix: string): Promise<{ readonly items: readonly StoreItem[], readonly revision: number }> {
+  async readPrefix (prefix: string): Promise<{ readonly items: readonly StoreItem[], readonly position: StorePosition }> {
     const items: StoreItem[] = []
-    let revision: number | undefined
+    let position: StorePosition | undefined
     for (let after = ''; ;) {
       const query = `${paths.range}?pathPrefix=${encodeURIComponent(prefix)}${after === '' ? '' : `&after=${encodeURIComponent(after)}`}`
-      const { status, body } = await this.client.send('GET', query)
+      const { status, body, era } = await this.sendRead(query)
       checkRead(status)
       const page = parseBody(pageSchema, body)
       // Pages are read at different revisions. A watch from the first one returns what changed in the meantime.
-      revision ??= page.storeRevision
+      position ??= { era, revision: page.storeRevision }
+      if (era !== position.era) throw new StoreHistoryLostError(`era ${era} began while ${prefix} was read in era ${position.era}`)
       items.push(...page.items.map(decodeItem))
       const last = page.items.at(-1)
-      if (!page.truncated || last === undefined) return { items, revision }
+      if (!page.truncated || last === undefined) return { items, position }
       after = last.key
     }
   }
 
   async watchPrefix (
     prefix: string,
-    afterRevision: number,
+    after: StorePosition,
     waitMs: number,
     signal: AbortSignal
-  ): Promise<{ readonly changes: readonly StoreChange[], readonly revision: number }> {
+  ): Promise<{ readonly changes: readonly StoreChange[], readonly position: StorePosition }> {
     const wait = Math.min(Math.floor(waitMs), platformConstants.maxWatchMs)
-    const query = `${paths.watch}?pathPrefix=${encodeURIComponent(prefix)}&after=${afterRevision}&waitMs=${wait}`
-    const { status, body } = await this.client.watch(prefix, query, wait + storeConstants.watchGraceMs, signal)
-    if (status === 410) throw new StoreHistoryLostError(`changes after revision ${afterRevision} are no longer in the store`)
+    const query = `${paths.watch}?pathPrefix=${encodeURIComponent(prefix)}&after=${after.revision}&waitMs=${wait}`
+    const { status, body, era } = await this.client.watch(prefix, query, wait + storeConstants.watchGraceMs, signal)
+    if (era !== after.era) throw new StoreHistoryLostError(`the watch began in era ${after.era} and ended in era ${era}`)
+    if (status === 410) throw new StoreHistoryLostError(`changes after revision ${after.revision} are no longer in the store`)
     checkRead(status)
     const result = parseBody(watchSchema, body)
-    return { changes: result.events.map(decodeChange), revision: result.storeRevision }
+    return { changes: result.events.map(decodeChange), position: { era, revision: result.storeRevision } }
   }
 
   async writeConditionally (write: StoreWrite): Promise<boolean> {
-    const { status } = await this.client.send('POST', paths.write, {
+    const { status } = await this.sendWrite('POST', paths.write, {
       expectedRevision: write.conditions,
       writes: write.writes.map(({ key, value, leaseId }) => ({ key, value: value.toString('base64'), lease: leaseId })),
       remove: write.removals
@@ -83,22 +85,34 @@
   }
 
   async createLease (ttlMs: number): Promise<number> {
-    const { status, body } = await this.client.send('POST', paths.createLease, { ttlMs })
+    const { status, body } = await this.sendWrite('POST', paths.createLease, { ttlMs })
     checkWrite(status)
     return parseBody(leaseSchema, body).lease
   }
 
   async updateLease (leaseId: number): Promise<boolean> {
-    const { status } = await this.client.send('POST', `${paths.renewLease}${leaseId}`)
+    const { status } = await this.sendWrite('POST', `${paths.renewLease}${leaseId}`)
     if (status === 404) return false
     checkWrite(status)
     return true
   }
 
   async closeLease (leaseId: number): Promise<void> {
-    const { status } = await this.client.send('DELETE', `${paths.endLease}${leaseId}`)
+    const { status } = await this.sendWrite('DELETE', `${paths.endLease}${leaseId}`)
     if (status !== 404) checkWrite(status)
   }
+
+  private async sendRead (path: string): Promise<StoreResponse> {
+    const response = await this.client.send('GET', path)
+    if (response.era < this.storeEra.getCurrent()) throw new StoreUnavailableError(`the response is of era ${response.era}, which has ended`)
+    return response
+  }
+
+  private async sendWrite (method: 'POST' | 'DELETE', path: string, body?: unknown): Promise<StoreResponse> {
+    const response = await this.client.send(method, path, body)
+    if (response.era < this.storeEra.getCurrent()) throw new StoreUncertainError(`the response is of era ${response.era}, which has ended`)
+    return response
+  }
 }
 
 function checkRead (status: number): void {
--- a/src/node/platform/storeHttpClient.ts
+++ b/src/node/platform/storeHttpClient.ts
@@ -5,6 +5,7 @@
 import { platformConstants } from './constants.js'
 import type { Metrics } from '../../types/metrics.js'
 import type { StoreEra } from '../gateway/store/storeEra.js'
+import type { StoreResponse } from './storeResponse.js'
 
 interface StoreCall {
   readonly method: 'GET' | 'POST' | 'DELETE'
@@ -14,13 +15,6 @@
   readonly signal?: AbortSignal
 }
 
-interface StoreResponse {
-  readonly status: number
-  readonly body: unknown
-  /** Era of the store when it answered; the current one when the answer names none. */
-  readonly era: number
-}
-
 /**
  * HTTP connections to the store. Each watch has its own connection, so that it delays no other call while it waits. A
  * call that is cancelled closes its connection, because nothing more arrives on one whose response was lost.
