fix(gateway): a lease ends with the era of the store in which it was created

Hosts vanished from the address answers of the others: after a restore a host renewed a lease whose id was given out again, to another host, so it took its own entry for written; when it stopped, it ended the lease of the other. The same held for reports of crashes and claims of trials. A lease now carries its era.

--- a/src/node/gateway/crashes/crashGuard.ts
+++ b/src/node/gateway/crashes/crashGuard.ts
@@ -157,10 +157,10 @@
     if (this.claimedUntilMs.has(key)) return undefined
     this.claimedUntilMs.set(key, nowMs + crashConstants.claimRetryMs)
     try {
-      const leaseId = await reporter.getLeaseId()
+      const lease = await reporter.getLease()
       const isClaimed = await store.writeConditionally({
         conditions: [{ key, revision: 0 }],
-        writes: [{ key, value: Buffer.alloc(0), leaseId }],
+        writes: [{ key, value: Buffer.alloc(0), lease }],
         removals: []
       })
       if (!isClaimed) return undefined
--- a/src/node/gateway/crashes/crashReporter.ts
+++ b/src/node/gateway/crashes/crashReporter.ts
@@ -5,6 +5,7 @@
 import type { Logger } from '../../../types/logger.js'
 import type { Scheduler } from '../../../types/scheduler.js'
 import type { StoreClient } from '../model/storeClient.js'
+import type { StoreLease } from '../model/storeLease.js'
 import type { UpstreamCrash } from '../model/upstreamCrash.js'
 
 interface ReporterOptions {
@@ -25,7 +26,7 @@
   private cancelTimer: (() => void) | undefined
   private isWriting = false
   private isStopped = false
-  private lease: { readonly id: number, readonly createdAtMs: number } | undefined
+  private lease: { readonly lease: StoreLease, readonly createdAtMs: number } | undefined
 
   constructor (private readonly options: ReporterOptions) {}
 
@@ -48,12 +49,12 @@
   }
 
   /** Lease of the reports and of the claims of trials. */
-  async getLeaseId (): Promise<number> {
+  async getLease (): Promise<StoreLease> {
     const nowMs = this.options.clock.readMonotonicMs()
     if (this.lease === undefined || nowMs - this.lease.createdAtMs >= crashConstants.reportRefreshMs) {
-      this.lease = { id: await this.options.store.createLease(crashConstants.reportLeaseMs), createdAtMs: nowMs }
+      this.lease = { lease: await this.options.store.createLease(crashConstants.reportLeaseMs), createdAtMs: nowMs }
     }
-    return this.lease.id
+    return this.lease.lease
   }
 
   private scheduleWrite (delayMs: number): void {
@@ -81,10 +82,10 @@
     this.isWriting = true
     let isWritten = false
     try {
-      const leaseId = await this.getLeaseId()
+      const lease = await this.getLease()
       isWritten = await store.writeConditionally({
         conditions: [],
-        writes: [{ key: `${prefix}${createUuid()}`, value: crashReportCodec.encode(report), leaseId }],
+        writes: [{ key: `${prefix}${createUuid()}`, value: crashReportCodec.encode(report), lease }],
         removals: []
       })
       // Without conditions, the store refuses a write only because its lease has ended.
--- a/src/node/gateway/hosts/hostRegistrar.ts
+++ b/src/node/gateway/hosts/hostRegistrar.ts
@@ -2,6 +2,7 @@
 import { storeConstants } from '../store/constants.js'
 import type { HostEntry } from '../model/hostEntry.js'
 import type { Logger } from '../../../types/logger.js'
+import type { StoreLease } from '../model/storeLease.js'
 import type { StoreClient } from '../model/storeClient.js'
 
 interface RegistrarOptions {
@@ -14,7 +15,7 @@
 
 /** Keeps this host's entry in the store, under a lease that expires when the process no longer renews it. */
 export class HostRegistrar {
-  private leaseId: number | undefined
+  private lease: StoreLease | undefined
   private registeredValue: string | undefined
   private isRunning = false
   private timer: NodeJS.Timeout | undefined
@@ -43,10 +44,10 @@
   async stop (): Promise<void> {
     this.isStopped = true
     clearTimeout(this.timer)
-    const { leaseId } = this
-    if (leaseId === undefined) return
+    const { lease } = this
+    if (lease === undefined) return
     try {
-      await this.options.store.closeLease(leaseId)
+      await this.options.store.closeLease(lease)
     } catch (error) {
       this.options.logger.recordWarning('failed to remove the host entry; it expires with its lease', { reason: (error as Error).message })
     }
@@ -58,17 +59,17 @@
 
   private async registerOnce (): Promise<void> {
     const { store, key, getEntry } = this.options
-    if (this.leaseId !== undefined && !await store.updateLease(this.leaseId)) this.leaseId = undefined
-    if (this.leaseId === undefined) {
-      this.leaseId = await store.createLease(storeConstants.leaseMs)
+    if (this.lease !== undefined && !await store.updateLease(this.lease)) this.lease = undefined
+    if (this.lease === undefined) {
+      this.lease = await store.createLease(storeConstants.leaseMs)
       this.registeredValue = undefined
     }
     if (this.hasChanged()) {
       const value = hostEntryCodec.encode(getEntry())
-      const isWritten = await store.writeConditionally({ conditions: [], writes: [{ key, value, leaseId: this.leaseId }], removals: [] })
+      const isWritten = await store.writeConditionally({ conditions: [], writes: [{ key, value, lease: this.lease }], removals: [] })
       if (isWritten) this.registeredValue = value.toString()
       // The store refused the write, although it has no conditions: the next attempt creates a new lease.
-      else this.leaseId = undefined
+      else this.lease = undefined
     }
     if (this.isFailing) this.options.logger.recordInfo('host registered after failed attempts')
     this.isFailing = false
--- a/src/node/gateway/hosts/readPeerSecret.ts
+++ b/src/node/gateway/hosts/readPeerSecret.ts
@@ -9,7 +9,7 @@
   const item = await store.readItem(key)
   if (item !== undefined) return item.value.toString('utf8')
   const value = Buffer.from(randomBytes(secretBytes).toString('base64'))
-  await store.writeConditionally({ conditions: [{ key, revision: 0 }], writes: [{ key, value, leaseId: 0 }], removals: [] })
+  await store.writeConditionally({ conditions: [{ key, revision: 0 }], writes: [{ key, value }], removals: [] })
   // Another host may have written its secret first; then that one applies.
   const written = await store.readItem(key)
   if (written === undefined) throw new StoreUnavailableError('the peer secret is missing after it was written')
--- a/src/node/gateway/model/storeClient.ts
+++ b/src/node/gateway/model/storeClient.ts
@@ -1,5 +1,6 @@
 import type { StoreChange } from './storeChange.js'
 import type { StoreItem } from './storeItem.js'
+import type { StoreLease } from './storeLease.js'
 import type { StorePosition } from './storePosition.js'
 import type { StoreWrite } from './storeWrite.js'
 
@@ -21,11 +22,10 @@
     waitMs: number,
     signal: AbortSignal
   ): Promise<{ readonly changes: readonly StoreChange[], readonly position: StorePosition }>
-  /** Resolves to whether the conditions held and the changes were made. */
+  /** Resolves to whether the conditions held, the leases had not ended and the changes were made. */
   writeConditionally (write: StoreWrite): Promise<boolean>
-  /** Resolves to the id of a new lease. */
-  createLease (ttlMs: number): Promise<number>
-  /** Renews a lease; resolves to false when it has ended. */
-  updateLease (leaseId: number): Promise<boolean>
-  closeLease (leaseId: number): Promise<void>
+  createLease (ttlMs: number): Promise<StoreLease>
+  /** Renews a lease; resolves to false when it has ended. A lease of an earlier era has ended. */
+  updateLease (lease: StoreLease): Promise<boolean>
+  closeLease (lease: StoreLease): Promise<void>
 }
--- a/src/node/platform/__tests__/platformStore.test.ts
+++ b/src/node/platform/__tests__/platformStore.test.ts
@@ -43,20 +43,20 @@
   })
 
   t.test('conditional writes and leases', async t => {
-    const write = async (revision: number, leaseId = 0) => await store.writeConditionally({ conditions: [{ key: 'c', revision }], writes: [{ key: 'c', value: Buffer.from('v'), leaseId }], removals: [] })
+    const write = async (revision: number) => await store.writeConditionally({ conditions: [{ key: 'c', revision }], writes: [{ key: 'c', value: Buffer.from('v') }], removals: [] })
     t.equal(await write(0), true)
     t.equal(await write(0), false)
-    const leaseId = await store.createLease(3000)
-    t.equal(await store.updateLease(leaseId), true)
-    await store.writeConditionally({ conditions: [], writes: [{ key: 'd', value: Buffer.from('v'), leaseId }], removals: ['c'] })
-    await store.closeLease(leaseId)
-    t.equal(await store.updateLease(leaseId), false)
+    const lease = await store.createLease(3000)
+    t.equal(await store.updateLease(lease), true)
+    await store.writeConditionally({ conditions: [], writes: [{ key: 'd', value: Buffer.from('v'), lease }], removals: ['c'] })
+    await store.closeLease(lease)
+    t.equal(await store.updateLease(lease), false)
     t.equal(await store.readItem('d'), undefined)
     t.equal(await store.readItem('c'), undefined)
   })
 
   t.test('a refused call changed nothing; a write whose response is lost may have taken effect', async t => {
-    const write = async () => await store.writeConditionally({ conditions: [], writes: [{ key: 'w', value: Buffer.from('v'), leaseId: 0 }], removals: [] })
+    const write = async () => await store.writeConditionally({ conditions: [], writes: [{ key: 'w', value: Buffer.from('v') }], removals: [] })
     for (const fault of ['busy', 'many'] as const) {
       standIn.fault = fault
       await t.rejects(write(), StoreUnavailableError)
@@ -81,9 +81,24 @@
     t.equal((await store.readPrefix('a/')).position.era, storeEra.getCurrent())
   })
 
+  t.test('guards against the use of a lease whose id was given out again', async t => {
+    const copy = standIn.createCopy()
+    const lease = await store.createLease(3000)
+    standIn.applyCopy(copy)
+    const other = await store.createLease(3000)
+    t.equal(other.id, lease.id)
+    await store.writeConditionally({ conditions: [], writes: [{ key: 'other', value: Buffer.from('v'), lease: other }], removals: [] })
+    t.equal(await store.updateLease(lease), false)
+    t.equal(await store.writeConditionally({ conditions: [], writes: [{ key: 'own', value: Buffer.from('v'), lease }], removals: [] }), false)
+    await store.closeLease(lease)
+    t.ok(await store.readItem('other'), 'the lease of the other owner goes on')
+    standIn.applyCopy(standIn.createCopy())
+    t.equal(await store.updateLease(other), false, 'the answer itself shows that the store was restored')
+  })
+
   t.test('guards against late answers of an era that has ended', async t => {
     const copy = standIn.createCopy()
-    const write = async (): Promise<unknown> => await store.writeConditionally({ conditions: [], writes: [{ key: 'late', value: Buffer.from('v'), leaseId: 0 }], removals: [] })
+    const write = async (): Promise<unknown> => await store.writeConditionally({ conditions: [], writes: [{ key: 'late', value: Buffer.from('v') }], removals: [] })
     for (const [call, expected] of [[async (): Promise<unknown> => await store.readItem('a/1'), StoreUnavailableError], [write, StoreUncertainError]] as const) {
       let release = (): void => {}
       standIn.delayAnswer = async () => { await new Promise<void>(resolve => { release = resolve }) }
--- a/src/node/platform/platformStore.ts
+++ b/src/node/platform/platformStore.ts
@@ -7,6 +7,7 @@
 import type { StoreChange } from '../gateway/model/storeChange.js'
 import type { StoreClient } from '../gateway/model/storeClient.js'
 import type { StoreItem } from '../gateway/model/storeItem.js'
+import type { StoreLease } from '../gateway/model/storeLease.js'
 import type { StorePosition } from '../gateway/model/storePosition.js'
 import type { StoreWrite } from '../gateway/model/storeWrite.js'
 import type { StoreEra } from '../gateway/store/storeEra.js'
@@ -74,34 +75,44 @@
   }
 
   async writeConditionally (write: StoreWrite): Promise<boolean> {
+    const leases = write.writes.flatMap(({ lease }) => lease ?? [])
+    if (leases.some(lease => this.hasEnded(lease))) return false
     const { status } = await this.sendWrite('POST', paths.write, {
       expectedRevision: write.conditions,
-      writes: write.writes.map(({ key, value, leaseId }) => ({ key, value: value.toString('base64'), lease: leaseId })),
+      writes: write.writes.map(({ key, value, lease }) => ({ key, value: value.toString('base64'), lease: lease?.id ?? 0 })),
       remove: write.removals
     })
     if (status === 412 || status === 404) return false
     checkWrite(status)
-    return true
+    // The answer may be the first one of a new era, in which the id belongs to another lease or to none.
+    return !leases.some(lease => this.hasEnded(lease))
   }
 
-  async createLease (ttlMs: number): Promise<number> {
-    const { status, body } = await this.sendWrite('POST', paths.createLease, { ttlMs })
+  async createLease (ttlMs: number): Promise<StoreLease> {
+    const { status, body, era } = await this.sendWrite('POST', paths.createLease, { ttlMs })
     checkWrite(status)
-    return parseBody(leaseSchema, body).lease
+    return { id: parseBody(leaseSchema, body).lease, era }
   }
 
-  async updateLease (leaseId: number): Promise<boolean> {
-    const { status } = await this.sendWrite('POST', `${paths.renewLease}${leaseId}`)
+  async updateLease (lease: StoreLease): Promise<boolean> {
+    if (this.hasEnded(lease)) return false
+    const { status } = await this.sendWrite('POST', `${paths.renewLease}${lease.id}`)
     if (status === 404) return false
     checkWrite(status)
-    return true
+    return !this.hasEnded(lease)
   }
 
-  async closeLease (leaseId: number): Promise<void> {
-    const { status } = await this.sendWrite('DELETE', `${paths.endLease}${leaseId}`)
+  async closeLease (lease: StoreLease): Promise<void> {
+    if (this.hasEnded(lease)) return
+    const { status } = await this.sendWrite('DELETE', `${paths.endLease}${lease.id}`)
     if (status !== 404) checkWrite(status)
   }
 
+  /** Whether the store was restored since the lease was created. */
+  private hasEnded (lease: StoreLease): boolean {
+    return lease.era < this.storeEra.getCurrent()
+  }
+
   private async sendRead (path: string): Promise<StoreResponse> {
     const response = await this.client.send('GET', path)
     if (response.era < this.storeEra.getCurrent()) throw new StoreUnavailableError(`the response is of era ${response.era}, which has ended`)
