fix(gateway): keep the peer secret the same at all hosts when the store has lost it

The secret was read once and taken to be in the store for ever. Hosts now follow its key with the watch that they have: one of those that miss it writes its own again, under the condition that there is none; a host that knows another takes that of the store. Calls carry proofs of the last three secrets, so hosts that learn of it at different times accept each other. Ruled out: let starting hosts wait for a secret, since they cannot tell a restored store from a new one.

--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -28,6 +28,7 @@
 import { ingressConstants } from '../gateway/ingress/constants.js'
 import { IngressServer } from '../gateway/ingress/ingressServer.js'
 import { platformEndpoints } from '../platform/platformEndpoints.js'
+import { PeerSecretKeeper } from '../gateway/hosts/peerSecretKeeper.js'
 import { platformConstants } from '../platform/constants.js'
 import { PlatformStore } from '../platform/platformStore.js'
 import { readPeerSecretWithRetry } from '../gateway/hosts/readPeerSecretWithRetry.js'
@@ -211,18 +212,32 @@
       else crashGuard.removeReport(change.key)
     }
   }
+  const secret = await readPeerSecretWithRetry(store, platformConstants.peerSecretKey, logger)
+  const transport = createGrpcPeerTransport({ hostId, secret, metrics })
+  const secretKeeper = new PeerSecretKeeper({
+    store,
+    key: platformConstants.peerSecretKey,
+    secret,
+    onReplaced: replacement => { transport.setSecret(replacement) },
+    random,
+    timers: systemScheduler,
+    logger
+  })
+  const secretSection: StoreSection = {
+    prefix: platformConstants.peerSecretKey,
+    onSnapshot: items => { secretKeeper.applySnapshot(items) },
+    onChange: change => { secretKeeper.applyChange(change) }
+  }
   const storeWatcher = new StoreWatcher({
     store,
     storeEra,
     logger,
     random,
     getTimes: () => computeWatchTimes(settingsHolder.get().timings),
-    sections: [configurationSection, upstreamSection, hostSection, crashSection]
+    sections: [configurationSection, upstreamSection, hostSection, crashSection, secretSection]
   })
   const registrar = new HostRegistrar({ store, key: `${platformConstants.hostPrefix}${hostId}`, logger, getEntry: () => hosts.getSelf() })
 
-  const secret = await readPeerSecretWithRetry(store, platformConstants.peerSecretKey, logger)
-  const transport = createGrpcPeerTransport({ hostId, secret, metrics })
   const stages = new StageClient({ cells, hosts, sessions: transport, clock, logger, metrics })
   new StageOrderServer({ cells, sessions: transport, clock, logger }).start()
   const ingress = new IngressServer({
@@ -271,6 +286,7 @@
     cells,
     stages,
     crashReporter,
+    secretKeeper,
     ingress,
     readinessServer,
     directoryServer,
--- a/src/node/app/gatewayComponents.ts
+++ b/src/node/app/gatewayComponents.ts
@@ -7,6 +7,7 @@
 import type { HostRegistrar } from '../gateway/hosts/hostRegistrar.js'
 import type { HostSettingsHolder } from '../gateway/hosts/hostSettingsHolder.js'
 import type { IngressServer } from '../gateway/ingress/ingressServer.js'
+import type { PeerSecretKeeper } from '../gateway/hosts/peerSecretKeeper.js'
 import type { Logger } from '../../types/logger.js'
 import type { StoreWatcher } from '../gateway/store/storeWatcher.js'
 import type { StageClient } from '../gateway/stages/stageClient.js'
@@ -17,6 +18,7 @@
 export interface GatewayComponents {
   readonly settings: HostSettingsHolder
   readonly crashReporter: CrashReporter
+  readonly secretKeeper: PeerSecretKeeper
   readonly logger: Logger
   readonly clock: Clock
   readonly configuration: ConfigurationHolder
--- a/src/node/app/gatewayHost.ts
+++ b/src/node/app/gatewayHost.ts
@@ -109,11 +109,13 @@
       cells,
       stages,
       crashReporter,
+      secretKeeper,
       errorGuard
     } = this.components
     clearInterval(this.missingEntryTimer)
     storeWatcher.stop()
     crashReporter.stop()
+    secretKeeper.stop()
     await Promise.race([registrar.stop(), delay(gatewayConstants.stopReserveMs / 2)])
     cells.stop()
     stages.stop()
--- /dev/null
+++ b/src/node/gateway/hosts/peerSecretKeeper.ts
@@ -0,0 +1,83 @@
+import { storeConstants } from '../store/constants.js'
+import type { Logger } from '../../../types/logger.js'
+import type { Random } from '../../../types/random.js'
+import type { Scheduler } from '../../../types/scheduler.js'
+import type { StoreChange } from '../model/storeChange.js'
+import type { StoreClient } from '../model/storeClient.js'
+import type { StoreItem } from '../model/storeItem.js'
+
+interface KeeperOptions {
+  readonly store: StoreClient
+  readonly key: string
+  /** The secret that this host has read or created. */
+  readonly secret: string
+  readonly onReplaced: (secret: string) => void
+  readonly random: Random
+  readonly timers: Scheduler
+  readonly logger: Logger
+}
+
+/**
+ * Keeps the secret of all hosts the same. The store decides: when it was restored from a copy that is older than the secret,
+ * one of the hosts writes its own again, and a host that knows another one takes that of the store.
+ */
+export class PeerSecretKeeper {
+  private secret: string
+  private isMissing = false
+  private cancelTimer: (() => void) | undefined
+
+  constructor (private readonly options: KeeperOptions) {
+    this.secret = options.secret
+  }
+
+  applySnapshot (items: readonly StoreItem[]): void {
+    const item = items.find(item => item.key === this.options.key)
+    if (item === undefined) this.scheduleWrite(storeConstants.rereadSpreadMs * this.options.random())
+    else this.applySecret(item)
+  }
+
+  applyChange (change: StoreChange): void {
+    if (change.type === 'written' && change.item.key === this.options.key) this.applySecret(change.item)
+    if (change.type === 'removed' && change.key === this.options.key) this.scheduleWrite(storeConstants.rereadSpreadMs * this.options.random())
+  }
+
+  stop (): void {
+    this.isMissing = false
+    this.cancelTimer?.()
+  }
+
+  private applySecret ({ value, revision }: StoreItem): void {
+    this.stop()
+    const secret = value.toString('utf8')
+    if (secret === this.secret) return
+    this.secret = secret
+    this.options.logger.recordWarning('peer secret replaced', { revision, reason: 'the store holds another one' })
+    this.options.onReplaced(secret)
+  }
+
+  private scheduleWrite (delayMs: number): void {
+    this.cancelTimer?.()
+    this.isMissing = true
+    this.cancelTimer = this.options.timers.schedule(delayMs, () => {
+      this.writeSecret(delayMs).catch(error => {
+        this.options.logger.recordError('peer secret not written, unexpectedly', { reason: (error as Error).message })
+      })
+    })
+  }
+
+  private async writeSecret (lastDelayMs: number): Promise<void> {
+    const { store, key, logger } = this.options
+    try {
+      const isWritten = await store.writeConditionally({
+        conditions: [{ key, revision: 0 }],
+        writes: [{ key, value: Buffer.from(this.secret) }],
+        removals: []
+      })
+      logger.recordInfo('peer secret was missing in the store', { isWritten })
+    } catch (error) {
+      logger.recordWarning('peer secret not written', { reason: (error as Error).message })
+      const retryMs = Math.min(Math.max(lastDelayMs * 2, storeConstants.retryMs), storeConstants.maxRetryMs)
+      if (this.isMissing) this.scheduleWrite(retryMs)
+    }
+  }
+}
--- a/src/node/peers/__tests__/grpcPeerTransport.test.ts
+++ b/src/node/peers/__tests__/grpcPeerTransport.test.ts
@@ -39,6 +39,20 @@
   await t.rejects(a.transport.send(b.address, peerMethods.burn, {}, 2000), { code: 'peer_unauthenticated' })
 })
 
+t.test('guards against hosts that refuse each other while one of them does not know a replaced secret', async t => {
+  const a = await startTransport(t, 'host-a')
+  const b = await startTransport(t, 'host-b')
+  const stranger = await startTransport(t, 'host-c', 'pier')
+  for (const { transport } of [a, b, stranger]) transport.handle(peerMethods.burn, () => ({ report: 'x' }))
+  a.transport.setSecret('pier')
+  for (const [from, to] of [[a, b], [b, a], [a, stranger], [stranger, a]] as const) {
+    t.match(await from.transport.send(to.address, peerMethods.burn, {}, 2000), { report: 'x' })
+  }
+  await t.rejects(b.transport.send(stranger.address, peerMethods.burn, {}, 2000), { code: 'peer_unauthenticated' })
+  for (const secret of ['quay', 'mole', 'dock']) a.transport.setSecret(secret)
+  await t.rejects(b.transport.send(a.address, peerMethods.burn, {}, 2000), { code: 'peer_unauthenticated' }, 'only the last ones are accepted')
+})
+
 t.test('a proof older than 60 s is rejected, so that a recorded call cannot be replayed later', async t => {
   const delayedClock: Clock = { ...systemClock, readWallMs: () => Date.now() - 61_000 }
   const a = await startTransport(t, 'host-a', 'harbour', delayedClock)
--- a/src/node/peers/constants.ts
+++ b/src/node/peers/constants.ts
@@ -1,5 +1,7 @@
 /** Settings of the gRPC connections between hosts. */
 export const peerConstants = {
+  /** Secrets that a host accepts: the present one and those that were replaced last. */
+  maxSecrets: 3,
   /** Client keepalive, active only while calls are in progress. */
   keepaliveMs: 1000,
   keepaliveTimeoutMs: 1000,
--- a/src/node/peers/createGrpcPeerTransport.ts
+++ b/src/node/peers/createGrpcPeerTransport.ts
@@ -18,6 +18,8 @@
   /** Starts listening on `ip:port` and resolves to the bound port. */
   start (listenAddress: string): Promise<number>
   stop (): Promise<void>
+  /** Replaces the secret for new calls and sessions; the last ones before it are still accepted. */
+  setSecret (secret: string): void
 }
 
 /** Creates a `PeerTransport` that calls other entry hosts over gRPC. */
--- a/src/node/peers/grpcPeerTransport.ts
+++ b/src/node/peers/grpcPeerTransport.ts
@@ -25,12 +25,18 @@
   private readonly channels = new PeerChannels()
   private readonly caller: PeerCaller
   private readonly receiver: PeerReceiver
+  private readonly authenticator: PeerAuthenticator
 
   constructor (hostId: string, secret: string, clock: Clock, metrics: Metrics) {
-    const authenticator = new PeerAuthenticator(hostId, secret, clock)
+    this.authenticator = new PeerAuthenticator(hostId, secret, clock)
     const traffic = new PeerTrafficCounter(metrics)
-    this.caller = new PeerCaller(this.channels, authenticator, traffic)
-    this.receiver = new PeerReceiver(this.server, authenticator, traffic)
+    this.caller = new PeerCaller(this.channels, this.authenticator, traffic)
+    this.receiver = new PeerReceiver(this.server, this.authenticator, traffic)
+  }
+
+  /** Replaces the secret for new calls and sessions; the last ones before it are still accepted. */
+  setSecret (secret: string): void {
+    this.authenticator.setSecret(secret)
   }
 
   /** Starts listening on `listenAddress` (`ip:port`) and resolves to the bound port. */
--- a/src/node/peers/peerReceiver.ts
+++ b/src/node/peers/peerReceiver.ts
@@ -76,7 +76,7 @@
   }
 
   private createMetadata (path: string, call: Metadata): Metadata {
-    const metadata = this.authenticator.createResponseMetadata(call)
+    const metadata = this.authenticator.createResponseMetadata(call, path)
     this.traffic.recordReceived(path, this.traffic.computeMetadataBytes(call))
     this.traffic.recordSent(path, this.traffic.computeMetadataBytes(metadata))
     return metadata
