fix(gateway): hold back entries of a restored store that were outdated before the restore

Callers' requests went to upstreams that had left or were leaving: their older entries, and those of hosts that had stopped, stood in the restored store as ready, and every entry that was read counted as news. The sections of upstreams and hosts now recognize a value that they have seen replaced or removed within the last minute. The section keeps what it knows until the owner writes the entry again, or until the entry has lasted longer than one that nobody keeps (three heartbeats or a lease, and 2 s). The configuration needs none of this, as its version only rises in a process. Also mended: the test of prompt parts lost the entries of running upstreams with the restore; they write them again. Ruled out: comparing revisions, which are given out again; a draining state that never ends, which does not help against entries of upstreams that are gone.

--- a/playground/platform/crashingEngines.ts
+++ b/playground/platform/crashingEngines.ts
@@ -39,6 +39,16 @@
     for (const engine of this.engines.splice(0)) engine.stop()
   }
 
+  /** Writes the entries of the running engines, as they do after a restore of the store, and removes those of others. */
+  writeEntries (): void {
+    const { fleet, service } = this.options
+    const stored = fleet.store.listKeys().filter(key => key.startsWith('servers/i-engine-'))
+    for (const key of stored) {
+      if (!this.engines.some(engine => key.endsWith(`/${engine.id}`))) fleet.store.remove(key)
+    }
+    for (const engine of this.engines) fleet.addUpstream(engine, service)
+  }
+
   /** Ends an engine with all its connections; another one takes its place after a while. */
   kill (engine: UpstreamStandIn): void {
     const index = this.engines.indexOf(engine)
--- a/src/node/app/__tests__/restoredStore.test.ts
+++ b/src/node/app/__tests__/restoredStore.test.ts
@@ -135,11 +135,10 @@
       services,
       routes: [{ name: 'ask', pathPrefix: '/ask/', kind: 'streaming', service: 'llm', maxAttempts: 1 }]
     })
-    const waitUntilReady = async (host: GatewayTestHarness): Promise<void> => {
+    for (const host of hosts) {
       await host.waitForLogLine('configuration in force', `"version":${version}`)
       await host.waitForLogLine('upstream added', 'i-engine-4')
     }
-    for (const host of hosts) await waitUntilReady(host)
     const copy = first.store.createCopy()
     let sentCount = 0
     const send = async (host: GatewayTestHarness): Promise<number> => {
@@ -149,10 +148,12 @@
     for (let i = 0; i < 12 && await send(hosts[i % 2]!) !== 503; i++) await delay(100)
     await delay(700)
     first.store.applyCopy(copy)
+    engines.writeEntries()
     await delay(1000)
     const late = await new GatewayTestHarness('host-late', first.store).start()
     hosts.push(late)
-    await waitUntilReady(late)
+    await late.waitForLogLine('configuration in force', `"version":${version}`)
+    await waitUntil(() => engines.engines.every(({ id }) => late.logLines.some(line => line.includes('upstream added') && line.includes(`"${id}"`))))
     const crashesBefore = engines.crashes
     // Requests with the part come at all hosts; one of those that know the part reports it again.
     const statuses: number[] = []
--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -28,6 +28,7 @@
 import { ingressConstants } from '../gateway/ingress/constants.js'
 import { IngressServer } from '../gateway/ingress/ingressServer.js'
 import { platformEndpoints } from '../platform/platformEndpoints.js'
+import { OutdatedItemFilter } from '../gateway/store/outdatedItemFilter.js'
 import { PeerSecretKeeper } from '../gateway/hosts/peerSecretKeeper.js'
 import { platformConstants } from '../platform/constants.js'
 import { PlatformStore } from '../platform/platformStore.js'
@@ -39,6 +40,7 @@
 import { StageOrderServer } from '../gateway/stages/stageOrderServer.js'
 import { StageScheduler } from '../gateway/stages/stageScheduler.js'
 import { StatusServer } from '../gateway/ingress/statusServer.js'
+import { computeHoldMs } from '../gateway/store/computeHoldMs.js'
 import { computeLimitShare } from '../gateway/upstreams/computeLimitShare.js'
 import { computeWatchTimes } from '../gateway/store/computeWatchTimes.js'
 import { StoreEra } from '../gateway/store/storeEra.js'
@@ -165,8 +167,8 @@
   }
   const upstreamSection: StoreSection = {
     prefix: platformConstants.upstreamPrefix,
-    onSnapshot: (items, isAfterGap) => {
-      upstreams.applySnapshot(items.map(decodeUpstream).filter(entry => entry !== undefined), isAfterGap)
+    onSnapshot: (items, cause) => {
+      upstreams.applySnapshot(items.map(decodeUpstream).filter(entry => entry !== undefined), cause !== 'start')
       host.onUpstreamsLoaded()
     },
     onChange: change => {
@@ -178,9 +180,9 @@
   }
   const hostSection: StoreSection = {
     prefix: platformConstants.hostPrefix,
-    onSnapshot: (items, isAfterGap) => {
+    onSnapshot: (items, cause) => {
       const entries = items.map(item => hostEntryCodec.decode(item.value)).filter(entry => entry !== undefined)
-      hosts.applySnapshot(entries, isAfterGap, clock.readMonotonicMs())
+      hosts.applySnapshot(entries, cause !== 'start', clock.readMonotonicMs())
     },
     onChange: change => {
       const entry = change.type === 'written' ? hostEntryCodec.decode(change.item.value) : undefined
@@ -228,13 +230,20 @@
     onSnapshot: items => { secretKeeper.applySnapshot(items) },
     onChange: change => { secretKeeper.applyChange(change) }
   }
+  const outdatedItemFilters = [upstreamSection, hostSection].map(section => new OutdatedItemFilter({
+    section,
+    getHoldMs: () => computeHoldMs(settingsHolder.get().timings.heartbeatMs),
+    clock,
+    timers: systemScheduler,
+    logger
+  }))
   const storeWatcher = new StoreWatcher({
     store,
     storeEra,
     logger,
     random,
     getTimes: () => computeWatchTimes(settingsHolder.get().timings),
-    sections: [configurationSection, upstreamSection, hostSection, crashSection, secretSection]
+    sections: [configurationSection, ...outdatedItemFilters, crashSection, secretSection]
   })
   const registrar = new HostRegistrar({ store, key: `${platformConstants.hostPrefix}${hostId}`, logger, getEntry: () => hosts.getSelf() })
 
@@ -293,6 +302,7 @@
     metricsServer,
     metricsAddress: `${settings.ipAddress}:${options.metricsPort ?? gatewayConstants.metricsPort}`,
     storeWatcher,
+    outdatedItemFilters,
     transport,
     storeClient,
     errorGuard
--- a/src/node/app/gatewayHost.ts
+++ b/src/node/app/gatewayHost.ts
@@ -101,6 +101,7 @@
     const {
       registrar,
       storeWatcher,
+      outdatedItemFilters,
       transport,
       storeClient,
       readinessServer,
@@ -114,6 +115,7 @@
     } = this.components
     clearInterval(this.missingEntryTimer)
     storeWatcher.stop()
+    for (const filter of outdatedItemFilters) filter.stop()
     crashReporter.stop()
     secretKeeper.stop()
     await Promise.race([registrar.stop(), delay(gatewayConstants.stopReserveMs / 2)])
--- a/src/node/gateway/store/__tests__/storeWatcher.test.ts
+++ b/src/node/gateway/store/__tests__/storeWatcher.test.ts
@@ -35,7 +35,7 @@
     getTimes: () => times,
     sections: ['hosts/', 'servers/'].map(prefix => ({
       prefix,
-      onSnapshot: (items, isAfterGap) => { seen.push(`${prefix} ${isAfterGap ? 'snapshot after gap' : 'snapshot'}: ${items.map(item => item.key).join(' ')}`) },
+      onSnapshot: (items, cause) => { seen.push(`${prefix} ${cause === 'start' ? 'snapshot' : `snapshot after ${cause}`}: ${items.map(item => item.key).join(' ')}`) },
       onChange: change => { seen.push(`${prefix} ${change.type} ${change.type === 'written' ? change.item.key : change.key}`) }
     }))
   })
--- a/src/node/gateway/store/constants.ts
+++ b/src/node/gateway/store/constants.ts
@@ -12,5 +12,15 @@
   rereadSpreadMs: 300,
   /** Lifetime of a host's entry after its last renewal; spans two failed renewals. */
   leaseMs: 4000,
-  renewMs: 1400
+  renewMs: 1400,
+  /** An upstream's entry ends after this many intervals without a heartbeat. */
+  heartbeatsUntilGone: 3,
+  /** Time after the return of the store within which upstreams that live have written their entries again. */
+  returnMs: 2000,
+  /** Age of the oldest copy that is recognized; copies are some seconds old. */
+  pastValueMs: 60_000,
+  /** Bounds of the memory for past values; entries of a fleet of 3,000 upstreams change a few times a minute. */
+  maxPastValuesPerKey: 16,
+  maxPastKeys: 8192,
+  maxLoggedKeys: 8
 } as const
--- a/src/node/gateway/store/storeWatcher.ts
+++ b/src/node/gateway/store/storeWatcher.ts
@@ -3,6 +3,7 @@
 import { storeConstants } from './constants.js'
 import type { Logger } from '../../../types/logger.js'
 import type { Random } from '../../../types/random.js'
+import type { SnapshotCause } from './snapshotCause.js'
 import type { StoreClient } from '../model/storeClient.js'
 import type { StoreEra } from './storeEra.js'
 import type { StorePosition } from '../model/storePosition.js'
@@ -29,7 +30,8 @@
  */
 export class StoreWatcher {
   private readonly stopController = new AbortController()
-  private hasSnapshot = false
+  /** Position of the last complete read; undefined before the first one. */
+  private lastRead: StorePosition | undefined
   private isConnected = false
 
   constructor (private readonly options: WatcherOptions) {}
@@ -65,10 +67,11 @@
   private async readAll (): Promise<StorePosition> {
     const { items, position } = await this.options.store.readPrefix(wholeStore)
     this.recordConnected(position)
+    const cause = findSnapshotCause(this.lastRead, position)
     for (const section of this.options.sections) {
-      section.onSnapshot(items.filter(item => item.key.startsWith(section.prefix)), this.hasSnapshot)
+      section.onSnapshot(items.filter(item => item.key.startsWith(section.prefix)), cause)
     }
-    this.hasSnapshot = true
+    this.lastRead = position
     return position
   }
 
@@ -114,3 +117,8 @@
     this.isConnected = true
   }
 }
+
+function findSnapshotCause (lastRead: StorePosition | undefined, position: StorePosition): SnapshotCause {
+  if (lastRead === undefined) return 'start'
+  return position.era === lastRead.era ? 'gap' : 'restore'
+}
