--- a/src/node/gateway/upstreams/constants.ts
+++ b/src/node/gateway/upstreams/constants.ts
@@ -11,6 +11,8 @@
   maxResponseBytes: 8_388_608,
   /** Responses without a signature are buffered up to this size; bodies of errors have some hundred bytes. */
   maxUnsignedResponseBytes: 65_536,
+  /** Refused requests that a connection remembers; one is sent again within its deadline, among others that are refused. */
+  maxRefusedRequests: 32,
   /** Interim responses (1xx) after which a connection is closed; upstreams send at most one. */
   maxInterimResponses: 8,
   /** A host uses at most this share of an upstream's connection limit divided by the number of live hosts. */
--- a/src/node/gateway/upstreams/upstreamConnection.ts
+++ b/src/node/gateway/upstreams/upstreamConnection.ts
@@ -12,6 +12,8 @@
   isClosed = false
   /** Whether the TCP connection was opened. */
   hasOpened = false
+  /** The requests that the upstream refused last on this connection. */
+  private refusedRequestIds: readonly string[] = []
   private wasReset = false
   private readonly client: Client
 
@@ -53,6 +55,14 @@
     }
   }
 
+  addRefusedRequest (requestId: string): void {
+    this.refusedRequestIds = [...this.refusedRequestIds, requestId].slice(-upstreamConstants.maxRefusedRequests)
+  }
+
+  hasRefused (requestId: string): boolean {
+    return this.refusedRequestIds.includes(requestId)
+  }
+
   close (): void {
     if (this.isClosed) return
     this.isClosed = true
--- a/src/node/gateway/upstreams/upstreamPool.ts
+++ b/src/node/gateway/upstreams/upstreamPool.ts
@@ -28,7 +28,7 @@
 
   /** Sends a request; the returned function cancels it. Fails with `no-connection` at the connection limit. */
   send (request: ExchangeRequest, handler: ExchangeHandler): () => void {
-    const connection = this.takeConnection()
+    const connection = this.takeConnection(request.requestId)
     if (connection === undefined) {
       queueMicrotask(() => { handler.onFailure({ kind: 'no-connection', wasSent: false, detail: 'connection limit reached' }) })
       return () => {}
@@ -37,6 +37,7 @@
     return connection.send(request, {
       onHead: head => {
         mustClose = head.closesConnection
+        if (head.isNotRun && request.requestId !== undefined) connection.addRefusedRequest(request.requestId)
         this.options.onHead(head)
         handler.onHead(head)
       },
@@ -67,8 +68,10 @@
     this.isClosing = true
   }
 
-  private takeConnection (): UpstreamConnection | undefined {
-    const reused = this.idle.pop()
+  /** A second copy of a refusal would be taken for the answer if the request came again on the same connection. */
+  private takeConnection (requestId: string | undefined): UpstreamConnection | undefined {
+    const index = this.idle.findLastIndex(connection => requestId === undefined || !connection.hasRefused(requestId))
+    const [reused] = index < 0 ? [] : this.idle.splice(index, 1)
     if (reused !== undefined) {
       this.busy.add(reused)
       return reused
