fix(gateway): resume a stream only with events

Any signed answer below 300 counted as the rest of the stream: a text with a blank line, or a whole head inside an event stream, was passed on within the client's stream, and a 204 or an empty answer of another type ended it as if it were complete (ORDER, MIXED). Statuses of 300 and more, unsigned answers and refusals did none of this. A stream that has begun now goes on only with a 200 that states the type of an event stream, and ends incomplete at an event without an id, whose place is unknown. A signed answer of another type to a request without events yet is passed on whole.

--- a/src/node/gateway/ingress/eventSplitter.ts
+++ b/src/node/gateway/ingress/eventSplitter.ts
@@ -16,6 +16,8 @@
  * once, however long the incomplete event has become: an upstream may send bytes without an end.
  */
 export class EventSplitter {
+  /** Whether an event of a resumed stream had no id, so that its place is unknown. */
+  hasEventWithoutId = false
   private readonly partialEvent: Buffer[] = []
   private partialSize = 0
 
@@ -30,7 +32,9 @@
       return { events: noBytes }
     }
     const complete = chunk.subarray(0, end)
-    const events = this.removeKnownEvents(this.partialSize === 0 ? complete : Buffer.concat([...this.partialEvent, complete]))
+    const received = this.partialSize === 0 ? complete : Buffer.concat([...this.partialEvent, complete])
+    this.hasEventWithoutId ||= this.lastEventId !== undefined && listEvents(received).some(event => findLastId(event) === undefined)
+    const events = this.removeKnownEvents(received)
     this.partialEvent.length = 0
     this.partialSize = 0
     if (end < chunk.length) this.addPartial(chunk.subarray(end))
@@ -61,8 +65,7 @@
   private removeKnownEvents (events: Buffer): Buffer {
     const known = Number(this.lastEventId)
     if (this.lastEventId === undefined || !Number.isFinite(known) || events.length === 0) return events
-    const kept = events.toString('latin1').split(/(?<=\n\r?\n)/).filter(event => !(Number(findLastId(Buffer.from(event, 'latin1'))) <= known))
-    return Buffer.from(kept.join(''), 'latin1')
+    return Buffer.concat(listEvents(events).filter(event => !(Number(findLastId(event)) <= known)))
   }
 }
 
@@ -75,6 +78,10 @@
   return 0
 }
 
+function listEvents (events: Buffer): readonly Buffer[] {
+  return events.toString('latin1').split(/(?<=\n\r?\n)/).map(event => Buffer.from(event, 'latin1'))
+}
+
 function findLastId (events: Buffer): string | undefined {
   let id: string | undefined
   for (const match of events.toString('latin1').matchAll(idLine)) id = match[1]
--- a/src/node/gateway/ingress/sendAttempt.ts
+++ b/src/node/gateway/ingress/sendAttempt.ts
@@ -57,7 +57,13 @@
   onHead (head: UpstreamResponseHead): void {
     this.head = head
     const { isStream, lastEventId } = this.options
-    if (isStream && head.status < 300 && head.isSigned) this.splitter = new EventSplitter(lastEventId)
+    if (isStream && head.isSigned && this.hasEvents(head)) this.splitter = new EventSplitter(lastEventId)
+  }
+
+  /** A stream that has begun goes on only with what states that it is one: anything else is the text of an error. */
+  private hasEvents ({ status, isEventStream }: UpstreamResponseHead): boolean {
+    if (this.options.response.hasStarted) return status === 200 && isEventStream === true
+    return status < 300 && isEventStream !== false
   }
 
   onData (chunk: Buffer): void {
@@ -120,6 +126,9 @@
   private sendEvents (splitter: EventSplitter, chunk: Buffer): void {
     const { response, onEvents } = this.options
     const { events, lastEventId } = splitter.addChunk(chunk)
+    if (splitter.hasEventWithoutId && response.hasStarted) {
+      return this.end({ type: 'uncertain', reason: 'event without an id in a resumed stream' }, true)
+    }
     if (splitter.partialEventBytes > ingressConstants.maxPartialEventBytes) {
       return this.end({ type: 'uncertain', reason: `unfinished event of more than ${ingressConstants.maxPartialEventBytes} bytes` }, true)
     }
--- a/src/node/gateway/model/upstreamResponseHead.ts
+++ b/src/node/gateway/model/upstreamResponseHead.ts
@@ -17,6 +17,8 @@
   readonly isSigned: boolean
   /** Whether the response states where it ends. One that ends with its connection cannot be distinguished from one that was cut off. */
   readonly isFramed: boolean
+  /** Whether the body is a stream of events by its type; undefined when the response states none. */
+  readonly isEventStream?: boolean
   /** Undefined when absent. */
   readonly contentLength?: number
   readonly load?: UpstreamLoad
--- a/src/node/platform/decodeUpstreamResponse.ts
+++ b/src/node/platform/decodeUpstreamResponse.ts
@@ -8,6 +8,7 @@
 const inputsGoneStatus = 409
 /** Responses with these statuses have no body. */
 const bodylessStatuses: ReadonlySet<number> = new Set([204, 304])
+const eventStreamType = 'text/event-stream'
 const unforwardedHeaders = new Set([
   'connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'content-length',
   headerNames.load, headerNames.limit, headerNames.notRun
@@ -26,6 +27,7 @@
     closesConnection: findHeader(headers, 'connection')?.toLowerCase().includes('close') === true,
     isSigned: headers[headerNames.signature] !== undefined,
     isFramed: length !== undefined || headers['transfer-encoding'] !== undefined || bodylessStatuses.has(status),
+    isEventStream: findHeader(headers, 'content-type')?.trim().toLowerCase().startsWith(eventStreamType),
     contentLength: typeof length === 'string' ? Number(length) : undefined,
     load: parseLoad(findHeader(headers, headerNames.load)),
     requestLimit: parseLimit(findHeader(headers, headerNames.limit)),
