--- a/src/node/app/__tests__/restoredStore.test.ts
+++ b/src/node/app/__tests__/restoredStore.test.ts
@@ -64,6 +64,32 @@
     }
   })
 
+  await t.test('guards against an older configuration at hosts that run, and at one that starts before the operator has written again', async t => {
+    const { first, hosts } = await startFleet(t, 2)
+    const copy = first.store.createCopy()
+    const versionBefore = first.writeConfiguration({ services, routes: listRoutes('first', 'second') })
+    for (const host of hosts) await host.waitForLogLine('configuration in force', `"version":${versionBefore}`)
+    first.store.delayAnswer = async () => { await delay(250) }
+    first.store.applyCopy(copy)
+    const late = await new GatewayTestHarness('host-late', first.store).start()
+    hosts.push(late)
+    await late.waitForLogLine('configuration in force')
+    for (const host of hosts.slice(0, 2)) t.match(await host.send('/second/x'), { status: 200 }, 'a host that runs keeps the newest one')
+    t.match(await late.send('/first/x'), { status: 200 }, 'a host that starts serves what the older one allows')
+    const version = first.writeConfiguration({ services, routes: listRoutes('second', 'third') })
+    await delay(configurationMs)
+    for (const path of ['second', 'third']) {
+      for (const host of hosts) t.match(await host.send(`/${path}/x`), { status: 200 }, `/${path}/ at a slow store`)
+    }
+    first.store.applyCopy(copy)
+    await delay(1000)
+    for (const host of hosts) {
+      t.match(await host.send('/third/x'), { status: 200 }, 'restored again')
+      t.ok(host.logLines.filter(line => line.includes('configuration in force')).at(-1)!.includes(`"version":${version}`))
+    }
+    first.store.delayAnswer = async () => {}
+  })
+
   await t.test('guards against a host entry that is lost with a lease whose id is given out again', async t => {
     const { first, hosts } = await startFleet(t, 2)
     const copy = first.store.createCopy()
