fix(gateway): send nothing to an upstream that says in its answers that it leaves

Upstreams that leave say so in all their answers (Server-Leaving: 1); nothing read it. With an entry that still said ready, or that a restored store held as ready, requests went on to them later than drainMs (DRAIN). The instance, by id and start time, counts as draining from the first such answer on, in placing, admission and stage calls alike, whatever the store says of it and also when its entry goes and comes back; another start time begins anew. Before: the test failed, requests reached it 2 s later; after: 0, also when the entry was missing for a while, and the instance with another start time is used.

--- a/playground/experiment/stageUpstreamModel.ts
+++ b/playground/experiment/stageUpstreamModel.ts
@@ -134,6 +134,7 @@
         areInputsGone: false,
         isMisdirected: false,
         closesConnection: false,
+        isLeaving: false,
         isSigned: false,
         isFramed: true,
         forwardedHeaders: []
--- a/src/node/gateway/ingress/__tests__/decideNextAttempt.test.ts
+++ b/src/node/gateway/ingress/__tests__/decideNextAttempt.test.ts
@@ -3,7 +3,7 @@
 import type { AttemptResult } from '../attemptResult.js'
 import type { UpstreamResponseHead } from '../../model/upstreamResponseHead.js'
 
-const head = (status: number, isSigned = true): UpstreamResponseHead => ({ status, isNotRun: false, areInputsGone: false, isMisdirected: false, closesConnection: false, isSigned, isFramed: true, forwardedHeaders: [] })
+const head = (status: number, isSigned = true): UpstreamResponseHead => ({ status, isNotRun: false, areInputsGone: false, isMisdirected: false, closesConnection: false, isLeaving: false, isSigned, isFramed: true, forwardedHeaders: [] })
 const answer = (status: number, isSigned = true): AttemptResult => ({ type: 'answer', head: head(status, isSigned), body: Buffer.alloc(0) })
 const results: Readonly<Record<string, AttemptResult>> = {
   'signed success': answer(200),
--- a/src/node/gateway/model/upstreamResponseHead.ts
+++ b/src/node/gateway/model/upstreamResponseHead.ts
@@ -13,6 +13,8 @@
   readonly isMisdirected: boolean
   /** Whether the upstream closes the connection after this response. */
   readonly closesConnection: boolean
+  /** Whether the upstream states that it will stop and wants no more requests. */
+  readonly isLeaving: boolean
   /** Whether the response carries a signature; a successful one without it is not forwarded. */
   readonly isSigned: boolean
   /** Whether the response states where it ends. One that ends with its connection cannot be distinguished from one that was cut off. */
--- a/src/node/gateway/stages/__tests__/stageClient.test.ts
+++ b/src/node/gateway/stages/__tests__/stageClient.test.ts
@@ -37,7 +37,7 @@
     const pieces = JSON.parse(request.body as string) as readonly StagePiece[]
     callsByDomain.set(failureDomain, (callsByDomain.get(failureDomain) ?? 0) + pieces.length)
     return clock.schedule(callMs, () => {
-      handler.onHead({ status: 200, isNotRun: false, areInputsGone: false, isMisdirected: false, closesConnection: false, isSigned: false, isFramed: true, forwardedHeaders: [] })
+      handler.onHead({ status: 200, isNotRun: false, areInputsGone: false, isMisdirected: false, closesConnection: false, isLeaving: false, isSigned: false, isFramed: true, forwardedHeaders: [] })
       handler.onData(Buffer.from(JSON.stringify(pieces.map(piece => ({ handle: `${upstreamId}/${piece.requestId}` })))))
       handler.onEnd()
     })
--- a/src/node/gateway/upstreams/constants.ts
+++ b/src/node/gateway/upstreams/constants.ts
@@ -20,6 +20,8 @@
   minConnections: 2,
   /** An upstream whose entry is missing when the store returns after an outage may register again within this time. */
   missingEntryGraceMs: 1900,
+  /** Instances that a host remembers as leaving; a fleet replaces some thousand upstreams in a release. */
+  maxLeavingInstances: 8192,
   /** Weight of the newest duration in an upstream's moving average. */
   durationWeight: 0.2,
   /** Half-life of an average without new measurements; neighbouring load slows upstreams for seconds. */
--- a/src/node/gateway/upstreams/upstreamDirectory.ts
+++ b/src/node/gateway/upstreams/upstreamDirectory.ts
@@ -1,4 +1,5 @@
 import { computeLimitLifetimeMs } from './computeLimitLifetimeMs.js'
+import { LeavingInstances } from './leavingInstances.js'
 import { LimitShare } from './limitShare.js'
 import { upstreamConstants } from './constants.js'
 import { UpstreamPool } from './upstreamPool.js'
@@ -29,6 +30,7 @@
 export class UpstreamDirectory {
   private readonly states = new Map<string, UpstreamState>()
   private readonly byService = new Map<string, UpstreamState[]>()
+  private readonly leaving = new LeavingInstances()
   private limitSharesUpdatedAtMs = 0
 
   constructor (private readonly options: DirectoryOptions) {}
@@ -46,14 +48,15 @@
     this.options.onChanged()
   }
 
-  applyEntry (entry: UpstreamEntry): void {
+  applyEntry (published: UpstreamEntry): void {
+    const entry = this.leaving.has(published) ? { ...published, isDraining: true } : published
     const known = this.states.get(entry.id)
     if (known !== undefined && known.entry.address === entry.address && known.entry.service === entry.service) {
       if (known.entry.isDraining !== entry.isDraining) {
         this.recordChange(
           entry.isDraining ? 'upstream draining' : 'upstream ready',
           entry,
-          'the draining flag of the store entry changed'
+          this.leaving.has(entry) ? 'it says so in its answers' : 'the draining flag of the store entry changed'
         )
       }
       known.entry = entry
@@ -151,7 +154,10 @@
       decodeResponse: this.options.decodeResponse,
       getConnectionLimit: () => this.options.getConnectionLimit(entry.service),
       onOpened: () => { metrics.addCount('upstream_connections_opened', { service: entry.service }) },
-      onHead: head => { this.observeLimit(state, head) }
+      onHead: head => {
+        this.observeLeaving(state, head)
+        this.observeLimit(state, head)
+      }
     })
     const state: UpstreamState = new UpstreamState(entry, pool)
     this.states.set(entry.id, state)
@@ -189,6 +195,14 @@
     }
   }
 
+  /** What an upstream says of its stop holds for this instance, whatever the store says later. */
+  private observeLeaving ({ entry }: UpstreamState, { isLeaving }: UpstreamResponseHead): void {
+    if (!isLeaving || this.leaving.has(entry)) return
+    this.leaving.add(entry)
+    this.options.metrics.addCount('upstreams_leaving_seen', { service: entry.service })
+    if (this.states.get(entry.id)?.entry === entry) this.applyEntry(entry)
+  }
+
   private observeLimit (state: UpstreamState, { requestLimit }: UpstreamResponseHead): void {
     const before = state.limit
     if (requestLimit === undefined && before === undefined) return
--- a/src/node/platform/decodeUpstreamResponse.ts
+++ b/src/node/platform/decodeUpstreamResponse.ts
@@ -11,7 +11,7 @@
 const eventStreamType = 'text/event-stream'
 const unforwardedHeaders = new Set([
   'connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'content-length',
-  headerNames.load, headerNames.limit, headerNames.notRun
+  headerNames.load, headerNames.limit, headerNames.leaving, headerNames.notRun
 ])
 
 /** Decodes the head of an upstream's response. */
@@ -25,6 +25,7 @@
     areInputsGone: headers[headerNames.notRun] !== undefined && status === inputsGoneStatus,
     isMisdirected,
     closesConnection: findHeader(headers, 'connection')?.toLowerCase().includes('close') === true,
+    isLeaving: findHeader(headers, headerNames.leaving)?.trim() === '1',
     isSigned: headers[headerNames.signature] !== undefined,
     isFramed: length !== undefined || headers['transfer-encoding'] !== undefined || bodylessStatuses.has(status),
     isEventStream: findHeader(headers, 'content-type')?.trim().toLowerCase().startsWith(eventStreamType),
--- a/src/node/platform/headerNames.ts
+++ b/src/node/platform/headerNames.ts
@@ -11,6 +11,8 @@
   load: 'x-server-load',
   /** Requests a second that the upstream takes from all hosts together. */
   limit: 'server-limit',
+  /** In all answers of an upstream that will stop, with the value 1. */
+  leaving: 'server-leaving',
   notRun: 'x-not-executed',
   retryAfter: 'retry-after',
   instance: 'x-instance-id',
