--- a/src/node/gateway/crashes/crashReporter.ts
+++ b/src/node/gateway/crashes/crashReporter.ts
@@ -28,7 +28,8 @@
   private cancelTimer: (() => void) | undefined
   private isWriting = false
   private isStopped = false
-  private lease: { readonly lease: StoreLease, readonly createdAtMs: number } | undefined
+  /** The lease of the last reports. */
+  private newestLease: { readonly lease: StoreLease, readonly createdAtMs: number } | undefined
 
   constructor (private readonly options: ReporterOptions) {}
 
@@ -54,11 +55,12 @@
   async getLease (): Promise<StoreLease> {
     const { clock, store, storeEra } = this.options
     const nowMs = clock.readMonotonicMs()
-    const isUsable = this.lease?.lease.era === storeEra.getCurrent() && nowMs - this.lease.createdAtMs < crashConstants.reportRefreshMs
-    if (this.lease === undefined || !isUsable) {
-      this.lease = { lease: await store.createLease(crashConstants.reportLeaseMs), createdAtMs: nowMs }
-    }
-    return this.lease.lease
+    const { newestLease } = this
+    const isFresh = newestLease !== undefined && nowMs - newestLease.createdAtMs < crashConstants.reportRefreshMs
+    if (isFresh && newestLease.lease.era === storeEra.getCurrent()) return newestLease.lease
+    const lease = await store.createLease(crashConstants.reportLeaseMs)
+    this.newestLease = { lease, createdAtMs: nowMs }
+    return lease
   }
 
   private scheduleWrite (delayMs: number): void {
@@ -93,7 +95,7 @@
         removals: []
       })
       // Without conditions, the store refuses a write only because its lease has ended.
-      if (!isWritten) this.lease = undefined
+      if (!isWritten) this.newestLease = undefined
     } catch (error) {
       const reason = (error as Error).message
       logger.recordWarning('crash report not written', { reason, retryMs: crashConstants.reportRetryMs })
--- a/src/node/gateway/crashes/promptPartRecords.ts
+++ b/src/node/gateway/crashes/promptPartRecords.ts
@@ -120,7 +120,14 @@
 }
 
 function createRecord (nowMs: number): SuspectRecord {
-  return { instances: new Set(), rounds: 0, roundStartedAtMs: nowMs, lastCrashAtMs: nowMs, reportedAtMs: nowMs, hasLostReports: false }
+  return {
+    instances: new Set(),
+    rounds: 0,
+    roundStartedAtMs: nowMs,
+    lastCrashAtMs: nowMs,
+    reportedAtMs: nowMs,
+    hasLostReports: false
+  }
 }
 
 /**
--- a/src/node/gateway/hosts/hostRegistrar.ts
+++ b/src/node/gateway/hosts/hostRegistrar.ts
@@ -66,7 +66,8 @@
     }
     if (this.hasChanged()) {
       const value = hostEntryCodec.encode(getEntry())
-      const isWritten = await store.writeConditionally({ conditions: [], writes: [{ key, value, lease: this.lease }], removals: [] })
+      const writes = [{ key, value, lease: this.lease }]
+      const isWritten = await store.writeConditionally({ conditions: [], writes, removals: [] })
       if (isWritten) this.registeredValue = value.toString()
       // The store refused the write, although it has no conditions: the next attempt creates a new lease.
       else this.lease = undefined
--- a/src/node/gateway/hosts/peerSecretKeeper.ts
+++ b/src/node/gateway/hosts/peerSecretKeeper.ts
@@ -18,8 +18,8 @@
 }
 
 /**
- * Keeps the secret of all hosts the same. The store decides: when it was restored from a copy that is older than the secret,
- * one of the hosts writes its own again, and a host that knows another one takes that of the store.
+ * Keeps the secret of all hosts the same. The store decides: when it was restored from a copy that is older than the
+ * secret, one of the hosts writes its own again, and a host that knows another one takes that of the store.
  */
 export class PeerSecretKeeper {
   private secret: string
@@ -32,13 +32,14 @@
 
   applySnapshot (items: readonly StoreItem[]): void {
     const item = items.find(item => item.key === this.options.key)
-    if (item === undefined) this.scheduleWrite(storeConstants.rereadSpreadMs * this.options.random())
+    if (item === undefined) this.onMissing()
     else this.applySecret(item)
   }
 
   applyChange (change: StoreChange): void {
-    if (change.type === 'written' && change.item.key === this.options.key) this.applySecret(change.item)
-    if (change.type === 'removed' && change.key === this.options.key) this.scheduleWrite(storeConstants.rereadSpreadMs * this.options.random())
+    const { key } = this.options
+    if (change.type === 'written' && change.item.key === key) this.applySecret(change.item)
+    if (change.type === 'removed' && change.key === key) this.onMissing()
   }
 
   stop (): void {
@@ -55,6 +56,11 @@
     this.options.onReplaced(secret)
   }
 
+  /** All hosts miss the secret at the same time, and one of them is to write it. */
+  private onMissing (): void {
+    this.scheduleWrite(storeConstants.rereadSpreadMs * this.options.random())
+  }
+
   private scheduleWrite (delayMs: number): void {
     this.cancelTimer?.()
     this.isMissing = true
--- a/src/node/gateway/ingress/eventSplitter.ts
+++ b/src/node/gateway/ingress/eventSplitter.ts
@@ -33,7 +33,9 @@
     }
     const complete = chunk.subarray(0, end)
     const received = this.partialSize === 0 ? complete : Buffer.concat([...this.partialEvent, complete])
-    this.hasEventWithoutId ||= this.lastEventId !== undefined && listEvents(received).some(event => findLastId(event) === undefined)
+    if (this.lastEventId !== undefined && listEvents(received).some(event => findLastId(event) === undefined)) {
+      this.hasEventWithoutId = true
+    }
     const events = this.removeKnownEvents(received)
     this.partialEvent.length = 0
     this.partialSize = 0
--- a/src/node/gateway/store/storeWatcher.ts
+++ b/src/node/gateway/store/storeWatcher.ts
@@ -98,7 +98,8 @@
     const removeListener = storeEra.addListener(() => { controller.abort() })
     try {
       checkEra()
-      return await store.watchPrefix(wholeStore, after, waitMs, AbortSignal.any([this.stopController.signal, controller.signal]))
+      const signal = AbortSignal.any([this.stopController.signal, controller.signal])
+      return await store.watchPrefix(wholeStore, after, waitMs, signal)
     } catch (error) {
       checkEra()
       throw error
--- a/src/node/platform/platformStore.ts
+++ b/src/node/platform/platformStore.ts
@@ -50,7 +50,7 @@
       const page = parseBody(pageSchema, body)
       // Pages are read at different revisions. A watch from the first one returns what changed in the meantime.
       position ??= { era, revision: page.storeRevision }
-      if (era !== position.era) throw new StoreHistoryLostError(`era ${era} began while ${prefix} was read in era ${position.era}`)
+      if (era !== position.era) throw new StoreHistoryLostError(`the pages are of eras ${position.era} and ${era}`)
       items.push(...page.items.map(decodeItem))
       const last = page.items.at(-1)
       if (!page.truncated || last === undefined) return { items, position }
@@ -113,15 +113,20 @@
     return lease.era < this.storeEra.getCurrent()
   }
 
+  /** A response may arrive after that of a later call, which the restored store answered. */
+  private isOutdated (response: StoreResponse): boolean {
+    return response.era < this.storeEra.getCurrent()
+  }
+
   private async sendRead (path: string): Promise<StoreResponse> {
     const response = await this.client.send('GET', path)
-    if (response.era < this.storeEra.getCurrent()) throw new StoreUnavailableError(`the response is of era ${response.era}, which has ended`)
+    if (this.isOutdated(response)) throw new StoreUnavailableError(`the response is of era ${response.era}, which has ended`)
     return response
   }
 
   private async sendWrite (method: 'POST' | 'DELETE', path: string, body?: unknown): Promise<StoreResponse> {
     const response = await this.client.send(method, path, body)
-    if (response.era < this.storeEra.getCurrent()) throw new StoreUncertainError(`the response is of era ${response.era}, which has ended`)
+    if (this.isOutdated(response)) throw new StoreUncertainError(`the response is of era ${response.era}, which has ended`)
     return response
   }
 }
