feat(gateway): count failed connections to upstreams, log upstreams that ask to back off

A host that is cut off from its upstreams and one whose upstreams have ended wrote the same lines, and an answer 503 looked the same with and without Retry-After. The counter by service tells the first two apart between hosts; the time that an upstream states is decoded, logged and counted. Nothing acts on it yet.

--- a/src/node/gateway/model/upstreamResponseHead.ts
+++ b/src/node/gateway/model/upstreamResponseHead.ts
@@ -26,6 +26,8 @@
   readonly load?: UpstreamLoad
   /** Requests a second that the upstream takes from all hosts together; undefined when it names no limit. */
   readonly requestLimit?: number | 'unreadable'
+  /** Time for which the upstream wants no requests from this host, in milliseconds; undefined when it states none. */
+  readonly backoffMs?: number | 'unreadable'
   /** End-to-end headers for the client, as alternating names and values. */
   readonly forwardedHeaders: readonly string[]
 }
--- a/src/node/gateway/stages/__tests__/stageAnswers.test.ts
+++ b/src/node/gateway/stages/__tests__/stageAnswers.test.ts
@@ -37,7 +37,8 @@
     decodeResponse: decodeUpstreamResponse,
     getConnectionLimit: () => 4,
     onOpened: () => {},
-    onHead: () => {}
+    onHead: () => {},
+    onConnectFailed: () => {}
   })
   t.teardown(() => {
     pool.close()
--- a/src/node/gateway/upstreams/upstreamDirectory.ts
+++ b/src/node/gateway/upstreams/upstreamDirectory.ts
@@ -157,7 +157,9 @@
       onHead: head => {
         this.observeLeaving(state, head)
         this.observeLimit(state, head)
-      }
+        this.observeBackoff(state, head)
+      },
+      onConnectFailed: () => { metrics.addCount('upstream_connections_failed', { service: entry.service }) }
     })
     const state: UpstreamState = new UpstreamState(entry, pool)
     this.states.set(entry.id, state)
@@ -227,6 +229,12 @@
     state.limit = { requestsPerSecond: requestLimit, endsAtMs, share }
   }
 
+  private observeBackoff ({ entry: { id, service } }: UpstreamState, { status, backoffMs }: UpstreamResponseHead): void {
+    if (backoffMs === undefined) return
+    this.options.metrics.addCount('upstream_backoffs', { service })
+    this.options.logger.recordInfo('upstream asked to back off', { upstream: id, service, status, backoffMs })
+  }
+
   private recordLimit (state: UpstreamState, requestsPerSecond: number | undefined, reason: string): void {
     const { id, service } = state.entry
     this.options.metrics.addCount('upstream_limit_changes', { service })
--- a/src/node/gateway/upstreams/upstreamPool.ts
+++ b/src/node/gateway/upstreams/upstreamPool.ts
@@ -11,6 +11,8 @@
   readonly onOpened: () => void
   /** The head of an answer from the upstream. */
   readonly onHead: (head: UpstreamResponseHead) => void
+  /** No connection could be opened. */
+  readonly onConnectFailed: () => void
 }
 
 /** Keep-alive connections to one upstream. The most recently used connection is reused first, so that surplus ones reach their idle timeout. */
@@ -51,6 +53,7 @@
         connection.close()
         // After a broken connection the idle ones are suspect too: something on the network path may have dropped them.
         // The same applies after a response that belongs to another request (`foreign-answer`).
+        if (failure.kind === 'connect') this.options.onConnectFailed()
         if (failure.kind === 'broken' || failure.kind === 'foreign-answer') this.closeIdle()
         handler.onFailure(failure)
       }
--- a/src/node/platform/decodeUpstreamResponse.ts
+++ b/src/node/platform/decodeUpstreamResponse.ts
@@ -4,6 +4,8 @@
 
 type Headers = Readonly<Record<string, string | string[] | undefined>>
 
+/** Statuses with which an upstream turns requests away; `Retry-After` then states for how long. */
+const turnedAwayStatuses: ReadonlySet<number> = new Set([429, 503])
 const misdirectedStatus = 421
 const inputsGoneStatus = 409
 /** Responses with these statuses have no body. */
@@ -32,6 +34,7 @@
     contentLength: typeof length === 'string' ? Number(length) : undefined,
     load: parseLoad(findHeader(headers, headerNames.load)),
     requestLimit: parseLimit(findHeader(headers, headerNames.limit)),
+    backoffMs: turnedAwayStatuses.has(status) ? parseBackoffMs(findHeader(headers, headerNames.retryAfter)) : undefined,
     forwardedHeaders: listForwardedHeaders(headers)
   }
 }
@@ -54,6 +57,12 @@
   return /^\d+(\.\d+)?$/.test(value.trim()) ? Number(value) : 'unreadable'
 }
 
+/** Upstreams state seconds. A date cannot be compared with the clock of this host. */
+function parseBackoffMs (value: string | undefined): number | 'unreadable' | undefined {
+  if (value === undefined) return undefined
+  return /^\d+(\.\d+)?$/.test(value.trim()) ? Number(value) * 1000 : 'unreadable'
+}
+
 function listForwardedHeaders (headers: Headers): readonly string[] {
   const forwarded: string[] = []
   for (const name in headers) {
