--- a/playground/platform/gatewayTestHarness.ts
+++ b/playground/platform/gatewayTestHarness.ts
@@ -37,7 +37,11 @@
   private requestCount = 0
 
   /** `sharedStore` is the store of another harness, which starts, configures and stops it. */
-  constructor (private readonly hostId = 'host-1', private readonly sharedStore?: StoreStandIn) {
+  constructor (
+    private readonly hostId = 'host-1',
+    private readonly sharedStore?: StoreStandIn,
+    private readonly overrides: Partial<HostSettings> = {}
+  ) {
     this.store = sharedStore ?? new StoreStandIn()
   }
 
@@ -70,7 +74,8 @@
         retryWindowMs: 10_000,
         extraRetries: 50,
         heartbeatMs: 1200
-      }
+      },
+      ...this.overrides
     }
     this.host = await createGatewayHost(this.settings, { metricsPort: ports[4]!, writeLine: line => { this.logLines.push(line) } })
     return this
--- a/playground/platform/storeStandIn.ts
+++ b/playground/platform/storeStandIn.ts
@@ -23,6 +23,9 @@
   readonly body: unknown
 }
 
+/** Changes the text of an item's value for the hosts that read the store through a view. */
+type ValueTranslator = (key: string, text: string) => string
+
 /** Leases of a copy are not renewed until their owners notice the restore. */
 const restoredLeaseMs = 30_000
 
@@ -41,6 +44,7 @@
   private revision = 1
   private era = 1
   private nextLeaseId = 1
+  private readonly views: Server[] = []
   private readonly server: Server = createServer((request, response) => { this.onRequest(request, response).catch(() => { response.destroy() }) })
   address = ''
 
@@ -53,8 +57,10 @@
 
   stop (): void {
     for (const timer of this.leases.values()) clearTimeout(timer)
-    this.server.close()
-    this.server.closeAllConnections()
+    for (const server of [this.server, ...this.views]) {
+      server.close()
+      server.closeAllConnections()
+    }
   }
 
   /** Writes an item as an operator or an upstream does. */
@@ -111,12 +117,26 @@
     this.server.closeAllConnections()
   }
 
+  /** Serves the store at one more address, with values as some hosts are to see them. Resolves to the address. */
+  async startView (translate: ValueTranslator): Promise<string> {
+    const server = createServer((request, response) => {
+      this.onRequest(request, response, translate).catch(() => { response.destroy() })
+    })
+    this.views.push(server)
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    return `127.0.0.1:${(server.address() as { port: number }).port}`
+  }
+
   private recordEvent (event: StandInEvent): void {
     this.events.push(event)
     for (const notify of [...this.watchers]) notify()
   }
 
-  private async onRequest (request: IncomingMessage, response: ServerResponse): Promise<void> {
+  private async onRequest (
+    request: IncomingMessage,
+    response: ServerResponse,
+    translate: ValueTranslator = (_, text) => text
+  ): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://store')
     const text = await readText(request)
     this.callCounts.set(url.pathname, (this.callCounts.get(url.pathname) ?? 0) + 1)
@@ -131,7 +151,7 @@
     if (this.fault === 'lost' && request.method === 'POST') return
     const { era } = this
     await this.delayAnswer(url.pathname)
-    this.writeAnswer(response, answer.status, answer.body, era)
+    this.writeAnswer(response, answer.status, applyTranslator(answer.body, translate), era)
   }
 
   private writeAnswer (response: ServerResponse, status: number, body: unknown, era = this.era): void {
@@ -217,3 +237,18 @@
   for await (const chunk of request) chunks.push(chunk as Buffer)
   return Buffer.concat(chunks).toString('utf8')
 }
+
+/** Translates the values in the body of an answer: those of a list of items or events, or the one of an item. */
+function applyTranslator (body: unknown, translate: ValueTranslator): unknown {
+  const { key, value, items, events } = body as Readonly<Record<string, unknown>>
+  const translateAll = (list: unknown): unknown => {
+    return Array.isArray(list) ? list.map(item => applyTranslator(item, translate)) : undefined
+  }
+  const decode = (): string => Buffer.from(String(value), 'base64').toString('utf8')
+  return {
+    ...body as object,
+    ...typeof value === 'string' ? { value: Buffer.from(translate(String(key), decode())).toString('base64') } : {},
+    ...items === undefined ? {} : { items: translateAll(items) },
+    ...events === undefined ? {} : { events: translateAll(events) }
+  }
+}
