fix(gateway): send nothing to an upstream for the time that it asks for with Retry-After

What callers saw: while upstreams turned requests away with 503 and Retry-After, each request was sent to them again and failed there; with one of two upstreams asking, a tenth or more of the requests failed although the other was idle.

Cause: nothing that decides read the header. A refusal counted as a failure, and ejection ends after a second, and does not apply to more than half of a service.

Change: the stated time is kept for each upstream and counts in every choice: plain requests, engines, reservations within limits, stage calls and releases. When all upstreams of a service have asked, requests are refused before their stages run, with the time until the first one wants requests again. After the pause one request at a time goes to the upstream until it takes one. A time that cannot be read counts as 1 s; the longest one is 10 minutes.

Ruled out: requests that wait for a connection (none do). The stage scheduler kept to the bound before, by its pause after failures; it now knows the stated time.

--- a/playground/experiment/runExperiment.ts
+++ b/playground/experiment/runExperiment.ts
@@ -66,7 +66,7 @@
   const dispatcher = new StageDispatcher({
     scheduler,
     findPool: id => stages.get(id),
-    findLimit: () => undefined,
+    findDemands: () => undefined,
     engines: new EnginePlanner(() => states),
     codec: memoryCallCodec,
     clock,
--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -136,7 +136,7 @@
     const dispatcher = new StageDispatcher({
       scheduler,
       findPool: upstreamId => upstreams.find(upstreamId)?.pool,
-      findLimit: upstreamId => upstreams.getRequestLimit(upstreamId),
+      findDemands: upstreamId => upstreams.findDemands(upstreamId),
       engines,
       codec: stageCallCodec,
       clock,
--- a/src/node/gateway/ingress/requestRun.ts
+++ b/src/node/gateway/ingress/requestRun.ts
@@ -60,7 +60,7 @@
     const timeLeftMs = this.options.deadlineAtMs - this.dependencies.clock.readMonotonicMs()
     const timer = setTimeout(() => { this.endNow('deadline') }, Math.max(timeLeftMs, 0))
     try {
-      if (await this.admitPrompt() && this.admitWithinLimits() && await this.runStages()) await this.runAttempts()
+      if (await this.admitPrompt() && this.admitAfterBackoff() && this.admitWithinLimits() && await this.runStages()) await this.runAttempts()
     } finally {
       clearTimeout(timer)
       this.releaseInputs()
@@ -99,6 +99,13 @@
     return !this.controller.signal.aborted && !this.options.response.isEnded
   }
 
+  /** Refuses the request before its stages run when all upstreams of the service have asked for a pause. */
+  private admitAfterBackoff (): boolean {
+    const waitMs = this.dependencies.directory.computeBackoffWaitMs(this.service)
+    if (waitMs > 0) this.refuse('all upstreams have asked to back off', waitMs)
+    return waitMs === 0
+  }
+
   /**
    * Refuses the request before its stages run, whose work would be wasted, when upstreams have named limits and none of
    * the service has room. When only limited ones have, takes a place at one of them.
@@ -109,12 +116,15 @@
     if (directory.listUsable(this.service).some(state => state.limit === undefined)) return true
     this.reservation = this.chooseUpstream()
     this.reservation?.limit?.share.takeToken(clock.readMonotonicMs())
-    if (this.reservation === undefined) this.refuse('limits of all upstreams are reached', this.computeLimitRetryMs())
+    if (this.reservation === undefined) this.refuse('limits of all upstreams are reached', this.computeRetryMs())
     return this.reservation !== undefined
   }
 
-  private computeLimitRetryMs (): number {
-    const waitMs = this.dependencies.directory.computeServiceWaitMs(this.service)
+  private computeRetryMs (): number {
+    const { directory } = this.dependencies
+    const backoffWaitMs = directory.computeBackoffWaitMs(this.service)
+    if (backoffWaitMs > 0) return backoffWaitMs
+    const waitMs = directory.computeServiceWaitMs(this.service)
     return Math.min(Math.max(waitMs, ingressConstants.busyRetryAfterMs), ingressConstants.maxLimitRetryAfterMs)
   }
 
@@ -157,7 +167,7 @@
       const refusal = crashGuard.findRefusal(promptParts, this.trial)
       if (refusal !== undefined) return this.refusePrompt(refusal)
       const upstream = this.chooseUpstream()
-      if (upstream === undefined) return this.refuse('no upstream is free', this.computeLimitRetryMs())
+      if (upstream === undefined) return this.refuse('no upstream is free', this.computeRetryMs())
       const result = await this.runAttempt(upstream)
       if (result.type === 'uncertain' && result.isConnectionLost === true && !this.hasEvents) {
         await crashGuard.onConnectionLost(upstream.entry, promptParts)
@@ -202,7 +212,7 @@
     // In the middle of a stream, only the missing end can show the client a failure.
     if (response.hasStarted) response.closeIncomplete()
     if (decision.action === 'deliver' && result.type === 'answer') response.writeUpstreamResponse(result.head, result.body, request.method)
-    if (decision.action === 'refuse') this.refuse(decision.reason, ingressConstants.busyRetryAfterMs)
+    if (decision.action === 'refuse') this.refuse(decision.reason, this.computeRetryMs())
     if (decision.action === 'fail') response.writeError(502, 'upstream_failed', decision.reason)
     this.dependencies.metrics.addCount('requests_ended', { route: this.options.route.callKind, action: decision.action })
     this.dependencies.metrics.recordDuration('request', { route: this.options.route.callKind }, this.computeElapsedMs())
--- a/src/node/gateway/stages/__tests__/stageClient.test.ts
+++ b/src/node/gateway/stages/__tests__/stageClient.test.ts
@@ -51,7 +51,7 @@
     const dispatcher = new StageDispatcher({
       scheduler,
       findPool,
-      findLimit: () => undefined,
+      findDemands: () => undefined,
       engines,
       codec: memoryCallCodec,
       clock,
--- a/src/node/gateway/stages/__tests__/stageDispatcher.test.ts
+++ b/src/node/gateway/stages/__tests__/stageDispatcher.test.ts
@@ -19,7 +19,7 @@
         return () => {}
       }
     }),
-    findLimit: () => undefined,
+    findDemands: () => undefined,
     engines: new EnginePlanner(() => []),
     codec: memoryCallCodec,
     clock,
--- a/src/node/gateway/stages/__tests__/stageScheduler.test.ts
+++ b/src/node/gateway/stages/__tests__/stageScheduler.test.ts
@@ -213,7 +213,7 @@
   for (let nowMs = 0; nowMs < 12_000; nowMs += 250) {
     for (const call of scheduler.planCalls(nowMs)) {
       sentAtMs.push(nowMs)
-      scheduler.applyLimit(call, 1)
+      scheduler.applyDemands(call, { requestsPerSecond: 1, backoffUntilMs: 0 })
       answerCall(call, nowMs + 250)
     }
   }
--- a/src/node/gateway/stages/stageDispatcher.ts
+++ b/src/node/gateway/stages/stageDispatcher.ts
@@ -14,14 +14,15 @@
 import type { StageRelease } from './stageRelease.js'
 import type { Scheduler } from '../../../types/scheduler.js'
 import type { StageScheduler } from './stageScheduler.js'
+import type { UpstreamDemands } from '../model/upstreamDemands.js'
 import type { UpstreamPool } from '../upstreams/upstreamPool.js'
 
 interface DispatcherOptions {
   readonly scheduler: StageScheduler
   /** Connection pool of an upstream; undefined when the upstream is gone. */
   readonly findPool: (upstreamId: string) => Pick<UpstreamPool, 'send'> | undefined
-  /** Request limit that an upstream has named, in requests a second. */
-  readonly findLimit: (upstreamId: string) => number | undefined
+  /** What an upstream has asked for in its answers. */
+  readonly findDemands: (upstreamId: string) => UpstreamDemands | undefined
   readonly engines: EnginePlanner
   readonly codec: StageCallCodec
   readonly clock: Clock
@@ -180,7 +181,7 @@
         this.callsInProgress.delete(call.id)
         const nowMs = clock.readMonotonicMs()
         metrics.recordDuration('stage_call', { service: call.service }, nowMs - call.sentAtMs)
-        this.options.scheduler.applyLimit(call, this.options.findLimit(call.upstreamId))
+        this.options.scheduler.applyDemands(call, this.options.findDemands(call.upstreamId))
         this.options.scheduler.onCallAnswered(call, results, nowMs)
         this.recordPieceFailures(call, results)
         this.planCalls()
@@ -219,7 +220,7 @@
       elapsedMs: Math.round(clock.readMonotonicMs() - call.sentAtMs),
       firstRequestId: call.pieces[0]?.requestId
     })
-    scheduler.applyLimit(call, this.options.findLimit(call.upstreamId))
+    scheduler.applyDemands(call, this.options.findDemands(call.upstreamId))
     scheduler.onCallFailed(call, clock.readMonotonicMs())
     this.schedulePlanning(0)
   }
@@ -252,9 +253,10 @@
 
   /** Not retried: after a lost release, the results occupy memory until they expire. */
   private sendReleases (): void {
-    const { scheduler, findPool, codec, timers } = this.options
+    const { scheduler, findPool, findDemands, codec, clock, timers } = this.options
     for (const release of scheduler.takeReleases()) {
-      const pool = findPool(release.upstreamId)
+      const isPaused = (findDemands(release.upstreamId)?.backoffUntilMs ?? 0) > clock.readMonotonicMs()
+      const pool = isPaused ? undefined : findPool(release.upstreamId)
       // The results expire by themselves; counting their memory as free too early costs at most a refused piece.
       if (pool === undefined) this.onReleased(release, 'failed')
       else sendRelease({ pool, codec, release, timers, onEnd: outcome => { this.onReleased(release, outcome) } })
--- a/src/node/gateway/stages/stageScheduler.ts
+++ b/src/node/gateway/stages/stageScheduler.ts
@@ -17,6 +17,7 @@
 import type { StagePieceResult } from '../model/stagePieceResult.js'
 import type { StageRelease } from './stageRelease.js'
 import type { StageTask } from './stageTask.js'
+import type { UpstreamDemands } from '../model/upstreamDemands.js'
 import type { UpstreamEntry } from '../model/upstreamEntry.js'
 
 /**
@@ -95,10 +96,12 @@
     return calls
   }
 
-  /** Applies the limit, in requests a second, that the upstream of a call names by now. */
-  applyLimit ({ service, upstreamId }: StageCall, requestsPerSecond: number | undefined): void {
+  /** Applies what the upstream of a call asks for by now. */
+  applyDemands ({ service, upstreamId }: StageCall, demands: UpstreamDemands | undefined): void {
     const upstream = this.services.get(service)?.upstreams.get(upstreamId)
-    if (upstream !== undefined) upstream.requestsPerSecond = requestsPerSecond
+    if (upstream === undefined || demands === undefined) return
+    upstream.requestsPerSecond = demands.requestsPerSecond
+    upstream.pausedUntilMs = Math.max(upstream.pausedUntilMs, demands.backoffUntilMs)
   }
 
   /** Handles the answer to a call; `results` are in the order of its pieces. */
@@ -240,7 +243,7 @@
     if (result.failure === 'input-gone') return this.retryJob(task.jobState, nowMs)
     if (result.failure === 'no-room') {
       const upstream = this.services.get(call.service)!.upstreams.get(call.upstreamId)
-      if (upstream !== undefined) upstream.pausedUntilMs = nowMs + stageConstants.memoryFullPauseMs
+      if (upstream !== undefined) upstream.pausedUntilMs = Math.max(upstream.pausedUntilMs, nowMs + stageConstants.memoryFullPauseMs)
     }
     this.retryPiece(task, pieceIndex, nowMs)
   }
@@ -365,6 +368,7 @@
   for (const entry of entries) {
     const upstream = service.upstreams.get(entry.id) ?? new StageUpstream(entry.id, entry.failureDomain)
     upstream.isDraining = entry.isDraining
+    upstream.applyInstance(entry.startedAtMs)
     service.upstreams.set(entry.id, upstream)
   }
 }
--- a/src/node/gateway/stages/stageUpstream.ts
+++ b/src/node/gateway/stages/stageUpstream.ts
@@ -9,7 +9,10 @@
   slowdown = 1
   /** Memory for results that are expected or have not been released. */
   reservedResultBytes = 0
-  /** The upstream gets no call before this time: set after failed calls and when it reported no memory for results. */
+  /**
+   * The upstream gets no call before this time: set after failed calls, when it reported no memory for results, and when
+   * it asked for a pause.
+   */
   pausedUntilMs = 0
   isDraining = false
   /**
@@ -18,9 +21,16 @@
   requestsPerSecond: number | undefined
   lastCallAtMs = -Infinity
   private failures = 0
+  private startedAtMs: number | undefined
 
   constructor (readonly id: string, readonly failureDomain: string) {}
 
+  /** An instance that has just started has not asked for a pause. */
+  applyInstance (startedAtMs: number): void {
+    if (this.startedAtMs !== undefined && this.startedAtMs !== startedAtMs) this.pausedUntilMs = 0
+    this.startedAtMs = startedAtMs
+  }
+
   isIdle (nowMs: number, concurrentCalls: number): boolean {
     return !this.isDraining && this.callsInFlight < concurrentCalls && this.computeAvailableAtMs() <= nowMs
   }
@@ -43,6 +53,6 @@
   onFailure (nowMs: number): void {
     const pauseMs = Math.min(stageConstants.backoffMs * 2 ** this.failures, stageConstants.maxBackoffMs)
     this.failures++
-    this.pausedUntilMs = nowMs + pauseMs
+    this.pausedUntilMs = Math.max(this.pausedUntilMs, nowMs + pauseMs)
   }
 }
--- a/src/node/gateway/upstreams/constants.ts
+++ b/src/node/gateway/upstreams/constants.ts
@@ -31,6 +31,10 @@
   /** Duration of the first ejection; doubles with each further one up to the maximum. */
   ejectMs: 1000,
   maxEjectMs: 8000,
+  /** Pause for an upstream that asks for one whose length cannot be read. */
+  defaultBackoffMs: 1000,
+  /** Longest pause that an upstream can ask for. */
+  maxBackoffMs: 600_000,
   /** Share of a service's upstreams that may be ejected at the same time. */
   maxEjectedShare: 0.5,
   /** Hosts that share the request limit of an upstream. Each may be one request ahead of its share. */
--- a/src/node/gateway/upstreams/upstreamDirectory.ts
+++ b/src/node/gateway/upstreams/upstreamDirectory.ts
@@ -1,3 +1,4 @@
+import { computeBackoffMs } from './computeBackoffMs.js'
 import { computeLimitLifetimeMs } from './computeLimitLifetimeMs.js'
 import { LeavingInstances } from './leavingInstances.js'
 import { LimitShare } from './limitShare.js'
@@ -8,6 +9,7 @@
 import type { Clock } from '../../../types/clock.js'
 import type { Logger } from '../../../types/logger.js'
 import type { Metrics } from '../../../types/metrics.js'
+import type { UpstreamDemands } from '../model/upstreamDemands.js'
 import type { UpstreamEntry } from '../model/upstreamEntry.js'
 import type { UpstreamLimit } from './upstreamLimit.js'
 import type { UpstreamResponseHead } from '../model/upstreamResponseHead.js'
@@ -59,6 +61,7 @@
           this.leaving.has(entry) ? 'it says so in its answers' : 'the draining flag of the store entry changed'
         )
       }
+      if (known.entry.startedAtMs !== entry.startedAtMs) known.backoff.end()
       known.entry = entry
       known.removeAtMs = undefined
     } else {
@@ -112,14 +115,26 @@
   }
 
   /**
-   * Time until an upstream of a service may get a request within its limit; 0 when one may now, or when there is none.
+   * Time until an upstream of a service may get a request within its limit and after the pause that it has asked for; 0
+   * when one may now, or when there is none.
    */
   computeServiceWaitMs (service: string): number {
     const nowMs = this.options.clock.readMonotonicMs()
+    const backoffWaitMs = this.computeBackoffWaitMs(service)
+    if (backoffWaitMs > 0) return backoffWaitMs
     const healthy = this.listHealthy(service, nowMs)
     return healthy.length === 0 ? 0 : Math.min(...healthy.map(state => this.computeLimitWaitMs(state, nowMs)))
   }
 
+  /** Time until the first upstream of a service wants requests again; 0 when one wants them now, or when there is none. */
+  computeBackoffWaitMs (service: string): number {
+    const nowMs = this.options.clock.readMonotonicMs()
+    const waitsMs = this.listService(service)
+      .filter(state => !state.entry.isDraining)
+      .map(state => state.backoff.untilMs - nowMs)
+    return waitsMs.length === 0 ? 0 : Math.max(Math.min(...waitsMs), 0)
+  }
+
   /** Whether an upstream of a service that may get requests has named a limit. */
   hasLimits (service: string): boolean {
     const nowMs = this.options.clock.readMonotonicMs()
@@ -128,21 +143,24 @@
 
   /** Whether an upstream may get a request, its limit aside. */
   isAvailable (state: UpstreamState): boolean {
-    const isHealthy = !state.entry.isDraining && !state.isEjected(this.options.clock.readMonotonicMs())
+    const nowMs = this.options.clock.readMonotonicMs()
+    const isHealthy = state.isOpen(nowMs) && !state.isEjected(nowMs)
     return isHealthy && this.states.get(state.entry.id) === state && state.pool.hasFreeConnection()
   }
 
-  /** Request limit that an upstream has named, in requests a second. */
-  getRequestLimit (id: string): number | undefined {
-    return this.states.get(id)?.limit?.requestsPerSecond
+  /** What an upstream has asked for in its answers; undefined when the upstream is gone. */
+  findDemands (id: string): UpstreamDemands | undefined {
+    const state = this.states.get(id)
+    if (state === undefined) return undefined
+    return { requestsPerSecond: state.limit?.requestsPerSecond, backoffUntilMs: state.backoff.untilMs }
   }
 
   /**
-   * Upstreams that are not leaving. Ejected upstreams are left out, unless too many are ejected: then the cause of the
+   * Upstreams that are not leaving and have not asked for a pause. Ejected upstreams are left out, unless too many are ejected: then the cause of the
    * failures is more likely on this host's side.
    */
   private listHealthy (service: string, nowMs: number): readonly UpstreamState[] {
-    const usable = this.listService(service).filter(state => !state.entry.isDraining)
+    const usable = this.listService(service).filter(state => state.isOpen(nowMs))
     const healthy = usable.filter(state => !state.isEjected(nowMs))
     return healthy.length >= usable.length * (1 - upstreamConstants.maxEjectedShare) ? healthy : usable
   }
@@ -229,10 +247,13 @@
     state.limit = { requestsPerSecond: requestLimit, endsAtMs, share }
   }
 
-  private observeBackoff ({ entry: { id, service } }: UpstreamState, { status, backoffMs }: UpstreamResponseHead): void {
+  private observeBackoff ({ entry, backoff }: UpstreamState, { status, backoffMs: statedMs }: UpstreamResponseHead): void {
+    const { clock, logger, metrics } = this.options
+    const backoffMs = statedMs === undefined ? undefined : computeBackoffMs(statedMs)
+    backoff.observeAnswer(backoffMs, clock.readMonotonicMs())
     if (backoffMs === undefined) return
-    this.options.metrics.addCount('upstream_backoffs', { service })
-    this.options.logger.recordInfo('upstream asked to back off', { upstream: id, service, status, backoffMs })
+    metrics.addCount('upstream_backoffs', { service: entry.service })
+    logger.recordInfo('upstream asked to back off', { upstream: entry.id, service: entry.service, status, statedMs, backoffMs })
   }
 
   private recordLimit (state: UpstreamState, requestsPerSecond: number | undefined, reason: string): void {
--- a/src/node/gateway/upstreams/upstreamState.ts
+++ b/src/node/gateway/upstreams/upstreamState.ts
@@ -1,3 +1,4 @@
+import { UpstreamBackoff } from './upstreamBackoff.js'
 import { upstreamConstants } from './constants.js'
 import type { UpstreamLimit } from './upstreamLimit.js'
 import type { UpstreamEntry } from '../model/upstreamEntry.js'
@@ -11,6 +12,7 @@
   private durationMs = 0
   private measuredAtMs = 0
   ejectedUntilMs = 0
+  readonly backoff = new UpstreamBackoff()
   /** Undefined while the upstream names no limit. */
   limit: UpstreamLimit | undefined
   /** Time at which the upstream is removed; set while its entry is missing after a store outage. */
@@ -20,6 +22,11 @@
 
   constructor (public entry: UpstreamEntry, readonly pool: UpstreamPool) {}
 
+  /** Whether the upstream wants requests from this host. */
+  isOpen (nowMs: number): boolean {
+    return !this.entry.isDraining && this.backoff.isOver(this.inFlight, nowMs)
+  }
+
   isEjected (nowMs: number): boolean {
     return this.ejectedUntilMs > nowMs
   }
