fix(gateway): send nothing for a while to an upstream whose address another instance has

Cause: the same as of requests to upstreams that ask for a pause: an answer tells something that nothing which decides reads. 421 counted as a failure; three of them ejected the upstream for a second, then it was tried again. An ejection also outlasted the start of another instance under the id.

Change: 421 pauses the upstream for 5 s, then one request at a time is sent. Another start time in the entry ends the pause and the ejection.

--- a/src/node/gateway/upstreams/constants.ts
+++ b/src/node/gateway/upstreams/constants.ts
@@ -33,6 +33,8 @@
   maxEjectMs: 8000,
   /** Pause for an upstream that asks for one whose length cannot be read. */
   defaultBackoffMs: 1000,
+  /** Pause for an upstream whose address another instance has; its entry in the store usually changes before. */
+  replacedPauseMs: 5000,
   /** Longest pause that an upstream can ask for. */
   maxBackoffMs: 600_000,
   /** Share of a service's upstreams that may be ejected at the same time. */
--- a/src/node/gateway/upstreams/upstreamDirectory.ts
+++ b/src/node/gateway/upstreams/upstreamDirectory.ts
@@ -66,7 +66,10 @@
           this.leaving.has(entry) ? 'it says so in its answers' : 'the draining flag of the store entry changed'
         )
       }
-      if (known.entry.startedAtMs !== entry.startedAtMs) known.backoff.end()
+      if (known.entry.startedAtMs !== entry.startedAtMs) {
+        known.backoff.end()
+        known.removeFailures()
+      }
       known.entry = entry
       known.removeAtMs = undefined
     } else {
@@ -283,8 +286,15 @@
     state.limit = { requestsPerSecond: requestLimit, endsAtMs, share }
   }
 
-  private observeBackoff ({ entry, backoff }: UpstreamState, { status, backoffMs: statedMs }: UpstreamResponseHead): void {
+  private observeBackoff ({ entry, backoff }: UpstreamState, head: UpstreamResponseHead): void {
     const { clock, logger, metrics } = this.options
+    const { status, isMisdirected, backoffMs: statedMs } = head
+    if (isMisdirected) {
+      backoff.observeAnswer(upstreamConstants.replacedPauseMs, clock.readMonotonicMs())
+      metrics.addCount('upstreams_replaced_seen', { service: entry.service })
+      logger.recordInfo('upstream not at its address any more', { upstream: entry.id, service: entry.service, address: entry.address })
+      return
+    }
     const backoffMs = statedMs === undefined ? undefined : computeBackoffMs(statedMs)
     backoff.observeAnswer(backoffMs, clock.readMonotonicMs())
     if (backoffMs === undefined) return
