--- a/src/node/gateway/crashes/constants.ts
+++ b/src/node/gateway/crashes/constants.ts
@@ -35,6 +35,8 @@
   maxCrashesPerPart: 16,
   /** Suspected parts in the report of one crash; a prompt has up to four. */
   maxPartsPerCrash: 64,
+  /** Length of the digest of a request, in hexadecimal digits. */
+  requestHashLength: 32,
   /** Length of a part id, in characters, above which the part is not tracked. */
   maxPartIdLength: 128,
   /** Timeout of the connection attempt that shows whether an upstream has ended; a refusal takes a round trip. */
--- a/src/node/gateway/ingress/requestRun.ts
+++ b/src/node/gateway/ingress/requestRun.ts
@@ -6,6 +6,7 @@
 import { computeStallTimeoutMs } from './computeStallTimeoutMs.js'
 import { decideNextAttempt } from './decideNextAttempt.js'
 import { engineConstants } from '../engines/constants.js'
+import { hashRequest } from '../crashes/hashRequest.js'
 import { ingressConstants } from './constants.js'
 import { sendAttempt } from './sendAttempt.js'
 import type { AttemptDecision } from './attemptDecision.js'
@@ -387,9 +388,11 @@
 
   /** What requests that fail at the same upstream may have in common. */
   private describeRequest (): Readonly<Record<string, string | number | boolean | undefined>> {
-    const { request, account } = this.options
+    const { request, account, body } = this.options
     return {
       account: account?.name,
+      requestHash: hashRequest(request, account, body),
+      bodyBytes: body.length,
       hadEvents: this.hasEvents,
       promptTokens: request.promptTokens,
       promptParts: request.promptParts.slice(0, ingressConstants.maxLoggedParts).map(part => part.id).join(' ')
