--- a/playground/platform/crashingEngines.ts
+++ b/playground/platform/crashingEngines.ts
@@ -7,27 +7,32 @@
 interface EnginesOptions {
   readonly fleet: GatewayTestHarness
   readonly service: string
-  /** Prompt part that ends each engine that begins an answer on it. */
-  readonly crashingPart: string
+  /** Whether an engine ends when it begins to answer a request. */
+  readonly isCrashing: (request: StandInRequest) => boolean
   /** Time until an engine begins an answer. */
   readonly prefillMs: number
   /** Time after which an engine that has ended is back under another id. */
   readonly restartMs: number
+  /** Beginning of the engines' ids. */
+  readonly idPrefix?: string
 }
 
 /**
- * Engines of one service, registered in the store of a test harness. Each ends when it begins an answer on the crashing
- * part.
+ * Engines of one service, registered in the store of a test harness. Each ends when it begins to answer a crashing
+ * request.
  */
 export class CrashingEngines {
   readonly engines: UpstreamStandIn[] = []
-  /** Requests with the crashing part that reached an engine. */
+  /** Crashing requests that reached an engine. */
   arrivals = 0
   crashes = 0
   private startedCount = 0
   private isStopped = false
+  private readonly idPrefix: string
 
-  constructor (private readonly options: EnginesOptions) {}
+  constructor (private readonly options: EnginesOptions) {
+    this.idPrefix = options.idPrefix ?? 'i-engine'
+  }
 
   async start (count: number): Promise<this> {
     for (let i = 0; i < count; i++) await this.startEngine()
@@ -42,7 +47,7 @@
   /** Writes the entries of the running engines, as they do after a restore of the store, and removes those of others. */
   writeEntries (): void {
     const { fleet, service } = this.options
-    const stored = fleet.store.listKeys().filter(key => key.startsWith('servers/i-engine-'))
+    const stored = fleet.store.listKeys().filter(key => key.startsWith(`servers/${this.idPrefix}-`))
     for (const key of stored) {
       if (!this.engines.some(engine => key.endsWith(`/${engine.id}`))) fleet.store.remove(key)
     }
@@ -64,7 +69,7 @@
 
   private async startEngine (): Promise<void> {
     const { fleet, service } = this.options
-    const engine: UpstreamStandIn = new UpstreamStandIn(`i-engine-${++this.startedCount}`, (request, socket) => {
+    const engine: UpstreamStandIn = new UpstreamStandIn(`${this.idPrefix}-${++this.startedCount}`, (request, socket) => {
       this.onRequest(engine, request, socket)
     })
     await engine.start()
@@ -73,9 +78,8 @@
   }
 
   private onRequest (engine: UpstreamStandIn, request: StandInRequest, socket: Socket): void {
-    const { crashingPart, prefillMs } = this.options
-    const parts = (request.headers['x-prompt-prefix'] ?? '').split(',').map(part => part.split(':')[0])
-    const isCrashing = parts.slice(0, -1).includes(crashingPart)
+    const { prefillMs } = this.options
+    const isCrashing = this.options.isCrashing(request)
     if (isCrashing) this.arrivals++
     setTimeout(() => {
       if (isCrashing && this.engines.includes(engine)) {
--- a/src/node/app/__tests__/crashingPrompts.test.ts
+++ b/src/node/app/__tests__/crashingPrompts.test.ts
@@ -1,6 +1,7 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import t from 'tap'
 import { CrashingEngines } from '../../../../playground/platform/crashingEngines.js'
+import { hasPromptPart } from '../../../../playground/platform/hasPromptPart.js'
 import { GatewayTestHarness } from '../../../../playground/platform/gatewayTestHarness.js'
 import { waitUntil } from '../../../../playground/fakes/waitUntil.js'
 import type { StandInRequest } from '../../../../playground/platform/standInRequest.js'
@@ -20,7 +21,7 @@
   const engines = await new CrashingEngines({
     fleet: first,
     service: 'llm',
-    crashingPart: 'bad',
+    isCrashing: request => hasPromptPart(request, 'bad'),
     prefillMs: 20,
     restartMs: 500
   }).start(6)
--- a/src/node/app/__tests__/restoredStore.test.ts
+++ b/src/node/app/__tests__/restoredStore.test.ts
@@ -2,6 +2,7 @@
 import t from 'tap'
 import { buildStandInAnswer } from '../../../../playground/platform/buildStandInAnswer.js'
 import { CrashingEngines } from '../../../../playground/platform/crashingEngines.js'
+import { hasPromptPart } from '../../../../playground/platform/hasPromptPart.js'
 import { GatewayTestHarness } from '../../../../playground/platform/gatewayTestHarness.js'
 import { UpstreamStandIn } from '../../../../playground/platform/upstreamStandIn.js'
 import { waitUntil } from '../../../../playground/fakes/waitUntil.js'
@@ -156,7 +157,8 @@
 
   await t.test('guards against a prompt part that ends upstreams again at hosts that start after the restore', async t => {
     const { first, hosts } = await startFleet(t, 2)
-    const engines = await new CrashingEngines({ fleet: first, service: 'llm', crashingPart: 'bad', prefillMs: 20, restartMs: 500 }).start(4)
+    const isCrashing: ConstructorParameters<typeof CrashingEngines>[0]['isCrashing'] = request => hasPromptPart(request, 'bad')
+    const engines = await new CrashingEngines({ fleet: first, service: 'llm', isCrashing, prefillMs: 20, restartMs: 500 }).start(4)
     t.teardown(() => { engines.stop() })
     const version = first.writeConfiguration({
       services,
