test(gateway): give closed links of hosts a loopback host of their own

While a link was closed, its port could be taken by another process; listen failed, ErrorGuard took the error, and the test waited for good.

--- a/playground/platform/upstreamLink.ts
+++ b/playground/platform/upstreamLink.ts
@@ -2,6 +2,14 @@
 import type { AddressInfo, Server, Socket } from 'node:net'
 import type { LinkCut } from './linkCut.js'
 
+let hostCount = 0
+
+/** A loopback host of its own, so that no other program takes the port while the path is closed. */
+function createLoopbackHost (): string {
+  hostCount++
+  return `127.${1 + process.pid % 250}.${1 + Math.floor(hostCount / 250)}.${1 + hostCount % 250}`
+}
+
 /** A host's network path to one upstream, as a TCP proxy that a test cuts and heals. */
 export class UpstreamLink {
   address = ''
@@ -12,11 +20,14 @@
   constructor (private readonly target: string) {}
 
   async start (): Promise<this> {
-    const port = this.address === '' ? 0 : Number(this.address.split(':')[1])
+    const [host = createLoopbackHost(), port = '0'] = this.address === '' ? [] : this.address.split(':')
     const server = createServer(socket => { this.openPair(socket) })
     this.server = server
-    await new Promise<void>(resolve => { server.listen(port, '127.0.0.1', resolve) })
-    this.address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject)
+      server.listen(Number(port), host, resolve)
+    })
+    this.address = `${host}:${(server.address() as AddressInfo).port}`
     return this
   }
 
