fix(gateway): refuse a request under which upstreams end again and again

What callers saw: one request, sent again and again with the same path, caller and body, ended upstream after upstream of a plain service; half of the sound requests of the service failed meanwhile. On routes with prompts, the shared part of such a request was refused, and with it sound requests that hold it.

Cause: only shared prompt parts could be accused, so a request without any left no evidence, at no host; and the same request counted against its part each time it came. The class: evidence is kept by what requests share, not by what comes again.

Change: a request is accused as a whole, by a digest of its method, path, caller, prompt and body, next to its parts. The evidence takes the same way as that on parts: reports of all hosts in the store, refusal after two ends without an answer since, one trial of all hosts after 1 s, then ever more rarely, cleared by the first answer. Plain requests and those with a body are covered; the digest is computed only while there is a suspect. A part needs evidence under two different requests. Reports that do not fit into one are written in the next in place of being dropped.

Ruled out: evidence lost with killed hosts (the rule breaks before the kill as well).

--- a/src/node/gateway/crashes/computeTrialRetryMs.ts
+++ b/src/node/gateway/crashes/computeTrialRetryMs.ts
@@ -1,7 +1,7 @@
 import { crashConstants } from './constants.js'
-import type { PartRefusal } from './partRefusal.js'
+import type { SuspectRefusal } from './suspectRefusal.js'
 
 /** Retry-After of a refused request: the time until a request with the part may be sent again. */
-export function computePromptRetryMs ({ trialInMs }: PartRefusal): number {
+export function computeTrialRetryMs ({ trialInMs }: SuspectRefusal): number {
   return Math.min(Math.max(trialInMs, crashConstants.settleMs), crashConstants.maxRetryAfterMs)
 }
--- a/src/node/gateway/crashes/constants.ts
+++ b/src/node/gateway/crashes/constants.ts
@@ -1,11 +1,13 @@
-/** Parameters of the detection of prompt parts that end upstreams. */
+/** Parameters of the detection of prompt parts and requests that end upstreams. */
 export const crashConstants = {
-  /** A part on which no answer was seen to begin is refused after this many ends of upstreams. */
+  /** A part on which no answer was seen to begin, or a request, is refused after this many ends of upstreams. */
   crashesToRefuse: 2,
   /**
    * Such a bound for a part on which answers began before: other parts of the same prompts are more likely the cause.
    */
   crashesToRefuseSound: 4,
+  /** Different requests under which these ends must have come for a part to be refused. */
+  requestsToRefusePart: 2,
   /** Time for which the beginning of an answer counts as a sign that its parts are sound. */
   soundMs: 300_000,
   /** A part on which an answer began within this time before the end of an upstream did not cause it. */
@@ -27,12 +29,12 @@
   claimRetryMs: 30_000,
   /** Claims of a host that it writes again in one call after a restore; the store accepts 32 entries. */
   maxClaimsWrittenAgain: 32,
-  /** Parts with evidence that a host remembers; the least recently used ones are dropped. */
+  /** Parts, and requests, with evidence that a host remembers; the least recently used ones are dropped. */
   maxSuspects: 4096,
   /** Parts that a host remembers as sound. */
   maxSoundParts: 16_384,
-  /** Ends of upstreams that are remembered for a part. */
-  maxCrashesPerPart: 16,
+  /** Ends of upstreams that are remembered for a part or a request. */
+  maxCrashesPerSuspect: 16,
   /** Suspected parts in the report of one crash; a prompt has up to four. */
   maxPartsPerCrash: 64,
   /** Length of the digest of a request, in hexadecimal digits. */
@@ -47,8 +49,10 @@
   reportDelayMs: 50,
   /** Pause before a report is written again after a failure. */
   reportRetryMs: 500,
-  /** Entries of a report; more are left out and counted in the log. */
+  /** Entries of a report; more go into the next one. */
   maxReportEntries: 64,
+  /** Entries that wait to be reported; more are left out and counted in the log. */
+  maxPendingEntries: 2048,
   /** Lifetime of reports in the store, the longest that the store grants. */
   reportLeaseMs: 600_000,
   /**
--- a/src/node/gateway/crashes/crashGuard.ts
+++ b/src/node/gateway/crashes/crashGuard.ts
@@ -1,17 +1,18 @@
 import { createHash } from 'node:crypto'
 import { crashConstants } from './constants.js'
 import { crashReportCodec } from './crashReportCodec.js'
-import { listSharedPartIds } from './listSharedPartIds.js'
-import { PromptPartRecords } from './promptPartRecords.js'
+import { SuspectRecords } from './suspectRecords.js'
 import type { Clock } from '../../../types/clock.js'
+import type { CrashReport } from '../model/crashReport.js'
 import type { CrashReporter } from './crashReporter.js'
 import type { Logger } from '../../../types/logger.js'
 import type { Metrics } from '../../../types/metrics.js'
-import type { PartRefusal } from './partRefusal.js'
-import type { PromptAdmission } from './promptAdmission.js'
-import type { PromptPart } from '../model/promptPart.js'
-import type { PromptTrial } from './promptTrial.js'
+import type { SuspectRefusal } from './suspectRefusal.js'
+import type { SuspectAdmission } from './suspectAdmission.js'
+import type { SuspectTrial } from './suspectTrial.js'
 import type { SnapshotCause } from '../store/snapshotCause.js'
+import type { SuspectKind } from './suspectKind.js'
+import type { SuspectRequest } from './suspectRequest.js'
 import type { StoreClient } from '../model/storeClient.js'
 import type { StoreItem } from '../model/storeItem.js'
 import type { UpstreamEntry } from '../model/upstreamEntry.js'
@@ -29,12 +30,13 @@
 }
 
 /**
- * Keeps prompt parts that end upstreams away from them. The hosts share their evidence through the store, because each
- * of them may see one crash only. One request of all hosts is sent as a trial when a refused part may be sound after
- * all.
+ * Keeps prompt parts and requests that end upstreams away from them. The hosts share their evidence through the store,
+ * because each of them may see one crash only. One request of all hosts is sent as a trial when what is refused may be
+ * sound after all.
  */
 export class CrashGuard {
-  private readonly records = new PromptPartRecords()
+  private readonly parts = new SuspectRecords('part')
+  private readonly requests = new SuspectRecords('request')
   /** Running and recent checks by upstream instance. */
   private readonly checks = new Map<string, Promise<boolean>>()
   /** Trials that this host has claimed or lost, by key. */
@@ -46,57 +48,68 @@
 
   constructor (private readonly options: GuardOptions) {}
 
-  /** Decides whether a request may be sent, and claims the trial of a refused part when it is due. */
-  async admit (parts: readonly PromptPart[]): Promise<PromptAdmission> {
-    const refusal = this.records.findRefusal(listSharedPartIds(parts), this.readNowMs())
+  /** Decides whether a request may be sent, and claims the trial of what is refused in it when it is due. */
+  async admit (request: SuspectRequest): Promise<SuspectAdmission> {
+    const refusal = this.findLongestRefusal(request)
     if (refusal === undefined) return { type: 'admitted' }
     const trial = refusal.trialInMs === 0 ? await this.claimTrial(refusal) : undefined
     if (trial !== undefined) return { type: 'admitted', trial }
-    this.options.reporter.addCrashes(this.records.takeExpiringCrashes(refusal.partId, this.readNowMs()))
+    this.reportExpiringCrashes(refusal)
     return { type: 'refused', refusal }
   }
 
   /** Whether a request that was admitted, perhaps with a trial, must not be sent by now. */
-  findRefusal (parts: readonly PromptPart[], trial: PromptTrial | undefined): PartRefusal | undefined {
-    const refusal = this.records.findRefusal(listSharedPartIds(parts), this.readNowMs())
-    const isTrial = refusal !== undefined && trial?.partId === refusal.partId && trial.crashCount === refusal.crashCount
+  findRefusal (request: SuspectRequest, trial: SuspectTrial | undefined): SuspectRefusal | undefined {
+    const refusal = this.findLongestRefusal(request)
+    const isTrial = refusal !== undefined && trial?.id === refusal.id && trial.crashCount === refusal.crashCount
     return isTrial ? undefined : refusal
   }
 
-  /** An upstream has begun the answer to a request. */
-  onAnswerBegan (parts: readonly PromptPart[]): void {
-    const cleared = this.records.recordAnswer(listSharedPartIds(parts), this.readNowMs())
+  /** An upstream has begun the answer to a request, so neither its prompt nor the request itself ends upstreams. */
+  onAnswerBegan (request: SuspectRequest): void {
+    this.onAnswered(request)
+    const cleared = this.parts.recordAnswer(request.partIds, this.readNowMs())
     if (cleared.length === 0) return
     this.options.logger.recordInfo('prompt parts cleared', { parts: cleared.join(' ') })
     this.options.reporter.addSoundParts(cleared)
   }
 
+  /** An upstream has answered a request, perhaps without reading its prompt. */
+  onAnswered (request: SuspectRequest): void {
+    if (!this.requests.hasSuspects()) return
+    const cleared = this.requests.recordAnswer([request.hash], this.readNowMs())
+    if (cleared.length === 0) return
+    this.options.logger.recordInfo('request cleared', { requestHash: cleared.join(' ') })
+    this.options.reporter.addSoundRequests(cleared)
+  }
+
   /**
    * A connection broke before the answer to its request began. Resolves when it is known whether the upstream has
    * ended: `hasEnded` tells it when another host has checked.
    */
-  async onConnectionLost (upstream: UpstreamEntry, parts: readonly PromptPart[], hasEnded?: boolean): Promise<void> {
-    const partIds = listSharedPartIds(parts)
-    if (partIds.length === 0) return
+  async onConnectionLost (upstream: UpstreamEntry, request: SuspectRequest, hasEnded?: boolean): Promise<void> {
     const instance = `${upstream.id}@${upstream.startedAtMs}`
     if (!(hasEnded ?? await this.checkEndedOnce(instance, upstream.address))) return
     const nowMs = this.readNowMs()
-    const suspects = this.records.listSuspects(partIds, nowMs).slice(0, crashConstants.maxPartsPerCrash)
-    const crash = { instance, partIds: suspects }
+    const { partIds, hash } = request
+    // A request that is refused already explains the end.
+    const isExplained = this.requests.findRefusal([hash], nowMs) !== undefined
+    const suspects = isExplained ? [] : this.parts.listSuspects(partIds, nowMs).slice(0, crashConstants.maxPartsPerCrash)
+    const crash = { instance, partIds: suspects, requestHash: hash }
     this.options.metrics.addCount('upstream_crashes_seen', { service: upstream.service })
     this.options.logger.recordWarning('upstream ended before an answer', {
       upstream: upstream.id,
       parts: partIds.join(' '),
-      suspects: suspects.join(' ')
+      suspects: suspects.join(' '),
+      requestHash: hash
     })
-    if (crash.partIds.length === 0) return
-    this.applyEvidence(() => { this.records.recordCrash(crash, nowMs) }, crash.partIds)
+    this.applyEvidence({ crashes: [crash], soundPartIds: [], soundRequestHashes: [] })
     this.options.reporter.addCrashes([crash])
   }
 
   /** Gives an undecided trial back, so that another request can be sent in its place. */
-  async endTrial ({ partId, crashCount, key }: PromptTrial): Promise<void> {
-    const refusal = this.records.findRefusal([partId], this.readNowMs())
+  async endTrial ({ kind, id, crashCount, key }: SuspectTrial): Promise<void> {
+    const refusal = this.getRecords(kind).findRefusal([id], this.readNowMs())
     if (refusal?.crashCount !== crashCount) return
     this.claimedUntilMs.delete(key)
     this.ownClaims.delete(key)
@@ -104,14 +117,15 @@
       await this.options.store.writeConditionally({ conditions: [], writes: [], removals: [key] })
     } catch (error) {
       const reason = (error as Error).message
-      this.options.logger.recordWarning('trial not given back; it ends with its lease', { part: partId, reason })
+      this.options.logger.recordWarning('trial not given back; it ends with its lease', { kind, id, reason })
     }
   }
 
   /** Applies all reports in the store, except those that were applied before. */
   applySnapshot (items: readonly StoreItem[], cause: SnapshotCause): void {
     if (cause === 'restore') {
-      this.records.setReportsLost()
+      this.parts.setReportsLost()
+      this.requests.setReportsLost()
       this.writeClaimsAgain().catch(error => {
         this.options.logger.recordWarning('claims of trials not written again', { reason: (error as Error).message })
       })
@@ -136,32 +150,58 @@
         this.options.logger.recordWarning('crash report not readable', { key, revision })
         continue
       }
-      const partIds = report.crashes.flatMap(crash => crash.partIds)
-      this.applyEvidence(() => { this.records.applyReport(report, this.readNowMs()) }, partIds)
+      this.applyEvidence(report)
     }
   }
 
-  /** Applies evidence and logs the parts that are refused because of it. */
-  private applyEvidence (apply: () => void, partIds: readonly string[]): void {
+  /** Applies evidence and logs what is refused because of it. */
+  private applyEvidence ({ crashes, soundPartIds, soundRequestHashes }: CrashReport): void {
     const nowMs = this.readNowMs()
-    const known = new Set(partIds.filter(id => this.records.findRefusal([id], nowMs) !== undefined))
-    apply()
-    for (const id of new Set(partIds)) {
-      const refusal = this.records.findRefusal([id], nowMs)
-      if (refusal === undefined || known.has(id)) continue
-      this.options.metrics.addCount('prompt_parts_refused', {})
-      this.options.logger.recordWarning('prompt part refused', {
-        part: id,
-        crashes: refusal.crashCount,
-        trialInMs: Math.round(refusal.trialInMs)
-      })
+    const partIds = [...new Set(crashes.flatMap(crash => crash.partIds))]
+    const hashes = [...new Set(crashes.flatMap(({ requestHash }) => requestHash === undefined ? [] : [requestHash]))]
+    const listRefused = (): readonly SuspectRefusal[] => [
+      ...partIds.map(id => this.parts.findRefusal([id], nowMs)),
+      ...hashes.map(hash => this.requests.findRefusal([hash], nowMs))
+    ].filter(refusal => refusal !== undefined)
+    const known = new Set(listRefused().map(({ id }) => id))
+    this.parts.applyReport({ crashes: crashes.map(crash => ({ ...crash, ids: crash.partIds })), soundIds: soundPartIds }, nowMs)
+    this.requests.applyReport({
+      crashes: crashes.map(({ instance, requestHash }) => ({ instance, ids: requestHash === undefined ? [] : [requestHash] })),
+      soundIds: soundRequestHashes
+    }, nowMs)
+    for (const { kind, id, crashCount, trialInMs } of listRefused()) {
+      if (known.has(id)) continue
+      const fields = { crashes: crashCount, trialInMs: Math.round(trialInMs) }
+      this.options.metrics.addCount(kind === 'part' ? 'prompt_parts_refused' : 'crashing_requests_refused', {})
+      if (kind === 'part') this.options.logger.recordWarning('prompt part refused', { part: id, ...fields })
+      else this.options.logger.recordWarning('crashing request refused', { requestHash: id, ...fields })
     }
   }
 
-  private async claimTrial ({ partId, crashCount }: PartRefusal): Promise<PromptTrial | undefined> {
+  private getRecords (kind: SuspectKind): SuspectRecords {
+    return kind === 'part' ? this.parts : this.requests
+  }
+
+  private findLongestRefusal (request: SuspectRequest): SuspectRefusal | undefined {
+    const nowMs = this.readNowMs()
+    const part = this.parts.findRefusal(request.partIds, nowMs)
+    const whole = this.requests.hasSuspects() ? this.requests.findRefusal([request.hash], nowMs) : undefined
+    if (part === undefined || whole === undefined) return part ?? whole
+    return part.trialInMs > whole.trialInMs ? part : whole
+  }
+
+  private reportExpiringCrashes ({ kind, id }: SuspectRefusal): void {
+    const crashes = this.getRecords(kind).takeExpiringCrashes(id, this.readNowMs())
+    this.options.reporter.addCrashes(crashes.map(({ instance, requestHash }) => {
+      return kind === 'part' ? { instance, partIds: [id], requestHash } : { instance, partIds: [], requestHash: id }
+    }))
+  }
+
+  private async claimTrial ({ kind, id, crashCount }: SuspectRefusal): Promise<SuspectTrial | undefined> {
     const { store, reporter, claimPrefix, logger } = this.options
     const nowMs = this.readNowMs()
-    const key = `${claimPrefix}${createHash('sha256').update(partId).digest('hex').slice(0, 32)}/${crashCount}`
+    const name = kind === 'part' ? createHash('sha256').update(id).digest('hex').slice(0, 32) : `request-${id}`
+    const key = `${claimPrefix}${name}/${crashCount}`
     for (const [other, untilMs] of this.claimedUntilMs) {
       if (untilMs <= nowMs) this.claimedUntilMs.delete(other)
     }
@@ -176,10 +216,10 @@
       })
       if (!isClaimed) return undefined
       this.ownClaims.set(key, nowMs + crashConstants.reportLeaseMs)
-      logger.recordInfo('prompt part on trial', { part: partId, crashes: crashCount })
-      return { partId, crashCount, key }
+      logger.recordInfo(kind === 'part' ? 'prompt part on trial' : 'request on trial', { id, crashes: crashCount })
+      return { kind, id, crashCount, key }
     } catch (error) {
-      logger.recordWarning('trial not claimed', { part: partId, reason: (error as Error).message })
+      logger.recordWarning('trial not claimed', { kind, id, reason: (error as Error).message })
       return undefined
     }
   }
--- a/src/node/gateway/crashes/crashReportCodec.ts
+++ b/src/node/gateway/crashes/crashReportCodec.ts
@@ -4,6 +4,12 @@
 
 /** Format of the crash reports in the store. */
 export const crashReportCodec = createJsonCodec<CrashReport>(z.object({
-  crashes: z.array(z.object({ instance: z.string().min(1), partIds: z.array(z.string().min(1)) })),
-  soundPartIds: z.array(z.string().min(1))
+  crashes: z.array(z.object({
+    instance: z.string().min(1),
+    partIds: z.array(z.string().min(1)),
+    requestHash: z.string().min(1).optional()
+  })),
+  soundPartIds: z.array(z.string().min(1)),
+  // Hosts of earlier versions report none.
+  soundRequestHashes: z.array(z.string().min(1)).default([])
 }))
--- a/src/node/gateway/crashes/crashReporter.ts
+++ b/src/node/gateway/crashes/crashReporter.ts
@@ -20,11 +20,12 @@
 }
 
 /**
- * Writes this host's evidence on prompt parts to the store, for all hosts. Evidence outlives the host that reported it.
+ * Writes this host's evidence on prompt parts and requests to the store, for all hosts. Evidence outlives the host that reported it.
  */
 export class CrashReporter {
   private crashes: UpstreamCrash[] = []
   private soundPartIds = new Set<string>()
+  private soundRequestHashes = new Set<string>()
   private cancelTimer: (() => void) | undefined
   private isWriting = false
   private isStopped = false
@@ -36,6 +37,8 @@
   addCrashes (crashes: readonly UpstreamCrash[]): void {
     if (crashes.length === 0) return
     this.crashes.push(...crashes)
+    const leftOut = this.crashes.splice(crashConstants.maxPendingEntries).length
+    if (leftOut > 0) this.options.logger.recordWarning('crash reports left out', { leftOut })
     this.scheduleWrite(crashConstants.reportDelayMs)
   }
 
@@ -46,6 +49,13 @@
     this.scheduleWrite(crashConstants.reportDelayMs)
   }
 
+  /** Reports requests to which an answer has begun. */
+  addSoundRequests (hashes: readonly string[]): void {
+    if (hashes.length === 0) return
+    for (const hash of hashes) this.soundRequestHashes.add(hash)
+    this.scheduleWrite(crashConstants.reportDelayMs)
+  }
+
   stop (): void {
     this.isStopped = true
     this.cancelTimer?.()
@@ -75,15 +85,10 @@
 
   private async writePending (): Promise<void> {
     const { logger, prefix, store } = this.options
-    const { maxReportEntries } = crashConstants
-    const crashes = this.crashes.splice(0)
-    const soundPartIds = [...this.soundPartIds]
-    this.soundPartIds.clear()
-    const leftOut = Math.max(crashes.length - maxReportEntries, 0) + Math.max(soundPartIds.length - maxReportEntries, 0)
-    if (leftOut > 0) logger.recordWarning('crash report shortened', { leftOut })
     const report = {
-      crashes: crashes.slice(0, maxReportEntries),
-      soundPartIds: soundPartIds.slice(0, maxReportEntries)
+      crashes: this.crashes.splice(0, crashConstants.maxReportEntries),
+      soundPartIds: takeFirst(this.soundPartIds, crashConstants.maxReportEntries),
+      soundRequestHashes: takeFirst(this.soundRequestHashes, crashConstants.maxReportEntries)
     }
     this.isWriting = true
     let isWritten = false
@@ -105,8 +110,16 @@
       // A report that was written without an answer is written twice, which changes nothing.
       this.crashes.unshift(...report.crashes)
       for (const id of report.soundPartIds) this.soundPartIds.add(id)
+      for (const hash of report.soundRequestHashes) this.soundRequestHashes.add(hash)
     }
-    if (this.crashes.length === 0 && this.soundPartIds.size === 0) return
+    if (this.crashes.length === 0 && this.soundPartIds.size === 0 && this.soundRequestHashes.size === 0) return
     this.scheduleWrite(isWritten ? crashConstants.reportDelayMs : crashConstants.reportRetryMs)
   }
 }
+
+/** Removes and returns the items that were added first. */
+function takeFirst (items: Set<string>, count: number): readonly string[] {
+  const first = [...items].slice(0, count)
+  for (const item of first) items.delete(item)
+  return first
+}
--- a/src/node/gateway/crashes/suspectAdmission.ts
+++ b/src/node/gateway/crashes/suspectAdmission.ts
@@ -1,7 +1,7 @@
-import type { PartRefusal } from './partRefusal.js'
-import type { PromptTrial } from './promptTrial.js'
+import type { SuspectRefusal } from './suspectRefusal.js'
+import type { SuspectTrial } from './suspectTrial.js'
 
-/** Whether a request may be sent to an upstream, as far as the parts of its prompt are concerned. */
-export type PromptAdmission =
-  | { readonly type: 'admitted', readonly trial?: PromptTrial }
-  | { readonly type: 'refused', readonly refusal: PartRefusal }
+/** Whether a request may be sent to an upstream, as far as the ends of upstreams are concerned. */
+export type SuspectAdmission =
+  | { readonly type: 'admitted', readonly trial?: SuspectTrial }
+  | { readonly type: 'refused', readonly refusal: SuspectRefusal }
--- a/src/node/gateway/ingress/requestRun.ts
+++ b/src/node/gateway/ingress/requestRun.ts
@@ -2,17 +2,17 @@
 import { chooseTarget } from './chooseTarget.js'
 import { chooseUpstream } from '../upstreams/chooseUpstream.js'
 import { computeRequestPriority } from './computeRequestPriority.js'
-import { computePromptRetryMs } from '../crashes/computePromptRetryMs.js'
+import { computeTrialRetryMs } from '../crashes/computeTrialRetryMs.js'
 import { computeStallTimeoutMs } from './computeStallTimeoutMs.js'
 import { decideNextAttempt } from './decideNextAttempt.js'
 import { engineConstants } from '../engines/constants.js'
-import { hashRequest } from '../crashes/hashRequest.js'
 import { ingressConstants } from './constants.js'
 import { sendAttempt } from './sendAttempt.js'
+import { SuspectRequest } from '../crashes/suspectRequest.js'
 import type { AttemptDecision } from './attemptDecision.js'
 import type { AttemptResult } from './attemptResult.js'
-import type { PartRefusal } from '../crashes/partRefusal.js'
-import type { PromptTrial } from '../crashes/promptTrial.js'
+import type { SuspectRefusal } from '../crashes/suspectRefusal.js'
+import type { SuspectTrial } from '../crashes/suspectTrial.js'
 import type { RequestRunOptions } from './requestRunOptions.js'
 import type { RequestRunDependencies } from './requestRunDependencies.js'
 import type { StageOutput } from '../stages/stageOutput.js'
@@ -41,8 +41,9 @@
   private releaseInputs = noRelease
   /** Upstream at which the request has a place within its limit, before it is sent. */
   private reservation: UpstreamState | undefined
-  /** Set when the request is the trial of a refused prompt part. */
-  private trial: PromptTrial | undefined
+  private readonly suspect: SuspectRequest
+  /** Set when the request is the trial of what is refused in it. */
+  private trial: SuspectTrial | undefined
   /** Whether an upstream was sent the request and did not state that it was not run. */
   private mayHaveRun = false
   private sentAtMs = 0
@@ -56,6 +57,7 @@
   constructor (private readonly options: RequestRunOptions, private readonly dependencies: RequestRunDependencies) {
     this.service = chooseTarget(options.route.targets, options.request.id)
     this.lastEventId = options.request.lastEventId
+    this.suspect = new SuspectRequest(options.request, options.account, options.body)
   }
 
   /** Resolves when the request has its final response or its client has disconnected. */
@@ -63,7 +65,7 @@
     const timeLeftMs = this.options.deadlineAtMs - this.dependencies.clock.readMonotonicMs()
     const timer = setTimeout(() => { this.endNow('deadline') }, Math.max(timeLeftMs, 0))
     try {
-      if (await this.admitPrompt() && this.admitAfterBackoff() && this.admitWithinLimits() && await this.runStages()) await this.runAttempts()
+      if (await this.admitSuspect() && this.admitAfterBackoff() && this.admitWithinLimits() && await this.runStages()) await this.runAttempts()
     } finally {
       clearTimeout(timer)
       this.releaseInputs()
@@ -91,11 +93,11 @@
     this.controller.abort()
   }
 
-  /** Resolves to whether the parts of the prompt may be sent to an upstream; refuses the request otherwise. */
-  private async admitPrompt (): Promise<boolean> {
-    const admission = await this.dependencies.crashGuard.admit(this.options.request.promptParts)
+  /** Resolves to whether the request may be sent after upstreams have ended under it; refuses it otherwise. */
+  private async admitSuspect (): Promise<boolean> {
+    const admission = await this.dependencies.crashGuard.admit(this.suspect)
     if (admission.type === 'refused') {
-      this.refusePrompt(admission.refusal)
+      this.refuseSuspect(admission.refusal)
       return false
     }
     this.trial = admission.trial
@@ -131,9 +133,10 @@
     return Math.min(Math.max(waitMs, ingressConstants.busyRetryAfterMs), ingressConstants.maxLimitRetryAfterMs)
   }
 
-  private refusePrompt (refusal: PartRefusal): void {
-    const reason = `upstreams ended on part ${refusal.partId} of the prompt`
-    this.refuse(reason, computePromptRetryMs(refusal), 'prompt_refused')
+  private refuseSuspect (refusal: SuspectRefusal): void {
+    const isPart = refusal.kind === 'part'
+    const reason = isPart ? `upstreams ended on part ${refusal.id} of the prompt` : 'upstreams ended under this request'
+    this.refuse(reason, computeTrialRetryMs(refusal), isPart ? 'prompt_refused' : 'request_refused')
   }
 
   /** Runs the stages of the request. Resolves to whether the request can now be sent to an upstream. */
@@ -164,16 +167,16 @@
 
   private async runAttempts (): Promise<void> {
     const { crashGuard } = this.dependencies
-    const { promptParts } = this.options.request
     for (;;) {
-      // Other requests may have shown since the admission that the prompt ends upstreams.
-      const refusal = crashGuard.findRefusal(promptParts, this.trial)
-      if (refusal !== undefined) return this.refusePrompt(refusal)
+      // Other requests may have shown since the admission that this one ends upstreams.
+      const refusal = crashGuard.findRefusal(this.suspect, this.trial)
+      if (refusal !== undefined) return this.refuseSuspect(refusal)
       const upstream = this.chooseUpstream()
       if (upstream === undefined) return this.refuse('no upstream is free', this.computeRetryMs())
       const result = await this.runAttempt(upstream)
+      if (result.type === 'answer' && result.head.isSigned) crashGuard.onAnswered(this.suspect)
       if (result.type === 'uncertain' && result.isConnectionLost === true && !this.hasEvents) {
-        await crashGuard.onConnectionLost(upstream.entry, promptParts, result.hasUpstreamEnded)
+        await crashGuard.onConnectionLost(upstream.entry, this.suspect, result.hasUpstreamEnded)
       }
       const decision = this.decide(result)
       this.record('attempt ended', {
@@ -296,7 +299,7 @@
     this.hasEvents = true
     const nowMs = this.dependencies.clock.readMonotonicMs()
     upstream.onSuccess(nowMs - this.sentAtMs, nowMs)
-    this.dependencies.crashGuard.onAnswerBegan(this.options.request.promptParts)
+    this.dependencies.crashGuard.onAnswerBegan(this.suspect)
     this.dependencies.firstEventTimes.observe(this.options.route.name, nowMs - this.sentAtMs)
     this.releaseFetchedInputs()
     this.record('first event', {
@@ -391,7 +394,7 @@
     const { request, account, body } = this.options
     return {
       account: account?.name,
-      requestHash: hashRequest(request, account, body),
+      requestHash: this.suspect.hash,
       bodyBytes: body.length,
       hadEvents: this.hasEvents,
       promptTokens: request.promptTokens,
--- a/src/node/gateway/model/upstreamCrash.ts
+++ b/src/node/gateway/model/upstreamCrash.ts
@@ -4,4 +4,6 @@
   readonly instance: string
   /** Parts of the prompts of these requests that may have caused the end. */
   readonly partIds: readonly string[]
+  /** Digest of the request that was about to be answered. */
+  readonly requestHash?: string
 }
