fix(gateway): take no address from the store whose port or host is out of range

Cause: the format of an address was checked, not its range. Entries of hosts had no check at all.

Change: isAddress, which checks the settings, checks both. Deep nesting (200,000 levels), numbers that are not finite and fields of another type harmed nothing before and do not now.

--- a/src/node/gateway/hosts/hostEntryCodec.ts
+++ b/src/node/gateway/hosts/hostEntryCodec.ts
@@ -1,13 +1,16 @@
 import { z } from 'zod'
 import { createJsonCodec } from '../../../shared/createJsonCodec.js'
+import { isAddress } from '../../settings/isAddress.js'
 import type { HostEntry } from '../model/hostEntry.js'
 
+const addressSchema = z.string().refine(text => isAddress(text, 1))
+
 /** Format of the host entries in the store. */
 export const hostEntryCodec = createJsonCodec<HostEntry>(z.object({
   id: z.string().min(1),
   failureDomain: z.string(),
-  clientAddress: z.string().min(1),
-  peerAddress: z.string().min(1),
+  clientAddress: addressSchema,
+  peerAddress: addressSchema,
   cores: z.number().positive(),
   isReady: z.boolean(),
   startedAtMs: z.number()
--- a/src/node/platform/decodeUpstreamEntry.ts
+++ b/src/node/platform/decodeUpstreamEntry.ts
@@ -1,10 +1,11 @@
 import { z } from 'zod'
+import { isAddress } from '../settings/isAddress.js'
 import { platformConstants } from './constants.js'
 import type { UpstreamEntry } from '../gateway/model/upstreamEntry.js'
 
 const schema = z.object({
   service: z.string().min(1),
-  address: z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/),
+  address: z.string().regex(/^[\d.]+:\d+$/).refine(text => isAddress(text, 1)),
   zone: z.string(),
   slots: z.number().positive(),
   state: z.enum(['ready', 'draining']),
