fix(gateway): refuse requests that come too late in a planned stop to be answered

Cause: only streams were refused shortly before the stop; any other request was accepted until the last moment.

Change: a stopping host accepts a request only if three times the usual duration of its service, and half a second at least, are left; otherwise it says at once that the request was not run.

--- a/src/node/gateway/ingress/constants.ts
+++ b/src/node/gateway/ingress/constants.ts
@@ -21,6 +21,9 @@
   stoppingRetryAfterMs: 20,
   /** A host that stops within this time accepts no streams: half of them last longer, and one that is cut off has to start again. */
   minStreamTimeMs: 5000,
+  /** A host that stops within this time accepts no other requests either, or within this multiple of the usual duration. */
+  minPlainTimeMs: 500,
+  stopDurationFactor: 3,
   /** Retry-After of responses to requests that found no free upstream. */
   busyRetryAfterMs: 400,
   /** Largest Retry-After while the limits of all upstreams are reached. */
--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -10,6 +10,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { IngressLimits } from '../model/ingressLimits.js'
 import type { RequestRunDependencies } from './requestRunDependencies.js'
+import type { Route } from '../model/route.js'
 
 interface IngressOptions {
   readonly configuration: ConfigurationHolder
@@ -127,12 +128,12 @@
     const account = configuration.findAccount(route, request.apiKey)
     if (account === undefined) return this.refuse(clientResponse, { request, status: 401, code: 'unauthorized', reason: 'unknown API key' })
     const timeToStopMs = (this.stopsAtMs ?? Infinity) - arrivedAtMs
-    if (route.callKind === 'stream' && timeToStopMs < ingressConstants.minStreamTimeMs) {
+    if (this.stopsAtMs !== undefined && timeToStopMs < this.computeServingMs(route)) {
       return this.refuse(clientResponse, {
         request,
         status: 503,
         code: 'host_stopping',
-        reason: 'the host stops before the stream would end',
+        reason: 'the host stops before the request would end',
         retryAfterMs: ingressConstants.stoppingRetryAfterMs
       })
     }
@@ -158,6 +159,15 @@
     }
   }
 
+  /** Time in which requests of a route usually get their whole answer. */
+  private computeServingMs ({ callKind, targets }: Route): number {
+    const { minStreamTimeMs, minPlainTimeMs, stopDurationFactor } = ingressConstants
+    if (callKind === 'stream') return minStreamTimeMs
+    const { directory } = this.options.dependencies
+    const usualMs = Math.max(0, ...targets.map(({ service }) => directory.computeUsualDurationMs(service)))
+    return Math.max(minPlainTimeMs, usualMs * stopDurationFactor)
+  }
+
   private refuse (clientResponse: ClientResponse, refusal: {
     readonly request?: ClientRequest,
     readonly status: number,
--- a/src/node/gateway/upstreams/upstreamDirectory.ts
+++ b/src/node/gateway/upstreams/upstreamDirectory.ts
@@ -174,6 +174,13 @@
     return isHealthy && this.states.get(state.entry.id) === state && state.pool.hasFreeConnection()
   }
 
+  /** Mean of the measured durations of requests to a service; 0 before the first one. */
+  computeUsualDurationMs (service: string): number {
+    const nowMs = this.options.clock.readMonotonicMs()
+    const durationsMs = this.listService(service).map(state => state.computeDurationMs(nowMs)).filter(durationMs => durationMs > 0)
+    return durationsMs.length === 0 ? 0 : durationsMs.reduce((sum, durationMs) => sum + durationMs, 0) / durationsMs.length
+  }
+
   /** What an upstream has asked for in its answers; undefined when the upstream is gone. */
   findDemands (id: string): UpstreamDemands | undefined {
     const state = this.states.get(id)
