--- a/src/node/gateway/ingress/requestRun.ts
+++ b/src/node/gateway/ingress/requestRun.ts
@@ -126,6 +126,7 @@
     return this.reservation !== undefined
   }
 
+  /** Time until an upstream of the service takes requests again, as far as it is known. */
   private computeRetryMs (): number {
     const { directory } = this.dependencies
     const backoffWaitMs = directory.computeBackoffWaitMs(this.service)
--- a/src/node/gateway/upstreams/upstreamDirectory.ts
+++ b/src/node/gateway/upstreams/upstreamDirectory.ts
@@ -141,13 +141,10 @@
   }
 
   /**
-   * Time until an upstream of a service may get a request within its limit and after the pause that it has asked for; 0
-   * when one may now, or when there is none.
+   * Time until an upstream of a service may get a request within its limit; 0 when one may now, or when there is none.
    */
   computeServiceWaitMs (service: string): number {
     const nowMs = this.options.clock.readMonotonicMs()
-    const backoffWaitMs = this.computeBackoffWaitMs(service)
-    if (backoffWaitMs > 0) return backoffWaitMs
     const healthy = this.listHealthy(service, nowMs)
     return healthy.length === 0 ? 0 : Math.min(...healthy.map(state => this.computeLimitWaitMs(state, nowMs)))
   }
