test(gateway): wait until the new start of an upstream is seen, not for 200 ms

Hosts collect changes of the store for 500 ms after each one (coalesceShare of 2 s), so the second entry is seen in time only if both arrive in one watch.

--- a/src/node/app/__tests__/restingUpstreams.test.ts
+++ b/src/node/app/__tests__/restingUpstreams.test.ts
@@ -164,7 +164,7 @@
       const entry = { service: 'shop', address: upstream.address, zone: 'quay-a', slots: 4, state: 'ready', born: 2 }
       fleet.store.write(`servers/${upstream.id}`, entry)
     }
-    await delay(200)
+    for (const { id } of upstreams.slice(0, 2)) await fleet.waitForLogLine('upstream started again', id)
     t.match(await send('/read/x'), { status: 200 })
   })
 })
