--- a/src/node/app/__tests__/cutOffHosts.test.ts
+++ b/src/node/app/__tests__/cutOffHosts.test.ts
@@ -12,6 +12,8 @@
 /** Time within which a request must end at its upstream once its client has left. */
 const cancelMs = 500
 const countedMs = 2000
+/** Time after the heal of a cut in which the host uses its own connections again. */
+const healMs = 2000
 const intervalMs = 100
 const hostCount = 4
 const paths = ['/read/x', '/order/x', '/ask/x', '/plan/x']
@@ -101,7 +103,9 @@
       await delay(stableWindowMs)
       t.same(await listSeldomServed(countedMs), [])
       await load
+      const healedAtMs = Date.now()
       await openLinks()
+      t.ok(Date.now() - healedAtMs <= healMs, 'the links are used again in time')
       t.same(await listSeldomServed(500), [], 'all hosts serve after')
       const relayedCount = countLines('relayedBy')
       await listSeldomServed(300)
