feat(gateway): log responses that are broken off before their end

The log did not tell whether a stream that had begun was closed before its end, nor whether the client could see it: a reader that was too slow left no reason, and a stream that was cut at its deadline or in a planned stop looked like any other timeout. 'response broken off' names the reason, the bytes passed on, the part still unread and whether the response states its end; lycheetrack_responses_broken_off_total{framed} counts them, and 'lycheetrack explain' states the cause.

--- a/src/node/explain/findCause.ts
+++ b/src/node/explain/findCause.ts
@@ -11,6 +11,7 @@
   { message: 'request rejected', describe: fields => `rejected with status ${String(fields.status)}: ${String(fields.reason)} (configuration version ${String(fields.configurationVersion)})` },
   { message: 'request timed out', describe: fields => `timed out: ${fields.mayHaveRun === true ? 'an upstream received the request and did not respond' : 'the request reached no upstream'} (attempts: ${String(fields.sentCount)})` },
   { message: 'client left', describe: fields => `the client disconnected after ${String(fields.elapsedMs)} ms` },
+  { message: 'response broken off', describe: fields => `the response was broken off after ${String(fields.forwardedBytes)} bytes: ${String(fields.reason)}` },
   { message: 'request refused', describe: fields => `refused: ${String(fields.reason)}` },
   { message: 'attempt ended', describe: describeAttempt }
 ]
--- a/src/node/gateway/ingress/clientResponse.ts
+++ b/src/node/gateway/ingress/clientResponse.ts
@@ -1,21 +1,30 @@
 import { buildErrorBody } from './buildErrorBody.js'
+import type { BrokenOffResponse } from './brokenOffResponse.js'
 import type { ErrorHeaderEncoder } from './errorHeaderEncoder.js'
 import type { ServerResponse } from 'node:http'
 import type { UpstreamResponseHead } from '../model/upstreamResponseHead.js'
 
+interface ClientResponseOptions {
+  readonly response: ServerResponse
+  readonly requestId: string | undefined
+  readonly encodeErrorHeaders: ErrorHeaderEncoder
+  readonly isClosing: () => boolean
+  /** Called when a started response is closed before its end. */
+  readonly onBrokenOff: (brokenOff: BrokenOffResponse) => void
+}
+
 /** The response to one client request. It is written once; the client recognizes an incomplete one by its closed connection. */
 export class ClientResponse {
   hasStarted = false
   isEnded = false
   /** Whether the end of a started stream proves that it is complete. */
   isFramed = true
+  private readonly response: ServerResponse
+  private forwardedBytes = 0
 
-  constructor (
-    private readonly response: ServerResponse,
-    private readonly requestId: string | undefined,
-    private readonly encodeErrorHeaders: ErrorHeaderEncoder,
-    private readonly isClosing: () => boolean
-  ) {}
+  constructor (private readonly options: ClientResponseOptions) {
+    this.response = options.response
+  }
 
   /** Bytes that the client has not read yet. */
   get unreadBytes (): number {
@@ -39,7 +48,9 @@
   }
 
   writeEvents (events: Buffer): void {
-    if (!this.isEnded) this.response.write(events)
+    if (this.isEnded) return
+    this.forwardedBytes += events.length
+    this.response.write(events)
   }
 
   endStream (): void {
@@ -51,17 +62,21 @@
   /** Sends an error response of the gateway; `retryAfterMs` tells the client when to retry. */
   writeError (status: number, code: string, message: string, retryAfterMs?: number): void {
     if (this.isEnded) return
-    if (this.hasStarted) return this.closeIncomplete()
+    if (this.hasStarted) return this.closeIncomplete(message)
     this.isEnded = true
     const body = buildErrorBody(code, message, status)
-    this.writeHead(status, [...this.encodeErrorHeaders(this.requestId, retryAfterMs), 'content-length', String(Buffer.byteLength(body))])
+    this.writeHead(status, [...this.options.encodeErrorHeaders(this.options.requestId, retryAfterMs), 'content-length', String(Buffer.byteLength(body))])
     this.response.end(body)
   }
 
   /** Closes the connection, so that a started response does not look complete. */
-  closeIncomplete (): void {
+  closeIncomplete (reason: string): void {
     if (this.isEnded) return
     this.isEnded = true
+    if (this.hasStarted) {
+      const { forwardedBytes, unreadBytes, isFramed } = this
+      this.options.onBrokenOff({ reason, forwardedBytes, unreadBytes, isFramed })
+    }
     this.response.destroy()
   }
 
@@ -73,7 +88,7 @@
   }
 
   private writeHead (status: number, headers: string[]): void {
-    if (this.isClosing()) headers.push('connection', 'close')
+    if (this.options.isClosing()) headers.push('connection', 'close')
     this.response.writeHead(status, headers)
   }
 }
--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -98,7 +98,16 @@
     const { configuration, dependencies, decodeRequest } = this.options
     const arrivedAtMs = dependencies.clock.readMonotonicMs()
     const request = decodeRequest(message)
-    const clientResponse = new ClientResponse(response, request?.id, this.options.encodeErrorHeaders, () => this.stopsAtMs !== undefined)
+    const clientResponse = new ClientResponse({
+      response,
+      requestId: request?.id,
+      encodeErrorHeaders: this.options.encodeErrorHeaders,
+      isClosing: () => this.stopsAtMs !== undefined,
+      onBrokenOff: brokenOff => {
+        dependencies.metrics.addCount('responses_broken_off', { framed: String(brokenOff.isFramed) })
+        dependencies.logger.recordInfo('response broken off', { requestId: request?.id, ...brokenOff })
+      }
+    })
     const current = configuration.getCurrent()
     // Without a configuration the request is refused below, so its body is read but not kept.
     const body = await readRequestBody(message, current?.limits.maxBodyBytes ?? 0)
@@ -112,7 +121,7 @@
       })
     }
     if (body === 'too-large') return this.refuse(clientResponse, { request, status: 413, code: 'body_too_large', reason: 'body too large' })
-    if (body === 'incomplete') return clientResponse.closeIncomplete()
+    if (body === 'incomplete') return clientResponse.closeIncomplete('the request is incomplete')
     if (request === undefined) return this.refuse(clientResponse, { status: 400, code: 'request_id_required', reason: 'no request id' })
     // The newest configuration applies, even if it arrived while the body was read.
     const { version } = configuration.getCurrent()!
--- a/src/node/gateway/ingress/requestRun.ts
+++ b/src/node/gateway/ingress/requestRun.ts
@@ -79,7 +79,7 @@
   cancel (): void {
     if (this.options.response.isEnded) return
     this.record('client left', { elapsedMs: this.computeElapsedMs() })
-    this.options.response.closeIncomplete()
+    this.options.response.closeIncomplete('the client left')
     this.controller.abort()
   }
 
@@ -89,7 +89,8 @@
     if (response.isEnded) return
     this.record('request timed out', { reason, elapsedMs: this.computeElapsedMs(), mayHaveRun: this.mayHaveRun, sentCount: this.sentCount })
     this.dependencies.metrics.addCount('requests_ended', { route: this.options.route.callKind, action: 'timed-out' })
-    if (this.mayHaveRun) response.writeError(504, 'deadline_exceeded', 'no answer before the deadline')
+    if (response.hasStarted) response.closeIncomplete(reason)
+    else if (this.mayHaveRun) response.writeError(504, 'deadline_exceeded', 'no answer before the deadline')
     else this.refuse('no upstream before the deadline', ingressConstants.busyRetryAfterMs)
     this.controller.abort()
   }
@@ -223,7 +224,7 @@
   private end (decision: AttemptDecision, result: AttemptResult): void {
     const { response, request } = this.options
     // In the middle of a stream, only the missing end can show the client a failure.
-    if (response.hasStarted) response.closeIncomplete()
+    if (response.hasStarted) response.closeIncomplete(findReason(result) ?? decision.action)
     if (decision.action === 'deliver' && result.type === 'answer') response.writeUpstreamResponse(result.head, result.body, request.method)
     if (decision.action === 'refuse') this.refuse(decision.reason, this.computeRetryMs())
     if (decision.action === 'fail') response.writeError(502, 'upstream_failed', decision.reason)
@@ -383,7 +384,7 @@
     })
     // An earlier attempt may have run, so the response must not state that the request was not run.
     if (this.mayHaveRun && !this.isRepeatable()) return response.writeError(502, 'upstream_failed', reason)
-    if (response.hasStarted) return response.closeIncomplete()
+    if (response.hasStarted) return response.closeIncomplete(reason)
     response.writeError(this.mayHaveRun ? 502 : 503, this.mayHaveRun ? 'upstream_failed' : code, reason, retryAfterMs)
   }
 
--- a/src/node/gateway/ingress/sendAttempt.ts
+++ b/src/node/gateway/ingress/sendAttempt.ts
@@ -148,7 +148,7 @@
     response.writeEvents(events)
     onEvents(lastEventId)
     if (response.unreadBytes > ingressConstants.maxUnreadBytes) {
-      response.closeIncomplete()
+      response.closeIncomplete('the client reads too slowly')
       this.end({ type: 'cancelled' }, true)
     }
   }
--- a/tap-snapshots/src/node/explain/__tests__/explainRequest.test.ts.test.cjs
+++ b/tap-snapshots/src/node/explain/__tests__/explainRequest.test.ts.test.cjs
@@ -16,6 +16,8 @@
 fail after upstream i of s: stalled: no complete event for 2001 ms, 7 bytes of one
 fail after upstream i of s: unfinished event of more than 262144 bytes
 fail after upstream i of s: foreign-answer: answer to an unnamed request
+the response was broken off after 900 bytes: broken: reset before the end of the answer
+no log line states how the request ended; the line may have been dropped or the host may have crashed
 no log line states how the request ended; the line may have been dropped or the host may have crashed
 `
 
