fix(gateway): state the end of every stream

'response broken off' with isFramed=false showed that the host had seen the loss and closed the connection in order.

Streams have chunked encoding now, whatever the form of the upstream's, and the last chunk follows only the upstream's orderly end between two events, which is what the pages take for complete. A second part without a stated end completes a resumed stream for the same reason. A stream without a stated end and without events has no such evidence, also when the client resumes it, and counts as broken.

--- a/playground/platform/gatewayTestHarness.ts
+++ b/playground/platform/gatewayTestHarness.ts
@@ -1,27 +1,14 @@
-import { request as sendRequest } from 'node:http'
 import { createGatewayHost } from '../../src/node/app/createGatewayHost.js'
 import { findFreePort } from './findFreePort.js'
+import { sendClientRequest } from './sendClientRequest.js'
 import { StoreStandIn } from './storeStandIn.js'
 import { waitUntil } from '../fakes/waitUntil.js'
+import type { ClientAnswer } from './clientAnswer.js'
+import type { ClientRequestOptions } from './clientRequestOptions.js'
 import type { HostSettings } from '../../src/node/gateway/model/hostSettings.js'
 import type { ReloadableHost } from '../../src/node/cli/reloadableHost.js'
 import type { UpstreamStandIn } from './upstreamStandIn.js'
 
-interface ClientAnswer {
-  readonly status: number
-  readonly headers: Readonly<Record<string, string | string[] | undefined>>
-  readonly body: string
-  /** Whether the answer ended with a complete HTTP message. */
-  readonly isComplete: boolean
-}
-
-interface SendOptions {
-  readonly method?: string
-  readonly headers?: Readonly<Record<string, string>>
-  readonly body?: string
-  readonly signal?: AbortSignal
-}
-
 const routeDefaults = { host: 'shop.example', kind: 'safe', timeoutMs: 2000, targetLatencyMs: 500, priority: 1, maxAttempts: 2 }
 
 /**
@@ -130,34 +117,8 @@
   }
 
   /** Sends a client's request on a new connection. */
-  async send (path: string, { method = 'GET', headers = {}, body, signal }: SendOptions = {}): Promise<ClientAnswer> {
-    const [host, port] = this.settings.clientAddress.split(':')
+  async send (path: string, options: ClientRequestOptions = {}): Promise<ClientAnswer> {
     const id = `request-${this.hostId === 'host-1' ? '' : `${this.hostId}-`}${++this.requestCount}`
-    return await new Promise((resolve, reject) => {
-      const request = sendRequest({
-        host,
-        port,
-        method,
-        path,
-        signal,
-        agent: false,
-        headers: { host: 'shop.example', 'x-request-id': id, 'x-time-remaining': '2000', ...headers }
-      }, response => {
-        const chunks: Buffer[] = []
-        const end = (): void => {
-          resolve({
-            status: response.statusCode ?? 0,
-            headers: response.headers,
-            body: Buffer.concat(chunks).toString('utf8'),
-            isComplete: response.complete
-          })
-        }
-        response.on('data', (chunk: Buffer) => chunks.push(chunk))
-        response.on('end', end)
-        response.on('error', end)
-      })
-      request.on('error', reject)
-      request.end(body)
-    })
+    return await sendClientRequest(this.settings.clientAddress, id, path, options)
   }
 }
--- a/src/node/gateway/ingress/clientResponse.ts
+++ b/src/node/gateway/ingress/clientResponse.ts
@@ -17,8 +17,6 @@
 export class ClientResponse {
   hasStarted = false
   isEnded = false
-  /** Whether the end of a started stream proves that it is complete. */
-  isFramed = true
   private readonly response: ServerResponse
   private forwardedBytes = 0
 
@@ -40,11 +38,13 @@
     this.response.end(body)
   }
 
-  /** Forwards the head of an upstream's stream, whose length is not known. */
-  startStream (head: UpstreamResponseHead): void {
+  /**
+   * Forwards the head of an upstream's stream. The response has chunked encoding whether the upstream states the end of
+   * its stream or not: one that ends with its connection looks complete whatever closes it, the end of this process too.
+   */
+  startStream ({ status, forwardedHeaders }: UpstreamResponseHead): void {
     this.hasStarted = true
-    this.isFramed = head.isFramed
-    this.writeUpstreamHead(head, head.isFramed, [])
+    this.writeHead(status, [...forwardedHeaders])
   }
 
   writeEvents (events: Buffer): void {
@@ -74,8 +74,8 @@
     if (this.isEnded) return
     this.isEnded = true
     if (this.hasStarted) {
-      const { forwardedBytes, unreadBytes, isFramed } = this
-      this.options.onBrokenOff({ reason, forwardedBytes, unreadBytes, isFramed })
+      const { forwardedBytes, unreadBytes } = this
+      this.options.onBrokenOff({ reason, forwardedBytes, unreadBytes, isFramed: this.response.chunkedEncoding })
     }
     this.response.destroy()
   }
--- a/src/node/gateway/ingress/sendAttempt.ts
+++ b/src/node/gateway/ingress/sendAttempt.ts
@@ -80,16 +80,11 @@
     const { head, splitter } = this
     if (head === undefined) return this.end({ type: 'uncertain', reason: 'no answer' })
     if (splitter !== undefined && splitter.partialEventBytes > 0) return this.end({ type: 'uncertain', reason: 'stream ended within an event' })
-    // An upstream that ends closes such a stream as if it were complete.
-    const isEmpty = this.lastEventsAtMs === undefined && this.options.lastEventId === undefined
-    if (splitter !== undefined && !head.isFramed && isEmpty) {
+    // An upstream that ends before its first event closes such a stream in order.
+    if (splitter !== undefined && !this.isEndStated(head) && this.lastEventsAtMs === undefined) {
       const reason = 'stream without a stated end and without events'
       return this.end({ type: 'uncertain', reason, isConnectionLost: true })
     }
-    // The client's stream has chunked encoding, whose end would claim that the stream is complete.
-    if (splitter !== undefined && !head.isFramed && this.options.response.hasStarted && this.options.response.isFramed) {
-      return this.end({ type: 'uncertain', reason: 'resumed stream without a stated end' })
-    }
     if (splitter !== undefined) {
       if (!this.options.response.hasStarted) this.options.response.startStream(head)
       this.options.response.endStream()
@@ -126,6 +121,11 @@
     this.end({ type: 'uncertain', reason, isConnectionLost: kind === 'broken', hasUpstreamEnded, isRelayLost })
   }
 
+  /** A response to HEAD ends with its head, whatever it states. */
+  private isEndStated ({ isFramed }: UpstreamResponseHead): boolean {
+    return isFramed || this.options.exchange.method === 'HEAD'
+  }
+
   /** A response without a signature is an error message, or not a response of the upstream at all. */
   private computeMaxBytes (): number {
     return this.head?.isSigned === true ? upstreamConstants.maxResponseBytes : upstreamConstants.maxUnsignedResponseBytes
