fix(gateway): reset the connection of an HTTP/1.0 client whose stream breaks off

Such a client saw a broken stream end like a complete one, whatever the form of the upstream's stream: HTTP/1.0 has no chunks, so the end of the connection is the end of the response, and the host closed it in order. It is reset now, which may drop events that the client has not read. A host that is killed still ends such a stream in order (docs/open.md).

--- a/src/node/app/__tests__/unframedStreams.test.ts
+++ b/src/node/app/__tests__/unframedStreams.test.ts
@@ -105,6 +105,19 @@
     }
   })
 
+  t.test('guards against a broken stream to an HTTP/1.0 client, which knows no chunks, that ends in order', async t => {
+    for (const framing of ['', chunked]) {
+      engine.answer = sendPart(socket => { socket.resetAndDestroy() }, framing)
+      const cut = await sendRaw(`raw-cut-${framing.length}`, '1.0')
+      t.match(cut.text, /^HTTP\/1.1 200/)
+      t.ok(cut.wasReset, `the connection is reset, framing "${framing.trim()}"`)
+    }
+    engine.answer = (request, socket) => { socket.end(buildHead(request) + wholeStream) }
+    const whole = await sendRaw('raw-whole', '1.0')
+    t.ok(whole.text.endsWith(`\r\n\r\n${wholeStream}`))
+    t.notOk(whole.wasReset, 'a complete one is closed in order')
+  })
+
   t.test('the log tells by its id that a stream was broken off, after how many bytes and why', async t => {
     engine.answer = sendPart(socket => { socket.resetAndDestroy() })
     await sendRaw('raw-logged', '1.1')
--- a/src/node/gateway/ingress/clientResponse.ts
+++ b/src/node/gateway/ingress/clientResponse.ts
@@ -77,7 +77,9 @@
       const { forwardedBytes, unreadBytes } = this
       this.options.onBrokenOff({ reason, forwardedBytes, unreadBytes, isFramed: this.response.chunkedEncoding })
     }
-    this.response.destroy()
+    // Without chunks, which HTTP/1.0 does not have, an orderly close would be the end of the response.
+    if (this.hasStarted && !this.response.chunkedEncoding) this.response.socket?.resetAndDestroy()
+    else this.response.destroy()
   }
 
   /** A response without framing ends when the connection closes, as the upstream's does: a content length or chunked encoding would claim that it is complete. */
