fix(gateway): state the length of large bodies whose upstream states none

A client whose large answer was cut by the end of the host's process took the part for the whole: an answer without a stated end was passed on in that form.

Bodies over 8 KB have a Content-Length now.

killedHost.test.ts: two bodies of 8 MB, host killed while the client does not read: taken for complete before.

--- a/src/node/gateway/ingress/clientResponse.ts
+++ b/src/node/gateway/ingress/clientResponse.ts
@@ -1,4 +1,5 @@
 import { buildErrorBody } from './buildErrorBody.js'
+import { ingressConstants } from './constants.js'
 import type { BrokenOffResponse } from './brokenOffResponse.js'
 import type { ErrorHeaderEncoder } from './errorHeaderEncoder.js'
 import type { ServerResponse } from 'node:http'
@@ -34,7 +35,8 @@
     if (this.isEnded || this.hasStarted) return
     this.isEnded = true
     const length = method === 'HEAD' && head.contentLength !== undefined ? head.contentLength : body.length
-    this.writeUpstreamHead(head, head.isFramed || method === 'HEAD', ['content-length', String(length)])
+    const isFramed = head.isFramed || method === 'HEAD' || body.length > ingressConstants.maxUnframedBytes
+    this.writeUpstreamHead(head, isFramed, ['content-length', String(length)])
     this.response.end(body)
   }
 
@@ -82,7 +84,7 @@
     else this.response.destroy()
   }
 
-  /** A response without framing ends when the connection closes, as the upstream's does: a content length or chunked encoding would claim that it is complete. */
+  /** A short response without framing ends when the connection closes, as the upstream's does. */
   private writeUpstreamHead ({ status, forwardedHeaders }: UpstreamResponseHead, isFramed: boolean, framing: readonly string[]): void {
     if (isFramed) return this.writeHead(status, [...forwardedHeaders, ...framing])
     this.response.removeHeader('transfer-encoding')
--- a/src/node/gateway/ingress/constants.ts
+++ b/src/node/gateway/ingress/constants.ts
@@ -48,6 +48,11 @@
   maxLoggedParts: 8,
   /** A client that does not read its stream is disconnected at this many buffered bytes. */
   maxUnreadBytes: 1_048_576,
+  /**
+   * Largest body that is passed on without a stated end, as the upstream sent it. The kernel takes that much with one
+   * write (`tcp_wmem` begins with 16 KB), so the end of the process cannot cut it.
+   */
+  maxUnframedBytes: 8192,
   /** Time to live of a response to an address query: short, so that clients soon stop using a stopped host. */
   addressLifetimeMs: 2000,
   /** Largest number of hosts in a response to an address query. */
