fix(gateway): bound the framing of an upstream's answer

An upstream that sent header lines or trailers without end stopped its host for all other clients: with 64 clients, 0 of 8 requests of a sound service were served in 2.5 s, the longest took 4.5 s; with a status line without end the longest took 2.1 s (endlessService.test.ts, a host process under the options of the deploy file).

Cause: the HTTP parser has a limit for header bytes, but goes on with all 64 KB that it has been given, and builds an error with a stack for each header beyond the limit. It has no limit for a status line, a chunk size or a chunk extension, which went on until the deadline. Ruled out: the memory for the header lines, which the limit bounds.

UpstreamSocket passes on what was received in pieces of 4 KB, none after the connection was closed, and ends an answer after 20 KB without a body. The parser's own limit is never reached. All connections to upstreams use it: requests, streams, stage calls, releases and what is relayed.

--- a/playground/soak/soakHost.ts
+++ b/playground/soak/soakHost.ts
@@ -4,6 +4,9 @@
 import { ManagedProcess } from '../processes/managedProcess.js'
 import { soakConstants } from './constants.js'
 
+/** Options of Node.js in the deploy file. */
+const deployedNodeOptions = ['--max-old-space-size=160']
+
 interface SoakHostOptions {
   readonly index: number
   /** Third byte of the loopback addresses; concurrent runs use different ones. */
@@ -11,6 +14,8 @@
   readonly folder: string
   readonly program: string
   readonly storeAddress: string
+  /** Memory of the machine, in MB. */
+  readonly memoryMb?: number
 }
 
 /** One host of a soak test: a process of the product, which reaches the store through a fault-injecting proxy. */
@@ -21,15 +26,17 @@
   readonly directoryAddress: string
   readonly ipAddress: string
   private readonly settingsPath: string
+  private readonly memoryMb: number
   private heartbeatMs = 1200
 
-  constructor ({ index, network, folder, program, storeAddress }: SoakHostOptions) {
+  constructor ({ index, network, folder, program, storeAddress, memoryMb = 400 }: SoakHostOptions) {
+    this.memoryMb = memoryMb
     this.id = `host-${index}`
     this.ipAddress = `127.1.${network}.${index + 1}`
     this.directoryAddress = `${this.ipAddress}:7003`
     this.settingsPath = join(folder, `${this.id}.toml`)
     this.storeProxy = new FaultProxy(storeAddress)
-    this.process = new ManagedProcess({ id: this.id, args: [program, 'gateway'], environment: { LYCHEETRACK_SETTINGS: this.settingsPath } })
+    this.process = new ManagedProcess({ id: this.id, args: [...deployedNodeOptions, program, 'gateway'], environment: { LYCHEETRACK_SETTINGS: this.settingsPath } })
   }
 
   async start (): Promise<this> {
@@ -56,7 +63,7 @@
 [limits]
 cpuShare = 1.0
 cores = 1
-memoryMb = 400
+memoryMb = ${this.memoryMb}
 fileDescriptors = 1024
 [bounds]
 drainMs = 2000
--- a/src/node/gateway/upstreams/constants.ts
+++ b/src/node/gateway/upstreams/constants.ts
@@ -11,6 +11,15 @@
   maxResponseBytes: 8_388_608,
   /** Responses without a signature are buffered up to this size; bodies of errors have some hundred bytes. */
   maxUnsignedResponseBytes: 65_536,
+  /**
+   * Bytes of a head, of trailers or between two chunks after which an answer is given up; the operator's limit for heads
+   * is 16 KB.
+   */
+  maxFramingBytes: 20_480,
+  /** Limit of the HTTP parser, which `maxFramingBytes` does not let it reach: it builds an error for each header beyond it. */
+  maxParsedHeaderBytes: 65_536,
+  /** The HTTP parser gets an answer in pieces of this size. */
+  parsedPieceBytes: 4096,
   /** Refused requests that a connection remembers; one is sent again within its deadline, among others that are refused. */
   maxRefusedRequests: 32,
   /** Interim responses (1xx) after which a connection is closed; upstreams send at most one. */
--- a/src/node/gateway/upstreams/openUpstreamSocket.ts
+++ b/src/node/gateway/upstreams/openUpstreamSocket.ts
@@ -1,14 +1,14 @@
-import { connect } from 'node:net'
 import { UpstreamConnectError } from './upstreamConnectError.js'
 import { upstreamConstants } from './constants.js'
-import type { Socket } from 'node:net'
+import { UpstreamSocket } from './upstreamSocket.js'
 
-type Callback = (...result: [error: null, socket: Socket] | [error: Error, socket: null]) => void
+type Callback = (...result: [error: null, socket: UpstreamSocket] | [error: Error, socket: null]) => void
 
 /** Opens a TCP connection to an upstream, limited by the connect timeout. `onReset` is called before all other listeners when the connection breaks. */
 export function openUpstreamSocket (address: string, onReset: () => void, callback: Callback): void {
   const [host, port] = address.split(':')
-  const socket = connect({ host: host!, port: Number(port), noDelay: true, keepAlive: true, keepAliveInitialDelay: 1000 })
+  const socket = new UpstreamSocket()
+  socket.connect({ host: host!, port: Number(port), noDelay: true, keepAlive: true, keepAliveInitialDelay: 1000 })
   const timer = setTimeout(() => { socket.destroy(new UpstreamConnectError(`${address} did not accept a connection in ${upstreamConstants.connectTimeoutMs} ms`)) }, upstreamConstants.connectTimeoutMs)
   const onError = (error: Error): void => {
     clearTimeout(timer)
--- a/src/node/gateway/upstreams/upstreamConnection.ts
+++ b/src/node/gateway/upstreams/upstreamConnection.ts
@@ -5,6 +5,7 @@
 import type { ResponseDecoder } from './responseDecoder.js'
 import type { ExchangeHandler } from './exchangeHandler.js'
 import type { ExchangeRequest } from './exchangeRequest.js'
+import type { UpstreamSocket } from './upstreamSocket.js'
 
 /** One keep-alive connection to an upstream; carries one request at a time. */
 export class UpstreamConnection {
@@ -15,11 +16,13 @@
   /** The requests that the upstream refused last on this connection. */
   private refusedRequestIds: readonly string[] = []
   private wasReset = false
+  private socket: UpstreamSocket | undefined
   private readonly client: Client
 
   constructor (address: string, private readonly decodeResponse: ResponseDecoder, private readonly onClosed: (connection: UpstreamConnection) => void, onOpened: () => void) {
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
+      maxHeaderSize: upstreamConstants.maxParsedHeaderBytes,
       // 0 disables undici's timeouts: callers that limit the time of a request cancel it.
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -29,7 +32,10 @@
       connect: (_, callback) => {
         // The TCP connection is opened only once: a request on a broken one fails instead of being sent on a new one.
         if (this.hasOpened) return callback(new Error('the connection is closed'), null)
-        openUpstreamSocket(address, () => { this.wasReset = true }, callback)
+        openUpstreamSocket(address, () => { this.wasReset = true }, (...result) => {
+          this.socket = result[1] ?? undefined
+          callback(...result)
+        })
       }
     })
     this.client.on('connect', () => {
@@ -42,7 +48,13 @@
 
   /** Sends a request; the returned function cancels it and closes the connection. */
   send (request: ExchangeRequest, handler: ExchangeHandler): () => void {
-    const exchange = new UpstreamExchange(request.requestId, this.decodeResponse, handler, () => this.wasReset)
+    const exchange = new UpstreamExchange({
+      requestId: request.requestId,
+      decodeResponse: this.decodeResponse,
+      handler,
+      wasReset: () => this.wasReset,
+      onProgress: () => { this.socket?.onProgress() }
+    })
     this.client.dispatch({
       method: request.method as 'GET',
       path: request.path,
--- a/src/node/gateway/upstreams/upstreamExchange.ts
+++ b/src/node/gateway/upstreams/upstreamExchange.ts
@@ -6,6 +6,16 @@
 import type { ExchangeFailure } from './exchangeFailure.js'
 import type { ExchangeHandler } from './exchangeHandler.js'
 
+interface UpstreamExchangeOptions {
+  readonly requestId: string | undefined
+  readonly decodeResponse: ResponseDecoder
+  readonly handler: ExchangeHandler
+  /** Whether the connection was reset. */
+  readonly wasReset: () => boolean
+  /** Called with the head of the response and with each part of its body. */
+  readonly onProgress: () => void
+}
+
 /** One request and its response on a connection; translates undici's callbacks to those of `ExchangeHandler`. */
 export class UpstreamExchange implements Dispatcher.DispatchHandler {
   private controller: Dispatcher.DispatchController | undefined
@@ -13,13 +23,7 @@
   private isAborted = false
   private interimResponses = 0
 
-  constructor (
-    private readonly requestId: string | undefined,
-    private readonly decodeResponse: ResponseDecoder,
-    private readonly handler: ExchangeHandler,
-    /** Whether the connection was reset. */
-    private readonly wasReset: () => boolean
-  ) {}
+  constructor (private readonly options: UpstreamExchangeOptions) {}
 
   cancel (): void {
     if (this.hasEnded) return
@@ -41,28 +45,32 @@
   ): void {
     if (this.hasEnded) return
     if (status < 200) return this.countInterimResponse(controller)
-    const head = this.decodeResponse(status, headers)
+    const { requestId, decodeResponse, handler, onProgress } = this.options
+    onProgress()
+    const head = decodeResponse(status, headers)
     // A surplus response to an earlier request may arrive where this request's response is expected. Upstreams echo the id
     // in every response of their own, so one without an id cannot be attributed to this request either.
-    const isForeign = this.requestId !== undefined && head.requestId !== this.requestId && (head.requestId !== undefined || head.isSigned || head.isNotRun)
+    const isForeign = requestId !== undefined && head.requestId !== requestId && (head.requestId !== undefined || head.isSigned || head.isNotRun)
     if (isForeign) {
       const responseTo = head.requestId === undefined ? 'an unnamed request' : `request ${head.requestId}`
       this.endFailed('foreign-answer', `answer to ${responseTo}`)
-      controller.abort(new UpstreamResponseMismatchError(`response to ${responseTo} instead of ${this.requestId}`))
+      controller.abort(new UpstreamResponseMismatchError(`response to ${responseTo} instead of ${requestId}`))
       return
     }
-    this.handler.onHead(head)
+    handler.onHead(head)
   }
 
   onResponseData (_: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (!this.hasEnded) this.handler.onData(chunk)
+    if (this.hasEnded) return
+    this.options.onProgress()
+    this.options.handler.onData(chunk)
   }
 
   onResponseEnd (): void {
     if (this.hasEnded) return
-    if (this.wasReset()) return this.endFailed('broken', 'reset before the end of the answer')
+    if (this.options.wasReset()) return this.endFailed('broken', 'reset before the end of the answer')
     this.hasEnded = true
-    this.handler.onEnd()
+    this.options.handler.onEnd()
   }
 
   onResponseError (_: Dispatcher.DispatchController, error: Error): void {
@@ -80,6 +88,6 @@
   private endFailed (kind: ExchangeFailure['kind'], detail: string): void {
     if (this.hasEnded) return
     this.hasEnded = true
-    this.handler.onFailure({ kind, detail, wasSent: this.controller !== undefined })
+    this.options.handler.onFailure({ kind, detail, wasSent: this.controller !== undefined })
   }
 }
