fix(gateway): bound the memory of all answers of a host together

Requests of other clients were at risk on a host that one faulty upstream had filled: its answers were bounded by 8 MB each, not together, so 64 clients of a service that answered with bodies without end took a host process of 140 MB to 528 MB.

AnswerMemory counts what is held of answers on their way: bodies that are collected, unfinished events, what clients have not read, and what is relayed to a host that is cut off.

Ruled out: smaller bodies alone, since a service may have hundreds of connections.

--- a/playground/platform/endlessAnswers.ts
+++ b/playground/platform/endlessAnswers.ts
@@ -26,5 +26,9 @@
   },
   'a chunk size': { start: startBody(signature + chunked), rest: '0'.repeat(blockBytes) },
   'a chunk extension': { start: request => `${startBody(signature + chunked)(request)}2;a=`, rest: block },
-  'an unsigned body': { start: startBody(chunked), rest: chunk }
+  'an unsigned body': { start: startBody(chunked), rest: chunk },
+  'a signed body in chunks': { start: startBody(signature + chunked), rest: chunk },
+  'a signed body with a length': { start: startBody(`${signature}Content-Length: 1000000000000\r\n`), rest: block },
+  'a signed body without a stated end': { start: startBody(signature), rest: block },
+  'an event': { start: startBody(signature + eventStream), rest: block, isStream: true }
 }
--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -1,3 +1,4 @@
+import { AnswerMemory } from '../gateway/answers/answerMemory.js'
 import { chooseAddresses } from '../gateway/hosts/chooseAddresses.js'
 import { RateLimitedLogger } from '../gateway/logs/rateLimitedLogger.js'
 import { CellRegistry } from '../gateway/stages/cellRegistry.js'
@@ -43,6 +44,7 @@
 import { StageOrderServer } from '../gateway/stages/stageOrderServer.js'
 import { StageScheduler } from '../gateway/stages/stageScheduler.js'
 import { StatusServer } from '../gateway/ingress/statusServer.js'
+import { computeAnswerMemory } from '../gateway/answers/computeAnswerMemory.js'
 import { computeHoldMs } from '../gateway/store/computeHoldMs.js'
 import { computeLimitShare } from '../gateway/upstreams/computeLimitShare.js'
 import { computeWatchTimes } from '../gateway/store/computeWatchTimes.js'
@@ -277,9 +279,11 @@
   const registrar = new HostRegistrar({ store, key: `${platformConstants.hostPrefix}${hostId}`, logger, getEntry: () => hosts.getSelf() })
 
   const relayClient = new RelayClient({ hosts, sessions: transport, clock, random, logger, metrics })
+  const answerMemory = new AnswerMemory({ limitBytes: computeAnswerMemory(settings.memoryBytes), logger, metrics })
   const relayServer = new RelayServer({
     sessions: transport,
     upstreams,
+    answerMemory,
     isCutOff: () => reachability.isCutOff(),
     checkEnded: async upstream => await checkEnded(upstream.address),
     clock,
@@ -300,6 +304,7 @@
       crashGuard,
       firstEventTimes: new FirstEventTimes(),
       retryBudget: new RetryBudget(() => settingsHolder.get().timings, () => hosts.countHosts()),
+      answerMemory,
       waitForPath: async () => {
         await reachability.waitForCheck()
         if (reachability.isCutOff()) await relayClient.waitForHost()
--- a/src/node/gateway/ingress/clientResponse.ts
+++ b/src/node/gateway/ingress/clientResponse.ts
@@ -1,5 +1,6 @@
 import { buildErrorBody } from './buildErrorBody.js'
 import { ingressConstants } from './constants.js'
+import type { AnswerMemory } from '../answers/answerMemory.js'
 import type { BrokenOffResponse } from './brokenOffResponse.js'
 import type { ErrorHeaderEncoder } from './errorHeaderEncoder.js'
 import type { ServerResponse } from 'node:http'
@@ -61,6 +62,19 @@
     this.response.end()
   }
 
+  /** Counts the part of an ended response that the client has not read in the memory for answers until it has. */
+  registerUnread (memory: AnswerMemory, upstreamId: string): void {
+    const { response, unreadBytes } = this
+    if (unreadBytes === 0 || response.destroyed) return
+    const held = {
+      upstreamId,
+      countBytes: () => response.destroyed ? 0 : this.unreadBytes,
+      onEvicted: () => { response.socket?.resetAndDestroy() }
+    }
+    memory.update(held, unreadBytes)
+    response.once('close', () => { memory.remove(held) })
+  }
+
   /** Sends an error response of the gateway; `retryAfterMs` tells the client when to retry. */
   writeError (status: number, code: string, message: string, retryAfterMs?: number): void {
     if (this.isEnded) return
--- a/src/node/gateway/ingress/requestRun.ts
+++ b/src/node/gateway/ingress/requestRun.ts
@@ -170,6 +170,7 @@
 
   private async runAttempts (): Promise<void> {
     const { crashGuard } = this.dependencies
+    const { response } = this.options
     for (;;) {
       // Other requests may have shown since the admission that this one ends upstreams.
       const refusal = crashGuard.findRefusal(this.suspect, this.trial)
@@ -199,10 +200,11 @@
       if (decision.action === 'run-stages-again' && await this.runStages()) continue
       if (decision.action === 'send-again') {
         if (result.type === 'not-run' && !result.wasSent) await this.dependencies.waitForPath()
-        if (!this.options.response.isEnded) continue
+        if (!response.isEnded) continue
         return
       }
-      return this.end(decision, result)
+      this.end(decision, result)
+      return response.registerUnread(this.dependencies.answerMemory, upstream.entry.id)
     }
   }
 
@@ -265,6 +267,7 @@
       isStream: route.callKind === 'stream',
       lastEventId: this.lastEventId,
       response,
+      answerMemory: this.dependencies.answerMemory,
       signal: this.controller.signal,
       clock: this.dependencies.clock,
       attemptTimeoutMs: this.computeAttemptTimeoutMs(upstream),
--- a/src/node/gateway/ingress/requestRunDependencies.ts
+++ b/src/node/gateway/ingress/requestRunDependencies.ts
@@ -1,3 +1,4 @@
+import type { AnswerMemory } from '../answers/answerMemory.js'
 import type { Clock } from '../../../types/clock.js'
 import type { CrashGuard } from '../crashes/crashGuard.js'
 import type { EnginePlanner } from '../engines/enginePlanner.js'
@@ -18,6 +19,7 @@
   readonly crashGuard: CrashGuard
   readonly firstEventTimes: FirstEventTimes
   readonly retryBudget: RetryBudget
+  readonly answerMemory: AnswerMemory
   /**
    * Resolves when it is known whether upstreams are reached directly or by way of other hosts; at once unless the links
    * are being checked.
--- a/src/node/gateway/ingress/sendAttempt.ts
+++ b/src/node/gateway/ingress/sendAttempt.ts
@@ -1,12 +1,14 @@
 import { EventSplitter } from './eventSplitter.js'
 import { ingressConstants } from './constants.js'
 import { upstreamConstants } from '../upstreams/constants.js'
+import type { AnswerMemory } from '../answers/answerMemory.js'
 import type { AttemptResult } from './attemptResult.js'
 import type { ClientResponse } from './clientResponse.js'
 import type { Clock } from '../../../types/clock.js'
 import type { ExchangeFailure } from '../upstreams/exchangeFailure.js'
 import type { ExchangeHandler } from '../upstreams/exchangeHandler.js'
 import type { ExchangeRequest } from '../upstreams/exchangeRequest.js'
+import type { HeldAnswer } from '../answers/heldAnswer.js'
 import type { UpstreamResponseHead } from '../model/upstreamResponseHead.js'
 import type { UpstreamState } from '../upstreams/upstreamState.js'
 
@@ -17,6 +19,7 @@
   /** Id of the last event that the client has, when the stream is resumed after it. */
   readonly lastEventId: string | undefined
   readonly response: ClientResponse
+  readonly answerMemory: AnswerMemory
   readonly signal: AbortSignal
   readonly clock: Clock
   /** Timeout until the complete response, or until the first event of a stream; undefined to wait until the signal aborts. */
@@ -34,7 +37,7 @@
   return await new Promise(resolve => { new Attempt(options, resolve).start() })
 }
 
-class Attempt implements ExchangeHandler {
+class Attempt implements ExchangeHandler, HeldAnswer {
   private head: UpstreamResponseHead | undefined
   private readonly chunks: Buffer[] = []
   private size = 0
@@ -48,6 +51,18 @@
 
   constructor (private readonly options: AttemptOptions, private readonly resolve: (result: AttemptResult) => void) {}
 
+  get upstreamId (): string {
+    return this.options.upstream.entry.id
+  }
+
+  countBytes (): number {
+    return this.size + (this.splitter?.partialEventBytes ?? 0) + (this.options.response.hasStarted ? this.options.response.unreadBytes : 0)
+  }
+
+  onEvicted (): void {
+    this.end({ type: 'uncertain', reason: 'the memory for answers is used up' }, true)
+  }
+
   start (): void {
     const { upstream, exchange, signal, attemptTimeoutMs } = this.options
     if (signal.aborted) return this.end({ type: 'cancelled' })
@@ -70,7 +85,12 @@
 
   onData (chunk: Buffer): void {
     if (this.hasEnded) return
-    if (this.splitter !== undefined) return this.sendEvents(this.splitter, chunk)
+    if (this.splitter !== undefined) this.sendEvents(this.splitter, chunk)
+    else this.addToBody(chunk)
+    if (!this.hasEnded) this.options.answerMemory.update(this, this.countBytes())
+  }
+
+  private addToBody (chunk: Buffer): void {
     this.size += chunk.length
     if (this.size > this.computeMaxBytes()) this.end({ type: 'uncertain', reason: `answer of more than ${this.computeMaxBytes()} bytes` }, true)
     else this.chunks.push(chunk)
@@ -175,6 +195,7 @@
     this.hasEnded = true
     clearTimeout(this.timeoutTimer)
     this.options.signal.removeEventListener('abort', this.onAbort)
+    this.options.answerMemory.remove(this)
     if (mustCancel) this.cancelExchange()
     this.resolve(result)
   }
--- a/src/node/gateway/relays/relayServer.ts
+++ b/src/node/gateway/relays/relayServer.ts
@@ -1,6 +1,7 @@
 import { peerMethods } from '../../peers/peerMethods.js'
 import { relayConstants } from './constants.js'
 import { relayHeadCodec } from './relayHeadCodec.js'
+import type { AnswerMemory } from '../answers/answerMemory.js'
 import type { Clock } from '../../../types/clock.js'
 import type { ExchangeFailure } from '../upstreams/exchangeFailure.js'
 import type { lycheetrack as messages } from '../../peers/generated/peer.js'
@@ -15,6 +16,7 @@
 interface ServerOptions {
   readonly sessions: PeerSessions
   readonly upstreams: UpstreamDirectory
+  readonly answerMemory: AnswerMemory
   /** Whether this host is cut off from the upstreams itself. */
   readonly isCutOff: () => boolean
   /** Checks whether the process of an upstream has ended. */
@@ -89,7 +91,7 @@
     session: ReportSession,
     cancels: Map<number, () => void>
   ): void {
-    const { upstreams, clock, metrics } = this.options
+    const { upstreams, answerMemory, clock, metrics } = this.options
     const exchangeId = exchange.exchangeId ?? 0
     const state = upstreams.find(exchange.upstreamId ?? '')
     const sendDecline = (declinedReason: string): void => {
@@ -107,11 +109,22 @@
       if (!cancels.delete(exchangeId)) return
       this.relayedCount--
       state.inFlight--
+      answerMemory.remove(held)
       metrics.addCount('relayed_exchanges', { outcome })
       if (report !== undefined) session.send(report)
       if (this.relayedCount === 0) this.resolveIdle()
     }
     let hasHead = false
+    let unsentBytes = 0
+    const held = {
+      upstreamId: state.entry.id,
+      countBytes: () => unsentBytes,
+      onEvicted: () => {
+        const detail = 'the memory for answers is used up'
+        end('evicted', { exchangeId, failure: { kind: 'broken', detail, wasSent: true, hasUpstreamEnded: false } })
+        cancelExchange()
+      }
+    }
     cancels.set(exchangeId, () => { end('cancelled') })
     const cancelExchange = state.pool.sendDirectly({
       method: exchange.method ?? 'GET',
@@ -124,7 +137,11 @@
         hasHead = true
         session.send({ exchangeId, head: relayHeadCodec.encode(head).toString('utf8') })
       },
-      onData: data => { session.send({ exchangeId, data }) },
+      onData: data => {
+        unsentBytes += data.length
+        session.send({ exchangeId, data }, () => { unsentBytes -= data.length })
+        if (cancels.has(exchangeId)) answerMemory.update(held, unsentBytes)
+      },
       onEnd: () => { end('complete', { exchangeId, isComplete: true }) },
       onFailure: failure => {
         this.describeFailure(state.entry, failure, hasHead).then(
--- a/src/node/peers/peerCaller.ts
+++ b/src/node/peers/peerCaller.ts
@@ -89,7 +89,7 @@
     call.on('data', (message: Response) => { if (!isClosed) handler.onMessage(message) })
     call.on('error', error => { end(buildPeerError(peerAddress, error).message) })
     call.on('end', () => { end(`${peerAddress} closed the session`) })
-    return { send: message => { if (!isClosed) call.write(message) }, close }
+    return { send: (message, onSent) => { if (!isClosed) call.write(message, onSent) }, close }
   }
 
   // The silence timer runs only while the consumer waits for an item, so a slow consumer does not count as a silent peer.
--- a/src/node/peers/peerReceiver.ts
+++ b/src/node/peers/peerReceiver.ts
@@ -59,7 +59,7 @@
       try {
         const peerId = this.authenticator.validateCallMetadata(call.metadata, method.path)
         call.sendMetadata(this.createMetadata(method.path, call.metadata))
-        const handler = accept({ send: message => { if (!isClosed) call.write(message) }, close }, peerId)
+        const handler = accept({ send: (message, onSent) => { if (!isClosed) call.write(message, onSent) }, close }, peerId)
         const end = (reason: string): void => {
           if (isClosed) return
           close()
