fix(gateway): end streams of events or comments without end

A stream without end was passed on at full speed until its deadline, since each of its events was whole: a single one brought 202 MB to its client in 2 s, and 64 clients of such a service left 8 clients of a sound one 51 requests in 2.5 s where they make some 500. Comments are whole events to the splitter and no progress to the client.

A stream is cut after 8 MB, as any other answer, and after 256 KB of comments without an event; both count for the pause of the upstream.

endlessService.test.ts: 202,139,370 bytes were passed on before, the limit now.

--- a/playground/platform/endlessAnswers.ts
+++ b/playground/platform/endlessAnswers.ts
@@ -30,5 +30,7 @@
   'a signed body in chunks': { start: startBody(signature + chunked), rest: chunk },
   'a signed body with a length': { start: startBody(`${signature}Content-Length: 1000000000000\r\n`), rest: block },
   'a signed body without a stated end': { start: startBody(signature), rest: block },
-  'an event': { start: startBody(signature + eventStream), rest: block, isStream: true }
+  'an event': { start: startBody(signature + eventStream), rest: block, isStream: true },
+  events: { start: startBody(signature + eventStream), rest: repeat('data: x\n\n'), isStream: true },
+  'event comments': { start: startBody(signature + eventStream), rest: repeat(':a\n\n'), isStream: true }
 }
--- a/src/node/app/__tests__/endlessService.test.ts
+++ b/src/node/app/__tests__/endlessService.test.ts
@@ -17,6 +17,7 @@
 const memoryMb = 256
 const faultyClients = 64
 const soundClients = 8
+const megabyte = 1_048_576
 const playMs = 2500
 const soundTimeoutMs = 2000
 
@@ -73,6 +74,18 @@
   await waitReady()
   let requestCount = 0
 
+  t.test('guards against a stream without end that is passed on until its deadline', async t => {
+    const limits = [['events', 8 * megabyte], ['event comments', 262_144]] as const
+    for (const [name, limitBytes] of limits) {
+      faulty.answer = (request, socket) => { sendEndlessAnswer(socket, request, endlessAnswers[name]!) }
+      const { status, body, isComplete } = await sendClientRequest(address, `stream-${++requestCount}`, '/stream/x')
+      t.equal(status, 200)
+      t.notOk(isComplete)
+      t.ok(body.length <= limitBytes, `${name}: ${body.length} bytes were passed on`)
+      await startFaultyAgain()
+    }
+  })
+
   for (const [name, answer] of Object.entries(endlessAnswers)) {
     t.test(`guards against ${name} without end that takes the memory or the time of other clients' requests`, { timeout: 20_000 }, async t => {
       let openConnections = 0
--- a/src/node/gateway/ingress/sendAttempt.ts
+++ b/src/node/gateway/ingress/sendAttempt.ts
@@ -32,6 +32,9 @@
   readonly onEvents: (lastEventId: string | undefined) => void
 }
 
+/** Field of an event that comments do not have. */
+const eventData = 'data:'
+
 /** Sends a request to an upstream once. A successful stream is forwarded as it arrives; any other response is buffered. */
 export async function sendAttempt (options: AttemptOptions): Promise<AttemptResult> {
   return await new Promise(resolve => { new Attempt(options, resolve).start() })
@@ -41,6 +44,9 @@
   private head: UpstreamResponseHead | undefined
   private readonly chunks: Buffer[] = []
   private size = 0
+  private streamBytes = 0
+  /** Bytes of comments since the last event; comments are complete events to the splitter. */
+  private bytesWithoutEvent = 0
   private splitter: EventSplitter | undefined
   private timeoutTimer: NodeJS.Timeout | undefined
   private lastEventsAtMs: number | undefined
@@ -153,6 +159,10 @@
 
   private sendEvents (splitter: EventSplitter, chunk: Buffer): void {
     const { response, onEvents } = this.options
+    this.streamBytes += chunk.length
+    if (this.streamBytes > upstreamConstants.maxStreamBytes) {
+      return this.endOversized(`stream of more than ${upstreamConstants.maxStreamBytes} bytes`)
+    }
     const { events, lastEventId } = splitter.addChunk(chunk)
     if (splitter.hasEventWithoutId && response.hasStarted) {
       return this.end({ type: 'uncertain', reason: 'event without an id in a resumed stream' }, true)
@@ -161,6 +171,10 @@
       return this.endOversized(`unfinished event of more than ${ingressConstants.maxPartialEventBytes} bytes`)
     }
     if (events.length === 0) return
+    this.bytesWithoutEvent = events.includes(eventData) ? 0 : this.bytesWithoutEvent + events.length
+    if (this.bytesWithoutEvent > ingressConstants.maxPartialEventBytes) {
+      return this.endOversized(`comments of more than ${ingressConstants.maxPartialEventBytes} bytes`)
+    }
     const nowMs = this.options.clock.readMonotonicMs()
     if (this.lastEventsAtMs === undefined) this.startStallTimer(this.options.stallTimeoutMs)
     this.observePause(nowMs)
