fix(gateway): keep no connection to a stage upstream after an answer that cannot be tied to its call

Requests got the results of other requests: a second copy of a stage answer, at the place of the next answer, failed that call when it could not be decoded, and the connection was kept.

Stage calls carry no id. What ties an answer to its call is a handle that no answer had before.

--- a/playground/experiment/runExperiment.ts
+++ b/playground/experiment/runExperiment.ts
@@ -10,6 +10,7 @@
 import { listUpstreamEntries } from './listUpstreamEntries.js'
 import { memoryCallCodec } from './memoryCallCodec.js'
 import { RequestSimulation } from './requestSimulation.js'
+import { RecentAnswers } from '../../src/node/gateway/stages/recentAnswers.js'
 import { StageDispatcher } from '../../src/node/gateway/stages/stageDispatcher.js'
 import { StageScheduler } from '../../src/node/gateway/stages/stageScheduler.js'
 import { StageUpstreamModel } from './stageUpstreamModel.js'
@@ -64,6 +65,7 @@
   const scheduler = new StageScheduler()
   const states = [...engines.values()].map(engine => engine.state)
   const dispatcher = new StageDispatcher({
+    recentAnswers: new RecentAnswers(),
     scheduler,
     findPool: id => stages.get(id),
     findDemands: () => undefined,
--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -34,6 +34,7 @@
 import { PeerSecretKeeper } from '../gateway/hosts/peerSecretKeeper.js'
 import { platformConstants } from '../platform/constants.js'
 import { PlatformStore } from '../platform/platformStore.js'
+import { RecentAnswers } from '../gateway/stages/recentAnswers.js'
 import { readPeerSecretWithRetry } from '../gateway/hosts/readPeerSecretWithRetry.js'
 import { RelayClient } from '../gateway/relays/relayClient.js'
 import { RelayServer } from '../gateway/relays/relayServer.js'
@@ -160,6 +161,7 @@
     if (session === undefined) return upstreams.listUsable(service)
     return listCellEngines(service, cells.listRankedCells(session, [service])[0]!.domains)
   })
+  const recentAnswers = new RecentAnswers()
   const cells: CellRegistry = new CellRegistry(domains => {
     const scheduler = new StageScheduler()
     const engines = new EnginePlanner(service => listCellEngines(service, domains))
@@ -169,6 +171,7 @@
       findDemands: upstreamId => upstreams.findDemands(upstreamId),
       engines,
       codec: stageCallCodec,
+      recentAnswers,
       clock,
       timers: systemScheduler,
       logger,
--- a/src/node/gateway/relays/relayServer.ts
+++ b/src/node/gateway/relays/relayServer.ts
@@ -150,7 +150,8 @@
           () => { end('failed', { exchangeId, failure }) }
         )
       }
-    })
+      // Without an id, a copy of an earlier answer to another host cannot be told from the answer.
+    }, !exchange.requestId)
     if (!cancels.has(exchangeId)) return
     cancels.set(exchangeId, () => {
       end('cancelled')
--- a/src/node/gateway/stages/__tests__/stageAnswers.test.ts
+++ b/src/node/gateway/stages/__tests__/stageAnswers.test.ts
@@ -59,7 +59,7 @@
       codec: stageCallCodec,
       call,
       timers: systemScheduler,
-      isFirstAnswer: results => recentAnswers.addAnswer('i-a', results),
+      isFirstAnswer: results => recentAnswers.addAnswer(pool, results),
       onAnswer: resolve,
       onFailure: resolve
     })
@@ -83,17 +83,65 @@
   t.equal(upstream.connectionCount, 2, 'the connection with the copy is closed')
 })
 
+const buildBody = (status: number, body: string): string => `HTTP/1.1 ${status} X\r\nContent-Length: ${body.length}\r\n\r\n${body}`
+const allFailed = buildBody(200, '{"items":[{"reason":"late"},{"reason":"late"}]}')
+/** First answer on a connection, which comes again before that to the next call. */
+const copiedAnswers: Readonly<Record<string, { readonly answer: string, readonly pieceCount: number }>> = {
+  'an answer to a call of fewer pieces': { answer: buildAnswer(['a1']), pieceCount: 1 },
+  'an answer to a call of more pieces': { answer: buildAnswer(['a1', 'a2', 'a3']), pieceCount: 3 },
+  'an answer whose pieces all failed': { answer: allFailed, pieceCount: 2 },
+  'a refusal': { answer: buildBody(503, 'full'), pieceCount: 2 },
+  'an answer that is no JSON': { answer: buildBody(200, 'ok'), pieceCount: 2 },
+  'an empty answer': { answer: buildBody(200, ''), pieceCount: 2 }
+}
+for (const [name, { answer, pieceCount }] of Object.entries(copiedAnswers)) {
+  t.test(`guards against a second copy of ${name} that shifts the answers of later calls`, async t => {
+    const { upstream, send } = await startUpstream(t, (_, socket) => {
+      const index = upstream.requests.length - 1
+      const [first, second] = [`own-${index}-1`, `own-${index}-2`]
+      if (index === 0) return socket.write(answer)
+      // The copy arrives before the answer to the next call, which may still come when another call is sent.
+      if (index === 1) socket.write(answer)
+      setTimeout(() => { if (!socket.destroyed) socket.write(buildAnswer([first, second])) }, 20)
+    })
+    await send(buildCall(1, pieceCount))
+    for (let index = 1; index < 6; index++) {
+      const results = await send(buildCall(index + 1, 2))
+      // Pieces that failed are sent again; results of another call are not.
+      const handles = typeof results === 'string' ? [] : results.flatMap(result => 'handle' in result ? [result.handle] : [])
+      t.ok(handles.every(handle => handle.startsWith(`own-${index}-`)), `call ${index} gets ${JSON.stringify(results)}`)
+    }
+  })
+}
+
+t.test('guards against a second copy that comes after many answers on other connections', async t => {
+  const held: Array<() => void> = []
+  const { upstream, send } = await startUpstream(t, (_, socket) => {
+    const index = upstream.requests.length
+    if (index === 1) held.push(() => { socket.write(buildAnswer(['h1'])) })
+    else if (index < 40) socket.write(buildAnswer([`h${index}`]))
+    else socket.write(buildAnswer(['h1']))
+  })
+  const first = send(buildCall(1, 1))
+  await waitUntil(() => upstream.requests.length === 1)
+  for (let index = 2; index < 20; index++) await send(buildCall(index, 1))
+  held[0]!()
+  t.same(await first, [{ handle: 'h1' }])
+  for (let index = 20; index < 40; index++) await send(buildCall(index, 1))
+  t.equal(await send(buildCall(40, 1)), 'second copy of an earlier answer')
+})
+
 t.test('answers that failed as a whole are no copies, and upstreams that are gone are forgotten', async t => {
   const answers = new RecentAnswers()
   const failure = { failure: 'error' } as const
-  t.ok(answers.addAnswer('i-a', [failure]))
-  t.ok(answers.addAnswer('i-a', [failure]))
-  t.ok(answers.addAnswer('i-a', [{ handle: 'h' }]))
-  t.ok(answers.addAnswer('i-b', [{ handle: 'h' }]), 'handles are compared by upstream')
-  t.notOk(answers.addAnswer('i-a', [failure, { handle: 'h' }]))
-  answers.removeOthers(new Set(['i-b']))
-  t.ok(answers.addAnswer('i-a', [{ handle: 'h' }]), 'another upstream under the same id')
-  t.notOk(answers.addAnswer('i-b', [{ handle: 'h' }]))
+  const [poolA, poolB, laterPoolA] = [{}, {}, {}]
+  t.ok(answers.addAnswer(poolA, [failure]))
+  t.ok(answers.addAnswer(poolA, [failure]))
+  t.ok(answers.addAnswer(poolA, [{ handle: 'h' }]))
+  t.ok(answers.addAnswer(poolB, [{ handle: 'h' }]), 'handles are compared by upstream')
+  t.notOk(answers.addAnswer(poolA, [failure, { handle: 'h' }]))
+  t.ok(answers.addAnswer(laterPoolA, [{ handle: 'h' }]), 'another upstream under the same id')
+  t.notOk(answers.addAnswer(poolB, [{ handle: 'h' }]))
 })
 
 for (const [name, head] of [['a stage call', '/-/stage-run'], ['a release', '/-/stage-free']] as const) {
--- a/src/node/gateway/stages/__tests__/stageClient.test.ts
+++ b/src/node/gateway/stages/__tests__/stageClient.test.ts
@@ -7,6 +7,7 @@
 import { memoryCallCodec } from '../../../../../playground/experiment/memoryCallCodec.js'
 import { PeerUnavailableError } from '../../../../shared/peerUnavailableError.js'
 import { StageClient } from '../stageClient.js'
+import { RecentAnswers } from '../recentAnswers.js'
 import { StageDispatcher } from '../stageDispatcher.js'
 import { StageScheduler } from '../stageScheduler.js'
 import { VirtualClock } from '../../../../../playground/fakes/virtualClock.js'
@@ -49,6 +50,7 @@
     const engines = new EnginePlanner(() => [])
     const findPool = (upstreamId: string) => ({ send: (request: ExchangeRequest, handler: ExchangeHandler) => send(upstreamId, request, handler) })
     const dispatcher = new StageDispatcher({
+      recentAnswers: new RecentAnswers(),
       scheduler,
       findPool,
       findDemands: () => undefined,
--- a/src/node/gateway/stages/__tests__/stageDispatcher.test.ts
+++ b/src/node/gateway/stages/__tests__/stageDispatcher.test.ts
@@ -4,6 +4,7 @@
 import { createTestScheduler } from './createTestScheduler.js'
 import { EnginePlanner } from '../../engines/enginePlanner.js'
 import { memoryCallCodec } from '../../../../../playground/experiment/memoryCallCodec.js'
+import { RecentAnswers } from '../recentAnswers.js'
 import { StageDispatcher } from '../stageDispatcher.js'
 import { VirtualClock } from '../../../../../playground/fakes/virtualClock.js'
 
@@ -12,6 +13,7 @@
   const clock = new VirtualClock()
   const sentAtMs: number[] = []
   const dispatcher = new StageDispatcher({
+    recentAnswers: new RecentAnswers(),
     scheduler,
     findPool: () => ({
       send: () => {
--- a/src/node/gateway/stages/recentAnswers.ts
+++ b/src/node/gateway/stages/recentAnswers.ts
@@ -6,25 +6,18 @@
  * connection in use again looks like the answer to the next call; but every result has a handle of its own.
  */
 export class RecentAnswers {
-  /** First handle of each recent answer, by upstream; the oldest first. */
-  private readonly handlesByUpstream = new Map<string, string[]>()
+  /** First handle of each recent answer, by the pool whose connections brought it; the oldest first. */
+  private readonly handlesByPool = new WeakMap<object, string[]>()
 
   /** Records an answer; false when its results were part of an earlier one. */
-  addAnswer (upstreamId: string, results: readonly StagePieceResult[]): boolean {
+  addAnswer (pool: object, results: readonly StagePieceResult[]): boolean {
     const first = results.find(result => 'handle' in result)
     if (first === undefined) return true
-    const handles = this.handlesByUpstream.get(upstreamId) ?? []
+    const handles = this.handlesByPool.get(pool) ?? []
     if (handles.includes(first.handle)) return false
     handles.push(first.handle)
     if (handles.length > stageConstants.recentAnswers) handles.shift()
-    this.handlesByUpstream.set(upstreamId, handles)
+    this.handlesByPool.set(pool, handles)
     return true
   }
-
-  /** Forgets the upstreams that are gone. */
-  removeOthers (upstreamIds: ReadonlySet<string>): void {
-    for (const id of this.handlesByUpstream.keys()) {
-      if (!upstreamIds.has(id)) this.handlesByUpstream.delete(id)
-    }
-  }
 }
--- a/src/node/gateway/stages/sendRelease.ts
+++ b/src/node/gateway/stages/sendRelease.ts
@@ -16,6 +16,7 @@
 export function sendRelease ({ pool, codec, release, timers, onEnd }: ReleaseOptions): void {
   let hasEnded = false
   let size = 0
+  let status = 0
   const end = (outcome: 'done' | 'failed'): void => {
     if (hasEnded) return
     hasEnded = true
@@ -28,12 +29,16 @@
     headers: codec.encodeHeaders(release.upstreamId),
     body: codec.encodeRelease(release.handles)
   }, {
-    onHead: () => {},
+    onHead: head => { status = head.status },
     onData: chunk => {
       size += chunk.length
       if (size > stageConstants.maxReleaseAnswerBytes) cancelRelease()
     },
-    onEnd: () => { end('done') },
+    onEnd: () => {
+      // The answer to the release may still arrive after one that is not its own.
+      if (status !== 200) cancel()
+      end('done')
+    },
     onFailure: () => { end('failed') }
   })
   const cancelTimeout = timers.schedule(stageConstants.releaseTimeoutMs, cancelRelease)
--- a/src/node/gateway/stages/stageDispatcher.ts
+++ b/src/node/gateway/stages/stageDispatcher.ts
@@ -1,4 +1,3 @@
-import { RecentAnswers } from './recentAnswers.js'
 import { sendRelease } from './sendRelease.js'
 import { sendStageCall } from './sendStageCall.js'
 import { stageConstants } from './constants.js'
@@ -12,6 +11,7 @@
 import type { StageOutcome } from './stageOutcome.js'
 import type { StagePieceResult } from '../model/stagePieceResult.js'
 import type { StageRelease } from './stageRelease.js'
+import type { RecentAnswers } from './recentAnswers.js'
 import type { Scheduler } from '../../../types/scheduler.js'
 import type { StageScheduler } from './stageScheduler.js'
 import type { UpstreamDemands } from '../model/upstreamDemands.js'
@@ -25,6 +25,8 @@
   readonly findDemands: (upstreamId: string) => UpstreamDemands | undefined
   readonly engines: EnginePlanner
   readonly codec: StageCallCodec
+  /** Shared by all dispatchers of a host, which share the connections. */
+  readonly recentAnswers: RecentAnswers
   readonly clock: Clock
   readonly timers: Scheduler
   readonly logger: Logger
@@ -37,7 +39,6 @@
   private readonly callsInProgress = new Map<number, () => void>()
   private scheduledPlanning: { readonly atMs: number, readonly cancel: () => void } | undefined
   private cancelRelease: (() => void) | undefined
-  private readonly recentAnswers = new RecentAnswers()
 
   constructor (private readonly options: DispatcherOptions) {}
 
@@ -130,7 +131,6 @@
 
   /** Plans calls after a change of the upstreams or the configuration. */
   onUpstreamsChanged (): void {
-    this.recentAnswers.removeOthers(this.options.scheduler.listUpstreamIds())
     this.schedulePlanning(0)
   }
 
@@ -161,7 +161,7 @@
   }
 
   private sendCall (call: StageCall): void {
-    const { findPool, codec, clock, timers, logger, metrics } = this.options
+    const { findPool, codec, recentAnswers, clock, timers, logger, metrics } = this.options
     const pool = findPool(call.upstreamId)
     logger.recordInfo('stage call sent', {
       service: call.service,
@@ -176,7 +176,7 @@
       codec,
       call,
       timers,
-      isFirstAnswer: results => this.recentAnswers.addAnswer(call.upstreamId, results),
+      isFirstAnswer: results => recentAnswers.addAnswer(pool, results),
       onAnswer: results => {
         this.callsInProgress.delete(call.id)
         const nowMs = clock.readMonotonicMs()
--- a/src/node/gateway/upstreams/upstreamPool.ts
+++ b/src/node/gateway/upstreams/upstreamPool.ts
@@ -61,10 +61,10 @@
     })
   }
 
-  /** Sends a request over a connection of this host. */
-  sendDirectly (request: ExchangeRequest, handler: ExchangeHandler): () => void {
+  /** Sends a request over a connection of this host; an unshared one carries no other request before or after it. */
+  sendDirectly (request: ExchangeRequest, handler: ExchangeHandler, isUnshared = false): () => void {
     const { traffic, upstreamId, onHead } = this.options
-    const connection = this.takeConnection(request.requestId)
+    const connection = isUnshared ? this.openConnection() : this.takeConnection(request.requestId)
     if (connection === undefined) {
       queueMicrotask(() => { handler.onFailure({ kind: 'no-connection', wasSent: false, detail: 'connection limit reached' }) })
       return () => {}
@@ -74,7 +74,7 @@
     return connection.send(request, {
       onHead: head => {
         traffic.onBytes()
-        mustClose = head.closesConnection
+        mustClose = head.closesConnection || isUnshared
         if (head.isNotRun && request.requestId !== undefined) connection.addRefusedRequest(request.requestId)
         onHead(head)
         handler.onHead(head)
@@ -120,6 +120,10 @@
       this.busy.add(reused)
       return reused
     }
+    return this.openConnection()
+  }
+
+  private openConnection (): UpstreamConnection | undefined {
     if (this.busy.size >= this.options.getConnectionLimit()) return undefined
     const { address, decodeResponse, onOpened } = this.options
     const connection = new UpstreamConnection(address, decodeResponse, closed => { this.removeConnection(closed) }, onOpened)
