fix(gateway): report the rounds of crashes to hosts that start later

Crash reports told how many upstreams had ended, not in how many rounds. A host that starts learns of all of them at the same time, takes them for one round with a common cause, and waits for the shortest time until the next trial. Reports now state the rounds that their host had seen under each part and under the request, and a host takes the larger number. Prompt parts had the same fault and use the same records. Ruled out: the time of the crash in the report, since wall clocks of hosts differ and may step; and the claim in the store, which works as meant: one trial for each number of crashes.

--- a/src/node/gateway/crashes/__tests__/suspectRecords.test.ts
+++ b/src/node/gateway/crashes/__tests__/suspectRecords.test.ts
@@ -134,3 +134,29 @@
   t.equal(requests.findRefusal(['one'], 2000), undefined)
   t.end()
 })
+
+t.test('guards against a host that has just started and sends a crashing request as often as after its first crashes', t => {
+  const running = new SuspectRecords('request')
+  const reports: Array<{ readonly instance: string, readonly ids: readonly string[], readonly rounds: readonly number[] }> = []
+  for (let i = 0; i < 4; i++) {
+    const crash = { instance: `i-${i}`, ids: ['bad'] }
+    running.recordCrash(crash, i * 20_000)
+    reports.push({ ...crash, rounds: [running.countRounds('bad')] })
+  }
+  const nowMs = 60_000
+  const started = new SuspectRecords('request')
+  started.applyReport({ crashes: reports, soundIds: [] }, nowMs)
+  t.equal(started.findRefusal(['bad'], nowMs)?.trialInMs, running.findRefusal(['bad'], nowMs)?.trialInMs)
+  started.recordCrash({ instance: 'i-next', ids: ['bad'] }, nowMs + 1000)
+  t.equal(started.countRounds('bad'), 5, 'the next crash is a round of its own')
+  t.end()
+})
+
+t.test('crashes of one cause stay one round at a host that has just started, and reports without rounds count as one', t => {
+  const started = new SuspectRecords('request')
+  started.applyReport({ crashes: [1, 2, 3].map(i => ({ instance: `i-${i}`, ids: ['sound'], rounds: [1] })), soundIds: [] }, 0)
+  t.equal(started.countRounds('sound'), 1)
+  started.applyReport({ crashes: [{ instance: 'i-4', ids: ['sound'] }], soundIds: [] }, 0)
+  t.equal(started.countRounds('sound'), 1)
+  t.end()
+})
--- a/src/node/gateway/crashes/crashGuard.ts
+++ b/src/node/gateway/crashes/crashGuard.ts
@@ -15,6 +15,7 @@
 import type { SuspectRequest } from './suspectRequest.js'
 import type { StoreClient } from '../model/storeClient.js'
 import type { StoreItem } from '../model/storeItem.js'
+import type { UpstreamCrash } from '../model/upstreamCrash.js'
 import type { UpstreamEntry } from '../model/upstreamEntry.js'
 
 interface GuardOptions {
@@ -105,7 +106,7 @@
       requestHash: hash
     })
     this.applyEvidence({ crashes: [crash], soundPartIds: [], soundRequestHashes: [] })
-    this.options.reporter.addCrashes([crash])
+    this.options.reporter.addCrashes([this.addRounds(crash)])
   }
 
   /** Gives an undecided trial back, so that another request can be sent in its place. */
@@ -165,10 +166,10 @@
       ...hashes.map(hash => this.requests.findRefusal([hash], nowMs))
     ].filter(refusal => refusal !== undefined)
     const known = new Set(listRefused().map(({ id }) => id))
-    const partCrashes = crashes.map(crash => ({ ...crash, ids: crash.partIds }))
+    const partCrashes = crashes.map(crash => ({ ...crash, ids: crash.partIds, rounds: crash.partRounds }))
     this.parts.applyReport({ crashes: partCrashes, soundIds: soundPartIds }, nowMs)
-    const requestCrashes = crashes.map(({ instance, requestHash }) => {
-      return { instance, ids: requestHash === undefined ? [] : [requestHash] }
+    const requestCrashes = crashes.map(({ instance, requestHash, requestRounds = 0 }) => {
+      return { instance, ids: requestHash === undefined ? [] : [requestHash], rounds: [requestRounds] }
     })
     this.requests.applyReport({ crashes: requestCrashes, soundIds: soundRequestHashes }, nowMs)
     for (const { kind, id, crashCount, trialInMs } of listRefused()) {
@@ -195,10 +196,20 @@
   private reportExpiringCrashes ({ kind, id }: SuspectRefusal): void {
     const crashes = this.getRecords(kind).takeExpiringCrashes(id, this.readNowMs())
     this.options.reporter.addCrashes(crashes.map(({ instance, requestHash }) => {
-      return kind === 'part' ? { instance, partIds: [id], requestHash } : { instance, partIds: [], requestHash: id }
+      return this.addRounds(kind === 'part' ? { instance, partIds: [id], requestHash } : { instance, partIds: [], requestHash: id })
     }))
   }
 
+  /** Adds what a host that has just started cannot find out: it learns of all crashes at the same time. */
+  private addRounds (crash: UpstreamCrash): UpstreamCrash {
+    const { partIds, requestHash } = crash
+    return {
+      ...crash,
+      partRounds: partIds.map(id => this.parts.countRounds(id)),
+      requestRounds: requestHash === undefined ? undefined : this.requests.countRounds(requestHash)
+    }
+  }
+
   private async claimTrial ({ kind, id, crashCount }: SuspectRefusal): Promise<SuspectTrial | undefined> {
     const { store, reporter, claimPrefix, logger } = this.options
     const nowMs = this.readNowMs()
--- a/src/node/gateway/crashes/crashReportCodec.ts
+++ b/src/node/gateway/crashes/crashReportCodec.ts
@@ -7,7 +7,9 @@
   crashes: z.array(z.object({
     instance: z.string().min(1),
     partIds: z.array(z.string().min(1)),
-    requestHash: z.string().min(1).optional()
+    requestHash: z.string().min(1).optional(),
+    partRounds: z.array(z.number().int().min(0)).optional(),
+    requestRounds: z.number().int().min(0).optional()
   })),
   soundPartIds: z.array(z.string().min(1)),
   // Hosts of earlier versions report none.
--- a/src/node/gateway/crashes/suspectRecords.ts
+++ b/src/node/gateway/crashes/suspectRecords.ts
@@ -8,6 +8,8 @@
   readonly ids: readonly string[]
   /** Digest of the request that was about to be answered; undefined when the host that reports it sends none. */
   readonly requestHash?: string
+  /** Rounds of crashes under each of `ids` that the host which reports it had seen, this one included. */
+  readonly rounds?: readonly number[]
 }
 
 interface SuspectReport {
@@ -72,24 +74,16 @@
     return partIds.filter(id => this.soundAtMs.get(id)! < nowMs - crashConstants.recentlySoundMs)
   }
 
-  recordCrash ({ instance, ids, requestHash }: SuspectCrash, nowMs: number): void {
-    for (const id of ids) {
-      const record = this.suspects.get(id) ?? createRecord(nowMs)
-      record.reportedAtMs = nowMs
-      this.suspects.delete(id)
-      this.suspects.set(id, record)
-      // A host has reported a known crash again, and all others of this suspect with it.
-      if (record.instances.has(instance)) record.hasLostReports = false
-      if (record.instances.has(instance) || record.instances.size >= crashConstants.maxCrashesPerSuspect) continue
-      record.instances.set(instance, requestHash)
-      record.lastCrashAtMs = nowMs
-      if (record.rounds > 0 && nowMs - record.roundStartedAtMs < crashConstants.roundMs) continue
-      record.rounds++
-      record.roundStartedAtMs = nowMs
-    }
+  recordCrash (crash: SuspectCrash, nowMs: number): void {
+    for (const [index, id] of crash.ids.entries()) this.recordSuspectCrash(id, crash, crash.rounds?.[index] ?? 0, nowMs)
     removeOldest(this.suspects, crashConstants.maxSuspects)
   }
 
+  /** Rounds of crashes under a suspect, as far as this host knows. */
+  countRounds (id: string): number {
+    return this.suspects.get(id)?.rounds ?? 0
+  }
+
   /** Applies a report of any host. Reports are applied in the order in which the store accepted them. */
   applyReport (report: SuspectReport, nowMs: number): void {
     this.recordAnswer(report.soundIds, nowMs)
@@ -124,6 +118,25 @@
     for (const record of this.suspects.values()) record.hasLostReports = true
   }
 
+  private recordSuspectCrash (id: string, { instance, requestHash }: SuspectCrash, reportedRounds: number, nowMs: number): void {
+    const record = this.suspects.get(id) ?? createRecord(nowMs)
+    record.reportedAtMs = nowMs
+    this.suspects.delete(id)
+    this.suspects.set(id, record)
+    // A host has reported a known crash again, and all others of this suspect with it.
+    if (record.instances.has(instance)) record.hasLostReports = false
+    if (!record.instances.has(instance) && record.instances.size < crashConstants.maxCrashesPerSuspect) {
+      record.instances.set(instance, requestHash)
+      record.lastCrashAtMs = nowMs
+      if (record.rounds === 0 || nowMs - record.roundStartedAtMs >= crashConstants.roundMs) {
+        record.rounds++
+        record.roundStartedAtMs = nowMs
+      }
+    }
+    // A host that has just started learns of crashes of many rounds at once.
+    record.rounds = Math.max(record.rounds, Math.min(reportedRounds, crashConstants.maxCrashesPerSuspect))
+  }
+
   private findSuspectRefusal (id: string, nowMs: number): SuspectRefusal | undefined {
     const record = this.suspects.get(id)
     if (record === undefined) return undefined
