fix(gateway): bound what the parser gets from the store after its limit for headers

The same cause as for upstreams, on the path of the store and its watch: the parser goes on with all header lines that it has been given after it has closed the connection, 64 KB at a time. Connections to the store use PieceSocket as well, and UpstreamSocket adds its limit to it. The clients of the product's own interface ('serve') are unchanged (docs/open.md).

pieceSocket.test.ts: at most 45,056 bytes of header lines are parsed, in pieces of 4 KB.

--- a/src/node/platform/storeHttpClient.ts
+++ b/src/node/platform/storeHttpClient.ts
@@ -2,6 +2,7 @@
 import { StoreUnavailableError } from '../../shared/storeUnavailableError.js'
 import { StoreUncertainError } from '../../shared/storeUncertainError.js'
 import { headerNames } from './headerNames.js'
+import { openStoreSocket } from './openStoreSocket.js'
 import { platformConstants } from './constants.js'
 import type { Metrics } from '../../types/metrics.js'
 import type { StoreEra } from '../gateway/store/storeEra.js'
@@ -64,7 +65,7 @@
       headersTimeout: 0,
       bodyTimeout: 0,
       maxResponseSize: platformConstants.maxStoreResponseBytes,
-      connect: { timeout: platformConstants.connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: 1000 }
+      connect: (_, callback) => { openStoreSocket(this.address, callback) }
     })
   }
 
