test(soak): streams without a stated end; the proxy keeps the order of delayed bytes and passes resets on

Every other stream of the soak's engines has neither a length nor chunks, and upstreams that crash reset their connections.

--- a/playground/soak/faultProxy.ts
+++ b/playground/soak/faultProxy.ts
@@ -43,17 +43,28 @@
    */
   private joinSockets (source: Socket, destination: Socket, silentFaults: readonly LinkFault[]): void {
     let isSilent = false
+    let wasReset = false
+    const waiting: Array<() => void> = []
+    // What comes after delayed bytes waits behind them, also when the delay has ended meanwhile.
+    const forward = (action: () => void): void => {
+      if (this.fault !== 'delay' && waiting.length === 0) return action()
+      waiting.push(action)
+      setTimeout(() => { waiting.shift()!() }, delayMs)
+    }
     this.sockets.add(source)
     source.on('data', chunk => {
       isSilent ||= silentFaults.includes(this.fault)
       if (isSilent) return
-      if (this.fault === 'delay') setTimeout(() => { if (!destination.destroyed) destination.write(chunk) }, delayMs)
-      else destination.write(chunk)
+      forward(() => { if (!destination.destroyed) destination.write(chunk) })
     })
-    source.on('error', () => {})
+    source.on('error', () => { wasReset = true })
     source.on('close', () => {
       this.sockets.delete(source)
-      if (!isSilent) setTimeout(() => { destination.destroy() }, this.fault === 'delay' ? delayMs : 0)
+      if (isSilent) return
+      forward(() => {
+        if (wasReset) destination.resetAndDestroy()
+        else destination.destroySoon()
+      })
     })
   }
 }
--- a/playground/soak/soakUpstream.ts
+++ b/playground/soak/soakUpstream.ts
@@ -33,7 +33,9 @@
     return this
   }
 
+  /** Ends as a process that crashes, by resets: an orderly end would complete a stream without a stated end. */
   stop (): void {
+    this.proxy.applyFault('reset')
     this.standIn.stop()
     this.proxy.stop()
   }
@@ -94,21 +96,26 @@
   }
 
   private sendEvents (request: StandInRequest, socket: Socket, execution: SoakExecution): void {
-    socket.write(`HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: ${execution.requestId}\r\nX-Response-Signature: ${execution.signature}\r\nTransfer-Encoding: chunked\r\n\r\n`)
+    // Every other stream has neither a length nor chunks and ends with its connection.
+    const isFramed = this.executionCount % 2 === 0
+    const framing = isFramed ? 'Transfer-Encoding: chunked\r\n' : ''
+    const encode = (event: string): string => isFramed ? `${event.length.toString(16)}\r\n${event}\r\n` : event
+    socket.write(`HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: ${execution.requestId}\r\nX-Response-Signature: ${execution.signature}\r\n${framing}\r\n`)
     let eventId = Number(request.headers['last-event-id'] ?? 0)
     const timer = setInterval(() => {
       if (socket.destroyed) return clearInterval(timer)
       eventId++
       const event = `id: ${eventId}\ndata: ${execution.requestId}:${eventId}\n\n`
       if (this.fault === 'torn' && eventId > 3) {
-        socket.write(`${event.length.toString(16)}\r\n${event.slice(0, 7)}`)
+        socket.write(encode(event).slice(0, 7))
         socket.destroy()
         return
       }
-      socket.write(`${event.length.toString(16)}\r\n${event}\r\n`)
+      socket.write(encode(event))
       if (eventId < soakConstants.eventCount) return
       clearInterval(timer)
-      socket.write('0\r\n\r\n')
+      if (isFramed) socket.write('0\r\n\r\n')
+      else socket.end()
     }, soakConstants.eventIntervalMs)
   }
 
