fix(gateway): cut streams after 2 MB, drop the parts of an answer that was given up

The HTTP client may keep a handler, and with it up to 8 MB, until its connection is closed; and 64 streams of 8 MB each are 512 MB of work.

--- a/src/node/gateway/ingress/sendAttempt.ts
+++ b/src/node/gateway/ingress/sendAttempt.ts
@@ -214,6 +214,8 @@
     clearTimeout(this.timeoutTimer)
     this.options.signal.removeEventListener('abort', this.onAbort)
     this.options.answerMemory.remove(this)
+    // The HTTP client may keep this handler until its connection is closed.
+    this.chunks.length = 0
     if (mustCancel) this.cancelExchange()
     this.resolve(result)
   }
--- a/src/node/gateway/upstreams/constants.ts
+++ b/src/node/gateway/upstreams/constants.ts
@@ -10,7 +10,7 @@
   /** Responses of plain and stage services are buffered; the operator's limit for bodies is 4 MB. */
   maxResponseBytes: 8_388_608,
   /** A stream is cut after this many bytes; one has some thousand events of some hundred bytes. */
-  maxStreamBytes: 8_388_608,
+  maxStreamBytes: 2_097_152,
   /** Responses without a signature are buffered up to this size; bodies of errors have some hundred bytes. */
   maxUnsignedResponseBytes: 65_536,
   /**
