--- a/playground/soak/faultProxy.ts
+++ b/playground/soak/faultProxy.ts
@@ -63,7 +63,7 @@
       if (isSilent) return
       forward(() => {
         if (wasReset) destination.resetAndDestroy()
-        else destination.destroySoon()
+        else destination.destroy()
       })
     })
   }
