--- a/playground/soak/soakHost.ts
+++ b/playground/soak/soakHost.ts
@@ -1,9 +1,11 @@
 import { writeFileSync } from 'node:fs'
 import { join } from 'node:path'
+import { setTimeout as delay } from 'node:timers/promises'
 import { FaultProxy } from './faultProxy.js'
 import { ManagedProcess } from '../processes/managedProcess.js'
 import { soakConstants } from './constants.js'
 
+const readinessPollMs = 50
 /** Options of Node.js in the deploy file. */
 const deployedNodeOptions = ['--max-old-space-size=160']
 
@@ -78,6 +80,15 @@
 `)
   }
 
+  /** Resolves when the host is ready. */
+  async waitReady (): Promise<void> {
+    for (;;) {
+      const answer = await fetch(`http://${this.ipAddress}:7002/-/readiness`).catch(() => undefined)
+      if (answer?.status === 200) return
+      await delay(readinessPollMs)
+    }
+  }
+
   async stop (): Promise<void> {
     await this.process.stop(soakConstants.gracePeriodMs)
     this.storeProxy.stop()
--- a/src/node/app/__tests__/endlessService.test.ts
+++ b/src/node/app/__tests__/endlessService.test.ts
@@ -59,19 +59,12 @@
     product.remove()
   })
   const address = `${host.ipAddress}:7001`
-  const waitReady = async (): Promise<void> => {
-    for (;;) {
-      const answer = await fetch(`http://${host.ipAddress}:7002/-/readiness`).catch(() => undefined)
-      if (answer?.status === 200) return
-      await delay(50)
-    }
-  }
   const readResidentMb = (): number => {
     if (!host.process.isRunning) return 0
     const status = readFileSync(`/proc/${host.process.pid}/status`, 'utf8')
     return Number(/VmRSS:\s+(\d+) kB/.exec(status)?.[1]) / 1024
   }
-  await waitReady()
+  await host.waitReady()
   let requestCount = 0
 
   t.test('guards against a stream without end that is passed on until its deadline', async t => {
--- a/src/node/app/__tests__/killedHost.test.ts
+++ b/src/node/app/__tests__/killedHost.test.ts
@@ -53,16 +53,9 @@
     product.remove()
   })
   const address = `${host.ipAddress}:7001`
-  const waitReady = async (): Promise<void> => {
-    for (;;) {
-      const answer = await fetch(`http://${host.ipAddress}:7002/-/readiness`).catch(() => undefined)
-      if (answer?.status === 200) return
-      await delay(50)
-    }
-  }
 
   t.test('guards against a stream that ends with the process of the host and that the client takes for complete', async t => {
-    await waitReady()
+    await host.waitReady()
     const count = upstream.requests.length
     const headers = { 'x-time-remaining': '9000' }
     const answers = Promise.all(Array.from({ length: 8 }, async (_, i) => await sendClientRequest(address, `killed-${i}`, '/brittle/x', { headers })))
@@ -76,14 +69,14 @@
       t.notOk(isComplete)
     }
     host.process.start()
-    await waitReady()
+    await host.waitReady()
     const whole = await sendClientRequest(address, 'whole', '/brittle/x', { headers })
     t.match(whole, { status: 200, isComplete: true })
     t.equal(whole.body.split('\n\n').length - 1, eventCount)
   })
 
   t.test('guards against a large body that is cut by the end of the host and that the client takes for complete', async t => {
-    await waitReady()
+    await host.waitReady()
     const headers = { 'x-time-remaining': '9000' }
     const send = async (id: string): Promise<ClientAnswer> => {
       return await sendClientRequest(address, id, '/once/x', { method: 'POST', headers, readDelayMs: 1500 })
@@ -97,7 +90,7 @@
       t.notOk(isComplete)
     }
     host.process.start()
-    await waitReady()
+    await host.waitReady()
     const whole = await send('large-whole')
     t.match(whole, { status: 200, isComplete: true })
     t.equal(whole.body.length, largeBodyBytes)
