fix(gateway): recognize a reset that is polled together with data

When data and the reset behind it are polled together, libuv reports the data and then the end of the connection, so the listener for the error is never called. It needs a host that reads late, or an upstream that resets right behind its last bytes. The kernel has no peer address for a socket that was reset; the host asks for it at the end.

unframedStreams.test.ts: events and the reset in the same tick; the stream was complete after 4 events before.

--- a/src/node/app/__tests__/unframedStreams.test.ts
+++ b/src/node/app/__tests__/unframedStreams.test.ts
@@ -66,6 +66,13 @@
   t.test('guards against a stream whose upstream is lost and that the client takes for complete', async t => {
     const losses: Readonly<Record<string, UpstreamStandIn['answer']>> = {
       'a reset between events': sendPart(socket => { socket.resetAndDestroy() }),
+      'a reset that is seen together with the events before it': (request, socket) => {
+        socket.write(buildHead(request) + buildEvents(1, 3))
+        setTimeout(() => {
+          socket.write(buildEvents(4, 4))
+          socket.resetAndDestroy()
+        }, 30)
+      },
       'a reset after the last event': (request, socket) => {
         socket.write(buildHead(request) + wholeStream)
         setTimeout(() => { socket.resetAndDestroy() }, 30)
--- a/src/node/gateway/upstreams/openUpstreamSocket.ts
+++ b/src/node/gateway/upstreams/openUpstreamSocket.ts
@@ -20,6 +20,8 @@
     socket.off('error', onError)
     // When a response has no length, undici treats the data before a reset as the complete response.
     socket.on('error', onReset)
+    // A reset that is polled together with data is reported as the end. The kernel has no peer of a socket that was reset.
+    socket.once('end', () => { if (socket.remoteAddress === undefined) onReset() })
     callback(null, socket)
   })
 }
