fix(gateway): keep unshared connections within the limit of an upstream

A relaying host could open more connections to an upstream than its limit: a connection of a relayed stage call did not count the idle ones beside it. The upstream resets what goes beyond its limit, with the requests on it. An idle connection is closed in its place now.

upstreamPool.test.ts: 3 connections at a limit of 2 before, 2 after, in three runs.

--- a/src/node/gateway/upstreams/upstreamPool.ts
+++ b/src/node/gateway/upstreams/upstreamPool.ts
@@ -64,7 +64,7 @@
   /** Sends a request over a connection of this host; an unshared one carries no other request before or after it. */
   sendDirectly (request: ExchangeRequest, handler: ExchangeHandler, isUnshared = false): () => void {
     const { traffic, upstreamId, onHead } = this.options
-    const connection = isUnshared ? this.openConnection() : this.takeConnection(request.requestId)
+    const connection = isUnshared ? this.openUnsharedConnection() : this.takeConnection(request.requestId)
     if (connection === undefined) {
       queueMicrotask(() => { handler.onFailure({ kind: 'no-connection', wasSent: false, detail: 'connection limit reached' }) })
       return () => {}
@@ -123,6 +123,12 @@
     return this.openConnection()
   }
 
+  /** Closes an idle connection when there is no room for another one. */
+  private openUnsharedConnection (): UpstreamConnection | undefined {
+    if (this.idle.length + this.busy.size >= this.options.getConnectionLimit()) this.idle[0]?.close()
+    return this.openConnection()
+  }
+
   private openConnection (): UpstreamConnection | undefined {
     if (this.busy.size >= this.options.getConnectionLimit()) return undefined
     const { address, decodeResponse, onOpened } = this.options
