--- a/playground/soak/soakDeployment.ts
+++ b/playground/soak/soakDeployment.ts
@@ -45,7 +45,7 @@
   async waitReady (timeoutMs: number): Promise<void> {
     const untilMs = performance.now() + timeoutMs
     for (const host of this.hosts) {
-      while (!await this.isReady(host)) {
+      while (!await host.isReady()) {
         if (performance.now() > untilMs) throw new ProcessError(`${host.id} was not ready after ${timeoutMs} ms: ${host.process.listErrorLines().slice(-3).join('\n')}`)
         await waitMs(50)
       }
@@ -112,9 +112,4 @@
     this.store.stop()
     rmSync(this.folder, { recursive: true })
   }
-
-  private async isReady (host: SoakHost): Promise<boolean> {
-    const answer = await fetch(`http://${host.ipAddress}:7002/-/readiness`, { signal: AbortSignal.timeout(500) }).catch(() => undefined)
-    return answer?.status === 200
-  }
 }
--- a/playground/soak/soakHost.ts
+++ b/playground/soak/soakHost.ts
@@ -6,6 +6,7 @@
 import { soakConstants } from './constants.js'
 
 const readinessPollMs = 50
+const readinessTimeoutMs = 500
 /** Options of Node.js in the deploy file. */
 const deployedNodeOptions = ['--max-old-space-size=160']
 
@@ -38,7 +39,11 @@
     this.directoryAddress = `${this.ipAddress}:7003`
     this.settingsPath = join(folder, `${this.id}.toml`)
     this.storeProxy = new FaultProxy(storeAddress)
-    this.process = new ManagedProcess({ id: this.id, args: [...deployedNodeOptions, program, 'gateway'], environment: { LYCHEETRACK_SETTINGS: this.settingsPath } })
+    this.process = new ManagedProcess({
+      id: this.id,
+      args: [...deployedNodeOptions, program, 'gateway'],
+      environment: { LYCHEETRACK_SETTINGS: this.settingsPath }
+    })
   }
 
   async start (): Promise<this> {
@@ -82,11 +87,13 @@
 
   /** Resolves when the host is ready. */
   async waitReady (): Promise<void> {
-    for (;;) {
-      const answer = await fetch(`http://${this.ipAddress}:7002/-/readiness`).catch(() => undefined)
-      if (answer?.status === 200) return
-      await delay(readinessPollMs)
-    }
+    while (!await this.isReady()) await delay(readinessPollMs)
+  }
+
+  async isReady (): Promise<boolean> {
+    const url = `http://${this.ipAddress}:7002/-/readiness`
+    const answer = await fetch(url, { signal: AbortSignal.timeout(readinessTimeoutMs) }).catch(() => undefined)
+    return answer?.status === 200
   }
 
   async stop (): Promise<void> {
--- a/src/node/gateway/answers/answerMemory.ts
+++ b/src/node/gateway/answers/answerMemory.ts
@@ -41,7 +41,8 @@
       if (answer === undefined) return
       const bytes = this.held.get(answer)
       metrics.addCount('answers_evicted', {})
-      logger.recordWarning('answer evicted', { upstream: answer.upstreamId, bytes, heldBytes: this.heldBytes, limitBytes })
+      const { heldBytes } = this
+      logger.recordWarning('answer evicted', { upstream: answer.upstreamId, bytes, heldBytes, limitBytes })
       this.remove(answer)
       answer.onEvicted()
     }
--- a/src/node/gateway/answers/chooseEvictedAnswer.ts
+++ b/src/node/gateway/answers/chooseEvictedAnswer.ts
@@ -1,9 +1,9 @@
 import type { HeldAnswer } from './heldAnswer.js'
 
 /**
- * Chooses the answer that gives way when the memory for answers is used up: the largest one of the upstream whose answers
- * hold most. Answers the load of a faulty upstream that answers many requests without end; answers of other upstreams
- * stay.
+ * Chooses the answer that gives way when the memory for answers is used up: the largest one of the upstream whose
+ * answers hold most. Answers the load of a faulty upstream that answers many requests without end; answers of other
+ * upstreams stay.
  */
 export function chooseEvictedAnswer (held: ReadonlyMap<HeldAnswer, number>): HeldAnswer | undefined {
   const sums = new Map<string, number>()
--- a/src/node/gateway/crashes/crashGuard.ts
+++ b/src/node/gateway/crashes/crashGuard.ts
@@ -196,7 +196,8 @@
   private reportExpiringCrashes ({ kind, id }: SuspectRefusal): void {
     const crashes = this.getRecords(kind).takeExpiringCrashes(id, this.readNowMs())
     this.options.reporter.addCrashes(crashes.map(({ instance, requestHash }) => {
-      return this.addRounds(kind === 'part' ? { instance, partIds: [id], requestHash } : { instance, partIds: [], requestHash: id })
+      const suspects = kind === 'part' ? { partIds: [id], requestHash } : { partIds: [], requestHash: id }
+      return this.addRounds({ instance, ...suspects })
     }))
   }
 
--- a/src/node/gateway/crashes/suspectRecords.ts
+++ b/src/node/gateway/crashes/suspectRecords.ts
@@ -75,7 +75,7 @@
   }
 
   recordCrash (crash: SuspectCrash, nowMs: number): void {
-    for (const [index, id] of crash.ids.entries()) this.recordSuspectCrash(id, crash, crash.rounds?.[index] ?? 0, nowMs)
+    for (const index of crash.ids.keys()) this.recordSuspectCrash(crash, index, nowMs)
     removeOldest(this.suspects, crashConstants.maxSuspects)
   }
 
@@ -118,7 +118,9 @@
     for (const record of this.suspects.values()) record.hasLostReports = true
   }
 
-  private recordSuspectCrash (id: string, { instance, requestHash }: SuspectCrash, reportedRounds: number, nowMs: number): void {
+  private recordSuspectCrash ({ instance, ids, requestHash, rounds }: SuspectCrash, index: number, nowMs: number): void {
+    const id = ids[index]!
+    const reportedRounds = rounds?.[index] ?? 0
     const record = this.suspects.get(id) ?? createRecord(nowMs)
     record.reportedAtMs = nowMs
     this.suspects.delete(id)
--- a/src/node/gateway/ingress/clientResponse.ts
+++ b/src/node/gateway/ingress/clientResponse.ts
@@ -42,8 +42,9 @@
   }
 
   /**
-   * Forwards the head of an upstream's stream. The response has chunked encoding whether the upstream states the end of
-   * its stream or not: one that ends with its connection looks complete whatever closes it, the end of this process too.
+   * Forwards the head of an upstream's stream. The response has chunked encoding whether the upstream states the end
+   * of its stream or not: one that ends with its connection looks complete whatever closes it, the end of this process
+   * too.
    */
   startStream ({ status, forwardedHeaders }: UpstreamResponseHead): void {
     this.hasStarted = true
@@ -81,7 +82,8 @@
     if (this.hasStarted) return this.closeIncomplete(message)
     this.isEnded = true
     const body = buildErrorBody(code, message, status)
-    this.writeHead(status, [...this.options.encodeErrorHeaders(this.options.requestId, retryAfterMs), 'content-length', String(Buffer.byteLength(body))])
+    const headers = this.options.encodeErrorHeaders(this.options.requestId, retryAfterMs)
+    this.writeHead(status, [...headers, 'content-length', String(Buffer.byteLength(body))])
     this.response.end(body)
   }
 
--- a/src/node/gateway/ingress/requestRun.ts
+++ b/src/node/gateway/ingress/requestRun.ts
@@ -328,7 +328,9 @@
     const nowMs = clock.readMonotonicMs()
     if (result.type === 'cancelled') return
     if (result.type === 'answer' || result.type === 'streamed') upstream.oversizePause.onWholeAnswer(nowMs)
-    if (result.type === 'uncertain' && result.isOversized === true) this.observeOversizedAnswer(upstream, result.reason, nowMs)
+    if (result.type === 'uncertain' && result.isOversized === true) {
+      this.observeOversizedAnswer(upstream, result.reason, nowMs)
+    }
     if ((result.type === 'uncertain' || result.type === 'not-run') && result.isRelayLost === true) return
     const hasFailed = result.type === 'uncertain' || (result.type === 'not-run' && !result.areInputsGone) || (result.type === 'answer' && result.head.status >= 500)
     if (!hasFailed) {
--- a/src/node/gateway/ingress/sendAttempt.ts
+++ b/src/node/gateway/ingress/sendAttempt.ts
@@ -62,7 +62,8 @@
   }
 
   countBytes (): number {
-    return this.size + (this.splitter?.partialEventBytes ?? 0) + (this.options.response.hasStarted ? this.options.response.unreadBytes : 0)
+    const { hasStarted, unreadBytes } = this.options.response
+    return this.size + (this.splitter?.partialEventBytes ?? 0) + (hasStarted ? unreadBytes : 0)
   }
 
   onEvicted (): void {
@@ -144,7 +145,8 @@
     const reason = `${kind}: ${detail}`
     const isRelayLost = kind === 'relay-lost'
     if (!wasSent) return this.end({ type: 'not-run', reason, wasSent: false, areInputsGone: false, isRelayLost })
-    this.end({ type: 'uncertain', reason, isConnectionLost: kind === 'broken', hasUpstreamEnded, isRelayLost, isOversized })
+    const isConnectionLost = kind === 'broken'
+    this.end({ type: 'uncertain', reason, isConnectionLost, hasUpstreamEnded, isRelayLost, isOversized })
   }
 
   /** A response to HEAD ends with its head, whatever it states. */
--- a/src/node/gateway/model/upstreamCrash.ts
+++ b/src/node/gateway/model/upstreamCrash.ts
@@ -7,8 +7,8 @@
   /** Digest of the request that was about to be answered. */
   readonly requestHash?: string
   /**
-   * Rounds of ends under each of these parts, and under the request, that the reporting host knew of, this one included:
-   * ends with a common cause are one round. Absent in reports of earlier versions.
+   * Rounds of ends under each of these parts, and under the request, that the reporting host knew of, this one
+   * included: ends with a common cause are one round. Absent in reports of earlier versions.
    */
   readonly partRounds?: readonly number[]
   readonly requestRounds?: number
--- a/src/node/gateway/relays/relayServer.ts
+++ b/src/node/gateway/relays/relayServer.ts
@@ -126,6 +126,8 @@
       }
     }
     cancels.set(exchangeId, () => { end('cancelled') })
+    // Without an id, a copy of an earlier answer to another host cannot be told from the answer.
+    const isUnshared = !exchange.requestId
     const cancelExchange = state.pool.sendDirectly({
       method: exchange.method ?? 'GET',
       path: exchange.path ?? '/',
@@ -150,8 +152,7 @@
           () => { end('failed', { exchangeId, failure }) }
         )
       }
-      // Without an id, a copy of an earlier answer to another host cannot be told from the answer.
-    }, !exchange.requestId)
+    }, isUnshared)
     if (!cancels.has(exchangeId)) return
     cancels.set(exchangeId, () => {
       end('cancelled')
--- a/src/node/gateway/stages/constants.ts
+++ b/src/node/gateway/stages/constants.ts
@@ -51,7 +51,10 @@
   sessionConnectMs: 600,
   /** A session that was not used for this long is closed when another one is opened: its host no longer schedules. */
   sessionIdleMs: 30_000,
-  /** Answers of each upstream that are remembered to recognize a second copy; some calls a second, while a connection is idle. */
+  /**
+   * Answers of each upstream that are remembered to recognize a second copy: those of some calls a second, while a
+   * connection is idle.
+   */
   recentAnswers: 256,
   /** Largest answer to a stage call: a fixed part and a handle or a reason for each piece. */
   answerBaseBytes: 4096,
--- a/src/node/gateway/stages/sendStageCall.ts
+++ b/src/node/gateway/stages/sendStageCall.ts
@@ -45,8 +45,8 @@
       end(() => {
         const results = status === 200 ? codec.decodeResults(Buffer.concat(chunks).toString('utf8'), call.pieces.length) : undefined
         const isFirst = results !== undefined && isFirstAnswer(results)
-        // Only a handle that no answer had before shows that this is no copy of an earlier answer. After any other answer,
-        // the one to this call may still arrive, and must not be taken for that of the next call.
+        // Only a handle that no answer had before shows that this is no copy of an earlier answer. After any other
+        // answer, the one to this call may still arrive, and must not be taken for that of the next call.
         if (!isFirst || !results.some(result => 'handle' in result)) cancel()
         if (results === undefined) return onFailure(status === 200 ? 'answer cannot be decoded' : `status ${status}`)
         if (isFirst) return onAnswer(results)
--- a/src/node/gateway/upstreams/constants.ts
+++ b/src/node/gateway/upstreams/constants.ts
@@ -14,11 +14,14 @@
   /** Responses without a signature are buffered up to this size; bodies of errors have some hundred bytes. */
   maxUnsignedResponseBytes: 65_536,
   /**
-   * Bytes of a head, of trailers or between two chunks after which an answer is given up; the operator's limit for heads
-   * is 16 KB.
+   * Bytes of a head, of trailers or between two chunks after which an answer is given up; the operator's limit for
+   * heads is 16 KB.
    */
   maxFramingBytes: 20_480,
-  /** Limit of the HTTP parser, which `maxFramingBytes` does not let it reach: it builds an error for each header beyond it. */
+  /**
+   * Limit of the HTTP parser, which `maxFramingBytes` does not let it reach: it builds an error for each header beyond
+   * it.
+   */
   maxParsedHeaderBytes: 65_536,
   /** The HTTP parser gets an answer in pieces of this size. */
   parsedPieceBytes: 4096,
--- a/src/node/gateway/upstreams/oversizePause.ts
+++ b/src/node/gateway/upstreams/oversizePause.ts
@@ -2,8 +2,8 @@
 import { UpstreamBackoff } from './upstreamBackoff.js'
 
 /**
- * The pause of an upstream whose answers have no end. Answers the load of a faulty service on its host: each such answer
- * costs memory and time until its limit, so, unlike ejections, the pause may take all upstreams of a service.
+ * The pause of an upstream whose answers have no end. Answers the load of a faulty service on its host: each such
+ * answer costs memory and time until its limit, so, unlike ejections, the pause may take all upstreams of a service.
  */
 export class OversizePause {
   private readonly backoff = new UpstreamBackoff()
--- a/src/node/peers/peerReceiver.ts
+++ b/src/node/peers/peerReceiver.ts
@@ -59,7 +59,8 @@
       try {
         const peerId = this.authenticator.validateCallMetadata(call.metadata, method.path)
         call.sendMetadata(this.createMetadata(method.path, call.metadata))
-        const handler = accept({ send: (message, onSent) => { if (!isClosed) call.write(message, onSent) }, close }, peerId)
+        const send: PeerSession<Response>['send'] = (message, onSent) => { if (!isClosed) call.write(message, onSent) }
+        const handler = accept({ send, close }, peerId)
         const end = (reason: string): void => {
           if (isClosed) return
           close()
