refactor(soak): one loop that waits for the readiness of a host

SoakHost.waitReady now has the bound of all processes (20 s, as before in the soak) and names the host with its last errors. The soak waits for its hosts at the same time.

--- a/playground/soak/runSoak.ts
+++ b/playground/soak/runSoak.ts
@@ -20,7 +20,7 @@
   const plan = buildFaultPlan(seed, faultMs, faults)
   try {
     await deployment.start(program, hosts, seed % networkCount)
-    await deployment.waitReady(20_000)
+    await deployment.waitReady()
     const running = Array.from({ length: clients }, (_, i) => new SoakClient({
       name: `s${seed}c${i}`,
       directories: deployment.hosts.map(host => host.directoryAddress),
--- a/playground/soak/soakDeployment.ts
+++ b/playground/soak/soakDeployment.ts
@@ -1,8 +1,6 @@
 import { mkdtempSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { setTimeout as waitMs } from 'node:timers/promises'
-import { ProcessError } from '../processes/processError.js'
 import { SoakHost } from './soakHost.js'
 import { SoakUpstream } from './soakUpstream.js'
 import { StoreStandIn } from '../platform/storeStandIn.js'
@@ -42,14 +40,8 @@
   }
 
   /** Resolves when all hosts are ready. */
-  async waitReady (timeoutMs: number): Promise<void> {
-    const untilMs = performance.now() + timeoutMs
-    for (const host of this.hosts) {
-      while (!await host.isReady()) {
-        if (performance.now() > untilMs) throw new ProcessError(`${host.id} was not ready after ${timeoutMs} ms: ${host.process.listErrorLines().slice(-3).join('\n')}`)
-        await waitMs(50)
-      }
-    }
+  async waitReady (): Promise<void> {
+    await Promise.all(this.hosts.map(async host => { await host.waitReady() }))
   }
 
   async addUpstream (service: string, type: 'plain' | 'engine' | 'stage'): Promise<SoakUpstream> {
--- a/playground/soak/soakHost.ts
+++ b/playground/soak/soakHost.ts
@@ -1,11 +1,12 @@
 import { writeFileSync } from 'node:fs'
 import { join } from 'node:path'
-import { setTimeout as delay } from 'node:timers/promises'
+import { setTimeout as waitMs } from 'node:timers/promises'
 import { FaultProxy } from './faultProxy.js'
 import { ManagedProcess } from '../processes/managedProcess.js'
+import { processConstants } from '../processes/constants.js'
+import { ProcessError } from '../processes/processError.js'
 import { soakConstants } from './constants.js'
 
-const readinessPollMs = 50
 const readinessTimeoutMs = 500
 /** Options of Node.js in the deploy file. */
 const deployedNodeOptions = ['--max-old-space-size=160']
@@ -87,17 +88,25 @@
 
   /** Resolves when the host is ready. */
   async waitReady (): Promise<void> {
-    while (!await this.isReady()) await delay(readinessPollMs)
-  }
-
-  async isReady (): Promise<boolean> {
-    const url = `http://${this.ipAddress}:7002/-/readiness`
-    const answer = await fetch(url, { signal: AbortSignal.timeout(readinessTimeoutMs) }).catch(() => undefined)
-    return answer?.status === 200
+    const timeoutMs = processConstants.startTimeoutMs
+    const untilMs = performance.now() + timeoutMs
+    while (!await this.isReady()) {
+      if (performance.now() > untilMs) {
+        const lastErrors = this.process.listErrorLines().slice(-3).join('\n')
+        throw new ProcessError(`${this.id} was not ready after ${timeoutMs} ms: ${lastErrors}`)
+      }
+      await waitMs(processConstants.pollIntervalMs)
+    }
   }
 
   async stop (): Promise<void> {
     await this.process.stop(soakConstants.gracePeriodMs)
     this.storeProxy.stop()
   }
+
+  private async isReady (): Promise<boolean> {
+    const url = `http://${this.ipAddress}:7002/-/readiness`
+    const answer = await fetch(url, { signal: AbortSignal.timeout(readinessTimeoutMs) }).catch(() => undefined)
+    return answer?.status === 200
+  }
 }
