--- a/src/node/gateway/ingress/clientResponse.ts
+++ b/src/node/gateway/ingress/clientResponse.ts
@@ -31,13 +31,21 @@
     return this.response.writableLength
   }
 
-  /** Forwards an upstream's complete response. */
+  /**
+   * Forwards an upstream's complete response. A short one without framing ends when the connection closes, as the
+   * upstream's does.
+   */
   writeUpstreamResponse (head: UpstreamResponseHead, body: Buffer, method: string): void {
     if (this.isEnded || this.hasStarted) return
     this.isEnded = true
-    const length = method === 'HEAD' && head.contentLength !== undefined ? head.contentLength : body.length
-    const isFramed = head.isFramed || method === 'HEAD' || body.length > ingressConstants.maxUnframedBytes
-    this.writeUpstreamHead(head, isFramed, ['content-length', String(length)])
+    const { status, forwardedHeaders, contentLength } = head
+    const length = method === 'HEAD' && contentLength !== undefined ? contentLength : body.length
+    if (head.isFramed || method === 'HEAD' || body.length > ingressConstants.maxUnframedBytes) {
+      this.writeHead(status, [...forwardedHeaders, 'content-length', String(length)])
+    } else {
+      this.response.removeHeader('transfer-encoding')
+      this.response.writeHead(status, [...forwardedHeaders, 'connection', 'close'])
+    }
     this.response.end(body)
   }
 
@@ -100,13 +108,6 @@
     else this.response.destroy()
   }
 
-  /** A short response without framing ends when the connection closes, as the upstream's does. */
-  private writeUpstreamHead ({ status, forwardedHeaders }: UpstreamResponseHead, isFramed: boolean, framing: readonly string[]): void {
-    if (isFramed) return this.writeHead(status, [...forwardedHeaders, ...framing])
-    this.response.removeHeader('transfer-encoding')
-    this.response.writeHead(status, [...forwardedHeaders, 'connection', 'close'])
-  }
-
   private writeHead (status: number, headers: string[]): void {
     if (this.options.isClosing()) headers.push('connection', 'close')
     this.response.writeHead(status, headers)
