fix(engines): forget prompt parts that have left the caches of engines

Callers saw a host end by itself: requests with prompt part ids of 15 KB, within the operator's limit for heads, ended it after 8,932 requests (of 50 KB: 2,708), with 32 in progress cut. V8 had reached its heap limit of 160 MB.

Cause: the index of cached parts kept up to 4,000 parts for each engine, also long after their lifetime of 30 s, and each id kept the whole header alive that it was cut from. With the target's 2,800 engines, ordinary ids alone reach 1 GB. Class: state that grows with what clients send, without a bound on the sum.

Change: one map of parts in the order of last use; parts leave it after their lifetime, or beyond 32,768 in all. Ids are copied out of the header, and those over 128 characters are not tracked. What counts as cached is unchanged, as expired parts never counted.

Ruled out: memory of answers or bodies (answers of 15 bytes, no bodies).

--- a/playground/platform/gatewayTestHarness.ts
+++ b/playground/platform/gatewayTestHarness.ts
@@ -78,6 +78,7 @@
   writeConfiguration (part: {
     readonly routes?: ReadonlyArray<Record<string, unknown>>,
     readonly services?: ReadonlyArray<Record<string, unknown>>,
+    readonly limits?: Readonly<Record<string, number>>,
     readonly tenants?: unknown
   }): number {
     const { routes = [], services = [], ...rest } = part
--- a/src/node/gateway/engines/constants.ts
+++ b/src/node/gateway/engines/constants.ts
@@ -14,8 +14,10 @@
   firstEventWeight: 0.2,
   /** Time for which a prompt part is expected to stay in an engine's cache. */
   cacheLifetimeMs: 30_000,
-  /** Prompt parts remembered for each engine. */
-  maxPartsPerEngine: 4000,
+  /** Prompt parts that an index of the engines' caches remembers. */
+  maxCachedParts: 32_768,
+  /** Longest id of a prompt part that is remembered, in characters. */
+  maxPartIdLength: 128,
   /** Share of the requests whose first event arrives within the time reserved for the engine. */
   reserveQuantile: 0.9,
   /** Step of the quantile estimate, in proportion to its value. */
--- a/src/node/gateway/engines/promptCacheIndex.ts
+++ b/src/node/gateway/engines/promptCacheIndex.ts
@@ -1,40 +1,73 @@
+import { buildOwnText } from '../../../shared/buildOwnText.js'
 import { engineConstants } from './constants.js'
 import type { PromptPart } from '../model/promptPart.js'
 
-/** Tracks which prompt parts each engine has recently read, from the requests that this host has placed. */
+interface CachedPart {
+  readonly id: string
+  lastUseMs: number
+  /** Time of last use at each engine, in the order of last use. */
+  readonly lastUseByEngine: Map<string, number>
+}
+
+/**
+ * Tracks which prompt parts each engine has recently read, from the requests that this host has placed. Parts are
+ * forgotten after `cacheLifetimeMs`, and the least recently used ones beyond `maxCachedParts`.
+ */
 export class PromptCacheIndex {
-  /** Time of last use of each prompt part, by engine and part. */
-  private readonly partsByEngine = new Map<string, Map<string, number>>()
+  /** In the order of last use. */
+  private readonly parts = new Map<string, CachedPart>()
+
+  /** Number of parts that are held. */
+  get partCount (): number {
+    return this.parts.size
+  }
 
-  /** Records that an engine reads a prompt. */
+  /** Records that an engine reads a prompt. Parts with ids beyond `maxPartIdLength` are not tracked. */
   recordPrompt (engineId: string, parts: readonly PromptPart[], nowMs: number): void {
-    const lastUseByPart = this.partsByEngine.get(engineId) ?? new Map<string, number>()
-    this.partsByEngine.set(engineId, lastUseByPart)
     for (const { id } of parts) {
-      // Deleting first keeps the map in the order of last use.
-      lastUseByPart.delete(id)
-      lastUseByPart.set(id, nowMs)
-    }
-    for (const id of lastUseByPart.keys()) {
-      if (lastUseByPart.size <= engineConstants.maxPartsPerEngine) break
-      lastUseByPart.delete(id)
+      if (id.length > engineConstants.maxPartIdLength) continue
+      const part = this.parts.get(id) ?? { id: buildOwnText(id), lastUseMs: nowMs, lastUseByEngine: new Map<string, number>() }
+      part.lastUseMs = nowMs
+      // Deleting first keeps both maps in the order of last use.
+      this.parts.delete(id)
+      this.parts.set(part.id, part)
+      part.lastUseByEngine.delete(engineId)
+      part.lastUseByEngine.set(engineId, nowMs)
+      removeExpiredUses(part.lastUseByEngine, nowMs)
     }
+    this.evictParts(nowMs)
   }
 
   /** Counts the tokens at the start of the prompt that are in the engine's cache: a part counts only when all parts before it do. */
   countCachedTokens (engineId: string, parts: readonly PromptPart[], nowMs: number): number {
-    const lastUseByPart = this.partsByEngine.get(engineId)
-    if (lastUseByPart === undefined) return 0
     let tokens = 0
     for (const part of parts) {
-      const usedAtMs = lastUseByPart.get(part.id)
-      if (usedAtMs === undefined || usedAtMs < nowMs - engineConstants.cacheLifetimeMs) break
+      const usedAtMs = this.parts.get(part.id)?.lastUseByEngine.get(engineId)
+      if (usedAtMs === undefined || isExpired(usedAtMs, nowMs)) break
       tokens += part.tokens
     }
     return tokens
   }
 
   removeEngine (engineId: string): void {
-    this.partsByEngine.delete(engineId)
+    for (const part of this.parts.values()) part.lastUseByEngine.delete(engineId)
+  }
+
+  private evictParts (nowMs: number): void {
+    for (const { id, lastUseMs } of this.parts.values()) {
+      if (!isExpired(lastUseMs, nowMs) && this.parts.size <= engineConstants.maxCachedParts) return
+      this.parts.delete(id)
+    }
+  }
+}
+
+function isExpired (usedAtMs: number, nowMs: number): boolean {
+  return usedAtMs < nowMs - engineConstants.cacheLifetimeMs
+}
+
+function removeExpiredUses (lastUseByEngine: Map<string, number>, nowMs: number): void {
+  for (const [engineId, usedAtMs] of lastUseByEngine) {
+    if (!isExpired(usedAtMs, nowMs)) return
+    lastUseByEngine.delete(engineId)
   }
 }
