feat(cli): log each signal and the exit of a host

Cause: a process that ended by a signal left no line, so the log could not tell a signal from an end for memory or an error. Change: 'signal received' with the name of the signal, the state of the process and what follows, and 'process ends' with the exit status and its reason as the last line. The last lines are flushed before the exit, for 200 ms at most.

--- a/src/node/cli/__tests__/createTestDependencies.ts
+++ b/src/node/cli/__tests__/createTestDependencies.ts
@@ -8,8 +8,9 @@
   const output: string[] = []
   const errors: string[] = []
   const files = new Map<string, string>()
-  const reloadListeners = new Set<() => void>()
-  const listeners = new Set<(signal: NodeJS.Signals) => void>()
+  const hostLog: string[] = []
+  const reloadListeners = new Set<(cause: 'SIGHUP' | 'settings file') => void>()
+  const listeners = new Set<(signal: 'SIGTERM' | 'SIGINT') => void>()
   const dependencies: CommandLineDependencies = {
     version: '9.9.9',
     environment: {},
@@ -32,10 +33,11 @@
       reloadListeners.add(listener)
       return () => reloadListeners.delete(listener)
     },
+    openHostLog: () => Object.assign((line: string) => { hostLog.push(line) }, { flush: async () => {} }),
     wait: async () => { await new Promise(resolve => setImmediate(resolve)) },
     ...overrides
   }
-  const sendReload = () => { for (const listener of reloadListeners) listener() }
-  const sendSignal = (signal: NodeJS.Signals) => { for (const listener of listeners) listener(signal) }
-  return { dependencies, output, errors, files, sendSignal, sendReload, hasReloadListener: () => reloadListeners.size > 0 }
+  const sendReload = () => { for (const listener of reloadListeners) listener('SIGHUP') }
+  const sendSignal = (signal: 'SIGTERM' | 'SIGINT') => { for (const listener of listeners) listener(signal) }
+  return { dependencies, output, errors, files, hostLog, sendSignal, sendReload, hasReloadListener: () => reloadListeners.size > 0 }
 }
--- a/src/node/cli/__tests__/runCommandLine.test.ts
+++ b/src/node/cli/__tests__/runCommandLine.test.ts
@@ -82,6 +82,10 @@
   await test.dependencies.wait(0)
   test.sendSignal('SIGINT')
   t.equal(await running, 0)
+  t.match(test.hostLog.map(line => JSON.parse(line)), [
+    { host: '007', message: 'signal received', signal: 'SIGINT', state: 'running', outcome: 'drain' },
+    { host: '007', message: 'process ends', status: 0, reason: 'drained' }
+  ])
 })
 
 t.test('a host that cannot listen makes the program exit with one error line', async t => {
--- a/src/node/cli/commandLineDependencies.ts
+++ b/src/node/cli/commandLineDependencies.ts
@@ -1,5 +1,6 @@
 import type { Contract } from '../../types/contract.js'
 import type { HostSettings } from '../gateway/model/hostSettings.js'
+import type { LineWriter } from '../gateway/logs/lineWriter.js'
 import type { ReloadableHost } from './reloadableHost.js'
 import type { ResolvedSettings } from '../settings/resolvedSettings.js'
 import type { RunningHost } from './runningHost.js'
@@ -11,7 +12,7 @@
   /** Starts an entry host; resolves when it is ready to serve. */
   startEntryHost (settings: ResolvedSettings): Promise<RunningHost>
   /** Starts a gateway host; resolves when it has started. */
-  startGatewayHost (settings: HostSettings): Promise<ReloadableHost>
+  startGatewayHost (settings: HostSettings, writeLine: (line: string) => void): Promise<ReloadableHost>
   /** Validates a contract; throws a `LycheetrackError` that names all faults. */
   parseContract (value: unknown): Contract
   readTextFile (path: string): Promise<string>
@@ -23,9 +24,11 @@
   /** Writes one line to standard error. */
   writeError (line: string): void
   /** Calls `listener` at each SIGTERM or SIGINT; the returned function removes it. */
-  onSignal (listener: (signal: NodeJS.Signals) => void): () => void
+  onSignal (listener: (signal: 'SIGTERM' | 'SIGINT') => void): () => void
   /** Calls `listener` at each SIGHUP and when the settings file changes; the returned function removes it. */
-  onReload (listener: () => void): () => void
+  onReload (listener: (cause: 'SIGHUP' | 'settings file') => void): () => void
+  /** Opens the log of a host, on standard output or standard error. */
+  openHostLog (stream: 'output' | 'error'): LineWriter
   /** Resolves after `ms`. */
   wait (ms: number): Promise<void>
 }
--- a/src/node/cli/commands/gateway.ts
+++ b/src/node/cli/commands/gateway.ts
@@ -1,3 +1,4 @@
+import { createLogger } from '../../logging/createLogger.js'
 import { readHostSettings } from '../../platform/readHostSettings.js'
 import { reloadSettings } from '../reloadSettings.js'
 import { runHostUntilSignal } from '../runHostUntilSignal.js'
@@ -13,16 +14,20 @@
   validate: () => [],
   run: async ({ dependencies }) => {
     const settings = await readHostSettings(dependencies.environment)
+    const writeLine = dependencies.openHostLog('output')
     let host: ReloadableHost | undefined
-    // SIGHUP may arrive before the host has started; without a listener it would end the process.
-    const removeListener = dependencies.onReload(() => { if (host !== undefined) reloadSettings(dependencies, host) })
     try {
-      return await runHostUntilSignal(dependencies, async () => {
-        host = await dependencies.startGatewayHost(settings)
-        return host
+      return await runHostUntilSignal({
+        dependencies,
+        logger: createLogger({ host: settings.hostId, failureDomain: settings.failureDomain, write: writeLine }),
+        startHost: async () => {
+          host = await dependencies.startGatewayHost(settings, writeLine)
+          return host
+        },
+        reloadSettings: () => { reloadSettings(dependencies, host!) }
       })
     } finally {
-      removeListener()
+      await writeLine.flush()
     }
   }
 }
--- a/src/node/cli/commands/serve.ts
+++ b/src/node/cli/commands/serve.ts
@@ -1,3 +1,4 @@
+import { createLogger } from '../../logging/createLogger.js'
 import { buildUserSettings } from '../../settings/buildUserSettings.js'
 import { listUnknownVariables } from '../../settings/listUnknownVariables.js'
 import { runHostUntilSignal } from '../runHostUntilSignal.js'
@@ -24,6 +25,11 @@
   run: async ({ flags, dependencies }) => {
     for (const name of listUnknownVariables(dependencies.environment)) dependencies.writeError(`warning: ${name} is not a known setting`)
     const settings = resolveSettings(buildUserSettings(flags, dependencies.environment))
-    return await runHostUntilSignal(dependencies, async () => await dependencies.startEntryHost(settings))
+    const { hostId, failureDomain, logLevel, operatorToken, peerSecret } = settings
+    return await runHostUntilSignal({
+      dependencies,
+      logger: createLogger({ host: hostId, failureDomain, level: logLevel, secrets: [operatorToken, peerSecret], write: dependencies.openHostLog('error') }),
+      startHost: async () => await dependencies.startEntryHost(settings)
+    })
   }
 }
--- a/src/node/cli/createCommandLineDependencies.ts
+++ b/src/node/cli/createCommandLineDependencies.ts
@@ -2,9 +2,12 @@
 import { unwatchFile, watchFile } from 'node:fs'
 import { readFile, writeFile } from 'node:fs/promises'
 import { cliConstants } from './constants.js'
+import { createOutputWriter } from '../gateway/logs/createOutputWriter.js'
+import { createStandardErrorWriter } from '../logging/createStandardErrorWriter.js'
 import { platformConstants } from '../platform/constants.js'
 import { text as readStreamText } from 'node:stream/consumers'
 import { setTimeout as delay } from 'node:timers/promises'
+import type { LineWriter } from '../gateway/logs/lineWriter.js'
 import type { CommandLineDependencies } from './commandLineDependencies.js'
 
 declare const __VERSION__: string
@@ -28,26 +31,34 @@
     writeError: line => process.stderr.write(`${line}\n`),
     onSignal: addSignalListener,
     onReload: addReloadListener,
+    openHostLog,
     wait: async ms => { await delay(ms) }
   }
 }
 
-function addSignalListener (listener: (signal: NodeJS.Signals) => void): () => void {
+function addSignalListener (listener: (signal: 'SIGTERM' | 'SIGINT') => void): () => void {
   process.on('SIGTERM', listener).on('SIGINT', listener)
   return () => process.off('SIGTERM', listener).off('SIGINT', listener)
 }
 
 /** The settings file is polled, because it may change without a signal and file events are not available everywhere. */
-function addReloadListener (listener: () => void): () => void {
+function addReloadListener (listener: (cause: 'SIGHUP' | 'settings file') => void): () => void {
   const path = process.env[platformConstants.settingsVariable]
-  process.on('SIGHUP', listener)
-  if (path !== undefined) watchFile(path, { interval: cliConstants.settingsPollMs, persistent: false }, listener)
+  const onHangUp = (): void => { listener('SIGHUP') }
+  const onChange = (): void => { listener('settings file') }
+  process.on('SIGHUP', onHangUp)
+  if (path !== undefined) watchFile(path, { interval: cliConstants.settingsPollMs, persistent: false }, onChange)
   return () => {
-    process.off('SIGHUP', listener)
-    if (path !== undefined) unwatchFile(path, listener)
+    process.off('SIGHUP', onHangUp)
+    if (path !== undefined) unwatchFile(path, onChange)
   }
 }
 
+function openHostLog (stream: 'output' | 'error'): LineWriter {
+  if (stream === 'output') return createOutputWriter()
+  return Object.assign(createStandardErrorWriter(), { flush: async () => {} })
+}
+
 function refuseMissingPart (name: string): never {
   throw new CommandUnavailableError(`this build does not contain ${name}`)
 }
--- /dev/null
+++ b/src/node/cli/hostSignal.ts
@@ -0,0 +1,2 @@
+/** A signal that a host handles. */
+export type HostSignal = 'SIGTERM' | 'SIGINT' | 'SIGHUP'
--- /dev/null
+++ b/src/node/cli/hostState.ts
@@ -0,0 +1,2 @@
+/** State of a process that runs a host. */
+export type HostState = 'starting' | 'running' | 'draining'
--- a/src/node/cli/index.ts
+++ b/src/node/cli/index.ts
@@ -5,4 +5,9 @@
 import { createCommandLineDependencies } from './createCommandLineDependencies.js'
 import { runCommandLine } from './runCommandLine.js'
 
-runCommandLine(process.argv, createCommandLineDependencies({ startEntryHost: createEntryHost, startGatewayHost: createGatewayHost, parseContract })).then(status => process.exit(status))
+const dependencies = createCommandLineDependencies({
+  startEntryHost: createEntryHost,
+  startGatewayHost: async (settings, writeLine) => await createGatewayHost(settings, { writeLine }),
+  parseContract
+})
+runCommandLine(process.argv, dependencies).then(status => process.exit(status))
--- /dev/null
+++ b/src/node/cli/signalOutcome.ts
@@ -0,0 +1,2 @@
+/** What follows a signal. */
+export type SignalOutcome = 'drain' | 'reload' | 'end' | 'none'
--- a/src/node/gateway/logs/constants.ts
+++ b/src/node/gateway/logs/constants.ts
@@ -4,5 +4,7 @@
   maxBufferedBytes: 1_048_576,
   /** Lines with the same message per second; a host serves about 20 requests per second on average and 100 at a peak. */
   maxLinesPerSecond: 200,
-  windowMs: 1000
+  windowMs: 1000,
+  /** Time for writing the last lines before the process ends. */
+  maxFlushMs: 200
 } as const
