fix(cli): handle signals before the program of a host loads

Callers saw connections closed with their requests unanswered, and operators saw a host end by SIGHUP: the process had no handler until the whole program had loaded. A reload signal that came after that and before the host existed was dropped, and so was a change of the settings file.

Cause: the handlers were added by the command, which is the last thing to load. Change: the entry file handles SIGTERM, SIGINT and SIGHUP as its first act and keeps them until the command takes them over; it is a file of its own, because reading and parsing one file of 4.3 MB came before its first line. Only 'serve' and 'gateway' do so, other commands end by their signals as before. Reloads during the start are carried out after it, by one read, and those during a read by one after it, so that an older read cannot be applied last. 'serve' drains on SIGHUP, which it did not handle: it has no settings to reload, so the signal means that its terminal was closed.

Ruled out: a handler as the first import of one bundle, which Node.js parses first.

Product processes of the soak start without the variables of the test runner, whose modules handle signals first.

--- a/playground/processes/managedProcess.ts
+++ b/playground/processes/managedProcess.ts
@@ -10,6 +10,8 @@
   readonly args: readonly string[]
   /** Added to the environment of this process. */
   readonly environment?: Readonly<Record<string, string>>
+  /** Variables that the process does not inherit. */
+  readonly excludedVariables?: readonly string[]
 }
 
 const runningChildren = new Set<ChildProcess>()
@@ -39,7 +41,10 @@
 
   start (): void {
     if (this.isRunning) throw new ProcessError(`${this.id} is already running`)
-    const child = spawn(process.execPath, [...this.options.args], { stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, ...this.options.environment } })
+    const { args, excludedVariables = [] } = this.options
+    // The test runner adds variables to every process that it spawns, so `env` removes them.
+    const words = [...excludedVariables.flatMap(name => ['-u', name]), process.execPath, ...args]
+    const child = spawn('env', words, { stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, ...this.options.environment } })
     this.child = child
     this.outputLines = []
     this.isFrozen = false
@@ -68,6 +73,15 @@
     this.child?.kill('SIGHUP')
   }
 
+  sendSignal (signal: NodeJS.Signals): void {
+    this.child?.kill(signal)
+  }
+
+  /** Resolves with the exit code when the process has ended, null when a signal ended it. */
+  async waitEnd (): Promise<number | null> {
+    return await this.exitCode
+  }
+
   /** Kills the process with SIGKILL, as a crash would end it. */
   async kill (): Promise<void> {
     this.child?.kill('SIGKILL')
--- a/playground/soak/soakHost.ts
+++ b/playground/soak/soakHost.ts
@@ -20,6 +20,8 @@
   readonly storeAddress: string
   /** Memory of the machine, in MB. */
   readonly memoryMb?: number
+  /** Options of Node.js beyond those of the deploy file. */
+  readonly nodeOptions?: readonly string[]
 }
 
 /** One host of a soak test: a process of the product, which reaches the store through a fault-injecting proxy. */
@@ -33,7 +35,7 @@
   private readonly memoryMb: number
   private heartbeatMs = 1200
 
-  constructor ({ index, network, folder, program, storeAddress, memoryMb = 400 }: SoakHostOptions) {
+  constructor ({ index, network, folder, program, storeAddress, memoryMb = 400, nodeOptions = [] }: SoakHostOptions) {
     this.memoryMb = memoryMb
     this.id = `host-${index}`
     this.ipAddress = `127.1.${network}.${index + 1}`
@@ -42,8 +44,10 @@
     this.storeProxy = new FaultProxy(storeAddress)
     this.process = new ManagedProcess({
       id: this.id,
-      args: [...deployedNodeOptions, program, 'gateway'],
-      environment: { LYCHEETRACK_SETTINGS: this.settingsPath }
+      args: [...deployedNodeOptions, ...nodeOptions, program, 'gateway'],
+      environment: { LYCHEETRACK_SETTINGS: this.settingsPath },
+      // With the options of the test runner, its modules load and handle signals before the program does.
+      excludedVariables: ['NODE_OPTIONS']
     })
   }
 
--- a/scripts/buildExecutable.mjs
+++ b/scripts/buildExecutable.mjs
@@ -4,7 +4,7 @@
 import { inject } from 'postject'
 
 const configFile = 'dist/sea.json'
-writeFileSync(configFile, JSON.stringify({ main: 'dist/lycheetrack.cjs', output: 'dist/lycheetrack.blob', disableExperimentalSEAWarning: true, useCodeCache: false }))
+writeFileSync(configFile, JSON.stringify({ main: 'dist/executable.cjs', output: 'dist/lycheetrack.blob', disableExperimentalSEAWarning: true, useCodeCache: false }))
 execFileSync(process.execPath, ['--experimental-sea-config', configFile], { stdio: 'ignore' })
 copyFileSync(process.execPath, 'dist/lycheetrack')
 chmodSync('dist/lycheetrack', 0o755)
--- a/src/node/cli/__tests__/createTestDependencies.ts
+++ b/src/node/cli/__tests__/createTestDependencies.ts
@@ -1,6 +1,7 @@
 import { readFile } from 'node:fs/promises'
 import { TestContractError } from './testContractError.js'
 import type { CommandLineDependencies } from '../commandLineDependencies.js'
+import type { HostSignal } from '../hostSignal.js'
 import type { Contract } from '../../../types/contract.js'
 
 /** Creates dependencies that record all output and let a test send signals; waits resolve at once. */
@@ -9,8 +10,9 @@
   const errors: string[] = []
   const files = new Map<string, string>()
   const hostLog: string[] = []
-  const reloadListeners = new Set<(cause: 'SIGHUP' | 'settings file') => void>()
+  const reloadListeners = new Set<() => void>()
   const listeners = new Set<(signal: 'SIGTERM' | 'SIGINT') => void>()
+  let hostListener: ((signal: HostSignal) => void) | undefined
   const dependencies: CommandLineDependencies = {
     version: '9.9.9',
     environment: {},
@@ -29,7 +31,8 @@
       listeners.add(listener)
       return () => listeners.delete(listener)
     },
-    onReload: listener => {
+    onHostSignal: listener => { hostListener = listener },
+    onSettingsChange: listener => {
       reloadListeners.add(listener)
       return () => reloadListeners.delete(listener)
     },
@@ -37,7 +40,10 @@
     wait: async () => { await new Promise(resolve => setImmediate(resolve)) },
     ...overrides
   }
-  const sendReload = () => { for (const listener of reloadListeners) listener('SIGHUP') }
-  const sendSignal = (signal: 'SIGTERM' | 'SIGINT') => { for (const listener of listeners) listener(signal) }
-  return { dependencies, output, errors, files, hostLog, sendSignal, sendReload, hasReloadListener: () => reloadListeners.size > 0 }
+  const sendReload = () => { for (const listener of reloadListeners) listener() }
+  const sendSignal = (signal: HostSignal) => {
+    hostListener?.(signal)
+    if (signal !== 'SIGHUP') for (const listener of listeners) listener(signal)
+  }
+  return { dependencies, output, errors, files, hostLog, sendSignal, sendReload, hasHostListener: () => hostListener !== undefined }
 }
--- a/src/node/cli/commandLineDependencies.ts
+++ b/src/node/cli/commandLineDependencies.ts
@@ -1,4 +1,5 @@
 import type { Contract } from '../../types/contract.js'
+import type { HostSignal } from './hostSignal.js'
 import type { HostSettings } from '../gateway/model/hostSettings.js'
 import type { LineWriter } from '../gateway/logs/lineWriter.js'
 import type { ReloadableHost } from './reloadableHost.js'
@@ -25,8 +26,10 @@
   writeError (line: string): void
   /** Calls `listener` at each SIGTERM or SIGINT; the returned function removes it. */
   onSignal (listener: (signal: 'SIGTERM' | 'SIGINT') => void): () => void
-  /** Calls `listener` at each SIGHUP and when the settings file changes; the returned function removes it. */
-  onReload (listener: (cause: 'SIGHUP' | 'settings file') => void): () => void
+  /** Calls `listener` at each signal of a host, also for those that arrived before this call. */
+  onHostSignal (listener: (signal: HostSignal) => void): void
+  /** Calls `listener` when the settings file changes; the returned function removes it. */
+  onSettingsChange (listener: () => void): () => void
   /** Opens the log of a host, on standard output or standard error. */
   openHostLog (stream: 'output' | 'error'): LineWriter
   /** Resolves after `ms`. */
--- a/src/node/cli/commands/gateway.ts
+++ b/src/node/cli/commands/gateway.ts
@@ -1,8 +1,7 @@
 import { createLogger } from '../../logging/createLogger.js'
 import { readHostSettings } from '../../platform/readHostSettings.js'
-import { reloadSettings } from '../reloadSettings.js'
 import { runHostUntilSignal } from '../runHostUntilSignal.js'
-import type { ReloadableHost } from '../reloadableHost.js'
+import { SettingsReloader } from '../settingsReloader.js'
 import type { Command } from '../command.js'
 
 /** `gateway`: runs a gateway host until it is drained. */
@@ -13,20 +12,23 @@
   example: 'gateway',
   validate: () => [],
   run: async ({ dependencies }) => {
+    const reloader = new SettingsReloader(async () => await readHostSettings(dependencies.environment))
+    const removeListener = dependencies.onSettingsChange(() => { reloader.reload() })
     const settings = await readHostSettings(dependencies.environment)
     const writeLine = dependencies.openHostLog('output')
-    let host: ReloadableHost | undefined
     try {
       return await runHostUntilSignal({
         dependencies,
         logger: createLogger({ host: settings.hostId, failureDomain: settings.failureDomain, write: writeLine }),
         startHost: async () => {
-          host = await dependencies.startGatewayHost(settings, writeLine)
+          const host = await dependencies.startGatewayHost(settings, writeLine)
+          reloader.setHost(host)
           return host
         },
-        reloadSettings: () => { reloadSettings(dependencies, host!) }
+        reloadSettings: () => { reloader.reload() }
       })
     } finally {
+      removeListener()
       await writeLine.flush()
     }
   }
--- a/src/node/cli/constants.ts
+++ b/src/node/cli/constants.ts
@@ -1,5 +1,7 @@
 /** Constants of the command line. */
 export const cliConstants = {
+  /** Commands that run a host; their process handles signals from its start on. */
+  hostCommands: ['serve', 'gateway'] as readonly string[],
   exitStatus: { success: 0, failure: 1, usage: 2 },
   /** Interval at which the settings file is checked for changes. */
   settingsPollMs: 1000,
--- a/src/node/cli/createCommandLineDependencies.ts
+++ b/src/node/cli/createCommandLineDependencies.ts
@@ -4,6 +4,7 @@
 import { cliConstants } from './constants.js'
 import { createOutputWriter } from '../gateway/logs/createOutputWriter.js'
 import { createStandardErrorWriter } from '../logging/createStandardErrorWriter.js'
+import { HostSignals } from './hostSignals.js'
 import { platformConstants } from '../platform/constants.js'
 import { text as readStreamText } from 'node:stream/consumers'
 import { setTimeout as delay } from 'node:timers/promises'
@@ -15,7 +16,10 @@
 type Implementations = Pick<CommandLineDependencies, 'startEntryHost' | 'startGatewayHost' | 'parseContract'>
 
 /** Creates the dependencies of the command line from the process; the code that starts hosts and validates contracts is passed in. */
-export function createCommandLineDependencies (implementations: Partial<Implementations> = {}): CommandLineDependencies {
+export function createCommandLineDependencies (
+  implementations: Partial<Implementations> = {},
+  signals?: HostSignals
+): CommandLineDependencies {
   // When the reader closes the pipe early, as `head` does, the program exits without a stack trace.
   process.stdout.on('error', () => process.exit(1))
   return {
@@ -30,7 +34,8 @@
     writeOutput: line => process.stdout.write(`${line}\n`),
     writeError: line => process.stderr.write(`${line}\n`),
     onSignal: addSignalListener,
-    onReload: addReloadListener,
+    onHostSignal: listener => { (signals ?? new HostSignals(process).start()).setListener(listener) },
+    onSettingsChange: addSettingsListener,
     openHostLog,
     wait: async ms => { await delay(ms) }
   }
@@ -42,16 +47,11 @@
 }
 
 /** The settings file is polled, because it may change without a signal and file events are not available everywhere. */
-function addReloadListener (listener: (cause: 'SIGHUP' | 'settings file') => void): () => void {
+function addSettingsListener (listener: () => void): () => void {
   const path = process.env[platformConstants.settingsVariable]
-  const onHangUp = (): void => { listener('SIGHUP') }
-  const onChange = (): void => { listener('settings file') }
-  process.on('SIGHUP', onHangUp)
-  if (path !== undefined) watchFile(path, { interval: cliConstants.settingsPollMs, persistent: false }, onChange)
-  return () => {
-    process.off('SIGHUP', onHangUp)
-    if (path !== undefined) unwatchFile(path, onChange)
-  }
+  if (path === undefined) return () => {}
+  watchFile(path, { interval: cliConstants.settingsPollMs, persistent: false }, listener)
+  return () => { unwatchFile(path, listener) }
 }
 
 function openHostLog (stream: 'output' | 'error'): LineWriter {
--- a/src/node/cli/hostSignal.ts
+++ b/src/node/cli/hostSignal.ts
@@ -1,2 +1,4 @@
+import type { hostSignalNames } from './hostSignalNames.js'
+
 /** A signal that a host handles. */
-export type HostSignal = 'SIGTERM' | 'SIGINT' | 'SIGHUP'
+export type HostSignal = typeof hostSignalNames[number]
--- a/src/node/cli/index.ts
+++ b/src/node/cli/index.ts
@@ -1,13 +1,8 @@
 #!/usr/bin/env node
-import { createEntryHost } from '../app/createEntryHost.js'
-import { createGatewayHost } from '../app/createGatewayHost.js'
-import { parseContract } from '../contracts/parseContract.js'
-import { createCommandLineDependencies } from './createCommandLineDependencies.js'
-import { runCommandLine } from './runCommandLine.js'
+import { cliConstants } from './constants.js'
+import { HostSignals } from './hostSignals.js'
 
-const dependencies = createCommandLineDependencies({
-  startEntryHost: createEntryHost,
-  startGatewayHost: async (settings, writeLine) => await createGatewayHost(settings, { writeLine }),
-  parseContract
-})
-runCommandLine(process.argv, dependencies).then(status => process.exit(status))
+// A signal that arrives while the program loads would end the process.
+const isHost = cliConstants.hostCommands.includes(process.argv[2] ?? '')
+const signals = isHost ? new HostSignals(process).start() : undefined
+import('./runProgram.js').then(async ({ runProgram }) => await runProgram(signals)).then(status => process.exit(status))
--- a/src/node/cli/runHostUntilSignal.ts
+++ b/src/node/cli/runHostUntilSignal.ts
@@ -3,7 +3,6 @@
 import { RateLimitedLogger } from '../gateway/logs/rateLimitedLogger.js'
 import { systemClock } from '../../shared/systemClock.js'
 import type { CommandLineDependencies } from './commandLineDependencies.js'
-import type { HostSignal } from './hostSignal.js'
 import type { HostState } from './hostState.js'
 import type { Logger } from '../../types/logger.js'
 import type { RunningHost } from './runningHost.js'
@@ -23,28 +22,16 @@
   const logger = new RateLimitedLogger(run.logger, systemClock)
   let state: HostState = 'starting'
   let host: RunningHost | undefined
-  let removeListeners = (): void => {}
   const interrupted = new Promise<number>(resolve => {
-    const onSignal = (signal: HostSignal): void => {
-      const outcome = decideSignal(signal, state)
+    dependencies.onHostSignal(signal => {
+      const outcome = decideSignal(signal, state, reloadSettings !== undefined)
       logger.recordInfo('signal received', { signal, state, outcome })
-      if (outcome === 'reload') reloadSettings?.()
+      if (outcome === 'reload' || outcome === 'reload after the start') reloadSettings?.()
       if (outcome === 'end') resolve(signal === 'SIGINT' ? 130 : 143)
       if (outcome !== 'drain') return
       state = 'draining'
       host!.drain()
-    }
-    const removeSignalListener = dependencies.onSignal(onSignal)
-    const removeReloadListener = reloadSettings === undefined
-      ? () => {}
-      : dependencies.onReload(cause => {
-        if (cause === 'SIGHUP') onSignal(cause)
-        else if (state !== 'starting') reloadSettings()
-      })
-    removeListeners = () => {
-      removeSignalListener()
-      removeReloadListener()
-    }
+    })
   })
   try {
     const status = await Promise.race([interrupted, runUntilStopped()])
@@ -53,8 +40,6 @@
   } catch (error) {
     logger.recordError('process ends', { status: cliConstants.exitStatus.failure, reason: (error as Error).message })
     throw error
-  } finally {
-    removeListeners()
   }
 
   async function runUntilStopped (): Promise<number> {
