feat(gateway): log requests that the host leaves without an answer

Nothing was logged when the host closed a client's connection with requests unanswered, so that such a loss looked like the end of the process. The host now keeps the open requests of each connection; each one that is without the head of a response when the host closes the connection gets the line 'request cut off' with its id, the reason and whether an upstream was sent it, and is counted in requests_cut_off. Clients that leave are not counted.

Ruled out: a single line per connection, because 'lycheetrack explain' finds lines by the id of a request.

--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -1,16 +1,20 @@
 import { createServer } from 'node:http'
 import { computeTargetLeftMs } from './computeTargetLeftMs.js'
+import { ClientConnection } from './clientConnection.js'
 import { ClientResponse } from './clientResponse.js'
 import { ingressConstants } from './constants.js'
 import { readRequestBody } from './readRequestBody.js'
 import { RequestRun } from './requestRun.js'
+import type { ClientExchange } from './clientExchange.js'
 import type { ClientRequest } from '../model/clientRequest.js'
 import type { ConfigurationHolder } from '../configuration/configurationHolder.js'
+import type { CutOffRequest } from './cutOffRequest.js'
 import type { ErrorHeaderEncoder } from './errorHeaderEncoder.js'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { IngressLimits } from '../model/ingressLimits.js'
 import type { RequestRunDependencies } from './requestRunDependencies.js'
 import type { Route } from '../model/route.js'
+import type { Socket } from 'node:net'
 
 interface IngressOptions {
   readonly configuration: ConfigurationHolder
@@ -24,7 +28,7 @@
   private readonly server: Server
   /** Monotonic time at which the host stops; undefined until draining starts. */
   private stopsAtMs: number | undefined
-  private activeCount = 0
+  private readonly connections = new Map<Socket, ClientConnection>()
   private readonly runs = new Set<RequestRun>()
 
   constructor (private readonly options: IngressOptions) {
@@ -35,9 +39,11 @@
       connectionsCheckingInterval: ingressConstants.connectionCheckMs,
       noDelay: true
     }, (request, response) => { this.onRequest(request, response) })
+    this.server.on('connection', socket => { this.onConnection(socket) })
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       // More requests may follow a malformed one on the same connection, so nothing more is read from it.
       options.dependencies.metrics.addCount('client_errors', { code: error.code ?? 'unknown' })
+      if (error.code !== 'ECONNRESET') this.connections.get(socket as Socket)?.setCloseReason('client-error')
       if (socket.writable && error.code !== 'ECONNRESET') socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n')
       else socket.destroy()
     })
@@ -45,7 +51,9 @@
 
   /** Requests in progress. */
   get requestCount (): number {
-    return this.activeCount
+    let count = 0
+    for (const connection of this.connections.values()) count += connection.requestCount
+    return count
   }
 
   async start (address: string): Promise<void> {
@@ -84,20 +92,33 @@
     })
   }
 
-  private onRequest (request: IncomingMessage, response: ServerResponse): void {
-    this.activeCount++
-    response.once('close', () => { this.activeCount-- })
-    this.serveRequest(request, response).catch(error => {
+  private onConnection (socket: Socket): void {
+    const { clock, logger, metrics } = this.options.dependencies
+    const onCutOff = (request: CutOffRequest): void => {
+      metrics.addCount('requests_cut_off', { reason: request.reason, passed_on: String(request.wasPassedOn) })
+      logger.recordWarning('request cut off', { ...request })
+    }
+    this.connections.set(socket, new ClientConnection({ socket, clock, onCutOff }))
+    socket.once('close', () => { this.connections.delete(socket) })
+  }
+
+  private onRequest (message: IncomingMessage, response: ServerResponse): void {
+    const connection = this.connections.get(message.socket)
+    // The connection was closed while the request was parsed.
+    if (connection === undefined) return
+    this.serveRequest(connection.add(message, response)).catch(error => {
       const { logger } = this.options.dependencies
       logger.recordError('request failed unexpectedly', { reason: (error as Error).message, stack: (error as Error).stack })
+      connection.setCloseReason('failure')
       response.destroy()
     })
   }
 
-  private async serveRequest (message: IncomingMessage, response: ServerResponse): Promise<void> {
+  private async serveRequest (exchange: ClientExchange): Promise<void> {
+    const { message, response, arrivedAtMs } = exchange
     const { configuration, dependencies, decodeRequest } = this.options
-    const arrivedAtMs = dependencies.clock.readMonotonicMs()
     const request = decodeRequest(message)
+    exchange.requestId = request?.id
     const clientResponse = new ClientResponse({
       response,
       requestId: request?.id,
@@ -158,6 +179,7 @@
       deadlineAtMs: arrivedAtMs + limitMs,
       targetAtMs: arrivedAtMs + computeTargetLeftMs(route, request.timeLeftMs)
     }, dependencies)
+    exchange.isPassedOn = () => run.isPassedOn
     response.once('close', () => { run.cancel() })
     if (response.destroyed) return
     this.runs.add(run)
--- a/src/node/gateway/ingress/requestRun.ts
+++ b/src/node/gateway/ingress/requestRun.ts
@@ -60,6 +60,11 @@
     this.suspect = new SuspectRequest(options.request, options.account, options.body)
   }
 
+  /** Whether an upstream was sent the request and may have run it. */
+  get isPassedOn (): boolean {
+    return this.mayHaveRun
+  }
+
   /** Resolves when the request has its final response or its client has disconnected. */
   async run (): Promise<void> {
     const timeLeftMs = this.options.deadlineAtMs - this.dependencies.clock.readMonotonicMs()
