fix(gateway): serve the requests of one connection in their order

Clients that pipeline saw requests that had been passed on end without an answer when the response before closed the connection. With three requests and a SIGTERM, three were passed on and one was answered, also when the stop began between two answers. Behind a body without a stated end, all three were lost.

Cause: each request ran as soon as it was read, whatever the responses before it would do to the connection; Node.js drops the responses behind one that closes it, and tells neither of them. So requests also ran on for a client that had left, and one client that did not wait took as many upstreams as it liked.

Change: a request waits for the end of the response before it, is not passed on when that response closes the connection, and still counts its time from its arrival. A stopping host reads nothing more from a connection after the head of its next response there; what was read by then is answered, and the last response has 'Connection: close'. 16 requests of a connection may be unanswered; the 16th response closes it.

Ruled out: pausing the socket at the bound. The client's close would not be seen, and reading a body resumes the socket.

--- a/src/node/gateway/ingress/__tests__/clientConnection.test.ts
+++ b/src/node/gateway/ingress/__tests__/clientConnection.test.ts
@@ -14,7 +14,7 @@
   const cutOff: CutOffRequest[] = []
   let connection: ClientConnection | undefined
   const server = createServer((message, response) => {
-    const exchange = connection!.add(message, response)
+    const exchange = connection!.add(message, response)!
     exchange.requestId = message.url
     exchange.isPassedOn = () => message.url !== '/kept'
     if (message.url === '/close') response.writeHead(200, { connection: 'close' }).end()
--- a/src/node/gateway/ingress/constants.ts
+++ b/src/node/gateway/ingress/constants.ts
@@ -10,6 +10,8 @@
   meanClientTimeoutShare: 0.925,
   /** Largest request head that the HTTP parser accepts; the operator's limit is 16 KB. */
   maxHeaderBytes: 65_536,
+  /** Requests of one connection that may be without a response; the last of them closes the connection. */
+  maxPipelinedRequests: 16,
   /** Interval at which connections are checked for timeouts. */
   connectionCheckMs: 1000,
   /** Timeouts that apply until a configuration is in force. */
--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -104,9 +104,9 @@
 
   private onRequest (message: IncomingMessage, response: ServerResponse): void {
     const connection = this.connections.get(message.socket)
-    // The connection was closed while the request was parsed.
-    if (connection === undefined) return
-    this.serveRequest(connection.add(message, response)).catch(error => {
+    const exchange = connection?.add(message, response)
+    if (connection === undefined || exchange === undefined) return
+    this.serveRequest(connection, exchange).catch(error => {
       const { logger } = this.options.dependencies
       logger.recordError('request failed unexpectedly', { reason: (error as Error).message, stack: (error as Error).stack })
       connection.setCloseReason('failure')
@@ -114,7 +114,7 @@
     })
   }
 
-  private async serveRequest (exchange: ClientExchange): Promise<void> {
+  private async serveRequest (connection: ClientConnection, exchange: ClientExchange): Promise<void> {
     const { message, response, arrivedAtMs } = exchange
     const { configuration, dependencies, decodeRequest } = this.options
     const request = decodeRequest(message)
@@ -123,7 +123,7 @@
       response,
       requestId: request?.id,
       encodeErrorHeaders: this.options.encodeErrorHeaders,
-      isClosing: () => this.stopsAtMs !== undefined,
+      isClosing: () => connection.decideClosing(exchange, this.stopsAtMs !== undefined),
       onBrokenOff: brokenOff => {
         dependencies.metrics.addCount('responses_broken_off', { framed: String(brokenOff.isFramed) })
         dependencies.logger.recordInfo('response broken off', { requestId: request?.id, ...brokenOff })
@@ -132,6 +132,7 @@
     const current = configuration.getCurrent()
     // Without a configuration the request is refused below, so its body is read but not kept.
     const body = await readRequestBody(message, current?.limits.maxBodyBytes ?? 0)
+    if (!await exchange.waitForTurn()) return
     if (current === undefined) {
       return this.refuse(clientResponse, {
         request,
@@ -157,8 +158,9 @@
     }
     const account = configuration.findAccount(route, request.apiKey)
     if (account === undefined) return this.refuse(clientResponse, { request, status: 401, code: 'unauthorized', reason: 'unknown API key' })
-    const timeToStopMs = (this.stopsAtMs ?? Infinity) - arrivedAtMs
-    if (this.stopsAtMs !== undefined && timeToStopMs < this.computeServingMs(route)) {
+    const nowMs = dependencies.clock.readMonotonicMs()
+    const stopsAtMs = this.stopsAtMs ?? Infinity
+    if (stopsAtMs - nowMs < this.computeServingMs(route)) {
       return this.refuse(clientResponse, {
         request,
         status: 503,
@@ -167,7 +169,17 @@
         retryAfterMs: ingressConstants.stoppingRetryAfterMs
       })
     }
-    const limitMs = Math.min(timeToStopMs, (request.timeLeftMs ?? route.timeoutMs) - ingressConstants.responseMarginMs, route.timeoutMs)
+    const limitMs = Math.min((request.timeLeftMs ?? route.timeoutMs) - ingressConstants.responseMarginMs, route.timeoutMs)
+    const deadlineAtMs = Math.min(stopsAtMs, arrivedAtMs + limitMs)
+    if (deadlineAtMs <= nowMs) {
+      return this.refuse(clientResponse, {
+        request,
+        status: 503,
+        code: 'overloaded',
+        reason: 'the deadline has passed',
+        retryAfterMs: ingressConstants.busyRetryAfterMs
+      })
+    }
     const run = new RequestRun({
       request,
       route,
@@ -176,7 +188,7 @@
       response: clientResponse,
       configurationVersion: version,
       arrivedAtMs,
-      deadlineAtMs: arrivedAtMs + limitMs,
+      deadlineAtMs,
       targetAtMs: arrivedAtMs + computeTargetLeftMs(route, request.timeLeftMs)
     }, dependencies)
     exchange.isPassedOn = () => run.isPassedOn
