test(soak): check LOST and FAULT, with signals in series and pipelining clients

Each run of a process is recorded with its signals, its end, its peak of memory and its readiness, each request with its host, connection and end, and each disruption with its span. New checks: FAULT, LOST (both rules), CONFIG, DRAIN, GONE and DENIED. A second plan by the same seed has signals in series, overlapping starts, rolling stops and bursts of large bodies (--signals); pipelining clients are a class of their own (--pipelining-clients). The first plan is unchanged, so kept seeds repeat their faults.

Signals during a start are sent once the runtime has taken the processor time of a minimal program: before that no program can handle a signal.

--- a/playground/processes/managedProcess.ts
+++ b/playground/processes/managedProcess.ts
@@ -3,6 +3,7 @@
 import { setTimeout as waitMs } from 'node:timers/promises'
 import { processConstants } from './constants.js'
 import { ProcessError } from './processError.js'
+import type { ProcessRun } from './processRun.js'
 
 interface ProcessOptions {
   readonly id: string
@@ -12,6 +13,16 @@
   readonly environment?: Readonly<Record<string, string>>
   /** Variables that the process does not inherit. */
   readonly excludedVariables?: readonly string[]
+  /** Called at the end of each run. */
+  readonly onEnd?: (run: ProcessRun) => void
+}
+
+type Mutable<T> = { -readonly [Key in keyof T]: T[Key] }
+
+interface OpenRun extends Mutable<ProcessRun> {
+  readonly signals: Array<ProcessRun['signals'][number]>
+  readonly lines: string[]
+  readonly errorLines: string[]
 }
 
 const runningChildren = new Set<ChildProcess>()
@@ -22,6 +33,7 @@
 export class ManagedProcess {
   readonly id: string
   private child: ChildProcess | undefined
+  private readonly openRuns: OpenRun[] = []
   private outputLines: string[] = []
   private errorLines: string[] = []
   private exitCode: Promise<number | null> = Promise.resolve(null)
@@ -35,10 +47,20 @@
     return this.child?.pid
   }
 
+  /** All runs, the oldest first. */
+  get runs (): readonly ProcessRun[] {
+    return this.openRuns
+  }
+
   get isRunning (): boolean {
     return this.child !== undefined && this.child.exitCode === null && this.child.signalCode === null
   }
 
+  /** Whether the last run was told to end. */
+  get isStopping (): boolean {
+    return this.openRuns.at(-1)?.signals.some(({ signal }) => signal === 'SIGTERM' || signal === 'SIGKILL') ?? false
+  }
+
   start (): void {
     if (this.isRunning) throw new ProcessError(`${this.id} is already running`)
     const { args, excludedVariables = [] } = this.options
@@ -46,11 +68,20 @@
     const words = [...excludedVariables.flatMap(name => ['-u', name]), process.execPath, ...args]
     const child = spawn('env', words, { stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, ...this.options.environment } })
     this.child = child
-    this.outputLines = []
+    const run: OpenRun = { pid: child.pid, startedAtMs: performance.now(), signals: [], lines: [], errorLines: [] }
+    this.openRuns.push(run)
+    this.outputLines = run.lines
     this.isFrozen = false
     runningChildren.add(child)
-    createInterface({ input: child.stdout }).on('line', line => this.outputLines.push(line))
-    createInterface({ input: child.stderr }).on('line', line => { this.errorLines = [...this.errorLines, line].slice(-processConstants.maxErrorLines) })
+    createInterface({ input: child.stdout }).on('line', line => run.lines.push(line))
+    createInterface({ input: child.stderr }).on('line', line => {
+      run.errorLines.push(line)
+      this.errorLines = [...this.errorLines, line].slice(-processConstants.maxErrorLines)
+    })
+    child.once('exit', (code, signal) => {
+      run.end = { code, signal, atMs: performance.now() }
+      this.options.onEnd?.(run)
+    })
     this.exitCode = new Promise(resolve => {
       child.once('error', () => resolve(null))
       child.once('close', code => { runningChildren.delete(child); resolve(code) })
@@ -70,10 +101,12 @@
 
   /** Asks the process to read its settings again. */
   reload (): void {
-    this.child?.kill('SIGHUP')
+    this.sendSignal('SIGHUP')
   }
 
   sendSignal (signal: NodeJS.Signals): void {
+    if (!this.isRunning) return
+    this.openRuns.at(-1)!.signals.push({ signal, atMs: performance.now() })
     this.child?.kill(signal)
   }
 
@@ -84,27 +117,27 @@
 
   /** Kills the process with SIGKILL, as a crash would end it. */
   async kill (): Promise<void> {
-    this.child?.kill('SIGKILL')
+    this.sendSignal('SIGKILL')
     await this.exitCode
   }
 
   /** Suspends the process with SIGSTOP; its connections stay open. */
   freeze (): void {
     this.isFrozen = true
-    this.child?.kill('SIGSTOP')
+    this.sendSignal('SIGSTOP')
   }
 
   resume (): void {
     this.isFrozen = false
-    this.child?.kill('SIGCONT')
+    this.sendSignal('SIGCONT')
   }
 
   /** Stops the process with SIGTERM, or with SIGKILL after `timeoutMs`; resolves with its exit code, null after SIGKILL. */
   async stop (timeoutMs: number = processConstants.stopTimeoutMs): Promise<number | null> {
     if (!this.isRunning) return this.exitCode
     if (this.isFrozen) this.resume()
-    this.child?.kill('SIGTERM')
-    const timer = setTimeout(() => this.child?.kill('SIGKILL'), timeoutMs)
+    this.sendSignal('SIGTERM')
+    const timer = setTimeout(() => { this.sendSignal('SIGKILL') }, timeoutMs)
     const code = await this.exitCode
     clearTimeout(timer)
     return code
--- a/playground/soak/checkAnswers.ts
+++ b/playground/soak/checkAnswers.ts
@@ -11,8 +11,9 @@
 export function checkAnswers ({ requests, executions }: SoakRecords): readonly string[] {
   const executionsById = new Map<string, SoakExecution[]>()
   for (const execution of executions) executionsById.set(execution.requestId, [...executionsById.get(execution.requestId) ?? [], execution])
-  return requests.flatMap(({ id, kind, status, signature, answer, isComplete }) => {
+  return requests.flatMap(({ id, kind, status, signature, answeredId, answer, isComplete }) => {
     if (status === undefined) return []
+    if (answeredId !== undefined && answeredId !== id) return [`MIXED: ${id} got the answer of ${answeredId}`]
     const ownExecutions = executionsById.get(id) ?? []
     const mayRepeat = kind === 'safe' || kind === 'stream'
     if (notExecutedStatuses.has(status) && !mayRepeat && ownExecutions.length > 0) {
--- /dev/null
+++ b/playground/soak/checkPropagation.ts
@@ -0,0 +1,37 @@
+import { createDisruptionIndex } from './createDisruptionIndex.js'
+import { soakConstants } from './constants.js'
+import type { SoakRecords } from './soakRecords.js'
+
+/** Executions of requests whose client has left that are allowed. */
+const maxLateExecutions = 3
+const lateExecutionMs = 500
+
+/**
+ * Checks, while all hosts are in touch, that the newest configuration, the leaving of an upstream and the leaving of a client
+ * take effect in time.
+ */
+export function checkPropagation ({ requests, executions, disruptions }: SoakRecords): readonly string[] {
+  const { configurationMs, drainMs } = soakConstants
+  const { isInTouch } = createDisruptionIndex(disruptions)
+  const sent = new Map(requests.map(request => [request.id, request]))
+  const configurations = disruptions.filter(({ type }) => type === 'configuration')
+  const leaving = disruptions.filter(({ type }) => type === 'leaving')
+  const late: string[] = []
+  const violations = executions.flatMap(({ requestId, upstreamId, service, atMs }) => {
+    const request = sent.get(requestId)
+    if (request === undefined || !isInTouch(request.sentAtMs, atMs)) return []
+    const { sentAtMs, kind, hasLeft, endedAtMs } = request
+    if (hasLeft && atMs > endedAtMs + lateExecutionMs) late.push(requestId)
+    const found: string[] = []
+    // A version may apply until the time in which the next one must be in force.
+    const services = configurations.filter((_, i) => (configurations[i + 1]?.fromMs ?? Infinity) >= sentAtMs - configurationMs).map(({ id }) => id)
+    if ((kind === 'safe' || kind === 'once') && !services.includes(service) && configurations.some(({ id }) => id === service)) {
+      found.push(`CONFIG: ${requestId} was sent at ${Math.round(sentAtMs)} ms and executed at ${service}, which only an older configuration names`)
+    }
+    const leftAtMs = leaving.find(({ id }) => id === upstreamId)?.fromMs ?? Infinity
+    if (atMs > leftAtMs + drainMs) found.push(`DRAIN: ${requestId} reached ${upstreamId} ${Math.round(atMs - leftAtMs)} ms after that one was leaving`)
+    return found
+  })
+  const gone = late.length > maxLateExecutions ? [`GONE: ${late.length} requests were executed over ${lateExecutionMs} ms after their clients had left: ${late.slice(0, 5).join(' ')}`] : []
+  return [...violations, ...gone]
+}
--- a/playground/soak/checkSoak.ts
+++ b/playground/soak/checkSoak.ts
@@ -1,10 +1,26 @@
 import { checkAnswers } from './checkAnswers.js'
+import { checkLosses } from './checkLosses.js'
+import { checkProcesses } from './checkProcesses.js'
+import { checkPropagation } from './checkPropagation.js'
 import { checkRecovery } from './checkRecovery.js'
+import { checkRefusals } from './checkRefusals.js'
 import { checkExecutions } from './checkExecutions.js'
 import { checkStages } from './checkStages.js'
 import { checkStreams } from './checkStreams.js'
 import type { SoakRecords } from './soakRecords.js'
 
+const checks = [
+  checkProcesses,
+  checkLosses,
+  checkAnswers,
+  checkRefusals,
+  checkExecutions,
+  checkStages,
+  checkStreams,
+  checkPropagation,
+  checkRecovery
+]
+
 /**
  * Returns the violations of the platform's rules, one message each; empty when there are none. A message begins with
  * the rule that was violated:
@@ -16,8 +32,12 @@
  * - `ORDER`: a stream has missing, repeated or foreign events.
  * - `BUDGET`: an upstream was given more time than the client's remaining time.
  * - `ROUTE`: a request was executed at a service that no configuration allows.
+ * - `DENIED`: requests that every configuration allows were refused for good.
+ * - `FAULT`: a process ended by itself or by a signal that it must handle, took too much memory or did not become ready.
+ * - `LOST`: a host closed the connection of a request that has no complete answer.
+ * - `CONFIG`, `DRAIN`, `GONE`: a configuration, the leaving of an upstream or of a client took effect too late.
  * - `RECOVER`: too few requests were served after the faults had ended.
  */
 export function checkSoak (records: SoakRecords): readonly string[] {
-  return [checkAnswers, checkExecutions, checkStages, checkStreams, checkRecovery].flatMap(check => check(records))
+  return checks.flatMap(check => check(records))
 }
--- a/playground/soak/constants.ts
+++ b/playground/soak/constants.ts
@@ -9,6 +9,24 @@
   /** Tolerance by which the time budget that an upstream is given may exceed the client's, as the platform's rules state. */
   timeLeftSlackMs: 500,
   gracePeriodMs: 3000,
+  /** Bounds that the platform's rules name. */
+  stableWindowMs: 3000,
+  configurationMs: 2000,
+  drainMs: 2000,
+  lossSlackMs: 200,
+  /** Time after which a process that ended by itself is started again. */
+  restartDelayMs: 1000,
+  /** Time after the start of the runtime in which signals count as sent during the start. */
+  startMs: 500,
+  sampleIntervalMs: 500,
+  /** A host must have said that it is ready within this time before the end of a run. */
+  readyWindowMs: 3000,
+  maxBodyBytes: 4_194_304,
+  /** Largest body of a client that pipelines, and the longest time for which it holds back the last byte of a batch. */
+  maxClientBodyBytes: 300_000,
+  maxHeldBodyMs: 1000,
+  /** Longest time that a client that pipelines asks an upstream to work. */
+  maxWorkMs: 400,
   /** Events of a complete stream. */
   eventCount: 8,
   eventIntervalMs: 25,
--- a/playground/soak/main.ts
+++ b/playground/soak/main.ts
@@ -11,6 +11,15 @@
   for (const { host, lines } of logs) writeFileSync(`${folder}/seed-${result.seed}-${host}.log`, lines.join('\n') + '\n')
 }
 
+function buildRuleGroups (violations: readonly string[]): ReadonlyMap<string, readonly string[]> {
+  const groups = new Map<string, string[]>()
+  for (const violation of violations) {
+    const rule = violation.split(':')[0]!
+    groups.set(rule, [...groups.get(rule) ?? [], violation])
+  }
+  return groups
+}
+
 async function runMain (flags: Readonly<Record<string, unknown>>): Promise<void> {
   const firstSeed = Number(flags['seed'])
   let failedRuns = 0
@@ -20,13 +29,18 @@
       seed,
       hosts: Number(flags['hosts']),
       clients: Number(flags['clients']),
+      pipeliningClients: Number(flags['pipelining-clients']),
       faults: Number(flags['faults']),
+      signals: Number(flags['signals']),
       faultMs: Number(flags['seconds']) * 1000
     })
     const outcome = result.violations.length === 0 ? 'ok' : 'FAILED'
     const faults = result.plan.map(fault => fault.type).join(' ')
-    console.log(`seed ${seed}: ${outcome}; ${result.served} of ${result.requests} requests served, ${result.runs} executions at upstreams; faults: ${faults}`)
-    for (const violation of result.violations.slice(0, 5)) console.log(`  ${violation}`)
+    console.log(`seed ${seed}: ${outcome}; ${result.served} of ${result.requests} requests served, ${result.runs} executions at upstreams, at most ${result.peakMemoryMb} MB; faults: ${faults}`)
+    for (const [rule, violations] of buildRuleGroups(result.violations)) {
+      console.log(`  ${violations.length} x ${rule}`)
+      for (const violation of violations.slice(0, 3)) console.log(`    ${violation}`)
+    }
     if (result.violations.length === 0) continue
     failedRuns++
     writeFailureLogs(result, String(flags['out']))
@@ -40,7 +54,9 @@
   .option('--runs', 'Number of runs', 1)
   .option('--hosts', 'Number of host processes', 4)
   .option('--clients', 'Number of concurrent clients', 12)
-  .option('--faults', 'Number of faults in a run', 10)
+  .option('--pipelining-clients', 'Number of clients that send several requests at once', 6)
+  .option('--faults', 'Number of faults of hosts, the store, upstreams and links in a run', 10)
+  .option('--signals', 'Number of series of signals and of bursts of large bodies in a run', 8)
   .option('--seconds', 'Length of the part of a run in which faults are injected', 12)
   .option('--out', 'Folder for the results and host logs of failed runs', 'dist/soak')
   .action((user: Readonly<Record<string, unknown>>) => {
--- a/playground/soak/runFault.ts
+++ b/playground/soak/runFault.ts
@@ -1,4 +1,6 @@
 import { setTimeout as waitMs } from 'node:timers/promises'
+import { runSignalFault } from './runSignalFault.js'
+import { signalFaultTypes } from './signalFaultTypes.js'
 import { soakConstants } from './constants.js'
 import type { LinkFault } from './linkFault.js'
 import type { SoakDeployment } from './soakDeployment.js'
@@ -9,24 +11,38 @@
 import type { UpstreamFault } from './upstreamFault.js'
 
 /** Time from the moment an upstream reports that it drains until it stops. */
-const drainMs = 2200
+const drainMs = soakConstants.drainMs + 1000
 
 /** Injects a fault and reverts it; resolves when it has ended. */
 export async function runFault (fault: SoakFault, deployment: SoakDeployment): Promise<void> {
   const { type, target, forMs } = fault
   const host = deployment.hosts[target % deployment.hosts.length]!
   const upstream = deployment.upstreams[target % deployment.upstreams.length]!
+  if (type === 'upstream-drained') return await drainUpstream(upstream, deployment)
+  if (isSignalFault(type)) return await runSignalFault(fault, host, deployment)
   if (type.startsWith('host-')) return await runHostFault(type.slice('host-'.length), host, forMs)
-  if (type === 'store-history') return deployment.store.removeHistory()
-  if (type.startsWith('store-link-')) return await runLinkFault(resolveLinkFault(type.slice('store-link-'.length), target), host.storeProxy, forMs)
+  if (type === 'store-history') {
+    deployment.recordDisruption('store', '')()
+    return deployment.store.removeHistory()
+  }
+  if (type.startsWith('store-link-')) {
+    return await runLinkFault(resolveLinkFault(type.slice('store-link-'.length), target), host.storeProxy, forMs, deployment.recordDisruption('host', host.ipAddress))
+  }
   if (type.startsWith('store-')) return await runStoreFault(type.slice('store-'.length) as StoreFault, deployment, forMs)
-  if (type.startsWith('upstream-link-')) return await runLinkFault(resolveLinkFault(type.slice('upstream-link-'.length), target), upstream.proxy, forMs)
+  if (type.startsWith('upstream-link-')) {
+    return await runLinkFault(resolveLinkFault(type.slice('upstream-link-'.length), target), upstream.proxy, forMs, deployment.recordDisruption('upstream', upstream.options.id))
+  }
   if (type === 'upstream-replaced') return await killAndReplaceUpstream(upstream, deployment)
-  if (type === 'upstream-drained') return await drainUpstream(upstream, deployment)
   if (type === 'configuration') return deployment.writeConfiguration(target % 2 === 0 ? 'shop' : 'shop-b')
+  const recordEnd = deployment.recordDisruption('upstream', upstream.options.id)
   upstream.fault = type.slice('upstream-'.length) as UpstreamFault
   await waitMs(forMs)
   upstream.fault = 'none'
+  recordEnd()
+}
+
+function isSignalFault (type: SoakFault['type']): boolean {
+  return (signalFaultTypes as ReadonlyArray<SoakFault['type']>).includes(type)
 }
 
 async function runHostFault (name: string, host: SoakHost, forMs: number): Promise<void> {
@@ -45,8 +61,7 @@
   if (name === 'stopped') await host.process.stop(soakConstants.gracePeriodMs)
   else await host.process.kill()
   await waitMs(forMs)
-  // An overlapping fault may have started the host meanwhile.
-  if (!host.process.isRunning) host.process.start()
+  host.startProcess()
 }
 
 /** Resolves the link fault of a fault type; the parity of `target` gives the direction of `one-way`. */
@@ -55,17 +70,21 @@
   return name as LinkFault
 }
 
-async function runLinkFault (fault: LinkFault, proxy: { applyFault (fault: LinkFault): void }, forMs: number): Promise<void> {
+async function runLinkFault (fault: LinkFault, proxy: { applyFault (fault: LinkFault): void }, forMs: number, recordEnd: () => void): Promise<void> {
   proxy.applyFault(fault)
   await waitMs(forMs)
   proxy.applyFault('none')
+  recordEnd()
 }
 
-async function runStoreFault (fault: StoreFault, { store }: SoakDeployment, forMs: number): Promise<void> {
+async function runStoreFault (fault: StoreFault, deployment: SoakDeployment, forMs: number): Promise<void> {
+  const { store } = deployment
+  const recordEnd = deployment.recordDisruption('store', '')
   store.fault = fault
   store.closeConnections()
   await waitMs(forMs)
   store.fault = 'none'
+  recordEnd()
 }
 
 /** Ends an upstream as a crash does and starts another one of its service. */
--- a/playground/soak/runSoak.ts
+++ b/playground/soak/runSoak.ts
@@ -4,47 +4,56 @@
 import { createSeededRandom } from '../../src/shared/createSeededRandom.js'
 import { runFault } from './runFault.js'
 import { soakConstants } from './constants.js'
+import { signalFaultTypes } from './signalFaultTypes.js'
+import { soakFaultTypes } from './soakFaultTypes.js'
+import { RawClient } from './rawClient.js'
 import { SoakClient } from './soakClient.js'
 import { SoakDeployment } from './soakDeployment.js'
 import type { SoakOptions } from './soakOptions.js'
-import type { SoakRequest } from './soakRequest.js'
 import type { SoakResult } from './soakResult.js'
 
 /** Number of loopback networks that concurrent runs are spread over. */
 const networkCount = 250
+/** Keeps the two parts of a plan independent. */
+const signalSeedOffset = 1_000_000
 
 /** Runs host processes under the faults that follow from a seed, and checks what clients and upstreams recorded. */
-export async function runSoak ({ program, seed, hosts, clients, faults, faultMs }: SoakOptions): Promise<SoakResult> {
+export async function runSoak (options: SoakOptions): Promise<SoakResult> {
+  const { program, seed, hosts, faultMs } = options
   const deployment = new SoakDeployment()
-  const requests: SoakRequest[] = []
-  const plan = buildFaultPlan(seed, faultMs, faults)
+  const plan = [
+    ...buildFaultPlan(seed, faultMs, options.faults, soakFaultTypes),
+    ...buildFaultPlan(seed + signalSeedOffset, faultMs, options.signals, signalFaultTypes)
+  ].sort((a, b) => a.atMs - b.atMs)
   try {
     await deployment.start(program, hosts, seed % networkCount)
     await deployment.waitReady()
-    const running = Array.from({ length: clients }, (_, i) => new SoakClient({
+    const clients = Array.from({ length: options.clients + options.pipeliningClients }, (_, i) => new (i < options.clients ? SoakClient : RawClient)({
       name: `s${seed}c${i}`,
       directories: deployment.hosts.map(host => host.directoryAddress),
       random: createSeededRandom(seed * 1000 + i),
-      onRequest: request => { requests.push(request) }
+      onRequest: request => { deployment.requests.push(request) }
     }))
-    const ended = running.map(async client => { await client.run() })
+    const ended = clients.map(async client => { await client.run() })
     await Promise.all(plan.map(async fault => {
       await waitMs(fault.atMs)
       await runFault(fault, deployment)
     }))
     await waitMs(soakConstants.recoveryMs)
     const endedAtMs = performance.now()
-    for (const client of running) client.stop()
+    for (const client of clients) client.stop()
     await Promise.all(ended)
-    const { executions, pieces, allowedServices } = deployment
+    await deployment.stopHosts()
+    const records = deployment.buildRecords(endedAtMs)
     return {
       seed,
       plan,
-      requests: requests.length,
-      served: requests.filter(request => request.status === 200 && request.isComplete).length,
-      runs: executions.length,
-      violations: checkSoak({ requests, executions, pieces, allowedServices, endedAtMs }),
-      logs: deployment.hosts.map(host => ({ host: host.id, lines: host.process.listOutputLines() }))
+      requests: records.requests.length,
+      served: records.requests.filter(request => request.status === 200 && request.isComplete).length,
+      runs: records.executions.length,
+      peakMemoryMb: Math.round(Math.max(...records.runs.map(run => run.peakMemoryMb))),
+      violations: checkSoak(records),
+      logs: deployment.hosts.map(host => ({ host: host.id, lines: host.listLogLines() }))
     }
   } finally {
     await deployment.stop()
--- a/playground/soak/soakClient.ts
+++ b/playground/soak/soakClient.ts
@@ -1,6 +1,8 @@
 import { Agent, request as sendRequest } from 'node:http'
 import { setTimeout as waitMs } from 'node:timers/promises'
+import { buildDraft } from './buildDraft.js'
 import { soakConstants } from './constants.js'
+import { SoakDirectory } from './soakDirectory.js'
 import type { IncomingMessage } from 'node:http'
 import type { Random } from '../../src/types/random.js'
 import type { SoakRequest } from './soakRequest.js'
@@ -20,18 +22,18 @@
  */
 export class SoakClient {
   private readonly agent = new Agent({ keepAlive: true, maxSockets: 4 })
-  private addresses: readonly string[] = []
-  private addressesExpireAtMs = 0
+  private readonly directory: SoakDirectory
   private requestCount = 0
   private isStopped = false
 
-  constructor (private readonly options: SoakClientOptions) {}
+  constructor (private readonly options: SoakClientOptions) {
+    this.directory = new SoakDirectory(options.directories, options.random)
+  }
 
   /** Sends requests until `stop`. */
   async run (): Promise<void> {
     while (!this.isStopped) {
-      if (performance.now() >= this.addressesExpireAtMs) await this.readAddresses()
-      const address = this.chooseItem(this.addresses)
+      const address = await this.directory.readAddress()
       if (address === undefined) await waitMs(soakConstants.maxClientPauseMs * 5)
       else this.options.onRequest(await this.sendOne(address))
       await waitMs(soakConstants.maxClientPauseMs * this.options.random())
@@ -43,52 +45,37 @@
     this.isStopped = true
   }
 
-  /** Looks up the addresses; the known ones stay in use when no host answers. */
-  private async readAddresses (): Promise<void> {
-    for (let attempt = 0; attempt < 3; attempt++) {
-      const directory = this.chooseItem(this.options.directories)!
-      try {
-        const answer = await fetch(`http://${directory}/-/resolution?name=soak.example&region=region-1&zone=zone-1`, {
-          signal: AbortSignal.timeout(soakConstants.directoryTimeoutMs)
-        })
-        const { addresses } = await answer.json() as { addresses?: readonly string[] }
-        if (answer.status !== 200 || addresses === undefined) continue
-        this.addresses = addresses
-        this.addressesExpireAtMs = performance.now() + soakConstants.addressLifetimeMs
-        return
-      } catch {
-        // A host that is down or unreachable does not answer, so another one is asked.
-        continue
-      }
-    }
-  }
-
   private async sendOne (address: string): Promise<SoakRequest> {
-    const kind = this.chooseItem(kinds)!
-    const id = `${this.options.name}-${++this.requestCount}`
-    const method = kind === 'safe' ? 'GET' : 'POST'
-    const body = method === 'POST' ? `body of ${id}` : ''
-    const path = `/${kind}/${id}`
+    const { name, random } = this.options
+    const kind = kinds[Math.floor(random() * kinds.length)]!
+    const { headers, ...draft } = buildDraft({ kind, client: name, count: ++this.requestCount })
     // The client closes 5% of its requests within the first quarter of their timeout.
-    const abandonsEarly = this.options.random() < 0.05
-    const timeoutMs = soakConstants.clientTimeoutMs
-    const request = { id, kind, method, path, body, timeoutMs, sentAtMs: performance.now() }
-    const [host, port] = address.split(':')
-    const headers: Record<string, string> = {
-      host: 'soak.example',
-      authorization: 'Token soak-key',
-      'x-request-id': id,
-      'x-time-remaining': String(timeoutMs),
-      ...method === 'POST' ? { 'content-length': String(body.length) } : {},
-      ...kind === 'safe' || kind === 'once' ? {} : { 'x-model': 'm', 'x-token-counts': '10,80', 'x-prompt-prefix': `aa:4,${this.requestCount.toString(16)}:6` },
-      ...kind === 'pipe' ? { 'x-pieces': '2,2', 'x-piece-key': `key-${id}` } : {}
-    }
+    const abandonsEarly = random() < 0.05
+    const [host = '', port] = address.split(':')
+    const { method, path, body, timeoutMs } = draft
+    const sentAtMs = performance.now()
     return await new Promise(resolve => {
       let answer = ''
       let received: IncomingMessage | undefined
+      let writtenAtMs: number | undefined
+      let hasLeft = false
       const end = (isComplete: boolean): void => {
         clearTimeout(timer)
-        resolve({ ...request, status: received?.statusCode, signature: received?.headers['x-response-signature'] as string | undefined, answer, isComplete })
+        resolve({
+          ...draft,
+          form: 'single',
+          sentAtMs,
+          writtenAtMs,
+          endedAtMs: performance.now(),
+          host,
+          isKept: call.reusedSocket,
+          hasLeft,
+          status: received?.statusCode,
+          signature: received?.headers['x-response-signature'] as string | undefined,
+          answeredId: received?.headers['x-request-id'] as string | undefined,
+          answer,
+          isComplete
+        })
       }
       const call = sendRequest({ host, port, method, path, headers, agent: this.agent }, response => {
         received = response
@@ -96,14 +83,14 @@
         response.on('data', (text: string) => { answer += text })
         response.on('close', () => { end(response.complete) })
       })
-      const timer = setTimeout(() => { call.destroy() }, abandonsEarly ? timeoutMs * this.options.random() / 4 : timeoutMs)
+      const timer = setTimeout(() => {
+        hasLeft = true
+        call.destroy()
+      }, abandonsEarly ? timeoutMs * random() / 4 : timeoutMs)
+      call.on('finish', () => { writtenAtMs = performance.now() })
       call.on('error', () => { end(false) })
       call.on('close', () => { if (received === undefined) end(false) })
       call.end(body)
     })
   }
-
-  private chooseItem<T> (items: readonly T[]): T | undefined {
-    return items[Math.floor(this.options.random() * items.length)]
-  }
 }
--- a/playground/soak/soakDeployment.ts
+++ b/playground/soak/soakDeployment.ts
@@ -1,11 +1,17 @@
+import { buildHostDisruptions } from './buildHostDisruptions.js'
 import { mkdtempSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import { readRuntimeStartMs } from './readRuntimeStartMs.js'
+import { soakConstants } from './constants.js'
 import { SoakHost } from './soakHost.js'
 import { SoakUpstream } from './soakUpstream.js'
 import { StoreStandIn } from '../platform/storeStandIn.js'
-import type { SoakPiece } from './soakPiece.js'
+import type { SoakDisruption } from './soakDisruption.js'
 import type { SoakExecution } from './soakExecution.js'
+import type { SoakPiece } from './soakPiece.js'
+import type { SoakRecords } from './soakRecords.js'
+import type { SoakRequest } from './soakRequest.js'
 
 const services = [
   { name: 'shop', type: 'plain', count: 3 },
@@ -22,20 +28,24 @@
   readonly upstreams: SoakUpstream[] = []
   readonly executions: SoakExecution[] = []
   readonly pieces: SoakPiece[] = []
+  readonly requests: SoakRequest[] = []
   readonly allowedServices = new Map<string, Set<string>>()
+  private readonly ownDisruptions: SoakDisruption[] = []
+  private readonly executionEnds = new Map<string, number>()
   private readonly folder = mkdtempSync(join(tmpdir(), 'lycheetrack-soak-'))
   private version = 0
   private upstreamCount = 0
   private sequence = 0
 
   async start (program: string, hostCount: number, network: number): Promise<void> {
+    const runtimeStartMs = await readRuntimeStartMs()
     await this.store.start()
     this.writeConfiguration('shop')
     for (const service of services) {
       for (let i = 0; i < service.count; i++) await this.addUpstream(service.name, service.type)
     }
     for (let index = 0; index < hostCount; index++) {
-      this.hosts.push(await new SoakHost({ index, network, folder: this.folder, program, storeAddress: this.store.address }).start())
+      this.hosts.push(await new SoakHost({ index, network, folder: this.folder, program, storeAddress: this.store.address, runtimeStartMs, restartDelayMs: soakConstants.restartDelayMs }).start())
     }
   }
 
@@ -50,6 +60,7 @@
       service,
       type,
       onExecution: execution => { this.executions.push(execution) },
+      onExecutionEnd: signature => { this.executionEnds.set(signature, performance.now()) },
       onPiece: piece => { this.pieces.push(piece) }
     }).start()
     this.upstreams.push(upstream)
@@ -57,11 +68,21 @@
     return upstream
   }
 
+  /** Records a disruption from now on; the returned function records its end. */
+  recordDisruption (type: SoakDisruption['type'], id: string): () => void {
+    const fromMs = performance.now()
+    const index = this.ownDisruptions.push({ type, id, fromMs, toMs: Infinity }) - 1
+    return () => { this.ownDisruptions[index] = { type, id, fromMs, toMs: performance.now() } }
+  }
+
   writeEntry (upstream: SoakUpstream, state: 'ready' | 'draining'): void {
+    if (state === 'draining') this.recordDisruption('leaving', upstream.options.id)
     this.store.write(`servers/${upstream.options.id}`, upstream.buildEntry(state, ++this.sequence))
   }
 
   removeUpstream (upstream: SoakUpstream): void {
+    this.recordDisruption('leaving', upstream.options.id)
+    this.recordDisruption('upstream', upstream.options.id)
     this.store.remove(`servers/${upstream.options.id}`)
     this.upstreams.splice(this.upstreams.indexOf(upstream), 1)
     upstream.stop()
@@ -70,6 +91,7 @@
   /** Writes the next version of the configuration; the routes `safe` and `once` lead to `service`. */
   writeConfiguration (service: 'shop' | 'shop-b'): void {
     this.version += 3
+    this.recordDisruption('configuration', service)()
     const route = { host: 'soak.example', timeoutMs: 2500, targetLatencyMs: 500, priority: 1, maxAttempts: 2 }
     const stages = [{ service: 'first', after: [], bytes: 1000 }, { service: 'second', after: [0], bytes: 1000 }]
     const routes = [
@@ -93,13 +115,32 @@
         ...type === 'stage' ? { pieces } : {},
         ...type === 'engine' ? { engine: { slots: 8, kvCacheTokens: 10_000 } } : {}
       })),
-      limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
+      limits: { maxHeaderBytes: 16_384, maxBodyBytes: soakConstants.maxBodyBytes, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
       tenants: [{ name: 'account-1', apiKeys: ['soak-key'] }]
     })
   }
 
-  async stop (): Promise<void> {
+  /** Stops the processes of the hosts with SIGTERM. */
+  async stopHosts (): Promise<void> {
     await Promise.all(this.hosts.map(async host => { await host.stop() }))
+  }
+
+  /** `endedAtMs`: end of the part of the run that is checked for recovery. */
+  buildRecords (endedAtMs: number): SoakRecords {
+    const { requests, pieces, allowedServices } = this
+    return {
+      requests,
+      executions: this.executions.map(execution => ({ ...execution, endedAtMs: this.executionEnds.get(execution.signature) })),
+      pieces,
+      runs: this.hosts.flatMap(host => host.listRuns()),
+      disruptions: [...this.ownDisruptions, ...this.hosts.flatMap(host => buildHostDisruptions(host.listRuns()))],
+      allowedServices,
+      endedAtMs
+    }
+  }
+
+  async stop (): Promise<void> {
+    await this.stopHosts()
     for (const upstream of this.upstreams) upstream.stop()
     this.store.stop()
     rmSync(this.folder, { recursive: true })
--- a/playground/soak/soakExecution.ts
+++ b/playground/soak/soakExecution.ts
@@ -13,6 +13,8 @@
   readonly inputs: readonly string[]
   readonly timeLeftMs: number
   readonly atMs: number
+  /** When the upstream had sent the whole answer; undefined when it did not. */
+  readonly endedAtMs?: number
   /** Status of the upstream's answer. */
   readonly status: number
   readonly signature: string
--- a/playground/soak/soakFault.ts
+++ b/playground/soak/soakFault.ts
@@ -1,8 +1,9 @@
+import type { signalFaultTypes } from './signalFaultTypes.js'
 import type { soakFaultTypes } from './soakFaultTypes.js'
 
 /** One fault of a soak test. */
 export interface SoakFault {
-  readonly type: typeof soakFaultTypes[number]
+  readonly type: typeof soakFaultTypes[number] | typeof signalFaultTypes[number]
   /** Start, counted from the start of the clients. */
   readonly atMs: number
   /** Duration. */
--- a/playground/soak/soakHost.ts
+++ b/playground/soak/soakHost.ts
@@ -1,4 +1,4 @@
-import { writeFileSync } from 'node:fs'
+import { readFileSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { setTimeout as waitMs } from 'node:timers/promises'
 import { FaultProxy } from './faultProxy.js'
@@ -6,8 +6,12 @@
 import { processConstants } from '../processes/constants.js'
 import { ProcessError } from '../processes/processError.js'
 import { soakConstants } from './constants.js'
+import type { ProcessRun } from '../processes/processRun.js'
+import type { SoakHostRun } from './soakHostRun.js'
 
 const readinessTimeoutMs = 500
+/** Margin over the processor time of a runtime that runs a minimal program. */
+const runtimeStartFactor = 1.25
 /** Options of Node.js in the deploy file. */
 const deployedNodeOptions = ['--max-old-space-size=160']
 
@@ -22,42 +26,100 @@
   readonly memoryMb?: number
   /** Options of Node.js beyond those of the deploy file. */
   readonly nodeOptions?: readonly string[]
+  /** Processor time that the runtime takes until it can run a program. */
+  readonly runtimeStartMs?: number
+  /** Time after which a process that ended by itself is started again; absent: it is not. */
+  readonly restartDelayMs?: number
 }
 
-/** One host of a soak test: a process of the product, which reaches the store through a fault-injecting proxy. */
+interface Sample {
+  readonly peakMemoryMb: number
+  readonly lastReadyAtMs?: number
+}
+
+/**
+ * One host of a soak test: a process of the product, which reaches the store through a fault-injecting proxy. While a process
+ * drains, a second one can be started at the same address.
+ */
 export class SoakHost {
   readonly id: string
   readonly storeProxy: FaultProxy
-  readonly process: ManagedProcess
+  /** The process that was created last. */
+  process: ManagedProcess
   readonly directoryAddress: string
   readonly ipAddress: string
   private readonly settingsPath: string
   private readonly memoryMb: number
+  private readonly processes: ManagedProcess[] = []
+  private readonly samples = new Map<ProcessRun, Sample>()
+  private sampleTimer: NodeJS.Timeout | undefined
+  private isStopped = false
   private heartbeatMs = 1200
 
-  constructor ({ index, network, folder, program, storeAddress, memoryMb = 400, nodeOptions = [] }: SoakHostOptions) {
+  constructor (private readonly options: SoakHostOptions) {
+    const { index, network, folder, storeAddress, memoryMb = 400 } = options
     this.memoryMb = memoryMb
     this.id = `host-${index}`
     this.ipAddress = `127.1.${network}.${index + 1}`
     this.directoryAddress = `${this.ipAddress}:7003`
     this.settingsPath = join(folder, `${this.id}.toml`)
     this.storeProxy = new FaultProxy(storeAddress)
-    this.process = new ManagedProcess({
-      id: this.id,
-      args: [...deployedNodeOptions, ...nodeOptions, program, 'gateway'],
-      environment: { LYCHEETRACK_SETTINGS: this.settingsPath },
-      // With the options of the test runner, its modules load and handle signals before the program does.
-      excludedVariables: ['NODE_OPTIONS']
-    })
+    this.process = this.createProcess()
+  }
+
+  /** Address (`ip:port`) for clients. */
+  get clientAddress (): string {
+    return `${this.ipAddress}:7001`
   }
 
   async start (): Promise<this> {
     await this.storeProxy.start()
     this.writeSettings()
     this.process.start()
+    this.sampleTimer = setInterval(() => { this.recordSample().catch(() => {}) }, soakConstants.sampleIntervalMs)
     return this
   }
 
+  /**
+   * Starts a process unless one is running; with `isOverlapping`, also while one process drains. Returns whether it was
+   * started.
+   */
+  startProcess (isOverlapping = false): boolean {
+    const running = this.processes.filter(process => process.isRunning)
+    if (this.isStopped || running.some(process => !process.isStopping) || running.length > (isOverlapping ? 1 : 0)) return false
+    if (running.length > 0) this.process = this.createProcess()
+    this.process.start()
+    return true
+  }
+
+  /** Resolves when the runtime of a process that has just been started can run the program. */
+  async waitRuntime (): Promise<void> {
+    const process = this.process
+    while (process.isRunning && readProcessorMs(process.pid) < (this.options.runtimeStartMs ?? 0) * runtimeStartFactor) await waitMs(2)
+  }
+
+  /** All runs of the host's processes, the oldest first. */
+  listRuns (): readonly SoakHostRun[] {
+    return this.processes.flatMap(process => process.runs).map(run => ({
+      host: this.ipAddress,
+      memoryMb: this.memoryMb,
+      startedAtMs: run.startedAtMs,
+      signals: run.signals,
+      end: run.end,
+      peakMemoryMb: 0,
+      ...this.samples.get(run)
+    }))
+  }
+
+  /** Log of all runs, each after a line with its start and end. */
+  listLogLines (): readonly string[] {
+    return this.processes.flatMap(process => process.runs).flatMap(({ startedAtMs, signals, end, lines, errorLines }) => [
+      `run ${JSON.stringify({ startedAtMs, signals, end })}`,
+      ...lines,
+      ...errorLines
+    ])
+  }
+
   /** Writes the settings file with a new heartbeat interval, so that each reload has a change to apply. */
   writeSettings (): void {
     this.heartbeatMs++
@@ -104,13 +166,65 @@
   }
 
   async stop (): Promise<void> {
-    await this.process.stop(soakConstants.gracePeriodMs)
+    this.isStopped = true
+    await Promise.all(this.processes.map(async process => await process.stop(soakConstants.gracePeriodMs)))
+    clearInterval(this.sampleTimer)
     this.storeProxy.stop()
   }
 
+  private createProcess (): ManagedProcess {
+    const { program, restartDelayMs, nodeOptions = [] } = this.options
+    const process = new ManagedProcess({
+      id: this.id,
+      args: [...deployedNodeOptions, ...nodeOptions, program, 'gateway'],
+      environment: { LYCHEETRACK_SETTINGS: this.settingsPath },
+      // With the options of the test runner, its modules load and handle signals before the program does.
+      excludedVariables: ['NODE_OPTIONS'],
+      onEnd: () => {
+        if (restartDelayMs !== undefined && !process.isStopping) setTimeout(() => { this.startProcess() }, restartDelayMs)
+      }
+    })
+    this.processes.push(process)
+    return process
+  }
+
+  private async recordSample (): Promise<void> {
+    const current = this.process.runs.at(-1)
+    const wasStopping = this.process.isStopping
+    for (const process of this.processes) {
+      if (process.isRunning) this.updateSample(process.runs.at(-1)!, { peakMemoryMb: readPeakMemoryMb(process.pid) })
+    }
+    const isReady = await this.isReady()
+    if (isReady && current !== undefined && !wasStopping) this.updateSample(current, { lastReadyAtMs: performance.now() })
+  }
+
+  private updateSample (run: ProcessRun, sample: Partial<Sample>): void {
+    this.samples.set(run, { ...this.samples.get(run) ?? { peakMemoryMb: 0 }, ...sample })
+  }
+
   private async isReady (): Promise<boolean> {
     const url = `http://${this.ipAddress}:7002/-/readiness`
     const answer = await fetch(url, { signal: AbortSignal.timeout(readinessTimeoutMs) }).catch(() => undefined)
     return answer?.status === 200
   }
 }
+
+/** Largest resident memory of a process, in MB; 0 when it has ended. */
+function readPeakMemoryMb (pid: number | undefined): number {
+  return Number(/VmHWM:\s+(\d+)/.exec(readProcessFile(pid, 'status'))?.[1] ?? 0) / 1024
+}
+
+/** Processor time of the main thread of a process, in ms; Infinity when it has ended. */
+function readProcessorMs (pid: number | undefined): number {
+  const text = readProcessFile(pid, 'schedstat')
+  return text === '' ? Infinity : Number(text.split(' ')[0]) / 1e6
+}
+
+function readProcessFile (pid: number | undefined, name: string): string {
+  try {
+    return readFileSync(`/proc/${pid}/${name}`, 'utf8')
+  } catch {
+    // The process has ended.
+    return ''
+  }
+}
--- /dev/null
+++ b/playground/soak/soakHostRun.ts
@@ -0,0 +1,12 @@
+import type { ProcessRun } from '../processes/processRun.js'
+
+/** One run of the process of a soak test's host. */
+export interface SoakHostRun extends Pick<ProcessRun, 'startedAtMs' | 'signals' | 'end'> {
+  /** IP address of the host. */
+  readonly host: string
+  /** Memory of the machine, and the largest resident memory that was sampled. */
+  readonly memoryMb: number
+  readonly peakMemoryMb: number
+  /** When the process last said that it is ready. */
+  readonly lastReadyAtMs?: number
+}
--- a/playground/soak/soakOptions.ts
+++ b/playground/soak/soakOptions.ts
@@ -3,10 +3,13 @@
   /** Path of the bundled product. */
   readonly program: string
   readonly seed: number
-  /** Numbers of host processes, concurrent clients and faults. */
+  /** Numbers of host processes, clients that send one request at a time, and clients that pipeline. */
   readonly hosts: number
   readonly clients: number
+  readonly pipeliningClients: number
+  /** Numbers of faults of `soakFaultTypes` and of `signalFaultTypes`. */
   readonly faults: number
+  readonly signals: number
   /** Time in which all faults begin and end; the recovery time follows. */
   readonly faultMs: number
 }
--- a/playground/soak/soakRecords.ts
+++ b/playground/soak/soakRecords.ts
@@ -1,12 +1,16 @@
+import type { SoakDisruption } from './soakDisruption.js'
+import type { SoakExecution } from './soakExecution.js'
+import type { SoakHostRun } from './soakHostRun.js'
 import type { SoakPiece } from './soakPiece.js'
 import type { SoakRequest } from './soakRequest.js'
-import type { SoakExecution } from './soakExecution.js'
 
-/** What the clients and upstreams of a soak test recorded. */
+/** What was recorded of a soak test's clients, upstreams and host processes. Times are those of `performance.now()`. */
 export interface SoakRecords {
   readonly requests: readonly SoakRequest[]
   readonly executions: readonly SoakExecution[]
   readonly pieces: readonly SoakPiece[]
+  readonly runs: readonly SoakHostRun[]
+  readonly disruptions: readonly SoakDisruption[]
   /** Services that any configuration of the run names for a path prefix. */
   readonly allowedServices: ReadonlyMap<string, ReadonlySet<string>>
   readonly endedAtMs: number
--- a/playground/soak/soakResult.ts
+++ b/playground/soak/soakResult.ts
@@ -9,6 +9,8 @@
   readonly served: number
   /** Number of executions at upstreams; a request that was executed again counts again. */
   readonly runs: number
+  /** Largest resident memory of a host process. */
+  readonly peakMemoryMb: number
   /** Messages of `checkSoak`; empty when no rule was violated. */
   readonly violations: readonly string[]
   readonly logs: ReadonlyArray<{ readonly host: string, readonly lines: readonly string[] }>
--- a/playground/soak/soakUpstream.ts
+++ b/playground/soak/soakUpstream.ts
@@ -1,4 +1,5 @@
 import { FaultProxy } from './faultProxy.js'
+import { hashLargeBody } from './hashLargeBody.js'
 import { soakConstants } from './constants.js'
 import { UpstreamStandIn } from '../platform/upstreamStandIn.js'
 import type { Socket } from 'node:net'
@@ -12,6 +13,8 @@
   readonly service: string
   readonly type: 'plain' | 'engine' | 'stage'
   readonly onExecution: (execution: SoakExecution) => void
+  /** Called when the answer of an execution has been sent. */
+  readonly onExecutionEnd: (signature: string) => void
   readonly onPiece: (piece: SoakPiece) => void
 }
 
@@ -53,7 +56,8 @@
     if (request.path === '/-/stage-free') return this.sendAnswer(request, socket, 200, '{}')
     if (type === 'stage') return this.runPieces(request, socket)
     const execution = this.recordExecution(request)
-    setTimeout(() => { this.sendExecutionAnswer(request, socket, execution) }, soakConstants.answerDelayMs)
+    const workMs = Number(new URLSearchParams(request.path.split('?')[1]).get('work') ?? 0)
+    setTimeout(() => { this.sendExecutionAnswer(request, socket, execution) }, soakConstants.answerDelayMs + workMs)
   }
 
   private recordExecution (request: StandInRequest): SoakExecution {
@@ -65,7 +69,7 @@
       service,
       method: request.method,
       path: request.path,
-      body: request.body,
+      body: hashLargeBody(request.body),
       account: request.headers['x-tenant'],
       hasKey: request.headers['authorization'] !== undefined,
       inputs: (request.headers['x-inputs'] ?? '').split(',').filter(input => input !== ''),
@@ -92,6 +96,7 @@
       return
     }
     this.sendAnswer(request, socket, execution.status, execution.answer, { 'X-Response-Signature': execution.signature })
+    this.options.onExecutionEnd(execution.signature)
     if (this.fault === 'extra') socket.write(this.buildHead({ ...request, headers: { 'x-request-id': 'nobody' } }, 200, 5, 'forged') + 'extra')
   }
 
@@ -114,6 +119,7 @@
       socket.write(encode(event))
       if (eventId < soakConstants.eventCount) return
       clearInterval(timer)
+      this.options.onExecutionEnd(execution.signature)
       if (isFramed) socket.write('0\r\n\r\n')
       else socket.end()
     }, soakConstants.eventIntervalMs)
