fix(gateway): a stop signal during the start is a planned stop

Callers and operators saw a host that was stopped during its start end with 143, with what it had begun to serve.

Cause: a stop signal ended the process until the host existed, which was when createGatewayHost had returned: after the start of its listeners, and of the peer server behind them. Change: a stop signal aborts the start, and the process ends with status 0, also while it waits for the store. The port for clients comes last and nothing is waited for after it, so a host that has begun to serve clients exists, and drains. The same for 'serve', which drains from its listening on, while it still waits for its contracts. A start that fails closes what it had opened.

Ruled out: a drain of hosts that do not listen yet; nothing has been accepted. A shorter drain of hosts that have never been ready: clients may hold the address from the process before.

--- a/src/node/app/__tests__/hostSignals.test.ts
+++ b/src/node/app/__tests__/hostSignals.test.ts
@@ -2,24 +2,28 @@
 import { writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import t from 'tap'
+import { buildStandInAnswer } from '../../../../playground/platform/buildStandInAnswer.js'
 import { buildProduct } from '../../../../playground/platform/buildProduct.js'
+import { ConnectedClients } from '../../../../playground/platform/connectedClients.js'
 import { GatewayTestHarness } from '../../../../playground/platform/gatewayTestHarness.js'
 import { hasSignalHandler } from '../../../../playground/processes/hasSignalHandler.js'
 import { SoakHost } from '../../../../playground/soak/soakHost.js'
+import { UpstreamStandIn } from '../../../../playground/platform/upstreamStandIn.js'
 import { waitUntil } from '../../../../playground/fakes/waitUntil.js'
 
 /** Third byte of the host's loopback addresses; runs of the soak use 0 to 249. */
 const network = 252
 const hangUpNumber = 1
+const answerDelayMs = 300
 
 // Sends the process a signal at the first module that its entry file loads.
-const signalAtFirstLoad = `
+const buildSignalHook = (signal: string): string => `
 const Module = require('node:module')
 const load = Module._load
 Module._load = (request, parent, ...rest) => {
   if (parent?.filename === process.argv[1]) {
     Module._load = load
-    process.kill(process.pid, 'SIGHUP')
+    process.kill(process.pid, '${signal}')
   }
   return load(request, parent, ...rest)
 }`
@@ -28,8 +32,17 @@
   const product = buildProduct()
   const fleet = new GatewayTestHarness('writer')
   await fleet.store.start()
-  fleet.writeConfiguration({})
+  const upstream = await new UpstreamStandIn('i-shop', (request, socket) => {
+    setTimeout(() => { socket.write(buildStandInAnswer(request)) }, answerDelayMs)
+  }).start()
+  fleet.writeConfiguration({
+    services: [{ name: 'shop', connectionLimit: 200 }],
+    routes: [{ name: 'once', pathPrefix: '/once/', kind: 'unsafe', service: 'shop', timeoutMs: 9000, maxAttempts: 1 }]
+  })
+  fleet.addUpstream(upstream, 'shop')
+  const listForwarded = (): ReadonlySet<string> => new Set(upstream.requests.map(request => request.headers['x-request-id'] ?? ''))
   t.teardown(() => {
+    upstream.stop()
     fleet.store.stop()
     product.remove()
   })
@@ -45,7 +58,7 @@
 
   t.test('guards against a SIGHUP that ends the process while its program loads', async t => {
     const hook = join(product.folder, 'signalAtFirstLoad.cjs')
-    writeFileSync(hook, signalAtFirstLoad)
+    writeFileSync(hook, buildSignalHook('SIGHUP'))
     const host = await createHost(0, ['--require', hook])
     await host.waitReady()
     t.ok(host.process.isRunning)
@@ -64,4 +77,37 @@
     await waitUntil(() => listLines(host, 'settings reloaded').length > 0)
     t.ok(host.process.isRunning)
   })
+
+  t.test('guards against a SIGTERM during the start that ends the process by the signal', async t => {
+    const hook = join(product.folder, 'stopAtFirstLoad.cjs')
+    writeFileSync(hook, buildSignalHook('SIGTERM'))
+    const host = await createHost(2, ['--require', hook])
+    t.equal(await host.process.waitEnd(), 0)
+    t.match(listLines(host, 'process ends'), [{ status: 0, reason: 'start cancelled' }])
+  })
+
+  t.test('guards against a process that waits for its store and does not stop', async t => {
+    const host = await createHost(3)
+    host.storeProxy.stop()
+    await waitUntil(() => listLines(host, 'host starting').length > 0)
+    await delay(300)
+    const startMs = performance.now()
+    host.process.sendSignal('SIGTERM')
+    t.equal(await host.process.waitEnd(), 0)
+    t.ok(performance.now() - startMs < 1000)
+  })
+
+  t.test('guards against requests that a host accepts during its start and cuts at a SIGTERM', async t => {
+    const ids = Array.from({ length: 6 }, (_, i) => 4 + i)
+    await Promise.all(ids.map(async index => {
+      const host = await createHost(index)
+      const clients = new ConnectedClients({ address: `${host.ipAddress}:7001`, path: '/once/x', method: 'POST', count: 8 })
+      await waitUntil(() => listLines(host, 'host starting').length > 0)
+      await delay((index - 4) * 20)
+      host.process.sendSignal('SIGTERM')
+      t.equal(await host.process.waitEnd(), 0)
+      await clients.stop()
+      t.same(clients.listCut(listForwarded()), [])
+    }))
+  })
 })
--- a/src/node/app/createEntryHost.ts
+++ b/src/node/app/createEntryHost.ts
@@ -34,10 +34,10 @@
 const UPSTREAM_LEAVING = 'upstream-leaving'
 
 /**
- * Builds an entry host from its settings and starts it; resolves when it is ready to serve. This is the only
- * module that constructs the components of an entry host.
+ * Builds an entry host from its settings and starts it; resolves when it is ready to serve, or when it serves and
+ * `stopSignal` is aborted. This is the only module that constructs the components of an entry host.
  */
-export async function createEntryHost (settings: ResolvedSettings): Promise<RunningHost> {
+export async function createEntryHost (settings: ResolvedSettings, stopSignal?: AbortSignal): Promise<RunningHost> {
   const { hostId, failureDomain } = settings
   const listen = await resolveListenAddress(settings.listen)
   const peerListen = await resolveListenAddress(settings.peerListen)
@@ -139,7 +139,7 @@
     maxBodyBytes: settings.maxBodyBytes
   })
   const host = new EntryHost({ settings, listen, peerListen, logger, server, transport, membership, contracts, limiter, drain, placement, poller, upstreams, requests, keyValue, hostList })
-  await host.start()
-  isStarted = true
+  await host.start(stopSignal)
+  isStarted = stopSignal?.aborted !== true
   return host
 }
--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -57,6 +57,7 @@
 import { upstreamConstants } from '../gateway/upstreams/constants.js'
 import { UpstreamReachability } from '../gateway/relays/upstreamReachability.js'
 import { UpstreamDirectory } from '../gateway/upstreams/upstreamDirectory.js'
+import { waitUnlessAborted } from '../../shared/waitUnlessAborted.js'
 import type { GatewayOptions } from './gatewayOptions.js'
 import type { HostSettings } from '../gateway/model/hostSettings.js'
 import type { ReloadableHost } from '../cli/reloadableHost.js'
@@ -65,7 +66,10 @@
 import type { UpstreamEntry } from '../gateway/model/upstreamEntry.js'
 import type { UpstreamState } from '../gateway/upstreams/upstreamState.js'
 
-/** Builds a gateway host from its settings and starts it. This is the only module that constructs its components. */
+/**
+ * Builds a gateway host from its settings and starts it. Rejects with the reason of `stopSignal` when it is aborted before
+ * the host listens for clients. This is the only module that constructs the components.
+ */
 export async function createGatewayHost (settings: HostSettings, options: GatewayOptions = {}): Promise<ReloadableHost> {
   const { hostId, failureDomain } = settings
   const clock = systemClock
@@ -248,7 +252,13 @@
       else crashGuard.removeReport(change.key)
     }
   }
-  const secret = await readPeerSecretWithRetry(store, platformConstants.peerSecretKey, logger)
+  const { stopSignal } = options
+  const secret = await waitUnlessAborted(readPeerSecretWithRetry(store, platformConstants.peerSecretKey, logger, stopSignal), stopSignal)
+    .finally(() => {
+      if (stopSignal?.aborted !== true) return
+      errorGuard.stop()
+      storeClient.close()
+    })
   const transport = createGrpcPeerTransport({ hostId, secret, metrics })
   const secretKeeper = new PeerSecretKeeper({
     store,
@@ -362,6 +372,6 @@
     storeClient,
     errorGuard
   })
-  await host.start()
+  await host.start(stopSignal)
   return host
 }
--- a/src/node/app/entryHost.ts
+++ b/src/node/app/entryHost.ts
@@ -1,5 +1,6 @@
 import type { Server } from 'node:http'
 import { setTimeout as delay } from 'node:timers/promises'
+import { waitUnlessAborted } from '../../shared/waitUnlessAborted.js'
 import type { HostList } from '../../types/hostList.js'
 import type { KeyValueService } from '../../types/keyValueService.js'
 import type { Logger } from '../../types/logger.js'
@@ -45,19 +46,16 @@
     this.stopped = new Promise((resolve, reject) => { this.settleStopped = { resolve, reject } })
   }
 
-  async start (): Promise<void> {
-    const { listen, peerListen, logger, server, transport, membership, contracts, limiter, placement, poller, upstreams, requests } = this.components
+  /** Resolves when the host is ready, or when it serves and `stopSignal` is aborted; rejects with its reason before that. */
+  async start (stopSignal?: AbortSignal): Promise<void> {
+    const { listen, peerListen, logger, server, transport } = this.components
     await transport.start(peerListen)
+    stopSignal?.throwIfAborted()
     await this.openServer(listen, server)
     logger.recordInfo('listening', { address: listen, peerAddress: peerListen })
-    await membership.start()
-    await contracts.start()
-    limiter.start()
-    await poller.start()
-    upstreams.start()
-    requests.start()
-    placement.start()
-    logger.recordInfo('ready', { hosts: membership.listHosts().length, contracts: contracts.store.list().length })
+    await waitUnlessAborted(this.startServices(), stopSignal).catch(error => {
+      if (stopSignal?.aborted !== true) throw error
+    })
   }
 
   drain (): void {
@@ -69,6 +67,22 @@
     await this.stopped
   }
 
+  /** Starts what depends on other services; ends early when the host is to stop. */
+  private async startServices (): Promise<void> {
+    const { logger, membership, contracts, limiter, placement, poller, upstreams, requests } = this.components
+    await membership.start()
+    if (this.stopping !== undefined) return
+    await contracts.start()
+    if (this.stopping !== undefined) return
+    limiter.start()
+    await poller.start()
+    if (this.stopping !== undefined) return
+    upstreams.start()
+    requests.start()
+    placement.start()
+    logger.recordInfo('ready', { hosts: membership.listHosts().length, contracts: contracts.store.list().length })
+  }
+
   private async runDrain (): Promise<void> {
     const { settings, logger, drain } = this.components
     const timeout = new AbortController()
--- a/src/node/app/gatewayHost.ts
+++ b/src/node/app/gatewayHost.ts
@@ -16,17 +16,21 @@
     this.stopped = new Promise(resolve => { this.resolveStopped = resolve })
   }
 
-  async start (): Promise<void> {
+  /** Resolves when the host listens at all its addresses. Rejects when it cannot, or with the reason of `stopSignal`. */
+  async start (stopSignal?: AbortSignal): Promise<void> {
     const settings = this.components.settings.get()
-    const { ingress, readinessServer, directoryServer, metricsServer, storeWatcher, logger } = this.components
-    await Promise.all([
-      readinessServer.start(settings.readinessAddress),
-      directoryServer !== undefined && settings.directoryAddress !== undefined ? directoryServer.start(settings.directoryAddress) : undefined,
-      metricsServer.start(this.components.metricsAddress),
-      ingress.start(settings.clientAddress)
-    ])
+    const { ingress, storeWatcher, registrar, logger } = this.components
+    try {
+      await this.startInternalServers()
+      stopSignal?.throwIfAborted()
+      // Clients come last: from here on, a stop drains the host.
+      await ingress.start(settings.clientAddress)
+    } catch (error) {
+      await this.stopComponents()
+      throw error
+    }
     storeWatcher.run().catch(error => { logger.recordError('store watcher failed', { reason: (error as Error).message }) })
-    await this.startPeers()
+    registrar.updateNow()
     this.components.reachability.start()
     this.missingEntryTimer = setInterval(() => {
       this.components.upstreams.removeMissing()
@@ -135,11 +139,15 @@
     errorGuard.stop()
   }
 
-  private async startPeers (): Promise<void> {
-    const { transport, registrar, logger } = this.components
-    const settings = this.components.settings.get()
-    const port = await transport.start(`${settings.ipAddress}:${settings.firstPeerPort}`)
+  private async startInternalServers (): Promise<void> {
+    const { readinessServer, directoryServer, metricsServer, metricsAddress, transport, logger } = this.components
+    const { readinessAddress, directoryAddress, ipAddress, firstPeerPort } = this.components.settings.get()
+    await Promise.all([
+      readinessServer.start(readinessAddress),
+      directoryServer !== undefined && directoryAddress !== undefined ? directoryServer.start(directoryAddress) : undefined,
+      metricsServer.start(metricsAddress)
+    ])
+    const port = await transport.start(`${ipAddress}:${firstPeerPort}`)
     logger.recordInfo('peer server started', { port })
-    registrar.updateNow()
   }
 }
--- a/src/node/app/gatewayOptions.ts
+++ b/src/node/app/gatewayOptions.ts
@@ -7,4 +7,6 @@
    * @default standard output
    */
   readonly writeLine?: (line: string) => void
+  /** Cancels the start, until the host listens for clients. */
+  readonly stopSignal?: AbortSignal
 }
--- a/src/node/cli/commandLineDependencies.ts
+++ b/src/node/cli/commandLineDependencies.ts
@@ -1,4 +1,5 @@
 import type { Contract } from '../../types/contract.js'
+import type { GatewayOptions } from '../app/gatewayOptions.js'
 import type { HostSignal } from './hostSignal.js'
 import type { HostSettings } from '../gateway/model/hostSettings.js'
 import type { LineWriter } from '../gateway/logs/lineWriter.js'
@@ -10,10 +11,10 @@
 export interface CommandLineDependencies {
   readonly version: string
   readonly environment: Readonly<Record<string, string | undefined>>
-  /** Starts an entry host; resolves when it is ready to serve. */
-  startEntryHost (settings: ResolvedSettings): Promise<RunningHost>
-  /** Starts a gateway host; resolves when it has started. */
-  startGatewayHost (settings: HostSettings, writeLine: (line: string) => void): Promise<ReloadableHost>
+  /** Starts an entry host; resolves when it is ready to serve, or serves and is to stop. */
+  startEntryHost (settings: ResolvedSettings, stopSignal: AbortSignal): Promise<RunningHost>
+  /** Starts a gateway host; resolves when it has started. Rejects with the reason of `stopSignal` when it is aborted before. */
+  startGatewayHost (settings: HostSettings, options: GatewayOptions): Promise<ReloadableHost>
   /** Validates a contract; throws a `LycheetrackError` that names all faults. */
   parseContract (value: unknown): Contract
   readTextFile (path: string): Promise<string>
--- a/src/node/cli/commands/gateway.ts
+++ b/src/node/cli/commands/gateway.ts
@@ -20,8 +20,8 @@
       return await runHostUntilSignal({
         dependencies,
         logger: createLogger({ host: settings.hostId, failureDomain: settings.failureDomain, write: writeLine }),
-        startHost: async () => {
-          const host = await dependencies.startGatewayHost(settings, writeLine)
+        startHost: async stopSignal => {
+          const host = await dependencies.startGatewayHost(settings, { writeLine, stopSignal })
           reloader.setHost(host)
           return host
         },
--- a/src/node/cli/commands/serve.ts
+++ b/src/node/cli/commands/serve.ts
@@ -29,7 +29,7 @@
     return await runHostUntilSignal({
       dependencies,
       logger: createLogger({ host: hostId, failureDomain, level: logLevel, secrets: [operatorToken, peerSecret], write: dependencies.openHostLog('error') }),
-      startHost: async () => await dependencies.startEntryHost(settings)
+      startHost: async stopSignal => await dependencies.startEntryHost(settings, stopSignal)
     })
   }
 }
--- a/src/node/cli/runHostUntilSignal.ts
+++ b/src/node/cli/runHostUntilSignal.ts
@@ -1,6 +1,7 @@
 import { cliConstants } from './constants.js'
 import { decideSignal } from './decideSignal.js'
 import { RateLimitedLogger } from '../gateway/logs/rateLimitedLogger.js'
+import { StartCancelledError } from './startCancelledError.js'
 import { systemClock } from '../../shared/systemClock.js'
 import type { CommandLineDependencies } from './commandLineDependencies.js'
 import type { HostState } from './hostState.js'
@@ -10,32 +11,35 @@
 interface HostRun {
   readonly dependencies: CommandLineDependencies
   readonly logger: Logger
-  startHost (): Promise<RunningHost>
+  /** Resolves with a host that serves, also when `stopSignal` is aborted; rejects with its reason when none has begun to. */
+  startHost (stopSignal: AbortSignal): Promise<RunningHost>
   reloadSettings? (): void
 }
 
 /**
- * Runs a host; the first signal drains it. Resolves with the exit status: 0 after a drain, 128 plus the signal
- * number when a second signal, or a signal during the start, stopped the host at once.
+ * Runs a host; the first stop signal drains it or cancels its start. Resolves with the exit status: 0 after that, 128
+ * plus the signal number when a second signal ended the drain.
  */
 export async function runHostUntilSignal ({ dependencies, startHost, reloadSettings, ...run }: HostRun): Promise<number> {
   const logger = new RateLimitedLogger(run.logger, systemClock)
   let state: HostState = 'starting'
   let host: RunningHost | undefined
+  const stopping = new AbortController()
   const interrupted = new Promise<number>(resolve => {
     dependencies.onHostSignal(signal => {
       const outcome = decideSignal(signal, state, reloadSettings !== undefined)
       logger.recordInfo('signal received', { signal, state, outcome })
       if (outcome === 'reload' || outcome === 'reload after the start') reloadSettings?.()
       if (outcome === 'end') resolve(signal === 'SIGINT' ? 130 : 143)
-      if (outcome !== 'drain') return
+      if (outcome !== 'drain' && outcome !== 'cancel the start') return
       state = 'draining'
-      host!.drain()
+      stopping.abort(new StartCancelledError('stopped during the start'))
+      host?.drain()
     })
   })
   try {
     const status = await Promise.race([interrupted, runUntilStopped()])
-    logger.recordInfo('process ends', { status, reason: status === 0 ? 'drained' : 'signal' })
+    logger.recordInfo('process ends', { status, reason: status !== 0 ? 'signal' : host === undefined ? 'start cancelled' : 'drained' })
     return status
   } catch (error) {
     logger.recordError('process ends', { status: cliConstants.exitStatus.failure, reason: (error as Error).message })
@@ -43,8 +47,15 @@
   }
 
   async function runUntilStopped (): Promise<number> {
-    host = await startHost()
-    state = 'running'
+    try {
+      stopping.signal.throwIfAborted()
+      host = await startHost(stopping.signal)
+    } catch (error) {
+      if (error instanceof StartCancelledError) return cliConstants.exitStatus.success
+      throw error
+    }
+    if (stopping.signal.aborted) host.drain()
+    else state = 'running'
     await host.waitUntilStopped()
     return cliConstants.exitStatus.success
   }
--- a/src/node/cli/runProgram.ts
+++ b/src/node/cli/runProgram.ts
@@ -9,7 +9,7 @@
 export async function runProgram (signals?: HostSignals): Promise<number> {
   const dependencies = createCommandLineDependencies({
     startEntryHost: createEntryHost,
-    startGatewayHost: async (settings, writeLine) => await createGatewayHost(settings, { writeLine }),
+    startGatewayHost: createGatewayHost,
     parseContract
   }, signals)
   return await runCommandLine(process.argv, dependencies)
--- a/src/node/cli/signalOutcome.ts
+++ b/src/node/cli/signalOutcome.ts
@@ -1,2 +1,2 @@
 /** What follows a signal. */
-export type SignalOutcome = 'drain' | 'reload' | 'reload after the start' | 'end' | 'none'
+export type SignalOutcome = 'cancel the start' | 'drain' | 'reload' | 'reload after the start' | 'end' | 'none'
--- a/src/node/gateway/hosts/readPeerSecretWithRetry.ts
+++ b/src/node/gateway/hosts/readPeerSecretWithRetry.ts
@@ -4,9 +4,15 @@
 import type { Logger } from '../../../types/logger.js'
 import type { StoreClient } from '../model/storeClient.js'
 
-/** Reads the secret that all hosts share, and retries while the store is unavailable. */
-export async function readPeerSecretWithRetry (store: StoreClient, key: string, logger: Logger): Promise<string> {
+/** Reads the secret that all hosts share, and retries while the store is unavailable, until `stopSignal` is aborted. */
+export async function readPeerSecretWithRetry (
+  store: StoreClient,
+  key: string,
+  logger: Logger,
+  stopSignal?: AbortSignal
+): Promise<string> {
   for (let failures = 0; ; failures++) {
+    stopSignal?.throwIfAborted()
     try {
       return await readPeerSecret(store, key)
     } catch (error) {
