fix(cli): repeated stop signals leave a drain alone

Cause: the second stop signal ended the process, whoever sent it. Change: a platform or a service manager that sends SIGTERM again means the same stop, and has SIGKILL for an end at once, so further SIGTERM and the first SIGINT after it are logged and change nothing. A person at a terminal has SIGINT only: the second one ends the process with 130.

--- a/src/node/cli/commands/gateway.ts
+++ b/src/node/cli/commands/gateway.ts
@@ -7,7 +7,7 @@
 /** `gateway`: runs a gateway host until it is drained. */
 export const gateway: Command = {
   usage: 'gateway',
-  description: 'Runs a gateway host on the platform; LYCHEETRACK_SETTINGS names the settings file. SIGTERM drains the host, SIGHUP reloads the settings',
+  description: 'Runs a gateway host on the platform; LYCHEETRACK_SETTINGS names the settings file. SIGTERM or SIGINT drains the host, a second SIGINT stops it at once, SIGHUP reloads the settings',
   options: [],
   example: 'gateway',
   validate: () => [],
--- a/src/node/cli/commands/serve.ts
+++ b/src/node/cli/commands/serve.ts
@@ -10,7 +10,7 @@
 /** `serve`: runs an entry host until it is drained. */
 export const serve: Command = {
   usage: 'serve',
-  description: 'Runs an entry host; SIGTERM, SIGINT or SIGHUP drains it, a second signal stops it at once. Each flag is also a variable: --host-id is LYCHEETRACK_HOST_ID',
+  description: 'Runs an entry host; SIGTERM, SIGINT or SIGHUP drains it, a second SIGINT stops it at once. Each flag is also a variable: --host-id is LYCHEETRACK_HOST_ID',
   options: settingOptions,
   example: 'serve --host-id host-1 --failure-domain quay-a --listen 192.0.2.7:7100 --peer-listen 192.0.2.7:7200 --key-value-url http://192.0.2.20:7300 --host-list-url http://192.0.2.20:7301',
   validate: ({ flags, dependencies }) => {
--- a/src/node/cli/constants.ts
+++ b/src/node/cli/constants.ts
@@ -2,7 +2,7 @@
 export const cliConstants = {
   /** Commands that run a host; their process handles signals from its start on. */
   hostCommands: ['serve', 'gateway'] as readonly string[],
-  exitStatus: { success: 0, failure: 1, usage: 2 },
+  exitStatus: { success: 0, failure: 1, usage: 2, interrupted: 130 },
   /** Interval at which the settings file is checked for changes. */
   settingsPollMs: 1000,
   /** Error codes with which a server reports that a change may have been accepted. */
--- a/src/node/cli/runHostUntilSignal.ts
+++ b/src/node/cli/runHostUntilSignal.ts
@@ -17,20 +17,22 @@
 }
 
 /**
- * Runs a host; the first stop signal drains it or cancels its start. Resolves with the exit status: 0 after that, 128
- * plus the signal number when a second signal ended the drain.
+ * Runs a host; the first stop signal drains it or cancels its start. Resolves with the exit status: 0 after that, 130
+ * when a second SIGINT ended the drain.
  */
 export async function runHostUntilSignal ({ dependencies, startHost, reloadSettings, ...run }: HostRun): Promise<number> {
   const logger = new RateLimitedLogger(run.logger, systemClock)
   let state: HostState = 'starting'
+  let isInterrupted = false
   let host: RunningHost | undefined
   const stopping = new AbortController()
   const interrupted = new Promise<number>(resolve => {
     dependencies.onHostSignal(signal => {
-      const outcome = decideSignal(signal, state, reloadSettings !== undefined)
+      const outcome = decideSignal(signal, { state, isInterrupted, canReload: reloadSettings !== undefined })
       logger.recordInfo('signal received', { signal, state, outcome })
       if (outcome === 'reload' || outcome === 'reload after the start') reloadSettings?.()
-      if (outcome === 'end') resolve(signal === 'SIGINT' ? 130 : 143)
+      if (signal === 'SIGINT') isInterrupted = true
+      if (outcome === 'end') resolve(cliConstants.exitStatus.interrupted)
       if (outcome !== 'drain' && outcome !== 'cancel the start') return
       state = 'draining'
       stopping.abort(new StartCancelledError('stopped during the start'))
@@ -39,7 +41,7 @@
   })
   try {
     const status = await Promise.race([interrupted, runUntilStopped()])
-    logger.recordInfo('process ends', { status, reason: status !== 0 ? 'signal' : host === undefined ? 'start cancelled' : 'drained' })
+    logger.recordInfo('process ends', { status, reason: status !== 0 ? 'second SIGINT' : host === undefined ? 'start cancelled' : 'drained' })
     return status
   } catch (error) {
     logger.recordError('process ends', { status: cliConstants.exitStatus.failure, reason: (error as Error).message })
