fix(gateway): answer the requests before bytes that are no request

Clients whose connection brought whole requests and then bytes that are no request (three requests, then 'NONSENSE') had all three passed on and got one 400, which stands where the answer to the first is due, and then the close. A head that is too slow or too large did the same, also in the middle of a stream; a CONNECT, or a request without a Host, closed the connection under the requests before or behind it.

Cause: the handler of 'clientError' wrote to the socket whatever the responses in progress were. Node.js answers a missing Host and closes at a CONNECT by itself, without regard to them.

Change: after such an error nothing more is read. The requests that were read whole are answered in their order, then the error is, with 408, 413 or 431 where it is one of time or size, and the connection is closed. An error within a body belongs to its request, which gets the 400 and is not passed on. A missing Host is refused like any other request. The line 'bytes not readable' has the error and the number of open requests.

Ruled out: closing without an answer to the error. Clients send a request again after 408, but not after a 400, and they did get one for a request that crossed the time-out of an idle connection.

--- a/src/node/gateway/ingress/clientConnection.ts
+++ b/src/node/gateway/ingress/clientConnection.ts
@@ -1,9 +1,11 @@
+import { STATUS_CODES } from 'node:http'
 import { ClientExchange } from './clientExchange.js'
 import { ingressConstants } from './constants.js'
 import type { Clock } from '../../../types/clock.js'
 import type { CutOffReason } from './cutOffReason.js'
 import type { CutOffRequest } from './cutOffRequest.js'
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { InputError } from './inputError.js'
 import type { Socket } from 'node:net'
 
 interface ClientConnectionOptions {
@@ -23,12 +25,15 @@
   private closeReason: CutOffReason | undefined
   private hasClientLeft = false
   private acceptsRequests = true
+  private hasInputError = false
+  /** Error that is answered after all requests. */
+  private pendingError: InputError | undefined
 
   constructor (private readonly options: ClientConnectionOptions) {
     const { socket } = options
     const onLeft = (): void => { if (this.closeReason === undefined && socket.writable) this.hasClientLeft = true }
     socket.prependOnceListener('end', onLeft)
-    socket.once('error', () => { this.hasClientLeft = true })
+    socket.on('error', () => { this.hasClientLeft = true })
     socket.once('close', () => { this.onClosed() })
   }
 
@@ -53,7 +58,23 @@
    */
   decideClosing (exchange: ClientExchange, isHostStopping: boolean): boolean {
     if (isHostStopping) this.refuseRequests()
-    return !this.acceptsRequests && this.exchanges.at(-1) === exchange
+    return !this.acceptsRequests && this.pendingError === undefined && this.exchanges.at(-1) === exchange
+  }
+
+  /**
+   * Ends reading. The requests that were read whole are answered first; the error answers the request that it has cut,
+   * or stands after the last response.
+   */
+  handleInputError (error: InputError): void {
+    const last = this.exchanges.at(-1)
+    const isInRequest = last !== undefined && !last.message.complete
+    if (this.hasInputError || (!this.acceptsRequests && !isInRequest)) return
+    this.hasInputError = true
+    this.acceptsRequests = false
+    this.stopReading()
+    if (isInRequest) return last.endInput(error)
+    this.pendingError = error
+    if (last === undefined) this.sendError(error)
   }
 
   /** Notes why the host is about to close the connection; the first reason stays. */
@@ -79,11 +100,24 @@
     })
   }
 
+  private sendError ({ status }: InputError): void {
+    const { socket } = this.options
+    this.setCloseReason('client-error')
+    socket.end(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+    // An immediate close would reset the connection while the client still sends, and the error could be lost.
+    const timer = setTimeout(() => { socket.destroy() }, ingressConstants.errorLingerMs)
+    socket.once('close', () => { clearTimeout(timer) })
+  }
+
   private onResponseClosed (exchange: ClientExchange): void {
     const { socket } = this.options
     if (!exchange.response.writableFinished) return
     this.exchanges.splice(this.exchanges.indexOf(exchange), 1)
-    if (socket.writable) return this.exchanges[0]?.startTurn()
+    if (socket.writable) {
+      if (this.exchanges.length > 0) this.exchanges[0]!.startTurn()
+      else if (this.pendingError !== undefined) this.sendError(this.pendingError)
+      return
+    }
     if (!this.hasClientLeft) this.setCloseReason('response-closed')
     for (const waiting of this.exchanges) waiting.cancel()
   }
--- a/src/node/gateway/ingress/constants.ts
+++ b/src/node/gateway/ingress/constants.ts
@@ -12,6 +12,8 @@
   maxHeaderBytes: 65_536,
   /** Requests of one connection that may be without a response; the last of them closes the connection. */
   maxPipelinedRequests: 16,
+  /** Time for which a connection is read on after an error was sent that closes it. */
+  errorLingerMs: 500,
   /** Interval at which connections are checked for timeouts. */
   connectionCheckMs: 1000,
   /** Timeouts that apply until a configuration is in force. */
--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -2,6 +2,7 @@
 import { computeTargetLeftMs } from './computeTargetLeftMs.js'
 import { ClientConnection } from './clientConnection.js'
 import { ClientResponse } from './clientResponse.js'
+import { decodeInputError } from './decodeInputError.js'
 import { ingressConstants } from './constants.js'
 import { readRequestBody } from './readRequestBody.js'
 import { RequestRun } from './requestRun.js'
@@ -11,6 +12,7 @@
 import type { CutOffRequest } from './cutOffRequest.js'
 import type { ErrorHeaderEncoder } from './errorHeaderEncoder.js'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { InputError } from './inputError.js'
 import type { IngressLimits } from '../model/ingressLimits.js'
 import type { RequestRunDependencies } from './requestRunDependencies.js'
 import type { Route } from '../model/route.js'
@@ -34,19 +36,17 @@
   constructor (private readonly options: IngressOptions) {
     this.server = createServer({
       maxHeaderSize: ingressConstants.maxHeaderBytes,
+      // Node.js would answer by itself and close the connection, without regard to the requests around it.
+      requireHostHeader: false,
       keepAliveTimeout: ingressConstants.initialIdleTimeoutMs,
       headersTimeout: ingressConstants.initialHeaderTimeoutMs,
       connectionsCheckingInterval: ingressConstants.connectionCheckMs,
       noDelay: true
     }, (request, response) => { this.onRequest(request, response) })
     this.server.on('connection', socket => { this.onConnection(socket) })
-    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      // More requests may follow a malformed one on the same connection, so nothing more is read from it.
-      options.dependencies.metrics.addCount('client_errors', { code: error.code ?? 'unknown' })
-      if (error.code !== 'ECONNRESET') this.connections.get(socket as Socket)?.setCloseReason('client-error')
-      if (socket.writable && error.code !== 'ECONNRESET') socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n')
-      else socket.destroy()
-    })
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => { this.onClientError(error.code, socket as Socket) })
+    // Node.js closes the connection at once when nothing listens.
+    this.server.on('connect', (_message, socket) => { this.onInputError({ code: 'CONNECT', status: 400 }, socket as Socket) })
   }
 
   /** Requests in progress. */
@@ -102,6 +102,19 @@
     socket.once('close', () => { this.connections.delete(socket) })
   }
 
+  private onClientError (code: string | undefined, socket: Socket): void {
+    this.options.dependencies.metrics.addCount('client_errors', { code: code ?? 'unknown' })
+    const error = decodeInputError(code)
+    if (error !== undefined && socket.writable) this.onInputError(error, socket)
+    else socket.destroy()
+  }
+
+  private onInputError (error: InputError, socket: Socket): void {
+    const connection = this.connections.get(socket)
+    this.options.dependencies.logger.recordInfo('bytes not readable', { ...error, openRequests: connection?.requestCount })
+    connection?.handleInputError(error)
+  }
+
   private onRequest (message: IncomingMessage, response: ServerResponse): void {
     const connection = this.connections.get(message.socket)
     const exchange = connection?.add(message, response)
@@ -131,8 +144,12 @@
     })
     const current = configuration.getCurrent()
     // Without a configuration the request is refused below, so its body is read but not kept.
-    const body = await readRequestBody(message, current?.limits.maxBodyBytes ?? 0)
+    const body = await exchange.waitForBody(readRequestBody(message, current?.limits.maxBodyBytes ?? 0))
     if (!await exchange.waitForTurn()) return
+    if (exchange.inputError !== undefined) {
+      const { status, code } = exchange.inputError
+      return this.refuse(clientResponse, { request, status, code: 'malformed_request', reason: `the request is not readable: ${code}` })
+    }
     if (current === undefined) {
       return this.refuse(clientResponse, {
         request,
@@ -144,6 +161,9 @@
     }
     if (body === 'too-large') return this.refuse(clientResponse, { request, status: 413, code: 'body_too_large', reason: 'body too large' })
     if (body === 'incomplete') return clientResponse.closeIncomplete('the request is incomplete')
+    if (message.httpVersion === '1.1' && message.headers.host === undefined) {
+      return this.refuse(clientResponse, { request, status: 400, code: 'host_required', reason: 'no Host header' })
+    }
     if (request === undefined) return this.refuse(clientResponse, { status: 400, code: 'request_id_required', reason: 'no request id' })
     // The newest configuration applies, even if it arrived while the body was read.
     const { version } = configuration.getCurrent()!
