fix(gateway): let clients read their answers while the host drains

A client that was still reading its answer when a stopping host began to close idle connections got a part of it: of 8 MB, 3.9 MB.

Cause: to Node.js a connection is idle when 'end' has been called for its response, whether or not the bytes have left the process. The host closes idle connections each 50 ms in its drain, and 'close' does so too.

Change: the host decides with its own state. A connection is idle when each of its requests has its whole response and no byte of a next one has come.

Ruled out: closing only at the end of the drain. Clients would send on connections that could have told them to go elsewhere.

--- a/playground/platform/rawClient.ts
+++ b/playground/platform/rawClient.ts
@@ -54,6 +54,16 @@
     return this
   }
 
+  /** Reads nothing more until `resumeReading`. */
+  stopReading (): this {
+    this.socket.pause()
+    return this
+  }
+
+  resumeReading (): void {
+    this.socket.resume()
+  }
+
   /** Closes the client's own direction only. */
   endSending (): void {
     this.socket.end()
--- a/src/node/gateway/ingress/clientConnection.ts
+++ b/src/node/gateway/ingress/clientConnection.ts
@@ -25,6 +25,8 @@
   private closeReason: CutOffReason | undefined
   private hasClientLeft = false
   private acceptsRequests = true
+  /** Bytes of the connection up to the end of its last request, and what came with this end. */
+  private requestBytes = 0
   private hasInputError = false
   /** Error that is answered after all requests. */
   private pendingError: InputError | undefined
@@ -46,6 +48,9 @@
     if (!this.acceptsRequests) return undefined
     const exchange = new ClientExchange(message, response, this.options.clock.readMonotonicMs())
     this.exchanges.push(exchange)
+    const updateBytes = (): void => { this.requestBytes = this.options.socket.bytesRead }
+    updateBytes()
+    message.once('end', updateBytes)
     response.once('close', () => { this.onResponseClosed(exchange) })
     if (this.exchanges.length === 1) exchange.startTurn()
     if (this.exchanges.length >= ingressConstants.maxPipelinedRequests) this.refuseRequests()
@@ -77,6 +82,12 @@
     if (last === undefined) this.sendError(error)
   }
 
+  /** Closes the connection if it has served requests, none is in progress and none is being received. */
+  closeIfIdle (): void {
+    const { socket } = this.options
+    if (this.exchanges.length === 0 && this.requestBytes > 0 && socket.bytesRead === this.requestBytes) socket.destroy()
+  }
+
   /** Notes why the host is about to close the connection; the first reason stays. */
   setCloseReason (reason: CutOffReason): void {
     this.closeReason ??= reason
--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -43,6 +43,10 @@
       connectionsCheckingInterval: ingressConstants.connectionCheckMs,
       noDelay: true
     }, (request, response) => { this.onRequest(request, response) })
+    // To Node.js, a connection is idle when its response has ended, although the client may not have read it yet.
+    this.server.closeIdleConnections = () => {
+      for (const connection of this.connections.values()) connection.closeIfIdle()
+    }
     this.server.on('connection', socket => { this.onConnection(socket) })
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => { this.onClientError(error.code, socket as Socket) })
     // Node.js closes the connection at once when nothing listens.
