test(soak): send signals only to a runtime that is up, and note hosts without processor time

Trials with a product whose handlers are set by a first file of its own showed two kinds of false alarms. The time that processes wait for a processor is sampled now; it excuses requests that were not passed on and drains that are late, never a request that was.

--- a/playground/soak/buildHostDisruptions.ts
+++ b/playground/soak/buildHostDisruptions.ts
@@ -3,8 +3,9 @@
 
 /** Builds the disruptions that a host's process has from its starts and from signals; an end by itself is none. */
 export function buildHostDisruptions (runs: readonly SoakHostRun[]): readonly SoakDisruption[] {
-  return runs.flatMap(({ host: id, startedAtMs, signals, end }): readonly SoakDisruption[] => [
+  return runs.flatMap(({ host: id, startedAtMs, signals, end, slowed }): readonly SoakDisruption[] => [
     { type: 'start', id, fromMs: startedAtMs, toMs: startedAtMs },
+    ...slowed.map(({ fromMs, toMs }): SoakDisruption => ({ type: 'slow', id, fromMs, toMs })),
     ...signals.flatMap(({ signal, atMs }): readonly SoakDisruption[] => {
       const resumedAtMs = signals.find(other => other.signal === 'SIGCONT' && other.atMs > atMs)?.atMs
       switch (signal) {
--- a/playground/soak/checkLosses.ts
+++ b/playground/soak/checkLosses.ts
@@ -80,6 +80,8 @@
   const { host, kind, status, sentAtMs, endedAtMs } = request
   const hasAny = (types: ReadonlyArray<SoakDisruption['type']>, id?: string): boolean => hasDisruption(types, sentAtMs - stableWindowMs, endedAtMs, id)
   if (hasAny(['host'], host)) return true
+  // A process without processor time may not have read the request.
+  if (executions.length === 0 && hasAny(['slow'], host)) return true
   if (kind !== 'safe' && kind !== 'once' && hasAny(['store'])) return true
   if (executions.some(({ upstreamId }) => hasAny(['upstream'], upstreamId))) return true
   // An answer that has begun may pass through other hosts and depends on all stages.
--- a/playground/soak/checkProcesses.ts
+++ b/playground/soak/checkProcesses.ts
@@ -13,16 +13,16 @@
   })
 }
 
-function describeEnd ({ startedAtMs, signals, end }: SoakHostRun): string | undefined {
+function describeEnd ({ startedAtMs, signals, end, slowed }: SoakHostRun): string | undefined {
   if (end === undefined) return undefined
   const stoppedAtMs = signals.find(({ signal }) => signal === 'SIGTERM')?.atMs
   const killedAtMs = signals.find(({ signal }) => signal === 'SIGKILL')?.atMs
   const sent = signals.map(({ signal, atMs }) => `${signal} at ${Math.round(atMs - startedAtMs)} ms`).join(', ')
   if (end.signal === 'SIGKILL' && killedAtMs !== undefined) {
-    // A frozen process cannot use its grace period.
-    const wasFrozen = stoppedAtMs !== undefined && signals.some(({ signal, atMs }) => (signal === 'SIGCONT' || signal === 'SIGSTOP') && atMs >= stoppedAtMs)
+    // A process without processor time cannot use its grace period.
+    const wasHeldUp = stoppedAtMs !== undefined && (slowed.some(({ toMs }) => toMs >= stoppedAtMs) || signals.some(({ signal, atMs }) => (signal === 'SIGCONT' || signal === 'SIGSTOP') && atMs >= stoppedAtMs))
     const isOverdue = stoppedAtMs !== undefined && killedAtMs - stoppedAtMs >= soakConstants.gracePeriodMs
-    return isOverdue && !wasFrozen ? `still ran at the end of its grace period (${sent})` : undefined
+    return isOverdue && !wasHeldUp ? `still ran at the end of its grace period (${sent})` : undefined
   }
   const outcome = end.signal === null ? `status ${end.code}` : end.signal
   if (stoppedAtMs === undefined) return `ended by itself after ${Math.round(end.atMs - startedAtMs)} ms with ${outcome} (${sent === '' ? 'no signal' : sent})`
--- a/playground/soak/constants.ts
+++ b/playground/soak/constants.ts
@@ -19,6 +19,8 @@
   /** Time after the start of the runtime in which signals count as sent during the start. */
   startMs: 500,
   sampleIntervalMs: 500,
+  /** A process that waited longer for a processor between two samples was slowed. */
+  slowedWaitMs: 200,
   /** A host must have said that it is ready within this time before the end of a run. */
   readyWindowMs: 3000,
   maxBodyBytes: 4_194_304,
--- a/playground/soak/createDisruptionIndex.ts
+++ b/playground/soak/createDisruptionIndex.ts
@@ -17,7 +17,7 @@
     hasDisruption,
     isInTouch: (fromMs, toMs, host) => {
       const sinceMs = fromMs - soakConstants.stableWindowMs
-      return !hasDisruption(['host', 'start', 'stop'], sinceMs, toMs, host) && !hasDisruption(['store'], sinceMs, toMs)
+      return !hasDisruption(['host', 'slow', 'start', 'stop'], sinceMs, toMs, host) && !hasDisruption(['store'], sinceMs, toMs)
     }
   }
 }
--- a/playground/soak/main.ts
+++ b/playground/soak/main.ts
@@ -36,7 +36,7 @@
     })
     const outcome = result.violations.length === 0 ? 'ok' : 'FAILED'
     const faults = result.plan.map(fault => fault.type).join(' ')
-    console.log(`seed ${seed}: ${outcome}; ${result.served} of ${result.requests} requests served, ${result.runs} executions at upstreams, at most ${result.peakMemoryMb} MB; faults: ${faults}`)
+    console.log(`seed ${seed}: ${outcome}; ${result.served} of ${result.requests} requests served, ${result.runs} executions at upstreams, at most ${result.peakMemoryMb} MB, hosts slowed for ${result.slowedMs} ms; faults: ${faults}`)
     for (const [rule, violations] of buildRuleGroups(result.violations)) {
       console.log(`  ${violations.length} x ${rule}`)
       for (const violation of violations.slice(0, 3)) console.log(`    ${violation}`)
--- a/playground/soak/runFault.ts
+++ b/playground/soak/runFault.ts
@@ -48,8 +48,7 @@
 async function runHostFault (name: string, host: SoakHost, forMs: number): Promise<void> {
   if (!host.process.isRunning) return
   if (name === 'reloaded') {
-    host.writeSettings()
-    host.process.reload()
+    await host.reloadProcess()
     return
   }
   if (name === 'frozen') {
@@ -58,7 +57,7 @@
     host.process.resume()
     return
   }
-  if (name === 'stopped') await host.process.stop(soakConstants.gracePeriodMs)
+  if (name === 'stopped') await host.stopProcess()
   else await host.process.kill()
   await waitMs(forMs)
   host.startProcess()
--- a/playground/soak/runSignalFault.ts
+++ b/playground/soak/runSignalFault.ts
@@ -16,18 +16,18 @@
 export async function runSignalFault ({ type, forMs, target }: SoakFault, host: SoakHost, deployment: SoakDeployment): Promise<void> {
   const random = createSeededRandom(target)
   switch (type) {
-    case 'configurations': return await sendSeries(random, forMs, () => { deployment.writeConfiguration(random() < 0.5 ? 'shop' : 'shop-b') })
+    case 'configurations': return await sendSeries(random, forMs, async () => { deployment.writeConfiguration(random() < 0.5 ? 'shop' : 'shop-b') })
     case 'reloads': return await sendReloads(random, forMs, host)
     case 'large-bodies': return await sendLargeBodies(`burst-${target}`, forMs, host, deployment)
     case 'rolling-stops': return await runRollingStops(random, forMs, target, deployment)
     case 'start-reloaded':
     case 'start-stopped':
-      await host.process.stop(soakConstants.gracePeriodMs)
+      await host.stopProcess()
       if (!host.startProcess()) return
       await host.waitRuntime()
       await waitMs(random() * soakConstants.startMs)
       if (type === 'start-reloaded') return await sendReloads(random, soakConstants.startMs, host)
-      await host.process.stop(soakConstants.gracePeriodMs)
+      await host.stopProcess()
       break
     default: await runStopFault(type, random, host)
   }
@@ -37,9 +37,9 @@
 
 async function runStopFault (type: SoakFault['type'], random: Random, host: SoakHost): Promise<void> {
   const process = host.process
-  const stopped = process.stop(soakConstants.gracePeriodMs)
+  const stopped = host.stopProcess(process)
   const spanMs = random() * soakConstants.gracePeriodMs * 0.8
-  if (type === 'stop-repeated') await sendSeries(random, spanMs, () => { process.stop(soakConstants.gracePeriodMs).catch(() => {}) })
+  if (type === 'stop-repeated') await sendSeries(random, spanMs, async () => { void host.stopProcess(process) })
   if (type === 'stop-reloaded') await sendReloads(random, spanMs, host)
   if (type === 'stop-overlapped') {
     await waitMs(spanMs)
@@ -54,18 +54,15 @@
 
 async function sendReloads (random: Random, spanMs: number, host: SoakHost): Promise<void> {
   const process = host.process
-  await sendSeries(random, spanMs, () => {
-    host.writeSettings()
-    process.reload()
-  })
+  await sendSeries(random, spanMs, async () => { await host.reloadProcess(process) })
 }
 
 /** Calls `send` several times at random intervals within the span. */
-async function sendSeries (random: Random, spanMs: number, send: () => void): Promise<void> {
+async function sendSeries (random: Random, spanMs: number, send: () => Promise<void>): Promise<void> {
   const count = 1 + Math.floor(random() * maxSignals)
   for (let i = 0; i < count; i++) {
     await waitMs(random() * spanMs / count)
-    send()
+    await send()
   }
 }
 
@@ -75,7 +72,7 @@
   await Promise.all(Array.from({ length: count }, async (_, i) => {
     const host = hosts[(target + i) % hosts.length]!
     await waitMs(i * intervalMs)
-    await host.process.stop(soakConstants.gracePeriodMs)
+    await host.stopProcess()
     await waitMs(random() * forMs)
     host.startProcess()
   }))
--- a/playground/soak/runSoak.ts
+++ b/playground/soak/runSoak.ts
@@ -52,6 +52,7 @@
       served: records.requests.filter(request => request.status === 200 && request.isComplete).length,
       runs: records.executions.length,
       peakMemoryMb: Math.round(Math.max(...records.runs.map(run => run.peakMemoryMb))),
+      slowedMs: Math.round(records.runs.flatMap(run => run.slowed).reduce((sum, { fromMs, toMs }) => sum + toMs - fromMs, 0)),
       violations: checkSoak(records),
       logs: deployment.hosts.map(host => ({ host: host.id, lines: host.listLogLines() }))
     }
--- a/playground/soak/soakHost.ts
+++ b/playground/soak/soakHost.ts
@@ -1,4 +1,4 @@
-import { readFileSync, writeFileSync } from 'node:fs'
+import { readFileSync, renameSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { setTimeout as waitMs } from 'node:timers/promises'
 import { FaultProxy } from './faultProxy.js'
@@ -32,8 +32,10 @@
   readonly restartDelayMs?: number
 }
 
-interface Sample {
-  readonly peakMemoryMb: number
+interface Sample extends Pick<SoakHostRun, 'peakMemoryMb' | 'slowed'> {
+  readonly sampledAtMs: number
+  /** Time that the process has waited for a processor. */
+  readonly waitedMs: number
   readonly lastReadyAtMs?: number
 }
 
@@ -76,7 +78,7 @@
     await this.storeProxy.start()
     this.writeSettings()
     this.process.start()
-    this.sampleTimer = setInterval(() => { this.recordSample().catch(() => {}) }, soakConstants.sampleIntervalMs)
+    this.sampleTimer = setInterval(() => { void this.recordSample() }, soakConstants.sampleIntervalMs)
     return this
   }
 
@@ -92,10 +94,22 @@
     return true
   }
 
-  /** Resolves when the runtime of a process that has just been started can run the program. */
-  async waitRuntime (): Promise<void> {
-    const process = this.process
-    while (process.isRunning && readProcessorMs(process.pid) < (this.options.runtimeStartMs ?? 0) * runtimeStartFactor) await waitMs(2)
+  /** Stops a process with SIGTERM; one that has just been started gets it once its runtime can run the program. */
+  async stopProcess (process = this.process): Promise<void> {
+    await this.waitRuntime(process)
+    await process.stop(soakConstants.gracePeriodMs)
+  }
+
+  /** Writes changed settings and sends SIGHUP, with the same delay. */
+  async reloadProcess (process = this.process): Promise<void> {
+    this.writeSettings()
+    await this.waitRuntime(process)
+    process.reload()
+  }
+
+  /** Resolves when the runtime of a process can run the program: before that, no program can handle a signal. */
+  async waitRuntime (process = this.process): Promise<void> {
+    while (process.isRunning && readProcessorTimes(process.pid).ranMs < (this.options.runtimeStartMs ?? 0) * runtimeStartFactor) await waitMs(2)
   }
 
   /** All runs of the host's processes, the oldest first. */
@@ -106,8 +120,9 @@
       startedAtMs: run.startedAtMs,
       signals: run.signals,
       end: run.end,
-      peakMemoryMb: 0,
-      ...this.samples.get(run)
+      peakMemoryMb: this.samples.get(run)?.peakMemoryMb ?? 0,
+      slowed: this.samples.get(run)?.slowed ?? [],
+      lastReadyAtMs: this.samples.get(run)?.lastReadyAtMs
     }))
   }
 
@@ -123,7 +138,8 @@
   /** Writes the settings file with a new heartbeat interval, so that each reload has a change to apply. */
   writeSettings (): void {
     this.heartbeatMs++
-    writeFileSync(this.settingsPath, `
+    const path = `${this.settingsPath}.next`
+    writeFileSync(path, `
 nodeName = "${this.id}"
 ipAddress = "${this.ipAddress}"
 zone = "zone-1"
@@ -150,6 +166,7 @@
 [platform]
 address = "${this.storeProxy.address}"
 `)
+    renameSync(path, this.settingsPath)
   }
 
   /** Resolves when the host is ready. */
@@ -192,14 +209,25 @@
     const current = this.process.runs.at(-1)
     const wasStopping = this.process.isStopping
     for (const process of this.processes) {
-      if (process.isRunning) this.updateSample(process.runs.at(-1)!, { peakMemoryMb: readPeakMemoryMb(process.pid) })
+      if (process.isRunning) this.updateSample(process.runs.at(-1)!)
     }
     const isReady = await this.isReady()
-    if (isReady && current !== undefined && !wasStopping) this.updateSample(current, { lastReadyAtMs: performance.now() })
+    const sample = current === undefined ? undefined : this.samples.get(current)
+    if (isReady && !wasStopping && sample !== undefined) this.samples.set(current!, { ...sample, lastReadyAtMs: performance.now() })
   }
 
-  private updateSample (run: ProcessRun, sample: Partial<Sample>): void {
-    this.samples.set(run, { ...this.samples.get(run) ?? { peakMemoryMb: 0 }, ...sample })
+  private updateSample (run: ProcessRun): void {
+    const previous = this.samples.get(run) ?? { peakMemoryMb: 0, slowed: [], sampledAtMs: run.startedAtMs, waitedMs: 0 }
+    const sampledAtMs = performance.now()
+    const { waitedMs } = readProcessorTimes(run.pid)
+    const wasSlowed = waitedMs - previous.waitedMs > soakConstants.slowedWaitMs
+    this.samples.set(run, {
+      ...previous,
+      sampledAtMs,
+      waitedMs,
+      peakMemoryMb: Math.max(previous.peakMemoryMb, readPeakMemoryMb(run.pid)),
+      slowed: wasSlowed ? [...previous.slowed, { fromMs: previous.sampledAtMs, toMs: sampledAtMs }] : previous.slowed
+    })
   }
 
   private async isReady (): Promise<boolean> {
@@ -214,10 +242,12 @@
   return Number(/VmHWM:\s+(\d+)/.exec(readProcessFile(pid, 'status'))?.[1] ?? 0) / 1024
 }
 
-/** Processor time of the main thread of a process, in ms; Infinity when it has ended. */
-function readProcessorMs (pid: number | undefined): number {
+/** Time that the main thread of a process has run and has waited for a processor, in ms; infinite when it has ended. */
+function readProcessorTimes (pid: number | undefined): { readonly ranMs: number, readonly waitedMs: number } {
   const text = readProcessFile(pid, 'schedstat')
-  return text === '' ? Infinity : Number(text.split(' ')[0]) / 1e6
+  if (text === '') return { ranMs: Infinity, waitedMs: Infinity }
+  const [ranNs, waitedNs] = text.split(' ').map(Number)
+  return { ranMs: ranNs! / 1e6, waitedMs: waitedNs! / 1e6 }
 }
 
 function readProcessFile (pid: number | undefined, name: string): string {
--- a/playground/soak/soakHostRun.ts
+++ b/playground/soak/soakHostRun.ts
@@ -7,6 +7,8 @@
   /** Memory of the machine, and the largest resident memory that was sampled. */
   readonly memoryMb: number
   readonly peakMemoryMb: number
+  /** Times in which the process waited long for a processor. */
+  readonly slowed: ReadonlyArray<{ readonly fromMs: number, readonly toMs: number }>
   /** When the process last said that it is ready. */
   readonly lastReadyAtMs?: number
 }
--- a/playground/soak/soakResult.ts
+++ b/playground/soak/soakResult.ts
@@ -11,6 +11,8 @@
   readonly runs: number
   /** Largest resident memory of a host process. */
   readonly peakMemoryMb: number
+  /** Time in which host processes waited long for a processor, all together. */
+  readonly slowedMs: number
   /** Messages of `checkSoak`; empty when no rule was violated. */
   readonly violations: readonly string[]
   readonly logs: ReadonlyArray<{ readonly host: string, readonly lines: readonly string[] }>
