--- a/playground/soak/__tests__/checkSoak.test.ts
+++ b/playground/soak/__tests__/checkSoak.test.ts
@@ -10,7 +10,7 @@
 
 function buildRequest (kind: SoakRequest['kind'], part: Partial<SoakRequest> = {}): SoakRequest {
   const answer = kind === 'safe' || kind === 'once' ? 'answer' : stream(kind, 8)
-  return { id: kind, kind, method: 'POST', path: `/${kind}/${kind}`, body: 'body', form: 'single', timeoutMs: 2500, sentAtMs: 100, writtenAtMs: 101, endedAtMs: 150, host: 'h', isKept: true, isAllowed: true, hasLeft: false, status: 200, signature: `sig-${kind}`, answer, isComplete: true, ...part }
+  return { id: kind, kind, method: 'POST', path: `/${kind}/${kind}`, body: 'body', form: 'single', timeoutMs: 2500, sentAtMs: 100, writtenAtMs: 101, endedAtMs: 150, host: 'h', isKept: true, isAllowed: true, hasLeft: false, wasReset: false, status: 200, signature: `sig-${kind}`, answer, isComplete: true, ...part }
 }
 
 function buildExecution (kind: SoakRequest['kind'], part: Partial<SoakExecution> = {}): SoakExecution {
--- a/playground/soak/checkLosses.ts
+++ b/playground/soak/checkLosses.ts
@@ -112,8 +112,8 @@
 }
 
 function describeLoss ({ request, executions }: Loss, place: string): string {
-  const { id, kind, form, host, status, sentAtMs, endedAtMs, isKept } = request
+  const { id, kind, form, host, status, sentAtMs, endedAtMs, isKept, wasReset } = request
   const answer = status === undefined ? 'without an answer' : `within an answer of status ${status}`
   const upstreams = executions.length === 0 ? 'not executed' : `executed by ${executions.map(execution => execution.upstreamId).join(', ')}`
-  return `LOST: ${place}, ${host} closed the ${isKept ? 'kept ' : ''}connection of ${id} (${kind}, ${form}) ${answer}, ${Math.round(endedAtMs - sentAtMs)} ms after it was sent at ${Math.round(sentAtMs)} ms; ${upstreams}`
+  return `LOST: ${place}, ${host} ${wasReset ? 'reset' : 'closed'} the ${isKept ? 'kept ' : ''}connection of ${id} (${kind}, ${form}) ${answer}, ${Math.round(endedAtMs - sentAtMs)} ms after it was sent at ${Math.round(sentAtMs)} ms; ${upstreams}`
 }
--- a/playground/soak/rawConnection.ts
+++ b/playground/soak/rawConnection.ts
@@ -27,6 +27,7 @@
   private received = ''
   private hasSent = false
   private isClosed = false
+  private wasReset = false
   private onChange = (): void => {}
 
   /** `address`: `ip:port` of a host. */
@@ -41,7 +42,10 @@
     })
     // The host's end is the end of the connection: what has no answer by then gets none.
     this.socket.on('end', () => { this.close() })
-    this.socket.on('error', () => { this.close() })
+    this.socket.on('error', (error: NodeJS.ErrnoException) => {
+      this.wasReset = error.code === 'ECONNRESET' || error.code === 'EPIPE'
+      this.close()
+    })
     this.socket.on('close', () => { this.close() })
   }
 
@@ -101,6 +105,7 @@
         host: this.host,
         isKept: isKept || i > 0,
         hasLeft,
+        wasReset: this.wasReset && answer === undefined,
         status: answer?.status,
         signature: answer?.headers.get('x-response-signature'),
         answeredId: answer?.headers.get('x-request-id'),
--- a/playground/soak/runSoak.ts
+++ b/playground/soak/runSoak.ts
@@ -48,6 +48,7 @@
     return {
       seed,
       plan,
+      disruptions: records.disruptions,
       requests: records.requests.length,
       served: records.requests.filter(request => request.status === 200 && request.isComplete).length,
       runs: records.executions.length,
--- a/playground/soak/soakClient.ts
+++ b/playground/soak/soakClient.ts
@@ -59,6 +59,7 @@
       let received: IncomingMessage | undefined
       let writtenAtMs: number | undefined
       let hasLeft = false
+      let wasReset = false
       const end = (isComplete: boolean): void => {
         clearTimeout(timer)
         resolve({
@@ -70,6 +71,7 @@
           host,
           isKept: call.reusedSocket,
           hasLeft,
+          wasReset,
           status: received?.statusCode,
           signature: received?.headers['x-response-signature'] as string | undefined,
           answeredId: received?.headers['x-request-id'] as string | undefined,
@@ -88,7 +90,10 @@
         call.destroy()
       }, abandonsEarly ? timeoutMs * random() / 4 : timeoutMs)
       call.on('finish', () => { writtenAtMs = performance.now() })
-      call.on('error', () => { end(false) })
+      call.on('error', (error: NodeJS.ErrnoException) => {
+        wasReset = error.code === 'ECONNRESET' && error.syscall === 'read'
+        end(false)
+      })
       call.on('close', () => { if (received === undefined) end(false) })
       call.end(body)
     })
--- a/playground/soak/soakRequest.ts
+++ b/playground/soak/soakRequest.ts
@@ -27,6 +27,8 @@
   readonly isAllowed: boolean
   /** Whether the client gave up, at its timeout or before. */
   readonly hasLeft: boolean
+  /** Whether the connection ended with a reset before the answer had begun. */
+  readonly wasReset: boolean
   /** Undefined when no answer arrived. */
   readonly status?: number
   readonly signature?: string
--- a/playground/soak/soakResult.ts
+++ b/playground/soak/soakResult.ts
@@ -1,9 +1,11 @@
+import type { SoakDisruption } from './soakDisruption.js'
 import type { SoakFault } from './soakFault.js'
 
 /** Outcome of a soak run. */
 export interface SoakResult {
   readonly seed: number
   readonly plan: readonly SoakFault[]
+  readonly disruptions: readonly SoakDisruption[]
   readonly requests: number
   /** Number of requests with a complete answer of status 200. */
   readonly served: number
