--- a/playground/soak/buildDraft.ts
+++ b/playground/soak/buildDraft.ts
@@ -33,7 +33,9 @@
       'x-request-id': id,
       'x-time-remaining': String(soakConstants.clientTimeoutMs),
       ...method === 'POST' ? { 'content-length': String(sentBody.length) } : {},
-      ...kind === 'safe' || kind === 'once' ? {} : { 'x-model': 'm', 'x-token-counts': '10,80', 'x-prompt-prefix': `aa:4,${count.toString(16)}:6` },
+      ...kind === 'safe' || kind === 'once'
+        ? {}
+        : { 'x-model': 'm', 'x-token-counts': '10,80', 'x-prompt-prefix': `aa:4,${count.toString(16)}:6` },
       ...kind === 'pipe' ? { 'x-pieces': '2,2', 'x-piece-key': `key-${id}` } : {}
     }
   }
--- a/playground/soak/checkExecutions.ts
+++ b/playground/soak/checkExecutions.ts
@@ -31,7 +31,9 @@
 
 function checkExecution (execution: SoakExecution, request: SoakRequest, allowedServices: SoakRecords['allowedServices']): readonly string[] {
   const violations: string[] = []
-  if (!request.isAllowed) violations.push(`ROUTE: ${request.id} was executed with an API key that no configuration holds`)
+  if (!request.isAllowed) {
+    violations.push(`ROUTE: ${request.id} was executed with an API key that no configuration holds`)
+  }
   // `UNASKED` covers everything that the client did not send in this form, including a forwarded API key and another account.
   const isUnchanged = execution.method === request.method && execution.path === request.path && execution.body === request.body
   if (!isUnchanged) violations.push(`UNASKED: ${request.id} reached the upstream with another method, path or body`)
--- a/playground/soak/checkLosses.ts
+++ b/playground/soak/checkLosses.ts
@@ -12,25 +12,28 @@
 
 /** Number of requests of kept connections that may be lost at hosts in touch. */
 const maxKeptLosses = 3
-/** A host that loses requests beside configurations this many times as often as at other times loses them because of these. */
+/** A host that loses requests beside configurations over this many times as often as otherwise loses them by these. */
 const minConfigurationRatio = 3
 /** Requests that have used this share of their time are not counted beside configurations. */
 const maxConfigurationTimeShare = 0.7
 const { stableWindowMs, gracePeriodMs, configurationMs, lossSlackMs } = soakConstants
 
 /**
- * Checks that hosts do not close connections on requests that have no complete answer: from kept connections at hosts in
- * touch, and around planned work (SIGTERM, SIGHUP, configurations) without unplanned disruption.
+ * Checks that hosts do not close connections on requests that have no complete answer: from kept connections at hosts
+ * in touch, and around planned work (SIGTERM, SIGHUP, configurations) without unplanned disruption.
  */
 export function checkLosses (records: SoakRecords): readonly string[] {
-  const executions = new Map<string, SoakExecution[]>()
-  for (const execution of records.executions) executions.set(execution.requestId, [...executions.get(execution.requestId) ?? [], execution])
-  const losses = records.requests.filter(isCut).map(request => ({ request, executions: executions.get(request.id) ?? [] }))
+  const losses = records.requests.filter(isCut).map(request => ({
+    request,
+    executions: records.executions.filter(execution => execution.requestId === request.id)
+  }))
   const planned = findPlannedLosses(records, losses)
   const kept = findKeptLosses(records, losses).filter(loss => !planned.includes(loss))
   return [
     ...planned.map(loss => describeLoss(loss, 'around planned work')),
-    ...kept.length > maxKeptLosses ? kept.map(loss => describeLoss(loss, 'on a kept connection of a host in touch')) : []
+    ...kept.length > maxKeptLosses
+      ? kept.map(loss => describeLoss(loss, 'on a kept connection of a host in touch'))
+      : []
   ]
 }
 
@@ -42,17 +45,19 @@
 function findKeptLosses ({ disruptions }: SoakRecords, losses: readonly Loss[]): readonly Loss[] {
   const { isInTouch, hasDisruption } = createDisruptionIndex(disruptions)
   return losses.filter(({ request, executions }) => {
-    const lastExecution = executions.at(-1)
-    if (lastExecution === undefined || request.status !== undefined || !request.isKept) return false
-    const isSound = !hasDisruption(['upstream', 'leaving'], request.sentAtMs - stableWindowMs, request.endedAtMs, lastExecution.upstreamId)
-    return isSound && isInTouch(request.sentAtMs, request.endedAtMs, request.host)
+    const { host, isKept, status, sentAtMs, endedAtMs } = request
+    const upstreamId = executions.at(-1)?.upstreamId
+    if (upstreamId === undefined || status !== undefined || !isKept) return false
+    const isSound = !hasDisruption(['upstream', 'leaving'], sentAtMs - stableWindowMs, endedAtMs, upstreamId)
+    return isSound && isInTouch(sentAtMs, endedAtMs, host)
   })
 }
 
 function findPlannedLosses (records: SoakRecords, losses: readonly Loss[]): readonly Loss[] {
   const counted = losses.filter(loss => {
-    const { request, executions } = loss
-    return (executions.length > 0 || request.endedAtMs - request.writtenAtMs! > lossSlackMs) && !hasUnplannedDisruption(records, loss)
+    const { request: { writtenAtMs, endedAtMs }, executions } = loss
+    const wasRead = executions.length > 0 || endedAtMs - writtenAtMs! > lossSlackMs
+    return wasRead && !hasUnplannedDisruption(records, loss)
   })
   const firstMs = Math.min(...records.requests.map(request => request.sentAtMs))
   const windows = records.disruptions.filter(({ type }) => type === 'configuration').map(({ fromMs, toMs }) => ({
@@ -78,7 +83,9 @@
 function hasUnplannedDisruption ({ disruptions }: SoakRecords, { request, executions }: Loss): boolean {
   const { hasDisruption } = createDisruptionIndex(disruptions)
   const { host, kind, status, sentAtMs, endedAtMs } = request
-  const hasAny = (types: ReadonlyArray<SoakDisruption['type']>, id?: string): boolean => hasDisruption(types, sentAtMs - stableWindowMs, endedAtMs, id)
+  const hasAny = (types: ReadonlyArray<SoakDisruption['type']>, id?: string): boolean => {
+    return hasDisruption(types, sentAtMs - stableWindowMs, endedAtMs, id)
+  }
   if (hasAny(['host'], host)) return true
   // A process without processor time may not have read the request.
   if (executions.length === 0 && hasAny(['slow'], host)) return true
@@ -114,6 +121,9 @@
 function describeLoss ({ request, executions }: Loss, place: string): string {
   const { id, kind, form, host, status, sentAtMs, endedAtMs, isKept, wasReset } = request
   const answer = status === undefined ? 'without an answer' : `within an answer of status ${status}`
-  const upstreams = executions.length === 0 ? 'not executed' : `executed by ${executions.map(execution => execution.upstreamId).join(', ')}`
-  return `LOST: ${place}, ${host} ${wasReset ? 'reset' : 'closed'} the ${isKept ? 'kept ' : ''}connection of ${id} (${kind}, ${form}) ${answer}, ${Math.round(endedAtMs - sentAtMs)} ms after it was sent at ${Math.round(sentAtMs)} ms; ${upstreams}`
+  const upstreams = executions.map(execution => execution.upstreamId).join(', ')
+  const connection = `${isKept ? 'kept ' : ''}connection of ${id} (${kind}, ${form})`
+  const time = `${Math.round(endedAtMs - sentAtMs)} ms after it was sent at ${Math.round(sentAtMs)} ms`
+  const outcome = upstreams === '' ? 'not executed' : `executed by ${upstreams}`
+  return `LOST: ${place}, ${host} ${wasReset ? 'reset' : 'closed'} the ${connection} ${answer}, ${time}; ${outcome}`
 }
--- a/playground/soak/checkPropagation.ts
+++ b/playground/soak/checkPropagation.ts
@@ -7,8 +7,8 @@
 const lateExecutionMs = 500
 
 /**
- * Checks, while all hosts are in touch, that the newest configuration, the leaving of an upstream and the leaving of a client
- * take effect in time.
+ * Checks, while all hosts are in touch, that the newest configuration, the leaving of an upstream and the leaving of a
+ * client take effect in time.
  */
 export function checkPropagation ({ requests, executions, disruptions }: SoakRecords): readonly string[] {
   const { configurationMs, drainMs } = soakConstants
@@ -24,14 +24,22 @@
     if (hasLeft && atMs > endedAtMs + lateExecutionMs) late.push(requestId)
     const found: string[] = []
     // A version may apply until the time in which the next one must be in force.
-    const services = configurations.filter((_, i) => (configurations[i + 1]?.fromMs ?? Infinity) >= sentAtMs - configurationMs).map(({ id }) => id)
-    if ((kind === 'safe' || kind === 'once') && !services.includes(service) && configurations.some(({ id }) => id === service)) {
-      found.push(`CONFIG: ${requestId} was sent at ${Math.round(sentAtMs)} ms and executed at ${service}, which only an older configuration names`)
+    const isInForce = configurations.some(({ id }, i) => {
+      return id === service && (configurations[i + 1]?.fromMs ?? Infinity) >= sentAtMs - configurationMs
+    })
+    const isPlain = kind === 'safe' || kind === 'once'
+    if (isPlain && !isInForce && configurations.some(({ id }) => id === service)) {
+      const sent = `${requestId} was sent at ${Math.round(sentAtMs)} ms`
+      found.push(`CONFIG: ${sent} and executed at ${service}, which only an older configuration names`)
+    }
+    const leavingMs = Math.round(atMs - (leaving.find(({ id }) => id === upstreamId)?.fromMs ?? Infinity))
+    if (leavingMs > drainMs) {
+      found.push(`DRAIN: ${requestId} reached ${upstreamId} ${leavingMs} ms after it began to leave`)
     }
-    const leftAtMs = leaving.find(({ id }) => id === upstreamId)?.fromMs ?? Infinity
-    if (atMs > leftAtMs + drainMs) found.push(`DRAIN: ${requestId} reached ${upstreamId} ${Math.round(atMs - leftAtMs)} ms after that one was leaving`)
     return found
   })
-  const gone = late.length > maxLateExecutions ? [`GONE: ${late.length} requests were executed over ${lateExecutionMs} ms after their clients had left: ${late.slice(0, 5).join(' ')}`] : []
-  return [...violations, ...gone]
+  if (late.length <= maxLateExecutions) return violations
+  const examples = late.slice(0, 5).join(' ')
+  const lateness = `over ${lateExecutionMs} ms after their clients had left`
+  return [...violations, `GONE: ${late.length} requests were executed ${lateness}: ${examples}`]
 }
--- a/playground/soak/checkRefusals.ts
+++ b/playground/soak/checkRefusals.ts
@@ -12,5 +12,6 @@
   })
   if (denied.length <= maxDenied + requests.length * maxDeniedShare) return []
   const examples = denied.slice(0, 5).map(({ id, status }) => `${id} ${status}`).join(', ')
-  return [`DENIED: ${denied.length} of ${requests.length} requests were refused for good though every configuration allows them: ${examples}`]
+  const count = `${denied.length} of ${requests.length} requests`
+  return [`DENIED: ${count} were refused for good though every configuration allows them: ${examples}`]
 }
--- a/playground/soak/checkSoak.ts
+++ b/playground/soak/checkSoak.ts
@@ -33,7 +33,7 @@
  * - `BUDGET`: an upstream was given more time than the client's remaining time.
  * - `ROUTE`: a request was executed at a service that no configuration allows.
  * - `DENIED`: requests that every configuration allows were refused for good.
- * - `FAULT`: a process ended by itself or by a signal that it must handle, took too much memory or did not become ready.
+ * - `FAULT`: a process ended by itself or by a signal that it must handle, took too much memory or was not ready.
  * - `LOST`: a host closed the connection of a request that has no complete answer.
  * - `CONFIG`, `DRAIN`, `GONE`: a configuration, the leaving of an upstream or of a client took effect too late.
  * - `RECOVER`: too few requests were served after the faults had ended.
--- a/playground/soak/main.ts
+++ b/playground/soak/main.ts
@@ -36,7 +36,9 @@
     })
     const outcome = result.violations.length === 0 ? 'ok' : 'FAILED'
     const faults = result.plan.map(fault => fault.type).join(' ')
-    console.log(`seed ${seed}: ${outcome}; ${result.served} of ${result.requests} requests served, ${result.runs} executions at upstreams, at most ${result.peakMemoryMb} MB, hosts slowed for ${result.slowedMs} ms; faults: ${faults}`)
+    const requests = `${result.served} of ${result.requests} requests served, ${result.runs} executions at upstreams`
+    const hosts = `at most ${result.peakMemoryMb} MB, hosts slowed for ${result.slowedMs} ms`
+    console.log(`seed ${seed}: ${outcome}; ${requests}, ${hosts}; faults: ${faults}`)
     for (const [rule, violations] of buildRuleGroups(result.violations)) {
       console.log(`  ${violations.length} x ${rule}`)
       for (const violation of violations.slice(0, 3)) console.log(`    ${violation}`)
--- a/playground/soak/parseAnswers.ts
+++ b/playground/soak/parseAnswers.ts
@@ -7,7 +7,7 @@
   readonly isComplete: boolean
 }
 
-/** Splits the bytes that a client received on a connection (as latin1) into the answers, the last of which may be incomplete. */
+/** Splits what a client received on a connection (as latin1) into answers, the last of which may be incomplete. */
 export function parseAnswers (text: string): readonly ParsedAnswer[] {
   const answers: ParsedAnswer[] = []
   let start = 0
@@ -16,7 +16,10 @@
     if (headEnd < 0) return answers
     const [line = '', ...fields] = text.slice(start, headEnd).split('\r\n')
     const status = Number(line.split(' ')[1])
-    const headers = new Map(fields.map(field => [field.slice(0, field.indexOf(':')).toLowerCase(), field.slice(field.indexOf(':') + 1).trim()] as const))
+    const headers = new Map(fields.map(field => {
+      const colon = field.indexOf(':')
+      return [field.slice(0, colon).toLowerCase(), field.slice(colon + 1).trim()] as const
+    }))
     const { body, end } = headers.get('transfer-encoding') === 'chunked'
       ? parseChunks(text, headEnd + 4)
       : parseSized(text, headEnd + 4, Number(headers.get('content-length') ?? Infinity))
--- a/playground/soak/rawClient.ts
+++ b/playground/soak/rawClient.ts
@@ -15,11 +15,20 @@
 }
 
 const kinds = ['safe', 'once', 'safe', 'once', 'stream', 'brittle'] as const
-const forms = ['plain', 'plain', 'plain', 'refused', 'malformed-tail', 'half-closed', 'slow-body', 'large-body'] as const
+const forms = [
+  'plain',
+  'plain',
+  'plain',
+  'refused',
+  'malformed-tail',
+  'half-closed',
+  'slow-body',
+  'large-body'
+] as const
 const maxBatchSize = 5
 const maxBatches = 4
 
-/** A client that keeps its connections until they are closed and sends several requests at once on them, in various forms. */
+/** A client that sends several requests at once on kept connections, in various forms. */
 export class RawClient {
   private readonly directory: SoakDirectory
   private requestCount = 0
@@ -50,7 +59,8 @@
       const isBodyForm = form === 'slow-body' || form === 'large-body'
       const count = form === 'half-closed' ? 1 : 2 + Math.floor(random() * (maxBatchSize - 1))
       const refusedIndex = form === 'refused' ? Math.floor(random() * count) : -1
-      const body = form === 'large-body' ? 'x'.repeat(Math.ceil(random() * soakConstants.maxClientBodyBytes)) : undefined
+      const bodyBytes = Math.ceil(random() * soakConstants.maxClientBodyBytes)
+      const body = form === 'large-body' ? 'x'.repeat(bodyBytes) : undefined
       const drafts = Array.from({ length: count }, (_, i): SoakDraft => buildDraft({
         kind: isBodyForm && i === count - 1 ? 'once' : kinds[Math.floor(random() * kinds.length)]!,
         client: this.options.name,
--- a/playground/soak/readRuntimeStartMs.ts
+++ b/playground/soak/readRuntimeStartMs.ts
@@ -1,7 +1,10 @@
 import { execFile } from 'node:child_process'
 import { promisify } from 'node:util'
 
-const program = "process.on('SIGHUP', () => {}); console.log(require('fs').readFileSync('/proc/self/schedstat', 'utf8'))"
+const program = `
+process.on('SIGHUP', () => {})
+console.log(require('fs').readFileSync('/proc/self/schedstat', 'utf8'))
+`
 
 /** Reads the processor time, in ms, after which a process of this Node.js can handle its first signal. */
 export async function readRuntimeStartMs (): Promise<number> {
--- a/playground/soak/runFault.ts
+++ b/playground/soak/runFault.ts
@@ -26,11 +26,15 @@
     return deployment.store.removeHistory()
   }
   if (type.startsWith('store-link-')) {
-    return await runLinkFault(resolveLinkFault(type.slice('store-link-'.length), target), host.storeProxy, forMs, deployment.recordDisruption('host', host.ipAddress))
+    const recordEnd = deployment.recordDisruption('host', host.ipAddress)
+    await runLinkFault(resolveLinkFault(type.slice('store-link-'.length), target), host.storeProxy, forMs)
+    return recordEnd()
   }
   if (type.startsWith('store-')) return await runStoreFault(type.slice('store-'.length) as StoreFault, deployment, forMs)
   if (type.startsWith('upstream-link-')) {
-    return await runLinkFault(resolveLinkFault(type.slice('upstream-link-'.length), target), upstream.proxy, forMs, deployment.recordDisruption('upstream', upstream.options.id))
+    const recordEnd = deployment.recordDisruption('upstream', upstream.options.id)
+    await runLinkFault(resolveLinkFault(type.slice('upstream-link-'.length), target), upstream.proxy, forMs)
+    return recordEnd()
   }
   if (type === 'upstream-replaced') return await killAndReplaceUpstream(upstream, deployment)
   if (type === 'configuration') return deployment.writeConfiguration(target % 2 === 0 ? 'shop' : 'shop-b')
@@ -69,11 +73,10 @@
   return name as LinkFault
 }
 
-async function runLinkFault (fault: LinkFault, proxy: { applyFault (fault: LinkFault): void }, forMs: number, recordEnd: () => void): Promise<void> {
+async function runLinkFault (fault: LinkFault, proxy: { applyFault (fault: LinkFault): void }, forMs: number): Promise<void> {
   proxy.applyFault(fault)
   await waitMs(forMs)
   proxy.applyFault('none')
-  recordEnd()
 }
 
 async function runStoreFault (fault: StoreFault, deployment: SoakDeployment, forMs: number): Promise<void> {
--- a/playground/soak/runSignalFault.ts
+++ b/playground/soak/runSignalFault.ts
@@ -12,14 +12,17 @@
 /** Connections that send a large body at once, and those among them that send its last byte. */
 const largeBodies = { connections: 120, completed: 6 } as const
 
-/** Injects one of `signalFaultTypes` into a host; resolves when it has ended and the host's process has been started. */
-export async function runSignalFault ({ type, forMs, target }: SoakFault, host: SoakHost, deployment: SoakDeployment): Promise<void> {
+/** Injects one of `signalFaultTypes`; resolves when it has ended and the host's process has been started. */
+export async function runSignalFault (fault: SoakFault, host: SoakHost, deployment: SoakDeployment): Promise<void> {
+  const { type, atMs, forMs, target } = fault
   const random = createSeededRandom(target)
   switch (type) {
-    case 'configurations': return await sendSeries(random, forMs, async () => { deployment.writeConfiguration(random() < 0.5 ? 'shop' : 'shop-b') })
+    case 'configurations': return await sendSeries(random, forMs, async () => {
+      deployment.writeConfiguration(random() < 0.5 ? 'shop' : 'shop-b')
+    })
     case 'reloads': return await sendReloads(random, forMs, host)
-    case 'large-bodies': return await sendLargeBodies(`burst-${target}`, forMs, host, deployment)
-    case 'rolling-stops': return await runRollingStops(random, forMs, target, deployment)
+    case 'large-bodies': return await sendLargeBodies(`burst-${target}-${Math.round(atMs)}`, forMs, host, deployment)
+    case 'rolling-stops': return await runRollingStops(fault, random, deployment)
     case 'start-reloaded':
     case 'start-stopped':
       await host.stopProcess()
@@ -66,7 +69,11 @@
   }
 }
 
-async function runRollingStops (random: Random, forMs: number, target: number, { hosts }: SoakDeployment): Promise<void> {
+async function runRollingStops (
+  { forMs, target }: SoakFault,
+  random: Random,
+  { hosts }: SoakDeployment
+): Promise<void> {
   const count = Math.max(1, Math.floor(hosts.length / 2))
   const intervalMs = random() * forMs / count
   await Promise.all(Array.from({ length: count }, async (_, i) => {
@@ -79,7 +86,12 @@
 }
 
 /** Sends large bodies that are all held back at their last byte; a few are completed, the other clients leave. */
-async function sendLargeBodies (client: string, heldMs: number, host: SoakHost, { requests }: SoakDeployment): Promise<void> {
+async function sendLargeBodies (
+  client: string,
+  heldMs: number,
+  host: SoakHost,
+  { requests }: SoakDeployment
+): Promise<void> {
   const body = 'x'.repeat(soakConstants.maxBodyBytes)
   const timeoutMs = soakConstants.clientTimeoutMs
   await Promise.all(Array.from({ length: largeBodies.connections }, async (_, i) => {
--- a/playground/soak/runSoak.ts
+++ b/playground/soak/runSoak.ts
@@ -28,12 +28,15 @@
   try {
     await deployment.start(program, hosts, seed % networkCount)
     await deployment.waitReady()
-    const clients = Array.from({ length: options.clients + options.pipeliningClients }, (_, i) => new (i < options.clients ? SoakClient : RawClient)({
-      name: `s${seed}c${i}`,
-      directories: deployment.hosts.map(host => host.directoryAddress),
-      random: createSeededRandom(seed * 1000 + i),
-      onRequest: request => { deployment.requests.push(request) }
-    }))
+    const clients = Array.from({ length: options.clients + options.pipeliningClients }, (_, i) => {
+      const Client = i < options.clients ? SoakClient : RawClient
+      return new Client({
+        name: `s${seed}c${i}`,
+        directories: deployment.hosts.map(host => host.directoryAddress),
+        random: createSeededRandom(seed * 1000 + i),
+        onRequest: request => { deployment.requests.push(request) }
+      })
+    })
     const ended = clients.map(async client => { await client.run() })
     await Promise.all(plan.map(async fault => {
       await waitMs(fault.atMs)
@@ -45,6 +48,7 @@
     await Promise.all(ended)
     await deployment.stopHosts()
     const records = deployment.buildRecords(endedAtMs)
+    const slowed = records.runs.flatMap(run => run.slowed)
     return {
       seed,
       plan,
@@ -53,7 +57,7 @@
       served: records.requests.filter(request => request.status === 200 && request.isComplete).length,
       runs: records.executions.length,
       peakMemoryMb: Math.round(Math.max(...records.runs.map(run => run.peakMemoryMb))),
-      slowedMs: Math.round(records.runs.flatMap(run => run.slowed).reduce((sum, { fromMs, toMs }) => sum + toMs - fromMs, 0)),
+      slowedMs: Math.round(slowed.reduce((sum, { fromMs, toMs }) => sum + toMs - fromMs, 0)),
       violations: checkSoak(records),
       logs: deployment.hosts.map(host => ({ host: host.id, lines: host.listLogLines() }))
     }
--- a/playground/soak/soakDeployment.ts
+++ b/playground/soak/soakDeployment.ts
@@ -45,7 +45,15 @@
       for (let i = 0; i < service.count; i++) await this.addUpstream(service.name, service.type)
     }
     for (let index = 0; index < hostCount; index++) {
-      this.hosts.push(await new SoakHost({ index, network, folder: this.folder, program, storeAddress: this.store.address, runtimeStartMs, restartDelayMs: soakConstants.restartDelayMs }).start())
+      this.hosts.push(await new SoakHost({
+        index,
+        network,
+        folder: this.folder,
+        program,
+        storeAddress: this.store.address,
+        runtimeStartMs,
+        restartDelayMs: soakConstants.restartDelayMs
+      }).start())
     }
   }
 
@@ -115,7 +123,12 @@
         ...type === 'stage' ? { pieces } : {},
         ...type === 'engine' ? { engine: { slots: 8, kvCacheTokens: 10_000 } } : {}
       })),
-      limits: { maxHeaderBytes: 16_384, maxBodyBytes: soakConstants.maxBodyBytes, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
+      limits: {
+        maxHeaderBytes: 16_384,
+        maxBodyBytes: soakConstants.maxBodyBytes,
+        headerTimeoutMs: 3000,
+        idleTimeoutMs: 15_000
+      },
       tenants: [{ name: 'account-1', apiKeys: ['soak-key'] }]
     })
   }
@@ -130,7 +143,9 @@
     const { requests, pieces, allowedServices } = this
     return {
       requests,
-      executions: this.executions.map(execution => ({ ...execution, endedAtMs: this.executionEnds.get(execution.signature) })),
+      executions: this.executions.map(execution => {
+        return { ...execution, endedAtMs: this.executionEnds.get(execution.signature) }
+      }),
       pieces,
       runs: this.hosts.flatMap(host => host.listRuns()),
       disruptions: [...this.ownDisruptions, ...this.hosts.flatMap(host => buildHostDisruptions(host.listRuns()))],
--- a/playground/soak/soakDraft.ts
+++ b/playground/soak/soakDraft.ts
@@ -1,6 +1,7 @@
 import type { SoakRequest } from './soakRequest.js'
 
 /** A request that is about to be sent. */
-export interface SoakDraft extends Pick<SoakRequest, 'id' | 'kind' | 'method' | 'path' | 'body' | 'timeoutMs' | 'isAllowed'> {
+export interface SoakDraft
+  extends Pick<SoakRequest, 'id' | 'kind' | 'method' | 'path' | 'body' | 'timeoutMs' | 'isAllowed'> {
   readonly headers: Readonly<Record<string, string>>
 }
--- a/playground/soak/soakHost.ts
+++ b/playground/soak/soakHost.ts
@@ -40,8 +40,8 @@
 }
 
 /**
- * One host of a soak test: a process of the product, which reaches the store through a fault-injecting proxy. While a process
- * drains, a second one can be started at the same address.
+ * One host of a soak test: a process of the product, which reaches the store through a fault-injecting proxy. While a
+ * process drains, a second one can be started at the same address.
  */
 export class SoakHost {
   readonly id: string
@@ -88,7 +88,8 @@
    */
   startProcess (isOverlapping = false): boolean {
     const running = this.processes.filter(process => process.isRunning)
-    if (this.isStopped || running.some(process => !process.isStopping) || running.length > (isOverlapping ? 1 : 0)) return false
+    const isOccupied = running.some(process => !process.isStopping) || running.length > (isOverlapping ? 1 : 0)
+    if (this.isStopped || isOccupied) return false
     if (running.length > 0) this.process = this.createProcess()
     this.process.start()
     return true
@@ -109,7 +110,8 @@
 
   /** Resolves when the runtime of a process can run the program: before that, no program can handle a signal. */
   async waitRuntime (process = this.process): Promise<void> {
-    while (process.isRunning && readProcessorTimes(process.pid).ranMs < (this.options.runtimeStartMs ?? 0) * runtimeStartFactor) await waitMs(2)
+    const neededMs = (this.options.runtimeStartMs ?? 0) * runtimeStartFactor
+    while (process.isRunning && readProcessorTimes(process.pid).ranMs < neededMs) await waitMs(2)
   }
 
   /** All runs of the host's processes, the oldest first. */
@@ -128,11 +130,10 @@
 
   /** Log of all runs, each after a line with its start and end. */
   listLogLines (): readonly string[] {
-    return this.processes.flatMap(process => process.runs).flatMap(({ startedAtMs, signals, end, lines, errorLines }) => [
-      `run ${JSON.stringify({ startedAtMs, signals, end })}`,
-      ...lines,
-      ...errorLines
-    ])
+    const runs = this.processes.flatMap(process => process.runs)
+    return runs.flatMap(({ startedAtMs, signals, end, lines, errorLines }) => {
+      return [`run ${JSON.stringify({ startedAtMs, signals, end })}`, ...lines, ...errorLines]
+    })
   }
 
   /** Writes the settings file with a new heartbeat interval, so that each reload has a change to apply. */
@@ -198,7 +199,8 @@
       // With the options of the test runner, its modules load and handle signals before the program does.
       excludedVariables: ['NODE_OPTIONS'],
       onEnd: () => {
-        if (restartDelayMs !== undefined && !process.isStopping) setTimeout(() => { this.startProcess() }, restartDelayMs)
+        if (restartDelayMs === undefined || process.isStopping) return
+        setTimeout(() => { this.startProcess() }, restartDelayMs)
       }
     })
     this.processes.push(process)
@@ -213,7 +215,8 @@
     }
     const isReady = await this.isReady()
     const sample = current === undefined ? undefined : this.samples.get(current)
-    if (isReady && !wasStopping && sample !== undefined) this.samples.set(current!, { ...sample, lastReadyAtMs: performance.now() })
+    if (!isReady || wasStopping || sample === undefined) return
+    this.samples.set(current!, { ...sample, lastReadyAtMs: performance.now() })
   }
 
   private updateSample (run: ProcessRun): void {
