fix(gateway): a start waits for the addresses of the process before it

Operators saw a process that is started while the old one of its address still runs or drains end at once with EADDRINUSE, and their supervisors start it again and again.

Cause: listening was tried once. Change: each address is tried every 50 ms until it is free, with a line in the log, for the grace period of a stop (the drain time-out of 'serve') plus 5 s over all addresses; then 'address_in_use' and status 1. A stop signal ends the wait with status 0, and reload signals are kept. The host is ready with all its ports only, because it reads the configuration after it has them. The gRPC server keeps the result of its first attempt to listen, so its address is checked with a plain socket before it.

Listening also left an error listener behind, which swallowed the first error of a server that listened already.

Ruled out: SO_REUSEPORT, with which the old process would go on getting new connections while it drains.

'guards against a process that ends because the one before it still listens at its addresses' (8 clients, two processes that wait, one of them stopped): on both ended with status 1; now the waiting one serves when the old one has ended, and no request is cut.

--- a/src/node/app/__tests__/hostSignals.test.ts
+++ b/src/node/app/__tests__/hostSignals.test.ts
@@ -15,6 +15,8 @@
 const network = 252
 const hangUpNumber = 1
 const answerDelayMs = 300
+/** More than the interval at which a host renews its entry in the store. */
+const entryRenewalMs = 2000
 
 // Sends the process a signal at the first module that its entry file loads.
 const buildSignalHook = (signal: string): string => `
@@ -58,6 +60,11 @@
     t.teardown(async () => { await host.process.kill().finally(() => { host.storeProxy.stop() }) })
     return host
   }
+  const createClients = (options: ConstructorParameters<typeof ConnectedClients>[0]): ConnectedClients => {
+    const clients = new ConnectedClients(options)
+    t.teardown(async () => { await clients.stop() })
+    return clients
+  }
   const listLines = (host: SoakHost, message: string): ReadonlyArray<Record<string, unknown>> => {
     return host.process.listOutputLines().map(line => JSON.parse(line) as Record<string, unknown>).filter(line => line.message === message)
   }
@@ -107,7 +114,7 @@
     const ids = Array.from({ length: 6 }, (_, i) => 4 + i)
     await Promise.all(ids.map(async index => {
       const host = await createHost(index)
-      const clients = new ConnectedClients({ address: `${host.ipAddress}:7001`, path: '/once/x', method: 'POST', count: 8 })
+      const clients = createClients({ address: `${host.ipAddress}:7001`, path: '/once/x', method: 'POST', count: 8 })
       await waitUntil(() => listLines(host, 'host starting').length > 0)
       await delay((index - 4) * 20)
       host.process.sendSignal('SIGTERM')
@@ -121,7 +128,7 @@
     const host = await createHost(10)
     await host.waitReady()
     const options = { address: `${host.ipAddress}:7001`, method: 'POST', count: 24 }
-    const clients = [new ConnectedClients({ ...options, path: '/once/x' }), new ConnectedClients({ ...options, path: '/stream/x', method: 'GET' })]
+    const clients = [createClients({ ...options, path: '/once/x' }), createClients({ ...options, path: '/stream/x', method: 'GET' })]
     await delay(500)
     for (const signal of ['SIGTERM', 'SIGTERM', 'SIGINT', 'SIGTERM', 'SIGHUP'] as const) {
       host.process.sendSignal(signal)
@@ -145,4 +152,25 @@
     t.equal(await host.process.waitEnd(), 130)
     t.match(listLines(host, 'process ends'), [{ status: 130, reason: 'second SIGINT' }])
   })
+
+  t.test('guards against a process that ends because the one before it still listens at its addresses', async t => {
+    const old = await createHost(12)
+    await old.waitReady()
+    const clients = createClients({ address: `${old.ipAddress}:7001`, path: '/once/x', method: 'POST', count: 8 })
+    const host = await createHost(12)
+    const cancelled = await createHost(12)
+    await waitUntil(() => [host, cancelled].every(({ process }) => process.listOutputLines().some(line => line.includes('address in use'))))
+    host.process.reload()
+    cancelled.process.sendSignal('SIGTERM')
+    t.equal(await cancelled.process.waitEnd(), 0)
+    old.process.sendSignal('SIGTERM')
+    t.equal(await old.process.waitEnd(), 0)
+    await host.waitReady()
+    const servedCount = clients.countStatus(200)
+    await waitUntil(() => clients.countStatus(200) > servedCount)
+    await clients.stop()
+    t.same(clients.listCut(listForwarded()), [])
+    await delay(entryRenewalMs)
+    t.match(JSON.parse(fleet.store.find('lycheetrack/hosts/host-12') ?? '{}'), { id: 'host-12', isReady: true })
+  })
 })
--- a/src/node/app/entryHost.ts
+++ b/src/node/app/entryHost.ts
@@ -1,5 +1,9 @@
 import type { Server } from 'node:http'
 import { setTimeout as delay } from 'node:timers/promises'
+import { AddressWaiter } from '../listeners/addressWaiter.js'
+import { listenerConstants } from '../listeners/constants.js'
+import { openListener } from '../listeners/openListener.js'
+import { systemClock } from '../../shared/systemClock.js'
 import { waitUnlessAborted } from '../../shared/waitUnlessAborted.js'
 import type { HostList } from '../../types/hostList.js'
 import type { KeyValueService } from '../../types/keyValueService.js'
@@ -48,10 +52,11 @@
 
   /** Resolves when the host is ready, or when it serves and `stopSignal` is aborted; rejects with its reason before that. */
   async start (stopSignal?: AbortSignal): Promise<void> {
-    const { listen, peerListen, logger, server, transport } = this.components
-    await transport.start(peerListen)
-    stopSignal?.throwIfAborted()
-    await this.openServer(listen, server)
+    const { settings, listen, peerListen, logger, server, transport } = this.components
+    const limitMs = settings.drainTimeoutMs + listenerConstants.addressWaitMarginMs
+    const waiter = new AddressWaiter({ limitMs, stopSignal, clock: systemClock, logger })
+    await waiter.open(peerListen, async () => await transport.start(peerListen))
+    await waiter.open(listen, async () => { await this.openServer(listen, server) })
     logger.recordInfo('listening', { address: listen, peerAddress: peerListen })
     await waitUnlessAborted(this.startServices(), stopSignal).catch(error => {
       if (stopSignal?.aborted !== true) throw error
@@ -113,9 +118,7 @@
 
   private async openServer (listen: string, server: Server): Promise<void> {
     const separator = listen.lastIndexOf(':')
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject)
-      server.listen({ port: Number(listen.slice(separator + 1)), host: listen.slice(0, separator).replace(/^\[|\]$/g, ''), backlog: serverConstants.listenBacklog }, resolve)
-    })
+    const host = listen.slice(0, separator).replace(/^\[|\]$/g, '')
+    await openListener(server, { port: Number(listen.slice(separator + 1)), host, backlog: serverConstants.listenBacklog })
   }
 }
--- a/src/node/app/gatewayHost.ts
+++ b/src/node/app/gatewayHost.ts
@@ -1,7 +1,10 @@
 import { setTimeout as delay } from 'node:timers/promises'
+import { AddressWaiter } from '../listeners/addressWaiter.js'
 import { gatewayConstants } from './gatewayConstants.js'
+import { listenerConstants } from '../listeners/constants.js'
 import type { GatewayComponents } from './gatewayComponents.js'
 import type { HostSettings } from '../gateway/model/hostSettings.js'
+import type { StatusServer } from '../gateway/ingress/statusServer.js'
 import type { ReloadableHost } from '../cli/reloadableHost.js'
 
 /** A gateway host, from its start to the end of its drain. */
@@ -19,12 +22,13 @@
   /** Resolves when the host listens at all its addresses. Rejects when it cannot, or with the reason of `stopSignal`. */
   async start (stopSignal?: AbortSignal): Promise<void> {
     const settings = this.components.settings.get()
-    const { ingress, storeWatcher, registrar, logger } = this.components
+    const { ingress, storeWatcher, registrar, clock, logger } = this.components
+    const limitMs = settings.timings.gracePeriodMs + listenerConstants.addressWaitMarginMs
+    const waiter = new AddressWaiter({ limitMs, stopSignal, clock, logger })
     try {
-      await this.startInternalServers()
-      stopSignal?.throwIfAborted()
+      await this.startInternalServers(waiter)
       // Clients come last: from here on, a stop drains the host.
-      await ingress.start(settings.clientAddress)
+      await waiter.open(settings.clientAddress, async () => { await ingress.start(settings.clientAddress) })
     } catch (error) {
       await this.stopComponents()
       throw error
@@ -139,15 +143,19 @@
     errorGuard.stop()
   }
 
-  private async startInternalServers (): Promise<void> {
+  private async startInternalServers (waiter: AddressWaiter): Promise<void> {
     const { readinessServer, directoryServer, metricsServer, metricsAddress, transport, logger } = this.components
     const { readinessAddress, directoryAddress, ipAddress, firstPeerPort } = this.components.settings.get()
+    const startServer = async (server: StatusServer, address: string): Promise<void> => {
+      await waiter.open(address, async () => { await server.start(address) })
+    }
     await Promise.all([
-      readinessServer.start(readinessAddress),
-      directoryServer !== undefined && directoryAddress !== undefined ? directoryServer.start(directoryAddress) : undefined,
-      metricsServer.start(metricsAddress)
+      startServer(readinessServer, readinessAddress),
+      directoryServer !== undefined && directoryAddress !== undefined ? startServer(directoryServer, directoryAddress) : undefined,
+      startServer(metricsServer, metricsAddress)
     ])
-    const port = await transport.start(`${ipAddress}:${firstPeerPort}`)
+    const peerAddress = `${ipAddress}:${firstPeerPort}`
+    const port = await waiter.open(peerAddress, async () => await transport.start(peerAddress))
     logger.recordInfo('peer server started', { port })
   }
 }
--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -4,6 +4,7 @@
 import { ClientResponse } from './clientResponse.js'
 import { decodeInputError } from './decodeInputError.js'
 import { ingressConstants } from './constants.js'
+import { openListener } from '../../listeners/openListener.js'
 import { readRequestBody } from './readRequestBody.js'
 import { RequestRun } from './requestRun.js'
 import type { ClientExchange } from './clientExchange.js'
@@ -62,10 +63,7 @@
 
   async start (address: string): Promise<void> {
     const [host, port] = address.split(':')
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject)
-      this.server.listen(Number(port), host, ingressConstants.listenBacklog, () => { resolve() })
-    })
+    await openListener(this.server, { port: Number(port), host, backlog: ingressConstants.listenBacklog })
   }
 
   applyLimits (limits: IngressLimits): void {
--- a/src/node/gateway/ingress/statusServer.ts
+++ b/src/node/gateway/ingress/statusServer.ts
@@ -1,4 +1,5 @@
 import { createServer } from 'node:http'
+import { openListener } from '../../listeners/openListener.js'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 
 interface StatusResponse {
@@ -17,10 +18,7 @@
 
   async start (address: string): Promise<void> {
     const [host, port] = address.split(':')
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject)
-      this.server.listen(Number(port), host, () => { resolve() })
-    })
+    await openListener(this.server, { port: Number(port), host })
   }
 
   stop (): void {
--- /dev/null
+++ b/src/node/listeners/constants.ts
@@ -0,0 +1,7 @@
+/** Parameters of listening sockets. */
+export const listenerConstants = {
+  /** Pause before an address in use is tried again. */
+  addressRetryMs: 50,
+  /** Time for which an address in use is waited for, beyond the time that another process may take for its stop. */
+  addressWaitMarginMs: 5000
+} as const
--- a/src/node/peers/grpcPeerTransport.ts
+++ b/src/node/peers/grpcPeerTransport.ts
@@ -6,6 +6,7 @@
 import type { PeerSessionHandler } from '../../types/peerSessionHandler.js'
 import type { PeerSessions } from '../../types/peerSessions.js'
 import type { PeerTransport } from '../../types/peerTransport.js'
+import { checkAddressFree } from './checkAddressFree.js'
 import { PeerUnavailableError } from '../../shared/peerUnavailableError.js'
 import { peerConstants } from './constants.js'
 import { PeerAuthenticator } from './peerAuthenticator.js'
@@ -39,8 +40,12 @@
     this.authenticator.setSecret(secret)
   }
 
-  /** Starts listening on `listenAddress` (`ip:port`) and resolves to the bound port. */
+  /**
+   * Starts listening on `listenAddress` (`ip:port`) and resolves to the bound port. Rejects with `PeerUnavailableError`;
+   * may be called again when the cause is that the address is in use.
+   */
   async start (listenAddress: string): Promise<number> {
+    await checkAddressFree(listenAddress)
     return await new Promise((resolve, reject) => {
       this.server.bindAsync(listenAddress, ServerCredentials.createInsecure(), (error, port) => {
         if (error) reject(new PeerUnavailableError(`cannot listen on ${listenAddress}`, { cause: error }))
