fix(gateway): write the host entry again when another process has replaced it

Clients were not sent to a host, although it was ready, when writes of the process before it were late: a slow store may apply its last entry (not ready), or the end of its lease, after the new process has registered. The new process compared its entry only with what it had written itself, so this lasted until its readiness changed.

--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -215,6 +215,7 @@
       else upstreams.applyEntry(entry)
     }
   }
+  const hostKey = `${platformConstants.hostPrefix}${hostId}`
   const hostSection: StoreSection = {
     prefix: platformConstants.hostPrefix,
     onSnapshot: (items, cause) => {
@@ -223,6 +224,7 @@
     },
     onChange: change => {
       const entry = change.type === 'written' ? hostEntryCodec.decode(change.item.value) : undefined
+      if ((change.type === 'written' ? change.item.key : change.key) === hostKey) registrar.onStored(entry)
       if (entry !== undefined) hosts.applyEntry(entry)
       else if (change.type === 'removed') hosts.removeHost(change.key.slice(platformConstants.hostPrefix.length))
     }
@@ -289,7 +291,7 @@
     getTimes: () => computeWatchTimes(settingsHolder.get().timings),
     sections: [configurationSection, ...outdatedItemFilters, crashSection, secretSection]
   })
-  const registrar = new HostRegistrar({ store, key: `${platformConstants.hostPrefix}${hostId}`, logger, getEntry: () => hosts.getSelf() })
+  const registrar = new HostRegistrar({ store, key: hostKey, logger, getEntry: () => hosts.getSelf() })
 
   const relayClient = new RelayClient({ hosts, sessions: transport, clock, random, logger, metrics })
   const answerMemory = new AnswerMemory({ limitBytes: computeAnswerMemory(settings.memoryBytes), logger, metrics })
--- a/src/node/gateway/hosts/hostRegistrar.ts
+++ b/src/node/gateway/hosts/hostRegistrar.ts
@@ -40,6 +40,17 @@
     })
   }
 
+  /**
+   * Compares a change of the stored entry with this process; undefined when the entry was removed. The last writes of the
+   * process before this one may arrive late, so the next renewal replaces what another process has left.
+   */
+  onStored (entry: HostEntry | undefined): void {
+    if (this.isStopped || this.registeredValue === undefined) return
+    if (entry?.startedAtMs === this.options.getEntry().startedAtMs) return
+    this.options.logger.recordWarning('host entry overwritten or removed', { startedAtMs: entry?.startedAtMs })
+    this.registeredValue = undefined
+  }
+
   /** Ends the lease, which removes the entry. */
   async stop (): Promise<void> {
     this.isStopped = true
