fix(gateway): drain the host when unexpected errors keep coming

Callers lost every request in progress when a host met more than 20 unexpected errors in 10 s.

Cause: the error guard ended the process at once with status 70. Change: the host drains as after SIGTERM, and the process ends with status 70 after it ('unexpected_errors'). It ends at once only when no host serves yet, which has no requests, and when the drain is not over within the grace period, which the errors may have broken.

Ruled out: an end at once when errors go on during the drain at a high rate.

--- a/src/node/app/__tests__/hostSignals.test.ts
+++ b/src/node/app/__tests__/hostSignals.test.ts
@@ -173,4 +173,18 @@
     await delay(entryRenewalMs)
     t.match(JSON.parse(fleet.store.find('lycheetrack/hosts/host-12') ?? '{}'), { id: 'host-12', isReady: true })
   })
+
+  t.test('guards against unexpected errors that end the process with its requests in progress', async t => {
+    const hook = join(product.folder, 'unexpectedErrors.cjs')
+    writeFileSync(hook, "process.on('SIGUSR2', () => { for (let i = 0; i < 30; i++) setImmediate(() => { throw new TypeError('unexpected') }) })")
+    const host = await createHost(13, ['--require', hook])
+    await host.waitReady()
+    const clients = createClients({ address: `${host.ipAddress}:7001`, path: '/once/x', method: 'POST', count: 24 })
+    await delay(500)
+    host.process.sendSignal('SIGUSR2')
+    t.equal(await host.process.waitEnd(), 70)
+    await clients.stop()
+    t.same(clients.listCut(listForwarded()), [])
+    t.match(listLines(host, 'process ends'), [{ status: 70 }])
+  })
 })
--- a/src/node/app/__tests__/malformedInput.test.ts
+++ b/src/node/app/__tests__/malformedInput.test.ts
@@ -113,7 +113,7 @@
   const messages: string[] = []
   let nowMs = 0
   const logger = { ...createSilentLogger(), recordError: (message: string, fields?: object) => { messages.push(`${message} ${JSON.stringify({ ...fields, stack: undefined })}`) } }
-  const guard = new ErrorGuard({ process: guarded, logger, clock: { readMonotonicMs: () => nowMs, readWallMs: () => nowMs } })
+  const guard = new ErrorGuard({ process: guarded, logger, clock: { readMonotonicMs: () => nowMs, readWallMs: () => nowMs }, getDrainLimitMs: () => 50 })
   guard.start()
   for (let i = 0; i < 60; i++) {
     nowMs += 1000
@@ -121,8 +121,24 @@
   }
   t.same(exits, [], 'one error a second')
   for (let i = 0; i < 25; i++) guarded.emit('uncaughtException', new RangeError('too many'))
-  t.equal(exits[0], 70)
+  t.same(exits, [70], 'a host that has not started')
   guard.stop()
   t.equal(guarded.listenerCount('uncaughtException'), 0)
   t.matchSnapshot([messages[0], messages.at(-1)])
 })
+
+t.test('errors that keep coming drain the host once, and the process ends when the drain does not', async t => {
+  const exits: number[] = []
+  const failures: Error[] = []
+  const guarded = Object.assign(new EventEmitter(), { exit: (status: number) => { exits.push(status) } })
+  const clock = { readMonotonicMs: () => 0, readWallMs: () => 0 }
+  const guard = new ErrorGuard({ process: guarded, logger: createSilentLogger(), clock, getDrainLimitMs: () => 50 })
+  guard.start()
+  guard.setHost({ drain: failure => { failures.push(failure) } })
+  for (let i = 0; i < 100; i++) guarded.emit('uncaughtException', new RangeError('too many'))
+  t.match(failures, [{ code: 'unexpected_errors' }])
+  t.same(exits, [])
+  await new Promise(resolve => setTimeout(resolve, 100))
+  t.same(exits, [70])
+  guard.stop()
+})
--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -77,10 +77,10 @@
   const metrics = createMetrics()
   const logger = new RateLimitedLogger(createLogger({ host: hostId, failureDomain, write: options.writeLine ?? createOutputWriter() }), clock)
   logger.recordInfo('host starting', { pid: process.pid })
-  const errorGuard = new ErrorGuard({ process, logger, clock })
+  const settingsHolder = new HostSettingsHolder(settings, logger)
+  const errorGuard = new ErrorGuard({ process, logger, clock, getDrainLimitMs: () => settingsHolder.get().timings.gracePeriodMs })
   errorGuard.start()
 
-  const settingsHolder = new HostSettingsHolder(settings, logger)
   const storeEra = new StoreEra(logger, metrics)
   const storeClient = new StoreHttpClient(settings.storeAddress, metrics, storeEra)
   const store = new PlatformStore(storeClient, storeEra)
@@ -375,5 +375,6 @@
     errorGuard
   })
   await host.start(stopSignal)
+  errorGuard.setHost(host)
   return host
 }
--- a/src/node/app/gatewayConstants.ts
+++ b/src/node/app/gatewayConstants.ts
@@ -13,7 +13,7 @@
   responseFlushMs: 150,
   /** Interval at which a stopping host closes connections that have become idle. */
   idleCloseIntervalMs: 50,
-  /** Unexpected errors within the window after which the process ends: a fault of one request shows once or a few times. */
+  /** Unexpected errors within the window after which the host stops: a fault of one request shows once or a few times. */
   maxUnexpectedErrors: 20,
   unexpectedErrorWindowMs: 10_000,
   /** Exit status after too many unexpected errors. */
--- a/src/node/app/gatewayHost.ts
+++ b/src/node/app/gatewayHost.ts
@@ -12,6 +12,7 @@
   private readonly stopped: Promise<void>
   private resolveStopped = (): void => {}
   private isDraining = false
+  private failure: Error | undefined
   private areUpstreamsLoaded = false
   private missingEntryTimer: NodeJS.Timeout | undefined
 
@@ -71,7 +72,9 @@
     this.components.logger.recordError('settings not readable', { reason: message, outcome: 'the old settings stay' })
   }
 
-  drain (): void {
+  /** Starts the planned stop; after one with a failure, `waitUntilStopped` rejects with it. */
+  drain (failure?: Error): void {
+    this.failure ??= failure
     if (this.isDraining) return
     this.isDraining = true
     this.components.logger.recordInfo('drain started', { requests: this.components.ingress.requestCount })
@@ -88,6 +91,7 @@
 
   async waitUntilStopped (): Promise<void> {
     await this.stopped
+    if (this.failure !== undefined) throw this.failure
   }
 
   /** Serves the requests that clients send until they learn other addresses, then closes the remaining connections. */
--- a/src/node/cli/runCommandLine.ts
+++ b/src/node/cli/runCommandLine.ts
@@ -1,10 +1,10 @@
 import { cliConstants } from './constants.js'
+import { computeExitStatus } from './computeExitStatus.js'
 import { createProgram } from './createProgram.js'
 import { findCommand } from './findCommand.js'
 import { listCommands } from './listCommands.js'
 import { LycheetrackError } from '../../shared/lycheetrackError.js'
 import { parseArguments } from './parseArguments.js'
-import { SettingsError } from '../settings/settingsError.js'
 import { UsageError } from './usageError.js'
 import { validateArguments } from './validateArguments.js'
 import type { Command } from './command.js'
@@ -16,17 +16,17 @@
 
 /**
  * Runs the subcommand that `argv` names (`argv` as in `process.argv`). Resolves with the exit status:
- * 0 for success, 1 for a failure, 2 for an invalid command line or invalid settings.
+ * 0 for success, 1 for a failure, 2 for an invalid command line or invalid settings, 70 after too many unexpected errors.
  */
 export async function runCommandLine (argv: readonly string[], dependencies: CommandLineDependencies): Promise<number> {
   try {
     return await runCommand(argv, dependencies)
   } catch (error) {
     if (!(error instanceof LycheetrackError)) return reportSystemError(error, dependencies)
-    const isUsage = error instanceof UsageError || error instanceof SettingsError
+    const status = computeExitStatus(error)
     for (const line of error.message.split('\n')) dependencies.writeError(`error: ${line}`)
-    if (!isUsage) dependencies.writeError(`code: ${error.code}`)
-    return isUsage ? exitStatus.usage : exitStatus.failure
+    if (status !== exitStatus.usage) dependencies.writeError(`code: ${error.code}`)
+    return status
   }
 }
 
--- a/src/node/cli/runHostUntilSignal.ts
+++ b/src/node/cli/runHostUntilSignal.ts
@@ -1,4 +1,5 @@
 import { cliConstants } from './constants.js'
+import { computeExitStatus } from './computeExitStatus.js'
 import { decideSignal } from './decideSignal.js'
 import { RateLimitedLogger } from '../gateway/logs/rateLimitedLogger.js'
 import { StartCancelledError } from './startCancelledError.js'
@@ -44,7 +45,7 @@
     logger.recordInfo('process ends', { status, reason: status !== 0 ? 'second SIGINT' : host === undefined ? 'start cancelled' : 'drained' })
     return status
   } catch (error) {
-    logger.recordError('process ends', { status: cliConstants.exitStatus.failure, reason: (error as Error).message })
+    logger.recordError('process ends', { status: computeExitStatus(error), reason: (error as Error).message })
     throw error
   }
 
