feat(gateway): log and count the memory of a host near its limits

Cause: a process that is ended for its memory leaves no line, so that its log can't be told from that of a process that was ended by a signal.

Change: the host reads its resident memory and its heap each second, exports them with what it holds within bounds of its own, and logs "memory nearly used up" from 85% of the machine's memory or of the heap limit on, once in 10 s.

Ruled out: a line at the end of the process; one that is killed or runs out of heap can't write it.

--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -1,3 +1,4 @@
+import { getHeapStatistics } from 'node:v8'
 import { AnswerMemory } from '../gateway/answers/answerMemory.js'
 import { chooseAddresses } from '../gateway/hosts/chooseAddresses.js'
 import { RateLimitedLogger } from '../gateway/logs/rateLimitedLogger.js'
@@ -30,11 +31,13 @@
 import { ingressConstants } from '../gateway/ingress/constants.js'
 import { IngressServer } from '../gateway/ingress/ingressServer.js'
 import { platformEndpoints } from '../platform/platformEndpoints.js'
+import { MemoryWatch } from '../gateway/memory/memoryWatch.js'
 import { OutdatedItemFilter } from '../gateway/store/outdatedItemFilter.js'
 import { PeerSecretKeeper } from '../gateway/hosts/peerSecretKeeper.js'
 import { platformConstants } from '../platform/constants.js'
 import { PlatformStore } from '../platform/platformStore.js'
 import { RecentAnswers } from '../gateway/stages/recentAnswers.js'
+import { readMemoryUsage } from '../gateway/memory/readMemoryUsage.js'
 import { readPeerSecretWithRetry } from '../gateway/hosts/readPeerSecretWithRetry.js'
 import { RelayClient } from '../gateway/relays/relayClient.js'
 import { RelayServer } from '../gateway/relays/relayServer.js'
@@ -295,6 +298,17 @@
 
   const relayClient = new RelayClient({ hosts, sessions: transport, clock, random, logger, metrics })
   const answerMemory = new AnswerMemory({ limitBytes: computeAnswerMemory(settings.memoryBytes), logger, metrics })
+  const { memoryBytes } = settings
+  const heapLimitBytes = getHeapStatistics().heap_size_limit
+  const memoryWatch = new MemoryWatch({
+    memoryBytes,
+    heapLimitBytes,
+    readUsage: readMemoryUsage,
+    countHeldBytes: () => ({ answers: answerMemory.totalBytes }),
+    clock,
+    logger,
+    metrics
+  })
   const relayServer = new RelayServer({
     sessions: transport,
     upstreams,
@@ -372,6 +386,7 @@
     outdatedItemFilters,
     transport,
     storeClient,
+    memoryWatch,
     errorGuard
   })
   await host.start(stopSignal)
--- a/src/node/app/gatewayComponents.ts
+++ b/src/node/app/gatewayComponents.ts
@@ -7,6 +7,7 @@
 import type { HostRegistrar } from '../gateway/hosts/hostRegistrar.js'
 import type { HostSettingsHolder } from '../gateway/hosts/hostSettingsHolder.js'
 import type { IngressServer } from '../gateway/ingress/ingressServer.js'
+import type { MemoryWatch } from '../gateway/memory/memoryWatch.js'
 import type { OutdatedItemFilter } from '../gateway/store/outdatedItemFilter.js'
 import type { PeerSecretKeeper } from '../gateway/hosts/peerSecretKeeper.js'
 import type { Logger } from '../../types/logger.js'
@@ -45,5 +46,6 @@
   readonly outdatedItemFilters: readonly OutdatedItemFilter[]
   readonly transport: { start (address: string): Promise<number>, stop (): Promise<void> }
   readonly storeClient: { close (): void }
+  readonly memoryWatch: MemoryWatch
   readonly errorGuard: ErrorGuard
 }
--- a/src/node/app/gatewayHost.ts
+++ b/src/node/app/gatewayHost.ts
@@ -37,6 +37,7 @@
     storeWatcher.run().catch(error => { logger.recordError('store watcher failed', { reason: (error as Error).message }) })
     registrar.updateNow()
     this.components.reachability.start()
+    this.components.memoryWatch.start()
     this.missingEntryTimer = setInterval(() => {
       this.components.upstreams.removeMissing()
       this.components.hosts.removeMissing(this.components.clock.readMonotonicMs())
@@ -127,6 +128,7 @@
       reachability,
       relayClient,
       secretKeeper,
+      memoryWatch,
       errorGuard
     } = this.components
     clearInterval(this.missingEntryTimer)
@@ -136,6 +138,7 @@
     reachability.stop()
     relayClient.drain()
     secretKeeper.stop()
+    memoryWatch.stop()
     await Promise.race([registrar.stop(), delay(gatewayConstants.stopReserveMs / 2)])
     cells.stop()
     stages.stop()
--- a/src/node/gateway/answers/answerMemory.ts
+++ b/src/node/gateway/answers/answerMemory.ts
@@ -16,6 +16,11 @@
 
   constructor (private readonly options: MemoryOptions) {}
 
+  /** Bytes that all answers hold. */
+  get totalBytes (): number {
+    return this.heldBytes
+  }
+
   /** Sets what an answer holds. May evict answers, this one included. */
   update (answer: HeldAnswer, bytes: number): void {
     this.setBytes(answer, bytes)
