fix(ingress): bound the memory and the time that clients' requests take

Seen by callers: a machine that gets many large requests, or many with long heads, is ended, and every request on it is lost (FAULT, LOST).

Cause: of all that a host holds for others, only answers were bounded. A body of up to maxBodyBytes was held for each connection from its first byte to the end of its request, before its route and its key were looked at, and for up to 300 s (the default of Node.js) while it came in. Heads are strings on the heap, which ends the process at the limit of the deploy line, whatever the machine has.

Change: RequestMemory counts what each request holds from its head to its end, heads and bodies apart. A body with a stated length is counted in full when its head has come, so that what is admitted can be read to its end; one without is counted as it comes. The limits follow the machine's memory and the heap limit. An account may hold twice what it leaves free (dynamic thresholds), so one that takes all it gets leaves a third to others, and nobody's request has to be evicted. What does not fit is answered 503 with Retry-After: it has not run.

A request that can't be served (413, 404, 401, 503) is answered before its body when that is long, and Expect: 100-continue is answered after the admission. The rest of the body is read and not kept for 5 s, so that the client is not reset before it has read the response. A body that is not there when its client stops waiting is answered 408, and one that is not there at the end of the drain 503.

Ruled out: evicting the requests of the account that holds most. Their bodies have been paid for, and with shares that shrink with what is left others always find room. Counting a body only as it comes: with 300 of them under way, each is refused in its middle. Pausing the connections of refused requests: what the kernel holds counts too.

--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -41,6 +41,7 @@
 import { readPeerSecretWithRetry } from '../gateway/hosts/readPeerSecretWithRetry.js'
 import { RelayClient } from '../gateway/relays/relayClient.js'
 import { RelayServer } from '../gateway/relays/relayServer.js'
+import { RequestMemory } from '../gateway/memory/requestMemory.js'
 import { RetryBudget } from '../gateway/upstreams/retryBudget.js'
 import { stageCallCodec } from '../platform/stageCallCodec.js'
 import { StageClient } from '../gateway/stages/stageClient.js'
@@ -49,6 +50,7 @@
 import { StageScheduler } from '../gateway/stages/stageScheduler.js'
 import { StatusServer } from '../gateway/ingress/statusServer.js'
 import { computeAnswerMemory } from '../gateway/answers/computeAnswerMemory.js'
+import { computeRequestMemory } from '../gateway/memory/computeRequestMemory.js'
 import { computeHoldMs } from '../gateway/store/computeHoldMs.js'
 import { computeLimitShare } from '../gateway/upstreams/computeLimitShare.js'
 import { computeWatchTimes } from '../gateway/store/computeWatchTimes.js'
@@ -300,11 +302,12 @@
   const answerMemory = new AnswerMemory({ limitBytes: computeAnswerMemory(settings.memoryBytes), logger, metrics })
   const { memoryBytes } = settings
   const heapLimitBytes = getHeapStatistics().heap_size_limit
+  const requestMemory = new RequestMemory({ limits: computeRequestMemory(memoryBytes, heapLimitBytes), clock, logger, metrics })
   const memoryWatch = new MemoryWatch({
     memoryBytes,
     heapLimitBytes,
     readUsage: readMemoryUsage,
-    countHeldBytes: () => ({ answers: answerMemory.totalBytes }),
+    countHeldBytes: () => ({ ...requestMemory.countBytes(), answers: answerMemory.totalBytes }),
     clock,
     logger,
     metrics
@@ -326,6 +329,7 @@
     configuration,
     decodeRequest: decodeClientRequest,
     encodeErrorHeaders,
+    requestMemory,
     dependencies: {
       directory: upstreams,
       stages,
--- a/src/node/gateway/ingress/clientResponse.ts
+++ b/src/node/gateway/ingress/clientResponse.ts
@@ -95,6 +95,23 @@
     this.response.end(body)
   }
 
+  /**
+   * Sends a whole error response while the client may still send its request. The connection is closed after
+   * `endEarlyError`: before, the client would be reset and could lose the response.
+   */
+  writeEarlyError (status: number, code: string, message: string, retryAfterMs?: number): void {
+    if (this.isEnded) return
+    this.isEnded = true
+    const body = buildErrorBody(code, message, status)
+    const headers = this.options.encodeErrorHeaders(this.options.requestId, retryAfterMs)
+    this.response.writeHead(status, [...headers, 'content-length', String(Buffer.byteLength(body)), 'connection', 'close'])
+    this.response.write(body)
+  }
+
+  endEarlyError (): void {
+    this.response.end()
+  }
+
   /** Closes the connection, so that a started response does not look complete. */
   closeIncomplete (reason: string): void {
     if (this.isEnded) return
--- a/src/node/gateway/ingress/constants.ts
+++ b/src/node/gateway/ingress/constants.ts
@@ -14,6 +14,10 @@
   maxPipelinedRequests: 16,
   /** Time for which a connection is read on after an error was sent that closes it. */
   errorLingerMs: 500,
+  /** The body of a refused request is read for this time, so that the client gets the response. */
+  discardTimeoutMs: 5000,
+  /** A refused request with a longer body, or with one of unknown length, is answered before its body is read. */
+  maxDiscardBytes: 65_536,
   /** Interval at which connections are checked for timeouts. */
   connectionCheckMs: 1000,
   /** Timeouts that apply until a configuration is in force. */
--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -3,18 +3,26 @@
 import { ClientConnection } from './clientConnection.js'
 import { ClientResponse } from './clientResponse.js'
 import { decodeInputError } from './decodeInputError.js'
+import { computeRequestSize } from './computeRequestSize.js'
 import { ingressConstants } from './constants.js'
+import { ingressRefusals } from './ingressRefusals.js'
 import { openListener } from '../../listeners/openListener.js'
-import { readRequestBody } from './readRequestBody.js'
+import { RequestBodyReader } from './requestBodyReader.js'
 import { RequestRun } from './requestRun.js'
+import { waitUntilReceived } from './waitUntilReceived.js'
+import type { BodyOutcome } from './bodyOutcome.js'
+import type { ClientAccount } from '../model/clientAccount.js'
 import type { ClientExchange } from './clientExchange.js'
 import type { ClientRequest } from '../model/clientRequest.js'
 import type { ConfigurationHolder } from '../configuration/configurationHolder.js'
 import type { CutOffRequest } from './cutOffRequest.js'
 import type { ErrorHeaderEncoder } from './errorHeaderEncoder.js'
+import type { HeldRequest } from '../memory/heldRequest.js'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { InputError } from './inputError.js'
 import type { IngressLimits } from '../model/ingressLimits.js'
+import type { IngressRefusal } from './ingressRefusal.js'
+import type { RequestMemory } from '../memory/requestMemory.js'
 import type { RequestRunDependencies } from './requestRunDependencies.js'
 import type { Route } from '../model/route.js'
 import type { Socket } from 'node:net'
@@ -22,10 +30,35 @@
 interface IngressOptions {
   readonly configuration: ConfigurationHolder
   readonly dependencies: RequestRunDependencies
+  readonly requestMemory: RequestMemory
   readonly encodeErrorHeaders: ErrorHeaderEncoder
   readonly decodeRequest: (request: IncomingMessage) => ClientRequest | undefined
 }
 
+interface Admission {
+  readonly route: Route
+  readonly account: ClientAccount | null
+  readonly configurationVersion: number
+  /** Monotonic time at which the request gets its response at the latest. */
+  readonly deadlineAtMs: number
+}
+
+/** A request that is being taken in. */
+interface Intake {
+  readonly exchange: ClientExchange
+  readonly clientResponse: ClientResponse
+  readonly request: ClientRequest | undefined
+  /** Undefined when there is no memory for the request. */
+  readonly held: HeldRequest | undefined
+}
+
+const bodyRefusals: Readonly<Record<Exclude<BodyOutcome, Buffer | 'incomplete'>, IngressRefusal>> = {
+  'too-large': ingressRefusals.bodyTooLarge,
+  'no-memory': ingressRefusals.memoryUsedUp,
+  late: ingressRefusals.bodyLate,
+  stopped: ingressRefusals.stopping
+}
+
 /** The HTTP server for clients. */
 export class IngressServer {
   private readonly server: Server
@@ -33,6 +66,7 @@
   private stopsAtMs: number | undefined
   private readonly connections = new Map<Socket, ClientConnection>()
   private readonly runs = new Set<RequestRun>()
+  private readonly bodyReaders = new Set<RequestBodyReader>()
 
   constructor (private readonly options: IngressOptions) {
     this.server = createServer({
@@ -44,6 +78,8 @@
       connectionsCheckingInterval: ingressConstants.connectionCheckMs,
       noDelay: true
     }, (request, response) => { this.onRequest(request, response) })
+    // Clients that ask before they send a body are told to go on when it is admitted.
+    this.server.on('checkContinue', (request, response) => { this.onRequest(request, response) })
     // To Node.js, a connection is idle when its response has ended, although the client may not have read it yet.
     this.server.closeIdleConnections = () => {
       for (const connection of this.connections.values()) connection.closeIfIdle()
@@ -76,8 +112,9 @@
     this.stopsAtMs = stopsAtMs
   }
 
-  /** Sends the requests in progress their final response and cuts off streams. */
+  /** Sends the requests in progress their final response and cuts off streams; refuses those that are being received. */
   endRequests (): void {
+    for (const reader of this.bodyReaders) reader.stop()
     for (const run of this.runs) run.endNow('the host stops')
   }
 
@@ -130,7 +167,7 @@
   }
 
   private async serveRequest (connection: ClientConnection, exchange: ClientExchange): Promise<void> {
-    const { message, response, arrivedAtMs } = exchange
+    const { message, response } = exchange
     const { configuration, dependencies, decodeRequest } = this.options
     const request = decodeRequest(message)
     exchange.requestId = request?.id
@@ -144,74 +181,51 @@
         dependencies.logger.recordInfo('response broken off', { requestId: request?.id, ...brokenOff })
       }
     })
-    const current = configuration.getCurrent()
-    // Without a configuration the request is refused below, so its body is read but not kept.
-    const body = await exchange.waitForBody(readRequestBody(message, current?.limits.maxBodyBytes ?? 0))
+    const size = computeRequestSize(message)
+    const isTooLarge = (size.bodyBytes ?? 0) > (configuration.getCurrent()?.limits.maxBodyBytes ?? Infinity)
+    const admission = isTooLarge ? ingressRefusals.bodyTooLarge : this.admit(request, exchange)
+    const held = this.options.requestMemory.admit(getMemoryGroup(admission), size.headBytes)
+    const intake = { exchange, clientResponse, request, held }
+    try {
+      if ('status' in admission) return await this.refuse(intake, admission)
+      if (held?.admitBody(size.bodyBytes ?? 0) !== true) return await this.refuse(intake, ingressRefusals.memoryUsedUp)
+      await this.serveAdmitted(intake, admission, size.bodyBytes === undefined)
+    } finally {
+      held?.release()
+    }
+  }
+
+  private async serveAdmitted (intake: Intake, admission: Admission, isChunked: boolean): Promise<void> {
+    const { configuration, dependencies } = this.options
+    const { exchange, clientResponse, request, held } = intake
+    const { message, response, arrivedAtMs } = exchange
+    if (/(?:^|\W)100-continue(?:$|\W)/i.test(message.headers.expect ?? '')) response.writeContinue()
+    const body = await this.readBody(exchange, new RequestBodyReader(message, {
+      maxBytes: configuration.getCurrent()!.limits.maxBodyBytes,
+      timeoutMs: admission.deadlineAtMs - dependencies.clock.readMonotonicMs(),
+      admitBytes: bytes => !isChunked || held!.admitBody(bytes)
+    }))
+    if (typeof body === 'string' && body !== 'incomplete') return await this.refuseEarly(intake, bodyRefusals[body])
     if (!await exchange.waitForTurn()) return
     if (exchange.inputError !== undefined) {
       const { status, code } = exchange.inputError
-      return this.refuse(clientResponse, { request, status, code: 'malformed_request', reason: `the request is not readable: ${code}` })
-    }
-    if (current === undefined) {
-      return this.refuse(clientResponse, {
-        request,
-        status: 503,
-        code: 'not_ready',
-        reason: 'no configuration yet',
-        retryAfterMs: ingressConstants.notReadyRetryAfterMs
-      })
+      return await this.refuse(intake, { status, code: 'malformed_request', reason: `the request is not readable: ${code}` })
     }
-    if (body === 'too-large') return this.refuse(clientResponse, { request, status: 413, code: 'body_too_large', reason: 'body too large' })
     if (body === 'incomplete') return clientResponse.closeIncomplete('the request is incomplete')
-    if (message.httpVersion === '1.1' && message.headers.host === undefined) {
-      return this.refuse(clientResponse, { request, status: 400, code: 'host_required', reason: 'no Host header' })
-    }
-    if (request === undefined) return this.refuse(clientResponse, { status: 400, code: 'request_id_required', reason: 'no request id' })
-    // The newest configuration applies, even if it arrived while the body was read.
-    const { version } = configuration.getCurrent()!
-    const route = configuration.findRoute(request.hostName, request.target.split('?')[0]!)
-    if (route === undefined) {
-      return this.refuse(clientResponse, {
-        request,
-        status: 404,
-        code: 'unknown_route',
-        reason: `no route for ${request.hostName}`
-      })
-    }
-    const account = configuration.findAccount(route, request.apiKey)
-    if (account === undefined) return this.refuse(clientResponse, { request, status: 401, code: 'unauthorized', reason: 'unknown API key' })
-    const nowMs = dependencies.clock.readMonotonicMs()
-    const stopsAtMs = this.stopsAtMs ?? Infinity
-    if (stopsAtMs - nowMs < this.computeServingMs(route)) {
-      return this.refuse(clientResponse, {
-        request,
-        status: 503,
-        code: 'host_stopping',
-        reason: 'the host stops before the request would end',
-        retryAfterMs: ingressConstants.stoppingRetryAfterMs
-      })
-    }
-    const limitMs = Math.min((request.timeLeftMs ?? route.timeoutMs) - ingressConstants.responseMarginMs, route.timeoutMs)
-    const deadlineAtMs = Math.min(stopsAtMs, arrivedAtMs + limitMs)
-    if (deadlineAtMs <= nowMs) {
-      return this.refuse(clientResponse, {
-        request,
-        status: 503,
-        code: 'overloaded',
-        reason: 'the deadline has passed',
-        retryAfterMs: ingressConstants.busyRetryAfterMs
-      })
-    }
+    // The newest configuration applies, even if it arrived while the body was read or the request waited for its turn.
+    const current = this.admit(request, exchange)
+    if ('status' in current) return await this.refuse(intake, current)
+    const { route, account, configurationVersion, deadlineAtMs } = current
     const run = new RequestRun({
-      request,
+      request: request!,
       route,
       account,
       body,
       response: clientResponse,
-      configurationVersion: version,
+      configurationVersion,
       arrivedAtMs,
       deadlineAtMs,
-      targetAtMs: arrivedAtMs + computeTargetLeftMs(route, request.timeLeftMs)
+      targetAtMs: arrivedAtMs + computeTargetLeftMs(route, request!.timeLeftMs)
     }, dependencies)
     exchange.isPassedOn = () => run.isPassedOn
     response.once('close', () => { run.cancel() })
@@ -224,6 +238,36 @@
     }
   }
 
+  private async readBody (exchange: ClientExchange, reader: RequestBodyReader): Promise<BodyOutcome> {
+    this.bodyReaders.add(reader)
+    try {
+      return await exchange.waitForBody(reader.read())
+    } finally {
+      reader.stop()
+      this.bodyReaders.delete(reader)
+    }
+  }
+
+  /** Decides from its head and the time whether a request is served. */
+  private admit (request: ClientRequest | undefined, { message, arrivedAtMs }: ClientExchange): Admission | IngressRefusal {
+    const { configuration, dependencies } = this.options
+    const current = configuration.getCurrent()
+    if (current === undefined) return ingressRefusals.notReady
+    if (message.httpVersion === '1.1' && message.headers.host === undefined) return ingressRefusals.hostMissing
+    if (request === undefined) return ingressRefusals.idMissing
+    const route = configuration.findRoute(request.hostName, request.target.split('?')[0]!)
+    if (route === undefined) return { status: 404, code: 'unknown_route', reason: `no route for ${request.hostName}` }
+    const account = configuration.findAccount(route, request.apiKey)
+    if (account === undefined) return ingressRefusals.unauthorized
+    const nowMs = dependencies.clock.readMonotonicMs()
+    const stopsAtMs = this.stopsAtMs ?? Infinity
+    if (stopsAtMs - nowMs < this.computeServingMs(route)) return ingressRefusals.stopping
+    const limitMs = Math.min((request.timeLeftMs ?? route.timeoutMs) - ingressConstants.responseMarginMs, route.timeoutMs)
+    const deadlineAtMs = Math.min(stopsAtMs, arrivedAtMs + limitMs)
+    if (deadlineAtMs <= nowMs) return ingressRefusals.deadlinePassed
+    return { route, account, configurationVersion: current.version, deadlineAtMs }
+  }
+
   /** Time in which requests of a route usually get their whole answer. */
   private computeServingMs ({ callKind, targets }: Route): number {
     const { minStreamTimeMs, minPlainTimeMs, stopDurationFactor } = ingressConstants
@@ -233,25 +277,39 @@
     return Math.max(minPlainTimeMs, usualMs * stopDurationFactor)
   }
 
-  private refuse (clientResponse: ClientResponse, refusal: {
-    readonly request?: ClientRequest,
-    readonly status: number,
-    readonly code: string,
-    readonly reason: string,
-    readonly retryAfterMs?: number
-  }): void {
+  /** Refuses a request after its body when that is short, so that the connection can be used again, or else at once. */
+  private async refuse (intake: Intake, refusal: IngressRefusal): Promise<void> {
+    const { exchange, clientResponse, held } = intake
+    const { message } = exchange
+    const { bodyBytes = Infinity } = computeRequestSize(message)
+    const { discardTimeoutMs, maxDiscardBytes } = ingressConstants
+    const isBodyDue = message.headers.expect === undefined && bodyBytes <= maxDiscardBytes && held !== undefined
+    if (!message.complete && !isBodyDue && exchange.inputError === undefined) return await this.refuseEarly(intake, refusal)
+    this.recordRefusal(intake, refusal)
+    if (exchange.inputError === undefined) await exchange.waitForBody(waitUntilReceived(message, discardTimeoutMs))
+    clientResponse.writeError(refusal.status, refusal.code, refusal.reason, refusal.retryAfterMs)
+  }
+
+  /** Refuses a request before it has arrived. The rest is read but not kept, so that the client gets the response. */
+  private async refuseEarly (intake: Intake, refusal: IngressRefusal): Promise<void> {
+    const { exchange, clientResponse, held } = intake
+    this.recordRefusal(intake, refusal)
+    held?.releaseBody()
+    clientResponse.writeEarlyError(refusal.status, refusal.code, refusal.reason, refusal.retryAfterMs)
+    if (held !== undefined) await exchange.waitForBody(waitUntilReceived(exchange.message, ingressConstants.discardTimeoutMs))
+    clientResponse.endEarlyError()
+  }
+
+  private recordRefusal ({ request }: Intake, { status, code, reason }: IngressRefusal): void {
     const { logger, metrics } = this.options.dependencies
-    const { request, status, code, reason, retryAfterMs } = refusal
-    const version = this.options.configuration.getCurrent()?.version
-    logger.recordInfo('request rejected', {
-      requestId: request?.id,
-      status,
-      code,
-      reason,
-      path: request?.target,
-      configurationVersion: version
-    })
+    const configurationVersion = this.options.configuration.getCurrent()?.version
+    const path = request?.target
+    logger.recordInfo('request rejected', { requestId: request?.id, status, code, reason, path, configurationVersion })
     metrics.addCount('requests_rejected', { code })
-    clientResponse.writeError(status, code, reason, retryAfterMs)
   }
 }
+
+function getMemoryGroup (admission: Admission | IngressRefusal): string {
+  if ('status' in admission) return 'refused'
+  return admission.account === null ? `route ${admission.route.name}` : `account ${admission.account.name}`
+}
--- /dev/null
+++ b/src/node/gateway/ingress/requestSize.ts
@@ -0,0 +1,7 @@
+/** Size of a request, as its head states it. */
+export interface RequestSize {
+  /** Bytes of the method, target and header fields. */
+  readonly headBytes: number
+  /** Length of the body; undefined when it ends with its last chunk. */
+  readonly bodyBytes: number | undefined
+}
--- /dev/null
+++ b/src/node/gateway/memory/__tests__/requestMemory.test.ts
@@ -0,0 +1,82 @@
+import t from 'tap'
+import { admitBytes } from '../admitBytes.js'
+import { computeRequestMemory } from '../computeRequestMemory.js'
+import { CountingMetrics } from '../../../../../playground/fakes/countingMetrics.js'
+import { memoryConstants } from '../constants.js'
+import { RequestMemory } from '../requestMemory.js'
+import { silentLogger } from '../../../../../playground/fakes/silentLogger.js'
+import { VirtualClock } from '../../../../../playground/fakes/virtualClock.js'
+import type { LogFields } from '../../../../types/logFields.js'
+
+const megabyte = 1_048_576
+
+function createMemory (lines: LogFields[] = []): { memory: RequestMemory, metrics: CountingMetrics, clock: VirtualClock } {
+  const metrics = new CountingMetrics()
+  const clock = new VirtualClock()
+  const logger = { ...silentLogger, recordWarning: (_: string, fields: LogFields = {}) => { lines.push(fields) } }
+  const limits = { bodyBytes: 900, headBytes: 100 * memoryConstants.requestOverheadBytes }
+  return { memory: new RequestMemory({ limits, clock, logger, metrics }), metrics, clock }
+}
+
+t.test('guards against groups that leave nothing to others', async t => {
+  const limitBytes = 1000
+  let heldBytes = 0
+  const shares: number[] = []
+  for (let group = 0; group < 4; group++) {
+    let groupBytes = 0
+    while (admitBytes({ limitBytes, heldBytes, groupBytes }, 1)) {
+      groupBytes++
+      heldBytes++
+    }
+    shares.push(groupBytes)
+  }
+  t.same(shares, [666, 222, 74, 25])
+  t.ok(heldBytes < limitBytes)
+})
+
+t.test('guards against memory that is not given back when requests end', async t => {
+  const { memory, metrics } = createMemory()
+  const first = memory.admit('account a', 10)!
+  t.ok(first.admitBody(400))
+  t.ok(first.admitBody(200))
+  t.notOk(first.admitBody(1), 'two thirds of the limit')
+  t.equal(metrics.counts.get('request_memory_refusals'), 1)
+  const other = memory.admit('account b', 10)!
+  t.ok(other.admitBody(200), 'others have what is left')
+  const headBytes = 2 * (10 + memoryConstants.requestOverheadBytes)
+  t.match(memory.countBytes(), { requestBodies: 800, requestHeads: headBytes })
+  first.release()
+  first.release()
+  t.notOk(first.admitBody(1), 'nothing is taken after the release')
+  other.release()
+  t.same(memory.countBytes(), { requestBodies: 0, requestBodiesPeak: 800, requestHeads: 0, requestHeadsPeak: headBytes })
+  t.ok(memory.admit('account a', 10)!.admitBody(600))
+})
+
+t.test('guards against heads without bodies that are not counted', async t => {
+  const lines: LogFields[] = []
+  const { memory, clock } = createMemory(lines)
+  let count = 0
+  while (memory.admit('account a', 0) !== undefined) count++
+  t.equal(count, 66)
+  t.not(memory.admit('account b', 0), undefined)
+  memory.admit('account a', 0)
+  t.match(lines, [{ part: 'heads', group: 'account a' }], 'logged once')
+  t.equal(lines.length, 1)
+  await clock.runFor(memoryConstants.logIntervalMs)
+  memory.admit('account a', 0)
+  t.equal(lines.length, 2, 'and once in each interval')
+})
+
+t.test('the memory for requests follows that of the machine and the heap', async t => {
+  const figures = [160, 256, 480, 870].map(memoryMb => {
+    const { bodyBytes, headBytes } = computeRequestMemory(memoryMb * megabyte, 208 * megabyte)
+    return { memoryMb, bodyMb: Math.round(bodyBytes / megabyte), headMb: Math.round(headBytes / megabyte) }
+  })
+  t.same(figures, [
+    { memoryMb: 160, bodyMb: 8, headMb: 16 },
+    { memoryMb: 256, bodyMb: 36, headMb: 26 },
+    { memoryMb: 480, bodyMb: 120, headMb: 48 },
+    { memoryMb: 870, bodyMb: 266, headMb: 78 }
+  ])
+})
--- a/src/node/gateway/memory/constants.ts
+++ b/src/node/gateway/memory/constants.ts
@@ -1,6 +1,20 @@
-/** Parameters of the memory of a host. */
+/** Parameters of the memory that a host allows for requests. */
 export const memoryConstants = {
-  /** Interval of the log lines while the memory of the process is nearly used up. */
+  /** Resident memory of a process that serves requests, without their bodies. */
+  processBytes: 167_772_160,
+  /** Share of the rest of the machine that bodies may take; answers and uncollected buffers need the remainder. */
+  bodyShare: 3 / 8,
+  /** Least memory for bodies, for hosts on the smallest machines. */
+  minBodyBytes: 8_388_608,
+  /** Share of the heap limit that heads may take. */
+  heapShare: 3 / 8,
+  /** Share of the machine's memory that heads may take. */
+  headShare: 1 / 10,
+  /** Heap that a request takes besides the strings of its head. */
+  requestOverheadBytes: 8192,
+  /** A group may hold this multiple of the memory that is left for others. */
+  freeMultiple: 2,
+  /** Interval of the log lines while memory for requests, or of the process, is nearly used up. */
   logIntervalMs: 10_000,
   /** Interval at which the memory of the process is checked. */
   watchIntervalMs: 1000,
--- /dev/null
+++ b/src/node/gateway/memory/requestMemory.ts
@@ -0,0 +1,83 @@
+import { memoryConstants } from './constants.js'
+import { SharedMemory } from './sharedMemory.js'
+import type { Clock } from '../../../types/clock.js'
+import type { HeldRequest } from './heldRequest.js'
+import type { Logger } from '../../../types/logger.js'
+import type { Metrics } from '../../../types/metrics.js'
+import type { RequestMemoryLimits } from './requestMemoryLimits.js'
+
+interface MemoryOptions {
+  readonly limits: RequestMemoryLimits
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly metrics: Metrics
+}
+
+/**
+ * Bounds the memory that all requests of a host take together, from their head to their end: bodies, which are buffers,
+ * and heads, which are strings on the heap.
+ */
+export class RequestMemory {
+  private readonly bodies: SharedMemory
+  private readonly heads: SharedMemory
+  private loggedAtMs = -Infinity
+
+  constructor (private readonly options: MemoryOptions) {
+    this.bodies = new SharedMemory(options.limits.bodyBytes)
+    this.heads = new SharedMemory(options.limits.headBytes)
+  }
+
+  /** Bytes that requests hold now, and the most that they have held. */
+  countBytes (): Readonly<Record<'requestBodies' | 'requestBodiesPeak' | 'requestHeads' | 'requestHeadsPeak', number>> {
+    return {
+      requestBodies: this.bodies.heldBytes,
+      requestBodiesPeak: this.bodies.peakBytes,
+      requestHeads: this.heads.heldBytes,
+      requestHeadsPeak: this.heads.peakBytes
+    }
+  }
+
+  /** Takes memory for the head of a request; undefined when its group may not hold it. */
+  admit (group: string, headBytes: number): HeldRequest | undefined {
+    const heldHeadBytes = headBytes + memoryConstants.requestOverheadBytes
+    if (!this.heads.admit(group, heldHeadBytes)) {
+      this.recordRefusal('heads', this.heads, group, heldHeadBytes)
+      return undefined
+    }
+    let bodyBytes = 0
+    let isReleased = false
+    const releaseBody = (): void => {
+      this.bodies.release(group, bodyBytes)
+      bodyBytes = 0
+    }
+    return {
+      admitBody: bytes => {
+        if (isReleased) return false
+        if (!this.bodies.admit(group, bytes)) {
+          this.recordRefusal('bodies', this.bodies, group, bytes)
+          return false
+        }
+        bodyBytes += bytes
+        return true
+      },
+      releaseBody,
+      release: () => {
+        if (isReleased) return
+        isReleased = true
+        this.heads.release(group, heldHeadBytes)
+        releaseBody()
+      }
+    }
+  }
+
+  private recordRefusal (part: string, memory: SharedMemory, group: string, bytes: number): void {
+    const { clock, logger, metrics } = this.options
+    metrics.addCount('request_memory_refusals', { part })
+    const nowMs = clock.readMonotonicMs()
+    if (nowMs - this.loggedAtMs < memoryConstants.logIntervalMs) return
+    this.loggedAtMs = nowMs
+    const { heldBytes, limitBytes } = memory
+    const groupBytes = memory.countGroupBytes(group)
+    logger.recordWarning('memory for requests used up', { part, group, bytes, groupBytes, heldBytes, limitBytes })
+  }
+}
