fix(relays): count relayed requests in the memory of the relaying host

Change: the requests of a host that relays through this one are a group of the memory for requests. What does not fit is declined, so the host that is cut off asks another one; nothing has been sent. Bodies are passed on as they were received.

Ruled out: a lower number of relayed requests; it bounds small requests more than the memory.

--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -316,6 +316,7 @@
     sessions: transport,
     upstreams,
     answerMemory,
+    requestMemory,
     isCutOff: () => reachability.isCutOff(),
     checkEnded: async upstream => await checkEnded(upstream.address),
     clock,
--- a/src/node/gateway/relays/relayServer.ts
+++ b/src/node/gateway/relays/relayServer.ts
@@ -10,6 +10,7 @@
 import type { PeerSession } from '../../../types/peerSession.js'
 import type { PeerSessionHandler } from '../../../types/peerSessionHandler.js'
 import type { PeerSessions } from '../../../types/peerSessions.js'
+import type { RequestMemory } from '../memory/requestMemory.js'
 import type { UpstreamDirectory } from '../upstreams/upstreamDirectory.js'
 import type { UpstreamEntry } from '../model/upstreamEntry.js'
 
@@ -17,6 +18,7 @@
   readonly sessions: PeerSessions
   readonly upstreams: UpstreamDirectory
   readonly answerMemory: AnswerMemory
+  readonly requestMemory: RequestMemory
   /** Whether this host is cut off from the upstreams itself. */
   readonly isCutOff: () => boolean
   /** Checks whether the process of an upstream has ended. */
@@ -76,7 +78,7 @@
     return {
       onMessage: ({ exchange, cancelledExchangeId }) => {
         if (cancelledExchangeId) cancels.get(cancelledExchangeId)?.()
-        if (exchange != null) this.sendExchange(exchange, session, cancels)
+        if (exchange != null) this.sendExchange(exchange, session, cancels, peerId)
       },
       onClosed: reason => {
         this.openSessions.delete(session)
@@ -89,9 +91,10 @@
   private sendExchange (
     exchange: messages.IRelayExchange,
     session: ReportSession,
-    cancels: Map<number, () => void>
+    cancels: Map<number, () => void>,
+    peerId: string
   ): void {
-    const { upstreams, answerMemory, clock, metrics } = this.options
+    const { upstreams, answerMemory, requestMemory, clock, metrics } = this.options
     const exchangeId = exchange.exchangeId ?? 0
     const state = upstreams.find(exchange.upstreamId ?? '')
     const sendDecline = (declinedReason: string): void => {
@@ -103,6 +106,13 @@
     if (this.relayedCount >= relayConstants.maxRelayed) return sendDecline('too many requests are relayed')
     const isOpen = state?.isOpen(clock.readMonotonicMs()) === true
     if (state === undefined || !isOpen) return sendDecline('the upstream takes no requests')
+    const headers = exchange.headers ?? []
+    const body = decodeBody(exchange.body)
+    const request = requestMemory.admit(`host ${peerId}`, headers.reduce((sum, text) => sum + text.length, 0))
+    if (request?.admitBody(body?.length ?? 0) !== true) {
+      request?.release()
+      return sendDecline('the memory for requests is used up')
+    }
     this.relayedCount++
     state.inFlight++
     const end = (outcome: string, report?: messages.IRelayReport): void => {
@@ -110,6 +120,7 @@
       this.relayedCount--
       state.inFlight--
       answerMemory.remove(held)
+      request.release()
       metrics.addCount('relayed_exchanges', { outcome })
       if (report !== undefined) session.send(report)
       if (this.relayedCount === 0) this.resolveIdle()
@@ -131,8 +142,8 @@
     const cancelExchange = state.pool.sendDirectly({
       method: exchange.method ?? 'GET',
       path: exchange.path ?? '/',
-      headers: exchange.headers ?? [],
-      body: exchange.body != null && exchange.body.length > 0 ? Buffer.from(exchange.body) : undefined,
+      headers,
+      body,
       requestId: exchange.requestId ? exchange.requestId : undefined
     }, {
       onHead: head => {
@@ -170,3 +181,7 @@
     return { kind, detail, wasSent, hasUpstreamEnded: mustCheck && await this.options.checkEnded(upstream) }
   }
 }
+
+function decodeBody (body: Uint8Array | null | undefined): Buffer | undefined {
+  return body == null || body.length === 0 ? undefined : Buffer.from(body.buffer, body.byteOffset, body.length)
+}
--- a/src/node/gateway/relays/relaySession.ts
+++ b/src/node/gateway/relays/relaySession.ts
@@ -56,7 +56,7 @@
     const exchangeId = this.nextExchangeId++
     this.exchanges.set(exchangeId, exchange)
     const { method, path, headers, requestId } = request
-    const body = request.body === undefined ? undefined : Buffer.from(request.body)
+    const body = typeof request.body === 'string' ? Buffer.from(request.body) : request.body
     this.session.send({ exchange: { exchangeId, upstreamId, method, path, headers, body, requestId } })
     return () => {
       if (!this.exchanges.has(exchangeId)) return
