fix(ingress): bound heads by the operator's limit while they come in

Seen by callers: as with bodies, all requests of the machine are lost.

Cause: the HTTP parser took heads of up to 64 KB from each connection, whatever maxHeaderBytes of the configuration says. A head that is not complete is no request yet, so RequestMemory can't count it; its fields are strings on the heap until headerTimeoutMs.

Change: new connections have the limit of the configuration in force.

Ruled out: a lower number of header fields; Node.js leaves out those beyond it, and the upstream would get another request.

--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -105,6 +105,8 @@
   applyLimits (limits: IngressLimits): void {
     this.server.keepAliveTimeout = limits.idleTimeoutMs
     this.server.headersTimeout = limits.headerTimeoutMs
+    // Node.js reads this property for each new connection; only its type is missing.
+    Object.assign(this.server, { maxHeaderSize: Math.min(limits.maxHeaderBytes, ingressConstants.maxHeaderBytes) })
   }
 
   /** From now on, responses ask clients to close their connections, and requests get their response by `stopsAtMs`. */
