fix(gateway): answer clients that close their own direction

A client that sent its requests and then closed its own direction only got no answer: the requests were passed on or not, and the connection was closed (POST, GET and streams, with 0.3 s of work).

Cause: Node.js closes a connection when its client's end arrives, and the host took that for a client that has left.

Change: the end alone is no evidence. A client that has left resets the connection when bytes arrive, so the host sends one that is due an answer '100 Continue' at the end, 200 ms and 1 s later, until a response has begun, and looks for the reset each 50 ms with an empty write. A client of HTTP/1.0, which has no interim responses, counts as left, as before. All its requests are answered before the connection is closed.

Ruled out: a time after which the end counts as leaving, which loses answers that take longer; the peer address of the socket, which Node.js keeps after it was read once; probes that only fail at the next write, which leave a stream in a pause at work.

--- a/src/node/gateway/ingress/clientConnection.ts
+++ b/src/node/gateway/ingress/clientConnection.ts
@@ -1,6 +1,7 @@
 import { STATUS_CODES } from 'node:http'
 import { ClientExchange } from './clientExchange.js'
 import { ingressConstants } from './constants.js'
+import { PresenceCheck } from './presenceCheck.js'
 import type { Clock } from '../../../types/clock.js'
 import type { CutOffReason } from './cutOffReason.js'
 import type { CutOffRequest } from './cutOffRequest.js'
@@ -33,8 +34,7 @@
 
   constructor (private readonly options: ClientConnectionOptions) {
     const { socket } = options
-    const onLeft = (): void => { if (this.closeReason === undefined && socket.writable) this.hasClientLeft = true }
-    socket.prependOnceListener('end', onLeft)
+    socket.once('end', () => { this.onInputEnd() })
     socket.on('error', () => { this.hasClientLeft = true })
     socket.once('close', () => { this.onClosed() })
   }
@@ -120,6 +120,17 @@
     socket.once('close', () => { clearTimeout(timer) })
   }
 
+  /** The client has closed its direction; it may still read. */
+  private onInputEnd (): void {
+    const { socket } = this.options
+    if (this.exchanges.length === 0 || !socket.writable) return
+    const onLeft = (): void => {
+      this.hasClientLeft = true
+      socket.destroy()
+    }
+    new PresenceCheck(socket, () => this.exchanges[0]?.response, onLeft).start()
+  }
+
   private onResponseClosed (exchange: ClientExchange): void {
     const { socket } = this.options
     if (!exchange.response.writableFinished) return
--- a/src/node/gateway/ingress/constants.ts
+++ b/src/node/gateway/ingress/constants.ts
@@ -18,6 +18,10 @@
   discardTimeoutMs: 5000,
   /** A refused request with a longer body, or with one of unknown length, is answered before its body is read. */
   maxDiscardBytes: 65_536,
+  /** Interval at which a client that has closed its direction is checked for having left. */
+  presenceCheckMs: 50,
+  /** Times after this close at which it gets an interim response; some HTTP clients accept no more than five. */
+  presenceProbesAtMs: [0, 200, 1000] as readonly number[],
   /** Interval at which connections are checked for timeouts. */
   connectionCheckMs: 1000,
   /** Timeouts that apply until a configuration is in force. */
--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -80,6 +80,8 @@
     }, (request, response) => { this.onRequest(request, response) })
     // Clients that ask before they send a body are told to go on when it is admitted.
     this.server.on('checkContinue', (request, response) => { this.onRequest(request, response) })
+    // Without this property, which @types/node lacks, Node.js closes the connection when the client ends its direction.
+    Object.assign(this.server, { httpAllowHalfOpen: true })
     // To Node.js, a connection is idle when its response has ended, although the client may not have read it yet.
     this.server.closeIdleConnections = () => {
       for (const connection of this.connections.values()) connection.closeIfIdle()
