fix(gateway): accept request targets in absolute form

A client that sends its target in absolute form (GET http://host/path) got 404, although RFC 9112, section 3.2.2, has every server accept it.

Cause: the target was taken for a path, which no route has.

Change: the decoding of a request splits such a target; its authority replaces the Host header, as the RFC asks, and the upstream gets the path and the query, as for the origin form.

Ruled out: taking any target with a scheme, which would also take paths apart that contain one.

--- a/src/node/platform/decodeClientRequest.ts
+++ b/src/node/platform/decodeClientRequest.ts
@@ -13,17 +13,24 @@
   'kv-from', 'kv-fetch'
 ])
 
-/** Decodes the head of a client request; undefined when it has no request id. */
+/** Scheme and authority of a target in absolute form. */
+const absoluteForm = /^https?:\/\/([^/?#]*)/i
+
+/**
+ * Decodes the head of a client request; undefined when it has no request id. The authority of a target in absolute form
+ * replaces the Host header (RFC 9112, section 3.2.2).
+ */
 export function decodeClientRequest (request: IncomingMessage): ClientRequest | undefined {
   const { headers } = request
   const id = headers[headerNames.requestId]
   if (typeof id !== 'string' || id === '') return undefined
+  const { target, authority } = parseTarget(request.url ?? '/')
   const [promptTokens = 0, maxOutputTokens = 0] = parseNumbers(headers[headerNames.tokenCounts])
   return {
     id,
     method: request.method ?? 'GET',
-    target: request.url ?? '/',
-    hostName: (headers.host ?? '').replace(/:\d+$/, '').toLowerCase(),
+    target,
+    hostName: (authority ?? headers.host ?? '').replace(/:\d+$/, '').toLowerCase(),
     timeLeftMs: parseNumbers(headers[headerNames.timeLeft])[0],
     apiKey: parseApiKey(headers.authorization),
     lastEventId: headers[headerNames.lastEventId] as string | undefined,
@@ -36,6 +43,14 @@
   }
 }
 
+/** Parses the target of a request to its origin form; `authority` is set when it was in absolute form. */
+function parseTarget (url: string): { readonly target: string, readonly authority?: string } {
+  const match = absoluteForm.exec(url)
+  if (match === null) return { target: url }
+  const target = url.slice(match[0].length)
+  return { target: target.startsWith('/') ? target : `/${target}`, authority: match[1]!.replace(/^.*@/, '') }
+}
+
 function parseApiKey (authorization: string | undefined): string | undefined {
   return authorization === undefined ? undefined : /^Token\s+(\S+)\s*$/i.exec(authorization)?.[1] ?? ''
 }
