--- a/src/node/gateway/ingress/buildErrorBody.ts
+++ b/src/node/gateway/ingress/buildErrorBody.ts
@@ -1,5 +1,5 @@
 /** Statuses of error responses to requests that were not run and will not be. */
-const notRunStatuses: readonly number[] = [400, 401, 404, 408, 413, 429, 503]
+const notRunStatuses: readonly number[] = [400, 401, 404, 408, 413, 429, 431, 503]
 
 /** Builds the body of an error response that the gateway generates itself. */
 export function buildErrorBody (code: string, message: string, status: number): string {
