fix(cli): read a settings file that is being written again at the start

Operators saw a host end with status 2 when it was started while its settings file was being written.

Cause: only a reload kept going when the file had faults; the start read it once. Change: the start reads it again every 100 ms for 1 s, then reports all faults as before.

Ruled out: telling a torn file from a wrong one; a file cut at a table is valid TOML that lacks settings.

--- a/src/node/app/__tests__/hostSignals.test.ts
+++ b/src/node/app/__tests__/hostSignals.test.ts
@@ -187,4 +187,18 @@
     t.same(clients.listCut(listForwarded()), [])
     t.match(listLines(host, 'process ends'), [{ status: 70 }])
   })
+
+  t.test('guards against a settings file that is being written and ends the start', async t => {
+    const { folder, program } = product
+    const host = new SoakHost({ index: 14, network, folder, program, storeAddress: fleet.store.address })
+    await host.storeProxy.start()
+    t.teardown(async () => { await host.process.kill().finally(() => { host.storeProxy.stop() }) })
+    writeFileSync(join(folder, 'host-14.toml'), '[listenAddresses]\nfront = "127.')
+    host.process.start()
+    await waitUntil(() => hasSignalHandler(host.process.pid!, hangUpNumber))
+    await delay(400)
+    host.writeSettings()
+    await host.waitReady()
+    t.ok(host.process.isRunning)
+  })
 })
--- a/src/node/cli/commands/gateway.ts
+++ b/src/node/cli/commands/gateway.ts
@@ -1,7 +1,9 @@
 import { createLogger } from '../../logging/createLogger.js'
 import { readHostSettings } from '../../platform/readHostSettings.js'
+import { readStartSettings } from '../readStartSettings.js'
 import { runHostUntilSignal } from '../runHostUntilSignal.js'
 import { SettingsReloader } from '../settingsReloader.js'
+import type { HostSettings } from '../../gateway/model/hostSettings.js'
 import type { Command } from '../command.js'
 
 /** `gateway`: runs a gateway host until it is drained. */
@@ -12,9 +14,10 @@
   example: 'gateway',
   validate: () => [],
   run: async ({ dependencies }) => {
-    const reloader = new SettingsReloader(async () => await readHostSettings(dependencies.environment))
+    const readSettings = async (): Promise<HostSettings> => await readHostSettings(dependencies.environment)
+    const reloader = new SettingsReloader(readSettings)
     const removeListener = dependencies.onSettingsChange(() => { reloader.reload() })
-    const settings = await readHostSettings(dependencies.environment)
+    const settings = await readStartSettings(readSettings, dependencies.wait)
     const writeLine = dependencies.openHostLog('output')
     try {
       return await runHostUntilSignal({
--- a/src/node/cli/constants.ts
+++ b/src/node/cli/constants.ts
@@ -5,6 +5,9 @@
   exitStatus: { success: 0, failure: 1, usage: 2, interrupted: 130 },
   /** Interval at which the settings file is checked for changes. */
   settingsPollMs: 1000,
+  /** Attempts to read the settings for the start, and the pause between two of them. */
+  settingsReadAttempts: 10,
+  settingsRetryMs: 100,
   /** Error codes with which a server reports that a change may have been accepted. */
   uncertainErrorCodes: ['contract_change_uncertain', 'key_value_uncertain', 'internal_error'] as readonly string[],
   /** Time within which a server must begin to respond. */
