fix(cli): a host goes on at SIGUSR2

Cause: the same as for SIGHUP during the start, found in the search for it elsewhere: a signal without a handler ends the process and its requests. Programs that rotate logs or watch files send this one. Change: it is handled like the other signals, logged, and changes nothing. SIGQUIT keeps its meaning, an end at once with a core file, and so does SIGALRM, which nobody sends to a server. SIGPIPE (ignored) and SIGUSR1 (opens the inspector on the loopback address) belong to Node.js and end nothing.

--- a/src/node/app/__tests__/hostSignals.test.ts
+++ b/src/node/app/__tests__/hostSignals.test.ts
@@ -78,6 +78,15 @@
     t.match(listLines(host, 'signal received'), [{ signal: 'SIGHUP', state: 'starting', outcome: 'reload after the start' }])
   })
 
+  t.test('guards against a signal without a meaning for a host that ends the process', async t => {
+    const host = await createHost(15)
+    await host.waitReady()
+    for (const signal of ['SIGUSR2', 'SIGPIPE'] as const) host.process.sendSignal(signal)
+    await waitUntil(() => listLines(host, 'signal received').length > 0)
+    t.match(listLines(host, 'signal received'), [{ signal: 'SIGUSR2', state: 'running', outcome: 'none' }])
+    t.ok(host.process.isRunning)
+  })
+
   t.test('guards against reload signals during the start that end the process or are lost', async t => {
     const host = await createHost(1)
     await waitUntil(() => hasSignalHandler(host.process.pid!, hangUpNumber))
--- a/src/node/cli/__tests__/createTestDependencies.ts
+++ b/src/node/cli/__tests__/createTestDependencies.ts
@@ -43,7 +43,7 @@
   const sendReload = () => { for (const listener of reloadListeners) listener() }
   const sendSignal = (signal: HostSignal) => {
     hostListener?.(signal)
-    if (signal !== 'SIGHUP') for (const listener of listeners) listener(signal)
+    if (signal === 'SIGTERM' || signal === 'SIGINT') for (const listener of listeners) listener(signal)
   }
   return { dependencies, output, errors, files, hostLog, sendSignal, sendReload, hasHostListener: () => hostListener !== undefined }
 }
--- a/src/node/cli/__tests__/decideSignal.test.ts
+++ b/src/node/cli/__tests__/decideSignal.test.ts
@@ -28,3 +28,7 @@
   t.equal(decideSignal('SIGINT', { ...context, state: 'draining' }), 'none')
   t.equal(decideSignal('SIGINT', { ...context, state: 'draining', isInterrupted: true }), 'end')
 })
+
+t.test('SIGUSR2 changes nothing', async t => {
+  for (const state of ['starting', 'running', 'draining'] as const) t.equal(decideSignal('SIGUSR2', { ...context, state }), 'none')
+})
--- a/src/node/cli/hostSignalNames.ts
+++ b/src/node/cli/hostSignalNames.ts
@@ -1,2 +1,2 @@
 /** Signals that a host handles. */
-export const hostSignalNames = ['SIGTERM', 'SIGINT', 'SIGHUP'] as const
+export const hostSignalNames = ['SIGTERM', 'SIGINT', 'SIGHUP', 'SIGUSR2'] as const
