fix(ingress): pass nothing on behind a response that closes its connection

Seen by callers: a request that stood behind one that is refused before its body was passed on to an upstream, and its connection closed without an answer (LOST).

Cause: since such a refusal closes the connection, the parser goes on with what follows the body before the response has ended.

Change: requests on a connection that will be closed are not served. None has been passed on, so clients may send them again.

Ruled out: pausing the connection at the refusal; the client would be reset before it has read the response.

--- a/src/node/app/__tests__/requestBodies.test.ts
+++ b/src/node/app/__tests__/requestBodies.test.ts
@@ -86,6 +86,16 @@
     t.equal(client.getError(), undefined)
   })
 
+  t.test('guards against a request that is passed on behind a response that closes its connection', async t => {
+    const client = open()
+    const next = buildHead('behind', '/once/x', { ...keyA, 'content-length': 2 }) + 'ab'
+    client.write(buildHead('before', '/none/x', { ...keyA, 'content-length': 200_000 }) + rest + next)
+    await waitUntil(() => client.isClosed())
+    await delay(50)
+    t.match(client.getText(), /^HTTP\/1.1 404/)
+    t.notOk(upstream.requests.some(({ headers }) => headers['x-request-id'] === 'behind'))
+  })
+
   t.test('guards against a refusal of a short request that costs its connection', async t => {
     const client = open()
     client.write(buildHead('short', '/none/x', { ...keyA, 'content-length': 2 }) + 'ab')
--- a/src/node/gateway/ingress/clientConnection.ts
+++ b/src/node/gateway/ingress/clientConnection.ts
@@ -93,7 +93,8 @@
     this.closeReason ??= reason
   }
 
-  private refuseRequests (): void {
+  /** Accepts no further requests, because the connection is going to be closed. */
+  refuseRequests (): void {
     if (!this.acceptsRequests) return
     this.acceptsRequests = false
     const last = this.exchanges.at(-1)
--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -45,6 +45,7 @@
 
 /** A request that is being taken in. */
 interface Intake {
+  readonly connection: ClientConnection
   readonly exchange: ClientExchange
   readonly clientResponse: ClientResponse
   readonly request: ClientRequest | undefined
@@ -189,7 +190,7 @@
     const isTooLarge = (size.bodyBytes ?? 0) > (configuration.getCurrent()?.limits.maxBodyBytes ?? Infinity)
     const admission = isTooLarge ? ingressRefusals.bodyTooLarge : this.admit(request, exchange)
     const held = this.options.requestMemory.admit(getMemoryGroup(admission), size.headBytes)
-    const intake = { exchange, clientResponse, request, held }
+    const intake = { connection, exchange, clientResponse, request, held }
     try {
       if ('status' in admission) return await this.refuse(intake, admission)
       if (held?.admitBody(size.bodyBytes ?? 0) !== true) return await this.refuse(intake, ingressRefusals.memoryUsedUp)
@@ -296,9 +297,10 @@
 
   /** Refuses a request before it has arrived. The rest is read but not kept, so that the client gets the response. */
   private async refuseEarly (intake: Intake, refusal: IngressRefusal): Promise<void> {
-    const { exchange, clientResponse, held } = intake
+    const { connection, exchange, clientResponse, held } = intake
     this.recordRefusal(intake, refusal)
     held?.releaseBody()
+    connection.refuseRequests()
     clientResponse.writeEarlyError(refusal.status, refusal.code, refusal.reason, refusal.retryAfterMs)
     if (held !== undefined) await exchange.waitForBody(waitUntilReceived(exchange.message, ingressConstants.discardTimeoutMs))
     clientResponse.endEarlyError()
