--- a/src/node/gateway/ingress/__tests__/clientConnection.test.ts
+++ b/src/node/gateway/ingress/__tests__/clientConnection.test.ts
@@ -26,6 +26,7 @@
   server.on('connection', socket => {
     connection = new ClientConnection({ socket, clock: systemClock, onCutOff: request => { cutOff.push(request) } })
   })
+  Object.assign(server, { httpAllowHalfOpen: true })
   await once(server.listen(0, '127.0.0.1'), 'listening')
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
   t.teardown(() => { server.close() })
