--- a/playground/soak/parseAnswers.ts
+++ b/playground/soak/parseAnswers.ts
@@ -16,6 +16,11 @@
     if (headEnd < 0) return answers
     const [line = '', ...fields] = text.slice(start, headEnd).split('\r\n')
     const status = Number(line.split(' ')[1])
+    // An interim response consists of a head.
+    if (status < 200) {
+      start = headEnd + 4
+      continue
+    }
     const headers = new Map(fields.map(field => {
       const colon = field.indexOf(':')
       return [field.slice(0, colon).toLowerCase(), field.slice(colon + 1).trim()] as const
