fix(gateway): start without waiting for the address of the metrics

Operators whose hosts share an IP address, or with another process on port 9464, saw a host end at its start (EADDRINUSE; address_in_use after the wait). Cause: the metrics were one of the addresses that the start depends on. Change: their server is opened beside the start, with the same wait, and the line 'metrics not served' when that ends. Ruled out: another port, as the deploy file names it. metricsAddress.test.ts failed before: 'is in use after 6200 ms'; passes now (readiness 200 with the port in use).

--- a/src/node/app/gatewayHost.ts
+++ b/src/node/app/gatewayHost.ts
@@ -15,6 +15,7 @@
   private failure: Error | undefined
   private areUpstreamsLoaded = false
   private missingEntryTimer: NodeJS.Timeout | undefined
+  private readonly stopping = new AbortController()
 
   constructor (private readonly components: GatewayComponents) {
     this.stopped = new Promise(resolve => { this.resolveStopped = resolve })
@@ -131,6 +132,7 @@
       memoryWatch,
       errorGuard
     } = this.components
+    this.stopping.abort()
     clearInterval(this.missingEntryTimer)
     storeWatcher.stop()
     for (const filter of outdatedItemFilters) filter.stop()
@@ -151,18 +153,28 @@
   }
 
   private async startInternalServers (waiter: AddressWaiter): Promise<void> {
-    const { readinessServer, directoryServer, metricsServer, metricsAddress, transport, logger } = this.components
+    const { readinessServer, directoryServer, transport, logger } = this.components
     const { readinessAddress, directoryAddress, ipAddress, firstPeerPort } = this.components.settings.get()
     const startServer = async (server: StatusServer, address: string): Promise<void> => {
       await waiter.open(address, async () => { await server.start(address) })
     }
     await Promise.all([
       startServer(readinessServer, readinessAddress),
-      directoryServer !== undefined && directoryAddress !== undefined ? startServer(directoryServer, directoryAddress) : undefined,
-      startServer(metricsServer, metricsAddress)
+      directoryServer !== undefined && directoryAddress !== undefined ? startServer(directoryServer, directoryAddress) : undefined
     ])
+    this.startMetricsServer().catch(error => {
+      if (!this.stopping.signal.aborted) logger.recordError('metrics not served', { reason: (error as Error).message })
+    })
     const peerAddress = `${ipAddress}:${firstPeerPort}`
     const port = await waiter.open(peerAddress, async () => await transport.start(peerAddress))
     logger.recordInfo('peer server started', { port })
   }
+
+  /** Requests are served without metrics, too, so the start does not wait for their address. */
+  private async startMetricsServer (): Promise<void> {
+    const { metricsServer, metricsAddress, settings, clock, logger } = this.components
+    const limitMs = settings.get().timings.gracePeriodMs + listenerConstants.addressWaitMarginMs
+    const waiter = new AddressWaiter({ limitMs, stopSignal: this.stopping.signal, clock, logger })
+    await waiter.open(metricsAddress, async () => { await metricsServer.start(metricsAddress) })
+  }
 }
