fix(ingress): refuse pipelined requests at their turn

Clients with a request behind one that was refused saw a connection that stayed open in a stop and was not read: a request that was sent whole 344 ms after SIGTERM got no answer, and the drain lasted the whole grace period.

Cause: the head of the refusal was decided before the response ahead of it had ended, with keep-alive; the stop then ended reading, and no later response was there to close the connection. Change: a refusal is written at its turn, and a connection that accepts no requests is closed after its last response, whatever that has said.

Ruled out: reading on after the stop; requests would be passed on behind the last response.

closingConnections.test.ts: 'guards against a connection that a stop leaves open...' failed before ('keep-alive').

--- a/src/node/gateway/ingress/clientConnection.ts
+++ b/src/node/gateway/ingress/clientConnection.ts
@@ -139,6 +139,7 @@
     if (socket.writable) {
       if (this.exchanges.length > 0) this.exchanges[0]!.startTurn()
       else if (this.pendingError !== undefined) this.sendError(this.pendingError)
+      else if (!this.acceptsRequests) socket.end()
       return
     }
     if (!this.hasClientLeft) this.setCloseReason('response-closed')
--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -292,6 +292,8 @@
     if (!message.complete && !isBodyDue && exchange.inputError === undefined) return await this.refuseEarly(intake, refusal)
     this.recordRefusal(intake, refusal)
     if (exchange.inputError === undefined) await exchange.waitForBody(waitUntilReceived(message, discardTimeoutMs))
+    // Whether a response closes the connection is known at its turn.
+    if (!await exchange.waitForTurn()) return
     clientResponse.writeError(refusal.status, refusal.code, refusal.reason, refusal.retryAfterMs)
   }
 
