fix(ingress): state the length of an answer when requests wait behind it

Clients that pipeline lost the requests behind an answer that its upstream sent without a stated end: they were neither passed on nor answered, and beside a stop or a reload such requests count as lost.

Cause: such an answer ends with its connection. Change: it has a Content-Length when other requests wait on the connection, as bodies of more than 8 KB have; without others it is passed on in the upstream's form, as before.

--- a/src/node/app/__tests__/closingConnections.test.ts
+++ b/src/node/app/__tests__/closingConnections.test.ts
@@ -58,6 +58,13 @@
     })
   }
 
+  t.test('guards against requests that are lost behind an answer without a stated end', async t => {
+    const client = connect().send(RawClient.buildRequest('ends-1', { target: '/once/unframed' }) + RawClient.buildRequest('ends-2', { target: '/once/x' }))
+    await waitUntil(() => client.answers.length === 2 || client.isClosed)
+    t.same(client.summary, ['200 ends-1', '200 ends-2'])
+    client.close()
+  })
+
   t.test('guards against a connection that a stop leaves open and unread behind a request that was refused early', async t => {
     const client = connect().send(RawClient.buildRequest('stale-1', { target: '/safe/x' }) + RawClient.buildRequest('stale-2', { target: '/none/x' }))
     await waitUntil(() => isPassedOn('stale-1'))
--- a/src/node/gateway/ingress/clientResponse.ts
+++ b/src/node/gateway/ingress/clientResponse.ts
@@ -11,6 +11,8 @@
   readonly requestId: string | undefined
   readonly encodeErrorHeaders: ErrorHeaderEncoder
   readonly isClosing: () => boolean
+  /** Whether requests on the same connection wait for the end of this response. */
+  readonly hasFollowers: () => boolean
   /** Called when a started response is closed before its end. */
   readonly onBrokenOff: (brokenOff: BrokenOffResponse) => void
 }
@@ -33,14 +35,15 @@
 
   /**
    * Forwards an upstream's complete response. A short one without framing ends when the connection closes, as the
-   * upstream's does.
+   * upstream's does, unless other requests wait on the connection.
    */
   writeUpstreamResponse (head: UpstreamResponseHead, body: Buffer, method: string): void {
     if (this.isEnded || this.hasStarted) return
     this.isEnded = true
     const { status, forwardedHeaders, contentLength } = head
     const length = method === 'HEAD' && contentLength !== undefined ? contentLength : body.length
-    if (head.isFramed || method === 'HEAD' || body.length > ingressConstants.maxUnframedBytes) {
+    const isShort = body.length <= ingressConstants.maxUnframedBytes
+    if (head.isFramed || method === 'HEAD' || !isShort || this.options.hasFollowers()) {
       this.writeHead(status, [...forwardedHeaders, 'content-length', String(length)])
     } else {
       this.response.removeHeader('transfer-encoding')
--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -181,6 +181,7 @@
       requestId: request?.id,
       encodeErrorHeaders: this.options.encodeErrorHeaders,
       isClosing: () => connection.decideClosing(exchange, this.stopsAtMs !== undefined),
+      hasFollowers: () => connection.requestCount > 1,
       onBrokenOff: brokenOff => {
         dependencies.metrics.addCount('responses_broken_off', { framed: String(brokenOff.isFramed) })
         dependencies.logger.recordInfo('response broken off', { requestId: request?.id, ...brokenOff })
