fix(ingress): close kept connections when the limit of heads changes

Clients got 431 on kept connections for heads that the configuration in force allows (a 20 KB head after a change from 16 to 32 KB), and connections from before the first configuration kept the limit of 64 KB.

Cause: Node.js gives each connection the limit at its start. Change: when it changes, idle connections are closed, and others after their next response.

Ruled out: a limit of our own behind the parser's, which would have to allow 64 KB on all connections again.

closingConnections.test.ts: 'guards against a kept connection that refuses heads...' failed before (keep-alive).

--- a/src/node/app/__tests__/closingConnections.test.ts
+++ b/src/node/app/__tests__/closingConnections.test.ts
@@ -65,6 +65,21 @@
     client.close()
   })
 
+  t.test('guards against a kept connection that refuses heads by a limit that is no longer in force', async t => {
+    const client = connect().send(RawClient.buildRequest('limit-1', { target: '/safe/x' }))
+    await waitUntil(() => client.answers.length === 1)
+    const busy = connect().send(RawClient.buildRequest('limit-2', { target: '/safe/x' }))
+    await waitUntil(() => isPassedOn('limit-2'))
+    await applyConfiguration({ limits: { ...limits, maxHeaderBytes: 32_768 } })
+    await waitUntil(() => client.isClosed && busy.isClosed)
+    t.same(busy.summary, ['200 limit-2'])
+    t.equal(busy.answers[0]?.headers.connection, 'close')
+    const large = connect().send(RawClient.buildRequest('limit-3', { target: '/safe/x', headers: { 'X-Own': 'x'.repeat(20_000) } }))
+    await waitUntil(() => large.answers.length === 1)
+    t.same(large.summary, ['200 limit-3'])
+    large.close()
+  })
+
   t.test('guards against a connection that a stop leaves open and unread behind a request that was refused early', async t => {
     const client = connect().send(RawClient.buildRequest('stale-1', { target: '/safe/x' }) + RawClient.buildRequest('stale-2', { target: '/none/x' }))
     await waitUntil(() => isPassedOn('stale-1'))
--- a/src/node/gateway/ingress/clientConnection.ts
+++ b/src/node/gateway/ingress/clientConnection.ts
@@ -26,6 +26,7 @@
   private closeReason: CutOffReason | undefined
   private hasClientLeft = false
   private acceptsRequests = true
+  private isExpiring = false
   /** Bytes of the connection up to the end of its last request, and what came with this end. */
   private requestBytes = 0
   private hasInputError = false
@@ -62,7 +63,7 @@
    * host is the end of reading; the requests that were read by then are answered.
    */
   decideClosing (exchange: ClientExchange, isHostStopping: boolean): boolean {
-    if (isHostStopping) this.refuseRequests()
+    if (isHostStopping || this.isExpiring) this.refuseRequests()
     return !this.acceptsRequests && this.pendingError === undefined && this.exchanges.at(-1) === exchange
   }
 
@@ -88,6 +89,12 @@
     if (this.exchanges.length === 0 && this.requestBytes > 0 && socket.bytesRead === this.requestBytes) socket.destroy()
   }
 
+  /** Closes the connection between two requests, because it was opened under limits that are no longer in force. */
+  closeWhenIdle (): void {
+    this.isExpiring = true
+    this.closeIfIdle()
+  }
+
   /** Notes why the host is about to close the connection; the first reason stays. */
   setCloseReason (reason: CutOffReason): void {
     this.closeReason ??= reason
--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -63,6 +63,8 @@
 /** The HTTP server for clients. */
 export class IngressServer {
   private readonly server: Server
+  /** Largest head that new connections accept, in bytes. */
+  private maxHeaderSize: number = ingressConstants.maxHeaderBytes
   /** Monotonic time at which the host stops; undefined until draining starts. */
   private stopsAtMs: number | undefined
   private readonly connections = new Map<Socket, ClientConnection>()
@@ -108,8 +110,12 @@
   applyLimits (limits: IngressLimits): void {
     this.server.keepAliveTimeout = limits.idleTimeoutMs
     this.server.headersTimeout = limits.headerTimeoutMs
+    const maxHeaderSize = Math.min(limits.maxHeaderBytes, ingressConstants.maxHeaderBytes)
+    if (maxHeaderSize === this.maxHeaderSize) return
+    this.maxHeaderSize = maxHeaderSize
     // Node.js reads this property for each new connection; only its type is missing.
-    Object.assign(this.server, { maxHeaderSize: Math.min(limits.maxHeaderBytes, ingressConstants.maxHeaderBytes) })
+    Object.assign(this.server, { maxHeaderSize })
+    for (const connection of this.connections.values()) connection.closeWhenIdle()
   }
 
   /** From now on, responses ask clients to close their connections, and requests get their response by `stopsAtMs`. */
