--- a/playground/soak/soakHost.ts
+++ b/playground/soak/soakHost.ts
@@ -78,7 +78,7 @@
     await this.storeProxy.start()
     this.writeSettings()
     this.process.start()
-    this.sampleTimer = setInterval(() => { void this.recordSample() }, soakConstants.sampleIntervalMs)
+    this.sampleTimer = setInterval(() => { void this.recordSample() }, soakConstants.sampleIntervalMs).unref()
     return this
   }
 
