fix(ingress): read on in a stop until no request waits on the connection

Cause: a stopping host ended reading at the head of its next response, also when other responses were still to come, so the connection stayed open for them. Change: it ends reading with a response behind which no request waits; that one says 'Connection: close'. What comes before it is answered.

Ruled out: an earlier close, which cuts the responses that wait.

--- a/src/node/gateway/ingress/clientConnection.ts
+++ b/src/node/gateway/ingress/clientConnection.ts
@@ -59,12 +59,13 @@
   }
 
   /**
-   * Decides whether the response whose head is about to be sent closes the connection. The first response of a stopping
-   * host is the end of reading; the requests that were read by then are answered.
+   * Decides whether the response whose head is about to be sent closes the connection. A stopping host closes it with a
+   * response behind which no request waits, and reads nothing more from then on.
    */
   decideClosing (exchange: ClientExchange, isHostStopping: boolean): boolean {
-    if (isHostStopping || this.isExpiring) this.refuseRequests()
-    return !this.acceptsRequests && this.pendingError === undefined && this.exchanges.at(-1) === exchange
+    const isLast = this.exchanges.at(-1) === exchange
+    if (isLast && (isHostStopping || this.isExpiring)) this.refuseRequests()
+    return isLast && !this.acceptsRequests && this.pendingError === undefined
   }
 
   /**
