feat(gateway): log the software version of upstreams and the stream that a request resumes

`attempt ended` names the version of its upstream, the request that began the stream and the last event that the client has; the changes of upstreams name their version. No decision uses either yet.

--- a/playground/experiment/listUpstreamEntries.ts
+++ b/playground/experiment/listUpstreamEntries.ts
@@ -7,7 +7,7 @@
   for (let number = 0; number < maxCount; number++) {
     for (const [failureDomain, count] of Object.entries(counts)) {
       if (number >= count) continue
-      entries.push({ id: `${service}-${entries.length}`, service, address: '', failureDomain, slots: 1, isDraining: false, startedAtMs: 0 })
+      entries.push({ id: `${service}-${entries.length}`, service, address: '', failureDomain, slots: 1, isDraining: false, version: 'v1', startedAtMs: 0 })
     }
   }
   return entries
--- a/src/node/gateway/engines/__tests__/enginePlanner.test.ts
+++ b/src/node/gateway/engines/__tests__/enginePlanner.test.ts
@@ -5,7 +5,7 @@
 import type { UpstreamState } from '../../upstreams/upstreamState.js'
 
 const createEngine = (id: string, failureDomain = 'x', overrides: Partial<UpstreamState> = {}): UpstreamState => ({
-  entry: { id, service: 'llm', address: '', failureDomain, slots: 1, isDraining: false, startedAtMs: 0 },
+  entry: { id, service: 'llm', address: '', failureDomain, slots: 1, isDraining: false, version: 'v1', startedAtMs: 0 },
   inFlight: 0,
   pool: { hasFreeConnection: () => true },
   computeDurationMs: () => 0,
--- a/src/node/gateway/ingress/requestRun.ts
+++ b/src/node/gateway/ingress/requestRun.ts
@@ -190,7 +190,10 @@
       const decision = this.decide(result)
       this.record('attempt ended', {
         upstream: upstream.entry.id,
+        upstreamVersion: upstream.entry.version,
         service: this.service,
+        resumedId: this.options.request.resumedId,
+        lastEventId: this.lastEventId,
         attempt: this.sentCount,
         result: result.type,
         status: result.type === 'answer' ? result.head.status : undefined,
--- a/src/node/gateway/model/clientRequest.ts
+++ b/src/node/gateway/model/clientRequest.ts
@@ -12,6 +12,8 @@
   readonly apiKey?: string
   /** Id of the last event that the client has, when it resumes a stream. */
   readonly lastEventId?: string
+  /** Id of the request that brought the first event of the stream that this one resumes. */
+  readonly resumedId?: string
   /** Parts of the prompt in order; empty for requests without a prompt. */
   readonly promptParts: readonly PromptPart[]
   readonly promptTokens: number
--- a/src/node/gateway/model/upstreamEntry.ts
+++ b/src/node/gateway/model/upstreamEntry.ts
@@ -5,6 +5,8 @@
   /** `ip:port`. */
   readonly address: string
   readonly failureDomain: string
+  /** Version of the upstream's software; empty when not published. */
+  readonly version: string
   readonly slots: number
   readonly isDraining: boolean
   /** Start of this instance, milliseconds since the epoch; 0 when not published. */
--- a/src/node/gateway/stages/__tests__/createTestScheduler.ts
+++ b/src/node/gateway/stages/__tests__/createTestScheduler.ts
@@ -25,7 +25,7 @@
   }]))
   /** Replaces the upstreams of every service by one in each of the listed failure domains. */
   const applyDomains = (listDomains: (name: string) => readonly string[]): void => {
-    scheduler.applyUpstreams(specs, service => listDomains(service).map((failureDomain, i): UpstreamEntry => ({ id: `${service}-${i}`, service, address: '127.0.0.1:1', failureDomain, slots: 1, isDraining: false, startedAtMs: 0 })))
+    scheduler.applyUpstreams(specs, service => listDomains(service).map((failureDomain, i): UpstreamEntry => ({ id: `${service}-${i}`, service, address: '127.0.0.1:1', failureDomain, slots: 1, isDraining: false, version: 'v1', startedAtMs: 0 })))
   }
   applyDomains(name => services.find(service => service.name === name)?.domains ?? [])
   const answerCall = (call: StageCall, nowMs: number, results?: readonly StagePieceResult[]): void => {
--- a/src/node/gateway/stages/__tests__/schedulingCells.test.ts
+++ b/src/node/gateway/stages/__tests__/schedulingCells.test.ts
@@ -7,7 +7,7 @@
 
 /** Upstreams of a service, spread evenly over the first `domainCount` domains. */
 const buildEntries = (service: string, count: number, domainCount: number): readonly UpstreamEntry[] => Array.from({ length: count }, (_, i) => ({
-  id: `${service}-${i}`, service, address: '127.0.0.1:1', failureDomain: domains[i % domainCount]!, slots: 1, isDraining: false, startedAtMs: 0
+  id: `${service}-${i}`, service, address: '127.0.0.1:1', failureDomain: domains[i % domainCount]!, slots: 1, isDraining: false, version: 'v1', startedAtMs: 0
 }))
 const buildCells = (counts: Readonly<Record<string, number>>, domainCount: number) => buildSchedulingCells(
   new Map(Object.entries(counts).map(([service, count]) => [service, buildEntries(service, count, domainCount)])),
--- a/src/node/gateway/stages/__tests__/stageClient.test.ts
+++ b/src/node/gateway/stages/__tests__/stageClient.test.ts
@@ -30,7 +30,7 @@
   const clock = new VirtualClock()
   const callsByDomain = new Map<string, number>()
   const entries = domains.flatMap(failureDomain => Array.from({ length: upstreamsPerDomain }, (_, i): UpstreamEntry => ({
-    id: `${failureDomain}-${i}`, service: 'a', address: '', failureDomain, slots: 1, isDraining: false, startedAtMs: 0
+    id: `${failureDomain}-${i}`, service: 'a', address: '', failureDomain, slots: 1, isDraining: false, version: 'v1', startedAtMs: 0
   })))
   const send = (upstreamId: string, request: ExchangeRequest, handler: ExchangeHandler): () => void => {
     if (request.path !== memoryCallCodec.runPath) return () => {}
--- a/src/node/gateway/upstreams/upstreamDirectory.ts
+++ b/src/node/gateway/upstreams/upstreamDirectory.ts
@@ -323,7 +323,9 @@
     })
   }
 
-  private recordChange (message: string, { id, service, address, failureDomain }: UpstreamEntry, reason: string): void {
-    this.options.logger.recordInfo(message, { upstream: id, service, address, upstreamDomain: failureDomain, reason })
+  private recordChange (message: string, entry: UpstreamEntry, reason: string): void {
+    const { id, service, address, failureDomain, version } = entry
+    const fields = { upstream: id, service, address, upstreamDomain: failureDomain, upstreamVersion: version, reason }
+    this.options.logger.recordInfo(message, fields)
   }
 }
--- a/src/node/platform/__tests__/decode.test.ts
+++ b/src/node/platform/__tests__/decode.test.ts
@@ -81,7 +81,7 @@
 
 t.test('heads of requests and responses are decoded whatever they hold', async t => {
   const decode = (headers: Record<string, string>) => decodeClientRequest({ method: 'POST', url: '/a?b', headers, rawHeaders: Object.entries(headers).flat() } as unknown as IncomingMessage)
-  t.matchSnapshot(decode({ host: 'Shop.example:80', 'x-request-id': 'id', 'x-time-remaining': '500', authorization: 'Token k', 'x-token-counts': '10,20', 'x-prompt-prefix': 'a:5,b:6', 'x-pieces': '0,3', 'x-piece-key': 'p', connection: 'keep-alive, x-drop', 'x-drop': '1', 'x-keep': '2', 'x-inputs': 'forged' }))
+  t.matchSnapshot(decode({ host: 'Shop.example:80', 'x-request-id': 'id', 'x-time-remaining': '500', authorization: 'Token k', 'x-token-counts': '10,20', 'x-prompt-prefix': 'a:5,b:6', 'x-pieces': '0,3', 'x-piece-key': 'p', connection: 'keep-alive, x-drop', 'x-drop': '1', 'x-keep': '2', 'x-inputs': 'forged', resumes: 'first', 'last-event-id': '7' }))
   t.equal(decode({ host: 'x' }), undefined)
   fc.assert(fc.property(fc.string(), fc.string(), (a, b) => { decode({ host: a, 'x-request-id': 'id', 'x-time-remaining': b, 'x-token-counts': a, 'x-prompt-prefix': b, 'x-pieces': a, authorization: b }) }))
   fc.assert(fc.property(fc.integer({ min: 200, max: 599 }), fc.string(), (status, text) => { decodeUpstreamResponse(status, { 'x-server-load': text, 'content-length': text, connection: text }) }))
--- a/src/node/platform/decodeClientRequest.ts
+++ b/src/node/platform/decodeClientRequest.ts
@@ -34,6 +34,7 @@
     timeLeftMs: parseNumbers(headers[headerNames.timeLeft])[0],
     apiKey: parseApiKey(headers.authorization),
     lastEventId: headers[headerNames.lastEventId] as string | undefined,
+    resumedId: headers[headerNames.resumedId] as string | undefined,
     promptParts: parsePromptParts(headers[headerNames.promptParts]),
     promptTokens,
     maxOutputTokens,
--- a/src/node/platform/decodeUpstreamEntry.ts
+++ b/src/node/platform/decodeUpstreamEntry.ts
@@ -7,6 +7,7 @@
   service: z.string().min(1),
   address: z.string().regex(/^[\d.]+:\d+$/).refine(text => isAddress(text, 1)),
   zone: z.string(),
+  version: z.string().optional(),
   slots: z.number().positive(),
   state: z.enum(['ready', 'draining']),
   born: z.number().int().nonnegative().optional()
@@ -17,8 +18,9 @@
   const id = key.slice(platformConstants.upstreamPrefix.length)
   const parsed = schema.safeParse(parseJson(value))
   if (!parsed.success || id === '') return undefined
-  const { service, address, zone, slots, state, born } = parsed.data
-  return { id, service, address, failureDomain: zone, slots, isDraining: state === 'draining', startedAtMs: born ?? 0 }
+  const { service, address, zone, version = '', slots, state, born } = parsed.data
+  const isDraining = state === 'draining'
+  return { id, service, address, failureDomain: zone, version, slots, isDraining, startedAtMs: born ?? 0 }
 }
 
 function parseJson (value: Buffer): unknown {
--- a/src/node/platform/headerNames.ts
+++ b/src/node/platform/headerNames.ts
@@ -5,6 +5,8 @@
   timeLeft: 'x-time-remaining',
   promptParts: 'x-prompt-prefix',
   lastEventId: 'last-event-id',
+  /** Id of the client attempt that brought the first event of the stream that this request takes up. */
+  resumedId: 'resumes',
   signature: 'x-response-signature',
   account: 'x-tenant',
   expectedInstance: 'x-expected-instance',
--- a/tap-snapshots/src/node/platform/__tests__/decode.test.ts.test.cjs
+++ b/tap-snapshots/src/node/platform/__tests__/decode.test.ts.test.cjs
@@ -142,10 +142,12 @@
     "p",
     "x-keep",
     "2",
+    "resumes",
+    "first",
   ],
   "hostName": "shop.example",
   "id": "id",
-  "lastEventId": undefined,
+  "lastEventId": "7",
   "maxOutputTokens": 20,
   "method": "POST",
   "pieceCounts": Array [
@@ -164,6 +166,7 @@
     },
   ],
   "promptTokens": 10,
+  "resumedId": "first",
   "target": "/a?b",
   "timeLeftMs": 500,
 }
