--- a/playground/platform/gatewayTestHarness.ts
+++ b/playground/platform/gatewayTestHarness.ts
@@ -93,12 +93,12 @@
     return this.version
   }
 
-  addUpstream (standIn: UpstreamStandIn, service: string, state = 'ready'): void {
+  addUpstream (standIn: UpstreamStandIn, service: string, state = 'ready', version = 'v1'): void {
     this.store.write(`servers/${standIn.id}`, {
       service,
       address: standIn.address,
       zone: 'quay-a',
-      version: 'v1',
+      version,
       slots: 4,
       state,
       coldRemainingMs: 0,
