fix(gateway): continue a stream only at the software version that began it

Cause: neither the version in the entries of upstreams nor the request that a client resumes was read, so a stream went on at any upstream: at the host that a client asked next, and within a response whose upstream had ended. Class: state that is needed longer than its owner lives, kept nowhere.

Change: each service has a base version in the store; a stream that begins at another version is recorded there before it is sent, so a stream without a record began at the base version. Any host finds the version of a stream, also after the loss of all hosts, and sends the rest to an upstream of that version or refuses it at once.

--- /dev/null
+++ b/playground/fakes/memoryStore.ts
@@ -0,0 +1,61 @@
+import { StoreUnavailableError } from '../../src/shared/storeUnavailableError.js'
+import type { StoreClient } from '../../src/node/gateway/model/storeClient.js'
+import type { StoreItem } from '../../src/node/gateway/model/storeItem.js'
+import type { StoreLease } from '../../src/node/gateway/model/storeLease.js'
+import type { StorePosition } from '../../src/node/gateway/model/storePosition.js'
+import type { StoreWrite } from '../../src/node/gateway/model/storeWrite.js'
+
+/** Store in memory for tests without a network; leases never end, and nothing can be watched. */
+export class MemoryStore implements StoreClient {
+  isDown = false
+  era = 1
+  writeCount = 0
+  private readonly items = new Map<string, StoreItem>()
+  private revision = 1
+
+  async readItem (key: string): Promise<StoreItem | undefined> {
+    this.checkUp()
+    return this.items.get(key)
+  }
+
+  async readPrefix (prefix: string): Promise<{ readonly items: readonly StoreItem[], readonly position: StorePosition }> {
+    this.checkUp()
+    const items = [...this.items.values()].filter(item => item.key.startsWith(prefix))
+    return { items, position: { era: this.era, revision: this.revision } }
+  }
+
+  async watchPrefix (): Promise<never> {
+    throw new StoreUnavailableError('nothing can be watched')
+  }
+
+  async writeConditionally ({ conditions, writes }: StoreWrite): Promise<boolean> {
+    this.checkUp()
+    if (conditions.some(({ key, revision }) => (this.items.get(key)?.revision ?? 0) !== revision)) return false
+    this.writeCount++
+    for (const { key, value } of writes) this.items.set(key, { key, value, revision: ++this.revision })
+    return true
+  }
+
+  async createLease (): Promise<StoreLease> {
+    this.checkUp()
+    return { id: 1, era: this.era }
+  }
+
+  async updateLease (): Promise<boolean> {
+    return true
+  }
+
+  async closeLease (): Promise<void> {}
+
+  /** Goes back to a time at which it held only the keys with this prefix. */
+  applyRestore (prefix: string): void {
+    this.era++
+    for (const key of this.items.keys()) {
+      if (!key.startsWith(prefix)) this.items.delete(key)
+    }
+  }
+
+  private checkUp (): void {
+    if (this.isDown) throw new StoreUnavailableError('the store is down')
+  }
+}
--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -57,6 +57,7 @@
 import { StoreEra } from '../gateway/store/storeEra.js'
 import { StoreHttpClient } from '../platform/storeHttpClient.js'
 import { StoreWatcher } from '../gateway/store/storeWatcher.js'
+import { StreamVersions } from '../gateway/versions/streamVersions.js'
 import { systemClock } from '../../shared/systemClock.js'
 import { systemScheduler } from '../../shared/systemScheduler.js'
 import { upstreamConstants } from '../gateway/upstreams/constants.js'
@@ -159,21 +160,25 @@
     startedAtMs: clock.readWallMs()
   }, logger, () => {})
   /** Engines for the requests of a cell: those of its domains have read the prompts of its sessions. */
-  const listCellEngines = (service: string, domains: ReadonlySet<string> | readonly string[]): readonly UpstreamState[] => {
-    const usable = upstreams.listUsable(service)
+  const listCellEngines = (
+    service: string,
+    domains: ReadonlySet<string> | readonly string[],
+    version: string | undefined
+  ): readonly UpstreamState[] => {
+    const usable = upstreams.listUsable(service, version)
     const local = usable.filter(({ entry }) => cells.isEngineOf(domains, entry.failureDomain))
     return local.length > 0 ? local : usable
   }
   /** Places requests without stages on engines of the cell that has the stages of the same session. */
-  const directEngines = new EnginePlanner((service, prompt) => {
+  const directEngines = new EnginePlanner((service, prompt, version) => {
     const session = findSharedPartId(prompt.parts)
-    if (session === undefined) return upstreams.listUsable(service)
-    return listCellEngines(service, cells.listRankedCells(session, [service])[0]!.domains)
+    if (session === undefined) return upstreams.listUsable(service, version)
+    return listCellEngines(service, cells.listRankedCells(session, [service])[0]!.domains, version)
   })
   const recentAnswers = new RecentAnswers()
   const cells: CellRegistry = new CellRegistry(domains => {
     const scheduler = new StageScheduler()
-    const engines = new EnginePlanner(service => listCellEngines(service, domains))
+    const engines = new EnginePlanner((service, _prompt, version) => listCellEngines(service, domains, version))
     const dispatcher = new StageDispatcher({
       scheduler,
       findPool: upstreamId => upstreams.find(upstreamId)?.pool,
@@ -259,6 +264,22 @@
       else crashGuard.removeReport(change.key)
     }
   }
+  const streamVersions = new StreamVersions({
+    store,
+    storeEra,
+    prefix: platformConstants.streamVersionPrefix,
+    listVersions: service => upstreams.listService(service).flatMap(({ entry }) => entry.isDraining ? [] : [entry.version]),
+    countHosts: () => hosts.countHosts(),
+    clock,
+    timers: systemScheduler,
+    logger,
+    metrics
+  })
+  const streamVersionSection: StoreSection = {
+    prefix: platformConstants.streamVersionPrefix,
+    onSnapshot: items => { streamVersions.applySnapshot(items) },
+    onChange: change => { streamVersions.applyChange(change) }
+  }
   const { stopSignal } = options
   const secret = await waitUnlessAborted(readPeerSecretWithRetry(store, platformConstants.peerSecretKey, logger, stopSignal), stopSignal)
     .finally(() => {
@@ -294,7 +315,7 @@
     logger,
     random,
     getTimes: () => computeWatchTimes(settingsHolder.get().timings),
-    sections: [configurationSection, ...outdatedItemFilters, crashSection, secretSection]
+    sections: [configurationSection, ...outdatedItemFilters, crashSection, streamVersionSection, secretSection]
   })
   const registrar = new HostRegistrar({ store, key: hostKey, logger, getEntry: () => hosts.getSelf() })
 
@@ -338,6 +359,7 @@
       crashGuard,
       firstEventTimes: new FirstEventTimes(),
       retryBudget: new RetryBudget(() => settingsHolder.get().timings, () => hosts.countHosts()),
+      streamVersions,
       answerMemory,
       waitForPath: async () => {
         await reachability.waitForCheck()
@@ -378,6 +400,7 @@
     cells,
     stages,
     crashReporter,
+    streamVersions,
     reachability,
     relayClient,
     relayServer,
--- a/src/node/app/gatewayComponents.ts
+++ b/src/node/app/gatewayComponents.ts
@@ -17,12 +17,14 @@
 import type { StageClient } from '../gateway/stages/stageClient.js'
 import type { StatusServer } from '../gateway/ingress/statusServer.js'
 import type { UpstreamReachability } from '../gateway/relays/upstreamReachability.js'
+import type { StreamVersions } from '../gateway/versions/streamVersions.js'
 import type { UpstreamDirectory } from '../gateway/upstreams/upstreamDirectory.js'
 
 /** Components of a gateway host. */
 export interface GatewayComponents {
   readonly settings: HostSettingsHolder
   readonly crashReporter: CrashReporter
+  readonly streamVersions: StreamVersions
   readonly reachability: UpstreamReachability
   readonly relayClient: RelayClient
   readonly relayServer: RelayServer
--- a/src/node/app/gatewayHost.ts
+++ b/src/node/app/gatewayHost.ts
@@ -38,6 +38,7 @@
     storeWatcher.run().catch(error => { logger.recordError('store watcher failed', { reason: (error as Error).message }) })
     registrar.updateNow()
     this.components.reachability.start()
+    this.components.streamVersions.start()
     this.components.memoryWatch.start()
     this.missingEntryTimer = setInterval(() => {
       this.components.upstreams.removeMissing()
@@ -126,6 +127,7 @@
       cells,
       stages,
       crashReporter,
+      streamVersions,
       reachability,
       relayClient,
       secretKeeper,
@@ -137,6 +139,7 @@
     storeWatcher.stop()
     for (const filter of outdatedItemFilters) filter.stop()
     crashReporter.stop()
+    streamVersions.stop()
     reachability.stop()
     relayClient.drain()
     secretKeeper.stop()
--- a/src/node/gateway/engines/engineDemand.ts
+++ b/src/node/gateway/engines/engineDemand.ts
@@ -8,4 +8,6 @@
   readonly inputs: { readonly domain: string, readonly bytes: number }
   /** Engines that the request was sent to before; chosen only when there is no other. */
   readonly excludedIds: ReadonlySet<string>
+  /** Software version that the engine must have; undefined for any. */
+  readonly version?: string
 }
--- a/src/node/gateway/engines/enginePlanner.ts
+++ b/src/node/gateway/engines/enginePlanner.ts
@@ -14,12 +14,14 @@
   private readonly cache = new PromptCacheIndex()
   private readonly loads = new EngineLoads()
 
-  /** `listEngines` lists the usable engines of a service for a prompt. */
-  constructor (private readonly listEngines: (service: string, prompt: EnginePrompt) => readonly UpstreamState[]) {}
+  /** `listEngines` lists the usable engines of a service for a prompt, of one software version unless it is undefined. */
+  constructor (
+    private readonly listEngines: (service: string, prompt: EnginePrompt, version?: string) => readonly UpstreamState[]
+  ) {}
 
   /** Chooses an engine for a request and records the request there; undefined without a usable engine. */
-  placeRequest ({ service, prompt, inputs, excludedIds }: EngineDemand, nowMs: number): UpstreamState | undefined {
-    const engines = this.listEngines(service, prompt)
+  placeRequest ({ service, prompt, inputs, excludedIds, version }: EngineDemand, nowMs: number): UpstreamState | undefined {
+    const engines = this.listEngines(service, prompt, version)
     const untried = engines.filter(state => !excludedIds.has(state.entry.id))
     const engine = this.chooseAmong(untried.length > 0 ? untried : engines, prompt, inputs, nowMs)
     if (engine === undefined) return undefined
--- a/src/node/gateway/ingress/requestRun.ts
+++ b/src/node/gateway/ingress/requestRun.ts
@@ -53,9 +53,12 @@
   private relayedBy: string | undefined
   /** Id of the last event that the client has. */
   private lastEventId: string | undefined
+  /** Software version of the upstream that began the stream; undefined before its first event. */
+  private streamVersion: string | undefined
 
   constructor (private readonly options: RequestRunOptions, private readonly dependencies: RequestRunDependencies) {
-    this.service = chooseTarget(options.route.targets, options.request.id)
+    // A stream goes on at the service that began it.
+    this.service = chooseTarget(options.route.targets, options.request.resumedId ?? options.request.id)
     this.lastEventId = options.request.lastEventId
     this.suspect = new SuspectRequest(options.request, options.account, options.body)
   }
@@ -70,7 +73,7 @@
     const timeLeftMs = this.options.deadlineAtMs - this.dependencies.clock.readMonotonicMs()
     const timer = setTimeout(() => { this.endNow('deadline') }, Math.max(timeLeftMs, 0))
     try {
-      const isAdmitted = await this.admitSuspect() && this.admitAfterBackoff() && this.admitWithinLimits()
+      const isAdmitted = await this.admitSuspect() && await this.admitResumption() && this.admitAfterBackoff() && this.admitWithinLimits()
       if (isAdmitted && await this.runStages()) await this.runAttempts()
     } finally {
       clearTimeout(timer)
@@ -111,6 +114,33 @@
     return !this.controller.signal.aborted && !this.options.response.isEnded
   }
 
+  /**
+   * Finds out at which software version a stream began that the request resumes. Refuses it when this is not known or no
+   * upstream of that version is usable: another version would not continue the same text.
+   */
+  private async admitResumption (): Promise<boolean> {
+    const { request, response } = this.options
+    if (!this.isResumable() || request.lastEventId === undefined || request.resumedId === undefined) return true
+    const { streamVersions, directory, metrics } = this.dependencies
+    const origin = await streamVersions.findOrigin(this.service, request.resumedId, this.controller.signal)
+    if (this.controller.signal.aborted || response.isEnded) return false
+    const isServed = origin.type === 'known' && directory.listUsable(this.service, origin.version).length > 0
+    metrics.addCount('streams_resumed', { outcome: origin.type === 'unknown' ? 'unknown' : isServed ? 'admitted' : 'not served' })
+    this.record('stream resumed', { resumedId: request.resumedId, lastEventId: request.lastEventId, isServed, ...origin })
+    if (origin.type === 'unknown') {
+      this.refuse(`the version that began the stream is not known: ${origin.reason}`, ingressConstants.busyRetryAfterMs)
+    } else if (!isServed) {
+      this.refuse(`no upstream of version ${origin.version}, which began the stream`, ingressConstants.busyRetryAfterMs)
+    } else this.streamVersion = origin.version
+    return isServed
+  }
+
+  /** Resolves to whether the stream may begin at the upstream. */
+  private async admitStreamStart ({ entry }: UpstreamState): Promise<boolean> {
+    if (!this.isResumable() || this.streamVersion !== undefined) return true
+    return await this.dependencies.streamVersions.admitStart(this.service, this.options.request.id, entry.version)
+  }
+
   /** Refuses the request before its stages run when all upstreams of the service have asked for a pause. */
   private admitAfterBackoff (): boolean {
     const waitMs = this.dependencies.directory.computeBackoffWaitMs(this.service)
@@ -182,6 +212,10 @@
       if (refusal !== undefined) return this.refuseSuspect(refusal)
       const upstream = this.chooseUpstream()
       if (upstream === undefined) return this.refuse('no upstream is free', this.computeRetryMs())
+      if (!await this.admitStreamStart(upstream)) {
+        return this.refuse('the version of the stream cannot be recorded', ingressConstants.busyRetryAfterMs)
+      }
+      if (this.controller.signal.aborted || response.isEnded) return
       const result = await this.runAttempt(upstream)
       if (result.type === 'answer' && result.head.isSigned) crashGuard.onAnswered(this.suspect)
       if (result.type === 'uncertain' && result.isConnectionLost === true && !this.hasEvents) {
@@ -311,6 +345,7 @@
     this.lastEventId = lastEventId ?? this.lastEventId
     if (this.hasEvents) return
     this.hasEvents = true
+    this.streamVersion ??= upstream.entry.version
     const nowMs = this.dependencies.clock.readMonotonicMs()
     upstream.onSuccess(nowMs - this.sentAtMs, nowMs)
     this.dependencies.crashGuard.onAnswerBegan(this.suspect)
@@ -366,7 +401,8 @@
     const { request, route } = this.options
     const nowMs = clock.readMonotonicMs()
     if (this.reservation !== undefined && directory.isAvailable(this.reservation)) return this.reservation
-    const usable = directory.listUsable(this.service)
+    const version = this.findRequiredVersion()
+    const usable = directory.listUsable(this.service, version)
     if (route.callKind === 'stream') {
       const chosen = usable.find(state => state.entry.id === this.chosenEngineId && !this.triedIds.has(state.entry.id))
       if (chosen?.pool.hasFreeConnection() === true) return chosen
@@ -374,16 +410,27 @@
         service: this.service,
         prompt: { tokens: request.promptTokens, parts: request.promptParts },
         inputs: { domain: this.inputDomain, bytes: this.inputBytes },
-        excludedIds: this.triedIds
+        excludedIds: this.triedIds,
+        version
       }, nowMs)
     }
     const untried = usable.filter(state => !this.triedIds.has(state.entry.id))
     return chooseUpstream({ candidates: untried.length > 0 ? untried : usable, failureDomain, random, nowMs })
   }
 
+  private findRequiredVersion (): string | undefined {
+    if (!this.isResumable()) return undefined
+    return this.streamVersion ?? this.dependencies.streamVersions.findRequiredVersion(this.service)
+  }
+
   private isRepeatable (): boolean {
+    return this.options.route.callKind === 'idempotent' || this.isResumable()
+  }
+
+  /** Whether the request is for a stream that may go on at another upstream. */
+  private isResumable (): boolean {
     const { callKind, isResumable } = this.options.route
-    return callKind === 'idempotent' || (callKind === 'stream' && isResumable)
+    return callKind === 'stream' && isResumable
   }
 
   /** Timeout of an attempt, after which a repeatable request is retried; undefined to wait until the deadline. */
--- a/src/node/gateway/ingress/requestRunDependencies.ts
+++ b/src/node/gateway/ingress/requestRunDependencies.ts
@@ -8,6 +8,7 @@
 import type { Random } from '../../../types/random.js'
 import type { RetryBudget } from '../upstreams/retryBudget.js'
 import type { StageClient } from '../stages/stageClient.js'
+import type { StreamVersions } from '../versions/streamVersions.js'
 import type { UpstreamDirectory } from '../upstreams/upstreamDirectory.js'
 import type { UpstreamHeaderEncoder } from './upstreamHeaderEncoder.js'
 
@@ -19,6 +20,7 @@
   readonly crashGuard: CrashGuard
   readonly firstEventTimes: FirstEventTimes
   readonly retryBudget: RetryBudget
+  readonly streamVersions: StreamVersions
   readonly answerMemory: AnswerMemory
   /**
    * Resolves when it is known whether upstreams are reached directly or by way of other hosts; at once unless the links
--- a/src/node/gateway/upstreams/upstreamDirectory.ts
+++ b/src/node/gateway/upstreams/upstreamDirectory.ts
@@ -128,15 +128,11 @@
   /**
    * Upstreams of a service that may get a new request now, also within the limits that they named. While there are
    * limits, the other upstreams get as many requests as they have places: all traffic would move to one that has not
-   * answered yet.
+   * answered yet. With a version, only upstreams of this software version.
    */
-  listUsable (service: string): readonly UpstreamState[] {
-    const nowMs = this.options.clock.readMonotonicMs()
-    const healthy = this.listHealthy(service, nowMs)
-    if (!healthy.some(state => this.findLimit(state, nowMs) !== undefined)) return healthy
-    return healthy.filter(state => {
-      return state.limit === undefined ? this.hasPlace(state) : this.computeLimitWaitMs(state, nowMs) === 0
-    })
+  listUsable (service: string, version?: string): readonly UpstreamState[] {
+    const usable = this.listAllUsable(service)
+    return version === undefined ? usable : usable.filter(state => state.entry.version === version)
   }
 
   /**
@@ -197,6 +193,15 @@
     return healthy.length >= usable.length * (1 - upstreamConstants.maxEjectedShare) ? healthy : usable
   }
 
+  private listAllUsable (service: string): readonly UpstreamState[] {
+    const nowMs = this.options.clock.readMonotonicMs()
+    const healthy = this.listHealthy(service, nowMs)
+    if (!healthy.some(state => this.findLimit(state, nowMs) !== undefined)) return healthy
+    return healthy.filter(state => {
+      return state.limit === undefined ? this.hasPlace(state) : this.computeLimitWaitMs(state, nowMs) === 0
+    })
+  }
+
   private addUpstream (entry: UpstreamEntry): void {
     const { metrics, traffic, findRelay } = this.options
     const pool = new UpstreamPool({
--- /dev/null
+++ b/src/node/gateway/versions/constants.ts
@@ -0,0 +1,26 @@
+/** Parameters of the records that tell at which software version a stream began. */
+export const versionConstants = {
+  /** Longest time from the beginning of a stream to the last request that resumes it; clients wait up to 20 s. */
+  streamLifetimeMs: 60_000,
+  /** Time for which new records are added to the same item of the store. */
+  sliceMs: 5000,
+  /** Records of one item; more go into the next one. */
+  maxSliceRecords: 4096,
+  /** Writes of records a second by all hosts together, of the 400 writes that the store takes. */
+  fleetWritesPerS: 150,
+  /** Time within which a record is written, beyond the pause between writes; the request is refused after it. */
+  recordTimeoutMs: 1000,
+  /** Pause after a failed write, in which no new record is waited for. */
+  writeRetryMs: 500,
+  /** Attempts to read the records for a request that resumes a stream, and the pause between them. */
+  readAttempts: 3,
+  readRetryMs: 100,
+  /** After a restore of the store, the hosts write their records again within this time. */
+  restoreMs: 2000,
+  /** Streams that a host remembers; the oldest are dropped. */
+  maxStartedStreams: 16_384,
+  /** Interval at which a service is checked for a base version that serves no more. */
+  baseCheckMs: 5000,
+  /** Length of the digest of a request id, in characters of six bits each. */
+  streamHashLength: 11
+} as const
--- /dev/null
+++ b/src/node/gateway/versions/streamOrigin.ts
@@ -0,0 +1,10 @@
+/** What is known of the beginning of a stream that a client resumes. */
+export type StreamOrigin =
+  | {
+    readonly type: 'known'
+    /** Software version of the upstream that began the stream. */
+    readonly version: string
+    /** `own`: began at this host; `record`: recorded in the store; `base`: not recorded, so at the base version. */
+    readonly source: 'own' | 'record' | 'base'
+  }
+  | { readonly type: 'unknown', readonly reason: string }
--- a/src/node/platform/constants.ts
+++ b/src/node/platform/constants.ts
@@ -9,6 +9,8 @@
   hostPrefix: 'lycheetrack/hosts/',
   crashReportPrefix: 'lycheetrack/crash-reports/',
   promptTrialPrefix: 'lycheetrack/prompt-trials/',
+  /** Software versions at which streams began. */
+  streamVersionPrefix: 'lycheetrack/streams/',
   peerSecretKey: 'lycheetrack/peer-secret',
   /** Largest number of pieces of a stage that a request may state; stages have up to some tens. */
   maxPieceCount: 1000,
