--- /dev/null
+++ b/scripts/build/packageInstallation.mjs
@@ -0,0 +1,82 @@
+import { copyFileSync, existsSync, mkdtempSync, readdirSync, readFileSync, renameSync, rmSync, statSync } from 'node:fs'
+import { rm } from 'node:fs/promises'
+import { join } from 'node:path'
+import { buildConstants } from './buildConstants.mjs'
+import { BuildError } from './buildError.mjs'
+import { ChildProgram } from './childProgram.mjs'
+
+const folderPrefix = '.installation-'
+/** `npm ci` leaves out development packages, the bundler among them, when NODE_ENV is `production`. */
+const npmArguments = ['ci', '--include=dev', '--no-audit', '--no-fund', '--loglevel=error']
+
+/** The content of a JSON file; undefined when it is missing or cut short. */
+function readIfWhole (file) {
+  try {
+    return JSON.parse(readFileSync(file, 'utf8'))
+  } catch (error) {
+    if (error.code === 'ENOENT' || error instanceof SyntaxError) return undefined
+    throw error
+  }
+}
+
+/** The packages of a checkout. They are installed in a folder of their own, which then takes the place of node_modules. */
+export class PackageInstallation {
+  #folder
+  #npm
+
+  /** `workFolder`: a folder on the file system of the checkout. */
+  constructor (root, workFolder) {
+    this.root = root
+    this.workFolder = workFolder
+  }
+
+  /**
+   * Paths of the packages that `folder` does not have as the lock file of the checkout wants them. File times say nothing
+   * about this, and npm's own list may name packages that another installation has removed.
+   */
+  listMissing (folder = this.root) {
+    const wanted = readIfWhole(join(this.root, 'package-lock.json'))?.packages
+    if (wanted === undefined) throw new BuildError('package-lock.json is missing or cannot be read')
+    const installed = readIfWhole(join(folder, 'node_modules/.package-lock.json'))?.packages ?? {}
+    return Object.keys(wanted).filter(path => {
+      if (path === '') return false
+      if (installed[path] === undefined) return wanted[path].optional !== true
+      if (installed[path].integrity !== wanted[path].integrity) return true
+      return readIfWhole(join(folder, path, 'package.json'))?.version !== wanted[path].version
+    })
+  }
+
+  /** Replaces node_modules. Rejects with a BuildError, which leaves node_modules as it was. */
+  async run () {
+    this.#folder = mkdtempSync(join(this.workFolder, folderPrefix))
+    try {
+      for (const name of ['package.json', 'package-lock.json', '.npmrc']) {
+        if (existsSync(join(this.root, name))) copyFileSync(join(this.root, name), join(this.#folder, name))
+      }
+      this.#npm = new ChildProgram('npm', npmArguments, { cwd: this.#folder, timeout: buildConstants.installationTimeoutMs })
+      await this.#npm.run('node_modules is as before')
+      const missing = this.listMissing(this.#folder)
+      if (missing.length > 0) throw new BuildError(`npm ci ended without ${missing.length} packages, the first is ${missing[0]}`)
+      const current = join(this.root, 'node_modules')
+      if (existsSync(current)) renameSync(current, join(this.#folder, 'replaced'))
+      renameSync(join(this.#folder, 'node_modules'), current)
+    } finally {
+      await rm(this.#folder, { recursive: true, force: true, maxRetries: 3 })
+    }
+  }
+
+  /** Ends an installation in progress; for a process that is being stopped. */
+  cancel () {
+    this.#npm?.kill()
+    if (this.#folder !== undefined) rmSync(this.#folder, { recursive: true, force: true, maxRetries: 3 })
+  }
+
+  /** Removes installations that were cut off. */
+  async removeAbandoned () {
+    for (const name of readdirSync(this.workFolder).filter(name => name.startsWith(folderPrefix))) {
+      const folder = join(this.workFolder, name)
+      const ageMs = Date.now() - statSync(folder).mtimeMs
+      if (ageMs > buildConstants.abandonedInstallationAgeMs) await rm(folder, { recursive: true, force: true, maxRetries: 3 })
+    }
+  }
+}
