fix(build): rename program files into place, and give each program a name of its content

Operators saw hosts that ended at their start while the build ran again in the checkout: SyntaxError and TypeError from target/lycheetrack.cjs.

Cause: the bundler empties and writes the files in place, so that a start read an empty or a cut program; and the entry file and the program are read one after the other, so that they could be those of two builds. An empty entry file ends with status 0 and no word.

Change: files are written under another name, synchronized and renamed. The program is called program-<hash>.cjs and is there before the entry file that names it. The one before stays for 10 minutes after it was replaced, however old it is. Files that do not change are left alone. Without its sources, a build no longer ends with status 0.

--- a/scripts/build/buildConstants.mjs
+++ b/scripts/build/buildConstants.mjs
@@ -12,5 +12,7 @@
   },
   installationTimeoutMs: 10 * 60_000,
   /** Age at which an installation is one that was cut off. */
-  abandonedInstallationAgeMs: 15 * 60_000
+  abandonedInstallationAgeMs: 15 * 60_000,
+  /** Time for which the program of an earlier build stays for a start that has read its entry file. */
+  supersededFileRetentionMs: 10 * 60_000
 }
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,10 +1,12 @@
 // Bundles the product and the playground programs to CommonJS files under dist/.
 import { existsSync, readdirSync, readFileSync } from 'node:fs'
 import { build } from 'esbuild'
+import { FileSet } from './build/fileSet.mjs'
 
 const version = JSON.parse(readFileSync('package.json', 'utf8')).version
 const shared = {
   bundle: true,
+  write: false,
   platform: 'node',
   target: 'node20',
   format: 'cjs',
@@ -15,24 +17,35 @@
 }
 
 const product = 'src/node/cli/index.ts'
-/** Keeps the program out of the entry file, so that the process handles signals before it has read the program. */
-const separateProgram = {
-  name: 'separateProgram',
-  setup: ({ onResolve }) => { onResolve({ filter: /\/runProgram\.js$/ }, () => ({ path: './program.cjs', external: true })) }
+
+async function buildBundle (entryPoint, options) {
+  const { outputFiles } = await build({ ...shared, entryPoints: [entryPoint], ...options })
+  return Buffer.from(outputFiles[0].contents)
 }
-const productBuilds = folder => [
+
+/** Keeps the program out of the entry file, so that the process handles signals before it has read the program. */
+async function writeProduct (files) {
+  const program = await buildBundle('src/node/cli/runProgram.ts')
+  const programName = files.buildProgramName(program)
+  const separateProgram = {
+    name: 'separateProgram',
+    setup: ({ onResolve }) => { onResolve({ filter: /\/runProgram\.js$/ }, () => ({ path: `./${programName}`, external: true })) }
+  }
   // With `require` instead of `import()`, Node.js does not scan the program for its exports.
-  build({ ...shared, entryPoints: [product], outfile: `${folder}/lycheetrack.cjs`, plugins: [separateProgram], supported: { 'dynamic-import': false } }),
-  build({ ...shared, entryPoints: ['src/node/cli/runProgram.ts'], outfile: `${folder}/program.cjs` })
-]
+  const entry = await buildBundle(product, { plugins: [separateProgram], supported: { 'dynamic-import': false } })
+  files.writeProgram(programName, program, 'lycheetrack.cjs', entry)
+}
+
 // `--product FOLDER` bundles only the product, into another folder.
 const productFlagIndex = process.argv.indexOf('--product')
-const folder = productFlagIndex < 0 ? 'dist' : process.argv[productFlagIndex + 1]
-const programs = productFlagIndex >= 0 ? [] : readdirSync('playground').filter(name => existsSync(`playground/${name}/main.ts`))
+const isProductOnly = productFlagIndex >= 0
+const folder = isProductOnly ? process.argv[productFlagIndex + 1] : 'dist'
+const files = new FileSet(folder)
+const programs = isProductOnly ? [] : readdirSync('playground').filter(name => existsSync(`playground/${name}/main.ts`))
 await Promise.all([
-  ...existsSync(product) ? productBuilds(folder) : [],
+  writeProduct(files),
   // An executable can only contain one file.
-  productFlagIndex < 0 && existsSync(product) && build({ ...shared, entryPoints: [product], outfile: `${folder}/executable.cjs` }),
-  ...programs.map(name => build({ ...shared, entryPoints: [`playground/${name}/main.ts`], outfile: `dist/playground/${name}.cjs` }))
+  !isProductOnly && buildBundle(product).then(content => { files.write('executable.cjs', content) }),
+  ...programs.map(async name => { files.write(`playground/${name}.cjs`, await buildBundle(`playground/${name}/main.ts`)) })
 ])
 if (!process.argv.includes('--quiet')) console.log(`bundled ${folder}/lycheetrack.cjs and ${programs.length} playground programs`)
