--- a/playground/builds/testCheckout.ts
+++ b/playground/builds/testCheckout.ts
@@ -54,6 +54,10 @@
     return await this.waitEnd(this.startProcess(process.execPath, args, {}))
   }
 
+  startProgram (name: string): ChildProcess {
+    return this.startProcess(join(this.folder, name), [], {})
+  }
+
   /** Arguments of each start of npm. */
   listInstallations (): readonly string[] {
     return existsSync(this.runsFile) ? readFileSync(this.runsFile, 'utf8').trim().split('\n') : []
