fix(ingress): release the heads of requests when they are read, not when their connections close

Operators saw hosts end by themselves, 'Reached heap limit', beside a machine that is busy or was stopped for a moment, while clients sent many requests that were refused with 503; requests in progress were reset.

Cause: Node.js keeps a message, and with it all texts of its head, until its connection is closed. A refused head was counted as given back, but stayed on the heap until the event loop came to the close. A loop that is behind reads up to 1,024 connections, 48 times, before it closes one, so refused heads piled up.

Change: the exchange keeps the decoded request and what else is needed of the head.

Ruled out: a smaller bound on heads, since refused heads were in no bound; a close in the same turn, since the heads of a turn are on the heap before any of its closes.

--- /dev/null
+++ b/src/node/app/__tests__/heapLimit.test.ts
@@ -0,0 +1,115 @@
+import { connect } from 'node:net'
+import { createServer } from 'node:http'
+import { readFileSync } from 'node:fs'
+import { setTimeout as delay } from 'node:timers/promises'
+import t from 'tap'
+import { buildProduct } from '../../../../playground/platform/buildProduct.js'
+import { GatewayTestHarness } from '../../../../playground/platform/gatewayTestHarness.js'
+import { sendClientRequest } from '../../../../playground/platform/sendClientRequest.js'
+import { SoakHost } from '../../../../playground/soak/soakHost.js'
+import type { AddressInfo, Socket } from 'node:net'
+
+/** Third byte of the host's loopback addresses; those below are used by the soak and other tests. */
+const network = 255
+const memoryMb = 480
+const route = { host: 'shop.example', pathPrefix: '/', kind: 'safe', service: 'shop', timeoutMs: 30_000, targetLatencyMs: 500, priority: 1, maxAttempts: 2 }
+
+t.test('a host whose clients fill its heap', { timeout: 110_000 }, async t => {
+  const product = buildProduct()
+  const fleet = new GatewayTestHarness('writer')
+  await fleet.store.start()
+  const upstream = createServer({ maxHeaderSize: 131_072 }, (request, response) => {
+    request.resume()
+    const headers = { 'x-request-id': request.headers['x-request-id'] ?? '', 'x-response-signature': 'sig' }
+    request.on('end', () => { setTimeout(() => { response.writeHead(200, headers).end('ok') }, 300) })
+  })
+  await new Promise<void>(resolve => { upstream.listen(0, '127.0.0.1', resolve) })
+  fleet.store.write('op/config', {
+    version: 1,
+    routes: [{ ...route, name: 'r' }],
+    services: [{ name: 'shop', healthCheckPath: '/health', connectionLimit: 4000 }],
+    limits: { maxHeaderBytes: 65_536, maxBodyBytes: 4_194_304, headerTimeoutMs: 30_000, idleTimeoutMs: 15_000 },
+    tenants: [{ name: 'flooding', apiKeys: ['flooding-key'] }, { name: 'steady', apiKeys: ['steady-key'] }]
+  })
+  fleet.store.write('servers/i-shop', {
+    service: 'shop',
+    address: `127.0.0.1:${(upstream.address() as AddressInfo).port}`,
+    zone: 'zone-1',
+    version: 'v1',
+    slots: 4000,
+    state: 'ready',
+    coldRemainingMs: 0,
+    sequence: 1,
+    born: 1
+  })
+  const host = await new SoakHost({
+    // Differs between concurrent runs of this file.
+    index: process.pid % 250, network, folder: product.folder, program: product.program, storeAddress: fleet.store.address, memoryMb
+  }).start()
+  t.teardown(async () => {
+    await host.process.kill()
+    await host.stop()
+    upstream.close()
+    upstream.closeAllConnections()
+    fleet.store.stop()
+    product.remove()
+  })
+
+  const buildHead = (id: string, filler: string): string => {
+    return `POST /x HTTP/1.1\r\nhost: shop.example\r\nx-request-id: ${id}\r\nx-time-remaining: 30000\r\nauthorization: Token flooding-key\r\n${filler}`
+  }
+
+  /** Opens connections that count the answers they get by status. */
+  const openClients = async (count: number, answers: Record<string, number>): Promise<readonly Socket[]> => {
+    const sockets: Socket[] = []
+    for (let i = 0; i < count; i++) {
+      const socket = connect({ host: host.ipAddress, port: 7001 }).on('error', () => {})
+      socket.on('data', data => {
+        for (const [, status] of data.toString('latin1').matchAll(/HTTP\/1\.1 (\d+)/g)) answers[status!] = (answers[status!] ?? 0) + 1
+      })
+      sockets.push(socket)
+      if (i % 100 === 0) await delay(20)
+    }
+    return sockets
+  }
+
+  /** Starts the host anew, lets clients flood it, and sends sound requests of another account for a time. */
+  const runFlood = async (clientCount: number, soundMs: number, flood: (sockets: readonly Socket[]) => Promise<void>) => {
+    await host.process.kill()
+    host.process.start()
+    await host.waitReady()
+    const answers: Record<string, number> = {}
+    const sockets = await openClients(clientCount, answers)
+    await flood(sockets)
+    const endMs = performance.now() + soundMs
+    const sound: Array<Promise<number | string>> = []
+    while (performance.now() < endMs) {
+      const headers = { authorization: 'Token steady-key', 'x-time-remaining': '8000' }
+      const answer = sendClientRequest(`${host.ipAddress}:7001`, `sound-${sound.length}`, '/x', { headers })
+        .then(({ status }) => status, error => (error as Error).message)
+      sound.push(Promise.race([answer, delay(9000, 'none', { ref: false })]))
+      await delay(250)
+    }
+    const outcomes = await Promise.all(sound)
+    const served = outcomes.filter(outcome => outcome === 200).length
+    const isRunning = host.process.isRunning
+    const peakMb = isRunning ? Number(/VmHWM:\s+(\d+)/.exec(readFileSync(`/proc/${host.process.pid}/status`, 'utf8'))![1]) / 1024 : Infinity
+    for (const socket of sockets) socket.destroy()
+    t.comment(JSON.stringify({ answers, sound: outcomes.length, served, peakMb: Math.round(peakMb) }))
+    return { answers, isRunning, peakMb, served, sent: outcomes.length }
+  }
+
+  t.test('guards against heads of refused requests that stay on the heap until a late host closes their connections', async t => {
+    const filler = `x-filler: ${'h'.repeat(60_000)}\r\ncontent-length: 2\r\n\r\na`
+    const { answers, isRunning, peakMb, served, sent } = await runFlood(3000, 5000, async sockets => {
+      host.process.freeze()
+      for (const [i, socket] of sockets.entries()) socket.write(buildHead(`flood-${i}`, filler))
+      await delay(2500)
+      host.process.resume()
+    })
+    t.ok(isRunning, 'the process runs on')
+    t.ok(peakMb < memoryMb, `${peakMb} MB`)
+    t.equal(served, sent, 'sound requests of another account are served')
+    t.ok(answers['503']! > 1000, 'requests that do not fit are refused')
+  })
+})
--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -3,7 +3,6 @@
 import { ClientConnection } from './clientConnection.js'
 import { ClientResponse } from './clientResponse.js'
 import { decodeInputError } from './decodeInputError.js'
-import { computeRequestSize } from './computeRequestSize.js'
 import { ingressConstants } from './constants.js'
 import { ingressRefusals } from './ingressRefusals.js'
 import { openListener } from '../../listeners/openListener.js'
@@ -48,7 +47,6 @@
   readonly connection: ClientConnection
   readonly exchange: ClientExchange
   readonly clientResponse: ClientResponse
-  readonly request: ClientRequest | undefined
   /** Undefined when there is no memory for the request. */
   readonly held: HeldRequest | undefined
 }
@@ -178,26 +176,24 @@
   }
 
   private async serveRequest (connection: ClientConnection, exchange: ClientExchange): Promise<void> {
-    const { message, response } = exchange
+    const { message, response, size } = exchange
     const { configuration, dependencies, decodeRequest } = this.options
-    const request = decodeRequest(message)
-    exchange.requestId = request?.id
+    exchange.setRequest(decodeRequest(message))
     const clientResponse = new ClientResponse({
       response,
-      requestId: request?.id,
+      requestId: exchange.requestId,
       encodeErrorHeaders: this.options.encodeErrorHeaders,
       isClosing: () => connection.decideClosing(exchange, this.stopsAtMs !== undefined),
       hasFollowers: () => connection.requestCount > 1,
       onBrokenOff: brokenOff => {
         dependencies.metrics.addCount('responses_broken_off', { framed: String(brokenOff.isFramed) })
-        dependencies.logger.recordInfo('response broken off', { requestId: request?.id, ...brokenOff })
+        dependencies.logger.recordInfo('response broken off', { requestId: exchange.requestId, ...brokenOff })
       }
     })
-    const size = computeRequestSize(message)
     const isTooLarge = (size.bodyBytes ?? 0) > (configuration.getCurrent()?.limits.maxBodyBytes ?? Infinity)
-    const admission = isTooLarge ? ingressRefusals.bodyTooLarge : this.admit(request, exchange)
+    const admission = isTooLarge ? ingressRefusals.bodyTooLarge : this.admit(exchange)
     const held = this.options.requestMemory.admit(getMemoryGroup(admission), size.headBytes)
-    const intake = { connection, exchange, clientResponse, request, held }
+    const intake = { connection, exchange, clientResponse, held }
     try {
       if ('status' in admission) return await this.refuse(intake, admission)
       if (held?.admitBody(size.bodyBytes ?? 0) !== true) return await this.refuse(intake, ingressRefusals.memoryUsedUp)
@@ -209,9 +205,9 @@
 
   private async serveAdmitted (intake: Intake, admission: Admission, isChunked: boolean): Promise<void> {
     const { configuration, dependencies } = this.options
-    const { exchange, clientResponse, request, held } = intake
+    const { exchange, clientResponse, held } = intake
     const { message, response, arrivedAtMs } = exchange
-    if (/(?:^|\W)100-continue(?:$|\W)/i.test(message.headers.expect ?? '')) response.writeContinue()
+    if (/(?:^|\W)100-continue(?:$|\W)/i.test(exchange.expectation)) response.writeContinue()
     const body = await this.readBody(exchange, new RequestBodyReader(message, {
       maxBytes: configuration.getCurrent()!.limits.maxBodyBytes,
       timeoutMs: admission.deadlineAtMs - dependencies.clock.readMonotonicMs(),
@@ -225,11 +221,12 @@
     }
     if (body === 'incomplete') return clientResponse.closeIncomplete('the request is incomplete')
     // The newest configuration applies, even if it arrived while the body was read or the request waited for its turn.
-    const current = this.admit(request, exchange)
+    const current = this.admit(exchange)
     if ('status' in current) return await this.refuse(intake, current)
     const { route, account, configurationVersion, deadlineAtMs } = current
+    const request = exchange.request!
     const run = new RequestRun({
-      request: request!,
+      request,
       route,
       account,
       body,
@@ -237,7 +234,7 @@
       configurationVersion,
       arrivedAtMs,
       deadlineAtMs,
-      targetAtMs: arrivedAtMs + computeTargetLeftMs(route, request!.timeLeftMs)
+      targetAtMs: arrivedAtMs + computeTargetLeftMs(route, request.timeLeftMs)
     }, dependencies)
     exchange.isPassedOn = () => run.isPassedOn
     response.once('close', () => { run.cancel() })
@@ -261,11 +258,11 @@
   }
 
   /** Decides from its head and the time whether a request is served. */
-  private admit (request: ClientRequest | undefined, { message, arrivedAtMs }: ClientExchange): Admission | IngressRefusal {
+  private admit ({ request, message, hasHost, arrivedAtMs }: ClientExchange): Admission | IngressRefusal {
     const { configuration, dependencies } = this.options
     const current = configuration.getCurrent()
     if (current === undefined) return ingressRefusals.notReady
-    if (message.httpVersion === '1.1' && message.headers.host === undefined) return ingressRefusals.hostMissing
+    if (message.httpVersion === '1.1' && !hasHost) return ingressRefusals.hostMissing
     if (request === undefined) return ingressRefusals.idMissing
     const route = configuration.findRoute(request.hostName, request.target.split('?')[0]!)
     if (route === undefined) return { status: 404, code: 'unknown_route', reason: `no route for ${request.hostName}` }
@@ -292,10 +289,9 @@
   /** Refuses a request after its body when that is short, so that the connection can be used again, or else at once. */
   private async refuse (intake: Intake, refusal: IngressRefusal): Promise<void> {
     const { exchange, clientResponse, held } = intake
-    const { message } = exchange
-    const { bodyBytes = Infinity } = computeRequestSize(message)
+    const { message, expectation, size: { bodyBytes = Infinity } } = exchange
     const { discardTimeoutMs, maxDiscardBytes } = ingressConstants
-    const isBodyDue = message.headers.expect === undefined && bodyBytes <= maxDiscardBytes && held !== undefined
+    const isBodyDue = expectation === '' && bodyBytes <= maxDiscardBytes && held !== undefined
     if (!message.complete && !isBodyDue && exchange.inputError === undefined) return await this.refuseEarly(intake, refusal)
     this.recordRefusal(intake, refusal)
     if (exchange.inputError === undefined) await exchange.waitForBody(waitUntilReceived(message, discardTimeoutMs))
@@ -315,12 +311,15 @@
     clientResponse.endEarlyError()
   }
 
-  private recordRefusal ({ request }: Intake, { status, code, reason }: IngressRefusal): void {
+  /** Logs a refusal, and releases the head, of which nothing else is needed. */
+  private recordRefusal ({ exchange }: Intake, { status, code, reason }: IngressRefusal): void {
     const { logger, metrics } = this.options.dependencies
     const configurationVersion = this.options.configuration.getCurrent()?.version
+    const { requestId, request } = exchange
     const path = request?.target
-    logger.recordInfo('request rejected', { requestId: request?.id, status, code, reason, path, configurationVersion })
+    logger.recordInfo('request rejected', { requestId, status, code, reason, path, configurationVersion })
     metrics.addCount('requests_rejected', { code })
+    exchange.releaseHead()
   }
 }
 
