fix(ingress): serve the requests behind a body that is refused early

Callers that pipeline saw connections closed without an answer to the requests behind a large body: the host refuses such a request at its head (a stop, 413, 404, 401, no time left), reads the body to its end and then closed the connection, so what stood behind the body was read and dropped. The client has its answer at once, so the requests it sends during the discard (5 s at most) are older than the 200 ms that the LOST rule allows.

The connection now stays open behind a refused body of a stated length of at most 16 MB, and the requests behind it are served or refused as any others.

Ruled out: an answer that says `Connection: close` while those behind it are still answered, since clients may drop what follows such an answer. Not done: the same for chunked bodies, since they may have no end.

The rows of requestBodies.test.ts for a stated length required `Connection: close`. They require `keep-alive` now; a row for a body that is too long to be skipped, and chunked bodies in the two tests of closing responses, require what they required before.

Evidence: earlyRefusals.test.ts failed before with `413 large-1` and `503 stop-1` alone, without an answer to the two requests behind; both get 200 now.

--- a/src/node/gateway/ingress/clientResponse.ts
+++ b/src/node/gateway/ingress/clientResponse.ts
@@ -99,15 +99,16 @@
   }
 
   /**
-   * Sends a whole error response while the client may still send its request. The connection is closed after
-   * `endEarlyError`: before, the client would be reset and could lose the response.
+   * Sends a whole error response while the client may still send its request. With `isClosing`, the connection is closed
+   * after `endEarlyError`: before, the client would be reset and could lose the response.
    */
-  writeEarlyError (status: number, code: string, message: string, retryAfterMs?: number): void {
+  writeEarlyError (status: number, code: string, message: string, retryAfterMs: number | undefined, isClosing: boolean): void {
     if (this.isEnded) return
     this.isEnded = true
     const body = buildErrorBody(code, message, status)
     const headers = this.options.encodeErrorHeaders(this.options.requestId, retryAfterMs)
-    this.response.writeHead(status, [...headers, 'content-length', String(Buffer.byteLength(body)), 'connection', 'close'])
+    const closing = isClosing ? ['connection', 'close'] : []
+    this.response.writeHead(status, [...headers, 'content-length', String(Buffer.byteLength(body)), ...closing])
     this.response.write(body)
   }
 
--- a/src/node/gateway/ingress/constants.ts
+++ b/src/node/gateway/ingress/constants.ts
@@ -18,6 +18,8 @@
   discardTimeoutMs: 5000,
   /** A refused request with a longer body, or with one of unknown length, is answered before its body is read. */
   maxDiscardBytes: 65_536,
+  /** Behind a refused body that is longer, or of unknown length, a connection is not used again. */
+  maxSkippedBytes: 16_777_216,
   /** Interval at which a client that has closed its direction is checked for having left. */
   presenceCheckMs: 50,
   /** Times after this close at which it gets an interim response; some HTTP clients accept no more than five. */
--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -300,14 +300,21 @@
     clientResponse.writeError(refusal.status, refusal.code, refusal.reason, refusal.retryAfterMs)
   }
 
-  /** Refuses a request before it has arrived. The rest is read but not kept, so that the client gets the response. */
+  /**
+   * Refuses a request before it has arrived. The rest is read but not kept, so that the client gets the response. The
+   * requests behind a body of stated length are served; a client that asks before it sends a body may leave it out.
+   */
   private async refuseEarly (intake: Intake, refusal: IngressRefusal): Promise<void> {
     const { connection, exchange, clientResponse, held } = intake
+    const { message, expectation, size: { bodyBytes = Infinity } } = exchange
     this.recordRefusal(intake, refusal)
     held?.releaseBody()
-    connection.refuseRequests()
-    clientResponse.writeEarlyError(refusal.status, refusal.code, refusal.reason, refusal.retryAfterMs)
-    if (held !== undefined) await exchange.waitForBody(waitUntilReceived(exchange.message, ingressConstants.discardTimeoutMs))
+    const isDiscarded = expectation === '' && bodyBytes <= ingressConstants.maxSkippedBytes
+    const isKept = isDiscarded && held !== undefined && exchange.inputError === undefined
+    if (!isKept) connection.refuseRequests()
+    clientResponse.writeEarlyError(refusal.status, refusal.code, refusal.reason, refusal.retryAfterMs, !isKept)
+    if (held !== undefined) await exchange.waitForBody(waitUntilReceived(message, ingressConstants.discardTimeoutMs))
+    if (!message.complete) connection.refuseRequests()
     clientResponse.endEarlyError()
   }
 
