fix(ingress): read on after a close until the client has closed, too

Clients that read a long answer slowly and sent another request meanwhile got 195,584 of 3,500,177 bytes and a reset, and the host logged nothing. The host closed the socket as soon as the kernel had taken the answer. A socket that is closed with unread bytes, or that gets bytes after it, resets the connection, and the kernel drops what it has not sent.

Each close of a client's connection now ends the write side behind what has been written, and reads and drops what the client sends until it closes its side, for 1 s, or 15 s behind more than 64 KB. This covers a response that closes the connection (Node.js calls `destroySoon`), an error answer (it lingered for 500 ms), the time-out of an idle connection, idle connections in a stop, and the end of the process (50 ms). A stopping host does not write `Connection: close` into streams and answers of more than 64 KB any more: their clients may send further requests until they have read them, and these are answered. Their idle connections stay open for 2 s after the answer.

What is cut at the bounds is logged as `answer cut off` and counted (`answers_cut_off`), and `explain` states it.

Ruled out: loss in the process or at the upstream (the host had written all bytes, and all arrive when the client sends nothing more); the time-out of the drain (the same cut without a stop). Unchanged: resets that are meant (streams without chunks, evicted answers), streams that break off, failures of a request.

--- a/src/node/app/gatewayHost.ts
+++ b/src/node/app/gatewayHost.ts
@@ -111,6 +111,7 @@
     if (unfinishedRequests > 0) await delay(gatewayConstants.responseFlushMs)
     logger.recordInfo('host stopped', { unfinishedRequests, drainMs: Math.round(clock.readMonotonicMs() - startMs) })
     await this.stopComponents()
+    await ingress.endConnections()
     this.resolveStopped()
   }
 
--- a/src/node/explain/__tests__/explainRequest.test.ts
+++ b/src/node/explain/__tests__/explainRequest.test.ts
@@ -28,6 +28,7 @@
     line(0, 'attempt ended', { upstream: 'i', service: 's', result: 'uncertain', reason: 'unfinished event of more than 262144 bytes', action: 'fail' }),
     line(0, 'attempt ended', { upstream: 'i', service: 's', result: 'uncertain', reason: 'foreign-answer: answer to an unnamed request', action: 'fail' }),
     line(0, 'attempt ended', { upstream: 'i', service: 's', result: 'uncertain', action: 'fail' }) + '\n' + line(1, 'response broken off', { reason: 'broken: reset before the end of the answer', forwardedBytes: 900 }),
+    line(0, 'answer cut off', { reason: 'host-stopped', unsentBytes: 900, answerBytes: 1000 }),
     line(0, 'request cut off', { reason: 'failure', wasPassedOn: true, elapsedMs: 7 }),
     line(0, 'request cut off', { reason: 'response-closed', wasPassedOn: false, elapsedMs: 7 }),
     line(0, 'first event'),
--- a/src/node/explain/findCause.ts
+++ b/src/node/explain/findCause.ts
@@ -12,6 +12,7 @@
   { message: 'request timed out', describe: fields => `timed out: ${fields.mayHaveRun === true ? 'an upstream received the request and did not respond' : 'the request reached no upstream'} (attempts: ${String(fields.sentCount)})` },
   { message: 'client left', describe: fields => `the client disconnected after ${String(fields.elapsedMs)} ms` },
   { message: 'response broken off', describe: fields => `the response was broken off after ${String(fields.forwardedBytes)} bytes: ${String(fields.reason)}` },
+  { message: 'answer cut off', describe: fields => `the host closed the connection with up to ${String(fields.unsentBytes)} bytes of answers unsent (${String(fields.reason)})` },
   { message: 'request cut off', describe: fields => `the host closed the connection without an answer (${String(fields.reason)}); ${fields.wasPassedOn === true ? 'an upstream was sent the request' : 'the request reached no upstream'}` },
   { message: 'request refused', describe: fields => `refused: ${String(fields.reason)}` },
   { message: 'attempt ended', describe: describeAttempt }
--- a/src/node/gateway/ingress/__tests__/clientConnection.test.ts
+++ b/src/node/gateway/ingress/__tests__/clientConnection.test.ts
@@ -24,7 +24,8 @@
     }
   })
   server.on('connection', socket => {
-    connection = new ClientConnection({ socket, clock: systemClock, onCutOff: request => { cutOff.push(request) } })
+    const onCutOff = (request: CutOffRequest): void => { cutOff.push(request) }
+    connection = new ClientConnection({ socket, clock: systemClock, onCutOff, onAnswerCutOff: () => {} })
   })
   Object.assign(server, { httpAllowHalfOpen: true })
   await once(server.listen(0, '127.0.0.1'), 'listening')
--- a/src/node/gateway/ingress/clientConnection.ts
+++ b/src/node/gateway/ingress/clientConnection.ts
@@ -3,6 +3,7 @@
 import { ingressConstants } from './constants.js'
 import { PresenceCheck } from './presenceCheck.js'
 import type { Clock } from '../../../types/clock.js'
+import type { CutOffAnswer } from './cutOffAnswer.js'
 import type { CutOffReason } from './cutOffReason.js'
 import type { CutOffRequest } from './cutOffRequest.js'
 import type { IncomingMessage, ServerResponse } from 'node:http'
@@ -14,6 +15,14 @@
   readonly clock: Clock
   /** Called for each request that the host leaves without a response. */
   readonly onCutOff: (request: CutOffRequest) => void
+  /** Called when the host ends a connection that still has bytes of an answer. */
+  readonly onAnswerCutOff: (answer: CutOffAnswer) => void
+}
+
+interface ClosingOptions {
+  readonly isHostStopping: boolean
+  /** Whether the client may read the response for a while. */
+  readonly isLong: boolean
 }
 
 /**
@@ -27,6 +36,13 @@
   private hasClientLeft = false
   private acceptsRequests = true
   private isExpiring = false
+  private isClosing = false
+  /** Bytes that had been written when the last request arrived at the connection while it was idle. */
+  private bytesBeforeAnswers = 0
+  /** Whether one of the answers since then took time. */
+  private hasLongAnswer = false
+  private answersEndedAtMs = -Infinity
+  private lastRequestId: string | undefined
   /** Bytes of the connection up to the end of its last request, and what came with this end. */
   private requestBytes = 0
   private hasInputError = false
@@ -38,6 +54,8 @@
     socket.once('end', () => { this.onInputEnd() })
     socket.on('error', () => { this.hasClientLeft = true })
     socket.once('close', () => { this.onClosed() })
+    // Node.js destroys the socket behind a response that closes the connection, and so resets a client that still sends.
+    socket.destroySoon = () => { this.close() }
   }
 
   get requestCount (): number {
@@ -47,6 +65,10 @@
   /** Adds a request that the parser has read; undefined when it gets no response, because the connection is closed. */
   add (message: IncomingMessage, response: ServerResponse): ClientExchange | undefined {
     if (!this.acceptsRequests) return undefined
+    if (this.exchanges.length === 0) {
+      this.bytesBeforeAnswers = this.options.socket.bytesWritten
+      this.hasLongAnswer = false
+    }
     const exchange = new ClientExchange(message, response, this.options.clock.readMonotonicMs())
     this.exchanges.push(exchange)
     const updateBytes = (): void => { this.requestBytes = this.options.socket.bytesRead }
@@ -60,11 +82,13 @@
 
   /**
    * Decides whether the response whose head is about to be sent closes the connection. A stopping host closes it with a
-   * response behind which no request waits, and reads nothing more from then on.
+   * response behind which no request waits, and reads nothing more from then on. A long response takes time, in which
+   * the client may send further requests; it closes the connection only when these are not accepted any more.
    */
-  decideClosing (exchange: ClientExchange, isHostStopping: boolean): boolean {
+  decideClosing (exchange: ClientExchange, { isHostStopping, isLong }: ClosingOptions): boolean {
     const isLast = this.exchanges.at(-1) === exchange
-    if (isLast && (isHostStopping || this.isExpiring)) this.refuseRequests()
+    if (isLong) this.hasLongAnswer = true
+    else if (isLast && (isHostStopping || this.isExpiring)) this.refuseRequests()
     return isLast && !this.acceptsRequests && this.pendingError === undefined
   }
 
@@ -84,10 +108,43 @@
     if (last === undefined) this.sendError(error)
   }
 
-  /** Closes the connection if it has served requests, none is in progress and none is being received. */
+  /**
+   * Closes the connection if it has served requests, none is in progress and none is being received. After a long answer
+   * the client gets time to read it and to send the next request.
+   */
   closeIfIdle (): void {
+    const { socket, clock } = this.options
+    const isIdle = this.exchanges.length === 0 && this.requestBytes > 0 && socket.bytesRead === this.requestBytes
+    const elapsedMs = clock.readMonotonicMs() - this.answersEndedAtMs
+    if (isIdle && (!this.hasLongAnswer || elapsedMs > ingressConstants.longAnswerIdleMs)) this.close()
+  }
+
+  /**
+   * Closes the connection behind what has been written. Bytes of the client that are unread at the end of a socket, or
+   * arrive later, reset the connection, and what the client has not read is lost: so it is read on until the client
+   * closes it, for a limited time.
+   */
+  close (): void {
+    if (this.isClosing) return
+    this.isClosing = true
+    this.acceptsRequests = false
     const { socket } = this.options
-    if (this.exchanges.length === 0 && this.requestBytes > 0 && socket.bytesRead === this.requestBytes) socket.destroy()
+    this.stopReading()
+    socket.end()
+    const { lingerMs, longAnswerLingerMs, longAnswerBytes } = ingressConstants
+    const timeoutMs = this.answerBytes > longAnswerBytes ? longAnswerLingerMs : lingerMs
+    const timer = setTimeout(() => { this.closeNow('time') }, timeoutMs)
+    socket.once('close', () => { clearTimeout(timer) })
+  }
+
+  /** Closes the connection without regard to its client; `reason` is logged if that cuts an answer. */
+  closeNow (reason: CutOffAnswer['reason']): void {
+    const { socket, onAnswerCutOff } = this.options
+    const { answerBytes } = this
+    const requestId = this.exchanges[0]?.requestId ?? this.lastRequestId
+    const unsentBytes = socket.writableLength
+    if (unsentBytes > 0) onAnswerCutOff({ requestId, reason, unsentBytes, answerBytes })
+    socket.destroy()
   }
 
   /** Closes the connection between two requests, because it was opened under limits that are no longer in force. */
@@ -117,16 +174,21 @@
     process.nextTick(() => {
       socket.removeAllListeners('data')
       socket.on('data', () => {})
+      // Node.js pauses a socket whose client does not read.
+      socket.resume()
     })
   }
 
+  /** Bytes of the answers since the connection was idle before. */
+  private get answerBytes (): number {
+    return this.options.socket.bytesWritten - this.bytesBeforeAnswers
+  }
+
   private sendError ({ status }: InputError): void {
     const { socket } = this.options
     this.setCloseReason('client-error')
-    socket.end(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
-    // An immediate close would reset the connection while the client still sends, and the error could be lost.
-    const timer = setTimeout(() => { socket.destroy() }, ingressConstants.errorLingerMs)
-    socket.once('close', () => { clearTimeout(timer) })
+    socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+    this.close()
   }
 
   /** The client has closed its direction; it may still read. */
@@ -144,10 +206,12 @@
     const { socket } = this.options
     if (!exchange.response.writableFinished) return
     this.exchanges.splice(this.exchanges.indexOf(exchange), 1)
+    this.lastRequestId = exchange.requestId
+    this.answersEndedAtMs = this.options.clock.readMonotonicMs()
     if (socket.writable) {
       if (this.exchanges.length > 0) this.exchanges[0]!.startTurn()
       else if (this.pendingError !== undefined) this.sendError(this.pendingError)
-      else if (!this.acceptsRequests) socket.end()
+      else if (!this.acceptsRequests) this.close()
       return
     }
     if (!this.hasClientLeft) this.setCloseReason('response-closed')
--- a/src/node/gateway/ingress/clientResponse.ts
+++ b/src/node/gateway/ingress/clientResponse.ts
@@ -10,7 +10,8 @@
   readonly response: ServerResponse
   readonly requestId: string | undefined
   readonly encodeErrorHeaders: ErrorHeaderEncoder
-  readonly isClosing: () => boolean
+  /** Decides whether the response closes the connection; `isLong`: whether the client may read it for a while. */
+  readonly isClosing: (isLong: boolean) => boolean
   /** Whether requests on the same connection wait for the end of this response. */
   readonly hasFollowers: () => boolean
   /** Called when a started response is closed before its end. */
@@ -44,7 +45,8 @@
     const length = method === 'HEAD' && contentLength !== undefined ? contentLength : body.length
     const isShort = body.length <= ingressConstants.maxUnframedBytes
     if (head.isFramed || method === 'HEAD' || !isShort || this.options.hasFollowers()) {
-      this.writeHead(status, [...forwardedHeaders, 'content-length', String(length)])
+      const isLong = body.length > ingressConstants.longAnswerBytes
+      this.writeHead(status, [...forwardedHeaders, 'content-length', String(length)], isLong)
     } else {
       this.response.removeHeader('transfer-encoding')
       this.response.writeHead(status, [...forwardedHeaders, 'connection', 'close'])
@@ -59,7 +61,7 @@
    */
   startStream ({ status, forwardedHeaders }: UpstreamResponseHead): void {
     this.hasStarted = true
-    this.writeHead(status, [...forwardedHeaders])
+    this.writeHead(status, [...forwardedHeaders], true)
   }
 
   writeEvents (events: Buffer): void {
@@ -129,8 +131,8 @@
     else this.response.destroy()
   }
 
-  private writeHead (status: number, headers: string[]): void {
-    if (this.options.isClosing()) headers.push('connection', 'close')
+  private writeHead (status: number, headers: string[], isLong = false): void {
+    if (this.options.isClosing(isLong)) headers.push('connection', 'close')
     this.response.writeHead(status, headers)
   }
 }
--- a/src/node/gateway/ingress/constants.ts
+++ b/src/node/gateway/ingress/constants.ts
@@ -12,8 +12,16 @@
   maxHeaderBytes: 65_536,
   /** Requests of one connection that may be without a response; the last of them closes the connection. */
   maxPipelinedRequests: 16,
-  /** Time for which a connection is read on after an error was sent that closes it. */
-  errorLingerMs: 500,
+  /** Time for which a connection that the host has closed is read on, until the client closes it, too. */
+  lingerMs: 1000,
+  /** The same time behind answers that the client may still be reading. */
+  longAnswerLingerMs: 15_000,
+  /** Longer answers may wait in the sockets until the client reads them. */
+  longAnswerBytes: 65_536,
+  /** A stopping host keeps an idle connection open for this time after such an answer or a stream. */
+  longAnswerIdleMs: 2000,
+  /** Time for which connections are read on before the process ends, which resets those with unread bytes. */
+  endLingerMs: 50,
   /** The body of a refused request is read for this time, so that the client gets the response. */
   discardTimeoutMs: 5000,
   /** A refused request with a longer body, or with one of unknown length, is answered before its body is read. */
--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -1,4 +1,5 @@
 import { createServer } from 'node:http'
+import { setTimeout as delay } from 'node:timers/promises'
 import { computeTargetLeftMs } from './computeTargetLeftMs.js'
 import { ClientConnection } from './clientConnection.js'
 import { ClientResponse } from './clientResponse.js'
@@ -14,6 +15,7 @@
 import type { ClientExchange } from './clientExchange.js'
 import type { ClientRequest } from '../model/clientRequest.js'
 import type { ConfigurationHolder } from '../configuration/configurationHolder.js'
+import type { CutOffAnswer } from './cutOffAnswer.js'
 import type { CutOffRequest } from './cutOffRequest.js'
 import type { ErrorHeaderEncoder } from './errorHeaderEncoder.js'
 import type { HeldRequest } from '../memory/heldRequest.js'
@@ -88,6 +90,8 @@
       for (const connection of this.connections.values()) connection.closeIfIdle()
     }
     this.server.on('connection', socket => { this.onConnection(socket) })
+    // Node.js destroys an idle connection at the end of its time when nothing listens.
+    this.server.on('timeout', socket => { this.connections.get(socket)?.close() })
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => { this.onClientError(error.code, socket as Socket) })
     // Node.js closes the connection at once when nothing listens.
     this.server.on('connect', (_message, socket) => { this.onInputError({ code: 'CONNECT', status: 400 }, socket as Socket) })
@@ -140,21 +144,35 @@
     })
   }
 
+  /** Closes the connections that are left, because the process ends. */
+  async endConnections (): Promise<void> {
+    if (this.connections.size === 0) return
+    for (const connection of this.connections.values()) connection.close()
+    await delay(ingressConstants.endLingerMs)
+    for (const connection of this.connections.values()) connection.closeNow('host-stopped')
+    // The events that follow record the requests that are cut off.
+    await delay(1)
+  }
+
   private onConnection (socket: Socket): void {
     const { clock, logger, metrics } = this.options.dependencies
     const onCutOff = (request: CutOffRequest): void => {
       metrics.addCount('requests_cut_off', { reason: request.reason, passed_on: String(request.wasPassedOn) })
       logger.recordWarning('request cut off', { ...request })
     }
-    this.connections.set(socket, new ClientConnection({ socket, clock, onCutOff }))
+    const onAnswerCutOff = (answer: CutOffAnswer): void => {
+      metrics.addCount('answers_cut_off', { reason: answer.reason })
+      logger.recordWarning('answer cut off', { ...answer })
+    }
+    this.connections.set(socket, new ClientConnection({ socket, clock, onCutOff, onAnswerCutOff }))
     socket.once('close', () => { this.connections.delete(socket) })
   }
 
   private onClientError (code: string | undefined, socket: Socket): void {
     this.options.dependencies.metrics.addCount('client_errors', { code: code ?? 'unknown' })
     const error = decodeInputError(code)
-    if (error !== undefined && socket.writable) this.onInputError(error, socket)
-    else socket.destroy()
+    if (error === undefined) socket.destroy()
+    else if (socket.writable) this.onInputError(error, socket)
   }
 
   private onInputError (error: InputError, socket: Socket): void {
@@ -183,7 +201,7 @@
       response,
       requestId: exchange.requestId,
       encodeErrorHeaders: this.options.encodeErrorHeaders,
-      isClosing: () => connection.decideClosing(exchange, this.stopsAtMs !== undefined),
+      isClosing: isLong => connection.decideClosing(exchange, { isHostStopping: this.stopsAtMs !== undefined, isLong }),
       hasFollowers: () => connection.requestCount > 1,
       onBrokenOff: brokenOff => {
         dependencies.metrics.addCount('responses_broken_off', { framed: String(brokenOff.isFramed) })
--- a/tap-snapshots/src/node/explain/__tests__/explainRequest.test.ts.test.cjs
+++ b/tap-snapshots/src/node/explain/__tests__/explainRequest.test.ts.test.cjs
@@ -17,6 +17,7 @@
 fail after upstream i of s: unfinished event of more than 262144 bytes
 fail after upstream i of s: foreign-answer: answer to an unnamed request
 the response was broken off after 900 bytes: broken: reset before the end of the answer
+the host closed the connection with up to 900 bytes of answers unsent (host-stopped)
 the host closed the connection without an answer (failure); an upstream was sent the request
 the host closed the connection without an answer (response-closed); the request reached no upstream
 no log line states how the request ended; the line may have been dropped or the host may have crashed
