fix(ingress): admit requests that resume a stream like new ones

Cause: the latency target counts from the first attempt, estimated from the time that the client has left. A resumption comes late by nature, so its target was past and it was admitted as late work. Class: one measure for requests that wait for different things.

--- a/playground/experiment/requestSimulation.ts
+++ b/playground/experiment/requestSimulation.ts
@@ -123,7 +123,7 @@
       stages: kind.stages
         .map(({ service, after, resultBytes }, index) => ({ index, service, after, resultBytes, pieceCount: request.pieceCounts[index]! }))
         .filter(stage => stage.pieceCount > 0),
-      targetAtMs: nowMs + computeTargetLeftMs(kind, this.computeTimeLeftMs()) - reserveMs,
+      targetAtMs: nowMs + computeTargetLeftMs(kind, { timeLeftMs: this.computeTimeLeftMs() }) - reserveMs,
       deadlineAtMs: request.sentAtMs + request.clientTimeoutMs - reserveMs,
       priority: kind.priority,
       preferredDomain: '',
--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -252,7 +252,7 @@
       configurationVersion,
       arrivedAtMs,
       deadlineAtMs,
-      targetAtMs: arrivedAtMs + computeTargetLeftMs(route, request.timeLeftMs)
+      targetAtMs: arrivedAtMs + computeTargetLeftMs(route, request)
     }, dependencies)
     exchange.isPassedOn = () => run.isPassedOn
     response.once('close', () => { run.cancel() })
