fix(ingress): release heads that are read after a connection has stopped accepting requests

Operators saw hosts end by themselves, 'Reached heap limit', while clients with a valid key pipelined more requests than a connection may have, with heads of 15 KB in 1,200 fields (the operator's limit is 16 KB).

Cause: the last request that a connection accepts ends its reading in the next tick, but the parser goes on with the rest of what was read, up to 64 KB. These messages get no answer and were not counted, and Node.js keeps them, with all fields twice and the lookup table of their names, until the connection is closed, after up to 16 answers.

Change: the texts of such a message are released at once, as those of a refused request are.

Sound requests of another account still wait too long in these floods: the processor is busy with the heads.

--- a/src/node/app/__tests__/heapLimit.test.ts
+++ b/src/node/app/__tests__/heapLimit.test.ts
@@ -112,4 +112,15 @@
     t.equal(served, sent, 'sound requests of another account are served')
     t.ok(answers['503']! > 1000, 'requests that do not fit are refused')
   })
+
+  t.test('guards against pipelined heads behind the last request of a connection that fill the heap', async t => {
+    const fields = Array.from({ length: 1200 }, (_, i) => `a${i}: hhhh\r\n`).join('')
+    const { isRunning, peakMb } = await runFlood(500, 8000, async sockets => {
+      for (const [i, socket] of sockets.entries()) {
+        for (let request = 0; request < 40; request++) socket.write(buildHead(`flood-${i}-${request}`, `${fields}content-length: 0\r\n\r\n`))
+      }
+    })
+    t.ok(isRunning, 'the process runs on')
+    t.ok(peakMb < memoryMb, `${peakMb} MB`)
+  })
 })
--- a/src/node/gateway/ingress/clientExchange.ts
+++ b/src/node/gateway/ingress/clientExchange.ts
@@ -1,4 +1,5 @@
 import { computeRequestSize } from './computeRequestSize.js'
+import { releaseMessageHead } from './releaseMessageHead.js'
 import type { ClientRequest } from '../model/clientRequest.js'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { InputError } from './inputError.js'
@@ -73,8 +74,3 @@
     this.resolveTurn(false)
   }
 }
-
-/** Node.js keeps a message until its connection is closed, which may be late. */
-function releaseMessageHead (message: IncomingMessage): void {
-  Object.assign(message, { headers: {}, rawHeaders: [], url: '' })
-}
--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -7,6 +7,7 @@
 import { ingressConstants } from './constants.js'
 import { ingressRefusals } from './ingressRefusals.js'
 import { openListener } from '../../listeners/openListener.js'
+import { releaseMessageHead } from './releaseMessageHead.js'
 import { RequestBodyReader } from './requestBodyReader.js'
 import { RequestRun } from './requestRun.js'
 import { waitUntilReceived } from './waitUntilReceived.js'
@@ -184,7 +185,7 @@
   private onRequest (message: IncomingMessage, response: ServerResponse): void {
     const connection = this.connections.get(message.socket)
     const exchange = connection?.add(message, response)
-    if (connection === undefined || exchange === undefined) return
+    if (connection === undefined || exchange === undefined) return releaseMessageHead(message)
     this.serveRequest(connection, exchange).catch(error => {
       const { logger } = this.options.dependencies
       logger.recordError('request failed unexpectedly', { reason: (error as Error).message, stack: (error as Error).stack })
