fix(ingress): read what has arrived before connections are closed

Clients of a busy host got their kept connection closed on a request that had reached the host before: seen at the time-out of an idle connection, at the idle closes of a stop, and for new connections that waited to be accepted when the listener closed (reset). All three are decided in timers, which Node.js runs before it reads: after a turn of the event loop that took 200 ms, the host acts on what it had read 200 ms ago.

These closes, the one of outdated connections at a change of the limits (read only) and the end of the process now wait until the event loop has accepted and read what is there (two turns), and decide then. At the end of the process, requests that arrive until then are refused before their connections are closed.

Ruled out: a request that crosses the close on the network; nothing can be read of it, and it remains.

Evidence: crossingRequests.test.ts, which keeps the event loop busy for 300 to 400 ms over the moment of the close, failed before: no answer to the second request at the time-out, none to the second and the third in the stop. Now 200, 503 and 503.

--- a/src/node/gateway/ingress/clientConnection.ts
+++ b/src/node/gateway/ingress/clientConnection.ts
@@ -125,7 +125,7 @@
    * closes it, for a limited time.
    */
   close (): void {
-    if (this.isClosing) return
+    if (this.isClosing || this.options.socket.destroyed) return
     this.isClosing = true
     this.acceptsRequests = false
     const { socket } = this.options
@@ -147,10 +147,9 @@
     socket.destroy()
   }
 
-  /** Closes the connection between two requests, because it was opened under limits that are no longer in force. */
-  closeWhenIdle (): void {
+  /** From now on, the next response closes the connection: it was opened under limits that are no longer in force. */
+  setExpiring (): void {
     this.isExpiring = true
-    this.closeIfIdle()
   }
 
   /** Notes why the host is about to close the connection; the first reason stays. */
--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -10,6 +10,7 @@
 import { releaseMessageHead } from './releaseMessageHead.js'
 import { RequestBodyReader } from './requestBodyReader.js'
 import { RequestRun } from './requestRun.js'
+import { waitForArrivals } from '../../listeners/waitForArrivals.js'
 import { waitUntilReceived } from './waitUntilReceived.js'
 import type { BodyOutcome } from './bodyOutcome.js'
 import type { ClientAccount } from '../model/clientAccount.js'
@@ -92,7 +93,7 @@
     }
     this.server.on('connection', socket => { this.onConnection(socket) })
     // Node.js destroys an idle connection at the end of its time when nothing listens.
-    this.server.on('timeout', socket => { this.connections.get(socket)?.close() })
+    this.server.on('timeout', socket => { this.onIdleTimeout(socket).catch(this.onCloseFailed) })
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => { this.onClientError(error.code, socket as Socket) })
     // Node.js closes the connection at once when nothing listens.
     this.server.on('connect', (_message, socket) => { this.onInputError({ code: 'CONNECT', status: 400 }, socket as Socket) })
@@ -118,7 +119,9 @@
     this.maxHeaderSize = maxHeaderSize
     // Node.js reads this property for each new connection; only its type is missing.
     Object.assign(this.server, { maxHeaderSize })
-    for (const connection of this.connections.values()) connection.closeWhenIdle()
+    const outdated = [...this.connections.values()]
+    for (const connection of outdated) connection.setExpiring()
+    this.closeAfterArrivals(outdated).catch(this.onCloseFailed)
   }
 
   /** From now on, responses ask clients to close their connections, and requests get their response by `stopsAtMs`. */
@@ -134,11 +137,12 @@
 
   /** Closes the connections that have no request in progress. */
   closeIdle (): void {
-    this.server.closeIdleConnections()
+    this.closeAfterArrivals([...this.connections.values()]).catch(this.onCloseFailed)
   }
 
   /** Stops accepting connections; resolves when all connections are closed. */
   async stop (): Promise<void> {
+    await waitForArrivals()
     await new Promise<void>(resolve => {
       this.server.close(() => { resolve() })
       this.server.closeIdleConnections()
@@ -148,7 +152,11 @@
   /** Closes the connections that are left, because the process ends. */
   async endConnections (): Promise<void> {
     if (this.connections.size === 0) return
-    for (const connection of this.connections.values()) connection.close()
+    await waitForArrivals()
+    for (const connection of this.connections.values()) {
+      // Refusals of what has just arrived close their connections.
+      if (connection.requestCount === 0) connection.close()
+    }
     await delay(ingressConstants.endLingerMs)
     for (const connection of this.connections.values()) connection.closeNow('host-stopped')
     // The events that follow record the requests that are cut off.
@@ -169,6 +177,22 @@
     socket.once('close', () => { this.connections.delete(socket) })
   }
 
+  private async closeAfterArrivals (connections: readonly ClientConnection[]): Promise<void> {
+    await waitForArrivals()
+    for (const connection of connections) connection.closeIfIdle()
+  }
+
+  private async onIdleTimeout (socket: Socket): Promise<void> {
+    const { bytesRead } = socket
+    await waitForArrivals()
+    const connection = this.connections.get(socket)
+    if (connection?.requestCount === 0 && socket.bytesRead === bytesRead) connection.close()
+  }
+
+  private readonly onCloseFailed = (error: Error): void => {
+    this.options.dependencies.logger.recordError('connections not closed', { reason: error.message, stack: error.stack })
+  }
+
   private onClientError (code: string | undefined, socket: Socket): void {
     this.options.dependencies.metrics.addCount('client_errors', { code: code ?? 'unknown' })
     const error = decodeInputError(code)
