fix(ingress): let a stream that has begun go on to its client's deadline

The deadline of a request is 25 ms before the client's, so that a final response arrives in time. The end of a stream is no response, so it is cut for nothing.

A stream that has begun now ends 25 ms later. Requests without a response still get their 504 in time.

Ruled out: the stop (drain started 27 ms before, its end was 2.5 s away; the log says `deadline`) and a slow client (`unreadBytes` 0).

Evidence: the test in halfClosedConnections.test.ts failed before with 482 ms of 500.

--- a/src/node/app/__tests__/halfClosedConnections.test.ts
+++ b/src/node/app/__tests__/halfClosedConnections.test.ts
@@ -84,6 +84,15 @@
     })
   }
 
+  t.test('guards against a stream that is cut off before its client stops waiting', async t => {
+    const sentAtMs = performance.now()
+    const client = send(RawClient.buildRequest('short-1', { target: '/stream/x', headers: { 'X-Time-Remaining': '500' } }))
+    await waitUntil(() => client.isClosed)
+    const elapsedMs = Math.round(performance.now() - sentAtMs)
+    t.match(client.received, /data: token/)
+    t.ok(elapsedMs >= 500, `${elapsedMs} ms`)
+  })
+
   t.test('guards against interim responses to a client of HTTP/1.0', async t => {
     const client = send(RawClient.buildRequest('old-1', { target: '/safe/x' }).replace('HTTP/1.1', 'HTTP/1.0'))
     await waitReceived('old-1')
--- a/src/node/gateway/ingress/requestRun.ts
+++ b/src/node/gateway/ingress/requestRun.ts
@@ -71,7 +71,11 @@
   /** Resolves when the request has its final response or its client has disconnected. */
   async run (): Promise<void> {
     const timeLeftMs = this.options.deadlineAtMs - this.dependencies.clock.readMonotonicMs()
-    const timer = setTimeout(() => { this.endNow('deadline') }, Math.max(timeLeftMs, 0))
+    let timer = setTimeout(() => {
+      if (!this.options.response.hasStarted) return this.endNow('deadline')
+      // The end of a stream that goes on is no response, so nothing is gained before the client stops waiting.
+      timer = setTimeout(() => { this.endNow('deadline') }, ingressConstants.responseMarginMs)
+    }, Math.max(timeLeftMs, 0))
     try {
       const isAdmitted = await this.admitSuspect() && await this.admitResumption() && this.admitAfterBackoff() && this.admitWithinLimits()
       if (isAdmitted && await this.runStages()) await this.runAttempts()
