fix(versions): write records under another key after a write without an answer

Cause: an item with records was written again under its key without a condition. The store may do a write seconds late that it has not answered; done after a later one, it took away the records that had been added since, and their streams counted as begun at the base version (ORDER).

Change: after a write that failed or has no answer, the records go on under another key.

Ruled out: conditions on the revision of the item, which an unanswered write leaves unknown.

Evidence: the new case of streamVersions.test.ts failed before (base version v1 for a stream that began at v2).

--- a/playground/fakes/memoryStore.ts
+++ b/playground/fakes/memoryStore.ts
@@ -1,3 +1,4 @@
+import { StoreUncertainError } from '../../src/shared/storeUncertainError.js'
 import { StoreUnavailableError } from '../../src/shared/storeUnavailableError.js'
 import type { StoreClient } from '../../src/node/gateway/model/storeClient.js'
 import type { StoreItem } from '../../src/node/gateway/model/storeItem.js'
@@ -8,10 +9,13 @@
 /** Store in memory for tests without a network; leases never end, and nothing can be watched. */
 export class MemoryStore implements StoreClient {
   isDown = false
+  /** Whether writes get no answer and are done only by `applyLateWrites`. */
+  isLate = false
   era = 1
   writeCount = 0
   private readonly items = new Map<string, StoreItem>()
   private revision = 1
+  private lateWrites: StoreWrite[] = []
 
   async readItem (key: string): Promise<StoreItem | undefined> {
     this.checkUp()
@@ -28,8 +32,18 @@
     throw new StoreUnavailableError('nothing can be watched')
   }
 
-  async writeConditionally ({ conditions, writes }: StoreWrite): Promise<boolean> {
+  async writeConditionally (write: StoreWrite): Promise<boolean> {
     this.checkUp()
+    if (!this.isLate) return this.applyWrite(write)
+    this.lateWrites.push(write)
+    throw new StoreUncertainError('no answer')
+  }
+
+  applyLateWrites (): void {
+    for (const write of this.lateWrites.splice(0)) this.applyWrite(write)
+  }
+
+  private applyWrite ({ conditions, writes }: StoreWrite): boolean {
     if (conditions.some(({ key, revision }) => (this.items.get(key)?.revision ?? 0) !== revision)) return false
     this.writeCount++
     for (const { key, value } of writes) this.items.set(key, { key, value, revision: ++this.revision })
--- a/src/node/gateway/versions/__tests__/streamVersions.test.ts
+++ b/src/node/gateway/versions/__tests__/streamVersions.test.ts
@@ -75,6 +75,18 @@
   t.match(await resume(1, 'never recorded'), { version: 'v1', source: 'base' })
 })
 
+t.test('guards against a write that is done late and takes newer records away', async t => {
+  const { store, clock, start, resume } = createHosts(2)
+  await start(0, 'a', 'v2')
+  store.isLate = true
+  t.notOk(await start(0, 'b', 'v2'))
+  store.isLate = false
+  await clock.runFor(versionConstants.writeRetryMs)
+  t.ok(await start(0, 'c', 'v2'))
+  store.applyLateWrites()
+  t.match(await resume(1, 'c'), { version: 'v2', source: 'record' })
+})
+
 t.test('the base version changes when no stream of the old one can be resumed any more', async t => {
   const { clock, state, start, resume } = createHosts(2)
   await start(0, 'a', 'v1')
--- a/src/node/gateway/versions/streamRecordWriter.ts
+++ b/src/node/gateway/versions/streamRecordWriter.ts
@@ -95,7 +95,12 @@
       slice.records.size < versionConstants.maxSliceRecords
     // A slice with unwritten records stays: only the newest one is written.
     if (slice !== undefined && (isOpen || this.hasUnwritten)) return slice
-    this.slice = { key: `${this.options.prefix}${createUuid()}`, createdAtMs: nowMs, records: new Map(), lease: undefined }
+    return this.createSlice()
+  }
+
+  private createSlice (): Slice {
+    const createdAtMs = this.options.clock.readMonotonicMs()
+    this.slice = { key: `${this.options.prefix}${createUuid()}`, createdAtMs, records: new Map(), lease: undefined }
     return this.slice
   }
 
@@ -133,15 +138,13 @@
     if (this.hasUnwritten) this.scheduleWrite(isWritten ? 0 : versionConstants.writeRetryMs)
   }
 
-  /** Keeps the records of a slice that was not written, under a new lease; the write may have ended the old one. */
+  /** Writes the records under another key: a write without an answer may be done late, and must not undo later ones. */
   private retrySlice (slice: Slice): void {
-    slice.lease = undefined
-    this.hasUnwritten = true
-    if (slice === this.slice) return
-    const { records } = this.slice!
+    const { records } = this.slice === slice ? this.createSlice() : this.slice!
     for (const [hash, record] of slice.records) {
       if (!records.has(hash)) records.set(hash, record)
     }
+    this.hasUnwritten = true
   }
 
   private onFailed (reason: string): void {
