fix(ingress): close kept connections of streams, too, when the limit of heads changes

Clients that use a kept connection for streams only would get 431 for as long as it lives, for heads that the limits in force allow: since, a stream does not close its connection, also when the connection was opened under limits that are no longer in force, and such a connection that is busy or has just ended a stream at the change is not closed either.

Cause: a stopping host and an outdated connection shared one condition. Change: only a stopping host leaves the connection of a long response open. The close lingers as before, so a long answer is not cut.

Not done: the first request after a stream that was in progress at the change may still get 431, as before.

--- a/src/node/gateway/ingress/clientConnection.ts
+++ b/src/node/gateway/ingress/clientConnection.ts
@@ -83,12 +83,13 @@
   /**
    * Decides whether the response whose head is about to be sent closes the connection. A stopping host closes it with a
    * response behind which no request waits, and reads nothing more from then on. A long response takes time, in which
-   * the client may send further requests; it closes the connection only when these are not accepted any more.
+   * the client may send further requests; it closes the connection only when these are not accepted any more, or when
+   * the connection's limits are no longer in force.
    */
   decideClosing (exchange: ClientExchange, { isHostStopping, isLong }: ClosingOptions): boolean {
     const isLast = this.exchanges.at(-1) === exchange
     if (isLong) this.hasLongAnswer = true
-    else if (isLast && (isHostStopping || this.isExpiring)) this.refuseRequests()
+    if (isLast && (this.isExpiring || (isHostStopping && !isLong))) this.refuseRequests()
     return isLast && !this.acceptsRequests && this.pendingError === undefined
   }
 
