fix(gateway): begin no stream without a record where another host may take it for another version

Found by review. Two orders of events in which a stream began although its record was not written, and another host would have continued it at another version: - A second attempt of a request, at the base version, after the first one was recorded at another version: when the correction was not written, the stream began, and the store still named the version of the first attempt. - A host that knows no base version (before the first one is created, or behind a restore of the store) and cannot write: its streams began at any version, while another host may have created the base version, or does later.

Cause: only the base version, as far as it is known, counted as one at which others may continue. Change: so do the version of an earlier record, and each version in service while no base version is known. Services with one version are as before.

Ruled out: the majority version while no base version is known, since hosts may see different majorities in a release.

--- a/src/node/gateway/versions/streamVersions.ts
+++ b/src/node/gateway/versions/streamVersions.ts
@@ -15,6 +15,7 @@
 import type { StoreEra } from '../store/storeEra.js'
 import type { StoreItem } from '../model/storeItem.js'
 import type { StreamOrigin } from './streamOrigin.js'
+import type { StreamRecord } from './streamRecord.js'
 
 interface VersionsOptions {
   readonly store: StoreClient
@@ -102,12 +103,21 @@
     this.started.add({ service, streamHash, version, startedAtMs: this.options.clock.readMonotonicMs(), isRecorded })
     if (!isRecorded) return true
     const record = { service, streamHash, version }
-    const canResumeElsewhere = base !== undefined && base !== version && this.isServed(service, base)
+    const canResumeElsewhere = this.listOtherVersions(service, base, known).some(other => {
+      return other !== version && this.isServed(service, other)
+    })
     if (!this.writer.isFailing()) return await this.writer.writeRecord(record) || !canResumeElsewhere
     this.writer.addRecord(record)
     return !canResumeElsewhere
   }
 
+  /** Versions at which other hosts may take a stream to have begun while its new record is not in the store. */
+  private listOtherVersions (service: string, base: string | undefined, known: StreamRecord | undefined): readonly string[] {
+    // Another host may have created any version as the base version, or do so later.
+    if (base === undefined) return this.options.listVersions(service)
+    return known === undefined ? [base] : [base, known.version]
+  }
+
   /** Finds out at which version a stream began; `requestId` is that of the request that brought its first event. */
   async findOrigin (service: string, requestId: string, signal: AbortSignal): Promise<StreamOrigin> {
     const streamHash = hashStreamId(requestId)
