fix(versions): repeat a write of records that is not answered, and wait until one succeeds

Cause: one write at a time, with the timeout of any call to the store, and each item had to get a lease first, whose answer may be lost as well.

Change: a write without an answer for 250 ms is repeated under another key; one lease serves for 30 s; the store has four connections for calls instead of two, as lost answers hold theirs. Of two records of a stream, the one in the later item of its host counts, as an earlier item may be written late with a higher revision.

Ruled out: a shorter timeout of all calls to the store, which a slow store exceeds.

--- a/playground/fakes/memoryStore.ts
+++ b/playground/fakes/memoryStore.ts
@@ -11,6 +11,8 @@
   isDown = false
   /** Whether writes get no answer and are done only by `applyLateWrites`. */
   isLate = false
+  /** Whether writes are neither done nor answered. */
+  isSilent = false
   era = 1
   writeCount = 0
   private readonly items = new Map<string, StoreItem>()
@@ -34,6 +36,7 @@
 
   async writeConditionally (write: StoreWrite): Promise<boolean> {
     this.checkUp()
+    if (this.isSilent) return await new Promise(() => {})
     if (!this.isLate) return this.applyWrite(write)
     this.lateWrites.push(write)
     throw new StoreUncertainError('no answer')
--- a/src/node/gateway/versions/constants.ts
+++ b/src/node/gateway/versions/constants.ts
@@ -10,8 +10,14 @@
   fleetWritesPerS: 150,
   /** Time within which a record is written, beyond the pause between writes; the request is refused after it. */
   recordTimeoutMs: 1000,
-  /** Pause after a failed write, in which no new record is waited for. */
-  writeRetryMs: 500,
+  /** Time without an answer after which a write is repeated; the store usually answers in 4 ms, a slow one in 200. */
+  writeRepeatMs: 250,
+  /** Time for which a lease is used for new items. */
+  leaseUseMs: 30_000,
+  /** Pause after a failed write. Until a write succeeds, no new record is waited for. */
+  writeRetryMs: 200,
+  /** Digits of the number of an item, so that keys sort by it. */
+  sliceNumberLength: 10,
   /** Attempts to read the records for a request that resumes a stream, and the pause between them. */
   readAttempts: 3,
   readRetryMs: 100,
--- a/src/node/gateway/versions/streamRecordIndex.ts
+++ b/src/node/gateway/versions/streamRecordIndex.ts
@@ -15,14 +15,17 @@
 
   constructor (private readonly prefixes: { readonly base: string, readonly records: string }) {}
 
-  /** Version at which a stream is recorded; the newest record counts. */
+  /**
+   * Version at which a stream is recorded. All records of a stream are of one host, and the one in its last item counts:
+   * the keys of a host rise, while an earlier item may be written late, with a higher revision.
+   */
   findVersion (service: string, streamHash: string): string | undefined {
-    const key = buildStreamKey(service, streamHash)
-    let newest: IndexedItem | undefined
-    for (const item of this.items.values()) {
-      if (item.versions.has(key) && item.revision > (newest?.revision ?? -1)) newest = item
+    const streamKey = buildStreamKey(service, streamHash)
+    let lastKey = ''
+    for (const [key, { versions }] of this.items) {
+      if (key > lastKey && versions.has(streamKey)) lastKey = key
     }
-    return newest?.versions.get(key)
+    return this.items.get(lastKey)?.versions.get(streamKey)
   }
 
   /** Version at which streams of a service began that are not recorded; undefined when the store names none. */
--- a/src/node/gateway/versions/streamRecordWriter.ts
+++ b/src/node/gateway/versions/streamRecordWriter.ts
@@ -24,7 +24,6 @@
   readonly key: string
   readonly createdAtMs: number
   readonly records: Map<string, StreamRecord>
-  lease: StoreLease | undefined
 }
 
 interface Waiter {
@@ -32,25 +31,31 @@
   readonly cancelTimeout: () => void
 }
 
+type WriteOutcome = 'written' | 'failed' | 'unanswered'
+
 /**
  * Writes stream records to the store, those of a short time together. An item holds the records of some seconds and is
- * written again with each further one, so that few items have to be read to find a stream.
+ * written again with each further one, so that few items have to be read to find a stream. A write that is not answered
+ * soon is repeated under another key while its answer is still awaited: streams wait for it.
  */
 export class StreamRecordWriter {
+  private readonly writerId = createUuid()
+  private sliceCount = 0
   private slice: Slice | undefined
   private hasUnwritten = false
-  private waiters: Waiter[] = []
+  private readonly waiters = new Set<Waiter>()
+  private lease: { readonly value: StoreLease, readonly createdAtMs: number } | undefined
   private cancelTimer: (() => void) | undefined
   private isWriting = false
   private isStopped = false
   private lastWriteAtMs = -Infinity
-  private failedAtMs = -Infinity
+  private hasFailed = false
 
   constructor (private readonly options: WriterOptions) {}
 
-  /** Whether a write has failed so recently that the next one is not waited for. */
+  /** Whether no write has succeeded since one has failed, so that the next one is not waited for. */
   isFailing (): boolean {
-    return this.options.clock.readMonotonicMs() < this.failedAtMs + versionConstants.writeRetryMs
+    return this.hasFailed
   }
 
   /** Adds a record; it is written later, also after failures. */
@@ -70,18 +75,17 @@
       const timeoutMs = versionConstants.recordTimeoutMs + this.computePauseMs()
       const cancelTimeout = this.options.timers.schedule(timeoutMs, () => {
         this.onFailed('not written in time')
-        this.waiters = this.waiters.filter(other => other !== waiter)
-        resolve(false)
+        this.endWaiters([waiter], false)
       })
       const waiter: Waiter = { resolve, cancelTimeout }
-      this.waiters.push(waiter)
+      this.waiters.add(waiter)
     })
   }
 
   stop (): void {
     this.isStopped = true
     this.cancelTimer?.()
-    this.endWaiters(this.waiters.splice(0), false)
+    this.endWaiters([...this.waiters], false)
   }
 
   private computePauseMs (): number {
@@ -100,7 +104,8 @@
 
   private createSlice (): Slice {
     const createdAtMs = this.options.clock.readMonotonicMs()
-    this.slice = { key: `${this.options.prefix}${createUuid()}`, createdAtMs, records: new Map(), lease: undefined }
+    const number = String(++this.sliceCount).padStart(versionConstants.sliceNumberLength, '0')
+    this.slice = { key: `${this.options.prefix}${this.writerId}/${number}`, createdAtMs, records: new Map() }
     return this.slice
   }
 
@@ -116,26 +121,53 @@
   }
 
   private async writeSlice (slice: Slice): Promise<void> {
-    const { store, clock, metrics } = this.options
-    const waiters = this.waiters.splice(0)
+    const { clock, metrics } = this.options
+    const waiters = [...this.waiters]
     this.isWriting = true
     this.hasUnwritten = false
     this.lastWriteAtMs = clock.readMonotonicMs()
-    let isWritten = false
+    const write = this.sendSlice(slice, waiters)
+    const outcome = await Promise.race([write, this.waitForAnswer()])
+    this.isWriting = false
+    metrics.addCount('stream_record_writes', { outcome })
+    if (outcome !== 'written') this.retrySlice(slice)
+    if (this.hasUnwritten) this.scheduleWrite(outcome === 'failed' ? versionConstants.writeRetryMs : 0)
+  }
+
+  /** Sends a write; an answer that comes late still counts for those that wait. */
+  private async sendSlice ({ key, records }: Slice, waiters: readonly Waiter[]): Promise<WriteOutcome> {
+    const { store } = this.options
     try {
-      slice.lease ??= await store.createLease(versionConstants.sliceMs + versionConstants.streamLifetimeMs)
-      const write = { key: slice.key, value: streamRecordCodec.encode([...slice.records.values()]), lease: slice.lease }
-      isWritten = await store.writeConditionally({ conditions: [], writes: [write], removals: [] })
+      const writes = [{ key, value: streamRecordCodec.encode([...records.values()]), lease: await this.getLease() }]
       // Without conditions, the store refuses a write only because its lease has ended.
-      if (!isWritten) this.onFailed('the lease has ended')
+      if (!await store.writeConditionally({ conditions: [], writes, removals: [] })) {
+        this.lease = undefined
+        return 'failed'
+      }
     } catch (error) {
       this.onFailed((error as Error).message)
+      return 'failed'
     }
-    this.isWriting = false
-    if (!isWritten) this.retrySlice(slice)
-    metrics.addCount('stream_record_writes', { outcome: isWritten ? 'done' : 'failed' })
-    this.endWaiters(waiters, isWritten)
-    if (this.hasUnwritten) this.scheduleWrite(isWritten ? 0 : versionConstants.writeRetryMs)
+    this.hasFailed = false
+    this.endWaiters(waiters, true)
+    return 'written'
+  }
+
+  private async waitForAnswer (): Promise<WriteOutcome> {
+    return await new Promise(resolve => {
+      this.options.timers.schedule(versionConstants.writeRepeatMs, () => { resolve('unanswered') })
+    })
+  }
+
+  /** The lease of the items, which ends when no stream of them can be resumed any more. */
+  private async getLease (): Promise<StoreLease> {
+    const { store, clock } = this.options
+    const { leaseUseMs, sliceMs, streamLifetimeMs } = versionConstants
+    const createdAtMs = clock.readMonotonicMs()
+    if (this.lease !== undefined && createdAtMs - this.lease.createdAtMs < leaseUseMs) return this.lease.value
+    const value = await store.createLease(leaseUseMs + sliceMs + streamLifetimeMs)
+    this.lease = { value, createdAtMs }
+    return value
   }
 
   /** Writes the records under another key: a write without an answer may be done late, and must not undo later ones. */
@@ -148,15 +180,16 @@
   }
 
   private onFailed (reason: string): void {
-    this.failedAtMs = this.options.clock.readMonotonicMs()
+    this.hasFailed = true
     const retryMs = versionConstants.writeRetryMs
     this.options.logger.recordWarning('stream records not written', { reason, records: this.slice?.records.size, retryMs })
   }
 
   private endWaiters (waiters: readonly Waiter[], isWritten: boolean): void {
-    for (const { resolve, cancelTimeout } of waiters) {
-      cancelTimeout()
-      resolve(isWritten)
+    for (const waiter of waiters) {
+      waiter.cancelTimeout()
+      this.waiters.delete(waiter)
+      waiter.resolve(isWritten)
     }
   }
 }
--- a/src/node/platform/constants.ts
+++ b/src/node/platform/constants.ts
@@ -16,8 +16,8 @@
   maxPieceCount: 1000,
   /** Timeout of a read or write of the store. A response usually takes 4 ms, a slow one some hundred milliseconds. */
   storeCallTimeoutMs: 1500,
-  /** Connections for reads and writes; the watch has one in addition. */
-  storeConnections: 2,
+  /** Connections for reads and writes; the watch has one in addition. Some may wait for answers that are lost. */
+  storeConnections: 4,
   connectTimeoutMs: 600,
   /** Longest wait that the store accepts for a watch. */
   maxWatchMs: 30_000,
