--- a/src/node/gateway/versions/__tests__/unwrittenRecords.test.ts
+++ b/src/node/gateway/versions/__tests__/unwrittenRecords.test.ts
@@ -4,6 +4,7 @@
 import { MemoryStore } from '../../../../../playground/fakes/memoryStore.js'
 import { StoreEra } from '../../store/storeEra.js'
 import { StoreUnavailableError } from '../../../../shared/storeUnavailableError.js'
+import { StoreUncertainError } from '../../../../shared/storeUncertainError.js'
 import { StreamVersions } from '../streamVersions.js'
 import { versionConstants } from '../constants.js'
 import { VirtualClock } from '../../../../../playground/fakes/virtualClock.js'
@@ -20,13 +21,17 @@
 const logger = createSilentLogger()
 const metrics = createMemoryMetrics()
 
-/** One host's way to a store: its calls may be refused. */
+/** One host's way to a store: its calls may be refused, and the answers to its writes may be lost. */
 class StorePath extends MemoryStore {
   isCutOff = false
   refusesWrites = false
+  losesAnswers = false
+  /** Time after which a write without an answer is given up. */
+  answerTimeoutMs = 0
+  private readonly unansweredWrites: StoreWrite[] = []
   private leaseCount = 0
 
-  constructor (private readonly target: MemoryStore) { super() }
+  constructor (private readonly target: MemoryStore, private readonly clock: VirtualClock) { super() }
 
   override async readPrefix (prefix: string): Promise<PrefixItems> {
     if (this.isCutOff) throw new StoreUnavailableError('cut off')
@@ -35,6 +40,11 @@
 
   override async writeConditionally (write: StoreWrite): Promise<boolean> {
     if (this.isCutOff || this.refusesWrites) throw new StoreUnavailableError('cut off')
+    if (this.losesAnswers) {
+      this.unansweredWrites.push(write)
+      if (this.answerTimeoutMs > 0) await this.clock.wait(this.answerTimeoutMs)
+      throw new StoreUncertainError('no answer')
+    }
     return await this.target.writeConditionally(write)
   }
 
@@ -42,6 +52,11 @@
     if (this.isCutOff) throw new StoreUnavailableError('cut off')
     return { id: ++this.leaseCount, era: this.target.era }
   }
+
+  /** Carries out the writes whose answers were lost. */
+  async applyUnanswered (): Promise<void> {
+    for (const write of this.unansweredWrites) await this.target.writeConditionally(write)
+  }
 }
 
 /** Two hosts with their own ways to one store, and upstreams of two versions, most of them of v1. */
@@ -51,7 +66,7 @@
   const hosts = [0, 1].map(() => {
     const storeEra = new StoreEra(logger, metrics)
     storeEra.observeAnswer(store.era, undefined)
-    const path = new StorePath(store)
+    const path = new StorePath(store, clock)
     const listVersions = (): readonly string[] => ['v1', 'v1', 'v2']
     const versions = new StreamVersions({ store: path, storeEra, prefix, clock, timers: clock, logger, metrics, listVersions, countHosts: () => 2 })
     versions.start()
@@ -71,6 +86,21 @@
   return { store, clock, hosts, start, resume }
 }
 
+t.test('guards against a late write without an answer that removes newer records', async t => {
+  const { clock, hosts, start, resume } = createHosts()
+  await start(0, 'a', 'v1')
+  const { path, versions } = hosts[0]!
+  path.losesAnswers = true
+  const unanswered = versions.admitStart(service, 'b', 'v2')
+  await clock.runFor(1)
+  path.losesAnswers = false
+  await clock.runFor(2 * versionConstants.writeRetryMs)
+  t.ok(await unanswered, 'written again')
+  t.ok(await start(0, 'c', 'v2'))
+  await path.applyUnanswered()
+  t.equal(await resume(1, 'c'), 'v2')
+})
+
 t.test('guards against a second attempt at the base version whose record is not written', async t => {
   const { hosts, start, resume } = createHosts()
   await start(0, 'a', 'v1')
@@ -98,3 +128,23 @@
   await clock.runFor(versionConstants.restoreMs)
   t.notOk(hasBegun && await resume(1, 'b') === 'v1', 'began at v2 and goes on at v1')
 })
+
+t.test('guards against new streams that wait for a record again and again while the store does not answer', async t => {
+  const { clock, hosts, start } = createHosts()
+  await start(0, 'a', 'v1')
+  const { path, versions } = hosts[0]!
+  path.losesAnswers = true
+  path.answerTimeoutMs = 1500
+  const admissions: Array<Promise<boolean>> = []
+  for (let i = 0; i < 1000; i++) {
+    const version = versions.findRequiredVersion(service) ?? (i % 2 === 0 ? 'v1' : 'v2')
+    admissions.push(versions.admitStart(service, `outage-${i}`, version))
+    await clock.runFor(10)
+  }
+  await clock.runFor(3000)
+  const refused = (await Promise.all(admissions)).filter(isAdmitted => !isAdmitted).length
+  t.ok(refused <= 60, `${refused} of 1000, which arrived within 10 s, are refused`)
+  path.losesAnswers = false
+  await clock.runFor(3000)
+  t.equal(versions.findRequiredVersion(service), undefined, 'streams of both versions begin after the outage')
+})
