fix(gateway): judge ejected upstreams by version when only one version can take a request

Found by review. Clients that took up streams of a version with few upstreams left were refused while these served: one upstream is ejected after failures, and all of two of ten could be, since the bound of ejections counted all versions.

Cause: the bound, at which failures count as this host's, was taken of the service before the version was chosen. Change: with a version, only its upstreams count.

--- a/src/node/gateway/upstreams/upstreamDirectory.ts
+++ b/src/node/gateway/upstreams/upstreamDirectory.ts
@@ -131,8 +131,12 @@
    * answered yet. With a version, only upstreams of this software version.
    */
   listUsable (service: string, version?: string): readonly UpstreamState[] {
-    const usable = this.listAllUsable(service)
-    return version === undefined ? usable : usable.filter(state => state.entry.version === version)
+    const nowMs = this.options.clock.readMonotonicMs()
+    const healthy = this.listHealthy(service, nowMs, version)
+    if (!this.hasLimits(service)) return healthy
+    return healthy.filter(state => {
+      return state.limit === undefined ? this.hasPlace(state) : this.computeLimitWaitMs(state, nowMs) === 0
+    })
   }
 
   /**
@@ -185,23 +189,16 @@
 
   /**
    * Upstreams that are not leaving and have not asked for a pause. Ejected upstreams are left out, unless too many are
-   * ejected: then the cause of the failures is more likely on this host's side.
+   * ejected: then the cause of the failures is more likely on this host's side. With a version, only its upstreams count.
    */
-  private listHealthy (service: string, nowMs: number): readonly UpstreamState[] {
-    const usable = this.listService(service).filter(state => state.isOpen(nowMs))
+  private listHealthy (service: string, nowMs: number, version?: string): readonly UpstreamState[] {
+    const usable = this.listService(service).filter(state => {
+      return state.isOpen(nowMs) && (version === undefined || state.entry.version === version)
+    })
     const healthy = usable.filter(state => !state.isEjected(nowMs))
     return healthy.length >= usable.length * (1 - upstreamConstants.maxEjectedShare) ? healthy : usable
   }
 
-  private listAllUsable (service: string): readonly UpstreamState[] {
-    const nowMs = this.options.clock.readMonotonicMs()
-    const healthy = this.listHealthy(service, nowMs)
-    if (!healthy.some(state => this.findLimit(state, nowMs) !== undefined)) return healthy
-    return healthy.filter(state => {
-      return state.limit === undefined ? this.hasPlace(state) : this.computeLimitWaitMs(state, nowMs) === 0
-    })
-  }
-
   private addUpstream (entry: UpstreamEntry): void {
     const { metrics, traffic, findRelay } = this.options
     const pool = new UpstreamPool({
