fix(peers): take the first free port of the range, in one step

Seen by operators: four hosts on one IP address, each with listen addresses of its own and the same internalPortRange: one starts, three end after 13 s with status 1, "7740 is in use". Any other process on that port does the same, also when the other 15 ports are free.

Cause: the peer server took the first port of the range only; lastPeerPort was read from the settings and never used. Beside it, the address was checked with a listener that was closed again before gRPC bound it: a process that took the port in between ended the start at once with "cannot listen", because the error of gRPC has no code, and a gRPC server keeps the result of its first attempt on an address.

Change: AddressWaiter.openAny takes the first free address and waits only while all are in use. The peer transport listens with a server of its own, which can try again, and hands the connections to gRPC, so there is no check before it. The bound port is published in the entry of the host. The metrics address, which the start does not wait for, is tried again each second until it is free; before it was given up after 13 s.

Ruled out: the client, readiness and directory addresses (distinct in the run), and the store (the three hosts had read their peer secret).

--- a/playground/processes/managedProcess.ts
+++ b/playground/processes/managedProcess.ts
@@ -13,6 +13,8 @@
   readonly environment?: Readonly<Record<string, string>>
   /** Variables that the process does not inherit. */
   readonly excludedVariables?: readonly string[]
+  /** Words of a command that runs Node.js with its arguments, which follow them. */
+  readonly launcher?: readonly string[]
   /** Called at the end of each run. */
   readonly onEnd?: (run: ProcessRun) => void
 }
@@ -63,9 +65,9 @@
 
   start (): void {
     if (this.isRunning) throw new ProcessError(`${this.id} is already running`)
-    const { args, excludedVariables = [] } = this.options
+    const { args, excludedVariables = [], launcher = [] } = this.options
     // The test runner adds variables to every process that it spawns, so `env` removes them.
-    const words = [...excludedVariables.flatMap(name => ['-u', name]), process.execPath, ...args]
+    const words = [...excludedVariables.flatMap(name => ['-u', name]), ...launcher, process.execPath, ...args]
     const child = spawn('env', words, { stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, ...this.options.environment } })
     this.child = child
     const run: OpenRun = { pid: child.pid, startedAtMs: performance.now(), signals: [], lines: [], errorLines: [] }
--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -154,6 +154,7 @@
     id: hostId,
     failureDomain,
     clientAddress: settings.clientAddress,
+    // The port is known when the host listens; the entry is published after that.
     peerAddress: `${settings.ipAddress}:${settings.firstPeerPort}`,
     cores: settings.cores,
     isReady: false,
--- a/src/node/app/gatewayHost.ts
+++ b/src/node/app/gatewayHost.ts
@@ -157,8 +157,8 @@
   }
 
   private async startInternalServers (waiter: AddressWaiter): Promise<void> {
-    const { readinessServer, directoryServer, transport, logger } = this.components
-    const { readinessAddress, directoryAddress, ipAddress, firstPeerPort } = this.components.settings.get()
+    const { readinessServer, directoryServer, transport, hosts, logger } = this.components
+    const { readinessAddress, directoryAddress, ipAddress, firstPeerPort, lastPeerPort } = this.components.settings.get()
     const startServer = async (server: StatusServer, address: string): Promise<void> => {
       await waiter.open(address, async () => { await server.start(address) })
     }
@@ -169,16 +169,18 @@
     this.startMetricsServer().catch(error => {
       if (!this.stopping.signal.aborted) logger.recordError('metrics not served', { reason: (error as Error).message })
     })
-    const peerAddress = `${ipAddress}:${firstPeerPort}`
-    const port = await waiter.open(peerAddress, async () => await transport.start(peerAddress))
+    const portCount = Math.max(lastPeerPort - firstPeerPort, 0) + 1
+    const peerAddresses = Array.from({ length: portCount }, (_, index) => `${ipAddress}:${firstPeerPort + index}`)
+    const port = await waiter.openAny(peerAddresses, async address => await transport.start(address))
+    hosts.updateSelf({ ...hosts.getSelf(), peerAddress: `${ipAddress}:${port}` })
     logger.recordInfo('peer server started', { port })
   }
 
   /** Requests are served without metrics, too, so the start does not wait for their address. */
   private async startMetricsServer (): Promise<void> {
-    const { metricsServer, metricsAddress, settings, clock, logger } = this.components
-    const limitMs = settings.get().timings.gracePeriodMs + listenerConstants.addressWaitMarginMs
-    const waiter = new AddressWaiter({ limitMs, stopSignal: this.stopping.signal, clock, logger })
+    const { metricsServer, metricsAddress, clock, logger } = this.components
+    const retryMs = listenerConstants.optionalAddressRetryMs
+    const waiter = new AddressWaiter({ limitMs: Infinity, retryMs, stopSignal: this.stopping.signal, clock, logger })
     await waiter.open(metricsAddress, async () => { await metricsServer.start(metricsAddress) })
   }
 }
--- a/src/node/gateway/hosts/hostSettingsHolder.ts
+++ b/src/node/gateway/hosts/hostSettingsHolder.ts
@@ -2,7 +2,17 @@
 import type { Logger } from '../../../types/logger.js'
 
 /** Settings that take effect only after a restart, because the process keeps its sockets and its identity. */
-const restartOnlyFields = ['hostId', 'failureDomain', 'ipAddress', 'clientAddress', 'readinessAddress', 'directoryAddress', 'firstPeerPort', 'storeAddress'] as const
+const restartOnlyFields = [
+  'hostId',
+  'failureDomain',
+  'ipAddress',
+  'clientAddress',
+  'readinessAddress',
+  'directoryAddress',
+  'firstPeerPort',
+  'lastPeerPort',
+  'storeAddress'
+] as const
 
 /** The current settings; a reload replaces them as a whole. */
 export class HostSettingsHolder {
--- a/src/node/listeners/addressWaiter.ts
+++ b/src/node/listeners/addressWaiter.ts
@@ -8,6 +8,8 @@
 interface WaiterOptions {
   /** Time from the creation of the waiter, in ms, after which an address in use is an error. */
   readonly limitMs: number
+  /** @default listenerConstants.addressRetryMs */
+  readonly retryMs?: number
   readonly stopSignal?: AbortSignal
   readonly clock: Clock
   readonly logger: Logger
@@ -26,19 +28,42 @@
    * the stop signal, and with any other error of `listen`.
    */
   async open<T> (address: string, listen: () => Promise<T>): Promise<T> {
-    const { limitMs, stopSignal = new AbortController().signal, clock, logger } = this.options
+    return await this.openAny([address], listen)
+  }
+
+  /** As `open`, for the first of the addresses that is free; waits only while all of them are in use. */
+  async openAny<T> (addresses: readonly string[], listen: (address: string) => Promise<T>): Promise<T> {
+    const { limitMs, retryMs = listenerConstants.addressRetryMs, stopSignal = new AbortController().signal, clock, logger } = this.options
+    const address = addresses.length === 1 ? addresses[0] : `${addresses[0]} to ${addresses.at(-1)}`
     for (let failures = 0; ; failures++) {
       stopSignal.throwIfAborted()
-      try {
-        const result = await listen()
+      const attempt = await this.openFirstFree(addresses, listen)
+      if ('result' in attempt) {
         if (failures > 0) logger.recordInfo('address free', { address, failures })
-        return result
+        return attempt.result
+      }
+      if (clock.readMonotonicMs() >= this.endMs) throw new AddressInUseError(`${address} is in use after ${limitMs} ms`, { cause: attempt.cause })
+      if (failures === 0) {
+        const limit = limitMs === Infinity ? {} : { limitMs }
+        logger.recordWarning('address in use', { address, ...limit, outcome: 'waiting for its process to end' })
+      }
+      await waitForDelay(retryMs, stopSignal)
+    }
+  }
+
+  private async openFirstFree<T> (
+    addresses: readonly string[],
+    listen: (address: string) => Promise<T>
+  ): Promise<{ readonly result: T } | { readonly cause: unknown }> {
+    let cause: unknown
+    for (const address of addresses) {
+      try {
+        return { result: await listen(address) }
       } catch (error) {
         if (!isAddressInUse(error)) throw error
-        if (clock.readMonotonicMs() >= this.endMs) throw new AddressInUseError(`${address} is in use after ${limitMs} ms`, { cause: error })
-        if (failures === 0) logger.recordWarning('address in use', { address, limitMs, outcome: 'waiting for its process to end' })
+        cause = error
       }
-      await waitForDelay(listenerConstants.addressRetryMs, stopSignal)
     }
+    return { cause }
   }
 }
--- a/src/node/listeners/constants.ts
+++ b/src/node/listeners/constants.ts
@@ -3,5 +3,7 @@
   /** Pause before an address in use is tried again. */
   addressRetryMs: 50,
   /** Time for which an address in use is waited for, beyond the time that another process may take for its stop. */
-  addressWaitMarginMs: 5000
+  addressWaitMarginMs: 5000,
+  /** Pause before an address that the start does not wait for is tried again. */
+  optionalAddressRetryMs: 1000
 } as const
--- a/src/node/peers/__tests__/grpcPeerTransport.test.ts
+++ b/src/node/peers/__tests__/grpcPeerTransport.test.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo, Socket } from 'node:net'
 import t from 'tap'
 import { createMemoryMetrics } from '../../../../playground/fakes/createMemoryMetrics.js'
+import { isAddressInUse } from '../../listeners/isAddressInUse.js'
 import { KeyValueUnavailableError } from '../../../shared/keyValueUnavailableError.js'
 import { systemClock } from '../../../shared/systemClock.js'
 import type { Clock } from '../../../types/clock.js'
@@ -107,3 +108,18 @@
   t.match(await a.transport.send(address, peerMethods.burn, {}, 5000), { report: 'here' })
   t.equal(accepted, 2)
 })
+
+t.test('guards against a process that takes the address between two attempts of a start and ends it', async t => {
+  const { address, transport } = await startTransport(t, 'host-a')
+  await transport.stop()
+  const [host, port] = address.split(':')
+  const rival = createServer().unref()
+  t.teardown(() => { rival.close() })
+  let isDone = false
+  rival.on('error', () => { if (!isDone) setImmediate(() => rival.listen(Number(port), host)) })
+  const starting = createGrpcPeerTransport({ hostId: 'host-b', secret: 'harbour', metrics: createMemoryMetrics() })
+  t.teardown(async () => { await starting.stop() })
+  const outcome = starting.start(address).then(() => 'started', error => isAddressInUse(error) ? 'in use' : String(error))
+  setImmediate(() => rival.listen(Number(port), host))
+  t.match(await outcome.finally(() => { isDone = true }), /^(started|in use)$/)
+})
--- a/src/node/peers/grpcPeerTransport.ts
+++ b/src/node/peers/grpcPeerTransport.ts
@@ -1,4 +1,6 @@
+import { createServer } from 'node:net'
 import { Server, ServerCredentials } from '@grpc/grpc-js'
+import type { AddressInfo } from 'node:net'
 import type { Clock } from '../../types/clock.js'
 import type { Metrics } from '../../types/metrics.js'
 import type { PeerMethod } from '../../types/peerMethod.js'
@@ -6,7 +8,8 @@
 import type { PeerSessionHandler } from '../../types/peerSessionHandler.js'
 import type { PeerSessions } from '../../types/peerSessions.js'
 import type { PeerTransport } from '../../types/peerTransport.js'
-import { checkAddressFree } from './checkAddressFree.js'
+import { openListener } from '../listeners/openListener.js'
+import { parseListenAddress } from '../listeners/parseListenAddress.js'
 import { PeerUnavailableError } from '../../shared/peerUnavailableError.js'
 import { peerConstants } from './constants.js'
 import { PeerAuthenticator } from './peerAuthenticator.js'
@@ -23,6 +26,9 @@
     'grpc.max_receive_message_length': peerConstants.maxMessageBytes
   })
 
+  // A gRPC server listens on an address once: it keeps the result of its first attempt, also when that has failed.
+  private readonly listener = createServer({ noDelay: true }, socket => { this.connections.injectConnection(socket) })
+  private readonly connections = this.server.createConnectionInjector(ServerCredentials.createInsecure())
   private readonly channels = new PeerChannels()
   private readonly caller: PeerCaller
   private readonly receiver: PeerReceiver
@@ -41,21 +47,21 @@
   }
 
   /**
-   * Starts listening on `listenAddress` (`ip:port`) and resolves to the bound port. Rejects with `PeerUnavailableError`;
-   * may be called again when the cause is that the address is in use.
+   * Starts listening on `listenAddress` (`ip:port`) and resolves to the bound port. Rejects with `PeerUnavailableError`,
+   * after which it may be called again.
    */
   async start (listenAddress: string): Promise<number> {
-    await checkAddressFree(listenAddress)
-    return await new Promise((resolve, reject) => {
-      this.server.bindAsync(listenAddress, ServerCredentials.createInsecure(), (error, port) => {
-        if (error) reject(new PeerUnavailableError(`cannot listen on ${listenAddress}`, { cause: error }))
-        else resolve(port)
-      })
-    })
+    try {
+      await openListener(this.listener, parseListenAddress(listenAddress))
+    } catch (error) {
+      throw new PeerUnavailableError(`cannot listen on ${listenAddress}`, { cause: error })
+    }
+    return (this.listener.address() as AddressInfo).port
   }
 
   /** Aborts the calls in progress and closes all connections. */
   async stop (): Promise<void> {
+    this.listener.close()
     this.server.forceShutdown()
     this.channels.closeAll()
   }
