fix(ingress): leave descriptors to the host when clients use them up

Seen by operators and callers: with a limit of 120 file descriptors and 300 client connections for 3 s, the host logs an unexpected error each second (process.memoryUsage throws EMFILE in MemoryWatch); more than 20 in 10 s make the error guard drain the host. A request on a connection that the host has accepted gets 503, because no connection to an upstream can be opened.

Cause: the memory of the process is read with a file descriptor, and the failure of that read was not expected, in the watch and in the metrics. Nothing bounded the connections of clients, so they could take every descriptor; the setting fileDescriptors was read and never used.

Change: the read has a typed failure, MemoryUnreadableError, logged once in a series; the metrics keep the last value and count the failure. The host accepts connections of clients up to three quarters of the descriptors beyond the 32 that an idle process needs, and closes further ones at once, before a request is read, so callers can send it elsewhere.

Ruled out: errors of accept. With the limit lowered to 12 under a running process, no error reached the program, but accept was tried again without a pause: 102% of a core until the limit was raised; then the host was ready again.

Evidence: in startNeeds.test.ts the same case gave 3 unexpected errors before (after 3 s), and with only the typed read, 503 in place of 200 on a kept connection (after 1.5 s). Now 200, no unexpected error, and 200 on a new connection afterwards. Before, 25 s of a flood at a limit of 60: 25 unexpected errors; not run again after the change.

--- a/src/node/app/__tests__/startNeeds.test.ts
+++ b/src/node/app/__tests__/startNeeds.test.ts
@@ -1,9 +1,13 @@
 import { once } from 'node:events'
-import { createServer } from 'node:net'
+import { Agent, get } from 'node:http'
+import { connect, createServer } from 'node:net'
+import { setTimeout as delay } from 'node:timers/promises'
 import t from 'tap'
+import { buildStandInAnswer } from '../../../../playground/platform/buildStandInAnswer.js'
 import { buildProduct } from '../../../../playground/platform/buildProduct.js'
 import { GatewayTestHarness } from '../../../../playground/platform/gatewayTestHarness.js'
 import { HostProcess } from '../../../../playground/platform/hostProcess.js'
+import { UpstreamStandIn } from '../../../../playground/platform/upstreamStandIn.js'
 import type { Server } from 'node:net'
 
 interface HostOptions extends Partial<Pick<ConstructorParameters<typeof HostProcess>[0], 'firstPort' | 'editSettings' | 'descriptorLimit'>> {
@@ -13,13 +17,18 @@
 
 /** Loopback network of this file. */
 const network = '127.2.252'
+/** More than the time after which a host answers. */
+const requestTimeoutMs = 4000
 
 t.test('what a host needs from outside to be ready', { timeout: 110_000 }, async t => {
   const product = buildProduct()
   const fleet = new GatewayTestHarness('writer')
   await fleet.store.start()
-  fleet.writeConfiguration({})
+  const upstream = await new UpstreamStandIn('i-shop', (request, socket) => { socket.write(buildStandInAnswer(request, { body: 'ok' })) }).start()
+  fleet.writeConfiguration({ services: [{ name: 'shop' }], routes: [{ pathPrefix: '/shop/', service: 'shop' }] })
+  fleet.addUpstream(upstream, 'shop')
   t.teardown(() => {
+    upstream.stop()
     fleet.store.stop()
     product.remove()
   })
@@ -56,9 +65,35 @@
   t.test('a host waits while none of its peer ports is free', async t => {
     const others = [await listen(7740, 3), await listen(7741, 3)]
     const host = startHost({ host: 3, editSettings: text => text.replace('7755', '7741') })
-    setTimeout(() => { others[1]!.close() }, 1500)
-    t.ok(await host.waitReady())
+    while (host.process.isRunning && host.listLines('address in use').length === 0) await delay(50)
     t.match(host.listLines('address in use'), [{ address: `${network}.3:7740 to ${network}.3:7741` }])
+    others[1]!.close()
+    t.ok(await host.waitReady())
     t.match(host.listLines('peer server started'), [{ port: 7741 }])
   })
+
+  t.test('guards against clients that use up the descriptors of a host and fail its requests or end it', async t => {
+    const host = startHost({ host: 4, descriptorLimit: 120 })
+    t.ok(await host.waitReady())
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 })
+    t.equal(await sendRequest(host, '/none', agent), 404)
+    const sockets = Array.from({ length: 300 }, () => connect(7001, `${network}.4`).on('error', () => {}))
+    await delay(1500)
+    t.equal(await sendRequest(host, '/shop/x', agent), 200)
+    t.same(host.listLines('unexpected error'), [])
+    for (const socket of sockets) socket.destroy()
+    await delay(300)
+    t.equal(await sendRequest(host, '/shop/x'), 200)
+    agent.destroy()
+  })
 })
+
+/** Resolves with the status of the answer, or with the code of the error. */
+async function sendRequest ({ clientAddress }: HostProcess, path: string, agent?: Agent): Promise<number | string | undefined> {
+  const headers = { host: 'shop.example', 'x-request-id': `${path}-${Math.random()}`, 'x-time-remaining': '2000' }
+  return await new Promise(resolve => {
+    get(`http://${clientAddress}${path}`, { agent, headers, signal: AbortSignal.timeout(requestTimeoutMs) }, response => {
+      response.resume().on('end', () => { resolve(response.statusCode) })
+    }).on('error', (error: NodeJS.ErrnoException) => { resolve(error.code) })
+  })
+}
--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -37,6 +37,7 @@
 import { platformConstants } from '../platform/constants.js'
 import { PlatformStore } from '../platform/platformStore.js'
 import { RecentAnswers } from '../gateway/stages/recentAnswers.js'
+import { readDescriptorLimit } from '../platform/readDescriptorLimit.js'
 import { readMemoryUsage } from '../gateway/memory/readMemoryUsage.js'
 import { readPeerSecretWithRetry } from '../gateway/hosts/readPeerSecretWithRetry.js'
 import { RelayClient } from '../gateway/relays/relayClient.js'
@@ -49,6 +50,7 @@
 import { StageOrderServer } from '../gateway/stages/stageOrderServer.js'
 import { StageScheduler } from '../gateway/stages/stageScheduler.js'
 import { StatusServer } from '../gateway/ingress/statusServer.js'
+import { computeConnectionLimit } from '../gateway/ingress/computeConnectionLimit.js'
 import { computeAnswerMemory } from '../gateway/answers/computeAnswerMemory.js'
 import { computeRequestMemory } from '../gateway/memory/computeRequestMemory.js'
 import { computeHoldMs } from '../gateway/store/computeHoldMs.js'
@@ -353,6 +355,7 @@
     decodeRequest: decodeClientRequest,
     encodeErrorHeaders,
     requestMemory,
+    maxConnections: computeConnectionLimit(Math.min(settings.fileDescriptors, readDescriptorLimit() ?? Infinity)),
     dependencies: {
       directory: upstreams,
       stages,
--- a/src/node/gateway/ingress/constants.ts
+++ b/src/node/gateway/ingress/constants.ts
@@ -78,5 +78,12 @@
   /** Time to live of a response to an address query: short, so that clients soon stop using a stopped host. */
   addressLifetimeMs: 2000,
   /** Largest number of hosts in a response to an address query. */
-  maxAddresses: 64
+  maxAddresses: 64,
+  /** File descriptors of an idle process: the runtime, listeners, the store and other hosts (26 are too few). */
+  reservedDescriptors: 32,
+  /** Share of the rest that connections of clients may take; the requests on them need connections to upstreams. */
+  clientDescriptorShare: 0.75,
+  minClientConnections: 8,
+  /** Interval of the log lines while connections are refused. */
+  refusalLogIntervalMs: 10_000
 } as const
--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -34,6 +34,8 @@
   readonly configuration: ConfigurationHolder
   readonly dependencies: RequestRunDependencies
   readonly requestMemory: RequestMemory
+  /** Connections beyond this number are closed at once. */
+  readonly maxConnections: number
   readonly encodeErrorHeaders: ErrorHeaderEncoder
   readonly decodeRequest: (request: IncomingMessage) => ClientRequest | undefined
 }
@@ -69,6 +71,7 @@
   private maxHeaderSize: number = ingressConstants.maxHeaderBytes
   /** Monotonic time at which the host stops; undefined until draining starts. */
   private stopsAtMs: number | undefined
+  private refusalLoggedAtMs = -Infinity
   private readonly connections = new Map<Socket, ClientConnection>()
   private readonly runs = new Set<RequestRun>()
   private readonly bodyReaders = new Set<RequestBodyReader>()
@@ -83,6 +86,8 @@
       connectionsCheckingInterval: ingressConstants.connectionCheckMs,
       noDelay: true
     }, (request, response) => { this.onRequest(request, response) })
+    this.server.maxConnections = options.maxConnections
+    this.server.on('drop', () => { this.recordRefusedConnection() })
     // Clients that ask before they send a body are told to go on when it is admitted.
     this.server.on('checkContinue', (request, response) => { this.onRequest(request, response) })
     // Without this property, which @types/node lacks, Node.js closes the connection when the client ends its direction.
@@ -163,6 +168,15 @@
     await delay(1)
   }
 
+  private recordRefusedConnection (): void {
+    const { clock, logger, metrics } = this.options.dependencies
+    metrics.addCount('client_connections_refused', {})
+    const nowMs = clock.readMonotonicMs()
+    if (nowMs - this.refusalLoggedAtMs < ingressConstants.refusalLogIntervalMs) return
+    this.refusalLoggedAtMs = nowMs
+    logger.recordWarning('client connections refused', { maxConnections: this.options.maxConnections })
+  }
+
   private onConnection (socket: Socket): void {
     const { clock, logger, metrics } = this.options.dependencies
     const onCutOff = (request: CutOffRequest): void => {
--- a/src/node/gateway/memory/__tests__/memoryWatch.test.ts
+++ b/src/node/gateway/memory/__tests__/memoryWatch.test.ts
@@ -2,6 +2,7 @@
 import { CountingMetrics } from '../../../../../playground/fakes/countingMetrics.js'
 import { MemoryWatch } from '../memoryWatch.js'
 import { memoryConstants } from '../constants.js'
+import { MemoryUnreadableError } from '../memoryUnreadableError.js'
 import { silentLogger } from '../../../../../playground/fakes/silentLogger.js'
 import { VirtualClock } from '../../../../../playground/fakes/virtualClock.js'
 import type { LogFields } from '../../../../types/logFields.js'
@@ -32,3 +33,28 @@
   watch.checkUsage()
   t.match(lines[1], { heapBytes: 430 })
 })
+
+t.test('guards against a read of the memory that fails and counts as an unexpected error', async t => {
+  const messages: string[] = []
+  const record = (message: string): void => { messages.push(message) }
+  let failure: Error | undefined = new MemoryUnreadableError('EMFILE: too many open files')
+  const watch = new MemoryWatch({
+    memoryBytes: 1000,
+    heapLimitBytes: 500,
+    readUsage: () => {
+      if (failure !== undefined) throw failure
+      return { residentBytes: 1, heapBytes: 1, externalBytes: 1 }
+    },
+    countHeldBytes: () => ({}),
+    clock: new VirtualClock(),
+    logger: { ...silentLogger, recordWarning: record, recordInfo: record },
+    metrics: new CountingMetrics()
+  })
+  watch.checkUsage()
+  watch.checkUsage()
+  failure = undefined
+  watch.checkUsage()
+  t.same(messages, ['memory not readable', 'memory readable again'])
+  failure = new TypeError('a fault of the program')
+  t.throws(() => { watch.checkUsage() }, failure)
+})
--- a/src/node/gateway/memory/memoryWatch.ts
+++ b/src/node/gateway/memory/memoryWatch.ts
@@ -1,4 +1,5 @@
 import { memoryConstants } from './constants.js'
+import { MemoryUnreadableError } from './memoryUnreadableError.js'
 import type { Clock } from '../../../types/clock.js'
 import type { Logger } from '../../../types/logger.js'
 import type { MemoryUsage } from './memoryUsage.js'
@@ -21,6 +22,7 @@
 export class MemoryWatch {
   private timer: NodeJS.Timeout | undefined
   private loggedAtMs = -Infinity
+  private isUnreadable = false
 
   constructor (private readonly options: WatchOptions) {}
 
@@ -36,7 +38,8 @@
   /** Updates the metrics, and logs the usage when it is near a limit. */
   checkUsage (): void {
     const { memoryBytes, heapLimitBytes, clock, logger, metrics } = this.options
-    const usage = this.options.readUsage()
+    const usage = this.readUsage()
+    if (usage === undefined) return
     metrics.setGauge('heap_bytes', {}, usage.heapBytes)
     metrics.setGauge('external_memory_bytes', {}, usage.externalBytes)
     const heldBytes = this.options.countHeldBytes()
@@ -48,4 +51,20 @@
     this.loggedAtMs = nowMs
     logger.recordWarning('memory nearly used up', { ...usage, memoryBytes, heapLimitBytes, ...heldBytes })
   }
+
+  /** Undefined while the memory cannot be read; only the first of a series of failures is logged. */
+  private readUsage (): MemoryUsage | undefined {
+    const { readUsage, logger } = this.options
+    try {
+      const usage = readUsage()
+      if (this.isUnreadable) logger.recordInfo('memory readable again')
+      this.isUnreadable = false
+      return usage
+    } catch (error) {
+      if (!(error instanceof MemoryUnreadableError)) throw error
+      if (!this.isUnreadable) logger.recordWarning('memory not readable', { reason: error.message })
+      this.isUnreadable = true
+      return undefined
+    }
+  }
 }
--- a/src/node/metrics/metricHelp.ts
+++ b/src/node/metrics/metricHelp.ts
@@ -12,5 +12,6 @@
   lycheetrack_metric_series_dropped_total: 'Values dropped because their metric has too many label combinations.',
   process_cpu_seconds_total: 'Processor time of the process.',
   process_resident_memory_bytes: 'Resident memory of the process.',
+  process_memory_reads_failed_total: 'Reads of the resident memory that failed; the last value stays.',
   process_start_time_seconds: 'Start of the process, seconds since the epoch.'
 }
--- a/src/node/metrics/processMetrics.ts
+++ b/src/node/metrics/processMetrics.ts
@@ -19,7 +19,7 @@
     const seconds = (user + system) / 1e6
     metrics.addCount('process_cpu_seconds', {}, seconds - this.recordedSeconds)
     this.recordedSeconds = seconds
-    metrics.setGauge('process_resident_memory_bytes', {}, process.memoryUsage.rss())
+    this.reportMemory(metrics)
     metrics.setGauge('process_start_time_seconds', {}, this.startSeconds)
     for (const quantile of [0.5, 0.99]) {
       metrics.setGauge('event_loop_delay_seconds', { quantile: String(quantile) }, this.readDelay(quantile))
@@ -27,6 +27,15 @@
     this.delay.reset()
   }
 
+  /** The read takes a file descriptor; without one the last value stays, and the failure is counted. */
+  private reportMemory (metrics: Metrics): void {
+    try {
+      metrics.setGauge('process_resident_memory_bytes', {}, process.memoryUsage.rss())
+    } catch {
+      metrics.addCount('process_memory_reads_failed', {})
+    }
+  }
+
   /** Reads the event loop delay in seconds. The histogram holds whole intervals between two samples; the delay is the part beyond the sample interval. */
   private readDelay (quantile: number): number {
     const nanoseconds = this.delay.count === 0 ? 0 : this.delay.percentile(quantile * 100)
