fix(settings): start with defaults for what a host can serve without

With LYCHEETRACK_SETTINGS absent the start ended also when the file was at the platform's own path.

Cause: the schema required each field in the form of the example, whether the host needs it or not.

Change: listenAddresses.front and platform.address are required. All others have defaults, which at the start also replace values that cannot be read; each of these is logged as `setting not readable`. A reload with such a value still changes nothing.

Ruled out: BOM, CRLF and unknown fields were read before, too.

--- a/src/node/app/__tests__/startNeeds.test.ts
+++ b/src/node/app/__tests__/startNeeds.test.ts
@@ -72,6 +72,15 @@
     t.match(host.listLines('peer server started'), [{ port: 7741 }])
   })
 
+  t.test('guards against a host that does not start for settings that it can serve without', async t => {
+    const editSettings = (text: string): string => text
+      .replace(/internalPortRange.*\n|directory = .*\n|\[limits\][^[]*/g, '')
+      .replace(/\[bounds\][^[]*/, '[bounds]\ndrainMs = false\n')
+    const host = startHost({ host: 5, editSettings })
+    t.ok(await host.waitReady())
+    t.match(host.listLines('setting not readable'), [{ setting: 'bounds.drainMs', value: 'false' }])
+  })
+
   t.test('guards against clients that use up the descriptors of a host and fail its requests or end it', async t => {
     const host = startHost({ host: 4, descriptorLimit: 120 })
     t.ok(await host.waitReady())
--- a/src/node/app/gatewayHost.ts
+++ b/src/node/app/gatewayHost.ts
@@ -163,8 +163,8 @@
       await waiter.open(address, async () => { await server.start(address) })
     }
     await Promise.all([
-      startServer(readinessServer, readinessAddress),
-      directoryServer !== undefined && directoryAddress !== undefined ? startServer(directoryServer, directoryAddress) : undefined
+      readinessAddress === undefined ? undefined : startServer(readinessServer, readinessAddress),
+      directoryServer === undefined || directoryAddress === undefined ? undefined : startServer(directoryServer, directoryAddress)
     ])
     this.startMetricsServer().catch(error => {
       if (!this.stopping.signal.aborted) logger.recordError('metrics not served', { reason: (error as Error).message })
--- a/src/node/cli/createCommandLineDependencies.ts
+++ b/src/node/cli/createCommandLineDependencies.ts
@@ -5,7 +5,7 @@
 import { createOutputWriter } from '../gateway/logs/createOutputWriter.js'
 import { createStandardErrorWriter } from '../logging/createStandardErrorWriter.js'
 import { HostSignals } from './hostSignals.js'
-import { platformConstants } from '../platform/constants.js'
+import { resolveSettingsPath } from '../platform/resolveSettingsPath.js'
 import { text as readStreamText } from 'node:stream/consumers'
 import { setTimeout as delay } from 'node:timers/promises'
 import type { LineWriter } from '../gateway/logs/lineWriter.js'
@@ -48,8 +48,7 @@
 
 /** The settings file is polled, because it may change without a signal and file events are not available everywhere. */
 function addSettingsListener (listener: () => void): () => void {
-  const path = process.env[platformConstants.settingsVariable]
-  if (path === undefined) return () => {}
+  const path = resolveSettingsPath(process.env)
   watchFile(path, { interval: cliConstants.settingsPollMs, persistent: false }, listener)
   return () => { unwatchFile(path, listener) }
 }
--- a/src/node/cli/settingsReloader.ts
+++ b/src/node/cli/settingsReloader.ts
@@ -1,3 +1,4 @@
+import { SettingsError } from '../settings/settingsError.js'
 import type { HostSettings } from '../gateway/model/hostSettings.js'
 import type { ReloadableHost } from './reloadableHost.js'
 
@@ -27,7 +28,12 @@
     this.isRequested = false
     this.isReading = true
     this.readSettings().then(
-      settings => { host.applySettings(settings) },
+      settings => {
+        // Defaults in the place of unreadable values are for the start; a host that runs has better ones.
+        const { replacedSettings = [] } = settings
+        if (replacedSettings.length > 0) host.recordSettingsFault(new SettingsError(replacedSettings).message)
+        else host.applySettings(settings)
+      },
       error => { host.recordSettingsFault((error as Error).message) }
     ).finally(() => {
       this.isReading = false
--- a/src/node/gateway/hosts/hostSettingsHolder.ts
+++ b/src/node/gateway/hosts/hostSettingsHolder.ts
@@ -16,7 +16,11 @@
 
 /** The current settings; a reload replaces them as a whole. */
 export class HostSettingsHolder {
-  constructor (private current: HostSettings, private readonly logger: Logger) {}
+  constructor (private current: HostSettings, private readonly logger: Logger) {
+    for (const fault of current.replacedSettings ?? []) {
+      logger.recordWarning('setting not readable', { ...fault, outcome: 'the default applies' })
+    }
+  }
 
   get (): HostSettings {
     return this.current
--- a/src/node/platform/constants.ts
+++ b/src/node/platform/constants.ts
@@ -2,6 +2,8 @@
 export const platformConstants = {
   /** Environment variable with the path of the settings file. */
   settingsVariable: 'LYCHEETRACK_SETTINGS',
+  /** Where the platform puts the file; used when the variable is absent. */
+  settingsPath: '/etc/lycheetrack/node.toml',
   configurationKey: 'op/config',
   configurationPrefix: 'op/',
   upstreamPrefix: 'servers/',
--- a/src/node/platform/parseHostSettings.ts
+++ b/src/node/platform/parseHostSettings.ts
@@ -1,18 +1,36 @@
 import { parse, TomlError } from 'smol-toml'
 import { SettingsError } from '../settings/settingsError.js'
+import { settingDefaults } from './settingDefaults.js'
 import { settingsSchema } from './settingsSchema.js'
 import type { HostSettings } from '../gateway/model/hostSettings.js'
 import type { SettingFault } from '../settings/settingFault.js'
 
-/** Parses the platform's settings file. Throws a `SettingsError` that lists all invalid settings. */
+interface SettingIssue {
+  readonly path: readonly PropertyKey[]
+  readonly message: string
+}
+
+/** Without these, a host has no clients or nothing to serve them with. */
+const requiredSettings = ['listenAddresses', 'listenAddresses.front', 'platform', 'platform.address']
+
+/**
+ * Parses the platform's settings file. Others than the required settings have defaults, which also replace values that
+ * cannot be read; those are listed in `replacedSettings`. Throws a `SettingsError` that lists all invalid settings when a
+ * required one is among them.
+ */
 export function parseHostSettings (text: string): HostSettings {
-  const parsed = settingsSchema.safeParse(parseToml(text))
-  if (!parsed.success) throw new SettingsError(parsed.error.issues.map(issue => buildFault(issue, text)))
-  const { listenAddresses, limits, bounds, internalPortRange, ...settings } = parsed.data
+  const document = parseToml(text)
+  const first = settingsSchema.safeParse(document)
+  const issues = first.error?.issues ?? []
+  const faults = issues.map(issue => buildFault(issue, document))
+  if (issues.some(({ path }) => requiredSettings.includes(path.join('.')))) throw new SettingsError(faults)
+  const { listenAddresses, limits, bounds, ...settings } = first.data ?? settingsSchema.parse(removeValues(document, issues))
+  const internalPortRange = settings.internalPortRange ?? settingDefaults.internalPortRange
   return {
-    hostId: settings.nodeName,
+    hostId: settings.nodeName ?? listenAddresses.front,
     failureDomain: settings.zone,
-    ipAddress: settings.ipAddress,
+    ipAddress: settings.ipAddress ?? listenAddresses.front.split(':')[0]!,
+    replacedSettings: faults,
     clientAddress: listenAddresses.front,
     readinessAddress: listenAddresses.ready,
     directoryAddress: listenAddresses.directory,
@@ -45,9 +63,21 @@
   }
 }
 
-function buildFault (issue: { readonly path: readonly PropertyKey[], readonly message: string }, text: string): SettingFault {
+/** Copies a document without the values that have issues; an item of a list takes its whole list with it. */
+function removeValues (document: unknown, issues: readonly SettingIssue[]): unknown {
+  const copy = structuredClone(document) as Record<PropertyKey, unknown>
+  for (const { path } of issues) {
+    const end = path.findIndex(name => typeof name === 'number')
+    const names = end < 0 ? path : path.slice(0, end)
+    const parent = findValue(copy, names.slice(0, -1)) as Record<PropertyKey, unknown> | undefined
+    if (parent !== undefined) delete parent[names.at(-1)!]
+  }
+  return copy
+}
+
+function buildFault (issue: SettingIssue, document: unknown): SettingFault {
   const setting = issue.path.join('.')
-  const given = findValue(parseToml(text), issue.path)
+  const given = findValue(document, issue.path)
   return {
     setting,
     value: given === undefined ? undefined : JSON.stringify(given),
