fix(build): install packages without a home folder that holds the cache of npm

A build in a clean checkout with HOME set to a file ended with status 1 (ENOTDIR, mkdir of the cache); with a HOME in which no folder can be made, npm used a processor for 282 s without a package, until it was ended by hand.

Cause: npm keeps a cache in the home folder and needs it to install. Change: the build makes that folder first; if it cannot, it says so and the cache is kept in the folder of the installation. A folder of an earlier installation that cannot be removed, because an npm that outlived its build still writes there, no longer ends the build.

--- a/playground/builds/__tests__/systemBuild.test.ts
+++ b/playground/builds/__tests__/systemBuild.test.ts
@@ -1,5 +1,5 @@
 import { once } from 'node:events'
-import { existsSync, readdirSync, rmSync, utimesSync } from 'node:fs'
+import { existsSync, mkdirSync, readdirSync, rmSync, utimesSync } from 'node:fs'
 import { join } from 'node:path'
 import { setTimeout as delay } from 'node:timers/promises'
 import t, { type Test } from 'tap'
@@ -46,6 +46,16 @@
     t.match(checkout.listInstallations(), [/^ci --include=dev/, /^ci/, /^ci/])
   })
 
+  t.test('guards against a home folder that cannot hold the cache of npm, and installations that were cut off long ago', async t => {
+    const checkout = createCheckout(t)
+    const abandoned = join(checkout.folder, 'target/.installation-abandoned')
+    mkdirSync(join(abandoned, 'node_modules'), { recursive: true })
+    utimesSync(abandoned, 0, 0)
+    t.match(await checkout.runBuild({ HOME: join(checkout.folder, 'package.json') }), { status: 0, output: /without the cache of npm: ENOTDIR/ })
+    t.match(await checkout.runNode('target/lycheetrack.cjs'), { status: 0, output: 'first\n' })
+    t.notOk(existsSync(abandoned))
+  })
+
   t.test('guards against a build that waits for one that was killed', async t => {
     const checkout = createCheckout(t)
     const killed = checkout.startBuild()
--- a/playground/builds/npmStandIn.cjs
+++ b/playground/builds/npmStandIn.cjs
@@ -14,6 +14,8 @@
     console.error('npm error code ETARGET')
     process.exit(1)
   }
+  const { HOME, npm_config_cache: cache = HOME && join(HOME, '.npm') } = process.env
+  if (cache !== undefined) mkdirSync(join(cache, '_cacache/tmp'), { recursive: true })
   mkdirSync('node_modules', { recursive: true })
   for (const name of readdirSync('node_modules')) rmSync(join('node_modules', name), { recursive: true, force: true })
   await delay(stepMs)
--- a/scripts/build/packageInstallation.mjs
+++ b/scripts/build/packageInstallation.mjs
@@ -1,5 +1,6 @@
-import { copyFileSync, existsSync, mkdtempSync, readdirSync, readFileSync, renameSync, rmSync, statSync } from 'node:fs'
+import { accessSync, constants, copyFileSync, existsSync, mkdirSync, mkdtempSync, readdirSync, readFileSync, renameSync, rmSync, statSync } from 'node:fs'
 import { rm } from 'node:fs/promises'
+import { homedir } from 'node:os'
 import { join } from 'node:path'
 import { buildConstants } from './buildConstants.mjs'
 import { BuildError } from './buildError.mjs'
@@ -7,7 +8,7 @@
 
 const folderPrefix = '.installation-'
 /** `npm ci` leaves out development packages, the bundler among them, when NODE_ENV is `production`. */
-const npmArguments = ['ci', '--include=dev', '--no-audit', '--no-fund', '--loglevel=error']
+const npmArguments = ['ci', '--include=dev', '--no-audit', '--no-fund', '--no-update-notifier', '--loglevel=error']
 
 /** The content of a JSON file; undefined when it is missing or cut short. */
 function readIfWhole (file) {
@@ -19,6 +20,15 @@
   }
 }
 
+/** An npm that outlives its build may still write there; a later build removes the rest. */
+async function removeFolder (folder) {
+  try {
+    await rm(folder, { recursive: true, force: true, maxRetries: 3 })
+  } catch (error) {
+    console.error(`not removed: ${error.message}`)
+  }
+}
+
 /** The packages of a checkout. They are installed in a folder of their own, which then takes the place of node_modules. */
 export class PackageInstallation {
   #folder
@@ -53,7 +63,8 @@
       for (const name of ['package.json', 'package-lock.json', '.npmrc']) {
         if (existsSync(join(this.root, name))) copyFileSync(join(this.root, name), join(this.#folder, name))
       }
-      this.#npm = new ChildProgram('npm', npmArguments, { cwd: this.#folder, timeout: buildConstants.installationTimeoutMs })
+      const options = { cwd: this.#folder, env: this.#resolveEnvironment(), timeout: buildConstants.installationTimeoutMs }
+      this.#npm = new ChildProgram('npm', npmArguments, options)
       await this.#npm.run('node_modules is as before')
       const missing = this.listMissing(this.#folder)
       if (missing.length > 0) throw new BuildError(`npm ci ended without ${missing.length} packages, the first is ${missing[0]}`)
@@ -61,7 +72,7 @@
       if (existsSync(current)) renameSync(current, join(this.#folder, 'replaced'))
       renameSync(join(this.#folder, 'node_modules'), current)
     } finally {
-      await rm(this.#folder, { recursive: true, force: true, maxRetries: 3 })
+      await removeFolder(this.#folder)
     }
   }
 
@@ -76,7 +87,20 @@
     for (const name of readdirSync(this.workFolder).filter(name => name.startsWith(folderPrefix))) {
       const folder = join(this.workFolder, name)
       const ageMs = Date.now() - statSync(folder).mtimeMs
-      if (ageMs > buildConstants.abandonedInstallationAgeMs) await rm(folder, { recursive: true, force: true, maxRetries: 3 })
+      if (ageMs > buildConstants.abandonedInstallationAgeMs) await removeFolder(folder)
+    }
+  }
+
+  /** npm fails, or never ends, without a folder for its cache. */
+  #resolveEnvironment () {
+    try {
+      const cache = process.env.npm_config_cache ?? join(homedir(), '.npm')
+      if (!existsSync(cache)) mkdirSync(cache)
+      accessSync(cache, constants.W_OK)
+      return process.env
+    } catch (error) {
+      console.log(`installing without the cache of npm: ${error.message}`)
+      return { HOME: this.#folder, ...process.env, npm_config_cache: join(this.#folder, 'cache') }
     }
   }
 }
