--- a/src/node/cli/createCommandLineDependencies.ts
+++ b/src/node/cli/createCommandLineDependencies.ts
@@ -1,6 +1,6 @@
 import { CommandUnavailableError } from './commandUnavailableError.js'
 import { unwatchFile, watchFile } from 'node:fs'
-import { readFile, writeFile } from 'node:fs/promises'
+import { readFile } from 'node:fs/promises'
 import { cliConstants } from './constants.js'
 import { createOutputWriter } from '../gateway/logs/createOutputWriter.js'
 import { createStandardErrorWriter } from '../logging/createStandardErrorWriter.js'
@@ -8,6 +8,7 @@
 import { resolveSettingsPath } from '../platform/resolveSettingsPath.js'
 import { text as readStreamText } from 'node:stream/consumers'
 import { setTimeout as delay } from 'node:timers/promises'
+import { writeTextFile } from './writeTextFile.js'
 import type { LineWriter } from '../gateway/logs/lineWriter.js'
 import type { CommandLineDependencies } from './commandLineDependencies.js'
 
@@ -30,7 +31,7 @@
     parseContract: implementations.parseContract ?? (() => refuseMissingPart('the contract check')),
     readTextFile: path => readFile(path, 'utf8'),
     readInput: async () => await readStreamText(process.stdin),
-    writeTextFile: (path, text) => writeFile(path, text),
+    writeTextFile,
     writeOutput: line => process.stdout.write(`${line}\n`),
     writeError: line => process.stderr.write(`${line}\n`),
     onSignal: addSignalListener,
