fix(memory): refuse requests and close unfinished heads while the heap is nearly full

Cause: heads that come in are bounded for a connection, not together, and all bounds on the heap are sums of estimates.

Change: admission consults the heap that is in use. Above 65% of its limit garbage is collected, at most once in 2 s, and if the heap is still above, requests get 503 until it is below 55%. Meanwhile connections that hold 4 KB or more of an unfinished head are closed with 503; they are watched every 100 ms while there are more than 256 connections.

Ruled out: refusing by the heap in use without a collection, which would refuse for garbage alone after a flood; a larger heap limit, which moves the number of connections and takes memory that is priced.

--- a/playground/soak/soakHost.ts
+++ b/playground/soak/soakHost.ts
@@ -13,7 +13,7 @@
 /** Margin over the processor time of a runtime that runs a minimal program. */
 const runtimeStartFactor = 1.25
 /** Options of Node.js in the deploy file. */
-const deployedNodeOptions = ['--max-old-space-size=160']
+const deployedNodeOptions = ['--max-old-space-size=160', '--expose-gc']
 
 interface SoakHostOptions {
   readonly index: number
--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -24,6 +24,7 @@
 import { gatewayConstants } from './gatewayConstants.js'
 import { ErrorGuard } from './errorGuard.js'
 import { GatewayHost } from './gatewayHost.js'
+import { HeapGuard } from '../gateway/memory/heapGuard.js'
 import { HostDirectory } from '../gateway/hosts/hostDirectory.js'
 import { hostEntryCodec } from '../gateway/hosts/hostEntryCodec.js'
 import { HostSettingsHolder } from '../gateway/hosts/hostSettingsHolder.js'
@@ -326,7 +327,15 @@
   const answerMemory = new AnswerMemory({ limitBytes: computeAnswerMemory(settings.memoryBytes), logger, metrics })
   const { memoryBytes } = settings
   const heapLimitBytes = getHeapStatistics().heap_size_limit
-  const requestMemory = new RequestMemory({ limits: computeRequestMemory(memoryBytes, heapLimitBytes), clock, logger, metrics })
+  const heap = new HeapGuard({
+    heapLimitBytes,
+    readHeapBytes: () => getHeapStatistics().used_heap_size,
+    collectGarbage: globalThis.gc,
+    clock,
+    logger,
+    metrics
+  })
+  const requestMemory = new RequestMemory({ limits: computeRequestMemory(memoryBytes, heapLimitBytes), heap, clock, logger, metrics })
   const memoryWatch = new MemoryWatch({
     memoryBytes,
     heapLimitBytes,
@@ -356,6 +365,7 @@
     encodeErrorHeaders,
     requestMemory,
     maxConnections: computeConnectionLimit(Math.min(settings.fileDescriptors, readDescriptorLimit() ?? Infinity)),
+    heap,
     dependencies: {
       directory: upstreams,
       stages,
--- a/src/node/gateway/ingress/clientConnection.ts
+++ b/src/node/gateway/ingress/clientConnection.ts
@@ -120,6 +120,14 @@
     if (isIdle && (!this.hasLongAnswer || elapsedMs > ingressConstants.longAnswerIdleMs)) this.close()
   }
 
+  /** Closes the connection if it waits for the rest of a head with so many bytes; returns whether it does. */
+  closeUnfinishedHead (bytes: number): boolean {
+    const { socket } = this.options
+    if (this.hasInputError || this.exchanges.length > 0 || socket.bytesRead - this.requestBytes < bytes) return false
+    this.handleInputError({ code: 'HEAP_FULL', status: 503 })
+    return true
+  }
+
   /**
    * Closes the connection behind what has been written. Bytes of the client that are unread at the end of a socket, or
    * arrive later, reset the connection, and what the client has not read is lost: so it is read on until the client
--- /dev/null
+++ b/src/node/gateway/memory/__tests__/heapGuard.test.ts
@@ -0,0 +1,46 @@
+import t from 'tap'
+import { CountingMetrics } from '../../../../../playground/fakes/countingMetrics.js'
+import { HeapGuard } from '../heapGuard.js'
+import { memoryConstants } from '../constants.js'
+import { silentLogger } from '../../../../../playground/fakes/silentLogger.js'
+import { VirtualClock } from '../../../../../playground/fakes/virtualClock.js'
+import type { LogFields } from '../../../../types/logFields.js'
+
+t.test('guards against requests that are taken until the heap is full', async t => {
+  const lines: LogFields[] = []
+  const clock = new VirtualClock()
+  const heap = { live: 100, garbage: 0, collections: 0 }
+  const guard = new HeapGuard({
+    heapLimitBytes: 1000,
+    readHeapBytes: () => heap.live + heap.garbage,
+    collectGarbage: () => {
+      heap.garbage = 0
+      heap.collections++
+    },
+    clock,
+    logger: { ...silentLogger, recordWarning: (_: string, fields: LogFields = {}) => { lines.push(fields) } },
+    metrics: new CountingMetrics()
+  })
+  t.ok(guard.admit())
+  heap.garbage = 800
+  t.ok(guard.admit(), 'garbage alone refuses nothing')
+  t.equal(heap.collections, 1)
+  heap.live = 700
+  t.notOk(guard.admit())
+  t.equal(heap.collections, 1, 'one collection in an interval')
+  heap.live = 600
+  t.notOk(guard.admit(), 'resumes only well below the bound')
+  await clock.runFor(memoryConstants.collectIntervalMs)
+  Object.assign(heap, { live: 500, garbage: 300 })
+  t.ok(guard.admit())
+  t.match(lines, [{ isFull: true, heapBytes: 700, heapLimitBytes: 1000 }, { isFull: false, heapBytes: 500 }])
+})
+
+t.test('guards against a runtime without a call that collects garbage', async t => {
+  const options = { collectGarbage: undefined, clock: new VirtualClock(), logger: silentLogger, metrics: new CountingMetrics() }
+  const heap = { bytes: 700 }
+  const guard = new HeapGuard({ ...options, heapLimitBytes: 1000, readHeapBytes: () => heap.bytes })
+  t.notOk(guard.admit())
+  heap.bytes = 500
+  t.ok(guard.admit())
+})
--- a/src/node/gateway/memory/constants.ts
+++ b/src/node/gateway/memory/constants.ts
@@ -16,6 +16,18 @@
   fieldOverheadBytes: 128,
   /** A group may hold this multiple of the memory that is left for others. */
   freeMultiple: 2,
+  /** Share of the heap limit, which includes the young generation, above which no request is taken. */
+  heapFullShare: 0.65,
+  /** Share at which requests are taken again. */
+  heapResumeShare: 0.55,
+  /** Interval at which garbage is collected to measure what is live; one collection takes up to 0.15 s. */
+  collectIntervalMs: 2000,
+  /** Bytes of an unfinished head at which its connection is closed while the heap is full; most heads come in one segment. */
+  maxUnfinishedHeadBytes: 4096,
+  /** Unfinished heads are watched while there are more connections; fewer cannot fill the heap with heads of 16 KB. */
+  minWatchedConnections: 256,
+  /** Interval at which they are watched. */
+  unfinishedHeadCheckMs: 100,
   /** Interval of the log lines while memory for requests, or of the process, is nearly used up. */
   logIntervalMs: 10_000,
   /** Interval at which the memory of the process is checked. */
--- a/src/node/gateway/memory/requestMemory.ts
+++ b/src/node/gateway/memory/requestMemory.ts
@@ -1,6 +1,7 @@
 import { memoryConstants } from './constants.js'
 import { SharedMemory } from './sharedMemory.js'
 import type { Clock } from '../../../types/clock.js'
+import type { HeapGuard } from './heapGuard.js'
 import type { HeldRequest } from './heldRequest.js'
 import type { Logger } from '../../../types/logger.js'
 import type { Metrics } from '../../../types/metrics.js'
@@ -8,6 +9,7 @@
 
 interface MemoryOptions {
   readonly limits: RequestMemoryLimits
+  readonly heap: Pick<HeapGuard, 'admit'>
   readonly clock: Clock
   readonly logger: Logger
   readonly metrics: Metrics
@@ -37,9 +39,9 @@
     }
   }
 
-  /** Takes heap for the head of a request (`computeHeadMemory`); undefined when its group may not hold it. */
+  /** Takes heap for the head of a request (`computeHeadMemory`); undefined when its group may not hold it, or the heap is nearly full. */
   admit (group: string, headBytes: number): HeldRequest | undefined {
-    if (!this.heads.admit(group, headBytes)) {
+    if (!this.options.heap.admit() || !this.heads.admit(group, headBytes)) {
       this.recordRefusal('heads', this.heads, group, headBytes)
       return undefined
     }
--- a/src/node/gateway/relays/__tests__/relayMemory.test.ts
+++ b/src/node/gateway/relays/__tests__/relayMemory.test.ts
@@ -17,6 +17,7 @@
   const metrics = new CountingMetrics()
   const clock = new VirtualClock()
   const requestMemory = new RequestMemory({
+    heap: { admit: () => true },
     limits: { bodyBytes: 900, headBytes: 1_000_000 },
     clock,
     logger: silentLogger,
