--- a/src/node/app/__tests__/heapLimit.test.ts
+++ b/src/node/app/__tests__/heapLimit.test.ts
@@ -119,7 +119,7 @@
 
   t.test('guards against pipelined heads behind the last request of a connection that fill the heap', async t => {
     const fields = Array.from({ length: 1200 }, (_, i) => `a${i}: hhhh\r\n`).join('')
-    const { isRunning, peakMb, isServed } = await runFlood(300, async sockets => {
+    const { isRunning, peakMb, isServed } = await runFlood(500, async sockets => {
       for (const [i, socket] of sockets.entries()) {
         for (let request = 0; request < 40; request++) socket.write(buildHead(`flood-${i}-${request}`, `${fields}content-length: 0\r\n\r\n`))
       }
