--- a/playground/soak/buildDraft.ts
+++ b/playground/soak/buildDraft.ts
@@ -10,12 +10,14 @@
   /** Time that the upstream adds to its work. */
   readonly workMs?: number
   readonly body?: string
+  /** Length to which the upstream extends its answer. */
+  readonly answerBytes?: number
   /** Whether the request has an API key that the configurations hold. */
   readonly isAllowed?: boolean
 }
 
 /** Builds a request of a soak client. */
-export function buildDraft ({ kind, client, count, workMs, body, isAllowed = true }: DraftOptions): SoakDraft {
+export function buildDraft ({ kind, client, count, workMs, body, answerBytes = 0, isAllowed = true }: DraftOptions): SoakDraft {
   const id = `${client}-${count}`
   const method = kind === 'safe' ? 'GET' : 'POST'
   const sentBody = method === 'POST' ? body ?? `body of ${id}` : ''
@@ -23,7 +25,7 @@
     id,
     kind,
     method,
-    path: `/${kind}/${id}${workMs === undefined ? '' : `?work=${workMs}`}`,
+    path: `/${kind}/${id}${workMs === undefined ? '' : `?work=${workMs}&bytes=${answerBytes}`}`,
     body: sentBody,
     timeoutMs: soakConstants.clientTimeoutMs,
     isAllowed,
--- a/playground/soak/checkLosses.ts
+++ b/playground/soak/checkLosses.ts
@@ -55,8 +55,10 @@
 
 function findPlannedLosses (records: SoakRecords, losses: readonly Loss[]): readonly Loss[] {
   const counted = losses.filter(loss => {
-    const { request: { writtenAtMs, endedAtMs }, executions } = loss
-    const wasRead = executions.length > 0 || endedAtMs - writtenAtMs! > lossSlackMs
+    const { request: { form, writtenAtMs, endedAtMs }, executions } = loss
+    // A client that does not read sees the end of its connection late.
+    const isSeenLate = form === 'slow-reader' || endedAtMs - writtenAtMs! <= lossSlackMs
+    const wasRead = executions.length > 0 || !isSeenLate
     return wasRead && !hasUnplannedDisruption(records, loss)
   })
   const firstMs = Math.min(...records.requests.map(request => request.sentAtMs))
--- a/playground/soak/constants.ts
+++ b/playground/soak/constants.ts
@@ -27,6 +27,8 @@
   /** Largest body of a client that pipelines, and the longest time for which it holds back the last byte of a batch. */
   maxClientBodyBytes: 300_000,
   maxHeldBodyMs: 1000,
+  /** Answer to a client that reads it late: more than its socket holds. */
+  largeAnswerBytes: 1_500_000,
   /** Longest time that a client that pipelines asks an upstream to work. */
   maxWorkMs: 400,
   /** Events of a complete stream. */
--- a/playground/soak/rawConnection.ts
+++ b/playground/soak/rawConnection.ts
@@ -12,6 +12,8 @@
   readonly form: string
   /** Time for which the last byte of the batch is held back; Infinity for good. */
   readonly heldMs?: number
+  /** Time for which the client does not read. */
+  readonly pausedMs?: number
   /** Bytes sent after the last request. */
   readonly tail?: string
   /** Whether the client ends its direction of the connection after the batch. */
@@ -61,7 +63,7 @@
 
   /** Sends the requests without waiting for answers between them; resolves when all have ended. */
   async sendBatch (drafts: readonly SoakDraft[], options: BatchOptions): Promise<readonly SoakRequest[]> {
-    const { form, heldMs = 0, tail = '', isHalfClosed = false, timeoutMs = soakConstants.clientTimeoutMs } = options
+    const { form, heldMs = 0, pausedMs = 0, tail = '', isHalfClosed = false, timeoutMs = soakConstants.clientTimeoutMs } = options
     const sentAtMs = performance.now()
     const isKept = this.hasSent
     this.hasSent = true
@@ -80,6 +82,10 @@
       hasLeft = true
       this.close()
     }, timeoutMs)
+    if (pausedMs > 0) {
+      this.socket.pause()
+      setTimeout(() => { this.socket.resume() }, pausedMs)
+    }
     const bytes = Buffer.from(drafts.map(encodeDraft).join(''), 'latin1')
     this.socket.write(bytes.subarray(0, -1))
     if (heldMs > 0) await Promise.race([ended, waitMs(Math.min(heldMs, timeoutMs))])
@@ -109,7 +115,7 @@
         status: answer?.status,
         signature: answer?.headers.get('x-response-signature'),
         answeredId: answer?.headers.get('x-request-id'),
-        answer: answer?.body,
+        answer: answer === undefined ? undefined : hashLargeBody(answer.body),
         isComplete: answer?.isComplete ?? false
       }
     })
--- a/playground/soak/soakUpstream.ts
+++ b/playground/soak/soakUpstream.ts
@@ -55,15 +55,18 @@
     if (request.path === '/health') return this.sendAnswer(request, socket, 200, 'ok', { 'X-Instance-Id': id })
     if (request.path === '/-/stage-free') return this.sendAnswer(request, socket, 200, '{}')
     if (type === 'stage') return this.runPieces(request, socket)
-    const execution = this.recordExecution(request)
-    const workMs = Number(new URLSearchParams(request.path.split('?')[1]).get('work') ?? 0)
-    setTimeout(() => { this.sendExecutionAnswer(request, socket, execution) }, soakConstants.answerDelayMs + workMs)
+    const execution = this.createExecution(request)
+    const parameters = new URLSearchParams(request.path.split('?')[1])
+    const answer = execution.answer.padEnd(Number(parameters.get('bytes') ?? 0), '.')
+    this.options.onExecution({ ...execution, answer: hashLargeBody(answer) })
+    const delayMs = soakConstants.answerDelayMs + Number(parameters.get('work') ?? 0)
+    setTimeout(() => { this.sendExecutionAnswer(request, socket, { ...execution, answer }) }, delayMs)
   }
 
-  private recordExecution (request: StandInRequest): SoakExecution {
-    const { id, service, onExecution } = this.options
+  private createExecution (request: StandInRequest): SoakExecution {
+    const { id, service } = this.options
     const requestId = request.headers['x-request-id'] ?? ''
-    const execution: SoakExecution = {
+    return {
       requestId,
       upstreamId: id,
       service,
@@ -79,8 +82,6 @@
       signature: `${id}.${++this.executionCount}.${requestId}`,
       answer: `answer ${this.executionCount} of ${id} to ${requestId}`
     }
-    onExecution(execution)
-    return execution
   }
 
   private sendExecutionAnswer (request: StandInRequest, socket: Socket, execution: SoakExecution): void {
