fix(ingress): read what has arrived before an answer closes its connection

Clients that go on using a connection of a stopping host lost requests that the host had got long before: the host decides at the head of an answer that no request waits behind it, writes `Connection: close` and drops what it has not read.

In a stop, and under outdated limits, an answer that may close its connection is written two turns of the event loop later, when it has read what is there; the decision is made then. The end of the connections runs beside the stop of the other parts, so that it adds nothing to the time of the stop.

Ruled out: that an upstream was sent one of these requests (0 of about 1,000 lost ones). Not solved: requests beyond 16 without an answer on one connection, which such clients reach, are dropped as before.

Evidence: the added case in crossingRequests.test.ts failed before, with `504 silent` alone; it gets `503 behind` now.

--- a/src/node/app/__tests__/crossingRequests.test.ts
+++ b/src/node/app/__tests__/crossingRequests.test.ts
@@ -20,7 +20,9 @@
 
 t.test('requests that have arrived when a busy host closes their connections', async t => {
   const fleet = await new GatewayTestHarness().start()
-  const upstream = await new UpstreamStandIn('i-shop', (request, socket) => { socket.write(buildStandInAnswer(request)) }).start()
+  const upstream = await new UpstreamStandIn('i-shop', (request, socket) => {
+    if (request.path !== '/once/silent') socket.write(buildStandInAnswer(request))
+  }).start()
   const version = fleet.writeConfiguration({
     services: [{ name: 'shop' }],
     routes: [{ name: 'once', pathPrefix: '/once/', kind: 'unsafe', service: 'shop', maxAttempts: 1 }],
@@ -47,12 +49,19 @@
   t.test('guards against a stop that leaves requests and new connections unread', async t => {
     const kept = connect('first')
     await waitUntil(() => kept.answers.length === 1)
+    const silent = RawClient.buildRequest('silent', { target: '/once/silent', headers: { 'X-Time-Remaining': '325' } })
+    const answered = new RawClient(fleet.settings.clientAddress).send(silent)
+    await fleet.waitForRequests(upstream, upstream.requests.length + 1)
     const stopped = fleet.stop()
-    await delay(acceptMs - 100)
+    await delay(200)
+    send(answered, 'behind')
+    runBusily(200)
+    await delay(acceptMs - 500)
     send(kept, 'second')
     const fresh = connect('third')
     runBusily(300)
     await waitUntil(() => kept.isClosed && fresh.isClosed)
+    t.same(answered.summary, ['504 silent', '503 behind'])
     t.same(kept.summary, ['200 first', '503 second'])
     t.same(fresh.summary, ['503 third'])
     await stopped
--- a/src/node/app/gatewayHost.ts
+++ b/src/node/app/gatewayHost.ts
@@ -110,8 +110,7 @@
     ingress.endRequests()
     if (unfinishedRequests > 0) await delay(gatewayConstants.responseFlushMs)
     logger.recordInfo('host stopped', { unfinishedRequests, drainMs: Math.round(clock.readMonotonicMs() - startMs) })
-    await this.stopComponents()
-    await ingress.endConnections()
+    await Promise.all([ingress.endConnections(), this.stopComponents()])
     this.resolveStopped()
   }
 
--- a/src/node/gateway/ingress/clientConnection.ts
+++ b/src/node/gateway/ingress/clientConnection.ts
@@ -89,10 +89,15 @@
   decideClosing (exchange: ClientExchange, { isHostStopping, isLong }: ClosingOptions): boolean {
     const isLast = this.exchanges.at(-1) === exchange
     if (isLong) this.hasLongAnswer = true
-    if (isLast && (this.isExpiring || (isHostStopping && !isLong))) this.refuseRequests()
+    if (this.isClosingPossible(exchange, isHostStopping && !isLong)) this.refuseRequests()
     return isLast && !this.acceptsRequests && this.pendingError === undefined
   }
 
+  /** Whether a response closes the connection if no request arrives behind it. */
+  isClosingPossible (exchange: ClientExchange, isHostStopping: boolean): boolean {
+    return this.acceptsRequests && this.exchanges.at(-1) === exchange && (isHostStopping || this.isExpiring)
+  }
+
   /**
    * Ends reading. The requests that were read whole are answered first; the error answers the request that it has cut,
    * or stands after the last response.
--- a/src/node/gateway/ingress/clientResponse.ts
+++ b/src/node/gateway/ingress/clientResponse.ts
@@ -1,5 +1,6 @@
 import { buildErrorBody } from './buildErrorBody.js'
 import { ingressConstants } from './constants.js'
+import { waitForArrivals } from '../../listeners/waitForArrivals.js'
 import type { AnswerMemory } from '../answers/answerMemory.js'
 import type { BrokenOffResponse } from './brokenOffResponse.js'
 import type { ErrorHeaderEncoder } from './errorHeaderEncoder.js'
@@ -12,6 +13,8 @@
   readonly encodeErrorHeaders: ErrorHeaderEncoder
   /** Decides whether the response closes the connection; `isLong`: whether the client may read it for a while. */
   readonly isClosing: (isLong: boolean) => boolean
+  /** Whether the response closes the connection unless a request arrives behind it. */
+  readonly isClosingPossible: () => boolean
   /** Whether requests on the same connection wait for the end of this response. */
   readonly hasFollowers: () => boolean
   /** Called when a started response is closed before its end. */
@@ -24,6 +27,8 @@
   isEnded = false
   private readonly response: ServerResponse
   private forwardedBytes = 0
+  /** Resolves when a response that may close the connection is written. */
+  private written: Promise<void> | undefined
 
   constructor (private readonly options: ClientResponseOptions) {
     this.response = options.response
@@ -41,10 +46,13 @@
   writeUpstreamResponse (head: UpstreamResponseHead, body: Buffer, method: string): void {
     if (this.isEnded || this.hasStarted) return
     this.isEnded = true
-    const { status, forwardedHeaders, contentLength } = head
+    this.writeLast(() => { this.writeAnswer(head, body, method) })
+  }
+
+  private writeAnswer ({ status, forwardedHeaders, contentLength, isFramed }: UpstreamResponseHead, body: Buffer, method: string): void {
     const length = method === 'HEAD' && contentLength !== undefined ? contentLength : body.length
     const isShort = body.length <= ingressConstants.maxUnframedBytes
-    if (head.isFramed || method === 'HEAD' || !isShort || this.options.hasFollowers()) {
+    if (isFramed || method === 'HEAD' || !isShort || this.options.hasFollowers()) {
       const isLong = body.length > ingressConstants.longAnswerBytes
       this.writeHead(status, [...forwardedHeaders, 'content-length', String(length)], isLong)
     } else {
@@ -77,7 +85,8 @@
   }
 
   /** Counts the part of an ended response that the client has not read in the memory for answers until it has. */
-  registerUnread (memory: AnswerMemory, upstreamId: string): void {
+  async registerUnread (memory: AnswerMemory, upstreamId: string): Promise<void> {
+    await this.written
     const { response, unreadBytes } = this
     if (unreadBytes === 0 || response.destroyed) return
     const held = {
@@ -96,8 +105,10 @@
     this.isEnded = true
     const body = buildErrorBody(code, message, status)
     const headers = this.options.encodeErrorHeaders(this.options.requestId, retryAfterMs)
-    this.writeHead(status, [...headers, 'content-length', String(Buffer.byteLength(body))])
-    this.response.end(body)
+    this.writeLast(() => {
+      this.writeHead(status, [...headers, 'content-length', String(Buffer.byteLength(body))])
+      this.response.end(body)
+    })
   }
 
   /**
@@ -131,6 +142,17 @@
     else this.response.destroy()
   }
 
+  /** Writes a whole response, one that may close the connection when the requests that have arrived behind it are read. */
+  private writeLast (write: () => void): void {
+    if (!this.options.isClosingPossible()) return write()
+    this.written = waitForArrivals().then(() => {
+      if (!this.response.destroyed) write()
+    }).catch((error: Error) => {
+      this.isEnded = false
+      this.closeIncomplete(error.message)
+    })
+  }
+
   private writeHead (status: number, headers: string[], isLong = false): void {
     if (this.options.isClosing(isLong)) headers.push('connection', 'close')
     this.response.writeHead(status, headers)
--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -274,6 +274,7 @@
       requestId: exchange.requestId,
       encodeErrorHeaders: this.options.encodeErrorHeaders,
       isClosing: isLong => connection.decideClosing(exchange, { isHostStopping: this.stopsAtMs !== undefined, isLong }),
+      isClosingPossible: () => connection.isClosingPossible(exchange, this.stopsAtMs !== undefined),
       hasFollowers: () => connection.requestCount > 1,
       onBrokenOff: brokenOff => {
         dependencies.metrics.addCount('responses_broken_off', { framed: String(brokenOff.isFramed) })
--- a/src/node/gateway/ingress/requestRun.ts
+++ b/src/node/gateway/ingress/requestRun.ts
@@ -250,7 +250,7 @@
         return
       }
       this.end(decision, result)
-      return response.registerUnread(this.dependencies.answerMemory, upstream.entry.id)
+      return await response.registerUnread(this.dependencies.answerMemory, upstream.entry.id)
     }
   }
 
