fix(versions): go on after an outage of the store in which a write is given up after a later one succeeded

New streams could begin at the base version only, for good: a write that was given up after a later one had succeeded marked the writer as failing, and without new records none followed to end this. Failed before: unwrittenRecords.test.ts, 'streams of both versions begin after the outage'. A write that was sent before the newest success no longer counts as a failure.

--- a/src/node/gateway/versions/streamRecordWriter.ts
+++ b/src/node/gateway/versions/streamRecordWriter.ts
@@ -50,6 +50,8 @@
   private isStopped = false
   private lastWriteAtMs = -Infinity
   private hasFailed = false
+  /** Time at which the newest write that succeeded was sent. */
+  private writtenAtMs = -Infinity
 
   constructor (private readonly options: WriterOptions) {}
 
@@ -136,7 +138,8 @@
 
   /** Sends a write; an answer that comes late still counts for those that wait. */
   private async sendSlice ({ key, records }: Slice, waiters: readonly Waiter[]): Promise<WriteOutcome> {
-    const { store } = this.options
+    const { store, clock } = this.options
+    const sentAtMs = clock.readMonotonicMs()
     try {
       const writes = [{ key, value: streamRecordCodec.encode([...records.values()]), lease: await this.getLease() }]
       // Without conditions, the store refuses a write only because its lease has ended.
@@ -145,10 +148,12 @@
         return 'failed'
       }
     } catch (error) {
-      this.onFailed((error as Error).message)
+      // A later write may have succeeded before this one is given up.
+      if (sentAtMs >= this.writtenAtMs) this.onFailed((error as Error).message)
       return 'failed'
     }
     this.hasFailed = false
+    this.writtenAtMs = Math.max(this.writtenAtMs, sentAtMs)
     this.endWaiters(waiters, true)
     return 'written'
   }
