fix(versions): count the absence of a base version anew after a gap in the watch

A host that was cut off from the store for about a minute, since a moment without upstreams of the base version, could replace the base version on its return, although it served again: its streams have no records and would have counted as begun at the new one (ORDER).

--- a/playground/fakes/memoryStore.ts
+++ b/playground/fakes/memoryStore.ts
@@ -64,6 +64,10 @@
 
   async closeLease (): Promise<void> {}
 
+  listItems (): readonly StoreItem[] {
+    return [...this.items.values()]
+  }
+
   /** Goes back to a time at which it held only the keys with this prefix. */
   applyRestore (prefix: string): void {
     this.era++
--- a/src/node/gateway/versions/__tests__/streamVersions.test.ts
+++ b/src/node/gateway/versions/__tests__/streamVersions.test.ts
@@ -105,11 +105,14 @@
 })
 
 t.test('the base version changes when no stream of the old one can be resumed any more', async t => {
-  const { clock, state, start, resume } = createHosts(2)
+  const { store, clock, state, hosts, start, resume } = createHosts(2)
   await start(0, 'a', 'v1')
   state.served = ['v2', 'v2']
   await clock.runFor(versionConstants.streamLifetimeMs)
   t.match(await resume(1, 'b'), { version: 'v1' })
+  for (const { versions } of hosts) versions.applySnapshot(store.listItems())
   await clock.runFor(2 * versionConstants.baseCheckMs)
+  t.match(await resume(1, 'b'), { version: 'v1' }, 'not known while the store was not followed')
+  await clock.runFor(versionConstants.streamLifetimeMs)
   t.match(await resume(1, 'b'), { version: 'v2' })
 })
--- a/src/node/gateway/versions/streamVersions.ts
+++ b/src/node/gateway/versions/streamVersions.ts
@@ -72,6 +72,8 @@
   }
 
   applySnapshot (items: readonly StoreItem[]): void {
+    // A base version may have served while the store was not followed.
+    this.absentSinceMs.clear()
     this.index.removeOthers(new Set(items.map(item => item.key)), Math.max(0, ...items.map(item => item.revision)))
     for (const item of items) this.applyItem(item)
   }
