fix(versions): resume streams of known records while the store cannot be read

Callers were refused although the host had the record of their stream: each resumption at another host needs a read, which a store in trouble does not answer. A record that the watch has brought holds; a missing one stays unknown.

--- a/src/node/gateway/versions/__tests__/streamVersions.test.ts
+++ b/src/node/gateway/versions/__tests__/streamVersions.test.ts
@@ -75,6 +75,16 @@
   t.match(await resume(1, 'never recorded'), { version: 'v1', source: 'base' })
 })
 
+t.test('guards against a refusal of a stream whose record is known while the store cannot be read', async t => {
+  const { store, start, resume } = createHosts(2)
+  await start(0, 'a', 'v1')
+  await start(0, 'b', 'v2')
+  await resume(1, 'b')
+  store.isDown = true
+  t.match(await resume(1, 'b'), { version: 'v2', source: 'record' })
+  t.equal((await resume(1, 'a')).type, 'unknown', 'it may have been recorded since')
+})
+
 t.test('guards against a write that is done late and takes newer records away', async t => {
   const { store, clock, hosts, start, resume } = createHosts(2)
   await start(0, 'a', 'v2')
--- a/src/node/gateway/versions/streamVersions.ts
+++ b/src/node/gateway/versions/streamVersions.ts
@@ -132,7 +132,7 @@
       } catch (error) {
         const reason = (error as Error).message
         this.options.logger.recordWarning('stream records not read', { reason, attempt })
-        if (attempt >= versionConstants.readAttempts || signal.aborted) return { type: 'unknown', reason: `the records cannot be read: ${reason}` }
+        if (attempt >= versionConstants.readAttempts || signal.aborted) return this.decideUnread(service, streamHash, reason)
         await waitForDelay(versionConstants.readRetryMs, signal)
       }
     }
@@ -149,6 +149,13 @@
     return { type: 'known', version: base.version, source: 'base' }
   }
 
+  /** A record that the watch has brought holds; one that is missing may have been written since. */
+  private decideUnread (service: string, streamHash: string, reason: string): StreamOrigin {
+    const recorded = this.index.findVersion(service, streamHash)
+    if (recorded !== undefined) return { type: 'known', version: recorded, source: 'record' }
+    return { type: 'unknown', reason: `the records cannot be read: ${reason}` }
+  }
+
   /** Reads all items from the store, beginning after this call; calls that wait meanwhile share the next read. */
   private async readCurrent (): Promise<void> {
     if (this.readInProgress === undefined) return await this.readAll()
