--- a/src/node/gateway/ingress/clientConnection.ts
+++ b/src/node/gateway/ingress/clientConnection.ts
@@ -147,7 +147,7 @@
     socket.end()
     const { lingerMs, longAnswerLingerMs, longAnswerBytes } = ingressConstants
     const timeoutMs = this.answerBytes > longAnswerBytes ? longAnswerLingerMs : lingerMs
-    const timer = setTimeout(() => { this.closeNow('time') }, timeoutMs)
+    const timer = setTimeout(() => { this.closeNow('linger-timeout') }, timeoutMs)
     socket.once('close', () => { clearTimeout(timer) })
   }
 
--- a/src/node/gateway/ingress/cutOffAnswer.ts
+++ b/src/node/gateway/ingress/cutOffAnswer.ts
@@ -2,8 +2,8 @@
 export interface CutOffAnswer {
   /** The request that was answered last. */
   readonly requestId: string | undefined
-  /** `time`: the client has not closed its side in time; `host-stopped`: the process ends. */
-  readonly reason: 'time' | 'host-stopped'
+  /** `linger-timeout`: the client has not closed its side in time; `host-stopped`: the process ends. */
+  readonly reason: 'linger-timeout' | 'host-stopped'
   /** Bytes of the writes that the kernel has not taken whole, so at most this many are lost in the process. */
   readonly unsentBytes: number
   /** Bytes of all answers since the connection was idle before, with the unsent ones. */
