fix(ingress): bound connections by the descriptors that the settings name

The log says `client connections refused` with 126 connections: the system's limit of open files was taken where it was lower than that of the settings, and on a platform it need not be that of sockets.

Change: the limit of the settings alone, as the platform states it. Ruled out: the memory guard (no line of it in the log).

--- a/playground/platform/hostProcess.ts
+++ b/playground/platform/hostProcess.ts
@@ -48,7 +48,7 @@
   }
 
   writeSettings (): void {
-    const { id, ipAddress, storeAddress, editSettings = text => text } = this.options
+    const { id, ipAddress, storeAddress, descriptorLimit, editSettings = text => text } = this.options
     writeFileSync(this.settingsPath, editSettings(`nodeName = "${id}"
 zone = "quay-a"
 ipAddress = "${ipAddress}"
@@ -61,7 +61,7 @@
 cpuShare = 1.0
 cores = 1
 memoryMb = 400
-fileDescriptors = 4100
+fileDescriptors = ${descriptorLimit ?? 4100}
 [bounds]
 drainMs = 2000
 gracePeriodS = 8
--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -38,7 +38,6 @@
 import { platformConstants } from '../platform/constants.js'
 import { PlatformStore } from '../platform/platformStore.js'
 import { RecentAnswers } from '../gateway/stages/recentAnswers.js'
-import { readDescriptorLimit } from '../platform/readDescriptorLimit.js'
 import { readMemoryUsage } from '../gateway/memory/readMemoryUsage.js'
 import { readPeerSecretWithRetry } from '../gateway/hosts/readPeerSecretWithRetry.js'
 import { RelayClient } from '../gateway/relays/relayClient.js'
@@ -364,7 +363,7 @@
     decodeRequest: decodeClientRequest,
     encodeErrorHeaders,
     requestMemory,
-    maxConnections: computeConnectionLimit(Math.min(settings.fileDescriptors, readDescriptorLimit() ?? Infinity)),
+    maxConnections: computeConnectionLimit(settings.fileDescriptors),
     heap,
     dependencies: {
       directory: upstreams,
