--- a/playground/platform/gatewayTestHarness.ts
+++ b/playground/platform/gatewayTestHarness.ts
@@ -6,11 +6,14 @@
 import type { ClientAnswer } from './clientAnswer.js'
 import type { ClientRequestOptions } from './clientRequestOptions.js'
 import type { HostSettings } from '../../src/node/gateway/model/hostSettings.js'
+import type { HostTimings } from '../../src/node/gateway/model/hostTimings.js'
 import type { ReloadableHost } from '../../src/node/cli/reloadableHost.js'
 import type { UpstreamStandIn } from './upstreamStandIn.js'
 
 const routeDefaults = { host: 'shop.example', kind: 'safe', timeoutMs: 2000, targetLatencyMs: 500, priority: 1, maxAttempts: 2 }
 
+type SettingOverrides = Omit<Partial<HostSettings>, 'timings'> & { readonly timings?: Partial<HostTimings> }
+
 /**
  * Test harness with a store stand-in and one real gateway host, all in this process. Several hosts can share a store.
  */
@@ -27,7 +30,7 @@
   constructor (
     private readonly hostId = 'host-1',
     private readonly sharedStore?: StoreStandIn,
-    private readonly overrides: Partial<HostSettings> = {}
+    private readonly overrides: SettingOverrides = {}
   ) {
     this.store = sharedStore ?? new StoreStandIn()
   }
@@ -37,6 +40,7 @@
       await this.store.start()
       this.writeConfiguration({})
     }
+    const { timings, ...settings } = this.overrides
     const ports = await Promise.all(Array.from({ length: 5 }, findFreePort))
     this.settings = {
       hostId: this.hostId,
@@ -60,9 +64,10 @@
         retryRatio: 0.2,
         retryWindowMs: 10_000,
         extraRetries: 50,
-        heartbeatMs: 1200
+        heartbeatMs: 1200,
+        ...timings
       },
-      ...this.overrides
+      ...settings
     }
     this.host = await createGatewayHost(this.settings, { metricsPort: ports[4]!, writeLine: line => { this.logLines.push(line) } })
     return this
--- a/src/node/app/__tests__/drainedConnections.test.ts
+++ b/src/node/app/__tests__/drainedConnections.test.ts
@@ -12,17 +12,7 @@
 
 t.test('connections at a host that stops', async t => {
   const fleet = new GatewayTestHarness('host-1', undefined, {
-    timings: {
-      drainMs: 2000,
-      gracePeriodMs: 9000,
-      configurationMs: 2000,
-      faultGraceMs: 3000,
-      maxAddressLifetimeMs: 5000,
-      retryRatio: 0.2,
-      retryWindowMs: 10_000,
-      extraRetries: 50,
-      heartbeatMs: 1200
-    }
+    timings: { gracePeriodMs: 9000 }
   })
   await fleet.start()
   const upstream = await new UpstreamStandIn('i-shop', (request, socket) => {
--- a/src/node/app/__tests__/earlyRefusals.test.ts
+++ b/src/node/app/__tests__/earlyRefusals.test.ts
@@ -6,17 +6,7 @@
 import { waitUntil } from '../../../../playground/fakes/waitUntil.js'
 
 t.test('requests behind one that is refused before its body has arrived', async t => {
-  const timings = {
-    drainMs: 2000,
-    gracePeriodMs: 4000,
-    configurationMs: 2000,
-    faultGraceMs: 3000,
-    maxAddressLifetimeMs: 5000,
-    retryRatio: 0.2,
-    retryWindowMs: 10_000,
-    extraRetries: 50,
-    heartbeatMs: 1200
-  }
+  const timings = { gracePeriodMs: 4000 }
   const fleet = await new GatewayTestHarness('host-1', undefined, { timings }).start()
   const upstream = await new UpstreamStandIn('i-shop', (request, socket) => { socket.write(buildStandInAnswer(request)) }).start()
   const route = { kind: 'unsafe', service: 'shop', maxAttempts: 1 }
--- a/src/node/app/__tests__/lingeringCloses.test.ts
+++ b/src/node/app/__tests__/lingeringCloses.test.ts
@@ -11,17 +11,7 @@
 const largeBodyBytes = 3_500_000
 const cutBodyBytes = 8_000_000
 const idleTimeoutMs = 300
-const timings = {
-  drainMs: 2000,
-  gracePeriodMs: 9000,
-  configurationMs: 2000,
-  faultGraceMs: 3000,
-  maxAddressLifetimeMs: 5000,
-  retryRatio: 0.2,
-  retryWindowMs: 10_000,
-  extraRetries: 50,
-  heartbeatMs: 1200
-}
+const timings = { gracePeriodMs: 9000 }
 
 t.test('connections that the host closes while the client reads an answer', async t => {
   const fleet = await new GatewayTestHarness('host-1', undefined, { timings }).start()
