--- a/src/node/app/__tests__/heapLimit.test.ts
+++ b/src/node/app/__tests__/heapLimit.test.ts
@@ -1,13 +1,9 @@
 import { connect } from 'node:net'
-import { createServer } from 'node:http'
-import { readFileSync } from 'node:fs'
 import { setTimeout as delay } from 'node:timers/promises'
 import t from 'tap'
-import { buildProduct } from '../../../../playground/platform/buildProduct.js'
-import { GatewayTestHarness } from '../../../../playground/platform/gatewayTestHarness.js'
+import { FloodedHost } from '../../../../playground/platform/floodedHost.js'
 import { sendClientRequest } from '../../../../playground/platform/sendClientRequest.js'
-import { SoakHost } from '../../../../playground/soak/soakHost.js'
-import type { AddressInfo, Socket } from 'node:net'
+import type { Socket } from 'node:net'
 
 /** Third byte of the host's loopback addresses; those below are used by the soak and other tests. */
 const network = 255
@@ -16,45 +12,9 @@
 const route = { host: 'shop.example', pathPrefix: '/', kind: 'safe', service: 'shop', timeoutMs: 30_000, targetLatencyMs: 500, priority: 1, maxAttempts: 2 }
 
 t.test('a host whose clients fill its heap', { timeout: 110_000 }, async t => {
-  const product = buildProduct()
-  const fleet = new GatewayTestHarness('writer')
-  await fleet.store.start()
-  const upstream = createServer({ maxHeaderSize: 131_072 }, (request, response) => {
-    request.resume()
-    const headers = { 'x-request-id': request.headers['x-request-id'] ?? '', 'x-response-signature': 'sig' }
-    request.on('end', () => { setTimeout(() => { response.writeHead(200, headers).end('ok') }, 300) })
-  })
-  await new Promise<void>(resolve => { upstream.listen(0, '127.0.0.1', resolve) })
-  fleet.store.write('op/config', {
-    version: 1,
-    routes: [{ ...route, name: 'r' }],
-    services: [{ name: 'shop', healthCheckPath: '/health', connectionLimit: 4000 }],
-    limits: { maxHeaderBytes: 65_536, maxBodyBytes: 4_194_304, headerTimeoutMs: 30_000, idleTimeoutMs: 15_000 },
-    tenants: [{ name: 'flooding', apiKeys: ['flooding-key'] }, { name: 'steady', apiKeys: ['steady-key'] }]
-  })
-  fleet.store.write('servers/i-shop', {
-    service: 'shop',
-    address: `127.0.0.1:${(upstream.address() as AddressInfo).port}`,
-    zone: 'zone-1',
-    version: 'v1',
-    slots: 4000,
-    state: 'ready',
-    coldRemainingMs: 0,
-    sequence: 1,
-    born: 1
-  })
-  const host = await new SoakHost({
-    // Differs between concurrent runs of this file.
-    index: process.pid % 250, network, folder: product.folder, program: product.program, storeAddress: fleet.store.address, memoryMb
-  }).start()
-  t.teardown(async () => {
-    await host.process.kill()
-    await host.stop()
-    upstream.close()
-    upstream.closeAllConnections()
-    fleet.store.stop()
-    product.remove()
-  })
+  const flooded = await new FloodedHost({ network, memoryMb, routes: [{ ...route, name: 'r' }] }).start()
+  const { host, address } = flooded
+  t.teardown(async () => { await flooded.stop() })
 
   const buildHead = (id: string, filler: string): string => {
     return `POST /x HTTP/1.1\r\nhost: shop.example\r\nx-request-id: ${id}\r\nx-time-remaining: 30000\r\nauthorization: Token flooding-key\r\n${filler}`
@@ -77,7 +37,7 @@
   /** Sends a sound request of another account; resolves to whether it is served. */
   const sendSound = async (): Promise<boolean> => {
     const headers = { authorization: 'Token steady-key', 'x-time-remaining': '8000' }
-    const answer = sendClientRequest(`${host.ipAddress}:7001`, 'sound', '/x', { headers }).then(({ status }) => status, () => undefined)
+    const answer = sendClientRequest(address, 'sound', '/x', { headers }).then(({ status }) => status, () => undefined)
     return await Promise.race([answer, delay(9000, undefined, { ref: false })]) === 200
   }
 
@@ -91,9 +51,7 @@
 
   /** Starts the host anew and lets clients flood it. */
   const runFlood = async (clientCount: number, flood: (sockets: readonly Socket[]) => Promise<void>) => {
-    await host.process.kill()
-    host.process.start()
-    await host.waitReady()
+    await flooded.startAgain()
     const answers: Record<string, number> = {}
     const sockets = await openClients(clientCount, answers)
     const startMs = performance.now()
@@ -105,8 +63,8 @@
     const servedCount = sound.filter(isServed => isServed).length
     const isServed = servedCount > 0 || await waitServed()
     const servedMs = Math.round(performance.now() - startMs)
-    const isRunning = host.process.isRunning
-    const peakMb = isRunning ? Number(/VmHWM:\s+(\d+)/.exec(readFileSync(`/proc/${host.process.pid}/status`, 'utf8'))![1]) / 1024 : Infinity
+    const { isRunning } = host.process
+    const peakMb = flooded.readPeakMb()
     for (const socket of sockets) socket.destroy()
     t.comment(JSON.stringify({ answers, servedCount, isServed, servedMs, peakMb: Math.round(peakMb) }))
     return { answers, isRunning, peakMb, servedCount, isServed }
--- a/src/node/app/__tests__/requestMemory.test.ts
+++ b/src/node/app/__tests__/requestMemory.test.ts
@@ -1,13 +1,9 @@
-import { createServer, request as sendRequest } from 'node:http'
-import { readFileSync } from 'node:fs'
+import { request as sendRequest } from 'node:http'
 import { connect } from 'node:net'
 import { setTimeout as delay } from 'node:timers/promises'
 import t from 'tap'
-import { buildProduct } from '../../../../playground/platform/buildProduct.js'
-import { GatewayTestHarness } from '../../../../playground/platform/gatewayTestHarness.js'
+import { FloodedHost } from '../../../../playground/platform/floodedHost.js'
 import { sendClientRequest } from '../../../../playground/platform/sendClientRequest.js'
-import { SoakHost } from '../../../../playground/soak/soakHost.js'
-import type { AddressInfo } from 'node:net'
 
 /** Third byte of the host's loopback addresses; runs of the soak use 0 to 249. */
 const network = 253
@@ -26,57 +22,16 @@
 }
 
 t.test('memory that clients take by requests', { timeout: 110_000 }, async t => {
-  const product = buildProduct()
-  const fleet = new GatewayTestHarness('writer')
-  await fleet.store.start()
-  const upstream = createServer({ maxHeaderSize: 131_072 }, (request, response) => {
-    request.resume()
-    const headers = { 'x-request-id': request.headers['x-request-id'] ?? '', 'x-response-signature': 'sig' }
-    request.on('end', () => { setTimeout(() => { response.writeHead(200, headers).end('ok') }, 300) })
-  })
-  await new Promise<void>(resolve => { upstream.listen(0, '127.0.0.1', resolve) })
-  const writeConfiguration = (version: number, maxHeaderBytes: number): void => {
-    fleet.store.write('op/config', {
-      version,
-      routes: [
-        { ...routeDefaults, name: 'upload', pathPrefix: '/upload/', kind: 'unsafe', service: 'shop' },
-        { ...routeDefaults, name: 'small', pathPrefix: '/small/', kind: 'safe', service: 'shop' }
-      ],
-      services: [{ name: 'shop', healthCheckPath: '/health', connectionLimit: 4000 }],
-      limits: { maxHeaderBytes, maxBodyBytes: 4_194_304, headerTimeoutMs: 30_000, idleTimeoutMs: 15_000 },
-      tenants: [{ name: 'flooding', apiKeys: ['flooding-key'] }, { name: 'steady', apiKeys: ['steady-key'] }]
-    })
-  }
-  writeConfiguration(1, 65_536)
-  fleet.store.write('servers/i-shop', {
-    service: 'shop',
-    address: `127.0.0.1:${(upstream.address() as AddressInfo).port}`,
-    zone: 'zone-1',
-    version: 'v1',
-    slots: 4000,
-    state: 'ready',
-    coldRemainingMs: 0,
-    sequence: 1,
-    born: 1
-  })
-  const host = await new SoakHost({
-    // Differs between concurrent runs of this file.
-    index: process.pid % 250, network, folder: product.folder, program: product.program, storeAddress: fleet.store.address, memoryMb
+  const flooded = await new FloodedHost({
+    network,
+    memoryMb,
+    routes: [
+      { ...routeDefaults, name: 'upload', pathPrefix: '/upload/', kind: 'unsafe', service: 'shop' },
+      { ...routeDefaults, name: 'small', pathPrefix: '/small/', kind: 'safe', service: 'shop' }
+    ]
   }).start()
-  const address = `${host.ipAddress}:7001`
-  t.teardown(async () => {
-    await host.process.kill()
-    await host.stop()
-    upstream.close()
-    upstream.closeAllConnections()
-    fleet.store.stop()
-    product.remove()
-  })
-
-  const readPeakMb = (): number => {
-    const status = readFileSync(`/proc/${host.process.pid}/status`, 'utf8')
-    return Number(/VmHWM:\s+(\d+)/.exec(status)![1]) / 1024
-  }
+  const { host, address } = flooded
+  t.teardown(async () => { await flooded.stop() })
 
   /** Sends one request of the flooding account; resolves to its status or error. */
   const sendLarge = async (id: string, { body, holdMs = 0, headers = {} }: FloodOptions): Promise<string> => {
@@ -107,11 +62,9 @@
 
   /** Floods the host from one account while another one sends small requests. */
   const runFlood = async (count: number, options: FloodOptions) => {
-    await host.process.kill()
-    host.process.start()
-    await host.waitReady()
+    await flooded.startAgain()
     const startMs = performance.now()
-    const idleMb = Math.round(readPeakMb())
+    const idleMb = Math.round(flooded.readPeakMb())
     const outcomes: Record<string, number> = {}
     const flood = Promise.all(Array.from({ length: count }, async (_, i) => {
       await delay((options.spreadMs ?? 0) * i / count)
@@ -136,7 +89,7 @@
     const results = await Promise.all(probes)
     const slowest = Math.max(...results.map(({ elapsedMs }) => elapsedMs))
     const isRunning = host.process.isRunning
-    const peakMb = isRunning ? readPeakMb() : Infinity
+    const peakMb = flooded.readPeakMb()
     const statuses: Record<string, number> = {}
     for (const { status } of results) statuses[status] = (statuses[status] ?? 0) + 1
     const figures = { idleMb, outcomes, statuses, slowestMs: Math.round(slowest), peakMb: Math.round(peakMb), tookMs: Math.round(performance.now() - startMs) }
@@ -169,10 +122,8 @@
   })
 
   t.test('guards against heads that never end and fill the heap and end the process', async t => {
-    writeConfiguration(2, 16_384)
-    await host.process.kill()
-    host.process.start()
-    await host.waitReady()
+    flooded.writeConfiguration(2, 16_384)
+    await flooded.startAgain()
     const fields = Array.from({ length: 1200 }, (_, i) => `x-field-${i}: ${'h'.repeat(38)}\r\n`).join('')
     const sockets = Array.from({ length: 3000 }, () => connect({ host: host.ipAddress, port: 7001 }).on('error', () => {}))
     for (const [i, socket] of sockets.entries()) {
@@ -181,7 +132,7 @@
     }
     await delay(500)
     t.ok(host.process.isRunning, 'the process runs on')
-    const peakMb = host.process.isRunning ? Math.round(readPeakMb()) : Infinity
+    const peakMb = Math.round(flooded.readPeakMb())
     t.comment(JSON.stringify({ peakMb }))
     t.ok(peakMb < memoryMb, `${peakMb} MB`)
     for (const socket of sockets) socket.destroy()
