--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -6,11 +6,11 @@
 import { decodeInputError } from './decodeInputError.js'
 import { ingressConstants } from './constants.js'
 import { ingressRefusals } from './ingressRefusals.js'
-import { memoryConstants } from '../memory/constants.js'
 import { openListener } from '../../listeners/openListener.js'
 import { releaseMessageHead } from './releaseMessageHead.js'
 import { RequestBodyReader } from './requestBodyReader.js'
 import { RequestRun } from './requestRun.js'
+import { UnfinishedHeadWatch } from './unfinishedHeadWatch.js'
 import { waitForArrivals } from '../../listeners/waitForArrivals.js'
 import { waitUntilReceived } from './waitUntilReceived.js'
 import type { BodyOutcome } from './bodyOutcome.js'
@@ -77,11 +77,12 @@
   private refusalLoggedAtMs = -Infinity
   private readonly connections = new Map<Socket, ClientConnection>()
   private readonly runs = new Set<RequestRun>()
-  private headTimer: NodeJS.Timeout | undefined
-  private headsCheckedAtMs = -Infinity
+  private readonly unfinishedHeads: UnfinishedHeadWatch
   private readonly bodyReaders = new Set<RequestBodyReader>()
 
   constructor (private readonly options: IngressOptions) {
+    const { heap, dependencies: { clock, logger, metrics } } = options
+    this.unfinishedHeads = new UnfinishedHeadWatch({ connections: this.connections, heap, clock, logger, metrics })
     this.server = createServer({
       maxHeaderSize: ingressConstants.maxHeaderBytes,
       // Node.js would answer by itself and close the connection, without regard to the requests around it.
@@ -194,34 +195,7 @@
     }
     this.connections.set(socket, new ClientConnection({ socket, clock, onCutOff, onAnswerCutOff }))
     socket.once('close', () => { this.connections.delete(socket) })
-    if (this.connections.size > memoryConstants.minWatchedConnections) this.watchUnfinishedHeads()
-  }
-
-  /** Heads that come in are in no bound of requests, and outsiders may hold as many as they have connections. */
-  private watchUnfinishedHeads (): void {
-    this.headTimer ??= setInterval(() => {
-      if (this.connections.size > memoryConstants.minWatchedConnections) return this.closeUnfinishedHeads()
-      clearInterval(this.headTimer)
-      this.headTimer = undefined
-    }, memoryConstants.unfinishedHeadCheckMs).unref()
-    // The timer is late while the event loop is busy with the connections of a flood.
-    this.closeUnfinishedHeads()
-  }
-
-  /** While the heap is nearly full, closes the connections that hold much of a head; checked once in an interval. */
-  private closeUnfinishedHeads (): void {
-    const nowMs = this.options.dependencies.clock.readMonotonicMs()
-    if (nowMs - this.headsCheckedAtMs < memoryConstants.unfinishedHeadCheckMs / 2) return
-    this.headsCheckedAtMs = nowMs
-    if (this.options.heap.admit()) return
-    let count = 0
-    for (const connection of this.connections.values()) {
-      if (connection.closeUnfinishedHead(memoryConstants.maxUnfinishedHeadBytes)) count++
-    }
-    if (count === 0) return
-    const { logger, metrics } = this.options.dependencies
-    metrics.addCount('unfinished_heads_closed', {}, count)
-    logger.recordWarning('unfinished heads closed', { count, connections: this.connections.size })
+    this.unfinishedHeads.onConnection()
   }
 
   private async closeAfterArrivals (connections: readonly ClientConnection[]): Promise<void> {
