--- a/src/node/gateway/versions/streamVersions.ts
+++ b/src/node/gateway/versions/streamVersions.ts
@@ -128,19 +128,25 @@
     for (let attempt = 1; ; attempt++) {
       try {
         await this.readCurrent()
-        return this.decideOrigin(service, streamHash)
+        return this.findRecorded(service, streamHash) ?? this.decideUnrecorded(service)
       } catch (error) {
         const reason = (error as Error).message
         this.options.logger.recordWarning('stream records not read', { reason, attempt })
-        if (attempt >= versionConstants.readAttempts || signal.aborted) return this.decideUnread(service, streamHash, reason)
+        if (attempt >= versionConstants.readAttempts || signal.aborted) {
+          // A record that the watch has brought holds; one that is missing may have been written since.
+          return this.findRecorded(service, streamHash) ?? { type: 'unknown', reason: `the records cannot be read: ${reason}` }
+        }
         await waitForDelay(versionConstants.readRetryMs, signal)
       }
     }
   }
 
-  private decideOrigin (service: string, streamHash: string): StreamOrigin {
-    const recorded = this.index.findVersion(service, streamHash)
-    if (recorded !== undefined) return { type: 'known', version: recorded, source: 'record' }
+  private findRecorded (service: string, streamHash: string): StreamOrigin | undefined {
+    const version = this.index.findVersion(service, streamHash)
+    return version === undefined ? undefined : { type: 'known', version, source: 'record' }
+  }
+
+  private decideUnrecorded (service: string): StreamOrigin {
     const base = this.index.findBase(service)
     if (base === undefined) return { type: 'unknown', reason: 'the service has no base version' }
     if (this.options.clock.readMonotonicMs() < this.restoredAtMs + versionConstants.restoreMs) {
@@ -149,13 +155,6 @@
     return { type: 'known', version: base.version, source: 'base' }
   }
 
-  /** A record that the watch has brought holds; one that is missing may have been written since. */
-  private decideUnread (service: string, streamHash: string, reason: string): StreamOrigin {
-    const recorded = this.index.findVersion(service, streamHash)
-    if (recorded !== undefined) return { type: 'known', version: recorded, source: 'record' }
-    return { type: 'unknown', reason: `the records cannot be read: ${reason}` }
-  }
-
   /** Reads all items from the store, beginning after this call; calls that wait meanwhile share the next read. */
   private async readCurrent (): Promise<void> {
     if (this.readInProgress === undefined) return await this.readAll()
