fix(build): install the packages of this kind of machine

Operators saw: the build line ends with status 1 and leaves no target/ in a checkout whose node_modules come from another kind of machine, so no host starts (FAULT). Each further build fails, too.

Cause: the bundler's binary for a system and processor is an optional package of the lock file. npm's list of a carried node_modules names that of the other machine, and optional packages that are absent did not count as missing.

Ruled out: the bundles under target/, which are JavaScript and are written anew by each build. That the users met this is not shown. x86-64 was not at hand for the other direction.

--- a/playground/builds/__tests__/systemBuild.test.ts
+++ b/playground/builds/__tests__/systemBuild.test.ts
@@ -46,6 +46,14 @@
     t.match(checkout.listInstallations(), [/^ci --include=dev/, /^ci/, /^ci/])
   })
 
+  t.test('guards against a build with the binaries of another kind of machine', async t => {
+    const checkout = createCheckout(t)
+    t.equal((await checkout.runBuild({ NPM_CPU: 'other' })).status, 0)
+    t.match(await checkout.runBuild(), { status: 0, output: /the first is node_modules\/@esbuild/ })
+    t.match(await checkout.runBuild(), { status: 0 })
+    t.equal(checkout.listInstallations().length, 2)
+  })
+
   t.test('guards against a home folder that cannot hold the cache of npm, and installations that were cut off long ago', async t => {
     const checkout = createCheckout(t)
     const abandoned = join(checkout.folder, 'target/.installation-abandoned')
--- a/playground/builds/npmStandIn.cjs
+++ b/playground/builds/npmStandIn.cjs
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 // Stands in for npm in a test checkout: like `npm ci`, it empties node_modules, needs a while for the packages of the
-// lock file and writes its own list last. It notes each run in NPM_RUNS and links the packages from NPM_SOURCE.
+// lock file and writes its own list last. It notes each run in NPM_RUNS and links the packages from NPM_SOURCE, those with
+// binaries only for the processor NPM_CPU.
 const { appendFileSync, mkdirSync, readFileSync, readdirSync, rmSync, symlinkSync, writeFileSync } = require('node:fs')
 const { dirname, join } = require('node:path')
 const { setTimeout: delay } = require('node:timers/promises')
@@ -8,7 +9,9 @@
 const stepMs = 400
 
 async function runInstallation () {
-  const { packages } = JSON.parse(readFileSync('package-lock.json', 'utf8'))
+  const { packages: wanted } = JSON.parse(readFileSync('package-lock.json', 'utf8'))
+  const { NPM_CPU: processor = process.arch } = process.env
+  const packages = Object.fromEntries(Object.entries(wanted).filter(([, { cpu }]) => cpu === undefined || cpu.includes(processor)))
   appendFileSync(process.env.NPM_RUNS, process.argv.slice(2).join(' ') + '\n')
   if (process.env.NPM_FAILS !== undefined) {
     console.error('npm error code ETARGET')
--- a/playground/builds/testCheckout.ts
+++ b/playground/builds/testCheckout.ts
@@ -22,7 +22,8 @@
     copyFileSync('playground/builds/npmStandIn.cjs', join(this.folder, 'bin/npm'))
     chmodSync(join(this.folder, 'bin/npm'), 0o755)
     this.writeText('package.json', '{"version": "1.0.0", "type": "module"}')
-    this.writeText('package-lock.json', JSON.stringify({ packages: { 'node_modules/esbuild': packages['node_modules/esbuild'] } }))
+    const names = ['esbuild', `@esbuild/${process.platform}-${process.arch}`].map(name => `node_modules/${name}`)
+    this.writeText('package-lock.json', JSON.stringify({ packages: Object.fromEntries(names.map(name => [name, packages[name]])) }))
     this.writeText('src/node/cli/index.ts', "import('./runProgram.js').then(({ runProgram }) => { runProgram() })")
     this.writeProgram('first')
   }
--- a/scripts/build/packageInstallation.mjs
+++ b/scripts/build/packageInstallation.mjs
@@ -20,6 +20,11 @@
   }
 }
 
+/** Whether npm installs an optional package here because it is for this kind of machine, as binaries are. */
+function isForThisMachine ({ os, cpu }) {
+  return os?.includes(process.platform) === true && cpu?.includes(process.arch) === true
+}
+
 /** An npm that outlives its build may still write there; a later build removes the rest. */
 async function removeFolder (folder) {
   try {
@@ -41,19 +46,12 @@
   }
 
   /**
-   * Paths of the packages that `folder` does not have as the lock file of the checkout wants them. File times say nothing
-   * about this, and npm's own list may name packages that another installation has removed.
+   * Paths of the packages that the checkout does not have as its lock file wants them. File times say nothing about this,
+   * npm's own list may name packages that another installation has removed, and a checkout that comes from another kind
+   * of machine has the binaries of that one.
    */
-  listMissing (folder = this.root) {
-    const wanted = readIfWhole(join(this.root, 'package-lock.json'))?.packages
-    if (wanted === undefined) throw new BuildError('package-lock.json is missing or cannot be read')
-    const installed = readIfWhole(join(folder, 'node_modules/.package-lock.json'))?.packages ?? {}
-    return Object.keys(wanted).filter(path => {
-      if (path === '') return false
-      if (installed[path] === undefined) return wanted[path].optional !== true
-      if (installed[path].integrity !== wanted[path].integrity) return true
-      return readIfWhole(join(folder, path, 'package.json'))?.version !== wanted[path].version
-    })
+  listMissing () {
+    return this.#listMissingIn(this.root, isForThisMachine)
   }
 
   /** Replaces node_modules. Rejects with a BuildError, which leaves node_modules as it was. */
@@ -66,7 +64,7 @@
       const options = { cwd: this.#folder, env: this.#resolveEnvironment(), timeout: buildConstants.installationTimeoutMs }
       this.#npm = new ChildProgram('npm', npmArguments, options)
       await this.#npm.run('node_modules is as before')
-      const missing = this.listMissing(this.#folder)
+      const missing = this.#listMissingIn(this.#folder, () => false)
       if (missing.length > 0) throw new BuildError(`npm ci ended without ${missing.length} packages, the first is ${missing[0]}`)
       const current = join(this.root, 'node_modules')
       if (existsSync(current)) renameSync(current, join(this.#folder, 'replaced'))
@@ -91,6 +89,19 @@
     }
   }
 
+  /** `isOptionalWanted` decides on optional packages that are not installed; npm goes on when one of them fails. */
+  #listMissingIn (folder, isOptionalWanted) {
+    const wanted = readIfWhole(join(this.root, 'package-lock.json'))?.packages
+    if (wanted === undefined) throw new BuildError('package-lock.json is missing or cannot be read')
+    const installed = readIfWhole(join(folder, 'node_modules/.package-lock.json'))?.packages ?? {}
+    return Object.keys(wanted).filter(path => {
+      if (path === '') return false
+      if (installed[path] === undefined) return wanted[path].optional !== true || isOptionalWanted(wanted[path])
+      if (installed[path].integrity !== wanted[path].integrity) return true
+      return readIfWhole(join(folder, path, 'package.json'))?.version !== wanted[path].version
+    })
+  }
+
   /** npm fails, or never ends, without a folder for its cache. */
   #resolveEnvironment () {
     try {
