fix(build): install packages anew once when the bundler fails with those that are there

Cause: packages were judged by their names, versions and integrity in npm's list and their package.json. The bundler is the one that sees the rest, and its failure ended the build. Now the packages are installed once, unless this build has just done that, and the bundler runs again. A fault of the sources costs one installation and fails as before.

--- a/playground/builds/__tests__/systemBuild.test.ts
+++ b/playground/builds/__tests__/systemBuild.test.ts
@@ -1,5 +1,5 @@
 import { once } from 'node:events'
-import { existsSync, mkdirSync, readdirSync, rmSync, utimesSync } from 'node:fs'
+import { copyFileSync, existsSync, mkdirSync, readdirSync, rmSync, utimesSync } from 'node:fs'
 import { join } from 'node:path'
 import { setTimeout as delay } from 'node:timers/promises'
 import t, { type Test } from 'tap'
@@ -54,6 +54,18 @@
     t.equal(checkout.listInstallations().length, 2)
   })
 
+  t.test('guards against a build with packages that lack files', async t => {
+    const checkout = createCheckout(t)
+    t.equal((await checkout.runBuild()).status, 0)
+    const folder = join(checkout.folder, 'node_modules/esbuild')
+    rmSync(folder)
+    mkdirSync(folder)
+    copyFileSync('node_modules/esbuild/package.json', join(folder, 'package.json'))
+    checkout.writeProgram('second')
+    t.match(await checkout.runBuild(), { status: 0, output: /installing packages: .*bundle.mjs/ })
+    t.match(await checkout.runNode('target/lycheetrack.cjs'), { status: 0, output: 'second\n' })
+  })
+
   t.test('guards against a home folder that cannot hold the cache of npm, and installations that were cut off long ago', async t => {
     const checkout = createCheckout(t)
     const abandoned = join(checkout.folder, 'target/.installation-abandoned')
--- a/scripts/buildSystem.mjs
+++ b/scripts/buildSystem.mjs
@@ -13,6 +13,18 @@
 const installation = new PackageInstallation(root, folder)
 const bundler = new ChildProgram(process.execPath, ['scripts/bundle.mjs', '--quiet', '--product', 'target'], { cwd: root })
 
+/** Packages that are there may still lack files, or have those of another machine. They are installed anew once. */
+async function runBundler (arePackagesNew) {
+  try {
+    await bundler.run('target/ is as before')
+  } catch (error) {
+    if (arePackagesNew || !(error instanceof BuildError)) throw error
+    console.log(`installing packages: ${error.message}`)
+    await installation.run()
+    await bundler.run('target/ is as before')
+  }
+}
+
 async function runBuild () {
   mkdirSync(folder, { recursive: true })
   await lock.claim(() => { console.log('waiting for another build of this checkout') })
@@ -23,7 +35,7 @@
       console.log(`installing packages: ${missing.length} are missing or differ from package-lock.json, the first is ${missing[0]}`)
       await installation.run()
     }
-    await bundler.run('target/ is as before')
+    await runBundler(missing.length > 0)
   } finally {
     lock.release()
   }
