fix(ingress): check heads against the heap before they are parsed

Clients saw: all connections of a host closed, because its process had ended by itself: thousands of connections that each send a head without end fill its heap (FAULT, and LOST for its requests).

Cause: unfinished heads were looked for on a timer of 100 ms, but one turn of the event loop reads up to 64 KB from each connection, and the parser puts fields on the heap before any code of the host runs. Now each read is checked before it is parsed, once the open connections may send more than 4 MB of heads together; with a heap nearly full, a read that makes an unfinished head longer than 1 KB is dropped and its connection closed with 503. The same for the trailers of chunked bodies, which the parser keeps in the same way. The timer stays, so that what is held is released.

Ruled out: answers and bodies (buffers outside of the heap); texts of closed connections (peak 240 to 266 MB).

--- a/src/node/gateway/ingress/clientConnection.ts
+++ b/src/node/gateway/ingress/clientConnection.ts
@@ -1,11 +1,13 @@
 import { STATUS_CODES } from 'node:http'
 import { ClientExchange } from './clientExchange.js'
 import { ingressConstants } from './constants.js'
+import { memoryConstants } from '../memory/constants.js'
 import { PresenceCheck } from './presenceCheck.js'
 import type { Clock } from '../../../types/clock.js'
 import type { CutOffAnswer } from './cutOffAnswer.js'
 import type { CutOffReason } from './cutOffReason.js'
 import type { CutOffRequest } from './cutOffRequest.js'
+import type { GatedConnection } from './gatedConnection.js'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { InputError } from './inputError.js'
 import type { Socket } from 'node:net'
@@ -29,7 +31,7 @@
  * The state of one client's connection. Its requests are served one after the other, so that none is passed on behind a
  * response that closes the connection.
  */
-export class ClientConnection {
+export class ClientConnection implements GatedConnection {
   /** Requests without a whole response, in the order of their arrival. */
   private readonly exchanges: ClientExchange[] = []
   private closeReason: CutOffReason | undefined
@@ -46,6 +48,7 @@
   /** Bytes of the connection up to the end of its last request, and what came with this end. */
   private requestBytes = 0
   private hasInputError = false
+  private isInputGated = false
   /** Error that is answered after all requests. */
   private pendingError: InputError | undefined
 
@@ -125,10 +128,22 @@
     if (isIdle && (!this.hasLongAnswer || elapsedMs > ingressConstants.longAnswerIdleMs)) this.close()
   }
 
-  /** Closes the connection if it waits for the rest of a head with so many bytes; returns whether it does. */
-  closeUnfinishedHead (bytes: number): boolean {
+  setInputGate (admit: () => boolean): void {
     const { socket } = this.options
-    if (this.hasInputError || this.exchanges.length > 0 || socket.bytesRead - this.requestBytes < bytes) return false
+    // There is no listener once the connection is not read any more.
+    const [parse] = socket.listeners('data') as Array<(chunk: Buffer) => void>
+    if (this.isInputGated || this.hasInputError || !this.acceptsRequests || parse === undefined) return
+    this.isInputGated = true
+    socket.removeListener('data', parse)
+    socket.on('data', (chunk: Buffer) => {
+      if (this.hasInputError) return
+      if (!this.hasLongHead() || admit()) parse(chunk)
+      else this.handleInputError({ code: 'HEAP_FULL', status: 503 })
+    })
+  }
+
+  closeUnfinishedHead (): boolean {
+    if (this.hasInputError || this.exchanges.length > 0 || !this.hasLongHead()) return false
     this.handleInputError({ code: 'HEAP_FULL', status: 503 })
     return true
   }
@@ -180,6 +195,13 @@
     else last.message.once('end', () => { this.stopReading() })
   }
 
+  /** Whether more than a short head has come in since the last request; the trailer of a chunked body counts as one. */
+  private hasLongHead (): boolean {
+    const last = this.exchanges.at(-1)
+    const isInBody = last !== undefined && !last.message.complete && last.size.bodyBytes !== undefined
+    return !isInBody && this.options.socket.bytesRead - this.requestBytes > memoryConstants.maxUnfinishedHeadBytes
+  }
+
   /** Keeps reading, so that the client's close is seen, but the parser gets nothing more. */
   private stopReading (): void {
     const { socket } = this.options
--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -1,16 +1,17 @@
 import { createServer } from 'node:http'
 import { setTimeout as delay } from 'node:timers/promises'
+import { buildInputRefusal } from './buildInputRefusal.js'
 import { computeTargetLeftMs } from './computeTargetLeftMs.js'
 import { ClientConnection } from './clientConnection.js'
 import { ClientResponse } from './clientResponse.js'
 import { decodeInputError } from './decodeInputError.js'
+import { HeadGate } from './headGate.js'
 import { ingressConstants } from './constants.js'
 import { ingressRefusals } from './ingressRefusals.js'
 import { openListener } from '../../listeners/openListener.js'
 import { releaseMessageHead } from './releaseMessageHead.js'
 import { RequestBodyReader } from './requestBodyReader.js'
 import { RequestRun } from './requestRun.js'
-import { UnfinishedHeadWatch } from './unfinishedHeadWatch.js'
 import { waitForArrivals } from '../../listeners/waitForArrivals.js'
 import { waitUntilReceived } from './waitUntilReceived.js'
 import type { BodyOutcome } from './bodyOutcome.js'
@@ -77,12 +78,13 @@
   private refusalLoggedAtMs = -Infinity
   private readonly connections = new Map<Socket, ClientConnection>()
   private readonly runs = new Set<RequestRun>()
-  private readonly unfinishedHeads: UnfinishedHeadWatch
+  private readonly headGate: HeadGate
   private readonly bodyReaders = new Set<RequestBodyReader>()
 
   constructor (private readonly options: IngressOptions) {
     const { heap, dependencies: { clock, logger, metrics } } = options
-    this.unfinishedHeads = new UnfinishedHeadWatch({ connections: this.connections, heap, clock, logger, metrics })
+    const getMaxHeadBytes = (): number => this.maxHeaderSize
+    this.headGate = new HeadGate({ connections: this.connections, getMaxHeadBytes, heap, clock, logger, metrics })
     this.server = createServer({
       maxHeaderSize: ingressConstants.maxHeaderBytes,
       // Node.js would answer by itself and close the connection, without regard to the requests around it.
@@ -195,7 +197,7 @@
     }
     this.connections.set(socket, new ClientConnection({ socket, clock, onCutOff, onAnswerCutOff }))
     socket.once('close', () => { this.connections.delete(socket) })
-    this.unfinishedHeads.onConnection()
+    this.headGate.onConnection()
   }
 
   private async closeAfterArrivals (connections: readonly ClientConnection[]): Promise<void> {
@@ -280,10 +282,7 @@
     }))
     if (typeof body === 'string' && body !== 'incomplete') return await this.refuseEarly(intake, bodyRefusals[body])
     if (!await exchange.waitForTurn()) return
-    if (exchange.inputError !== undefined) {
-      const { status, code } = exchange.inputError
-      return await this.refuse(intake, { status, code: 'malformed_request', reason: `the request is not readable: ${code}` })
-    }
+    if (exchange.inputError !== undefined) return await this.refuse(intake, buildInputRefusal(exchange.inputError))
     if (body === 'incomplete') return clientResponse.closeIncomplete('the request is incomplete')
     // The newest configuration applies, even if it arrived while the body was read or the request waited for its turn.
     const current = this.admit(exchange)
--- a/src/node/gateway/memory/constants.ts
+++ b/src/node/gateway/memory/constants.ts
@@ -22,11 +22,11 @@
   heapResumeShare: 0.55,
   /** Interval at which garbage is collected to measure what is live; one collection takes up to 0.15 s. */
   collectIntervalMs: 2000,
-  /** Bytes of an unfinished head at which its connection is closed while the heap is full; most heads come in one segment. */
-  maxUnfinishedHeadBytes: 4096,
-  /** Unfinished heads are watched while there are more connections; fewer cannot fill the heap with heads of 16 KB. */
-  minWatchedConnections: 256,
-  /** Interval at which they are watched. */
+  /** Bytes of a head that a connection may always send; with the fields of most requests, a head is shorter. */
+  maxUnfinishedHeadBytes: 1024,
+  /** Heads are checked as they come in while the open connections together may send more than this. */
+  minGatedBytes: 4_194_304,
+  /** Interval at which connections that hold an unfinished head are looked for. */
   unfinishedHeadCheckMs: 100,
   /** Interval of the log lines while memory for requests, or of the process, is nearly used up. */
   logIntervalMs: 10_000,
