fix(memory): refuse requests below the heap at which V8 gives up

V8 ends a process earlier, when the old generation stays above 80% of its own limit (128 of 160 MB) and collections free little in the time they take, which a busy machine reaches first. GC trace of a run that ended: 131.8 MB live after a collection, "Ineffective mark-compacts near heap limit". Requests are refused from 50% (104 MB) on now, and taken again at 42%; heads may hold a quarter of the limit instead of three eighths, so that the bound of accounts is reached before the guard.

Ruled out: the heap limit itself, which no run reached.

--- a/src/node/gateway/memory/constants.ts
+++ b/src/node/gateway/memory/constants.ts
@@ -7,7 +7,7 @@
   /** Least memory for bodies, for hosts on the smallest machines. */
   minBodyBytes: 8_388_608,
   /** Share of the heap limit that heads may take. */
-  heapShare: 3 / 8,
+  heapShare: 1 / 4,
   /** Share of the machine's memory that heads may take. */
   headShare: 1 / 10,
   /** Heap that a request takes besides the strings of its head. */
@@ -16,10 +16,13 @@
   fieldOverheadBytes: 128,
   /** A group may hold this multiple of the memory that is left for others. */
   freeMultiple: 2,
-  /** Share of the heap limit, which includes the young generation, above which no request is taken. */
-  heapFullShare: 0.65,
+  /**
+   * Share of the heap limit, which includes the young generation, above which no request is taken. V8 ends a process
+   * whose old generation stays above 80% of its limit, 0.61 of the heap limit, when collections free little in their time.
+   */
+  heapFullShare: 0.5,
   /** Share at which requests are taken again. */
-  heapResumeShare: 0.55,
+  heapResumeShare: 0.42,
   /** Interval at which garbage is collected to measure what is live; one collection takes up to 0.15 s. */
   collectIntervalMs: 2000,
   /** Bytes of a head that a connection may always send; with the fields of most requests, a head is shorter. */
