fix(ingress): bound connections and heads of the directory, readiness and metrics servers

Clients saw: 503 memory_used_up for nearly all requests, while other clients hold connections to the directory port with heads without end: 9 of 10 sound requests refused beside 4,000 such connections, for up to 60 s; likewise at the readiness port. They can use up the descriptors of the process in the same way.

Cause: the same as for the heads of requests, at the servers beside the ingress. They took any number of connections, heads of 16 KB, and 60 s for each. They have shares of the descriptors now (directory 0.12, readiness and metrics 0.02 each), heads of 8 KB and 5 s. Found by asking where else heads of outsiders are parsed; the peer port stays without a bound.

--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -363,7 +363,7 @@
     decodeRequest: decodeClientRequest,
     encodeErrorHeaders,
     requestMemory,
-    maxConnections: computeConnectionLimit(settings.fileDescriptors),
+    maxConnections: computeConnectionLimit(settings.fileDescriptors, ingressConstants.clientDescriptorShare),
     heap,
     dependencies: {
       directory: upstreams,
@@ -386,22 +386,32 @@
       metrics
     }
   })
-  const readinessServer = new StatusServer((method, target) => {
-    if (!platformEndpoints.isReadinessRequest(method, target)) return { status: 404, contentType: 'text/plain', body: '' }
-    return { status: host.isReady() ? 200 : 503, contentType: 'text/plain', body: '' }
+  const statusConnections = computeConnectionLimit(settings.fileDescriptors, ingressConstants.statusDescriptorShare)
+  const readinessServer = new StatusServer({
+    maxConnections: statusConnections,
+    handle: (method, target) => {
+      if (!platformEndpoints.isReadinessRequest(method, target)) return { status: 404, contentType: 'text/plain', body: '' }
+      return { status: host.isReady() ? 200 : 503, contentType: 'text/plain', body: '' }
+    }
   })
   const directoryServer = settings.directoryAddress === undefined
     ? undefined
-    : new StatusServer((method, target) => {
-      if (!platformEndpoints.isAddressQuery(method, target)) return { status: 404, contentType: 'text/plain', body: '' }
-      const addresses = chooseAddresses(hosts.listReady(), platformEndpoints.findClientDomain(target), random)
-      if (addresses.length === 0) return { status: 503, contentType: 'text/plain', body: '' }
-      const lifetimeMs = Math.min(ingressConstants.addressLifetimeMs, settingsHolder.get().timings.maxAddressLifetimeMs)
-      return { status: 200, contentType: 'application/json', body: platformEndpoints.encodeAddressResponse(addresses, lifetimeMs) }
+    : new StatusServer({
+      maxConnections: computeConnectionLimit(settings.fileDescriptors, ingressConstants.directoryDescriptorShare),
+      handle: (method, target) => {
+        if (!platformEndpoints.isAddressQuery(method, target)) return { status: 404, contentType: 'text/plain', body: '' }
+        const addresses = chooseAddresses(hosts.listReady(), platformEndpoints.findClientDomain(target), random)
+        if (addresses.length === 0) return { status: 503, contentType: 'text/plain', body: '' }
+        const lifetimeMs = Math.min(ingressConstants.addressLifetimeMs, settingsHolder.get().timings.maxAddressLifetimeMs)
+        return { status: 200, contentType: 'application/json', body: platformEndpoints.encodeAddressResponse(addresses, lifetimeMs) }
+      }
     })
-  const metricsServer = new StatusServer((method, target) => method === 'GET' && target === gatewayConstants.metricsPath
-    ? { status: 200, contentType: 'text/plain; version=0.0.4', body: metrics.render() }
-    : { status: 404, contentType: 'text/plain', body: '' })
+  const metricsServer = new StatusServer({
+    maxConnections: statusConnections,
+    handle: (method, target) => method === 'GET' && target === gatewayConstants.metricsPath
+      ? { status: 200, contentType: 'text/plain; version=0.0.4', body: metrics.render() }
+      : { status: 404, contentType: 'text/plain', body: '' }
+  })
   const host: GatewayHost = new GatewayHost({
     settings: settingsHolder,
     logger,
--- a/src/node/gateway/ingress/computeConnectionLimit.ts
+++ b/src/node/gateway/ingress/computeConnectionLimit.ts
@@ -1,7 +1,7 @@
 import { ingressConstants } from './constants.js'
 
-/** Computes how many connections of clients a host accepts, from the file descriptors that the process may have. */
-export function computeConnectionLimit (fileDescriptors: number): number {
-  const { reservedDescriptors, clientDescriptorShare, minClientConnections } = ingressConstants
-  return Math.max(Math.floor((fileDescriptors - reservedDescriptors) * clientDescriptorShare), minClientConnections)
+/** Computes how many connections a server accepts that may take `share` of the file descriptors of the process. */
+export function computeConnectionLimit (fileDescriptors: number, share: number): number {
+  const { reservedDescriptors, minClientConnections } = ingressConstants
+  return Math.max(Math.floor((fileDescriptors - reservedDescriptors) * share), minClientConnections)
 }
--- a/src/node/gateway/ingress/constants.ts
+++ b/src/node/gateway/ingress/constants.ts
@@ -81,9 +81,17 @@
   maxAddresses: 64,
   /** File descriptors of an idle process: the runtime, listeners, the store and other hosts (26 are too few). */
   reservedDescriptors: 32,
-  /** Share of the rest that connections of clients may take; the requests on them need connections to upstreams. */
+  /** Share of the rest that connections of clients to the ingress may take; their requests need connections to upstreams. */
   clientDescriptorShare: 0.75,
   minClientConnections: 8,
+  /** Share that connections to the directory may take: clients ask it for addresses, and may keep their connections. */
+  directoryDescriptorShare: 0.12,
+  /** Shares of the readiness and metrics servers, which few programs ask. */
+  statusDescriptorShare: 0.02,
+  /** Largest head of a request to these servers: a short target, and the usual fields. */
+  maxStatusHeaderBytes: 8192,
+  /** Time in which such a request must be received. */
+  statusRequestTimeoutMs: 5000,
   /** Interval of the log lines while connections are refused. */
   refusalLogIntervalMs: 10_000
 } as const
--- a/src/node/gateway/ingress/statusServer.ts
+++ b/src/node/gateway/ingress/statusServer.ts
@@ -1,4 +1,5 @@
 import { createServer } from 'node:http'
+import { ingressConstants } from './constants.js'
 import { openListener } from '../../listeners/openListener.js'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 
@@ -8,12 +9,25 @@
   readonly body: string
 }
 
+interface StatusServerOptions {
+  /** Connections beyond this number are closed at once. */
+  readonly maxConnections: number
+  readonly handle: (method: string, target: string) => StatusResponse
+}
+
 /** A small HTTP server for readiness, address queries or metrics. */
 export class StatusServer {
   private readonly server: Server
 
-  constructor (private readonly handle: (method: string, target: string) => StatusResponse) {
-    this.server = createServer((request, response) => { this.onRequest(request, response) })
+  constructor (private readonly options: StatusServerOptions) {
+    const { maxStatusHeaderBytes, statusRequestTimeoutMs, connectionCheckMs } = ingressConstants
+    this.server = createServer({
+      maxHeaderSize: maxStatusHeaderBytes,
+      headersTimeout: statusRequestTimeoutMs,
+      requestTimeout: statusRequestTimeoutMs,
+      connectionsCheckingInterval: connectionCheckMs
+    }, (request, response) => { this.onRequest(request, response) })
+    this.server.maxConnections = options.maxConnections
   }
 
   async start (address: string): Promise<void> {
@@ -28,7 +42,7 @@
 
   private onRequest (request: IncomingMessage, response: ServerResponse): void {
     request.resume()
-    const { status, contentType, body } = this.handle(request.method ?? 'GET', request.url ?? '/')
+    const { status, contentType, body } = this.options.handle(request.method ?? 'GET', request.url ?? '/')
     response.writeHead(status, { 'content-type': contentType, 'content-length': Buffer.byteLength(body) })
     response.end(body)
   }
