fix(app): open the ports of a host that cannot reach the store yet

Operators and clients saw: a host that is started while the store is away or slow opens no port. Its readiness probe and its clients get refused connections instead of 503, as if the process had not started.

Cause: the start waited for the secret with which hosts authenticate each other before it listened, although only calls between hosts need it. A host begins with a secret of its own now and takes that of the store with its first read of the store, before other hosts are known; if the store has none, one host writes its own, as after a restore, and hosts that share one already go first. A host that was never ready stops without the pause for clients, so a stop while the store is away still takes less than 1 s (hostSignals.test.ts).

--- a/src/node/app/__tests__/startNeeds.test.ts
+++ b/src/node/app/__tests__/startNeeds.test.ts
@@ -5,12 +5,14 @@
 import t from 'tap'
 import { buildStandInAnswer } from '../../../../playground/platform/buildStandInAnswer.js'
 import { buildProduct } from '../../../../playground/platform/buildProduct.js'
+import { FaultProxy } from '../../../../playground/soak/faultProxy.js'
 import { GatewayTestHarness } from '../../../../playground/platform/gatewayTestHarness.js'
 import { HostProcess } from '../../../../playground/platform/hostProcess.js'
 import { UpstreamStandIn } from '../../../../playground/platform/upstreamStandIn.js'
+import { waitUntil } from '../../../../playground/fakes/waitUntil.js'
 import type { Server } from 'node:net'
 
-interface HostOptions extends Partial<Pick<ConstructorParameters<typeof HostProcess>[0], 'firstPort' | 'editSettings' | 'descriptorLimit'>> {
+interface HostOptions extends Partial<Pick<ConstructorParameters<typeof HostProcess>[0], 'firstPort' | 'storeAddress' | 'editSettings' | 'descriptorLimit'>> {
   /** Last byte of the loopback address. */
   readonly host: number
 }
@@ -52,6 +54,7 @@
     t.same(await Promise.all(hosts.map(async host => await host.waitReady())), [true, true, true, true])
     const ports = hosts.map(host => Number(host.listLines('peer server started')[0]?.port))
     t.same([...ports].sort(), [7740, 7741, 7742, 7743])
+    await waitUntil(() => hosts.every(host => findPeerPort(host.process.id) > 0))
     t.same(hosts.map(host => findPeerPort(host.process.id)), ports)
   })
 
@@ -81,6 +84,19 @@
     t.match(host.listLines('setting not readable'), [{ setting: 'bounds.drainMs', value: 'false' }])
   })
 
+  t.test('guards against a host that opens no port until it reaches the store', async t => {
+    const store = await new FaultProxy(fleet.store.address).start()
+    t.teardown(() => { store.stop() })
+    store.applyFault('silent')
+    const host = startHost({ host: 6, storeAddress: store.address })
+    await waitUntil(() => host.listLines('host started').length > 0)
+    t.equal(await sendRequest(host, '/shop/x', new Agent()), 503)
+    t.equal(await fetch(`http://${network}.6:7002/-/readiness`).then(({ status }) => status, error => String(error)), 503)
+    store.applyFault('none')
+    t.ok(await host.waitReady())
+    t.equal(await sendRequest(host, '/shop/x', new Agent()), 200)
+  })
+
   t.test('guards against clients that use up the descriptors of a host and fail its requests or end it', async t => {
     const host = startHost({ host: 4, descriptorLimit: 120 })
     t.ok(await host.waitReady())
--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -34,12 +34,12 @@
 import { platformEndpoints } from '../platform/platformEndpoints.js'
 import { MemoryWatch } from '../gateway/memory/memoryWatch.js'
 import { OutdatedItemFilter } from '../gateway/store/outdatedItemFilter.js'
+import { createPeerSecret } from '../gateway/hosts/createPeerSecret.js'
 import { PeerSecretKeeper } from '../gateway/hosts/peerSecretKeeper.js'
 import { platformConstants } from '../platform/constants.js'
 import { PlatformStore } from '../platform/platformStore.js'
 import { RecentAnswers } from '../gateway/stages/recentAnswers.js'
 import { readMemoryUsage } from '../gateway/memory/readMemoryUsage.js'
-import { readPeerSecretWithRetry } from '../gateway/hosts/readPeerSecretWithRetry.js'
 import { RelayClient } from '../gateway/relays/relayClient.js'
 import { RelayServer } from '../gateway/relays/relayServer.js'
 import { RequestMemory } from '../gateway/memory/requestMemory.js'
@@ -65,7 +65,6 @@
 import { upstreamConstants } from '../gateway/upstreams/constants.js'
 import { UpstreamReachability } from '../gateway/relays/upstreamReachability.js'
 import { UpstreamDirectory } from '../gateway/upstreams/upstreamDirectory.js'
-import { waitUnlessAborted } from '../../shared/waitUnlessAborted.js'
 import type { GatewayOptions } from './gatewayOptions.js'
 import type { HostSettings } from '../gateway/model/hostSettings.js'
 import type { ReloadableHost } from '../cli/reloadableHost.js'
@@ -283,13 +282,7 @@
     onSnapshot: items => { streamVersions.applySnapshot(items) },
     onChange: change => { streamVersions.applyChange(change) }
   }
-  const { stopSignal } = options
-  const secret = await waitUnlessAborted(readPeerSecretWithRetry(store, platformConstants.peerSecretKey, logger, stopSignal), stopSignal)
-    .finally(() => {
-      if (stopSignal?.aborted !== true) return
-      errorGuard.stop()
-      storeClient.close()
-    })
+  const secret = createPeerSecret()
   const transport = createGrpcPeerTransport({ hostId, secret, metrics })
   const secretKeeper = new PeerSecretKeeper({
     store,
@@ -318,7 +311,8 @@
     logger,
     random,
     getTimes: () => computeWatchTimes(settingsHolder.get().timings),
-    sections: [configurationSection, ...outdatedItemFilters, crashSection, streamVersionSection, secretSection]
+    // The secret comes first: other hosts are called as soon as they are known.
+    sections: [secretSection, configurationSection, ...outdatedItemFilters, crashSection, streamVersionSection]
   })
   const registrar = new HostRegistrar({ store, key: hostKey, logger, getEntry: () => hosts.getSelf() })
 
@@ -440,7 +434,7 @@
     memoryWatch,
     errorGuard
   })
-  await host.start(stopSignal)
+  await host.start(options.stopSignal)
   errorGuard.setHost(host)
   return host
 }
--- a/src/node/app/gatewayHost.ts
+++ b/src/node/app/gatewayHost.ts
@@ -14,6 +14,7 @@
   private isDraining = false
   private failure: Error | undefined
   private areUpstreamsLoaded = false
+  private hasBeenReady = false
   private missingEntryTimer: NodeJS.Timeout | undefined
   private readonly stopping = new AbortController()
 
@@ -62,6 +63,7 @@
     const { hosts, registrar } = this.components
     const entry = hosts.getSelf()
     if (entry.isReady === this.isReady()) return
+    this.hasBeenReady ||= this.isReady()
     hosts.updateSelf({ ...entry, isReady: this.isReady() })
     this.components.logger.recordInfo('readiness changed', { isReady: this.isReady() })
     registrar.updateNow()
@@ -101,7 +103,8 @@
   private async runDrain (startMs: number, endMs: number): Promise<void> {
     const { ingress, relayServer, logger, clock } = this.components
     const relaysEnded = relayServer.drain()
-    await delay(Math.min(gatewayConstants.drainAcceptMs, Math.max(endMs - startMs, 0)))
+    // A host that has never been ready serves nobody.
+    if (this.hasBeenReady) await delay(Math.min(gatewayConstants.drainAcceptMs, Math.max(endMs - startMs, 0)))
     const closed = ingress.stop()
     const closing = setInterval(() => { ingress.closeIdle() }, gatewayConstants.idleCloseIntervalMs)
     await Promise.race([Promise.all([closed, relaysEnded]), delay(Math.max(endMs - clock.readMonotonicMs(), 0))])
--- a/src/node/gateway/hosts/peerSecretKeeper.ts
+++ b/src/node/gateway/hosts/peerSecretKeeper.ts
@@ -9,7 +9,7 @@
 interface KeeperOptions {
   readonly store: StoreClient
   readonly key: string
-  /** The secret that this host has read or created. */
+  /** A secret of this host's own; it becomes that of all hosts if the store has none. */
   readonly secret: string
   readonly onReplaced: (secret: string) => void
   readonly random: Random
@@ -23,6 +23,8 @@
  */
 export class PeerSecretKeeper {
   private secret: string
+  /** Whether the store has, or had, the secret. */
+  private isShared = false
   private isMissing = false
   private cancelTimer: (() => void) | undefined
 
@@ -49,16 +51,24 @@
 
   private applySecret ({ value, revision }: StoreItem): void {
     this.stop()
+    const wasShared = this.isShared
+    this.isShared = true
     const secret = value.toString('utf8')
     if (secret === this.secret) return
     this.secret = secret
-    this.options.logger.recordWarning('peer secret replaced', { revision, reason: 'the store holds another one' })
-    this.options.onReplaced(secret)
+    const { logger, onReplaced } = this.options
+    if (wasShared) logger.recordWarning('peer secret replaced', { revision, reason: 'the store holds another one' })
+    else logger.recordInfo('peer secret read', { revision })
+    onReplaced(secret)
   }
 
-  /** All hosts miss the secret at the same time, and one of them is to write it. */
+  /**
+   * All hosts miss the secret at the same time, and one of them is to write it. Hosts that have just started leave this to
+   * those that share one.
+   */
   private onMissing (): void {
-    this.scheduleWrite(storeConstants.rereadSpreadMs * this.options.random())
+    const { random } = this.options
+    this.scheduleWrite(storeConstants.rereadSpreadMs * (this.isShared ? random() : 1 + random()))
   }
 
   private scheduleWrite (delayMs: number): void {
