fix(listeners): wait for an address that the machine gets late

Operators would see: status 1 at once (EADDRNOTAVAIL) when a host is started before its machine has its address, as at the boot of a machine or when a spare one takes over an address.

Cause: same class as the starts that ended for one form of what they need: an address in use was waited for, a missing one was not. It is waited for likewise now, with the line `address missing`, and ends the start with the same error at the end of that time.

Evidence: the new case of addressWaiter.test.ts fails before (the first attempt rejects) and passes now; 37 assertions of the listeners and the peer transport pass.

--- a/src/node/listeners/__tests__/addressWaiter.test.ts
+++ b/src/node/listeners/__tests__/addressWaiter.test.ts
@@ -42,3 +42,15 @@
   const other = new AddressWaiter({ limitMs: 5000, clock: systemClock, logger })
   await t.rejects(other.open('x', async () => { throw new TypeError('no such address') }), { message: 'no such address' })
 })
+
+t.test('guards against a host that ends because its machine gets an address late', async t => {
+  const missing = new Error('not there', { cause: Object.assign(new Error('listen'), { code: 'EADDRNOTAVAIL' }) })
+  const waiter = new AddressWaiter({ limitMs: 300, clock: systemClock, logger })
+  let attempts = 0
+  const listen = async (): Promise<string> => {
+    if (++attempts < 3) throw missing
+    return 'open'
+  }
+  t.equal(await waiter.open('x', listen), 'open')
+  await t.rejects(waiter.open('x', async () => { throw missing }), missing)
+})
--- a/src/node/listeners/addressWaiter.ts
+++ b/src/node/listeners/addressWaiter.ts
@@ -1,12 +1,13 @@
 import { AddressInUseError } from './addressInUseError.js'
 import { isAddressInUse } from './isAddressInUse.js'
+import { isAddressMissing } from './isAddressMissing.js'
 import { listenerConstants } from './constants.js'
 import { waitForDelay } from '../../shared/waitForDelay.js'
 import type { Clock } from '../../types/clock.js'
 import type { Logger } from '../../types/logger.js'
 
 interface WaiterOptions {
-  /** Time from the creation of the waiter, in ms, after which an address in use is an error. */
+  /** Time from the creation of the waiter, in ms, after which an address in use, or missing, is an error. */
   readonly limitMs: number
   /** @default listenerConstants.addressRetryMs */
   readonly retryMs?: number
@@ -15,7 +16,7 @@
   readonly logger: Logger
 }
 
-/** Opens the addresses of a host, and waits for those that a process before it has not left yet. */
+/** Opens the addresses of a host. Waits for those that a process before it has not left, or the machine does not have yet. */
 export class AddressWaiter {
   private readonly endMs: number
 
@@ -24,8 +25,8 @@
   }
 
   /**
-   * Calls `listen` until the address is free. Rejects with `AddressInUseError` at the end of the time, with the reason of
-   * the stop signal, and with any other error of `listen`.
+   * Calls `listen` until the address is there and free. At the end of the time, rejects with `AddressInUseError`, or with the
+   * error that says that it is missing; also with the reason of the stop signal, and with any other error of `listen`.
    */
   async open<T> (address: string, listen: () => Promise<T>): Promise<T> {
     return await this.openAny([address], listen)
@@ -42,10 +43,15 @@
         if (failures > 0) logger.recordInfo('address free', { address, failures })
         return attempt.result
       }
-      if (clock.readMonotonicMs() >= this.endMs) throw new AddressInUseError(`${address} is in use after ${limitMs} ms`, { cause: attempt.cause })
+      const isMissing = isAddressMissing(attempt.cause)
+      if (clock.readMonotonicMs() >= this.endMs) {
+        if (isMissing) throw attempt.cause
+        throw new AddressInUseError(`${address} is in use after ${limitMs} ms`, { cause: attempt.cause })
+      }
       if (failures === 0) {
         const limit = limitMs === Infinity ? {} : { limitMs }
-        logger.recordWarning('address in use', { address, ...limit, outcome: 'waiting for its process to end' })
+        const outcome = isMissing ? 'waiting until the machine has it' : 'waiting for its process to end'
+        logger.recordWarning(isMissing ? 'address missing' : 'address in use', { address, ...limit, outcome })
       }
       await waitForDelay(retryMs, stopSignal)
     }
@@ -60,7 +66,7 @@
       try {
         return { result: await listen(address) }
       } catch (error) {
-        if (!isAddressInUse(error)) throw error
+        if (!isAddressInUse(error) && !isAddressMissing(error)) throw error
         cause = error
       }
     }
--- a/src/node/listeners/isAddressInUse.ts
+++ b/src/node/listeners/isAddressInUse.ts
@@ -1,5 +1,6 @@
+import { hasErrorCode } from '../../shared/hasErrorCode.js'
+
 /** Whether an error, or one of its causes, says that another socket listens at the address. */
 export function isAddressInUse (error: unknown): boolean {
-  if (!(error instanceof Error)) return false
-  return (error as NodeJS.ErrnoException).code === 'EADDRINUSE' || isAddressInUse(error.cause)
+  return hasErrorCode(error, 'EADDRINUSE')
 }
