fix(ingress): free idle connections of the directory when its share is used up

When a connection is refused, idle ones are closed, and the refusal is counted. The check of heads no longer walks over all connections for each new one.

--- a/src/node/app/__tests__/statusFlood.test.ts
+++ b/src/node/app/__tests__/statusFlood.test.ts
@@ -3,7 +3,9 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import t from 'tap'
 import { FloodedHost } from '../../../../playground/platform/floodedHost.js'
+import { RawClient } from '../../../../playground/platform/rawClient.js'
 import { sendClientRequest } from '../../../../playground/platform/sendClientRequest.js'
+import { waitUntil } from '../../../../playground/fakes/waitUntil.js'
 import type { Socket } from 'node:net'
 
 /** Third byte of the host's loopback addresses; 250 to 255 are used by other tests. */
@@ -46,4 +48,18 @@
       t.same(served, served.map(() => true), 'requests are served')
     })
   }
+
+  t.test('guards against kept connections to the directory that keep other clients out', async t => {
+    await flooded.startAgain()
+    const query = 'GET /-/resolution?name=shop.example HTTP/1.1\r\nhost: a\r\n\r\n'
+    const clients: RawClient[] = []
+    for (let i = 0; i < 1000; i++) {
+      clients.push(new RawClient(host.directoryAddress).send(query))
+      if (i % 50 === 0) await delay(20)
+    }
+    await waitUntil(() => clients.every(({ answers, isClosed }) => answers.length > 0 || isClosed))
+    const refusedCount = clients.filter(({ answers }) => answers.length === 0).length
+    t.ok(refusedCount > 0 && refusedCount < 50, `${refusedCount} of 1,000 refused`)
+    for (const client of clients) client.close()
+  })
 })
--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -68,6 +68,7 @@
 import type { GatewayOptions } from './gatewayOptions.js'
 import type { HostSettings } from '../gateway/model/hostSettings.js'
 import type { ReloadableHost } from '../cli/reloadableHost.js'
+import type { StatusServerOptions } from '../gateway/ingress/statusServerOptions.js'
 import type { StoreItem } from '../gateway/model/storeItem.js'
 import type { StoreSection } from '../gateway/store/storeSection.js'
 import type { UpstreamEntry } from '../gateway/model/upstreamEntry.js'
@@ -380,9 +381,12 @@
       metrics
     }
   })
-  const statusConnections = computeConnectionLimit(settings.fileDescriptors, ingressConstants.statusDescriptorShare)
+  const buildStatusLimits = (server: string, share: number): Pick<StatusServerOptions, 'maxConnections' | 'onRefused'> => ({
+    maxConnections: computeConnectionLimit(settings.fileDescriptors, share),
+    onRefused: () => { metrics.addCount('status_connections_refused', { server }) }
+  })
   const readinessServer = new StatusServer({
-    maxConnections: statusConnections,
+    ...buildStatusLimits('readiness', ingressConstants.statusDescriptorShare),
     handle: (method, target) => {
       if (!platformEndpoints.isReadinessRequest(method, target)) return { status: 404, contentType: 'text/plain', body: '' }
       return { status: host.isReady() ? 200 : 503, contentType: 'text/plain', body: '' }
@@ -391,7 +395,7 @@
   const directoryServer = settings.directoryAddress === undefined
     ? undefined
     : new StatusServer({
-      maxConnections: computeConnectionLimit(settings.fileDescriptors, ingressConstants.directoryDescriptorShare),
+      ...buildStatusLimits('directory', ingressConstants.directoryDescriptorShare),
       handle: (method, target) => {
         if (!platformEndpoints.isAddressQuery(method, target)) return { status: 404, contentType: 'text/plain', body: '' }
         const addresses = chooseAddresses(hosts.listReady(), platformEndpoints.findClientDomain(target), random)
@@ -401,7 +405,7 @@
       }
     })
   const metricsServer = new StatusServer({
-    maxConnections: statusConnections,
+    ...buildStatusLimits('metrics', ingressConstants.statusDescriptorShare),
     handle: (method, target) => method === 'GET' && target === gatewayConstants.metricsPath
       ? { status: 200, contentType: 'text/plain; version=0.0.4', body: metrics.render() }
       : { status: 404, contentType: 'text/plain', body: '' }
--- a/src/node/gateway/ingress/clientConnection.ts
+++ b/src/node/gateway/ingress/clientConnection.ts
@@ -129,11 +129,11 @@
   }
 
   setInputGate (admit: () => boolean): void {
+    if (this.isInputGated || this.hasInputError || !this.acceptsRequests) return
+    this.isInputGated = true
     const { socket } = this.options
-    // There is no listener once the connection is not read any more.
     const [parse] = socket.listeners('data') as Array<(chunk: Buffer) => void>
-    if (this.isInputGated || this.hasInputError || !this.acceptsRequests || parse === undefined) return
-    this.isInputGated = true
+    if (parse === undefined) return
     socket.removeListener('data', parse)
     socket.on('data', (chunk: Buffer) => {
       if (this.hasInputError) return
--- a/src/node/gateway/ingress/headGate.ts
+++ b/src/node/gateway/ingress/headGate.ts
@@ -22,17 +22,17 @@
  */
 export class HeadGate {
   private timer: NodeJS.Timeout | undefined
-  private checkedAtMs = -Infinity
   private loggedAtMs = -Infinity
   private refusedCount = 0
 
   constructor (private readonly options: GateOptions) {}
 
   /** Checks what the open connections send, from the time at which there are enough of them to fill the heap. */
-  onConnection (): void {
+  onConnection (connection: GatedConnection): void {
     if (!this.isNeeded()) return
-    for (const connection of this.options.connections.values()) connection.setInputGate(this.admit)
-    this.timer ??= setInterval(() => {
+    if (this.timer !== undefined) return connection.setInputGate(this.admit)
+    for (const open of this.options.connections.values()) open.setInputGate(this.admit)
+    this.timer = setInterval(() => {
       if (this.isNeeded()) return this.refuseUnfinishedHeads()
       clearInterval(this.timer)
       this.timer = undefined
@@ -52,10 +52,7 @@
 
   /** Closes connections that hold much of a head, so that the heap has room again. */
   private refuseUnfinishedHeads (): void {
-    const { connections, heap, clock } = this.options
-    const nowMs = clock.readMonotonicMs()
-    if (nowMs - this.checkedAtMs < memoryConstants.unfinishedHeadCheckMs / 2) return
-    this.checkedAtMs = nowMs
+    const { connections, heap } = this.options
     if (heap.admit()) return
     let count = 0
     for (const connection of connections.values()) {
--- a/src/node/gateway/ingress/ingressServer.ts
+++ b/src/node/gateway/ingress/ingressServer.ts
@@ -195,9 +195,10 @@
       metrics.addCount('answers_cut_off', { reason: answer.reason })
       logger.recordWarning('answer cut off', { ...answer })
     }
-    this.connections.set(socket, new ClientConnection({ socket, clock, onCutOff, onAnswerCutOff }))
+    const connection = new ClientConnection({ socket, clock, onCutOff, onAnswerCutOff })
+    this.connections.set(socket, connection)
     socket.once('close', () => { this.connections.delete(socket) })
-    this.headGate.onConnection()
+    this.headGate.onConnection(connection)
   }
 
   private async closeAfterArrivals (connections: readonly ClientConnection[]): Promise<void> {
--- a/src/node/gateway/ingress/statusServer.ts
+++ b/src/node/gateway/ingress/statusServer.ts
@@ -2,18 +2,7 @@
 import { ingressConstants } from './constants.js'
 import { openListener } from '../../listeners/openListener.js'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-
-interface StatusResponse {
-  readonly status: number
-  readonly contentType: string
-  readonly body: string
-}
-
-interface StatusServerOptions {
-  /** Connections beyond this number are closed at once. */
-  readonly maxConnections: number
-  readonly handle: (method: string, target: string) => StatusResponse
-}
+import type { StatusServerOptions } from './statusServerOptions.js'
 
 /** A small HTTP server for readiness, address queries or metrics. */
 export class StatusServer {
@@ -28,6 +17,11 @@
       connectionsCheckingInterval: connectionCheckMs
     }, (request, response) => { this.onRequest(request, response) })
     this.server.maxConnections = options.maxConnections
+    this.server.on('drop', () => {
+      options.onRefused()
+      // Clients that keep connections they do not use must not keep others out.
+      this.server.closeIdleConnections()
+    })
   }
 
   async start (address: string): Promise<void> {
--- /dev/null
+++ b/src/node/gateway/ingress/statusServerOptions.ts
@@ -0,0 +1,13 @@
+interface StatusResponse {
+  readonly status: number
+  readonly contentType: string
+  readonly body: string
+}
+
+export interface StatusServerOptions {
+  /** Connections beyond this number are closed at once, and so are those without a request. */
+  readonly maxConnections: number
+  /** Called for each connection that is closed for this reason. */
+  readonly onRefused: () => void
+  readonly handle: (method: string, target: string) => StatusResponse
+}
