fix(build): build with target/ on another file system than the checkout

Operators would see: status 1 and no target/ in a checkout whose target/ is a mount or a link to another file system, so no host starts.

Cause: packages are installed under target/ and renamed into the checkout, which only works within one file system. They are installed beside node_modules when target/ is on another one.

A mount of its own for node_modules was not tried.

--- a/playground/builds/__tests__/systemBuild.test.ts
+++ b/playground/builds/__tests__/systemBuild.test.ts
@@ -66,6 +66,13 @@
     t.match(await checkout.runNode('target/lycheetrack.cjs'), { status: 0, output: 'second\n' })
   })
 
+  t.test('guards against an installation that cannot be renamed because target/ is on another file system', async t => {
+    const checkout = createCheckout(t)
+    const script = "import('./scripts/build/chooseWorkFolder.mjs').then(({ chooseWorkFolder }) => {" +
+      "console.log(chooseWorkFolder('root', 'target', path => path), chooseWorkFolder('root', 'target', () => 1)) })"
+    t.match(await checkout.runNode('-e', script), { status: 0, output: 'root target\n' })
+  })
+
   t.test('guards against a home folder that cannot hold the cache of npm, and installations that were cut off long ago', async t => {
     const checkout = createCheckout(t)
     const abandoned = join(checkout.folder, 'target/.installation-abandoned')
--- a/scripts/buildSystem.mjs
+++ b/scripts/buildSystem.mjs
@@ -5,12 +5,14 @@
 import { BuildError } from './build/buildError.mjs'
 import { BuildLock } from './build/buildLock.mjs'
 import { ChildProgram } from './build/childProgram.mjs'
+import { chooseWorkFolder } from './build/chooseWorkFolder.mjs'
 import { PackageInstallation } from './build/packageInstallation.mjs'
 
 const root = resolve(import.meta.dirname, '..')
 const folder = join(root, 'target')
+mkdirSync(folder, { recursive: true })
 const lock = new BuildLock(join(folder, '.build-lock'))
-const installation = new PackageInstallation(root, folder)
+const installation = new PackageInstallation(root, chooseWorkFolder(root, folder))
 const bundler = new ChildProgram(process.execPath, ['scripts/bundle.mjs', '--quiet', '--product', 'target'], { cwd: root })
 
 /** Packages that are there may still lack files, or have those of another machine. They are installed anew once. */
@@ -26,7 +28,6 @@
 }
 
 async function runBuild () {
-  mkdirSync(folder, { recursive: true })
   await lock.claim(() => { console.log('waiting for another build of this checkout') })
   try {
     await installation.removeAbandoned()
