--- a/playground/builds/npmStandIn.cjs
+++ b/playground/builds/npmStandIn.cjs
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 // Stands in for npm in a test checkout: like `npm ci`, it empties node_modules, needs a while for the packages of the
-// lock file and writes its own list last. It notes each run in NPM_RUNS and links the packages from NPM_SOURCE, those with
+// lock file and writes its own list last. It notes each run in NPM_RUNS and links the packages from NPM_SOURCE; those with
 // binaries only for the processor NPM_CPU.
 const { appendFileSync, mkdirSync, readFileSync, readdirSync, rmSync, symlinkSync, writeFileSync } = require('node:fs')
 const { dirname, join } = require('node:path')
--- a/src/node/app/__tests__/statusFlood.test.ts
+++ b/src/node/app/__tests__/statusFlood.test.ts
@@ -12,7 +12,8 @@
 const network = 249
 const memoryMb = 480
 const connectionCount = 4000
-const route = { name: 'r', host: 'shop.example', pathPrefix: '/', kind: 'safe', service: 'shop', timeoutMs: 30_000, targetLatencyMs: 500, priority: 1, maxAttempts: 2 }
+const limits = { timeoutMs: 30_000, targetLatencyMs: 500, priority: 1, maxAttempts: 2 }
+const route = { name: 'r', host: 'shop.example', pathPrefix: '/', kind: 'safe', service: 'shop', ...limits }
 
 t.test('a host whose directory and readiness ports are flooded', { timeout: 110_000 }, async t => {
   const flooded = await new FloodedHost({ network, memoryMb, routes: [route] }).start()
--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -1,6 +1,5 @@
 import { getHeapStatistics } from 'node:v8'
 import { AnswerMemory } from '../gateway/answers/answerMemory.js'
-import { chooseAddresses } from '../gateway/hosts/chooseAddresses.js'
 import { RateLimitedLogger } from '../gateway/logs/rateLimitedLogger.js'
 import { CellRegistry } from '../gateway/stages/cellRegistry.js'
 import { checkUpstreamAnswers } from '../gateway/relays/checkUpstreamAnswers.js'
@@ -31,9 +30,9 @@
 import { HostRegistrar } from '../gateway/hosts/hostRegistrar.js'
 import { ingressConstants } from '../gateway/ingress/constants.js'
 import { IngressServer } from '../gateway/ingress/ingressServer.js'
-import { platformEndpoints } from '../platform/platformEndpoints.js'
 import { MemoryWatch } from '../gateway/memory/memoryWatch.js'
 import { OutdatedItemFilter } from '../gateway/store/outdatedItemFilter.js'
+import { createStatusServers } from './createStatusServers.js'
 import { createPeerSecret } from '../gateway/hosts/createPeerSecret.js'
 import { PeerSecretKeeper } from '../gateway/hosts/peerSecretKeeper.js'
 import { platformConstants } from '../platform/constants.js'
@@ -49,7 +48,6 @@
 import { StageDispatcher } from '../gateway/stages/stageDispatcher.js'
 import { StageOrderServer } from '../gateway/stages/stageOrderServer.js'
 import { StageScheduler } from '../gateway/stages/stageScheduler.js'
-import { StatusServer } from '../gateway/ingress/statusServer.js'
 import { computeConnectionLimit } from '../gateway/ingress/computeConnectionLimit.js'
 import { computeAnswerMemory } from '../gateway/answers/computeAnswerMemory.js'
 import { computeRequestMemory } from '../gateway/memory/computeRequestMemory.js'
@@ -68,7 +66,6 @@
 import type { GatewayOptions } from './gatewayOptions.js'
 import type { HostSettings } from '../gateway/model/hostSettings.js'
 import type { ReloadableHost } from '../cli/reloadableHost.js'
-import type { StatusServerOptions } from '../gateway/ingress/statusServerOptions.js'
 import type { StoreItem } from '../gateway/model/storeItem.js'
 import type { StoreSection } from '../gateway/store/storeSection.js'
 import type { UpstreamEntry } from '../gateway/model/upstreamEntry.js'
@@ -381,35 +378,8 @@
       metrics
     }
   })
-  const buildStatusLimits = (server: string, share: number): Pick<StatusServerOptions, 'maxConnections' | 'onRefused'> => ({
-    maxConnections: computeConnectionLimit(settings.fileDescriptors, share),
-    onRefused: () => { metrics.addCount('status_connections_refused', { server }) }
-  })
-  const readinessServer = new StatusServer({
-    ...buildStatusLimits('readiness', ingressConstants.statusDescriptorShare),
-    handle: (method, target) => {
-      if (!platformEndpoints.isReadinessRequest(method, target)) return { status: 404, contentType: 'text/plain', body: '' }
-      return { status: host.isReady() ? 200 : 503, contentType: 'text/plain', body: '' }
-    }
-  })
-  const directoryServer = settings.directoryAddress === undefined
-    ? undefined
-    : new StatusServer({
-      ...buildStatusLimits('directory', ingressConstants.directoryDescriptorShare),
-      handle: (method, target) => {
-        if (!platformEndpoints.isAddressQuery(method, target)) return { status: 404, contentType: 'text/plain', body: '' }
-        const addresses = chooseAddresses(hosts.listReady(), platformEndpoints.findClientDomain(target), random)
-        if (addresses.length === 0) return { status: 503, contentType: 'text/plain', body: '' }
-        const lifetimeMs = Math.min(ingressConstants.addressLifetimeMs, settingsHolder.get().timings.maxAddressLifetimeMs)
-        return { status: 200, contentType: 'application/json', body: platformEndpoints.encodeAddressResponse(addresses, lifetimeMs) }
-      }
-    })
-  const metricsServer = new StatusServer({
-    ...buildStatusLimits('metrics', ingressConstants.statusDescriptorShare),
-    handle: (method, target) => method === 'GET' && target === gatewayConstants.metricsPath
-      ? { status: 200, contentType: 'text/plain; version=0.0.4', body: metrics.render() }
-      : { status: 404, contentType: 'text/plain', body: '' }
-  })
+  const getSettings = (): HostSettings => settingsHolder.get()
+  const statusServers = createStatusServers({ getSettings, hosts, isReady: () => host.isReady(), metrics, random })
   const host: GatewayHost = new GatewayHost({
     settings: settingsHolder,
     logger,
@@ -427,9 +397,7 @@
     relayServer,
     secretKeeper,
     ingress,
-    readinessServer,
-    directoryServer,
-    metricsServer,
+    ...statusServers,
     metricsAddress: `${settings.ipAddress}:${options.metricsPort ?? gatewayConstants.metricsPort}`,
     storeWatcher,
     outdatedItemFilters,
--- a/src/node/gateway/hosts/peerSecretKeeper.ts
+++ b/src/node/gateway/hosts/peerSecretKeeper.ts
@@ -63,8 +63,8 @@
   }
 
   /**
-   * All hosts miss the secret at the same time, and one of them is to write it. Hosts that have just started leave this to
-   * those that share one.
+   * All hosts miss the secret at the same time, and one of them is to write it. Hosts that have just started leave this
+   * to those that share one.
    */
   private onMissing (): void {
     const { random } = this.options
--- a/src/node/gateway/ingress/constants.ts
+++ b/src/node/gateway/ingress/constants.ts
@@ -81,7 +81,7 @@
   maxAddresses: 64,
   /** File descriptors of an idle process: the runtime, listeners, the store and other hosts (26 are too few). */
   reservedDescriptors: 32,
-  /** Share of the rest that connections of clients to the ingress may take; their requests need connections to upstreams. */
+  /** Share of the rest that connections to the ingress may take; their requests need connections to upstreams. */
   clientDescriptorShare: 0.75,
   minClientConnections: 8,
   /** Share that connections to the directory may take: clients ask it for addresses, and may keep their connections. */
--- a/src/node/gateway/memory/constants.ts
+++ b/src/node/gateway/memory/constants.ts
@@ -18,7 +18,7 @@
   freeMultiple: 2,
   /**
    * Share of the heap limit, which includes the young generation, above which no request is taken. V8 ends a process
-   * whose old generation stays above 80% of its limit, 0.61 of the heap limit, when collections free little in their time.
+   * whose old generation stays above 80% of its limit, 0.61 of the heap limit, when collections free little.
    */
   heapFullShare: 0.5,
   /** Share at which requests are taken again. */
--- a/src/node/listeners/addressWaiter.ts
+++ b/src/node/listeners/addressWaiter.ts
@@ -16,7 +16,7 @@
   readonly logger: Logger
 }
 
-/** Opens the addresses of a host. Waits for those that a process before it has not left, or the machine does not have yet. */
+/** Opens the addresses of a host. Waits for those that a process before it still has, or the machine does not have yet. */
 export class AddressWaiter {
   private readonly endMs: number
 
@@ -25,8 +25,8 @@
   }
 
   /**
-   * Calls `listen` until the address is there and free. At the end of the time, rejects with `AddressInUseError`, or with the
-   * error that says that it is missing; also with the reason of the stop signal, and with any other error of `listen`.
+   * Calls `listen` until the address is there and free. At the end of the time, rejects with `AddressInUseError`, or with
+   * the error that says that it is missing; also with the reason of the stop signal, and with other errors of `listen`.
    */
   async open<T> (address: string, listen: () => Promise<T>): Promise<T> {
     return await this.openAny([address], listen)
