fix(soak): signals when the runtime runs programs, in the environment of the platform

Cause: the soak took 1.25 times the processor time of one measured start as the time after which a program handles signals. Measured: 93 to 116 ms up to the handlers in 240 starts, 92 to 113 ms for the measured one; with the environment of the platform 1 of 200 starts had no handler at that time. The environment of the workplace (NODE_EXTRA_CA_CERTS) makes the start four times as long: 92 to 98 ms for an empty script, 21 to 28 ms without it.

Change: hosts inherit only what the platform passes on, and Node.js says by itself when it runs programs. Signals come 10 ms of processor time after that; 1.25 times 98 ms was 24 ms after it, so the check is the stricter one.

Ruled out: handlers that are removed at the end of a process (18 of 18 stops beside SIGHUP each millisecond, status 0).

--- a/playground/platform/hostProcess.ts
+++ b/playground/platform/hostProcess.ts
@@ -32,7 +32,7 @@
       id,
       args: [program, 'gateway'],
       environment: { LYCHEETRACK_SETTINGS: this.settingsPath },
-      excludedVariables: ['NODE_OPTIONS'],
+      inheritedVariables: processConstants.platformVariables,
       launcher: descriptorLimit === undefined ? [] : ['sh', '-c', `ulimit -n ${descriptorLimit}; exec "$0" "$@"`]
     })
   }
--- a/playground/processes/constants.ts
+++ b/playground/processes/constants.ts
@@ -5,6 +5,8 @@
   stopTimeoutMs: 15_000,
   pollIntervalMs: 50,
   controlTimeoutMs: 2000,
+  /** Variables that processes on the platform inherit; others change the start of the runtime. */
+  platformVariables: ['PATH', 'HOME', 'JAVA_HOME', 'LANG'] as readonly string[],
   /** Lines of standard error that are kept for error messages. */
   maxErrorLines: 200,
   /** Ports below the usual ephemeral range, so that no outgoing connection takes one before it is used. */
--- a/playground/processes/managedProcess.ts
+++ b/playground/processes/managedProcess.ts
@@ -11,8 +11,8 @@
   readonly args: readonly string[]
   /** Added to the environment of this process. */
   readonly environment?: Readonly<Record<string, string>>
-  /** Variables that the process does not inherit. */
-  readonly excludedVariables?: readonly string[]
+  /** Variables that the process inherits, if they are set; all when absent. */
+  readonly inheritedVariables?: readonly string[]
   /** Words of a command that runs Node.js with its arguments, which follow them. */
   readonly launcher?: readonly string[]
   /** Called at the end of each run. */
@@ -65,10 +65,9 @@
 
   start (): void {
     if (this.isRunning) throw new ProcessError(`${this.id} is already running`)
-    const { args, excludedVariables = [], launcher = [] } = this.options
-    // The test runner adds variables to every process that it spawns, so `env` removes them.
-    const words = [...excludedVariables.flatMap(name => ['-u', name]), ...launcher, process.execPath, ...args]
-    const child = spawn('env', words, { stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, ...this.options.environment } })
+    const { args, launcher = [], environment } = this.options
+    const words = [...this.listEnvironmentWords(), ...launcher, process.execPath, ...args]
+    const child = spawn('env', words, { stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, ...environment } })
     this.child = child
     const run: OpenRun = { pid: child.pid, startedAtMs: performance.now(), signals: [], lines: [], errorLines: [] }
     this.openRuns.push(run)
@@ -154,4 +153,12 @@
   listErrorLines (): readonly string[] {
     return this.errorLines
   }
+
+  /** The test runner adds variables to every process that it spawns, so `env` removes them. */
+  private listEnvironmentWords (): readonly string[] {
+    const { inheritedVariables, environment } = this.options
+    if (inheritedVariables === undefined) return []
+    const variables = { ...Object.fromEntries(inheritedVariables.map(name => [name, process.env[name]])), ...environment }
+    return ['-i', ...Object.entries(variables).flatMap(([name, value]) => value === undefined ? [] : [`${name}=${value}`])]
+  }
 }
--- a/playground/soak/constants.ts
+++ b/playground/soak/constants.ts
@@ -16,6 +16,8 @@
   lossSlackMs: 200,
   /** Time after which a process that ended by itself is started again. */
   restartDelayMs: 1000,
+  /** Processor time from the first line of a program within which it must handle signals. */
+  handlerStartMs: 10,
   /** Time after the start of the runtime in which signals count as sent during the start. */
   startMs: 500,
   sampleIntervalMs: 500,
--- a/playground/soak/soakDeployment.ts
+++ b/playground/soak/soakDeployment.ts
@@ -2,7 +2,6 @@
 import { mkdtempSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { readRuntimeStartMs } from './readRuntimeStartMs.js'
 import { soakConstants } from './constants.js'
 import { SoakHost } from './soakHost.js'
 import { SoakUpstream } from './soakUpstream.js'
@@ -38,7 +37,6 @@
   private sequence = 0
 
   async start (program: string, hostCount: number, network: number): Promise<void> {
-    const runtimeStartMs = await readRuntimeStartMs()
     await this.store.start()
     this.writeConfiguration('shop')
     for (const service of services) {
@@ -51,7 +49,6 @@
         folder: this.folder,
         program,
         storeAddress: this.store.address,
-        runtimeStartMs,
         restartDelayMs: soakConstants.restartDelayMs
       }).start())
     }
--- a/playground/soak/soakHost.ts
+++ b/playground/soak/soakHost.ts
@@ -1,5 +1,5 @@
 import { readFileSync, renameSync, writeFileSync } from 'node:fs'
-import { join } from 'node:path'
+import { join, resolve } from 'node:path'
 import { setTimeout as waitMs } from 'node:timers/promises'
 import { FaultProxy } from './faultProxy.js'
 import { ManagedProcess } from '../processes/managedProcess.js'
@@ -10,10 +10,10 @@
 import type { SoakHostRun } from './soakHostRun.js'
 
 const readinessTimeoutMs = 500
-/** Margin over the processor time of a runtime that runs a minimal program. */
-const runtimeStartFactor = 1.25
 /** Options of Node.js in the deploy file. */
 const deployedNodeOptions = ['--max-old-space-size=160', '--expose-gc']
+const runtimeMarkPath = resolve('playground/soak/runtimeMark.cjs')
+const runtimeMarkPattern = /^runtime runs programs at ([\d.]+)$/
 
 interface SoakHostOptions {
   readonly index: number
@@ -26,8 +26,6 @@
   readonly memoryMb?: number
   /** Options of Node.js beyond those of the deploy file. */
   readonly nodeOptions?: readonly string[]
-  /** Processor time that the runtime takes until it can run a program. */
-  readonly runtimeStartMs?: number
   /** Time after which a process that ended by itself is started again; absent: it is not. */
   readonly restartDelayMs?: number
 }
@@ -108,10 +106,9 @@
     process.reload()
   }
 
-  /** Resolves when the runtime of a process can run the program: before that, no program can handle a signal. */
+  /** Resolves when the runtime of a process runs the program: before that, no program can handle a signal. */
   async waitRuntime (process = this.process): Promise<void> {
-    const neededMs = (this.options.runtimeStartMs ?? 0) * runtimeStartFactor
-    while (process.isRunning && readProcessorTimes(process.pid).ranMs < neededMs) await waitMs(2)
+    while (process.isRunning && !isSignalDue(process)) await waitMs(2)
   }
 
   /** All runs of the host's processes, the oldest first. */
@@ -194,10 +191,9 @@
     const { program, restartDelayMs, nodeOptions = [] } = this.options
     const process = new ManagedProcess({
       id: this.id,
-      args: [...deployedNodeOptions, ...nodeOptions, program, 'gateway'],
+      args: [...deployedNodeOptions, '--require', runtimeMarkPath, ...nodeOptions, program, 'gateway'],
       environment: { LYCHEETRACK_SETTINGS: this.settingsPath },
-      // With the options of the test runner, its modules load and handle signals before the program does.
-      excludedVariables: ['NODE_OPTIONS'],
+      inheritedVariables: processConstants.platformVariables,
       onEnd: () => {
         if (restartDelayMs === undefined || process.isStopping) return
         setTimeout(() => { this.startProcess() }, restartDelayMs)
@@ -240,6 +236,11 @@
   }
 }
 
+function isSignalDue ({ pid, runs }: ManagedProcess): boolean {
+  const [, markedMs] = runs.at(-1)?.errorLines.map(line => runtimeMarkPattern.exec(line)).find(match => match !== null) ?? []
+  return markedMs !== undefined && readProcessorTimes(pid).ranMs >= Number(markedMs) + soakConstants.handlerStartMs
+}
+
 /** Largest resident memory of a process, in MB; 0 when it has ended. */
 function readPeakMemoryMb (pid: number | undefined): number {
   return Number(/VmHWM:\s+(\d+)/.exec(readProcessFile(pid, 'status'))?.[1] ?? 0) / 1024
--- a/src/node/app/__tests__/entryHostSignals.test.ts
+++ b/src/node/app/__tests__/entryHostSignals.test.ts
@@ -1,6 +1,7 @@
 import t from 'tap'
 import { buildProduct } from '../../../../playground/platform/buildProduct.js'
 import { ManagedProcess } from '../../../../playground/processes/managedProcess.js'
+import { processConstants } from '../../../../playground/processes/constants.js'
 import { waitUntil } from '../../../../playground/fakes/waitUntil.js'
 
 /** Nothing listens there, so a host waits for its contracts and does not become ready. */
@@ -11,7 +12,7 @@
   const product = buildProduct()
   const environment = { LYCHEETRACK_OPERATOR_TOKEN: 'operator-token-of-the-test', LYCHEETRACK_PEER_SECRET: 'peer-secret-of-the-test' }
   const startHost = (): ManagedProcess => {
-    const host = new ManagedProcess({ id: 'host-1', args: [product.program, 'serve', ...flags, ...services], environment, excludedVariables: ['NODE_OPTIONS'] })
+    const host = new ManagedProcess({ id: 'host-1', args: [product.program, 'serve', ...flags, ...services], environment, inheritedVariables: processConstants.platformVariables })
     host.start()
     t.teardown(async () => { await host.kill() })
     return host
