--- a/playground/soak/__tests__/checkSoak.test.ts
+++ b/playground/soak/__tests__/checkSoak.test.ts
@@ -20,7 +20,7 @@
 
 const startedAtMs = -20_000
 function buildRun (part: Partial<SoakHostRun> = {}): SoakHostRun {
-  const run = { host: 'h', startedAtMs, signals: [], memoryMb: 400, peakMemoryMb: 150, slowed: [], lastReadyAtMs: 100_000 }
+  const run = { host: 'h', startedAtMs, signals: [], memoryMb: 400, peakMemoryMb: 150, slowed: [], errors: [], lastReadyAtMs: 100_000 }
   return { ...run, ...part }
 }
 const signals = (...list: ReadonlyArray<readonly [NodeJS.Signals, number]>): SoakHostRun['signals'] => {
@@ -109,6 +109,7 @@
     'a drain beyond the grace period'
   )
   t.same(listFaults({ peakMemoryMb: 401 }), ['FAULT'], 'more memory than the machine has')
+  t.same(listFaults({ errors: ['{"level":"error","message":"unexpected error"}'] }), ['FAULT'], 'an error in the log')
   t.same(listFaults({ lastReadyAtMs: undefined }), ['FAULT'], 'a process that is never ready')
   t.same(listFaults({ lastReadyAtMs: -2500 }), ['FAULT'], 'a process that is no longer ready')
   t.same(listFaults({ signals: stop, end: { code: 0, signal: null, atMs: 2900 } }), [], 'a stop')
--- a/playground/soak/checkProcesses.ts
+++ b/playground/soak/checkProcesses.ts
@@ -4,11 +4,11 @@
 
 /**
  * Checks that processes end only when they are told to, with status 0 and within the grace period, stay within their
- * memory, and are ready at the end of the run, when no fault has been injected for a while.
+ * memory, log no errors, and are ready at the end of the run, when no fault has been injected for a while.
  */
 export function checkProcesses ({ runs, endedAtMs }: SoakRecords): readonly string[] {
   return runs.flatMap(run => {
-    const reasons = [describeEnd(run), describeMemory(run), describeReadiness(run, endedAtMs)]
+    const reasons = [describeEnd(run), describeMemory(run), describeErrors(run), describeReadiness(run, endedAtMs)]
     const name = `the process of ${run.host} that started at ${Math.round(run.startedAtMs)} ms`
     return reasons.filter(reason => reason !== undefined).map(reason => `FAULT: ${name} ${reason}`)
   })
@@ -37,6 +37,10 @@
   return peakMemoryMb > memoryMb ? `took ${Math.round(peakMemoryMb)} MB, its machine has ${memoryMb} MB` : undefined
 }
 
+function describeErrors ({ errors }: SoakHostRun): string | undefined {
+  return errors.length > 0 ? `logged ${errors.length} errors, the first is ${errors[0]}` : undefined
+}
+
 function describeReadiness (run: SoakHostRun, endedAtMs: number): string | undefined {
   const { startedAtMs, signals, end, lastReadyAtMs = -Infinity } = run
   const { recoveryMs, readyWindowMs } = soakConstants
--- a/playground/soak/soakHost.ts
+++ b/playground/soak/soakHost.ts
@@ -121,6 +121,7 @@
       end: run.end,
       peakMemoryMb: this.samples.get(run)?.peakMemoryMb ?? 0,
       slowed: this.samples.get(run)?.slowed ?? [],
+      errors: run.lines.filter(line => line.includes('"level":"error"')),
       lastReadyAtMs: this.samples.get(run)?.lastReadyAtMs
     }))
   }
--- a/playground/soak/soakHostRun.ts
+++ b/playground/soak/soakHostRun.ts
@@ -9,6 +9,8 @@
   readonly peakMemoryMb: number
   /** Times in which the process waited long for a processor. */
   readonly slowed: ReadonlyArray<{ readonly fromMs: number, readonly toMs: number }>
+  /** Lines of its log that report errors. */
+  readonly errors: readonly string[]
   /** When the process last said that it is ready. */
   readonly lastReadyAtMs?: number
 }
