--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -9,7 +9,10 @@
   : []
 const counts = { passed: 0, failed: 0, known: 0 }
 const failures = []
+const details = new Map()
 const seenKnownFailures = []
+const maxDetailLength = 3000
+const maxSummaryLength = 400
 
 function watchParser (parser, path, onlyLeaves) {
   parser.on('child', child => watchParser(child, [...path, child.name]))
@@ -26,11 +29,24 @@
       seenKnownFailures.push(name)
     } else {
       counts.failed++
-      failures.push(name + (result.diag ? '\n' + JSON.stringify(result.diag, null, 1).slice(0, 3000) : ''))
+      failures.push(name)
+      details.set(name, result.diag)
     }
   })
 }
 
+function formatDetails (diagnostics) {
+  return diagnostics ? '\n' + JSON.stringify(diagnostics, null, 1).slice(0, maxDetailLength) : ''
+}
+
+/** One line for a failure; undefined for one that only contains others. */
+function formatSummary (name) {
+  if (failures.some(other => other.startsWith(`${name} > `))) return undefined
+  const { diff, found, message } = details.get(name) ?? {}
+  const reason = diff ?? message ?? (found === undefined ? 'no details' : JSON.stringify(found))
+  return `failed: ${name}: ${String(reason).replaceAll(/\s+/g, ' ').slice(0, maxSummaryLength)}`
+}
+
 const parser = new Parser()
 watchParser(parser, [])
 const files = process.argv.slice(2)
@@ -40,7 +56,7 @@
 let complete = null
 parser.on('complete', results => { complete = results })
 tap.on('close', code => {
-  for (const failure of failures) console.log(`\nFAILED ${failure}`)
+  for (const failure of failures) console.log(`\nFAILED ${failure}${formatDetails(details.get(failure))}`)
   if (counts.known > 0) console.log(`\nknown failures listed in KNOWN-RED.txt, not counted: ${knownFailures.join('; ')} (${counts.known} assertions)`)
   // A file that crashes or times out fails without a failing assertion of its own.
   const failedFiles = complete?.failures?.map(f => f.name) ?? []
@@ -48,6 +64,8 @@
   const unexplained = failedFiles.filter(file => !explained.some(name => name.includes(file) || file.includes(name.split(' > ')[0])))
   const crashed = unexplained.length > 0 || (code !== 0 && failedFiles.length === 0)
   if (crashed) console.log(`tap exited with ${code}; failed without an assertion: ${unexplained.join(', ') || 'no result'}`)
+  // Where the middle of a long output is cut, its last lines stay.
+  for (const summary of failures.map(formatSummary).filter(line => line !== undefined)) console.log(summary)
   console.log(`${counts.passed} passed, ${counts.failed + (crashed ? 1 : 0)} failed`)
   process.exit(counts.failed > 0 || crashed || counts.passed === 0 ? 1 : 0)
 })
