fix(peers): bound connections to the peer port

Clients met refused connections while others opened connections to the port for other hosts: at a limit of 120 descriptors, 300 silent ones made a request end with ECONNRESET. They have a share of 0.09 of the descriptors now, 366 at 4,100; refused ones are counted.

--- a/src/node/app/__tests__/startNeeds.test.ts
+++ b/src/node/app/__tests__/startNeeds.test.ts
@@ -111,6 +111,16 @@
     t.equal(await sendRequest(host, '/shop/x'), 200)
     agent.destroy()
   })
+
+  t.test('guards against connections to the peer port that use up the descriptors of a host', async t => {
+    const host = startHost({ host: 7, descriptorLimit: 120 })
+    t.ok(await host.waitReady())
+    const sockets = Array.from({ length: 300 }, () => connect(7740, `${network}.7`).on('error', () => {}))
+    t.teardown(() => { for (const socket of sockets) socket.destroy() })
+    await delay(1500)
+    t.equal(await sendRequest(host, '/shop/x', new Agent()), 200)
+    t.same(host.listLines('unexpected error'), [])
+  })
 })
 
 /** Resolves with the status of the answer, or with the code of the error. */
--- a/src/node/app/createGatewayHost.ts
+++ b/src/node/app/createGatewayHost.ts
@@ -281,7 +281,12 @@
     onChange: change => { streamVersions.applyChange(change) }
   }
   const secret = createPeerSecret()
-  const transport = createGrpcPeerTransport({ hostId, secret, metrics })
+  const transport = createGrpcPeerTransport({
+    hostId,
+    secret,
+    metrics,
+    maxConnections: computeConnectionLimit(settings.fileDescriptors, gatewayConstants.peerDescriptorShare)
+  })
   const secretKeeper = new PeerSecretKeeper({
     store,
     key: platformConstants.peerSecretKey,
--- a/src/node/app/gatewayConstants.ts
+++ b/src/node/app/gatewayConstants.ts
@@ -18,6 +18,8 @@
   unexpectedErrorWindowMs: 10_000,
   /** Exit status after too many unexpected errors. */
   unexpectedErrorStatus: 70,
+  /** Share of the file descriptors, less the reserved ones, that connections of other hosts may take. */
+  peerDescriptorShare: 0.09,
   /** Port of the metrics endpoint; outside the port range for traffic between hosts. */
   metricsPort: 9464,
   metricsPath: '/metrics'
--- a/src/node/peers/createGrpcPeerTransport.ts
+++ b/src/node/peers/createGrpcPeerTransport.ts
@@ -1,19 +1,8 @@
-import { systemClock } from '../../shared/systemClock.js'
-import type { Clock } from '../../types/clock.js'
-import type { Metrics } from '../../types/metrics.js'
+import type { GrpcPeerTransportOptions } from './grpcPeerTransportOptions.js'
 import type { PeerSessions } from '../../types/peerSessions.js'
 import type { PeerTransport } from '../../types/peerTransport.js'
 import { GrpcPeerTransport } from './grpcPeerTransport.js'
 
-interface GrpcPeerTransportOptions {
-  readonly hostId: string
-  /** Secret shared by all hosts; never sent over the network. */
-  readonly secret: string
-  readonly metrics: Metrics
-  /** @default systemClock */
-  readonly clock?: Clock
-}
-
 interface RunningPeerTransport extends PeerTransport, PeerSessions {
   /** Starts listening on `ip:port` and resolves to the bound port. */
   start (listenAddress: string): Promise<number>
@@ -24,5 +13,5 @@
 
 /** Creates a `PeerTransport` that calls other entry hosts over gRPC. */
 export function createGrpcPeerTransport (options: GrpcPeerTransportOptions): RunningPeerTransport {
-  return new GrpcPeerTransport(options.hostId, options.secret, options.clock ?? systemClock, options.metrics)
+  return new GrpcPeerTransport(options)
 }
--- a/src/node/peers/grpcPeerTransport.ts
+++ b/src/node/peers/grpcPeerTransport.ts
@@ -1,8 +1,7 @@
 import { createServer } from 'node:net'
 import { Server, ServerCredentials } from '@grpc/grpc-js'
 import type { AddressInfo } from 'node:net'
-import type { Clock } from '../../types/clock.js'
-import type { Metrics } from '../../types/metrics.js'
+import type { GrpcPeerTransportOptions } from './grpcPeerTransportOptions.js'
 import type { PeerMethod } from '../../types/peerMethod.js'
 import type { PeerSession } from '../../types/peerSession.js'
 import type { PeerSessionHandler } from '../../types/peerSessionHandler.js'
@@ -17,6 +16,7 @@
 import { PeerChannels } from './peerChannels.js'
 import { PeerReceiver } from './peerReceiver.js'
 import { PeerTrafficCounter } from './peerTrafficCounter.js'
+import { systemClock } from '../../shared/systemClock.js'
 
 /** `PeerTransport` and `PeerSessions` over gRPC without TLS; hosts authenticate each other with a shared secret. */
 export class GrpcPeerTransport implements PeerTransport, PeerSessions {
@@ -34,7 +34,9 @@
   private readonly receiver: PeerReceiver
   private readonly authenticator: PeerAuthenticator
 
-  constructor (hostId: string, secret: string, clock: Clock, metrics: Metrics) {
+  constructor ({ hostId, secret, metrics, maxConnections = Infinity, clock = systemClock }: GrpcPeerTransportOptions) {
+    this.listener.maxConnections = maxConnections
+    this.listener.on('drop', () => { metrics.addCount('peer_connections_refused', {}) })
     this.authenticator = new PeerAuthenticator(hostId, secret, clock)
     const traffic = new PeerTrafficCounter(metrics)
     this.caller = new PeerCaller(this.channels, this.authenticator, traffic)
