--- a/playground/soak/__tests__/runSignalSoak.test.ts
+++ b/playground/soak/__tests__/runSignalSoak.test.ts
@@ -7,7 +7,7 @@
   const product = buildProduct()
   t.teardown(() => { product.remove() })
   const { program } = product
-  const options = { hosts: 4, clients: 6, pipeliningClients: 6, faults: 0, signals: 10, faultMs: 6000 }
+  const options = { hosts: 4, clients: 6, pipeliningClients: 6, faults: 0, signals: 10, changes: 0, faultMs: 6000 }
   const regressions = soakRegressions.filter(({ signals }) => signals !== undefined)
   for (const run of [{ seed: 9190 }, { seed: 9002, faults: 6 }, ...regressions]) {
     const result = await runSoak({ program, ...options, ...run })
--- a/playground/soak/main.ts
+++ b/playground/soak/main.ts
@@ -32,6 +32,7 @@
       pipeliningClients: Number(flags['pipelining-clients']),
       faults: Number(flags['faults']),
       signals: Number(flags['signals']),
+      changes: Number(flags['changes']),
       faultMs: Number(flags['seconds']) * 1000
     })
     const outcome = result.violations.length === 0 ? 'ok' : 'FAILED'
@@ -59,6 +60,7 @@
   .option('--pipelining-clients', 'Number of clients that send several requests at once', 6)
   .option('--faults', 'Number of faults of hosts, the store, upstreams and links in a run', 10)
   .option('--signals', 'Number of series of signals and of bursts of large bodies in a run', 8)
+  .option('--changes', 'Number of starts beside taken ports and builds', 0)
   .option('--seconds', 'Length of the part of a run in which faults are injected', 12)
   .option('--out', 'Folder for the results and host logs of failed runs', 'dist/soak')
   .action((user: Readonly<Record<string, unknown>>) => {
--- /dev/null
+++ b/playground/soak/runChangeFault.ts
@@ -0,0 +1,46 @@
+import { createServer } from 'node:net'
+import { setTimeout as waitMs } from 'node:timers/promises'
+import type { Server } from 'node:net'
+import type { SoakDeployment } from './soakDeployment.js'
+import type { SoakFault } from './soakFault.js'
+import type { SoakHost } from './soakHost.js'
+
+/** Ports that other programs take: some of the range for other hosts, and the one for metrics. */
+const takenPorts = [7300, 7301, 7304, 9464] as const
+const buildIntervalMs = 20
+
+/** Injects one of `changeFaultTypes`; resolves when it has ended. */
+export async function runChangeFault (
+  { type, forMs }: SoakFault,
+  host: SoakHost,
+  deployment: SoakDeployment
+): Promise<void> {
+  await host.stopProcess()
+  if (type === 'start-beside-ports') return await startBesidePorts(forMs, host)
+  await startBesideBuilds(forMs, host, deployment)
+}
+
+async function startBesidePorts (forMs: number, host: SoakHost): Promise<void> {
+  const servers = await Promise.all(takenPorts.map(async port => await openIfFree(host.ipAddress, port)))
+  host.startProcess()
+  await waitMs(forMs)
+  for (const server of servers) server?.close()
+}
+
+async function startBesideBuilds (forMs: number, host: SoakHost, { builds }: SoakDeployment): Promise<void> {
+  host.startProcess()
+  const untilMs = performance.now() + forMs
+  while (performance.now() < untilMs) {
+    builds?.writeProgram()
+    await waitMs(buildIntervalMs)
+  }
+}
+
+/** Resolves with undefined when another process listens there. */
+async function openIfFree (host: string, port: number): Promise<Server | undefined> {
+  const server = createServer(socket => { socket.destroy() })
+  return await new Promise(resolve => {
+    server.once('error', () => { resolve(undefined) })
+    server.listen({ host, port }, () => { resolve(server) })
+  })
+}
--- a/playground/soak/runFault.ts
+++ b/playground/soak/runFault.ts
@@ -1,4 +1,6 @@
 import { setTimeout as waitMs } from 'node:timers/promises'
+import { changeFaultTypes } from './changeFaultTypes.js'
+import { runChangeFault } from './runChangeFault.js'
 import { runSignalFault } from './runSignalFault.js'
 import { signalFaultTypes } from './signalFaultTypes.js'
 import { soakConstants } from './constants.js'
@@ -19,6 +21,7 @@
   const host = deployment.hosts[target % deployment.hosts.length]!
   const upstream = deployment.upstreams[target % deployment.upstreams.length]!
   if (type === 'upstream-drained') return await drainUpstream(upstream, deployment)
+  if (isChangeFault(type)) return await runChangeFault(fault, host, deployment)
   if (isSignalFault(type)) return await runSignalFault(fault, host, deployment)
   if (type.startsWith('host-')) return await runHostFault(type.slice('host-'.length), host, forMs)
   if (type === 'store-history') {
@@ -49,6 +52,10 @@
   return (signalFaultTypes as ReadonlyArray<SoakFault['type']>).includes(type)
 }
 
+function isChangeFault (type: SoakFault['type']): boolean {
+  return (changeFaultTypes as ReadonlyArray<SoakFault['type']>).includes(type)
+}
+
 async function runHostFault (name: string, host: SoakHost, forMs: number): Promise<void> {
   if (!host.process.isRunning) return
   if (name === 'reloaded') {
--- a/playground/soak/runSoak.ts
+++ b/playground/soak/runSoak.ts
@@ -1,5 +1,6 @@
 import { setTimeout as waitMs } from 'node:timers/promises'
 import { buildFaultPlan } from './buildFaultPlan.js'
+import { changeFaultTypes } from './changeFaultTypes.js'
 import { checkSoak } from './checkSoak.js'
 import { createSeededRandom } from '../../src/shared/createSeededRandom.js'
 import { runFault } from './runFault.js'
@@ -14,8 +15,9 @@
 
 /** Number of loopback networks that concurrent runs are spread over. */
 const networkCount = 250
-/** Keeps the two parts of a plan independent. */
+/** Keep the parts of a plan independent. */
 const signalSeedOffset = 1_000_000
+const changeSeedOffset = 2_000_000
 
 /** Runs host processes under the faults that follow from a seed, and checks what clients and upstreams recorded. */
 export async function runSoak (options: SoakOptions): Promise<SoakResult> {
@@ -23,7 +25,8 @@
   const deployment = new SoakDeployment()
   const plan = [
     ...buildFaultPlan(seed, faultMs, options.faults, soakFaultTypes),
-    ...buildFaultPlan(seed + signalSeedOffset, faultMs, options.signals, signalFaultTypes)
+    ...buildFaultPlan(seed + signalSeedOffset, faultMs, options.signals, signalFaultTypes),
+    ...buildFaultPlan(seed + changeSeedOffset, faultMs, options.changes, changeFaultTypes)
   ].sort((a, b) => a.atMs - b.atMs)
   try {
     await deployment.start(program, hosts, seed % networkCount)
--- a/playground/soak/soakDeployment.ts
+++ b/playground/soak/soakDeployment.ts
@@ -2,6 +2,7 @@
 import { mkdtempSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import { SoakBuilds } from './soakBuilds.js'
 import { soakConstants } from './constants.js'
 import { SoakHost } from './soakHost.js'
 import { SoakUpstream } from './soakUpstream.js'
@@ -28,6 +29,8 @@
   readonly executions: SoakExecution[] = []
   readonly pieces: SoakPiece[] = []
   readonly requests: SoakRequest[] = []
+  /** Builds of the program that the hosts start from; undefined before `start`. */
+  builds: SoakBuilds | undefined
   readonly allowedServices = new Map<string, Set<string>>()
   private readonly ownDisruptions: SoakDisruption[] = []
   private readonly executionEnds = new Map<string, number>()
@@ -37,6 +40,8 @@
   private sequence = 0
 
   async start (program: string, hostCount: number, network: number): Promise<void> {
+    const builds = new SoakBuilds(program, join(this.folder, 'product'))
+    this.builds = builds
     await this.store.start()
     this.writeConfiguration('shop')
     for (const service of services) {
@@ -47,7 +52,7 @@
         index,
         network,
         folder: this.folder,
-        program,
+        program: builds.program,
         storeAddress: this.store.address,
         restartDelayMs: soakConstants.restartDelayMs
       }).start())
--- a/playground/soak/soakFault.ts
+++ b/playground/soak/soakFault.ts
@@ -1,9 +1,10 @@
+import type { changeFaultTypes } from './changeFaultTypes.js'
 import type { signalFaultTypes } from './signalFaultTypes.js'
 import type { soakFaultTypes } from './soakFaultTypes.js'
 
 /** One fault of a soak test. */
 export interface SoakFault {
-  readonly type: typeof soakFaultTypes[number] | typeof signalFaultTypes[number]
+  readonly type: typeof soakFaultTypes[number] | typeof signalFaultTypes[number] | typeof changeFaultTypes[number]
   /** Start, counted from the start of the clients. */
   readonly atMs: number
   /** Duration. */
--- a/playground/soak/soakOptions.ts
+++ b/playground/soak/soakOptions.ts
@@ -7,9 +7,10 @@
   readonly hosts: number
   readonly clients: number
   readonly pipeliningClients: number
-  /** Numbers of faults of `soakFaultTypes` and of `signalFaultTypes`. */
+  /** Numbers of faults of `soakFaultTypes`, of `signalFaultTypes` and of `changeFaultTypes`. */
   readonly faults: number
   readonly signals: number
+  readonly changes: number
   /** Time in which all faults begin and end; the recovery time follows. */
   readonly faultMs: number
 }
