feat(soak): releases of engines, losses of all hosts, clients that resume streams

Clients break off 0.4 of their long streams and resume them at any host; engines of two and more versions serve side by side. ORDER counts events of two versions over the requests of a client, LOST the share of resumed streams that go on.

--- a/playground/soak/__tests__/checkSoak.test.ts
+++ b/playground/soak/__tests__/checkSoak.test.ts
@@ -6,7 +6,11 @@
 import type { SoakExecution } from '../soakExecution.js'
 import type { SoakHostRun } from '../soakHostRun.js'
 
-const stream = (id: string, count: number): string => Array.from({ length: count }, (_, i) => `id: ${i + 1}\ndata: ${id}:${i + 1}\n\n`).join('')
+const stream = (id: string, count: number, { lastEventId = 0, version = 'v1' } = {}): string => {
+  return Array.from({ length: count }, (_, i) => lastEventId + i + 1)
+    .map(eventId => `id: ${eventId}\ndata: ${id}:${eventId}:${version}\n\n`)
+    .join('')
+}
 
 function buildRequest (kind: SoakRequest['kind'], part: Partial<SoakRequest> = {}): SoakRequest {
   const answer = kind === 'safe' || kind === 'once' ? 'answer' : stream(kind, 8)
@@ -35,6 +39,7 @@
     { requestId: 'pipe', stage: 0, piece: 0, key: 'key-pipe' },
     { requestId: 'pipe', stage: 1, piece: 0, inputs: ['i-8|pipe|0|0|1', 'i-8|pipe|0|1|2'] }
   ],
+  engines: [],
   runs: [buildRun()],
   disruptions: [{ type: 'configuration', id: 'shop', fromMs: startedAtMs, toMs: startedAtMs }],
   allowedServices: new Map(kinds.map(kind => [`/${kind}/`, new Set(['shop'])])),
@@ -283,3 +288,31 @@
   )
   t.same(listRules(replaceRequest('safe', { answeredId: 'once' })), ['MIXED'], 'the answer that names another request')
 })
+
+t.test('the checker recognizes streams of two versions, and resumed streams that do not go on', async t => {
+  const engines = ['v1', 'v1', 'v2'].map(version => ({ version, startedAtMs: startedAtMs - 5000, leavesAtMs: Infinity }))
+  const origin = buildRequest('stream', { id: 'begun', signature: 'sig-begun', answer: stream('begun', 3), isComplete: false, hasLeft: true })
+  const buildResumption = (i: number, part: Partial<SoakRequest> = {}): SoakRequest => {
+    const id = `resumed-${i}`
+    const answer = stream(id, 5, { lastEventId: 3 })
+    return buildRequest('stream', { id, resumedId: 'begun', lastEventId: 3, answer, signature: `sig-${id}`, ...part })
+  }
+  const listResumed = (resumed: readonly SoakRequest[], part: Partial<SoakRecords> = {}): readonly string[] => listRules({
+    engines,
+    requests: [...validRecords.requests, origin, ...resumed],
+    executions: [
+      ...validRecords.executions,
+      ...[origin, ...resumed].map(({ id, path }) => buildExecution('stream', { requestId: id, path, signature: `sig-${id}` }))
+    ],
+    ...part
+  })
+  const refused = { status: 503, signature: undefined, answer: '' } as const
+  const refusals = Array.from({ length: 12 }, (_, i) => buildResumption(i, refused))
+  const otherVersion = stream('resumed-0', 5, { lastEventId: 3, version: 'v2' })
+  t.same(listResumed([buildResumption(0)]), [], 'a stream that goes on')
+  t.same(listResumed([buildResumption(0, { answer: otherVersion })]), ['ORDER'], 'a stream that goes on at another version')
+  t.same(listResumed([buildResumption(0, { answer: stream('resumed-0', 8) })]), ['ORDER'], 'a stream that begins anew')
+  t.same(listResumed(refusals), ['LOST'], 'streams that do not go on')
+  t.same(listResumed(refusals.slice(1)), [], 'fewer of them')
+  t.same(listResumed(refusals, { engines: engines.slice(1) }), [], 'one engine of their version')
+})
--- a/playground/soak/checkSoak.ts
+++ b/playground/soak/checkSoak.ts
@@ -5,6 +5,7 @@
 import { checkRecovery } from './checkRecovery.js'
 import { checkRefusals } from './checkRefusals.js'
 import { checkExecutions } from './checkExecutions.js'
+import { checkResumptions } from './checkResumptions.js'
 import { checkStages } from './checkStages.js'
 import { checkStreams } from './checkStreams.js'
 import type { SoakRecords } from './soakRecords.js'
@@ -17,6 +18,7 @@
   checkExecutions,
   checkStages,
   checkStreams,
+  checkResumptions,
   checkPropagation,
   checkRecovery
 ]
@@ -29,12 +31,12 @@
  * - `TWICE`: a request that must not be repeated was executed more than once.
  * - `REFUSED`: a request was refused as not executed, but was executed.
  * - `MIXED`: an answer or a stage result belongs to another request, or differs from what the upstream sent.
- * - `ORDER`: a stream has missing, repeated or foreign events.
+ * - `ORDER`: a stream has missing, repeated or foreign events, or events of two software versions.
  * - `BUDGET`: an upstream was given more time than the client's remaining time.
  * - `ROUTE`: a request was executed at a service that no configuration allows.
  * - `DENIED`: requests that every configuration allows were refused for good.
  * - `FAULT`: a process ended by itself or by a signal that it must handle, took too much memory or was not ready.
- * - `LOST`: a host closed the connection of a request that has no complete answer.
+ * - `LOST`: a host closed the connection of a request that has no complete answer, or resumed streams do not go on.
  * - `CONFIG`, `DRAIN`, `GONE`: a configuration, the leaving of an upstream or of a client took effect too late.
  * - `RECOVER`: too few requests were served after the faults had ended.
  */
--- a/playground/soak/constants.ts
+++ b/playground/soak/constants.ts
@@ -13,6 +13,8 @@
   stableWindowMs: 3000,
   configurationMs: 2000,
   drainMs: 2000,
+  /** Time for which a draining upstream serves beyond `drainMs`. */
+  leaveMarginMs: 1000,
   lossSlackMs: 200,
   /** Time after which a process that ended by itself is started again. */
   restartDelayMs: 1000,
@@ -36,6 +38,10 @@
   /** Events of a complete stream. */
   eventCount: 8,
   eventIntervalMs: 25,
+  /** Pause between the events of streams that clients resume. */
+  longEventIntervalMs: 150,
+  /** Longest pause of a client before it resumes a stream. */
+  maxResumePauseMs: 1000,
   /** Time that an upstream works on a request before it answers. */
   answerDelayMs: 15,
   /** Longest pause of a client between two requests. */
--- a/playground/soak/main.ts
+++ b/playground/soak/main.ts
@@ -38,8 +38,9 @@
     const outcome = result.violations.length === 0 ? 'ok' : 'FAILED'
     const faults = result.plan.map(fault => fault.type).join(' ')
     const requests = `${result.served} of ${result.requests} requests served, ${result.runs} executions at upstreams`
+    const streams = result.resumed === 0 ? '' : `, ${result.wentOn} of ${result.resumed} resumed streams went on`
     const hosts = `at most ${result.peakMemoryMb} MB, hosts slowed for ${result.slowedMs} ms`
-    console.log(`seed ${seed}: ${outcome}; ${requests}, ${hosts}; faults: ${faults}`)
+    console.log(`seed ${seed}: ${outcome}; ${requests}${streams}, ${hosts}; faults: ${faults}`)
     for (const [rule, violations] of buildRuleGroups(result.violations)) {
       console.log(`  ${violations.length} x ${rule}`)
       for (const violation of violations.slice(0, 3)) console.log(`    ${violation}`)
@@ -60,7 +61,7 @@
   .option('--pipelining-clients', 'Number of clients that send several requests at once', 6)
   .option('--faults', 'Number of faults of hosts, the store, upstreams and links in a run', 10)
   .option('--signals', 'Number of series of signals and of bursts of large bodies in a run', 8)
-  .option('--changes', 'Number of starts beside taken ports and builds', 0)
+  .option('--changes', 'Number of releases of engines, losses of all hosts, and starts beside taken ports and builds', 0)
   .option('--seconds', 'Length of the part of a run in which faults are injected', 12)
   .option('--out', 'Folder for the results and host logs of failed runs', 'dist/soak')
   .action((user: Readonly<Record<string, unknown>>) => {
--- a/playground/soak/runChangeFault.ts
+++ b/playground/soak/runChangeFault.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:net'
 import { setTimeout as waitMs } from 'node:timers/promises'
+import { soakConstants } from './constants.js'
 import type { Server } from 'node:net'
 import type { SoakDeployment } from './soakDeployment.js'
 import type { SoakFault } from './soakFault.js'
@@ -8,18 +9,43 @@
 /** Ports that other programs take: some of the range for other hosts, and the one for metrics. */
 const takenPorts = [7300, 7301, 7304, 9464] as const
 const buildIntervalMs = 20
+const minReleasedEngines = 2
 
 /** Injects one of `changeFaultTypes`; resolves when it has ended. */
 export async function runChangeFault (
-  { type, forMs }: SoakFault,
+  { type, forMs, target }: SoakFault,
   host: SoakHost,
   deployment: SoakDeployment
 ): Promise<void> {
+  if (type === 'engines-released') return await runRelease(forMs, deployment)
+  if (type === 'hosts-lost') return await killHosts(target, deployment)
   await host.stopProcess()
   if (type === 'start-beside-ports') return await startBesidePorts(forMs, host)
   await startBesideBuilds(forMs, host, deployment)
 }
 
+async function runRelease (forMs: number, deployment: SoakDeployment): Promise<void> {
+  const engines = deployment.upstreams.filter(({ options }) => options.type === 'engine')
+  const oldest = engines[0]?.options.version
+  const leaving = engines.filter(({ options }) => options.version === oldest)
+  const version = deployment.createVersion()
+  const count = Math.max(leaving.length, minReleasedEngines)
+  for (let i = 0; i < count; i++) await deployment.addUpstream('engines', 'engine', version)
+  await waitMs(forMs)
+  const stillThere = leaving.filter(upstream => deployment.upstreams.includes(upstream))
+  for (const upstream of stillThere) deployment.writeEntry(upstream, 'draining')
+  await waitMs(soakConstants.drainMs + soakConstants.leaveMarginMs)
+  for (const upstream of stillThere) {
+    if (deployment.upstreams.includes(upstream)) deployment.removeUpstream(upstream)
+  }
+}
+
+async function killHosts (target: number, { hosts }: SoakDeployment): Promise<void> {
+  await Promise.all(hosts.map(async host => { await host.process.kill() }))
+  await waitMs(target)
+  for (const host of hosts) host.startProcess()
+}
+
 async function startBesidePorts (forMs: number, host: SoakHost): Promise<void> {
   const servers = await Promise.all(takenPorts.map(async port => await openIfFree(host.ipAddress, port)))
   host.startProcess()
--- a/playground/soak/runFault.ts
+++ b/playground/soak/runFault.ts
@@ -13,7 +13,7 @@
 import type { UpstreamFault } from './upstreamFault.js'
 
 /** Time from the moment an upstream reports that it drains until it stops. */
-const drainMs = soakConstants.drainMs + 1000
+const drainMs = soakConstants.drainMs + soakConstants.leaveMarginMs
 
 /** Injects a fault and reverts it; resolves when it has ended. */
 export async function runFault (fault: SoakFault, deployment: SoakDeployment): Promise<void> {
@@ -99,11 +99,11 @@
 /** Ends an upstream as a crash does and starts another one of its service. */
 async function killAndReplaceUpstream (upstream: SoakUpstream, deployment: SoakDeployment): Promise<void> {
   deployment.removeUpstream(upstream)
-  await deployment.addUpstream(upstream.options.service, upstream.options.type)
+  await deployment.addUpstream(upstream.options.service, upstream.options.type, upstream.options.version)
 }
 
 async function drainUpstream (upstream: SoakUpstream, deployment: SoakDeployment): Promise<void> {
-  await deployment.addUpstream(upstream.options.service, upstream.options.type)
+  await deployment.addUpstream(upstream.options.service, upstream.options.type, upstream.options.version)
   deployment.writeEntry(upstream, 'draining')
   await waitMs(drainMs)
   if (deployment.upstreams.includes(upstream)) deployment.removeUpstream(upstream)
--- a/playground/soak/runSoak.ts
+++ b/playground/soak/runSoak.ts
@@ -11,6 +11,7 @@
 import { SoakClient } from './soakClient.js'
 import { SoakDeployment } from './soakDeployment.js'
 import type { SoakOptions } from './soakOptions.js'
+import type { SoakRequest } from './soakRequest.js'
 import type { SoakResult } from './soakResult.js'
 
 /** Number of loopback networks that concurrent runs are spread over. */
@@ -37,6 +38,7 @@
         name: `s${seed}c${i}`,
         directories: deployment.hosts.map(host => host.directoryAddress),
         random: createSeededRandom(seed * 1000 + i),
+        resumesStreams: options.changes > 0,
         onRequest: request => { deployment.requests.push(request) }
       })
     })
@@ -59,6 +61,7 @@
       requests: records.requests.length,
       served: records.requests.filter(request => request.status === 200 && request.isComplete).length,
       runs: records.executions.length,
+      ...countResumptions(records.requests),
       peakMemoryMb: Math.round(Math.max(...records.runs.map(run => run.peakMemoryMb))),
       slowedMs: Math.round(slowed.reduce((sum, { fromMs, toMs }) => sum + toMs - fromMs, 0)),
       violations: checkSoak(records),
@@ -68,3 +71,8 @@
     await deployment.stop()
   }
 }
+
+function countResumptions (requests: readonly SoakRequest[]): Pick<SoakResult, 'resumed' | 'wentOn'> {
+  const resumed = requests.filter(request => request.resumedId !== undefined)
+  return { resumed: resumed.length, wentOn: resumed.filter(request => request.status === 200).length }
+}
--- a/playground/soak/soakClient.ts
+++ b/playground/soak/soakClient.ts
@@ -1,19 +1,34 @@
 import { Agent, request as sendRequest } from 'node:http'
 import { setTimeout as waitMs } from 'node:timers/promises'
 import { buildDraft } from './buildDraft.js'
+import { listStreamEvents } from './listStreamEvents.js'
 import { soakConstants } from './constants.js'
 import { SoakDirectory } from './soakDirectory.js'
 import type { IncomingMessage } from 'node:http'
 import type { Random } from '../../src/types/random.js'
+import type { SoakDraft } from './soakDraft.js'
 import type { SoakRequest } from './soakRequest.js'
 
 const kinds: ReadonlyArray<SoakRequest['kind']> = ['safe', 'once', 'stream', 'brittle', 'pipe']
+/** Share of the requests of clients that resume streams which are streams, and share of these that are broken off. */
+const longStreamShare = 0.6
+const brokenStreamShare = 0.4
+const maxBrokenOffEvents = 5
+const maxResumptions = 3
 
 interface SoakClientOptions {
   readonly name: string
   readonly directories: readonly string[]
   readonly random: Random
   readonly onRequest: (request: SoakRequest) => void
+  /** Whether the client breaks off streams and resumes those that are broken off, at any host. */
+  readonly resumesStreams: boolean
+}
+
+/** A stream that a client has a part of. */
+interface StreamPart {
+  readonly request: SoakRequest
+  readonly lastEventId: number
 }
 
 /**
@@ -35,7 +50,7 @@
     while (!this.isStopped) {
       const address = await this.directory.readAddress()
       if (address === undefined) await waitMs(soakConstants.maxClientPauseMs * 5)
-      else this.options.onRequest(await this.sendOne(address))
+      else await this.sendNext(address)
       await waitMs(soakConstants.maxClientPauseMs * this.options.random())
     }
     this.agent.destroy()
@@ -45,10 +60,42 @@
     this.isStopped = true
   }
 
-  private async sendOne (address: string): Promise<SoakRequest> {
-    const { name, random } = this.options
-    const kind = kinds[Math.floor(random() * kinds.length)]!
-    const { headers, ...draft } = buildDraft({ kind, client: name, count: ++this.requestCount })
+  private async sendNext (address: string): Promise<void> {
+    const { name, random, onRequest, resumesStreams } = this.options
+    const isLongStream = resumesStreams && random() < longStreamShare
+    const kind = isLongStream ? 'stream' : kinds[Math.floor(random() * kinds.length)]!
+    const eventIntervalMs = isLongStream ? soakConstants.longEventIntervalMs : undefined
+    const breaksOff = isLongStream && random() < brokenStreamShare
+    const request = await this.sendOne(
+      address,
+      buildDraft({ kind, client: name, count: ++this.requestCount, eventIntervalMs }),
+      breaksOff ? 1 + Math.floor(random() * maxBrokenOffEvents) : Infinity
+    )
+    onRequest(request)
+    if (isLongStream) await this.resumeStream(request)
+  }
+
+  /** Resumes a stream that has begun until it has all its events, a few times at most. */
+  private async resumeStream (request: SoakRequest): Promise<void> {
+    const { name, random, onRequest } = this.options
+    let part: StreamPart = { request, lastEventId: listStreamEvents(request.answer ?? '').at(-1)?.id ?? 0 }
+    for (let count = 0; count < maxResumptions && !this.isStopped; count++) {
+      if (part.lastEventId === 0 || part.lastEventId >= soakConstants.eventCount) return
+      await waitMs(random() * soakConstants.maxResumePauseMs)
+      const address = await this.directory.readAddress()
+      if (address === undefined) continue
+      const eventIntervalMs = soakConstants.longEventIntervalMs
+      const draft = buildDraft({ kind: 'stream', client: name, count: ++this.requestCount, eventIntervalMs, resumed: part })
+      const resumption = await this.sendOne(address, draft)
+      onRequest(resumption)
+      const lastEventId = listStreamEvents(resumption.answer ?? '').at(-1)?.id ?? part.lastEventId
+      part = { request, lastEventId }
+    }
+  }
+
+  /** Sends a request; leaves after `maxEvents` events. */
+  private async sendOne (address: string, { headers, ...draft }: SoakDraft, maxEvents = Infinity): Promise<SoakRequest> {
+    const { random } = this.options
     // The client closes 5% of its requests within the first quarter of their timeout.
     const abandonsEarly = random() < 0.05
     const [host = '', port] = address.split(':')
@@ -82,7 +129,12 @@
       const call = sendRequest({ host, port, method, path, headers, agent: this.agent }, response => {
         received = response
         response.setEncoding('utf8')
-        response.on('data', (text: string) => { answer += text })
+        response.on('data', (text: string) => {
+          answer += text
+          if (maxEvents === Infinity || listStreamEvents(answer).length < maxEvents) return
+          hasLeft = true
+          call.destroy()
+        })
         response.on('close', () => { end(response.complete) })
       })
       const timer = setTimeout(() => {
--- a/playground/soak/soakDeployment.ts
+++ b/playground/soak/soakDeployment.ts
@@ -8,17 +8,18 @@
 import { SoakUpstream } from './soakUpstream.js'
 import { StoreStandIn } from '../platform/storeStandIn.js'
 import type { SoakDisruption } from './soakDisruption.js'
+import type { SoakEngine } from './soakEngine.js'
 import type { SoakExecution } from './soakExecution.js'
 import type { SoakPiece } from './soakPiece.js'
 import type { SoakRecords } from './soakRecords.js'
 import type { SoakRequest } from './soakRequest.js'
 
 const services = [
-  { name: 'shop', type: 'plain', count: 3 },
-  { name: 'shop-b', type: 'plain', count: 2 },
-  { name: 'engines', type: 'engine', count: 3 },
-  { name: 'first', type: 'stage', count: 2 },
-  { name: 'second', type: 'stage', count: 2 }
+  { name: 'shop', type: 'plain', versions: ['v1', 'v1', 'v1'] },
+  { name: 'shop-b', type: 'plain', versions: ['v1', 'v1'] },
+  { name: 'engines', type: 'engine', versions: ['v1', 'v1', 'v2', 'v2'] },
+  { name: 'first', type: 'stage', versions: ['v1', 'v1'] },
+  { name: 'second', type: 'stage', versions: ['v1', 'v1'] }
 ] as const
 
 /** The hosts, the store and the upstreams of a soak test. */
@@ -36,7 +37,9 @@
   private readonly executionEnds = new Map<string, number>()
   private readonly folder = mkdtempSync(join(tmpdir(), 'lycheetrack-soak-'))
   private version = 0
+  private readonly engines = new Map<string, SoakEngine>()
   private upstreamCount = 0
+  private versionCount = 2
   private sequence = 0
 
   async start (program: string, hostCount: number, network: number): Promise<void> {
@@ -45,7 +48,7 @@
     await this.store.start()
     this.writeConfiguration('shop')
     for (const service of services) {
-      for (let i = 0; i < service.count; i++) await this.addUpstream(service.name, service.type)
+      for (const version of service.versions) await this.addUpstream(service.name, service.type, version)
     }
     for (let index = 0; index < hostCount; index++) {
       this.hosts.push(await new SoakHost({
@@ -64,16 +67,25 @@
     await Promise.all(this.hosts.map(async host => { await host.waitReady() }))
   }
 
-  async addUpstream (service: string, type: 'plain' | 'engine' | 'stage'): Promise<SoakUpstream> {
+  /** A software version that no upstream has had. */
+  createVersion (): string {
+    return `v${++this.versionCount}`
+  }
+
+  async addUpstream (service: string, type: 'plain' | 'engine' | 'stage', version: string): Promise<SoakUpstream> {
     const upstream = await new SoakUpstream({
       id: `i-${++this.upstreamCount}`,
       service,
       type,
+      version,
       onExecution: execution => { this.executions.push(execution) },
       onExecutionEnd: signature => { this.executionEnds.set(signature, performance.now()) },
       onPiece: piece => { this.pieces.push(piece) }
     }).start()
     this.upstreams.push(upstream)
+    if (type === 'engine') {
+      this.engines.set(upstream.options.id, { version, startedAtMs: performance.now(), leavesAtMs: Infinity })
+    }
     this.writeEntry(upstream, 'ready')
     return upstream
   }
@@ -86,12 +98,12 @@
   }
 
   writeEntry (upstream: SoakUpstream, state: 'ready' | 'draining'): void {
-    if (state === 'draining') this.recordDisruption('leaving', upstream.options.id)
+    if (state === 'draining') this.recordLeaving(upstream)
     this.store.write(`servers/${upstream.options.id}`, upstream.buildEntry(state, ++this.sequence))
   }
 
   removeUpstream (upstream: SoakUpstream): void {
-    this.recordDisruption('leaving', upstream.options.id)
+    this.recordLeaving(upstream)
     this.recordDisruption('upstream', upstream.options.id)
     this.store.remove(`servers/${upstream.options.id}`)
     this.upstreams.splice(this.upstreams.indexOf(upstream), 1)
@@ -149,6 +161,7 @@
         return { ...execution, endedAtMs: this.executionEnds.get(execution.signature) }
       }),
       pieces,
+      engines: [...this.engines.values()],
       runs: this.hosts.flatMap(host => host.listRuns()),
       disruptions: [...this.ownDisruptions, ...this.hosts.flatMap(host => buildHostDisruptions(host.listRuns()))],
       allowedServices,
@@ -156,6 +169,13 @@
     }
   }
 
+  private recordLeaving ({ options: { id } }: SoakUpstream): void {
+    this.recordDisruption('leaving', id)
+    const engine = this.engines.get(id)
+    if (engine === undefined) return
+    this.engines.set(id, { ...engine, leavesAtMs: Math.min(engine.leavesAtMs, performance.now()) })
+  }
+
   async stop (): Promise<void> {
     await this.stopHosts()
     for (const upstream of this.upstreams) upstream.stop()
--- a/playground/soak/soakRecords.ts
+++ b/playground/soak/soakRecords.ts
@@ -1,4 +1,5 @@
 import type { SoakDisruption } from './soakDisruption.js'
+import type { SoakEngine } from './soakEngine.js'
 import type { SoakExecution } from './soakExecution.js'
 import type { SoakHostRun } from './soakHostRun.js'
 import type { SoakPiece } from './soakPiece.js'
@@ -9,6 +10,7 @@
   readonly requests: readonly SoakRequest[]
   readonly executions: readonly SoakExecution[]
   readonly pieces: readonly SoakPiece[]
+  readonly engines: readonly SoakEngine[]
   readonly runs: readonly SoakHostRun[]
   readonly disruptions: readonly SoakDisruption[]
   /** Services that any configuration of the run names for a path prefix. */
--- a/playground/soak/soakRequest.ts
+++ b/playground/soak/soakRequest.ts
@@ -21,6 +21,9 @@
   readonly endedAtMs: number
   /** IP address of the host. */
   readonly host: string
+  /** Id of the request that brought the first event of the stream that this one resumes, and the last event that it had. */
+  readonly resumedId?: string
+  readonly lastEventId?: number
   /** Whether an earlier request was sent on the same connection. */
   readonly isKept: boolean
   /** Whether every configuration of the run allows the request. */
--- a/playground/soak/soakResult.ts
+++ b/playground/soak/soakResult.ts
@@ -11,6 +11,9 @@
   readonly served: number
   /** Number of executions at upstreams; a request that was executed again counts again. */
   readonly runs: number
+  /** Number of requests that resumed a stream, and of those with an answer of status 200. */
+  readonly resumed: number
+  readonly wentOn: number
   /** Largest resident memory of a host process. */
   readonly peakMemoryMb: number
   /** Time in which host processes waited long for a processor, all together. */
--- a/playground/soak/soakUpstream.ts
+++ b/playground/soak/soakUpstream.ts
@@ -12,6 +12,8 @@
   readonly id: string
   readonly service: string
   readonly type: 'plain' | 'engine' | 'stage'
+  /** Software version. */
+  readonly version: string
   readonly onExecution: (execution: SoakExecution) => void
   /** Called when the answer of an execution has been sent. */
   readonly onExecutionEnd: (signature: string) => void
@@ -45,7 +47,7 @@
 
   /** The upstream's entry in the store. */
   buildEntry (state: 'ready' | 'draining', sequence: number): Readonly<Record<string, unknown>> {
-    return { service: this.options.service, address: this.proxy.address, zone: 'zone-1', version: 'v1', slots: 8, state, coldRemainingMs: 0, sequence, born: 1 }
+    return { service: this.options.service, address: this.proxy.address, zone: 'zone-1', version: this.options.version, slots: 8, state, coldRemainingMs: 0, sequence, born: 1 }
   }
 
   private onRequest (request: StandInRequest, socket: Socket): void {
@@ -107,11 +109,13 @@
     const framing = isFramed ? 'Transfer-Encoding: chunked\r\n' : ''
     const encode = (event: string): string => isFramed ? `${event.length.toString(16)}\r\n${event}\r\n` : event
     socket.write(`HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: ${execution.requestId}\r\nX-Response-Signature: ${execution.signature}\r\n${framing}\r\n`)
+    const parameters = new URLSearchParams(request.path.split('?')[1])
+    const intervalMs = Number(parameters.get('pause') ?? soakConstants.eventIntervalMs)
     let eventId = Number(request.headers['last-event-id'] ?? 0)
     const timer = setInterval(() => {
       if (socket.destroyed) return clearInterval(timer)
       eventId++
-      const event = `id: ${eventId}\ndata: ${execution.requestId}:${eventId}\n\n`
+      const event = `id: ${eventId}\ndata: ${execution.requestId}:${eventId}:${this.options.version}\n\n`
       if (this.fault === 'torn' && eventId > 3) {
         socket.write(encode(event).slice(0, 7))
         socket.destroy()
@@ -123,7 +127,7 @@
       this.options.onExecutionEnd(execution.signature)
       if (isFramed) socket.write('0\r\n\r\n')
       else socket.end()
-    }, soakConstants.eventIntervalMs)
+    }, intervalMs)
   }
 
   private runPieces (request: StandInRequest, socket: Socket): void {
