fix(memory): warn of the heap before V8 may end the process

A host that is ended for its heap left no line: the warning came at 85% of the heap limit, and V8 gives up from 61% on. It comes at 60% now, with garbage; the machine's memory stays at 85%.

Evidence: memoryWatch.test.ts with 310 of 500 bytes failed before (no line) and passes.

--- a/src/node/gateway/memory/__tests__/memoryWatch.test.ts
+++ b/src/node/gateway/memory/__tests__/memoryWatch.test.ts
@@ -29,9 +29,9 @@
   t.match(lines, [{ residentBytes: 850, memoryBytes: 1000, heapBytes: 100, heapLimitBytes: 500, answers: 7 }])
   t.equal(lines.length, 1, 'once in an interval')
   await clock.runFor(memoryConstants.logIntervalMs)
-  Object.assign(usage, { residentBytes: 100, heapBytes: 430 })
+  Object.assign(usage, { residentBytes: 100, heapBytes: 310 })
   watch.checkUsage()
-  t.match(lines[1], { heapBytes: 430 })
+  t.match(lines[1], { heapBytes: 310 })
 })
 
 t.test('guards against a read of the memory that fails and counts as an unexpected error', async t => {
--- a/src/node/gateway/memory/constants.ts
+++ b/src/node/gateway/memory/constants.ts
@@ -35,6 +35,8 @@
   logIntervalMs: 10_000,
   /** Interval at which the memory of the process is checked. */
   watchIntervalMs: 1000,
-  /** Share of the machine's memory or of the heap limit at which the process is logged as near its limit. */
-  warningShare: 0.85
+  /** Share of the machine's memory at which the process is logged as near its limit. */
+  warningShare: 0.85,
+  /** The same share of the heap limit: V8 may end the process from 0.61 on. */
+  heapWarningShare: 0.6
 } as const
--- a/src/node/gateway/memory/memoryWatch.ts
+++ b/src/node/gateway/memory/memoryWatch.ts
@@ -44,10 +44,10 @@
     metrics.setGauge('external_memory_bytes', {}, usage.externalBytes)
     const heldBytes = this.options.countHeldBytes()
     for (const [of, bytes] of Object.entries(heldBytes)) metrics.setGauge('held_memory_bytes', { of }, bytes)
-    const share = Math.max(usage.residentBytes / memoryBytes, usage.heapBytes / heapLimitBytes)
     const nowMs = clock.readMonotonicMs()
-    const { warningShare, logIntervalMs } = memoryConstants
-    if (share < warningShare || nowMs - this.loggedAtMs < logIntervalMs) return
+    const { warningShare, heapWarningShare, logIntervalMs } = memoryConstants
+    const isNearLimit = usage.residentBytes >= memoryBytes * warningShare || usage.heapBytes >= heapLimitBytes * heapWarningShare
+    if (!isNearLimit || nowMs - this.loggedAtMs < logIntervalMs) return
     this.loggedAtMs = nowMs
     logger.recordWarning('memory nearly used up', { ...usage, memoryBytes, heapLimitBytes, ...heldBytes })
   }
