--- a/playground/soak/main.ts
+++ b/playground/soak/main.ts
@@ -53,6 +53,9 @@
   process.exitCode = failedRuns > 0 ? 1 : 0
 }
 
+// The end of this process ends those of the hosts.
+for (const [signal, status] of [['SIGINT', 130], ['SIGTERM', 143]] as const) process.once(signal, () => process.exit(status))
+
 sade('soak', true)
   .option('--seed', 'Seed of the first run; each further run uses the next one', 1)
   .option('--runs', 'Number of runs', 1)
