--- a/playground/soak/soakClient.ts
+++ b/playground/soak/soakClient.ts
@@ -10,7 +10,7 @@
 import type { SoakRequest } from './soakRequest.js'
 
 const kinds: ReadonlyArray<SoakRequest['kind']> = ['safe', 'once', 'stream', 'brittle', 'pipe']
-/** Share of the requests of clients that resume streams which are streams, and share of these that are broken off. */
+/** For clients that resume streams: the share of their requests that are long streams, and of these that they break off. */
 const longStreamShare = 0.6
 const brokenStreamShare = 0.4
 const maxBrokenOffEvents = 5
@@ -25,12 +25,6 @@
   readonly resumesStreams: boolean
 }
 
-/** A stream that a client has a part of. */
-interface StreamPart {
-  readonly request: SoakRequest
-  readonly lastEventId: number
-}
-
 /**
  * A client that looks up host addresses in the hosts' directory and sends requests of random kinds, one at a time, over
  * persistent connections.
@@ -78,18 +72,21 @@
   /** Resumes a stream that has begun until it has all its events, a few times at most. */
   private async resumeStream (request: SoakRequest): Promise<void> {
     const { name, random, onRequest } = this.options
-    let part: StreamPart = { request, lastEventId: listStreamEvents(request.answer ?? '').at(-1)?.id ?? 0 }
+    let lastEventId = findLastEventId(request) ?? 0
     for (let count = 0; count < maxResumptions && !this.isStopped; count++) {
-      if (part.lastEventId === 0 || part.lastEventId >= soakConstants.eventCount) return
+      if (lastEventId === 0 || lastEventId >= soakConstants.eventCount) return
       await waitMs(random() * soakConstants.maxResumePauseMs)
       const address = await this.directory.readAddress()
       if (address === undefined) continue
-      const eventIntervalMs = soakConstants.longEventIntervalMs
-      const draft = buildDraft({ kind: 'stream', client: name, count: ++this.requestCount, eventIntervalMs, resumed: part })
-      const resumption = await this.sendOne(address, draft)
+      const resumption = await this.sendOne(address, buildDraft({
+        kind: 'stream',
+        client: name,
+        count: ++this.requestCount,
+        eventIntervalMs: soakConstants.longEventIntervalMs,
+        resumed: { request, lastEventId }
+      }))
       onRequest(resumption)
-      const lastEventId = listStreamEvents(resumption.answer ?? '').at(-1)?.id ?? part.lastEventId
-      part = { request, lastEventId }
+      lastEventId = findLastEventId(resumption) ?? lastEventId
     }
   }
 
@@ -151,3 +148,7 @@
     })
   }
 }
+
+function findLastEventId ({ answer = '' }: SoakRequest): number | undefined {
+  return listStreamEvents(answer).at(-1)?.id
+}
