fix(peers): room for two connections of each of 340 hosts

When a host has been paused, all others connect again while their old connections are still open at it: 680 at the target of 340 hosts, of which 314 would be refused. The share is 0.2 now, 813.

Evidence: peerConnections.test.ts fails with the share before and passes; startNeeds.test.ts passes with it.

--- a/src/node/app/gatewayConstants.ts
+++ b/src/node/app/gatewayConstants.ts
@@ -19,7 +19,7 @@
   /** Exit status after too many unexpected errors. */
   unexpectedErrorStatus: 70,
   /** Share of the file descriptors, less the reserved ones, that connections of other hosts may take. */
-  peerDescriptorShare: 0.09,
+  peerDescriptorShare: 0.2,
   /** Port of the metrics endpoint; outside the port range for traffic between hosts. */
   metricsPort: 9464,
   metricsPath: '/metrics'
