--- a/playground/soak/__tests__/checkSoak.test.ts
+++ b/playground/soak/__tests__/checkSoak.test.ts
@@ -40,6 +40,7 @@
     { requestId: 'pipe', stage: 1, piece: 0, inputs: ['i-8|pipe|0|0|1', 'i-8|pipe|0|1|2'] }
   ],
   domains: new Map([['i-1', 'zone-1']]),
+  services: new Map([['i-1', 'shop'], ['i-2', 'other']]),
   engines: [],
   heldUp: [],
   runs: [buildRun()],
@@ -332,3 +333,25 @@
   t.same(listResumed(refusals.slice(1)), [], 'fewer of them')
   t.same(listResumed(refusals, { engines: engines.slice(1) }), [], 'one engine of their version')
 })
+
+t.test('the checker recognizes hosts that stop answering requests of sound services beside one that pours', async t => {
+  const pouring: SoakDisruption = { type: 'pouring', id: 'other', fromMs: 1000, toMs: 2000 }
+  const faulty: SoakDisruption = { type: 'upstream', id: 'i-2', fromMs: 1000, toMs: 2000 }
+  const build = (count: number, part: Partial<SoakRequest> = {}): readonly SoakRequest[] => Array.from({ length: count }, () => {
+    return buildRequest('safe', { sentAtMs: 1500, endedAtMs: 4000, status: undefined, answer: '', hasLeft: true, isComplete: false, ...part })
+  })
+  const listLosses = (records: Partial<SoakRecords>): readonly string[] => listRules({
+    disruptions: [...validRecords.disruptions, pouring, faulty],
+    ...records
+  }).filter(rule => rule === 'LOST')
+  t.equal(listLosses({ requests: build(4) }).length, 4, 'four requests that are not answered within their time')
+  t.same(listLosses({ requests: build(3) }), [], 'as many as on kept connections')
+  t.same(listLosses({ requests: build(4, { endedAtMs: 1900 }) }), [], 'clients that leave before')
+  t.same(listLosses({ requests: build(4, { status: 200 }) }), [], 'answers that have begun')
+  t.same(listLosses({ requests: build(4), heldUp: [{ fromMs: 2000, toMs: 2300 }] }), [], 'a soak that stood still')
+  t.same(
+    listLosses({ requests: build(4), disruptions: [...validRecords.disruptions, pouring, { ...faulty, id: 'i-1' }] }),
+    [],
+    'requests of the service that pours'
+  )
+})
--- a/playground/soak/checkSoak.ts
+++ b/playground/soak/checkSoak.ts
@@ -2,6 +2,7 @@
 import { checkLosses } from './checkLosses.js'
 import { checkProcesses } from './checkProcesses.js'
 import { checkEvacuations } from './checkEvacuations.js'
+import { checkPouring } from './checkPouring.js'
 import { checkPropagation } from './checkPropagation.js'
 import { checkRecovery } from './checkRecovery.js'
 import { checkRefusals } from './checkRefusals.js'
@@ -21,6 +22,7 @@
   checkStreams,
   checkResumptions,
   checkEvacuations,
+  checkPouring,
   checkPropagation,
   checkRecovery
 ]
--- a/playground/soak/runFault.ts
+++ b/playground/soak/runFault.ts
@@ -1,6 +1,8 @@
 import { setTimeout as waitMs } from 'node:timers/promises'
 import { changeFaultTypes } from './changeFaultTypes.js'
+import { pouringFaultTypes } from './pouringFaultTypes.js'
 import { runChangeFault } from './runChangeFault.js'
+import { runPouringFault } from './runPouringFault.js'
 import { runSignalFault } from './runSignalFault.js'
 import { signalFaultTypes } from './signalFaultTypes.js'
 import { soakConstants } from './constants.js'
@@ -22,6 +24,7 @@
   const upstream = deployment.upstreams[target % deployment.upstreams.length]!
   if (type === 'upstream-drained') return await drainUpstream(upstream, deployment)
   if (type === 'domain-evacuated') return await runEvacuation(upstream.options.domain, forMs, deployment)
+  if (isPouringFault(type)) return await runPouringFault(type, upstream.options.service, forMs, deployment)
   if (isChangeFault(type)) return await runChangeFault(fault, host, deployment)
   if (isSignalFault(type)) return await runSignalFault(fault, host, deployment)
   if (type.startsWith('host-')) return await runHostFault(type.slice('host-'.length), host, forMs)
@@ -53,6 +56,10 @@
   return (signalFaultTypes as ReadonlyArray<SoakFault['type']>).includes(type)
 }
 
+function isPouringFault (type: SoakFault['type']): type is typeof pouringFaultTypes[number] {
+  return (pouringFaultTypes as ReadonlyArray<SoakFault['type']>).includes(type)
+}
+
 function isChangeFault (type: SoakFault['type']): boolean {
   return (changeFaultTypes as ReadonlyArray<SoakFault['type']>).includes(type)
 }
--- a/playground/soak/runSoak.ts
+++ b/playground/soak/runSoak.ts
@@ -4,6 +4,7 @@
 import { checkSoak } from './checkSoak.js'
 import { createSeededRandom } from '../../src/shared/createSeededRandom.js'
 import { domainFaultTypes } from './domainFaultTypes.js'
+import { pouringFaultTypes } from './pouringFaultTypes.js'
 import { runFault } from './runFault.js'
 import { soakConstants } from './constants.js'
 import { signalFaultTypes } from './signalFaultTypes.js'
@@ -21,6 +22,7 @@
 const signalSeedOffset = 1_000_000
 const changeSeedOffset = 2_000_000
 const domainSeedOffset = 3_000_000
+const pouringSeedOffset = 4_000_000
 
 /** Runs host processes under the faults that follow from a seed, and checks what clients and upstreams recorded. */
 export async function runSoak (options: SoakOptions): Promise<SoakResult> {
@@ -30,7 +32,8 @@
     ...buildFaultPlan(seed, faultMs, options.faults, soakFaultTypes),
     ...buildFaultPlan(seed + signalSeedOffset, faultMs, options.signals, signalFaultTypes),
     ...buildFaultPlan(seed + changeSeedOffset, faultMs, options.changes, changeFaultTypes),
-    ...buildFaultPlan(seed + domainSeedOffset, faultMs, options.evacuations ?? 0, domainFaultTypes)
+    ...buildFaultPlan(seed + domainSeedOffset, faultMs, options.evacuations ?? 0, domainFaultTypes),
+    ...buildFaultPlan(seed + pouringSeedOffset, faultMs, options.pourings ?? 0, pouringFaultTypes)
   ].sort((a, b) => a.atMs - b.atMs)
   try {
     await deployment.start(options, seed % networkCount)
--- a/playground/soak/soakDeployment.ts
+++ b/playground/soak/soakDeployment.ts
@@ -43,6 +43,8 @@
   private readonly loopWatch = new LoopWatch()
   /** Failure domain by id of the upstream, also of those that are gone. */
   private readonly domains = new Map<string, string>()
+  /** Service by id of the upstream, likewise. */
+  private readonly services = new Map<string, string>()
   private readonly engines = new Map<string, SoakEngine>()
   private upstreamCount = 0
   private versionCount = 2
@@ -91,6 +93,7 @@
     const id = `i-${++this.upstreamCount}`
     const domain = `zone-${1 + this.upstreamCount % 2}`
     this.domains.set(id, domain)
+    this.services.set(id, service)
     const upstream = await new SoakUpstream({
       id,
       service,
@@ -181,6 +184,7 @@
       }),
       pieces,
       domains: this.domains,
+      services: this.services,
       engines: [...this.engines.values()],
       runs: this.hosts.flatMap(host => host.listRuns()),
       heldUp: this.loopWatch.heldUp,
--- a/playground/soak/soakFault.ts
+++ b/playground/soak/soakFault.ts
@@ -1,5 +1,6 @@
 import type { changeFaultTypes } from './changeFaultTypes.js'
 import type { domainFaultTypes } from './domainFaultTypes.js'
+import type { pouringFaultTypes } from './pouringFaultTypes.js'
 import type { signalFaultTypes } from './signalFaultTypes.js'
 import type { soakFaultTypes } from './soakFaultTypes.js'
 
@@ -9,7 +10,8 @@
     typeof soakFaultTypes[number] |
     typeof signalFaultTypes[number] |
     typeof changeFaultTypes[number] |
-    typeof domainFaultTypes[number]
+    typeof domainFaultTypes[number] |
+    typeof pouringFaultTypes[number]
   /** Start, counted from the start of the clients. */
   readonly atMs: number
   /** Duration. */
--- a/playground/soak/soakOptions.ts
+++ b/playground/soak/soakOptions.ts
@@ -15,6 +15,8 @@
   readonly changes: number
   /** Number of faults of `domainFaultTypes`; 0 when absent. */
   readonly evacuations?: number
+  /** Number of faults of `pouringFaultTypes`; 0 when absent. */
+  readonly pourings?: number
   /** Time in which all faults begin and end; the recovery time follows. */
   readonly faultMs: number
 }
--- a/playground/soak/soakRecords.ts
+++ b/playground/soak/soakRecords.ts
@@ -12,6 +12,8 @@
   readonly pieces: readonly SoakPiece[]
   /** Failure domain by id of the upstream. */
   readonly domains: ReadonlyMap<string, string>
+  /** Service by id of the upstream. */
+  readonly services: ReadonlyMap<string, string>
   readonly engines: readonly SoakEngine[]
   readonly runs: readonly SoakHostRun[]
   /** When the soak's own process did not run. */
--- a/playground/soak/soakUpstream.ts
+++ b/playground/soak/soakUpstream.ts
@@ -1,7 +1,9 @@
 import { FaultProxy } from './faultProxy.js'
 import { hashLargeBody } from './hashLargeBody.js'
+import { sendEndlessAnswer } from '../platform/sendEndlessAnswer.js'
 import { soakConstants } from './constants.js'
 import { UpstreamStandIn } from '../platform/upstreamStandIn.js'
+import type { EndlessAnswer } from '../platform/endlessAnswer.js'
 import type { Socket } from 'node:net'
 import type { SoakPiece } from './soakPiece.js'
 import type { SoakExecution } from './soakExecution.js'
@@ -25,6 +27,8 @@
 /** An upstream of a soak test behind a fault-injecting proxy. It records each execution before it answers. */
 export class SoakUpstream {
   fault: UpstreamFault = 'none'
+  /** What the upstream sends for every request; undefined while it executes them. */
+  endlessAnswer: EndlessAnswer | undefined
   readonly proxy = new FaultProxy('')
   private readonly standIn: UpstreamStandIn
   private executionCount = 0
@@ -55,6 +59,7 @@
 
   private onRequest (request: StandInRequest, socket: Socket): void {
     const { id, type } = this.options
+    if (this.endlessAnswer !== undefined) return sendEndlessAnswer(socket, request, this.endlessAnswer)
     const expected = request.headers['x-expected-instance']
     if (expected !== undefined && expected !== id) return this.sendAnswer(request, socket, 421, 'another instance', { 'X-Not-Executed': '1' })
     if (request.path === '/health') return this.sendAnswer(request, socket, 200, 'ok', { 'X-Instance-Id': id })
