fix(serve): bound the answers and watches of the key-value service and the host list

What callers saw: a key-value service or a host list that answers without end fills the host that has called it.

Cause: `HttpClient` collected each answer until the timeout of the call (1 s) with no limit on its size, framing or the sum of all calls; `KeyValueWatch` kept an unfinished line, and read heartbeats, for as long as bytes arrived.

Fix: calls and watches use `ServiceClient`, whose socket limits framing (`UpstreamSocket`) and which ends interim responses without end. Answers are collected up to 16 MB each and 20 MB for all of a service, lines of a watch up to 4 MB, heartbeats up to 64 a second.

Over TLS only bodies, header lines, interim responses and the time are bounded.

--- a/playground/platform/servedHost.ts
+++ b/playground/platform/servedHost.ts
@@ -12,6 +12,8 @@
   readonly environment?: Readonly<Record<string, string>>
   /** Words of a command that runs the host's process. */
   readonly launcher?: readonly string[]
+  /** Opens a path to a platform service; resolves to its address (`ip:port`). */
+  readonly openLink?: (service: 'key-value' | 'host-list', address: string) => Promise<string>
 }
 
 const token = 'caller-token-of-the-test'
@@ -51,7 +53,7 @@
   constructor (private readonly options: ServedHostOptions = {}) {}
 
   async start (): Promise<this> {
-    const { environment, launcher } = this.options
+    const { environment, launcher, openLink = async (_, address) => address } = this.options
     const [keyValuePort, hostListPort, servicePort] = await Promise.all(this.standIns.map(async standIn => await standIn.start(0)))
     this.serviceAddress = `127.0.0.1:${servicePort}`
     const [port, peerPort] = await findFreePorts(2)
@@ -66,8 +68,8 @@
       peerAddress,
       advertise: address,
       peerAdvertise: peerAddress,
-      keyValueUrl: `http://127.0.0.1:${keyValuePort}`,
-      hostListUrl: `http://127.0.0.1:${hostListPort}`,
+      keyValueUrl: `http://${await openLink('key-value', `127.0.0.1:${keyValuePort}`)}`,
+      hostListUrl: `http://${await openLink('host-list', `127.0.0.1:${hostListPort}`)}`,
       operatorToken,
       peerSecret: 'peer-secret-of-the-test',
       environment: { LYCHEETRACK_LOG_LEVEL: 'warning', ...environment },
--- a/src/node/keyValue/__tests__/httpKeyValueService.test.ts
+++ b/src/node/keyValue/__tests__/httpKeyValueService.test.ts
@@ -2,6 +2,11 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import t from 'tap'
+import { endlessAnswers } from '../../../../playground/platform/endlessAnswers.js'
+import { sendEndlessAnswer } from '../../../../playground/platform/sendEndlessAnswer.js'
+import { UpstreamStandIn } from '../../../../playground/platform/upstreamStandIn.js'
+import { waitUntil } from '../../../../playground/fakes/waitUntil.js'
+import type { EndlessAnswer } from '../../../../playground/platform/endlessAnswer.js'
 import type { KeyValueChange } from '../../../types/keyValueChange.js'
 import { createHttpHostList } from '../createHttpHostList.js'
 import { createHttpKeyValueService } from '../createHttpKeyValueService.js'
@@ -84,3 +89,56 @@
   t.teardown(async () => { await hosts.close() })
   await t.rejects(hosts.read(), { code: 'host_list_unavailable' })
 })
+
+async function startEndlessService (t: { teardown: (run: () => unknown) => unknown }, answer: EndlessAnswer): Promise<string> {
+  const upstream = await new UpstreamStandIn('i-endless', (request, socket) => { sendEndlessAnswer(socket, request, answer) }).start()
+  t.teardown(() => { upstream.stop() })
+  return `http://${upstream.address}`
+}
+
+for (const [name, answer] of Object.entries(endlessAnswers).filter(([, { isStream }]) => isStream !== true)) {
+  t.test(`guards against ${name} without end that keeps a call until its timeout`, async t => {
+    const service = createService(t, await startEndlessService(t, answer))
+    await t.rejects(service.compareAndSwap('a', 0, 'x'), { code: 'key_value_uncertain', cause: { isTimeout: false } })
+  })
+}
+
+t.test('lists of the size of a large installation are read whole', async t => {
+  const entries = Array.from({ length: 8000 }, (_, index) => ({ key: `k/${index}`, value: 'é'.repeat(350), version: 1 }))
+  const service = createService(t, await startService(t, (_request, response) => { response.end(JSON.stringify({ entries, revision: 7 })) }))
+  t.equal((await service.list('k/')).entries.length, entries.length)
+  t.same((await service.list('k/')).entries.at(-1), entries.at(-1))
+})
+
+t.test('lines of a watch that arrive in pieces are read whole', async t => {
+  const value = 'é'.repeat(20)
+  const line = Buffer.from(`{"key":"k","value":"${value}","version":1,"revision":6}\n`)
+  const service = createService(t, await startService(t, (_request, response) => {
+    const sendPiece = (index: number): void => {
+      if (index >= line.length) return
+      response.write(line.subarray(index, index + 7), () => { sendPiece(index + 7) })
+    }
+    sendPiece(0)
+  }))
+  const controller = new AbortController()
+  const change = await new Promise<KeyValueChange>(resolve => { service.watch('k', 5, resolve, controller.signal) })
+  controller.abort()
+  t.same(change, { key: 'k', value, version: 1, revision: 6 })
+})
+
+for (const [name, rest] of [['a line', 'x'.repeat(16_384)], ['heartbeats', '\n'.repeat(16_384)]] as const) {
+  t.test(`guards against ${name} without end that a watch reads until the service closes`, async t => {
+    let closed = 0
+    const upstream = await new UpstreamStandIn('i-endless', (request, socket) => {
+      socket.once('close', () => { closed++ })
+      sendEndlessAnswer(socket, request, { start: () => 'HTTP/1.1 200 OK\r\n\r\n', rest })
+    }).start()
+    t.teardown(() => { upstream.stop() })
+    const service = createService(t, `http://${upstream.address}`)
+    const controller = new AbortController()
+    service.watch('k', 5, () => {}, controller.signal)
+    await waitUntil(() => closed > 0)
+    t.ok(closed > 0, 'the host has closed the connection')
+    controller.abort()
+  })
+}
--- a/src/node/keyValue/httpClient.ts
+++ b/src/node/keyValue/httpClient.ts
@@ -1,6 +1,9 @@
-import { Pool } from 'undici'
+import { errors, Pool } from 'undici'
+import { AnswerAllowance } from '../connections/answerAllowance.js'
 import { HttpCallError } from './httpCallError.js'
 import { keyValueConstants } from './constants.js'
+import { sendServiceCall } from '../connections/sendServiceCall.js'
+import { ServiceClient } from '../connections/serviceClient.js'
 
 interface HttpResponse {
   readonly status: number
@@ -12,10 +15,11 @@
 
 /**
  * HTTP/1.1 client of one platform service. Each call has a timeout, after which the connection pool is replaced,
- * because open connections can stay silent while new ones work.
+ * because open connections can stay silent while new ones work. Answers without end fail their call.
  */
 export class HttpClient {
   private pool: Pool
+  private readonly allowance = new AnswerAllowance(keyValueConstants.maxHeldAnswerBytes)
 
   constructor (private readonly baseUrl: string, private readonly headers: Readonly<Record<string, string>>, private readonly timeoutMs: number) {
     this.pool = this.createPool()
@@ -26,13 +30,16 @@
     const pool = this.pool
     const controller = new AbortController()
     const timer = setTimeout(() => { controller.abort() }, this.timeoutMs)
+    const { signal } = controller
+    const { maxAnswerBytes } = keyValueConstants
     const headers = body === undefined ? this.headers : { ...this.headers, 'content-type': 'application/json' }
-    const payload = body === undefined ? null : JSON.stringify(body)
+    const payload = body === undefined ? undefined : JSON.stringify(body)
+    const { allowance } = this
     try {
-      const response = await pool.request({ method, path, headers, body: payload, signal: controller.signal })
-      return { status: response.statusCode, body: await response.body.text() }
+      const answer = await sendServiceCall(pool, { method, path, headers, body: payload, maxAnswerBytes, allowance, signal })
+      return { status: answer.status, body: answer.text }
     } catch (error) {
-      if (controller.signal.aborted) {
+      if (signal.aborted) {
         this.updatePool(pool)
         throw new HttpCallError(`${method} ${path} was not answered in ${this.timeoutMs} ms`, true, true, { cause: error })
       }
@@ -47,7 +54,13 @@
   }
 
   private createPool (): Pool {
-    return new Pool(this.baseUrl, { connections: keyValueConstants.maxConnections, connectTimeout: this.timeoutMs })
+    return new Pool(this.baseUrl, {
+      connections: keyValueConstants.maxConnections,
+      factory: () => new ServiceClient(this.baseUrl, {
+        connectTimeoutMs: this.timeoutMs,
+        createError: (message, cause) => cause ?? new errors.ConnectTimeoutError(message)
+      })
+    })
   }
 
   // Calls in progress on the old pool keep their own timeouts; the pool closes once they have ended.
--- a/src/node/keyValue/keyValueWatch.ts
+++ b/src/node/keyValue/keyValueWatch.ts
@@ -1,9 +1,10 @@
 import { waitForDelay } from '../../shared/waitForDelay.js'
-import { Client } from 'undici'
 import { z } from 'zod'
 import type { KeyValueChange } from '../../types/keyValueChange.js'
 import { HttpCallError } from './httpCallError.js'
 import { keyValueConstants } from './constants.js'
+import { ServiceClient } from '../connections/serviceClient.js'
+import { WatchHandler } from './watchHandler.js'
 
 const changeSchema = z.object({ key: z.string(), value: z.string().nullable(), version: z.number().int(), revision: z.number().int() })
 
@@ -33,23 +34,24 @@
   }
 
   private async runConnection (signal: AbortSignal): Promise<void> {
-    const client = new Client(this.baseUrl, { bodyTimeout: 0, headersTimeout: 0, connectTimeout: keyValueConstants.watchIdleTimeoutMs })
+    const client = new ServiceClient(this.baseUrl, {
+      connectTimeoutMs: keyValueConstants.watchIdleTimeoutMs,
+      createError: (message, cause) => new HttpCallError(message, false, false, { cause })
+    })
     const destroyClient = (): void => { client.destroy().catch(() => {}) }
     const idleTimer = setTimeout(destroyClient, keyValueConstants.watchIdleTimeoutMs)
     signal.addEventListener('abort', destroyClient)
     try {
       const path = `/watch?prefix=${encodeURIComponent(this.prefix)}&after=${this.lastRevision}`
-      const response = await client.request({ method: 'GET', path, headers: this.headers })
-      if (response.statusCode !== 200) throw new HttpCallError(`watch was refused with status ${response.statusCode}`, true, false)
-      response.body.setEncoding('utf8')
-      let incompleteLine = ''
-      for await (const text of response.body) {
-        if (signal.aborted) return
-        idleTimer.refresh()
-        const lines = (incompleteLine + String(text)).split('\n')
-        incompleteLine = lines.pop() ?? ''
-        lines.forEach(line => { this.receiveLine(line) })
-      }
+      await new Promise<void>((resolve, reject) => {
+        client.dispatch({ method: 'GET', path, headers: this.headers }, new WatchHandler({
+          onData: () => { idleTimer.refresh() },
+          onLine: line => { if (!signal.aborted) this.receiveChange(line) },
+          onHeartbeat: () => { if (!signal.aborted) this.receiveHeartbeat() },
+          onEnd: resolve,
+          onFailure: reject
+        }))
+      })
     } finally {
       clearTimeout(idleTimer)
       signal.removeEventListener('abort', destroyClient)
@@ -57,12 +59,13 @@
     }
   }
 
-  private receiveLine (line: string): void {
+  private receiveHeartbeat (): void {
+    this.reopenDelayMs = keyValueConstants.minWatchReopenDelayMs
+    this.onAlive()
+  }
+
+  private receiveChange (line: string): void {
     this.reopenDelayMs = keyValueConstants.minWatchReopenDelayMs
-    if (line.trim() === '') {
-      this.onAlive()
-      return
-    }
     const change = changeSchema.parse(JSON.parse(line))
     if (change.revision <= this.lastRevision) return
     this.onChange(change)
