fix(gateway): pause upstreams that break the protocol in any way

Callers of a wholly faulty service got 502 after two attempts, for good, where the HTTP parser refused the answer at its first bytes, after more than 8 interim responses, or for a status outside 100 to 599. These failures counted as ordinary ones, and an ejection leaves half of a service in use. Only answers over a bound taught the pause that may take all upstreams of a service.

ExchangeFailure.isProtocolError now tells a breach of the protocol, which has no cause at this host or on the path, from all other failures. The condition (oversized before, protocol-error now) learns of it at the connection pool instead of in AttemptObserver, so stage calls, releases and relayed exchanges teach it as well. The relaying host states it in a new field of RelayFailure; versions without the field leave it out and the failure counts as before.

endlessService.test.ts had exempted these shapes from its check of requests (bound 128).

invalidAnswers.test.ts sent five invalid statuses in a row and expected 502 for each; the fourth is refused with 503 now. It has a whole answer after each instead, which it checks.

--- a/playground/platform/endlessAnswer.ts
+++ b/playground/platform/endlessAnswer.ts
@@ -6,6 +6,4 @@
   /** What follows the start again and again, until the receiver closes the connection. */
   readonly rest: string
   readonly isStream?: boolean
-  /** Whether its first bytes show that it is no answer, so that it costs next to nothing. */
-  readonly endsAtOnce?: boolean
 }
--- a/playground/platform/endlessAnswers.ts
+++ b/playground/platform/endlessAnswers.ts
@@ -13,9 +13,9 @@
 
 /** Answers of an upstream that never end, by what they consist of. */
 export const endlessAnswers: Readonly<Record<string, EndlessAnswer>> = {
-  'bytes that are no answer': { start: () => '', rest: block, endsAtOnce: true },
+  'bytes that are no answer': { start: () => '', rest: block },
   'a status line': { start: () => 'HTTP/1.1 200 ', rest: block },
-  'interim responses': { start: () => '', rest: repeat('HTTP/1.1 103 Early Hints\r\n\r\n'), endsAtOnce: true },
+  'interim responses': { start: () => '', rest: repeat('HTTP/1.1 103 Early Hints\r\n\r\n') },
   'a header': { start: () => 'HTTP/1.1 200 OK\r\nX-Long: ', rest: block },
   'short header lines': { start: startHead, rest: repeat('a:b\r\n') },
   trailers: { start: request => `${startBody(signature + chunked)(request)}2\r\nok\r\n0\r\n`, rest: repeat('a:b\r\n') },
--- a/src/node/app/__tests__/endlessService.test.ts
+++ b/src/node/app/__tests__/endlessService.test.ts
@@ -10,6 +10,7 @@
 import { SoakHost } from '../../../../playground/soak/soakHost.js'
 import { UpstreamStandIn } from '../../../../playground/platform/upstreamStandIn.js'
 import { waitUntil } from '../../../../playground/fakes/waitUntil.js'
+import type { ClientAnswer } from '../../../../playground/platform/clientAnswer.js'
 
 /** Third byte of the host's loopback addresses; runs of the soak use 0 to 249. */
 const network = 252
@@ -90,12 +91,14 @@
       const endMs = performance.now() + playMs
       const durationsMs: number[] = []
       const unserved: string[] = []
+      const refusals: ClientAnswer[] = []
       let peakMb = 0
       const sampler = setInterval(() => { peakMb = Math.max(peakMb, readResidentMb()) }, 20)
       const runFaulty = async (): Promise<void> => {
         while (performance.now() < endMs) {
           const path = answer.isStream === true ? '/stream/x' : '/faulty/x'
-          await sendClientRequest(address, `faulty-${++requestCount}`, path).catch(() => {})
+          const outcome = await sendClientRequest(address, `faulty-${++requestCount}`, path).catch(() => {})
+          if (outcome?.status === 503) refusals.push(outcome)
           await delay(20)
         }
       }
@@ -114,14 +117,14 @@
       ])
       clearInterval(sampler)
       const longestMs = Math.round(Math.max(...durationsMs))
-      t.comment(`${name}: ${Math.round(peakMb)} MB, ${durationsMs.length} sound requests, longest ${longestMs} ms, ${faulty.requests.length} faulty ones`)
+      t.comment(`${name}: ${Math.round(peakMb)} MB, ${durationsMs.length} sound requests, longest ${longestMs} ms, ${faulty.requests.length} faulty ones, ${refusals.length} refused`)
       t.same(unserved, [], `all ${durationsMs.length} requests of the sound service are served`)
       t.ok(longestMs < soundTimeoutMs, `the longest took ${longestMs} ms`)
       t.ok(peakMb < memoryMb, `${Math.round(peakMb)} MB of ${memoryMb} MB`)
-      if (answer.endsAtOnce !== true) {
-        // Each client sends its request twice at most before the first answers have shown the fault.
-        t.ok(faulty.requests.length <= 2 * faultyClients, `${faulty.requests.length} requests reached the faulty upstream`)
-      }
+      // Each client sends its request twice at most before the first answers have shown the fault.
+      t.ok(faulty.requests.length <= 2 * faultyClients, `${faulty.requests.length} requests reached the faulty upstream`)
+      const timed = refusals.filter(({ headers }) => headers['retry-after'] !== undefined)
+      t.ok(timed.length > 0 && timed.length === refusals.length, `${timed.length} of ${refusals.length} refusals have a time`)
       t.ok(host.process.isRunning, host.process.listErrorLines().join('\n'))
       await waitUntil(() => openConnections === 0)
       await startFaultyAgain()
--- a/src/node/app/__tests__/invalidAnswers.test.ts
+++ b/src/node/app/__tests__/invalidAnswers.test.ts
@@ -157,9 +157,13 @@
   fleet.addUpstream(upstream, 'shop')
   await fleet.waitForLogLine('configuration in force', `"version":${version}`)
   await fleet.waitForLogLine('upstream added', 'i-a')
-  for (status of invalidStatuses) {
+  for (const invalidStatus of invalidStatuses) {
+    status = invalidStatus
     const answer = await fleet.send(`/once/${status}`, { method: 'POST', body: 'x' })
     t.equal(answer.status, 502, status)
     t.notMatch(JSON.parse(answer.body).error.message, assertionText, answer.body)
+    // Without a whole answer in between, the upstream is paused after three.
+    status = '200'
+    t.equal((await fleet.send('/once/200', { method: 'POST', body: 'x' })).status, 200)
   }
 })
--- a/src/node/gateway/conditions/__tests__/describeBlocks.test.ts
+++ b/src/node/gateway/conditions/__tests__/describeBlocks.test.ts
@@ -18,14 +18,14 @@
   t.same(directory.describeBlocks(entry.id), [])
   t.same(directory.describeBlocks('i-unknown'), [])
   state.backoff.observeAnswer(700, nowMs)
-  for (let i = 0; i < upstreamConstants.oversizedAnswersToPause; i++) state.oversizePause.onOversizedAnswer(nowMs)
+  for (let i = 0; i < upstreamConstants.protocolErrorsToPause; i++) state.protocolErrorPause.onProtocolError(nowMs)
   for (let i = 0; i < upstreamConstants.failuresToEject; i++) state.onFailure(nowMs)
   state.limit = { requestsPerSecond: 2, endsAtMs: nowMs + 60_000, share: new LimitShare(2, nowMs) }
   directory.applyEntry({ ...entry, isDraining: true })
   t.same(directory.describeBlocks(entry.id), [
     { condition: 'draining', waitMs: Infinity },
     { condition: 'backoff', waitMs: 700 },
-    { condition: 'oversized', waitMs: upstreamConstants.oversizePauseMs },
+    { condition: 'protocol-error', waitMs: upstreamConstants.protocolErrorPauseMs },
     { condition: 'ejected', waitMs: upstreamConstants.ejectMs },
     { condition: 'limit', waitMs: 500 }
   ])
--- a/src/node/gateway/conditions/upstreamCondition.ts
+++ b/src/node/gateway/conditions/upstreamCondition.ts
@@ -1,4 +1,5 @@
 import type { ConditionBlock } from './conditionBlock.js'
+import type { ExchangeFailure } from '../upstreams/exchangeFailure.js'
 import type { UpstreamResponseHead } from '../model/upstreamResponseHead.js'
 import type { UpstreamState } from '../upstreams/upstreamState.js'
 
@@ -20,8 +21,8 @@
   readonly changeCount?: number
   /** Counts a request that is sent to the upstream. One that takes no place is answered without waiting for others. */
   recordSent (upstream: UpstreamState, nowMs: number, takesPlace?: boolean): void
-  /** Counts the end of a request that was sent, with or without an answer. */
-  recordEnded? (upstream: UpstreamState, nowMs: number, takesPlace?: boolean): void
+  /** Counts the end of a request that was sent; `failure` is undefined after a whole answer. */
+  recordEnded? (upstream: UpstreamState, nowMs: number, takesPlace?: boolean, failure?: ExchangeFailure): void
   /** Requests that this host may have in progress at the upstream; undefined when the condition does not limit them. */
   findPlaces? (upstream: UpstreamState, nowMs: number): number | undefined
   /** Whether a request that the upstream rejects is refused, and not sent to another upstream. */
--- a/src/node/gateway/conditions/upstreamConditions.ts
+++ b/src/node/gateway/conditions/upstreamConditions.ts
@@ -1,3 +1,4 @@
+import type { ExchangeFailure } from '../upstreams/exchangeFailure.js'
 import type { NamedBlock } from './namedBlock.js'
 import type { UpstreamCondition } from './upstreamCondition.js'
 import type { UpstreamResponseHead } from '../model/upstreamResponseHead.js'
@@ -70,8 +71,8 @@
     for (const condition of this.conditions) condition.recordSent(upstream, nowMs, takesPlace)
   }
 
-  recordEnded (upstream: UpstreamState, nowMs: number, takesPlace: boolean): void {
-    for (const condition of this.conditions) condition.recordEnded?.(upstream, nowMs, takesPlace)
+  recordEnded (upstream: UpstreamState, nowMs: number, takesPlace: boolean, failure?: ExchangeFailure): void {
+    for (const condition of this.conditions) condition.recordEnded?.(upstream, nowMs, takesPlace, failure)
   }
 
   observeEntry (upstream: UpstreamState, nowMs: number): void {
--- a/src/node/gateway/ingress/attemptObserver.ts
+++ b/src/node/gateway/ingress/attemptObserver.ts
@@ -62,8 +62,6 @@
     upstream.inFlight--
     this.observeCapacity(result, nowMs)
     if (result.type === 'cancelled') return
-    if (result.type === 'answer' || result.type === 'streamed') upstream.oversizePause.onWholeAnswer(nowMs)
-    if (result.type === 'uncertain' && result.isOversized === true) this.observeOversizedAnswer(result.reason, nowMs)
     if ((result.type === 'uncertain' || result.type === 'not-run') && result.isRelayLost === true) return
     if (result.type === 'not-run' && result.isHeldBack === true) return
     const hasFailed = result.type === 'uncertain' ||
@@ -117,13 +115,4 @@
     const { readTokens, backlogMs } = this.chosen
     return { engineId: this.engineId, readTokens, backlogMs, inProgress: this.inProgress }
   }
-
-  private observeOversizedAnswer (reason: string, nowMs: number): void {
-    const { upstream } = this.chosen
-    const pauseMs = upstream.oversizePause.onOversizedAnswer(nowMs)
-    if (pauseMs === undefined) return
-    const { id, service } = upstream.entry
-    this.dependencies.metrics.addCount('upstream_oversize_pauses', { service })
-    this.dependencies.logger.recordWarning('upstream paused', { upstream: id, service, pauseMs, reason })
-  }
 }
--- a/src/node/gateway/ingress/attemptResult.ts
+++ b/src/node/gateway/ingress/attemptResult.ts
@@ -27,8 +27,6 @@
     readonly hasUpstreamEnded?: boolean
     /** Whether the cause lies between the hosts, not at the upstream. */
     readonly isRelayLost?: boolean
-    /** Whether the upstream sent more than an answer may have. */
-    readonly isOversized?: boolean
   }
   /**
    * The client disconnected or read too slowly, or the request was ended at its deadline or by the stop of the host.
--- a/src/node/gateway/ingress/sendAttempt.ts
+++ b/src/node/gateway/ingress/sendAttempt.ts
@@ -5,6 +5,7 @@
 import type { AnswerMemory } from '../answers/answerMemory.js'
 import type { AttemptResult } from './attemptResult.js'
 import type { ClientResponse } from './clientResponse.js'
+import type { CancelExchange } from '../upstreams/cancelExchange.js'
 import type { Clock } from '../../../types/clock.js'
 import type { ExchangeFailure } from '../upstreams/exchangeFailure.js'
 import type { ExchangeHandler } from '../upstreams/exchangeHandler.js'
@@ -57,7 +58,7 @@
   private lastEventsAtMs: number | undefined
   private longestPauseMs = 0
   private hasEnded = false
-  private cancelExchange = (): void => {}
+  private cancelExchange: CancelExchange = () => {}
   private readonly onAbort = (): void => { this.end({ type: 'cancelled' }, true) }
 
   constructor (private readonly options: AttemptOptions, private readonly resolve: (result: AttemptResult) => void) {}
@@ -143,7 +144,7 @@
     this.options.onRelayed(hostId)
   }
 
-  onFailure ({ kind, detail, wasSent, hasUpstreamEnded, isOversized, isHeldBack }: ExchangeFailure): void {
+  onFailure ({ kind, detail, wasSent, hasUpstreamEnded, isHeldBack }: ExchangeFailure): void {
     // The head alone states that the request was not run, even when the body is cut off.
     if (this.head?.isNotRun === true) {
       return this.end({
@@ -157,7 +158,7 @@
     const isRelayLost = kind === 'relay-lost'
     if (!wasSent) return this.end({ type: 'not-run', reason, wasSent: false, areInputsGone: false, isRelayLost, isHeldBack })
     const isConnectionLost = kind === 'broken'
-    this.end({ type: 'uncertain', reason, isConnectionLost, hasUpstreamEnded, isRelayLost, isOversized })
+    this.end({ type: 'uncertain', reason, isConnectionLost, hasUpstreamEnded, isRelayLost })
   }
 
   /** A response to HEAD ends with its head, whatever it states. */
@@ -222,7 +223,8 @@
   }
 
   private endOversized (reason: string): void {
-    this.end({ type: 'uncertain', reason, isOversized: true }, true)
+    this.end({ type: 'uncertain', reason })
+    this.cancelExchange(reason)
   }
 
   private end (result: AttemptResult, mustCancel = false): void {
--- a/src/node/gateway/relays/relayClient.ts
+++ b/src/node/gateway/relays/relayClient.ts
@@ -2,6 +2,7 @@
 import { chooseRelayHosts } from './chooseRelayHosts.js'
 import { relayConstants } from './constants.js'
 import { RelaySession } from './relaySession.js'
+import type { CancelExchange } from '../upstreams/cancelExchange.js'
 import type { Clock } from '../../../types/clock.js'
 import type { ExchangeHandler } from '../upstreams/exchangeHandler.js'
 import type { ExchangeRequest } from '../upstreams/exchangeRequest.js'
@@ -67,7 +68,7 @@
     request: ExchangeRequest,
     handler: ExchangeHandler,
     triedIds: Set<string>
-  ): () => void {
+  ): CancelExchange {
     const session = this.findSession(triedIds)
     if (session === undefined) {
       queueMicrotask(() => { handler.onFailure({ kind: 'relay-lost', wasSent: false, detail: 'no host relays' }) })
@@ -80,7 +81,7 @@
       handler,
       onDeclined: () => { cancel = this.send(upstreamId, request, handler, triedIds) }
     })
-    return () => { cancel() }
+    return protocolError => { cancel(protocolError) }
   }
 
   /** The session with the fewest requests in progress: one whose host has fallen silent collects them. */
--- a/src/node/gateway/relays/relayServer.ts
+++ b/src/node/gateway/relays/relayServer.ts
@@ -172,11 +172,12 @@
   /** The host that is cut off cannot find out by itself whether the upstream has ended. */
   private async describeFailure (
     upstream: UpstreamEntry,
-    { kind, detail, wasSent }: ExchangeFailure,
+    { kind, detail, wasSent, isProtocolError }: ExchangeFailure,
     hasHead: boolean
   ): Promise<messages.IRelayFailure> {
     const mustCheck = kind === 'broken' && !hasHead
-    return { kind, detail, wasSent, hasUpstreamEnded: mustCheck && await this.options.checkEnded(upstream) }
+    const hasUpstreamEnded = mustCheck && await this.options.checkEnded(upstream)
+    return { kind, detail, wasSent, hasUpstreamEnded, isProtocolError }
   }
 }
 
--- a/src/node/gateway/relays/relaySession.ts
+++ b/src/node/gateway/relays/relaySession.ts
@@ -1,6 +1,7 @@
 import { peerMethods } from '../../peers/peerMethods.js'
 import { relayConstants } from './constants.js'
 import { relayHeadCodec } from './relayHeadCodec.js'
+import type { CancelExchange } from '../upstreams/cancelExchange.js'
 import type { ExchangeFailure } from '../upstreams/exchangeFailure.js'
 import type { ExchangeHandler } from '../upstreams/exchangeHandler.js'
 import type { ExchangeRequest } from '../upstreams/exchangeRequest.js'
@@ -52,17 +53,19 @@
   }
 
   /** Sends a request; the returned function cancels it. `onDeclined` is called when the host has sent nothing. */
-  send (upstreamId: string, request: ExchangeRequest, exchange: RelayedExchange): () => void {
+  send (upstreamId: string, request: ExchangeRequest, exchange: RelayedExchange): CancelExchange {
     const exchangeId = this.nextExchangeId++
     this.exchanges.set(exchangeId, exchange)
     const { method, path, headers, requestId } = request
     const body = typeof request.body === 'string' ? Buffer.from(request.body) : request.body
     this.session.send({ exchange: { exchangeId, upstreamId, method, path, headers, body, requestId } })
-    return () => {
+    return protocolError => {
       if (!this.exchanges.has(exchangeId)) return
       this.session.send({ cancelledExchangeId: exchangeId })
       this.endExchange(exchangeId, () => {
-        exchange.handler.onFailure({ kind: 'aborted', wasSent: true, detail: 'cancelled by the caller' })
+        const detail = protocolError ?? 'cancelled by the caller'
+        const isProtocolError = protocolError !== undefined
+        exchange.handler.onFailure({ kind: 'aborted', wasSent: true, detail, isProtocolError })
       })
     }
   }
@@ -129,13 +132,14 @@
   }
 }
 
-function decodeFailure ({ kind, detail, wasSent, hasUpstreamEnded }: messages.IRelayFailure): ExchangeFailure {
+function decodeFailure ({ kind, detail, wasSent, hasUpstreamEnded, isProtocolError }: messages.IRelayFailure): ExchangeFailure {
   const knownKind = failureKinds.find(known => known === kind)
   return {
     kind: knownKind ?? 'broken',
     detail: detail ?? '',
     // After a failure of a kind that this version does not know, the request may have been sent.
     wasSent: wasSent === true || knownKind === undefined,
-    hasUpstreamEnded: hasUpstreamEnded ?? false
+    hasUpstreamEnded: hasUpstreamEnded ?? false,
+    isProtocolError: isProtocolError ?? false
   }
 }
--- a/src/node/gateway/stages/sendRelease.ts
+++ b/src/node/gateway/stages/sendRelease.ts
@@ -33,7 +33,7 @@
     onHead: head => { status = head.status },
     onData: chunk => {
       size += chunk.length
-      if (size > stageConstants.maxReleaseAnswerBytes) cancelRelease()
+      if (size > stageConstants.maxReleaseAnswerBytes) cancelRelease('answer too large')
     },
     onEnd: () => {
       // The answer to the release may still arrive after one that is not its own.
@@ -42,9 +42,9 @@
     },
     onFailure: () => { end('failed') }
   })
-  const cancelTimeout = timers.schedule(stageConstants.releaseTimeoutMs, cancelRelease)
-  function cancelRelease (): void {
+  const cancelTimeout = timers.schedule(stageConstants.releaseTimeoutMs, () => { cancelRelease() })
+  function cancelRelease (protocolError?: string): void {
     end('failed')
-    cancel()
+    cancel(protocolError)
   }
 }
--- a/src/node/gateway/stages/sendStageCall.ts
+++ b/src/node/gateway/stages/sendStageCall.ts
@@ -18,6 +18,8 @@
   readonly onFailure: (reason: string, mayHaveRun: boolean) => void
 }
 
+const oversizeDetail = 'answer too large'
+
 /** Sends one stage call with a timeout. The returned function cancels the call without invoking a callback. */
 export function sendStageCall ({ pool, codec, call, timers, isFirstAnswer, onAnswer, onFailure }: StageCallOptions): () => void {
   const maxBytes = stageConstants.answerBaseBytes + stageConstants.answerBytesPerPiece * call.pieces.length
@@ -42,7 +44,7 @@
       isNotRun = head.isNotRun
     },
     onData: chunk => {
-      if (body.byteLength + chunk.length > maxBytes) cancelCall('answer too large')
+      if (body.byteLength + chunk.length > maxBytes) cancelCall(oversizeDetail, oversizeDetail)
       else body.add(chunk)
     },
     onEnd: () => {
@@ -60,9 +62,9 @@
     onFailure: failure => { end(() => { onFailure(`${failure.kind}: ${failure.detail}`, failure.wasSent) }) }
   })
   const cancelTimeout = timers.schedule(call.timeoutMs, () => { cancelCall('no answer in time') })
-  function cancelCall (reason: string): void {
+  function cancelCall (reason: string, protocolError?: string): void {
     end(() => {
-      cancel()
+      cancel(protocolError)
       onFailure(reason, true)
     })
   }
--- a/src/node/gateway/upstreams/__tests__/usableUpstreams.test.ts
+++ b/src/node/gateway/upstreams/__tests__/usableUpstreams.test.ts
@@ -70,8 +70,8 @@
       const actions: ReadonlyArray<() => void> = [
         () => { clock.nowMs += random() * 1000 },
         () => { state?.backoff.observeAnswer(random() < 0.5 ? 800 : undefined, nowMs) },
-        () => { state?.oversizePause.onOversizedAnswer(nowMs) },
-        () => { state?.oversizePause.onWholeAnswer(nowMs) },
+        () => { state?.protocolErrorPause.onProtocolError(nowMs) },
+        () => { state?.protocolErrorPause.onWholeAnswer(nowMs) },
         () => { state?.onFailure(nowMs) },
         () => { if (state !== undefined) state.inFlight = Math.max(state.inFlight + (random() < 0.5 ? 1 : -1), 0) },
         () => { if (random() < 0.1) evacuated.addDomain(`d${i % 3}`) },
--- a/src/node/gateway/upstreams/constants.ts
+++ b/src/node/gateway/upstreams/constants.ts
@@ -52,11 +52,11 @@
   /** Duration of the first ejection; doubles with each further one up to the maximum. */
   ejectMs: 1000,
   maxEjectMs: 8000,
-  /** Answers in a row without an end after which an upstream gets nothing for a while. */
-  oversizedAnswersToPause: 3,
+  /** Answers in a row that break the protocol after which an upstream gets nothing for a while. */
+  protocolErrorsToPause: 3,
   /** Duration of the first such pause; doubles with each further one up to the maximum. */
-  oversizePauseMs: 1000,
-  maxOversizePauseMs: 8000,
+  protocolErrorPauseMs: 1000,
+  maxProtocolErrorPauseMs: 8000,
   /** Pause for an upstream that asks for one whose length cannot be read. */
   defaultBackoffMs: 1000,
   /** Pause for an upstream whose address another instance has; its entry in the store usually changes before. */
--- a/src/node/gateway/upstreams/exchangeFailure.ts
+++ b/src/node/gateway/upstreams/exchangeFailure.ts
@@ -14,8 +14,11 @@
   readonly detail: string
   /** Whether the process of the upstream has ended; set when another host that relayed the request has checked it. */
   readonly hasUpstreamEnded?: boolean
-  /** Whether the upstream sent more than an answer may have. */
-  readonly isOversized?: boolean
+  /**
+   * Whether the upstream broke the protocol: it sent what no correct upstream sends, or more than an answer may have.
+   * Neither this host nor the path can be the cause.
+   */
+  readonly isProtocolError?: boolean
   /** Whether a condition forbids to send the upstream anything; this says nothing of how it works. */
   readonly isHeldBack?: boolean
 }
--- a/src/node/gateway/upstreams/oversizePause.ts
+++ b/src/node/gateway/upstreams/protocolErrorPause.ts
@@ -2,12 +2,12 @@
 import { UpstreamBackoff } from './upstreamBackoff.js'
 
 /**
- * The pause of an upstream whose answers have no end. Answers the load of a faulty service on its host: each such
- * answer costs memory and time until its limit, so, unlike ejections, the pause may take all upstreams of a service.
+ * The pause of an upstream that breaks the protocol. Such answers cost the host time and memory, and neither the host
+ * nor the path can be their cause, so, unlike ejections, the pause may take all upstreams of a service.
  */
-export class OversizePause {
+export class ProtocolErrorPause {
   private readonly backoff: UpstreamBackoff
-  private oversizedAnswers = 0
+  private protocolErrors = 0
   private pauses = 0
 
   /** `onChanged` is called when the pause may have begun or ended. */
@@ -32,20 +32,21 @@
 
   onWholeAnswer (nowMs: number): void {
     this.backoff.observeAnswer(undefined, nowMs)
-    this.oversizedAnswers = 0
+    this.protocolErrors = 0
     if (this.backoff.isOver(1, nowMs)) this.pauses = 0
   }
 
   /** Returns the duration of the pause that this answer begins, in milliseconds; undefined when it begins none. */
-  onOversizedAnswer (nowMs: number): number | undefined {
+  onProtocolError (nowMs: number): number | undefined {
     // Answers that were in progress when the pause began.
     if (this.untilMs > nowMs) return undefined
-    this.oversizedAnswers++
+    this.protocolErrors++
     const isAfterPause = !this.backoff.isOver(1, nowMs)
-    if (!isAfterPause && this.oversizedAnswers < upstreamConstants.oversizedAnswersToPause) return undefined
-    const pauseMs = Math.min(upstreamConstants.oversizePauseMs * 2 ** this.pauses, upstreamConstants.maxOversizePauseMs)
+    if (!isAfterPause && this.protocolErrors < upstreamConstants.protocolErrorsToPause) return undefined
+    const { protocolErrorPauseMs, maxProtocolErrorPauseMs } = upstreamConstants
+    const pauseMs = Math.min(protocolErrorPauseMs * 2 ** this.pauses, maxProtocolErrorPauseMs)
     this.pauses++
-    this.oversizedAnswers = 0
+    this.protocolErrors = 0
     this.backoff.observeAnswer(pauseMs, nowMs)
     return pauseMs
   }
@@ -53,7 +54,7 @@
   /** An instance that has just started has sent nothing. */
   end (): void {
     this.backoff.end()
-    this.oversizedAnswers = 0
+    this.protocolErrors = 0
     this.pauses = 0
   }
 }
--- a/src/node/gateway/upstreams/upstreamConnection.ts
+++ b/src/node/gateway/upstreams/upstreamConnection.ts
@@ -2,6 +2,7 @@
 import { openUpstreamSocket } from './openUpstreamSocket.js'
 import { upstreamConstants } from './constants.js'
 import { UpstreamExchange } from './upstreamExchange.js'
+import type { CancelExchange } from './cancelExchange.js'
 import type { ResponseDecoder } from './responseDecoder.js'
 import type { ExchangeHandler } from './exchangeHandler.js'
 import type { ExchangeRequest } from './exchangeRequest.js'
@@ -52,12 +53,13 @@
   }
 
   /** Sends a request; the returned function cancels it and closes the connection. */
-  send (request: ExchangeRequest, handler: ExchangeHandler): () => void {
+  send (request: ExchangeRequest, handler: ExchangeHandler): CancelExchange {
     const exchange = new UpstreamExchange({
       requestId: request.requestId,
       decodeResponse: this.decodeResponse,
       handler,
       wasReset: () => this.wasReset,
+      wasClosed: () => this.socket?.readableEnded === true,
       onProgress: () => { this.socket?.onProgress() }
     })
     this.client.dispatch({
@@ -66,8 +68,8 @@
       headers: request.headers,
       body: request.body ?? null
     }, exchange)
-    return () => {
-      exchange.cancel()
+    return protocolError => {
+      exchange.cancel(protocolError)
       this.close()
     }
   }
--- a/src/node/gateway/upstreams/upstreamDirectory.ts
+++ b/src/node/gateway/upstreams/upstreamDirectory.ts
@@ -2,7 +2,7 @@
 import { DrainingCondition } from '../conditions/drainingCondition.js'
 import { LeavingInstances } from './leavingInstances.js'
 import { LimitCondition } from '../conditions/limitCondition.js'
-import { OversizeCondition } from '../conditions/oversizeCondition.js'
+import { ProtocolErrorCondition } from '../conditions/protocolErrorCondition.js'
 import { upstreamConstants } from './constants.js'
 import { UpstreamConditions } from '../conditions/upstreamConditions.js'
 import { UpstreamPool } from './upstreamPool.js'
@@ -56,7 +56,11 @@
 
   constructor (private readonly options: DirectoryOptions) {
     const { logger, metrics, computeLimitShare, countHosts, conditions = [] } = options
-    const passing = [new BackoffCondition(logger, metrics), new OversizeCondition(), ...conditions]
+    const passing = [
+      new BackoffCondition(logger, metrics),
+      new ProtocolErrorCondition(logger, metrics),
+      ...conditions
+    ]
     this.sending = new UpstreamConditions(conditions)
     this.passing = new UpstreamConditions(passing)
     this.opening = new UpstreamConditions([new DrainingCondition(), ...passing])
@@ -287,8 +291,8 @@
         this.opening.recordSent(state, this.options.clock.readMonotonicMs(), takesNoPlace !== true)
         state.onChanged()
       },
-      onEnded: ({ takesNoPlace }) => {
-        this.opening.recordEnded(state, this.options.clock.readMonotonicMs(), takesNoPlace !== true)
+      onEnded: ({ takesNoPlace }, failure) => {
+        this.opening.recordEnded(state, this.options.clock.readMonotonicMs(), takesNoPlace !== true, failure)
         state.onChanged()
       },
       onHead: head => {
--- a/src/node/gateway/upstreams/upstreamExchange.ts
+++ b/src/node/gateway/upstreams/upstreamExchange.ts
@@ -1,6 +1,6 @@
 import { describeAnswerError } from '../../../shared/describeAnswerError.js'
 import { isAnswerStatus } from '../../../shared/isAnswerStatus.js'
-import { OversizedAnswerError } from './oversizedAnswerError.js'
+import { isProtocolError } from './isProtocolError.js'
 import { UpstreamResponseMismatchError } from './upstreamResponseMismatchError.js'
 import { UpstreamConnectError } from './upstreamConnectError.js'
 import { upstreamConstants } from './constants.js'
@@ -15,6 +15,8 @@
   readonly handler: ExchangeHandler
   /** Whether the connection was reset. */
   readonly wasReset: () => boolean
+  /** Whether the upstream closed the connection in order. */
+  readonly wasClosed: () => boolean
   /** Called with the head of the response and with each part of its body. */
   readonly onProgress: () => void
 }
@@ -24,13 +26,16 @@
   private controller: Dispatcher.DispatchController | undefined
   private hasEnded = false
   private isAborted = false
+  private protocolError: string | undefined
   private interimResponses = 0
 
   constructor (private readonly options: UpstreamExchangeOptions) {}
 
-  cancel (): void {
+  /** `protocolError`: by what the upstream has broken the protocol, when this is why the caller cancels. */
+  cancel (protocolError?: string): void {
     if (this.hasEnded) return
     this.isAborted = true
+    this.protocolError = protocolError
     this.controller?.abort(new UpstreamConnectError('cancelled by the caller'))
     this.endFailed('aborted', 'cancelled by the caller')
   }
@@ -79,8 +84,8 @@
   }
 
   onResponseError (_: Dispatcher.DispatchController, error: Error): void {
-    const isOversized = error instanceof OversizedAnswerError
-    this.endFailed(this.controller === undefined ? 'connect' : 'broken', describeAnswerError(error), isOversized)
+    const kind = this.controller === undefined ? 'connect' : 'broken'
+    this.endFailed(kind, describeAnswerError(error), isProtocolError(error, this.options.wasClosed()))
   }
 
   /** An upstream may send interim responses without end. */
@@ -91,13 +96,18 @@
   }
 
   private endInvalid (controller: Dispatcher.DispatchController, detail: string): void {
-    this.endFailed('broken', detail)
+    this.endFailed('broken', detail, true)
     controller.abort(new UpstreamResponseMismatchError(detail))
   }
 
-  private endFailed (kind: ExchangeFailure['kind'], detail: string, isOversized = false): void {
+  private endFailed (kind: ExchangeFailure['kind'], detail: string, isProtocolError = false): void {
     if (this.hasEnded) return
     this.hasEnded = true
-    this.options.handler.onFailure({ kind, detail, wasSent: this.controller !== undefined, isOversized })
+    this.options.handler.onFailure({
+      kind,
+      detail: this.protocolError ?? detail,
+      wasSent: this.controller !== undefined,
+      isProtocolError: isProtocolError || this.protocolError !== undefined
+    })
   }
 }
--- a/src/node/gateway/upstreams/upstreamPool.ts
+++ b/src/node/gateway/upstreams/upstreamPool.ts
@@ -1,4 +1,6 @@
 import { UpstreamConnection } from './upstreamConnection.js'
+import type { CancelExchange } from './cancelExchange.js'
+import type { ExchangeFailure } from './exchangeFailure.js'
 import type { ExchangeSender } from './exchangeSender.js'
 import type { ResponseDecoder } from './responseDecoder.js'
 import type { ExchangeHandler } from './exchangeHandler.js'
@@ -15,8 +17,8 @@
   readonly findSendBlock?: (request: ExchangeRequest) => string | undefined
   /** Called for each request that is sent, before it. */
   readonly onSent?: (request: ExchangeRequest) => void
-  /** Called once for each request that was sent, when it has ended. */
-  readonly onEnded?: (request: ExchangeRequest) => void
+  /** Called once for each request that was sent, when it has ended; `failure` is undefined after a whole answer. */
+  readonly onEnded?: (request: ExchangeRequest, failure?: ExchangeFailure) => void
   /** The head of an answer from the upstream. */
   readonly onHead: (head: UpstreamResponseHead) => void
   readonly traffic: TrafficObserver
@@ -48,7 +50,7 @@
    * Sends a request, by way of another host while this one is cut off from the upstreams; the returned function cancels
    * it. Fails with `no-connection` at the connection limit and while a condition forbids to send.
    */
-  send (request: ExchangeRequest, handler: ExchangeHandler): () => void {
+  send (request: ExchangeRequest, handler: ExchangeHandler): CancelExchange {
     const relay = this.options.findRelay()
     if (relay === undefined) return this.sendDirectly(request, handler)
     const block = this.options.findSendBlock?.(request)
@@ -69,14 +71,14 @@
       },
       onFailure: failure => {
         this.relayedCount--
-        this.options.onEnded?.(request)
+        this.options.onEnded?.(request, failure)
         handler.onFailure(failure)
       }
     })
   }
 
   /** Sends a request over a connection of this host; an unshared one carries no other request before or after it. */
-  sendDirectly (request: ExchangeRequest, handler: ExchangeHandler, isUnshared = false): () => void {
+  sendDirectly (request: ExchangeRequest, handler: ExchangeHandler, isUnshared = false): CancelExchange {
     const { traffic, upstreamId, onHead } = this.options
     const block = this.options.findSendBlock?.(request)
     if (block !== undefined) return refuseExchange(handler, `held back: ${block}`, true)
@@ -105,7 +107,7 @@
       },
       onFailure: failure => {
         traffic.onExchangeEnded()
-        this.options.onEnded?.(request)
+        this.options.onEnded?.(request, failure)
         // Closing also removes the connection from `busy`, through `removeConnection`.
         connection.close()
         if (failure.kind === 'connect') traffic.onConnectFailed(upstreamId)
--- a/src/node/gateway/upstreams/upstreamState.ts
+++ b/src/node/gateway/upstreams/upstreamState.ts
@@ -1,4 +1,4 @@
-import { OversizePause } from './oversizePause.js'
+import { ProtocolErrorPause } from './protocolErrorPause.js'
 import { UpstreamBackoff } from './upstreamBackoff.js'
 import { upstreamConstants } from './constants.js'
 import type { UpstreamLimit } from './upstreamLimit.js'
@@ -13,7 +13,7 @@
   private measuredAtMs = 0
   ejectedUntilMs = 0
   readonly backoff: UpstreamBackoff
-  readonly oversizePause: OversizePause
+  readonly protocolErrorPause: ProtocolErrorPause
   private currentLimit: UpstreamLimit | undefined
   /** Time at which the upstream is removed; set while its entry is missing after a store outage. */
   removeAtMs: number | undefined
@@ -23,7 +23,7 @@
   /** `onChanged` is called when something has changed that decides whether the upstream gets requests. */
   constructor (public entry: UpstreamEntry, readonly pool: UpstreamPool, readonly onChanged: () => void = () => {}) {
     this.backoff = new UpstreamBackoff(onChanged)
-    this.oversizePause = new OversizePause(onChanged)
+    this.protocolErrorPause = new ProtocolErrorPause(onChanged)
   }
 
   /** Requests that this host has in progress at the upstream. */
@@ -48,7 +48,7 @@
 
   /** Monotonic time until which no request is sent. */
   get pausedUntilMs (): number {
-    return Math.max(this.backoff.untilMs, this.oversizePause.untilMs)
+    return Math.max(this.backoff.untilMs, this.protocolErrorPause.untilMs)
   }
 
   isEjected (nowMs: number): boolean {
@@ -72,7 +72,7 @@
   /** Forgets what was measured of the instance before. */
   onStartedAgain (): void {
     this.backoff.end()
-    this.oversizePause.end()
+    this.protocolErrorPause.end()
     this.removeFailures()
   }
 
