fix(serve): end answers whose head or framing has no end

Callers of a service whose upstream sent a status line, a chunk extension or interim responses without end got no answer until the deadline of their contract, and ordinary requests of the service were refused until then, long after the upstream was well again.

Cause: UpstreamClient had a pool of its own, without the limits of the gateway on framing and interim responses. Each such call kept one of the 64 places of its upstream (--max-connections-per-upstream) until its deadline; with all places taken, every further call was refused as upstream_busy. That is why nothing was answered after the fault: with a deadline of 60 s, 62 to 64 of 64 calls were still open.

Change: UpstreamClient sends through UpstreamPool, UpstreamConnection and UpstreamExchange, so that UpstreamSocket ends such answers after 20 KB or 256 lines, and the exchange after eight interim responses. A cancelled call destroys its connection at once. Still true: a call is sent at most once, calls with isSendable have a connection of their own, a failed connection means not_run. A call whose kept connection turns out to be closed, before anything was sent, goes over a new one; without that, 11 of 20 calls to an HTTP/1.0 server failed (upstreamClient.test.ts).

--- a/playground/platform/servedHost.ts
+++ b/playground/platform/servedHost.ts
@@ -6,6 +6,9 @@
 import { EntryHostProcess } from '../processes/entryHostProcess.js'
 import { findFreePorts } from '../processes/findFreePorts.js'
 import { sendClientRequest } from './sendClientRequest.js'
+import { UpstreamStandIn } from './upstreamStandIn.js'
+import type { ClientAnswer } from './clientAnswer.js'
+import type { StandInRequest } from './standInRequest.js'
 
 interface ServedHostOptions {
   /** Additional LYCHEETRACK_ variables. */
@@ -25,20 +28,28 @@
   idempotent: true,
   objective: { attainment: 0.9, latencyMs: 1000 }
 }
+const rawStages = [{ ...status.stages[0]!, pool: 'raw' }]
 const contract = {
   account: 'shop',
   tokenDigests: [createHash('sha256').update(token).digest('hex')],
   requestsPerSecond: 1000,
   tokensPerSecond: 1000,
-  kinds: { status, slow: { ...status, deadlineMs: 60_000 } }
+  kinds: {
+    status,
+    slow: { ...status, deadlineMs: 60_000 },
+    raw: { ...status, stages: rawStages },
+    rawSlow: { ...status, stages: rawStages, deadlineMs: 60_000 }
+  }
 }
 
-/** A host of the `serve` command as a process, with the stand-ins that it needs and one plain service. */
+/** A host of the `serve` command as a process, with the stand-ins that it needs and two plain services. */
 export class ServedHost {
   static readonly path = '/v1/requests'
   /** Header lines with the token of the account. */
   static readonly fields = `authorization: Bearer ${token}\r\n`
   static readonly headers = { authorization: `Bearer ${token}` }
+  /** Upstream of the kinds `raw` and `rawSlow`, whose answers a test can replace. */
+  readonly raw = new UpstreamStandIn('raw-1', (request, socket) => { socket.write(buildCallAnswer(request)) })
   address = ''
   host!: EntryHostProcess
   private serviceAddress = ''
@@ -55,6 +66,7 @@
   async start (): Promise<this> {
     const { environment, launcher, openLink = async (_, address) => address } = this.options
     const [keyValuePort, hostListPort, servicePort] = await Promise.all(this.standIns.map(async standIn => await standIn.start(0)))
+    await this.raw.start()
     this.serviceAddress = `127.0.0.1:${servicePort}`
     const [port, peerPort] = await findFreePorts(2)
     const address = `127.0.0.1:${port}`
@@ -77,7 +89,8 @@
     })
     await this.control.writeHostList(`127.0.0.1:${hostListPort}`, [
       { id: 'host-1', address, peerAddress, role: 'entry', failureDomain: 'quay-a', state: 'live' },
-      { id: 'shop-1', address: this.serviceAddress, role: 'shop', failureDomain: 'quay-a', state: 'live' }
+      { id: 'shop-1', address: this.serviceAddress, role: 'shop', failureDomain: 'quay-a', state: 'live' },
+      { id: 'raw-1', address: this.raw.address, role: 'raw', failureDomain: 'quay-a', state: 'live' }
     ])
     this.host.process.start()
     await this.host.waitReady()
@@ -98,11 +111,16 @@
     await this.control.setFaults(this.serviceAddress, { slowFactor })
   }
 
+  /** Sends a request of a kind of the contract. Rejects when there is no answer. */
+  async sendRequest (kind: string, id: string): Promise<ClientAnswer> {
+    const body = JSON.stringify({ kind, input: {} })
+    const { headers, path } = ServedHost
+    return await sendClientRequest(this.address, id, path, { method: 'POST', headers, body })
+  }
+
   /** Sends an ordinary request; resolves to whether it is answered within 5 s. */
   async sendOrdinary (): Promise<boolean> {
-    const body = JSON.stringify({ kind: 'status', input: {} })
-    const { headers, path } = ServedHost
-    const sent = sendClientRequest(this.address, 'ordinary', path, { method: 'POST', headers, body })
+    const sent = this.sendRequest('status', 'ordinary')
     const answer = sent.then(({ status }) => status, () => undefined)
     return await Promise.race([answer, delay(5000, undefined, { ref: false })]) === 200
   }
@@ -110,7 +128,16 @@
   async stop (): Promise<void> {
     await this.host.process.kill()
     await this.control.close()
+    this.raw.stop()
     await Promise.all(this.standIns.map(async standIn => { await standIn.stop() }))
     this.product.remove()
   }
 }
+
+/** The answer of a plain service to a call; to other requests, that it has no such path. */
+function buildCallAnswer ({ method, body }: StandInRequest): string {
+  if (method !== 'POST') return 'HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n'
+  const { call_id: callId } = JSON.parse(body) as { call_id: string }
+  const answer = JSON.stringify({ call_id: callId, output: {} })
+  return `HTTP/1.1 200 OK\r\nContent-Length: ${Buffer.byteLength(answer)}\r\n\r\n${answer}`
+}
--- a/src/node/app/__tests__/invalidAnswers.test.ts
+++ b/src/node/app/__tests__/invalidAnswers.test.ts
@@ -81,7 +81,7 @@
   const signal = AbortSignal.timeout(3000)
   const sent = client.send({ method: 'POST', path: '/v1/x', body }, signal)
   const outcome = await sent.then(() => 'complete', (error: Error) => error.message)
-  await client.close()
+  client.close()
   return outcome
 }
 
--- a/src/node/gateway/upstreams/exchangeFailure.ts
+++ b/src/node/gateway/upstreams/exchangeFailure.ts
@@ -19,6 +19,8 @@
    * Neither this host nor the path can be the cause.
    */
   readonly isProtocolError?: boolean
+  /** Whether the request was not started because its connection, open before, was closed. */
+  readonly wasOpen?: boolean
   /** Whether a condition forbids to send the upstream anything; this says nothing of how it works. */
   readonly isHeldBack?: boolean
 }
--- a/src/node/gateway/upstreams/exchangeRequest.ts
+++ b/src/node/gateway/upstreams/exchangeRequest.ts
@@ -9,4 +9,6 @@
   readonly requestId?: string
   /** Whether the upstream answers without giving the request one of its places, as it does for a release of results. */
   readonly takesNoPlace?: boolean
+  /** Called right before the first byte is sent; the request is not sent when it returns false. */
+  readonly isSendable?: () => boolean
 }
--- a/src/node/gateway/upstreams/openUpstreamSocket.ts
+++ b/src/node/gateway/upstreams/openUpstreamSocket.ts
@@ -1,19 +1,23 @@
 import { openSocket } from './openSocket.js'
 import { UpstreamConnectError } from './upstreamConnectError.js'
-import { upstreamConstants } from './constants.js'
 import { UpstreamSocket } from './upstreamSocket.js'
 
 type Callback = (...result: [error: null, socket: UpstreamSocket] | [error: Error, socket: null]) => void
 
-/**
- * Opens a TCP connection to an upstream, limited by the connect timeout. `onReset` is called before all other listeners
- * when the connection breaks.
- */
-export function openUpstreamSocket (address: string, onReset: () => void, callback: Callback): void {
+interface SocketOptions {
+  /** `ip:port` */
+  readonly address: string
+  readonly timeoutMs: number
+  /** Called before all other listeners when the connection breaks. */
+  readonly onReset: () => void
+}
+
+/** Opens a TCP connection to an upstream within a timeout. */
+export function openUpstreamSocket ({ address, timeoutMs, onReset }: SocketOptions, callback: Callback): void {
   openSocket({
     socket: new UpstreamSocket(),
     address,
-    timeoutMs: upstreamConstants.connectTimeoutMs,
+    timeoutMs,
     createError: (message, cause) => new UpstreamConnectError(message, { cause })
   }, (...result) => {
     const [, socket] = result
--- a/src/node/gateway/upstreams/upstreamConnection.ts
+++ b/src/node/gateway/upstreams/upstreamConnection.ts
@@ -8,6 +8,17 @@
 import type { ExchangeRequest } from './exchangeRequest.js'
 import type { UpstreamSocket } from './upstreamSocket.js'
 
+interface ConnectionOptions {
+  /** `ip:port` */
+  readonly address: string
+  readonly decodeResponse: ResponseDecoder
+  readonly connectTimeoutMs: number
+  /** Time for which the connection is kept unused when the upstream states none. */
+  readonly idleTimeoutMs: number
+  readonly onClosed: (connection: UpstreamConnection) => void
+  readonly onOpened: () => void
+}
+
 /** One keep-alive connection to an upstream; carries one request at a time. */
 export class UpstreamConnection {
   /** Whether the connection broke or must not be used again. */
@@ -20,25 +31,22 @@
   private socket: UpstreamSocket | undefined
   private readonly client: Client
 
-  constructor (
-    address: string,
-    private readonly decodeResponse: ResponseDecoder,
-    private readonly onClosed: (connection: UpstreamConnection) => void,
-    onOpened: () => void
-  ) {
+  constructor (private readonly options: ConnectionOptions) {
+    const { address, connectTimeoutMs, idleTimeoutMs, onOpened } = options
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
       maxHeaderSize: upstreamConstants.maxParsedHeaderBytes,
       // 0 disables undici's timeouts: callers that limit the time of a request cancel it.
       headersTimeout: 0,
       bodyTimeout: 0,
-      keepAliveTimeout: upstreamConstants.idleTimeoutMs,
+      keepAliveTimeout: idleTimeoutMs,
       keepAliveMaxTimeout: upstreamConstants.maxIdleTimeoutMs,
       keepAliveTimeoutThreshold: upstreamConstants.idleMarginMs,
       connect: (_, callback) => {
         // The TCP connection is opened only once: a request on a broken one fails instead of being sent on a new one.
         if (this.hasOpened) return callback(new Error('the connection is closed'), null)
-        openUpstreamSocket(address, () => { this.wasReset = true }, (...result) => {
+        const onReset = (): void => { this.wasReset = true }
+        openUpstreamSocket({ address, timeoutMs: connectTimeoutMs, onReset }, (...result) => {
           this.socket = result[1] ?? undefined
           callback(...result)
         })
@@ -56,7 +64,8 @@
   send (request: ExchangeRequest, handler: ExchangeHandler): CancelExchange {
     const exchange = new UpstreamExchange({
       requestId: request.requestId,
-      decodeResponse: this.decodeResponse,
+      isSendable: request.isSendable,
+      decodeResponse: this.options.decodeResponse,
       handler,
       wasReset: () => this.wasReset,
       wasClosed: () => this.socket?.readableEnded === true,
@@ -85,7 +94,7 @@
   close (): void {
     if (this.isClosed) return
     this.isClosed = true
-    this.onClosed(this)
+    this.options.onClosed(this)
     // The failure of a request in progress is reported through its handler.
     this.client.destroy().catch(() => {})
   }
--- a/src/node/gateway/upstreams/upstreamExchange.ts
+++ b/src/node/gateway/upstreams/upstreamExchange.ts
@@ -11,6 +11,7 @@
 
 interface UpstreamExchangeOptions {
   readonly requestId: string | undefined
+  readonly isSendable?: () => boolean
   readonly decodeResponse: ResponseDecoder
   readonly handler: ExchangeHandler
   /** Whether the connection was reset. */
@@ -41,6 +42,11 @@
   }
 
   onRequestStart (controller: Dispatcher.DispatchController): void {
+    if (!this.isAborted && this.options.isSendable?.() === false) {
+      this.endFailed('aborted', 'may not be sent any more')
+      controller.abort(new UpstreamConnectError('may not be sent any more'))
+      return
+    }
     this.controller = controller
     if (this.isAborted) controller.abort(new UpstreamConnectError('cancelled by the caller'))
   }
--- a/src/node/gateway/upstreams/upstreamPool.ts
+++ b/src/node/gateway/upstreams/upstreamPool.ts
@@ -1,3 +1,4 @@
+import { upstreamConstants } from './constants.js'
 import { UpstreamConnection } from './upstreamConnection.js'
 import type { CancelExchange } from './cancelExchange.js'
 import type { ExchangeFailure } from './exchangeFailure.js'
@@ -10,6 +11,10 @@
 
 interface PoolOptions {
   readonly address: string
+  /** @default 500 */
+  readonly connectTimeoutMs?: number
+  /** Time for which a connection is kept unused when the upstream states none. @default 20000 */
+  readonly idleTimeoutMs?: number
   readonly decodeResponse: ResponseDecoder
   readonly getConnectionLimit: () => number
   readonly onOpened: () => void
@@ -114,7 +119,7 @@
         // After a broken connection the idle ones are suspect too: something on the network path may have dropped them.
         // The same applies after a response that belongs to another request (`foreign-answer`).
         if (failure.kind === 'broken' || failure.kind === 'foreign-answer') this.closeIdle()
-        handler.onFailure(failure)
+        handler.onFailure(failure.kind === 'connect' && connection.hasOpened ? { ...failure, wasOpen: true } : failure)
       }
     })
   }
@@ -149,9 +154,15 @@
 
   private openConnection (): UpstreamConnection | undefined {
     if (this.busy.size >= this.options.getConnectionLimit()) return undefined
-    const { address, decodeResponse, onOpened } = this.options
-    const onClosed = (closed: UpstreamConnection): void => { this.removeConnection(closed) }
-    const connection = new UpstreamConnection(address, decodeResponse, onClosed, onOpened)
+    const { address, decodeResponse, onOpened, connectTimeoutMs, idleTimeoutMs } = this.options
+    const connection = new UpstreamConnection({
+      address,
+      decodeResponse,
+      connectTimeoutMs: connectTimeoutMs ?? upstreamConstants.connectTimeoutMs,
+      idleTimeoutMs: idleTimeoutMs ?? upstreamConstants.idleTimeoutMs,
+      onClosed: closed => { this.removeConnection(closed) },
+      onOpened
+    })
     this.busy.add(connection)
     return connection
   }
--- /dev/null
+++ b/src/node/upstreams/__tests__/upstreamClient.test.ts
@@ -0,0 +1,56 @@
+import t from 'tap'
+import { UpstreamStandIn } from '../../../../playground/platform/upstreamStandIn.js'
+import { waitUntil } from '../../../../playground/fakes/waitUntil.js'
+import { UpstreamClient } from '../upstreamClient.js'
+import type { Test } from 'tap'
+import type { UpstreamError } from '../upstreamError.js'
+
+const call = { method: 'POST', path: '/v1/x', body: '{}' } as const
+
+async function openClient (t: Test, answer: UpstreamStandIn['answer'], maxConnections?: number) {
+  const upstream = await new UpstreamStandIn('i-a', answer).start()
+  const client = new UpstreamClient({ address: upstream.address, maxConnections })
+  t.teardown(() => {
+    client.close()
+    upstream.stop()
+  })
+  const send = async (options = {}, signal?: AbortSignal): Promise<string> => {
+    const sent = client.send({ ...call, ...options }, signal)
+    return await sent.then(({ status }) => String(status), ({ code, ran }: UpstreamError) => `${code} ${ran}`)
+  }
+  return { upstream, client, send }
+}
+
+t.test('guards against calls that fail because the connection of the call before them is closing', async t => {
+  const { send } = await openClient(t, (_, socket) => { socket.end('HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok') })
+  for (let i = 0; i < 20; i++) t.equal(await send(), '200')
+})
+
+t.test('a call that may not be sent any more reaches no upstream', async t => {
+  const { send, upstream } = await openClient(t, () => {})
+  t.equal(await send({ freshConnection: true, isSendable: () => false }), 'upstream_not_sent not_run')
+  t.equal(await send({ isSendable: () => false }), 'upstream_not_sent not_run')
+  t.same(upstream.requests, [])
+})
+
+t.test('guards against cancelled calls that keep a place or a connection', async t => {
+  let openConnections = 0
+  const { send, client } = await openClient(t, (_, socket) => {
+    openConnections++
+    socket.once('close', () => { openConnections-- })
+    socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n')
+  }, 1)
+  const controller = new AbortController()
+  const first = send({}, controller.signal)
+  await waitUntil(() => openConnections === 1)
+  t.equal(await send(), 'upstream_busy not_run')
+  controller.abort()
+  t.equal(await first, 'upstream_cancelled unknown')
+  await waitUntil(() => openConnections === 0)
+  const second = send()
+  await waitUntil(() => openConnections === 1)
+  client.close()
+  t.equal(await second, 'upstream_cancelled unknown')
+  await waitUntil(() => openConnections === 0)
+  t.equal(await send(), 'upstream_refused not_run')
+})
--- a/src/node/upstreams/connectedUpstream.ts
+++ b/src/node/upstreams/connectedUpstream.ts
@@ -12,7 +12,7 @@
   readonly watchdog: StreamWatchdog
   readonly maxConnections?: number
   readonly streamSilenceMs?: number
-  readonly onState: (state: string) => void
+  readonly onLeaving: () => void
 }
 
 /** An upstream with its HTTP client and an adapter for each protocol that it may speak. */
@@ -31,7 +31,7 @@
     this.client = new UpstreamClient({
       address: options.upstream.address,
       maxConnections: options.maxConnections,
-      onState: options.onState
+      onLeaving: options.onLeaving
     })
     this.engine = new HttpModelEngine(this.client, options.watchdog, options.clock, options.streamSilenceMs)
     this.stagePoolMember = new HttpStagePoolMember(this.client)
--- a/src/node/upstreams/constants.ts
+++ b/src/node/upstreams/constants.ts
@@ -6,6 +6,8 @@
    */
   maxConnections: 512,
   connectTimeoutMs: 1000,
+  /** Time for which a connection is kept unused when the upstream states none. */
+  idleTimeoutMs: 4000,
   /**
    * Time without data after which a stream is resumed on a new connection: four missed comment lines, which engines
    * send every 500 ms.
--- a/src/node/upstreams/httpEngineStream.ts
+++ b/src/node/upstreams/httpEngineStream.ts
@@ -79,11 +79,11 @@
     this.abort = client.open(this.isAccepted
       ? { method: 'GET', path: `${this.buildStreamPath()}?offset=${this.nextOffset}`, freshConnection }
       : { method: 'POST', path: '/v1/completions', body: this.encodeCall(call), freshConnection }, {
-      onStart: (code, headers) => {
+      onStart: (code, isLeaving) => {
         if (!isCurrent()) return
         status = code
         if (code === 200) this.isAccepted = true
-        else this.handleStatus(code, headers['x-upstream-state'] === 'leaving')
+        else this.handleStatus(code, isLeaving)
       },
       onData: chunk => {
         if (!isCurrent() || status !== 200) return
--- a/src/node/upstreams/upstreamClient.ts
+++ b/src/node/upstreams/upstreamClient.ts
@@ -1,11 +1,10 @@
-import { Pool } from 'undici'
-import type { Dispatcher } from 'undici'
 import { ByteList } from '../../shared/byteList.js'
-import { describeAnswerError } from '../../shared/describeAnswerError.js'
-import { isAnswerStatus } from '../../shared/isAnswerStatus.js'
-import { openSocket } from '../gateway/upstreams/openSocket.js'
-import { PieceSocket } from '../gateway/upstreams/pieceSocket.js'
+import { UpstreamPool } from '../gateway/upstreams/upstreamPool.js'
+import { decodeCallResponse } from '../platform/decodeCallResponse.js'
 import { upstreamConstants } from './constants.js'
+import type { ExchangeFailure } from '../gateway/upstreams/exchangeFailure.js'
+import type { ExchangeHandler } from '../gateway/upstreams/exchangeHandler.js'
+import type { ExchangeRequest } from '../gateway/upstreams/exchangeRequest.js'
 import type { UpstreamResponse } from './upstreamResponse.js'
 import type { UpstreamCall } from './upstreamCall.js'
 import type { UpstreamCallHandler } from './upstreamCallHandler.js'
@@ -16,82 +15,78 @@
   readonly address: string
   /** @default 512 */
   readonly maxConnections?: number
-  /** Called for each response with an `X-Upstream-State` header. */
-  readonly onState?: (state: string) => void
+  /** Called for each response whose `X-Upstream-State` header says that the upstream is leaving. */
+  readonly onLeaving?: () => void
 }
 
-const connectErrorCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT'])
+const contentTypeHeaders = ['content-type', 'application/json']
+const noTraffic = {
+  onExchangeStarted () {},
+  onExchangeEnded () {},
+  onBytes () {},
+  onConnected () {},
+  onConnectFailed () {}
+}
 
-/** HTTP client of one upstream, with a pool of reused connections and a pool that opens a new connection per call. */
+/** HTTP client of one upstream, with a pool of reused connections; some calls open a connection of their own. */
 export class UpstreamClient {
-  private keepAlivePool: Pool
-  private readonly singleUsePool: Pool
-  private openCallCount = 0
+  private pool: UpstreamPool
+  private readonly openCalls = new Set<() => void>()
+  private isClosed = false
   private readonly maxConnections: number
 
   constructor (private readonly options: UpstreamClientOptions) {
     this.maxConnections = options.maxConnections ?? upstreamConstants.maxConnections
-    this.keepAlivePool = this.createPool()
-    this.singleUsePool = this.createPool()
+    this.pool = this.createPool()
   }
 
   /** Starts a call. The returned function aborts it and makes the handler receive `onError`. */
   open (call: UpstreamCall, handler: UpstreamCallHandler): () => void {
-    if (this.openCallCount >= this.maxConnections) {
-      queueMicrotask(() => handler.onError(new UpstreamError('upstream_busy', `more than ${this.maxConnections} calls to ${this.options.address} are open`, 'not_run', false)))
+    const refusal = this.buildRefusal()
+    if (refusal !== undefined) {
+      queueMicrotask(() => handler.onError(refusal))
       return () => {}
     }
-    this.openCallCount++
     let sent = false
-    let aborted = false
-    let settled = false
-    let controller: Dispatcher.DispatchController | undefined
-    const settleCall = (error?: unknown): void => {
-      if (settled) return
-      settled = true
-      this.openCallCount--
+    let isHeldBack = false
+    let isSettled = false
+    let cancel = (): void => {}
+    const settleCall = (error?: UpstreamError): void => {
+      if (isSettled) return
+      isSettled = true
+      this.openCalls.delete(abort)
       if (error === undefined) handler.onEnd()
-      else handler.onError(this.buildError(error, sent))
+      else handler.onError(error)
+    }
+    const abort = (): void => {
+      settleCall(new UpstreamError('upstream_cancelled', 'the call was cancelled', sent ? 'unknown' : 'not_run', sent))
+      cancel()
     }
-    const pool = call.freshConnection ? this.singleUsePool : this.keepAlivePool
-    const dispatchOptions: Dispatcher.DispatchOptions = {
+    this.openCalls.add(abort)
+    const request: ExchangeRequest = {
       method: call.method,
       path: call.path,
-      body: call.body ?? null,
-      headers: call.body === undefined ? {} : { 'content-type': 'application/json' },
-      reset: call.freshConnection === true
+      body: call.body,
+      headers: call.body === undefined ? [] : contentTypeHeaders,
+      isSendable: () => {
+        // The HTTP client may start a call again on another connection, which would send it twice.
+        isHeldBack = sent || call.isSendable?.() === false
+        if (!isHeldBack) sent = true
+        return !isHeldBack
+      }
     }
-    pool.dispatch(dispatchOptions, {
-      onRequestStart: started => {
-        controller = started
-        if (aborted) started.abort(new UpstreamError('upstream_cancelled', 'cancelled before it was sent', 'not_run', false))
-        else if (sent || call.isSendable?.() === false) {
-          // undici may start a call again on another connection, which would send it twice.
-          started.abort(new UpstreamError('upstream_not_sent', 'the call may not be sent any more', sent ? 'unknown' : 'not_run', sent))
-        } else sent = true
+    cancel = this.sendRequest(request, call.freshConnection === true, {
+      onHead: head => {
+        if (isSettled) return
+        if (head.isLeaving) this.options.onLeaving?.()
+        handler.onStart?.(head.status, head.isLeaving)
       },
-      onResponseStart: (responding, status, headers) => {
-        if (!isAnswerStatus(status)) {
-          const detail = `answer with status ${status}, outside 100 to 599`
-          settleCall(new UpstreamError('upstream_failed', `call to ${this.options.address} failed: ${detail}`, 'unknown', true))
-          responding.abort(new UpstreamError('upstream_failed', detail, 'unknown', true))
-          return
-        }
-        const state = headers['x-upstream-state']
-        if (typeof state === 'string') this.options.onState?.(state)
-        handler.onStart?.(status, headers)
-      },
-      onResponseData: (_, chunk) => { if (!settled) handler.onData(chunk) },
-      onResponseEnd: () => settleCall(),
-      onResponseError: (_, error) => settleCall(error)
+      onData: chunk => { if (!isSettled) handler.onData(chunk) },
+      onEnd: () => { settleCall() },
+      onFailure: failure => { settleCall(this.buildError(failure, sent, isHeldBack)) }
     })
-    return () => {
-      if (settled) return
-      aborted = true
-      const error = new UpstreamError('upstream_cancelled', 'the call was cancelled', sent ? 'unknown' : 'not_run', sent)
-      controller?.abort(error)
-      settleCall(error)
-    }
+    if (isSettled) cancel()
+    return abort
   }
 
   /** Sends a call and collects the response. Rejects with `UpstreamError`. */
@@ -101,9 +96,9 @@
       let status = 0
       let leaving = false
       const abort = this.open(call, {
-        onStart: (code, headers) => {
+        onStart: (code, isLeaving) => {
           status = code
-          leaving = headers['x-upstream-state'] === 'leaving'
+          leaving = isLeaving
         },
         onData: chunk => {
           if (body.byteLength + chunk.length > upstreamConstants.maxResponseBytes) abort()
@@ -128,41 +123,61 @@
    * Open calls on the old pool end normally.
    */
   closePooledConnections (): void {
-    const old = this.keepAlivePool
-    this.keepAlivePool = this.createPool()
-    old.close().catch(() => {})
+    const old = this.pool
+    this.pool = this.createPool()
+    old.close()
   }
 
-  async close (): Promise<void> {
-    await Promise.all([this.keepAlivePool.destroy(), this.singleUsePool.destroy()])
+  /** Ends the open calls as well. */
+  close (): void {
+    this.isClosed = true
+    this.pool.close()
+    for (const abort of [...this.openCalls]) abort()
   }
 
-  private createPool (): Pool {
-    return new Pool(`http://${this.options.address}`, {
-      connections: this.maxConnections,
-      pipelining: 1,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      connect: (_, callback) => {
-        openSocket({
-          socket: new PieceSocket(),
-          address: this.options.address,
-          timeoutMs: upstreamConstants.connectTimeoutMs,
-          createError: (message, cause) => {
-            return new UpstreamError('upstream_refused', `no connection to ${message}`, 'not_run', false, { cause })
-          }
-        }, callback)
+  /** A connection that the upstream has closed unnoticed takes no call; another one may. */
+  private sendRequest (request: ExchangeRequest, isFresh: boolean, handler: ExchangeHandler): () => void {
+    if (isFresh) return this.pool.sendDirectly(request, handler, true)
+    let cancel = (): void => {}
+    cancel = this.pool.sendDirectly(request, {
+      ...handler,
+      onFailure: failure => {
+        if (failure.wasOpen === true && !this.isClosed) cancel = this.pool.sendDirectly(request, handler, true)
+        else handler.onFailure(failure)
       }
     })
+    return () => { cancel() }
   }
 
-  private buildError (error: unknown, sent: boolean): UpstreamError {
-    if (error instanceof UpstreamError) return error
-    const code = (error as { code?: string }).code ?? ''
-    const message = error instanceof Error ? describeAnswerError(error) : String(error)
-    if (!sent || connectErrorCodes.has(code)) {
-      return new UpstreamError('upstream_refused', `no connection to ${this.options.address}: ${message}`, 'not_run', false, { cause: error })
-    }
-    return new UpstreamError('upstream_failed', `call to ${this.options.address} failed: ${message}`, 'unknown', true, { cause: error })
+  private createPool (): UpstreamPool {
+    return new UpstreamPool({
+      address: this.options.address,
+      connectTimeoutMs: upstreamConstants.connectTimeoutMs,
+      idleTimeoutMs: upstreamConstants.idleTimeoutMs,
+      decodeResponse: decodeCallResponse,
+      getConnectionLimit: () => this.maxConnections,
+      onOpened: () => {},
+      onHead: () => {},
+      traffic: noTraffic,
+      upstreamId: this.options.address,
+      findRelay: () => undefined
+    })
+  }
+
+  private buildRefusal (): UpstreamError | undefined {
+    const { address } = this.options
+    if (this.isClosed) return new UpstreamError('upstream_refused', `calls to ${address} have ended`, 'not_run', false)
+    if (this.openCalls.size < this.maxConnections) return undefined
+    const message = `more than ${this.maxConnections} calls to ${address} are open`
+    return new UpstreamError('upstream_busy', message, 'not_run', false)
+  }
+
+  private buildError ({ kind, detail }: ExchangeFailure, sent: boolean, isHeldBack: boolean): UpstreamError {
+    const { address } = this.options
+    const ran = sent ? 'unknown' : 'not_run'
+    if (isHeldBack) return new UpstreamError('upstream_not_sent', 'the call may not be sent any more', ran, sent)
+    if (sent) return new UpstreamError('upstream_failed', `call to ${address} failed: ${detail}`, ran, true)
+    const code = kind === 'no-connection' ? 'upstream_busy' : 'upstream_refused'
+    return new UpstreamError(code, `no connection to ${address}: ${detail}`, ran, false)
   }
 }
--- a/src/node/upstreams/upstreamSet.ts
+++ b/src/node/upstreams/upstreamSet.ts
@@ -90,7 +90,7 @@
   async stop (): Promise<void> {
     this.isStarted = false
     this.timers.forEach(clearTimeout)
-    await Promise.all([...this.members.values()].map(async member => await member.client.close()))
+    for (const member of this.members.values()) member.client.close()
     this.members.clear()
   }
 
@@ -154,7 +154,7 @@
       watchdog: this.watchdog,
       maxConnections: this.options.maxConnections,
       streamSilenceMs: this.options.streamSilenceMs,
-      onState: state => { if (state === 'leaving') this.reportLeaving(upstream.id) }
+      onLeaving: () => { this.reportLeaving(upstream.id) }
     })
   }
 
