fix(gateway): end answers of the store whose framing has no end

What callers saw: while the store answers without end, a host serves a fraction of its requests.

Cause: connections to the store limited header lines and bodies only. Each call read interim responses, a status line, a chunk size or a chunk extension until its timeout (1.5 s; a watch for longer), which took the time of the event loop.

Fix: the store's calls use `ServiceClient` like those of `serve`: 20 KB and 256 lines without a body, 8 interim responses. All responses that are being received may hold 12 MB together, one of them 4 MB as before.

--- a/src/node/connections/answerCollector.ts
+++ b/src/node/connections/answerCollector.ts
@@ -1,5 +1,7 @@
 import { ByteList } from '../../shared/byteList.js'
+import { isAnswerStatus } from '../../shared/isAnswerStatus.js'
 import { OversizedAnswerError } from '../gateway/upstreams/oversizedAnswerError.js'
+import { UpstreamResponseMismatchError } from '../gateway/upstreams/upstreamResponseMismatchError.js'
 import type { Dispatcher } from 'undici'
 import type { ServiceAnswer } from './serviceAnswer.js'
 import type { ServiceCall } from './serviceCall.js'
@@ -31,10 +33,14 @@
   }
 
   onResponseStart (
-    _: Dispatcher.DispatchController,
+    controller: Dispatcher.DispatchController,
     status: number,
     headers: Record<string, string | string[] | undefined>
   ): void {
+    if (!isAnswerStatus(status)) {
+      controller.abort(new UpstreamResponseMismatchError(`answer with status ${status}, outside 100 to 599`))
+      return
+    }
     this.status = status
     this.headers = headers
   }
--- a/src/node/platform/constants.ts
+++ b/src/node/platform/constants.ts
@@ -30,5 +30,7 @@
   /** Longest wait that the store accepts for a watch. */
   maxWatchMs: 30_000,
   /** Responses of the store hold at most about 1 MB of values, which are a third larger in base64. */
-  maxStoreResponseBytes: 4_194_304
+  maxStoreResponseBytes: 4_194_304,
+  /** Bytes of all responses of the store that are being received. */
+  maxHeldStoreBytes: 12_582_912
 } as const
--- a/src/node/platform/storeHttpClient.ts
+++ b/src/node/platform/storeHttpClient.ts
@@ -1,11 +1,12 @@
+import { AnswerAllowance } from '../connections/answerAllowance.js'
 import { Pool } from 'undici'
 import { StoreUnavailableError } from '../../shared/storeUnavailableError.js'
 import { StoreUncertainError } from '../../shared/storeUncertainError.js'
 import { describeAnswerError } from '../../shared/describeAnswerError.js'
 import { headerNames } from './headerNames.js'
-import { isAnswerStatus } from '../../shared/isAnswerStatus.js'
-import { openStoreSocket } from './openStoreSocket.js'
 import { platformConstants } from './constants.js'
+import { sendServiceCall } from '../connections/sendServiceCall.js'
+import { ServiceClient } from '../connections/serviceClient.js'
 import type { Metrics } from '../../types/metrics.js'
 import type { StoreEra } from '../gateway/store/storeEra.js'
 import type { StoreResponse } from './storeResponse.js'
@@ -24,6 +25,7 @@
  */
 export class StoreHttpClient {
   private readonly calls: Pool
+  private readonly allowance = new AnswerAllowance(platformConstants.maxHeldStoreBytes)
   private readonly watches = new Map<string, Pool>()
 
   constructor (
@@ -63,11 +65,10 @@
   private createPool (connections: number): Pool {
     return new Pool(`http://${this.address}`, {
       connections,
-      pipelining: 1,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      maxResponseSize: platformConstants.maxStoreResponseBytes,
-      connect: (_, callback) => { openStoreSocket(this.address, callback) }
+      factory: () => new ServiceClient(`http://${this.address}`, {
+        connectTimeoutMs: platformConstants.connectTimeoutMs,
+        createError: (message, cause) => new StoreUnavailableError(message, { cause })
+      })
     })
   }
 
@@ -88,24 +89,21 @@
     const startMs = performance.now()
     // The last segment of the path, without the lease id that may follow it.
     const operation = call.path.split('?')[0]!.replace(/\/\d+$/, '').split('/').at(-1)!
-    const response = await pool.request({
+    const { status, headers, text } = await sendServiceCall(pool, {
       method: call.method,
       path: call.path,
       headers: call.body === undefined ? {} : { 'content-type': 'application/json' },
       body: call.body === undefined ? undefined : JSON.stringify(call.body),
+      maxAnswerBytes: platformConstants.maxStoreResponseBytes,
+      allowance: this.allowance,
       signal
     })
-    if (!isAnswerStatus(response.statusCode)) {
-      response.body.on('error', () => {}).destroy()
-      throw new StoreUnavailableError(`answer with status ${response.statusCode}, outside 100 to 599`)
-    }
-    const text = await response.body.text()
     this.metrics.recordDuration('store_call', { operation }, performance.now() - startMs)
-    this.metrics.addCount('store_calls', { operation, status: String(response.statusCode) })
+    this.metrics.addCount('store_calls', { operation, status: String(status) })
     const body = parseJson(text)
-    const era = this.parseEra(response.headers[headerNames.storeEra])
+    const era = this.parseEra(headers[headerNames.storeEra])
     this.storeEra.observeAnswer(era, findRevision(body))
-    return { status: response.statusCode, body, era }
+    return { status, body, era }
   }
 
   private parseEra (value: string | string[] | undefined): number {
