fix(serve): one bound for the memory of all answers that are being collected

Sixty-four calls to an upstream whose bodies have no end took 383 MB, on a machine that has 210 MB for the process.

Cause: each call may hold 4 MB of its answer, an upstream has 64 calls by default, and nothing bounded the sum. Lines of engine streams that are not complete (64 KB each) and tokens that wait for missing ones were in no bound at all.

Change: AnswerMemory of the gateway holds 16 MB for all of them (answerMemoryBytes); the largest answer of the upstream that holds most gives way, logged as `answer evicted` and counted in lycheetrack_answers_evicted_total. An answer over 4 MB fails as upstream_failed with its size, not as upstream_cancelled. TokenLineParser collects an unfinished line in blocks: it copied the whole line with each piece.

--- a/playground/benchCapacity/runProbes.ts
+++ b/playground/benchCapacity/runProbes.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
+import { createAnswerMemory } from '../fakes/createAnswerMemory.js'
 import { createEnginePoolLookup } from '../../src/node/app/createEnginePoolLookup.js'
 import { ContractStore } from '../../src/node/contracts/contractStore.js'
 import { createStageRouter } from '../../src/node/routing/createStageRouter.js'
@@ -48,7 +49,7 @@
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
   const random = createSeededRandom(capacityConstants.seed)
-  const set = new UpstreamSet({ router: createStageRouter({ random }), clock: systemClock, random, logger: createSilentLogger(), isEnginePool: () => true })
+  const set = new UpstreamSet({ answerMemory: createAnswerMemory(), router: createStageRouter({ random }), clock: systemClock, random, logger: createSilentLogger(), isEnginePool: () => true })
   set.applyUpstreams(Array.from({ length: count }, (_, i) => ({ id: `runner-${i}`, address, pool: 'runners', failureDomain: 'a', state: 'live' })))
   set.start()
   await new Promise(resolve => { setTimeout(resolve, settleMs) })
--- a/playground/fakes/requestTestHost.ts
+++ b/playground/fakes/requestTestHost.ts
@@ -1,5 +1,6 @@
 import { request as openRequest } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import { createAnswerMemory } from './createAnswerMemory.js'
 import { createSeededRandom } from '../../src/shared/createSeededRandom.js'
 import { systemClock } from '../../src/shared/systemClock.js'
 import type { HostRecord } from '../../src/types/hostRecord.js'
@@ -71,7 +72,7 @@
     this.membership = new FixedMembership(id, hostsById)
     const { router, metrics, admission, membership } = this
     const common = { clock: systemClock, logger: silentLogger, metrics, router }
-    this.upstreams = new UpstreamSet({ ...common, random: createSeededRandom(1), isEnginePool: pool => pool === 'runners', streamSilenceMs: options.streamSilenceMs, probeIntervalMs: 50 })
+    this.upstreams = new UpstreamSet({ ...common, answerMemory: createAnswerMemory(), random: createSeededRandom(1), isEnginePool: pool => pool === 'runners', streamSilenceMs: options.streamSilenceMs, probeIntervalMs: 50 })
     this.upstreams.applyUpstreams(options.upstreams)
     this.requests = new RequestService({ ...common, admission, membership, transport: peers.createTransport(id), claims: claims.createService(id), upstreams: this.upstreams, abandonGraceMs: options.abandonGraceMs })
     const contracts = new FixedContracts([{ account: 'pier', kinds }, { account: 'quay', kinds }])
--- a/playground/relayBench/runHost.ts
+++ b/playground/relayBench/runHost.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events'
 import type { AddressInfo } from 'node:net'
 import { monitorEventLoopDelay } from 'node:perf_hooks'
+import { createAnswerMemory } from '../fakes/createAnswerMemory.js'
 import { systemClock } from '../../src/shared/systemClock.js'
 import { RequestService } from '../../src/node/requests/requestService.js'
 import { serverConstants } from '../../src/node/server/constants.js'
@@ -33,7 +34,7 @@
   const router = new RotatingStageRouter()
   const metrics = new CountingMetrics()
   const common = { clock: systemClock, logger: silentLogger, metrics, router }
-  const upstreams = new UpstreamSet({ ...common, random: () => 0, isEnginePool: () => false })
+  const upstreams = new UpstreamSet({ ...common, answerMemory: createAnswerMemory(), random: () => 0, isEnginePool: () => false })
   upstreams.applyUpstreams(addresses.map((address, index) => ({ id: `runner-${index}`, address, pool: 'runners', failureDomain: 'a', state: 'live' })))
   const self = { id: 'host-1', failureDomain: 'a', address: 'host-1', peerAddress: 'host-1', incarnation: 1, state: 'live' as const }
   const membership = new FixedMembership('host-1', new Map([['host-1', self]]))
--- a/src/node/app/__tests__/invalidAnswers.test.ts
+++ b/src/node/app/__tests__/invalidAnswers.test.ts
@@ -1,5 +1,6 @@
 import t from 'tap'
 import { buildStandInAnswer } from '../../../../playground/platform/buildStandInAnswer.js'
+import { createAnswerMemory } from '../../../../playground/fakes/createAnswerMemory.js'
 import { createMemoryMetrics } from '../../../../playground/fakes/createMemoryMetrics.js'
 import { decodeUpstreamResponse } from '../../platform/decodeUpstreamResponse.js'
 import { GatewayTestHarness } from '../../../../playground/platform/gatewayTestHarness.js'
@@ -77,7 +78,7 @@
 }
 
 const sendInServe: Send = async (address, body) => {
-  const client = new UpstreamClient({ address })
+  const client = new UpstreamClient({ upstreamId: 'i-a', address, answerMemory: createAnswerMemory() })
   const signal = AbortSignal.timeout(3000)
   const sent = client.send({ method: 'POST', path: '/v1/x', body }, signal)
   const outcome = await sent.then(() => 'complete', (error: Error) => error.message)
--- a/src/node/app/createEntryHost.ts
+++ b/src/node/app/createEntryHost.ts
@@ -1,5 +1,6 @@
 import { createSeededRandom } from '../../shared/createSeededRandom.js'
 import { systemClock } from '../../shared/systemClock.js'
+import { AnswerMemory } from '../gateway/answers/answerMemory.js'
 import { createAdmissionController } from '../admission/createAdmissionController.js'
 import { createBurnReporter } from '../burn/createBurnReporter.js'
 import { createClaimService } from '../claims/createClaimService.js'
@@ -25,6 +26,7 @@
 import { closeCallerServer } from '../server/closeCallerServer.js'
 import { createCallerServer } from '../server/createCallerServer.js'
 import type { ResolvedSettings } from '../settings/resolvedSettings.js'
+import { upstreamConstants } from '../upstreams/constants.js'
 import { HostListPoller } from '../upstreams/hostListPoller.js'
 import { UpstreamSubset } from '../upstreams/upstreamSubset.js'
 import { UpstreamSet } from '../upstreams/upstreamSet.js'
@@ -70,7 +72,9 @@
     countHosts: () => membership.listHosts().length
   })
   const admission = createAdmissionController({ limiter, estimator: router, contracts: contracts.store })
+  const answerMemory = new AnswerMemory({ limitBytes: upstreamConstants.answerMemoryBytes, logger, metrics })
   const upstreams = new UpstreamSet({
+    answerMemory,
     router,
     clock,
     random,
--- a/src/node/upstreams/__tests__/upstreamClient.test.ts
+++ b/src/node/upstreams/__tests__/upstreamClient.test.ts
@@ -1,4 +1,5 @@
 import t from 'tap'
+import { createAnswerMemory } from '../../../../playground/fakes/createAnswerMemory.js'
 import { UpstreamStandIn } from '../../../../playground/platform/upstreamStandIn.js'
 import { waitUntil } from '../../../../playground/fakes/waitUntil.js'
 import { UpstreamClient } from '../upstreamClient.js'
@@ -7,9 +8,14 @@
 
 const call = { method: 'POST', path: '/v1/x', body: '{}' } as const
 
-async function openClient (t: Test, answer: UpstreamStandIn['answer'], maxConnections?: number) {
+async function openClient (t: Test, answer: UpstreamStandIn['answer'], maxConnections?: number, memoryBytes?: number) {
   const upstream = await new UpstreamStandIn('i-a', answer).start()
-  const client = new UpstreamClient({ address: upstream.address, maxConnections })
+  const client = new UpstreamClient({
+    upstreamId: 'i-a',
+    address: upstream.address,
+    maxConnections,
+    answerMemory: createAnswerMemory(memoryBytes)
+  })
   t.teardown(() => {
     client.close()
     upstream.stop()
@@ -54,3 +60,26 @@
   await waitUntil(() => openConnections === 0)
   t.equal(await send(), 'upstream_refused not_run')
 })
+
+t.test('guards against answers that together hold more than the memory for answers', async t => {
+  const part = 'x'.repeat(60_000)
+  const head = `HTTP/1.1 200 OK\r\nContent-Length: 80000\r\n\r\n${part}`
+  let finish = (): void => {}
+  const { client, upstream } = await openClient(t, (_, socket) => {
+    socket.write(head)
+    finish = () => { socket.write('x'.repeat(20_000)) }
+  }, 4, 100_000)
+  const outcomes: string[] = []
+  const send = async (): Promise<void> => {
+    outcomes.push(await client.send(call).then(({ body }) => String(body.length), (error: Error) => error.message))
+  }
+  const sent = [send(), send()]
+  await waitUntil(() => outcomes.length === 1)
+  t.same(outcomes, ['the memory for answers is used up'])
+  t.equal(upstream.requests.length, 2)
+  sent.push(send())
+  await waitUntil(() => outcomes.length === 2)
+  finish()
+  await Promise.all(sent)
+  t.same(outcomes, ['the memory for answers is used up', 'the memory for answers is used up', '80000'])
+})
--- a/src/node/upstreams/__tests__/upstreamSet.test.ts
+++ b/src/node/upstreams/__tests__/upstreamSet.test.ts
@@ -1,5 +1,6 @@
 import t from 'tap'
 import type { Test } from 'tap'
+import { createAnswerMemory } from '../../../../playground/fakes/createAnswerMemory.js'
 import { FixedStageRouter } from '../../../../playground/fakes/fixedStageRouter.js'
 import { silentLogger } from '../../../../playground/fakes/silentLogger.js'
 import { ScriptedUpstream } from '../../../../playground/fakes/scriptedUpstream.js'
@@ -11,7 +12,7 @@
   const engine = await new ScriptedUpstream().start()
   const router = new FixedStageRouter()
   const leavingIds: string[] = []
-  const set = new UpstreamSet({ router, clock: systemClock, random: () => 0, logger: silentLogger, isEnginePool: () => true, onLeaving: id => leavingIds.push(id), probeIntervalMs: 20, ...options })
+  const set = new UpstreamSet({ answerMemory: createAnswerMemory(), router, clock: systemClock, random: () => 0, logger: silentLogger, isEnginePool: () => true, onLeaving: id => leavingIds.push(id), probeIntervalMs: 20, ...options })
   set.applyUpstreams([{ id: 'e', address: engine.address, pool: 'runners', failureDomain: 'a', state: 'live' }])
   t.teardown(async () => {
     await set.stop()
--- a/src/node/upstreams/connectedUpstream.ts
+++ b/src/node/upstreams/connectedUpstream.ts
@@ -1,3 +1,4 @@
+import type { AnswerMemory } from '../gateway/answers/answerMemory.js'
 import type { Clock } from '../../types/clock.js'
 import type { Upstream } from '../../types/upstream.js'
 import { HttpModelEngine } from './httpModelEngine.js'
@@ -7,6 +8,7 @@
 import { UpstreamClient } from './upstreamClient.js'
 
 interface ConnectedUpstreamOptions {
+  readonly answerMemory: AnswerMemory
   readonly upstream: Upstream
   readonly clock: Clock
   readonly watchdog: StreamWatchdog
@@ -29,7 +31,9 @@
 
   constructor (private readonly options: ConnectedUpstreamOptions) {
     this.client = new UpstreamClient({
+      upstreamId: options.upstream.id,
       address: options.upstream.address,
+      answerMemory: options.answerMemory,
       maxConnections: options.maxConnections,
       onLeaving: options.onLeaving
     })
--- a/src/node/upstreams/constants.ts
+++ b/src/node/upstreams/constants.ts
@@ -24,6 +24,8 @@
   /** Maximum size of an unterminated SSE line; a longer one is a protocol error. */
   maxLineBytes: 65536,
   maxResponseBytes: 4 * 1024 * 1024,
+  /** Memory for all answers that are being collected, with the lines of streams that are not complete. */
+  answerMemoryBytes: 16 * 1024 * 1024,
   probeIntervalMs: 1000,
   probeTimeoutMs: 900
 } as const
--- a/src/node/upstreams/httpEngineStream.ts
+++ b/src/node/upstreams/httpEngineStream.ts
@@ -3,6 +3,7 @@
 import type { EngineCall } from './engineCall.js'
 import type { EngineStream } from './engineStream.js'
 import type { EngineStreamHandler } from './engineStreamHandler.js'
+import type { HeldBytes } from './heldBytes.js'
 import type { StreamWatchdog } from './streamWatchdog.js'
 import { TokenLineParser } from './tokenLineParser.js'
 import type { UpstreamClient } from './upstreamClient.js'
@@ -37,10 +38,14 @@
   private mayHaveRun = false
   private isClosed = false
   private abort: () => void = () => {}
+  /** The line that is not complete, and the tokens that wait for missing ones. */
+  private readonly held: HeldBytes
+  private outOfOrderBytes = 0
 
   constructor (private readonly options: HttpEngineStreamOptions) {
     this.isAccepted = options.call.resumeOffset !== undefined
     this.nextOffset = options.call.resumeOffset ?? 0
+    this.held = options.client.createHeldBytes(reason => { this.closeWithError(reason) })
     options.watchdog.add(this)
     this.openConnection(false)
   }
@@ -55,6 +60,7 @@
   close (): void {
     if (this.isClosed) return
     this.isClosed = true
+    this.held.release()
     this.options.watchdog.remove(this)
     this.abort()
   }
@@ -90,6 +96,7 @@
         this.lastDataMs = clock.readMonotonicMs()
         const isWithinLimit = parser.receive(chunk)
         this.reportTokens()
+        if (isCurrent()) this.held.update(parser.countPartialBytes() + this.outOfOrderBytes)
         if (!isCurrent()) return
         if (!isWithinLimit) this.closeWithError(new UpstreamError('upstream_failed', 'a line of the stream is too long', 'unknown', true))
         else this.checkCompletion()
@@ -113,7 +120,9 @@
 
   private receiveToken (offset: number, literal: string): void {
     if (offset > this.nextOffset) {
-      if (this.outOfOrderTokens.size < upstreamConstants.maxOutOfOrderTokens) this.outOfOrderTokens.set(offset, literal)
+      if (this.outOfOrderTokens.size >= upstreamConstants.maxOutOfOrderTokens) return
+      this.outOfOrderBytes += literal.length - (this.outOfOrderTokens.get(offset)?.length ?? 0)
+      this.outOfOrderTokens.set(offset, literal)
       return
     }
     if (offset < this.nextOffset) return
@@ -125,6 +134,7 @@
   private takeConsecutiveTokens (): void {
     for (let literal = this.outOfOrderTokens.get(this.nextOffset); literal !== undefined; literal = this.outOfOrderTokens.get(this.nextOffset)) {
       this.outOfOrderTokens.delete(this.nextOffset)
+      this.outOfOrderBytes -= literal.length
       this.receivedTokens.push(literal)
       this.nextOffset++
     }
@@ -152,6 +162,7 @@
       return
     }
     this.isClosed = true
+    this.held.release()
     this.options.watchdog.remove(this)
     // A response that ends by itself keeps its connection reusable; the abort only closes one that the engine leaves
     // open.
@@ -164,6 +175,8 @@
     this.mayHaveRun = true
     this.abort()
     this.outOfOrderTokens.clear()
+    this.outOfOrderBytes = 0
+    this.held.update(0)
     this.announcedTokenCount = undefined
     if (++this.resumesWithoutProgress > upstreamConstants.maxResumesWithoutProgress) this.closeWithError(cause)
     else this.openConnection(true)
--- a/src/node/upstreams/tokenLineParser.ts
+++ b/src/node/upstreams/tokenLineParser.ts
@@ -1,3 +1,4 @@
+import { ByteList } from '../../shared/byteList.js'
 import { upstreamConstants } from './constants.js'
 import type { TokenLineSink } from './tokenLineSink.js'
 
@@ -8,19 +9,31 @@
  * expression. Tokens remain JSON string literals, so that relaying them needs no decoding or encoding.
  */
 export class TokenLineParser {
-  private partialLine: Buffer | undefined
+  private readonly partialLine = new ByteList()
   private readonly tokenLine = /data: \{"o":(\d+),"t":("[^"\\\u0000-\u001f]*")\}\r?\n(?:\r?\n)?/y // eslint-disable-line no-control-regex
 
   constructor (private readonly sink: TokenLineSink) {}
 
   /** Parses the next bytes of the stream. Returns false when an unterminated line exceeds the size limit. */
   receive (chunk: Buffer): boolean {
-    const bytes = this.partialLine === undefined ? chunk : Buffer.concat([this.partialLine, chunk])
-    const end = bytes.lastIndexOf(newlineByte) + 1
+    const end = chunk.lastIndexOf(newlineByte) + 1
+    if (end > 0) this.parseLines(this.takeLines(chunk.subarray(0, end)))
     // Copied because the socket may reuse the memory of the chunk.
-    this.partialLine = end === bytes.length ? undefined : Buffer.from(bytes.subarray(end))
-    if (end > 0) this.parseLines(bytes.toString('utf8', 0, end))
-    return (this.partialLine?.length ?? 0) <= upstreamConstants.maxLineBytes
+    if (end < chunk.length) this.partialLine.add(Buffer.from(chunk.subarray(end)))
+    return this.partialLine.byteLength <= upstreamConstants.maxLineBytes
+  }
+
+  /** Bytes of the line that is not complete. */
+  countPartialBytes (): number {
+    return this.partialLine.byteLength
+  }
+
+  private takeLines (rest: Buffer): string {
+    if (this.partialLine.byteLength === 0) return rest.toString('utf8')
+    this.partialLine.add(rest)
+    const text = this.partialLine.buildBuffer().toString('utf8')
+    this.partialLine.release()
+    return text
   }
 
   private parseLines (text: string): void {
--- a/src/node/upstreams/upstreamClient.ts
+++ b/src/node/upstreams/upstreamClient.ts
@@ -1,6 +1,8 @@
+import type { AnswerMemory } from '../gateway/answers/answerMemory.js'
 import { ByteList } from '../../shared/byteList.js'
 import { UpstreamPool } from '../gateway/upstreams/upstreamPool.js'
 import { decodeCallResponse } from '../platform/decodeCallResponse.js'
+import { HeldBytes } from './heldBytes.js'
 import { upstreamConstants } from './constants.js'
 import type { ExchangeFailure } from '../gateway/upstreams/exchangeFailure.js'
 import type { ExchangeHandler } from '../gateway/upstreams/exchangeHandler.js'
@@ -11,6 +13,8 @@
 import { UpstreamError } from './upstreamError.js'
 
 interface UpstreamClientOptions {
+  readonly upstreamId: string
+  readonly answerMemory: AnswerMemory
   /** `ip:port` */
   readonly address: string
   /** @default 512 */
@@ -40,8 +44,11 @@
     this.pool = this.createPool()
   }
 
-  /** Starts a call. The returned function aborts it and makes the handler receive `onError`. */
-  open (call: UpstreamCall, handler: UpstreamCallHandler): () => void {
+  /**
+   * Starts a call. The returned function aborts it and makes the handler receive `onError`, by default with
+   * `upstream_cancelled`.
+   */
+  open (call: UpstreamCall, handler: UpstreamCallHandler): (reason?: UpstreamError) => void {
     const refusal = this.buildRefusal()
     if (refusal !== undefined) {
       queueMicrotask(() => handler.onError(refusal))
@@ -58,8 +65,9 @@
       if (error === undefined) handler.onEnd()
       else handler.onError(error)
     }
-    const abort = (): void => {
-      settleCall(new UpstreamError('upstream_cancelled', 'the call was cancelled', sent ? 'unknown' : 'not_run', sent))
+    const abort = (reason?: UpstreamError): void => {
+      const ran = sent ? 'unknown' : 'not_run'
+      settleCall(reason ?? new UpstreamError('upstream_cancelled', 'the call was cancelled', ran, sent))
       cancel()
     }
     this.openCalls.add(abort)
@@ -95,26 +103,43 @@
       const body = new ByteList()
       let status = 0
       let leaving = false
+      const held = this.createHeldBytes(reason => { abort(reason) })
       const abort = this.open(call, {
         onStart: (code, isLeaving) => {
           status = code
           leaving = isLeaving
         },
         onData: chunk => {
-          if (body.byteLength + chunk.length > upstreamConstants.maxResponseBytes) abort()
-          else body.add(chunk)
+          const { maxResponseBytes } = upstreamConstants
+          if (body.byteLength + chunk.length > maxResponseBytes) {
+            return abort(new UpstreamError('upstream_failed', `an answer of more than ${maxResponseBytes} bytes`, 'unknown', true))
+          }
+          body.add(chunk)
+          held.update(body.byteLength)
         },
         onEnd: () => {
-          signal?.removeEventListener('abort', abort)
+          signal?.removeEventListener('abort', onAbort)
+          held.release()
           resolve({ status, body: body.buildBuffer().toString('utf8'), leaving })
         },
         onError: error => {
-          signal?.removeEventListener('abort', abort)
+          signal?.removeEventListener('abort', onAbort)
+          held.release()
+          body.release()
           reject(error)
         }
       })
+      const onAbort = (): void => { abort() }
       if (signal?.aborted) abort()
-      else signal?.addEventListener('abort', abort)
+      else signal?.addEventListener('abort', onAbort)
+    })
+  }
+
+  /** What a call holds of its answer; when it must give way, `abort` is called with the reason. */
+  createHeldBytes (abort: (reason: UpstreamError) => void): HeldBytes {
+    const { answerMemory, upstreamId } = this.options
+    return new HeldBytes(answerMemory, upstreamId, () => {
+      abort(new UpstreamError('upstream_failed', 'the memory for answers is used up', 'unknown', true))
     })
   }
 
@@ -159,7 +184,7 @@
       onOpened: () => {},
       onHead: () => {},
       traffic: noTraffic,
-      upstreamId: this.options.address,
+      upstreamId: this.options.upstreamId,
       findRelay: () => undefined
     })
   }
--- a/src/node/upstreams/upstreamSet.ts
+++ b/src/node/upstreams/upstreamSet.ts
@@ -1,3 +1,4 @@
+import type { AnswerMemory } from '../gateway/answers/answerMemory.js'
 import type { Clock } from '../../types/clock.js'
 import type { Logger } from '../../types/logger.js'
 import type { Random } from '../../types/random.js'
@@ -13,6 +14,8 @@
 import type { UpstreamLookup } from './upstreamLookup.js'
 
 interface UpstreamSetOptions {
+  /** Memory for the answers of all upstreams together. */
+  readonly answerMemory: AnswerMemory
   readonly router: StageRouter
   readonly clock: Clock
   readonly random: Random
@@ -150,6 +153,7 @@
   private createMember (upstream: Upstream): ConnectedUpstream {
     return new ConnectedUpstream({
       upstream,
+      answerMemory: this.options.answerMemory,
       clock: this.options.clock,
       watchdog: this.watchdog,
       maxConnections: this.options.maxConnections,
