--- a/src/node/app/__tests__/endlessStore.test.ts
+++ b/src/node/app/__tests__/endlessStore.test.ts
@@ -11,8 +11,10 @@
 import { UpstreamStandIn } from '../../../../playground/platform/upstreamStandIn.js'
 import { waitUntil } from '../../../../playground/fakes/waitUntil.js'
 
-/** Third byte of the host's loopback addresses. */
-const network = 233
+/** Third byte of the host's loopback addresses; runs of the soak use 0 to 249. */
+const network = 250
+/** Apart from the hosts of other tests in this network. */
+const hostIndex = 100
 const memoryMb = 210
 const clientCount = 8
 const playMs = 2500
@@ -28,7 +30,7 @@
     routes: [{ timeoutMs: 2000, maxAttempts: 2, name: 'sound', pathPrefix: '/sound/', service: 'sound' }]
   })
   fleet.addUpstream(sound, 'sound')
-  const host = await new SoakHost({ index: 0, network, folder: product.folder, program: product.program, storeAddress: link.address, memoryMb }).start()
+  const host = await new SoakHost({ index: hostIndex, network, folder: product.folder, program: product.program, storeAddress: link.address, memoryMb }).start()
   t.teardown(async () => {
     await host.stop()
     link.stop()
