fix(ingress): deadlines count the time for which a request was not read

Until then the request had waited: input is read one turn of the event loop late, and Node.js 20 (libuv 1.46) accepts one connection per turn, so that the last of 48 connections with uploads of 400 KB waits for 48 turns. The log of the host said 1,473 to 1,486 ms where clients had waited for up to 1,693 ms of 1,500.

ArrivalTimes follows the turns in which clients' input is handled. Input arrived after the turn before began; a connection was opened after the last turn that accepted none, at most a second ago. Deadlines count from then.

--- a/src/node/gateway/ingress/__tests__/clientConnection.test.ts
+++ b/src/node/gateway/ingress/__tests__/clientConnection.test.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http'
 import { once } from 'node:events'
 import t from 'tap'
+import { ArrivalTimes } from '../arrivalTimes.js'
 import { ClientConnection } from '../clientConnection.js'
 import { RawClient } from '../../../../../playground/platform/rawClient.js'
 import { systemClock } from '../../../../shared/systemClock.js'
@@ -13,6 +14,7 @@
 t.test('requests that a closed connection leaves unanswered', async t => {
   const cutOff: CutOffRequest[] = []
   let connection: ClientConnection | undefined
+  const arrivals = new ArrivalTimes({ clock: systemClock, runAfterTurn: setImmediate })
   const server = createServer((message, response) => {
     const exchange = connection!.add(message, response)!
     exchange.requestId = message.url
@@ -25,7 +27,7 @@
   })
   server.on('connection', socket => {
     const onCutOff = (request: CutOffRequest): void => { cutOff.push(request) }
-    connection = new ClientConnection({ socket, clock: systemClock, onCutOff, onAnswerCutOff: () => {} })
+    connection = new ClientConnection({ socket, clock: systemClock, arrivals, onCutOff, onAnswerCutOff: () => {} })
   })
   Object.assign(server, { httpAllowHalfOpen: true })
   await once(server.listen(0, '127.0.0.1'), 'listening')
--- a/src/node/gateway/ingress/__tests__/inputGate.test.ts
+++ b/src/node/gateway/ingress/__tests__/inputGate.test.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events'
 import { setTimeout as delay } from 'node:timers/promises'
 import t from 'tap'
+import { ArrivalTimes } from '../arrivalTimes.js'
 import { ClientConnection } from '../clientConnection.js'
 import { RawClient } from '../../../../../playground/platform/rawClient.js'
 import { systemClock } from '../../../../shared/systemClock.js'
@@ -12,6 +13,7 @@
 
 t.test('input of a connection while the heap is full', async t => {
   let connection: ClientConnection | undefined
+  const arrivals = new ArrivalTimes({ clock: systemClock, runAfterTurn: setImmediate })
   const targets: Array<string | undefined> = []
   const server = createServer((message, response) => {
     const exchange = connection!.add(message, response)!
@@ -22,7 +24,7 @@
     }, error => { response.destroy(error) })
   })
   server.on('connection', socket => {
-    connection = new ClientConnection({ socket, clock: systemClock, onCutOff: () => {}, onAnswerCutOff: () => {} })
+    connection = new ClientConnection({ socket, clock: systemClock, arrivals, onCutOff: () => {}, onAnswerCutOff: () => {} })
     connection.setInputGate(() => false)
   })
   Object.assign(server, { httpAllowHalfOpen: true })
--- a/src/node/gateway/ingress/clientConnection.ts
+++ b/src/node/gateway/ingress/clientConnection.ts
@@ -4,6 +4,7 @@
 import { memoryConstants } from '../memory/constants.js'
 import { PieceInput } from '../../listeners/pieceInput.js'
 import { PresenceCheck } from './presenceCheck.js'
+import type { ArrivalTimes } from './arrivalTimes.js'
 import type { Clock } from '../../../types/clock.js'
 import type { CutOffAnswer } from './cutOffAnswer.js'
 import type { CutOffReason } from './cutOffReason.js'
@@ -17,6 +18,7 @@
 interface ClientConnectionOptions {
   readonly socket: Socket
   readonly clock: Clock
+  readonly arrivals: ArrivalTimes
   /** Called for each request that the host leaves without a response. */
   readonly onCutOff: (request: CutOffRequest) => void
   /** Called when the host ends a connection that still has bytes of an answer. */
@@ -53,11 +55,18 @@
   /** Decides while the heap may be nearly full whether the rest of a head is parsed. */
   private admitInput: (() => boolean) | undefined
   private readonly input: PieceInput
+  /** Earliest times at which the connection was opened and the input being parsed arrived. */
+  private readonly openedAtMs: number
+  private inputAtMs: number
+  private readonly acceptTurn: number
   /** Error that is answered after all requests. */
   private pendingError: InputError | undefined
 
   constructor (private readonly options: ClientConnectionOptions) {
-    const { socket } = options
+    const { socket, arrivals } = options
+    this.openedAtMs = arrivals.observeConnection()
+    this.inputAtMs = this.openedAtMs
+    this.acceptTurn = arrivals.currentTurn
     socket.once('end', () => { this.onInputEnd() })
     socket.on('error', () => { this.hasClientLeft = true })
     socket.once('close', () => { this.onClosed() })
@@ -78,7 +87,7 @@
       this.bytesBeforeAnswers = this.options.socket.bytesWritten
       this.hasLongAnswer = false
     }
-    const exchange = new ClientExchange(message, response, this.options.clock.readMonotonicMs())
+    const exchange = new ClientExchange(message, response, this.inputAtMs)
     this.exchanges.push(exchange)
     const updateBytes = (): void => { this.requestBytes = this.options.socket.bytesRead }
     updateBytes()
@@ -199,6 +208,7 @@
   }
 
   private decidePiece (): 'now' | 'never' {
+    this.updateInputTime()
     const last = this.exchanges.at(-1)
     if (this.hasInputError || (!this.acceptsRequests && last?.message.complete !== false)) return 'never'
     if (this.admitInput === undefined || !this.acceptsRequests || !this.hasLongHead() || this.admitInput()) return 'now'
@@ -206,6 +216,13 @@
     return 'never'
   }
 
+  private updateInputTime (): void {
+    const { arrivals } = this.options
+    const inputAtMs = arrivals.observeInput()
+    const hasWaited = arrivals.currentTurn - this.acceptTurn <= 1
+    this.inputAtMs = hasWaited ? this.openedAtMs : inputAtMs
+  }
+
   /** Whether more than a short head has come in since the last request; the trailer of a chunked body counts as one. */
   private hasLongHead (): boolean {
     const last = this.exchanges.at(-1)
--- a/src/node/gateway/ingress/clientConnections.ts
+++ b/src/node/gateway/ingress/clientConnections.ts
@@ -1,4 +1,5 @@
 import { setTimeout as delay } from 'node:timers/promises'
+import { ArrivalTimes } from './arrivalTimes.js'
 import { ClientConnection } from './clientConnection.js'
 import { HeadGate } from './headGate.js'
 import { ingressConstants } from './constants.js'
@@ -19,10 +20,12 @@
   private maxHeadBytes: number = ingressConstants.maxHeaderBytes
   private readonly connections = new Map<Socket, ClientConnection>()
   private readonly headGate: HeadGate
+  private readonly arrivals: ArrivalTimes
 
   constructor (private readonly options: ConnectionsOptions) {
     const { heap, dependencies: { clock, logger, metrics } } = options
     const getMaxHeadBytes = (): number => this.maxHeadBytes
+    this.arrivals = new ArrivalTimes({ clock, runAfterTurn: setImmediate })
     this.headGate = new HeadGate({ connections: this.connections, getMaxHeadBytes, heap, clock, logger, metrics })
   }
 
@@ -84,7 +87,7 @@
       metrics.addCount('answers_cut_off', { reason: answer.reason })
       logger.recordWarning('answer cut off', { ...answer })
     }
-    const connection = new ClientConnection({ socket, clock, onCutOff, onAnswerCutOff })
+    const connection = new ClientConnection({ socket, clock, arrivals: this.arrivals, onCutOff, onAnswerCutOff })
     this.connections.set(socket, connection)
     socket.once('close', () => { this.connections.delete(socket) })
     this.headGate.onConnection(connection)
--- a/src/node/gateway/ingress/constants.ts
+++ b/src/node/gateway/ingress/constants.ts
@@ -5,6 +5,8 @@
    * event loop.
    */
   responseMarginMs: 25,
+  /** Longest time for which a connection counts as queued: clients give up one that takes longer. */
+  maxQueuedMs: 1000,
   /** Backlog of the listening socket: after an outage, a burst of clients connects at once. */
   listenBacklog: 2048,
   /**
