fix(ingress): answers at a deadline before cancelling at upstreams

Requests that arrive together have the same deadline. Each was answered and then cancelled at its upstream, whose connection is closed, before the next one was answered: of 47 requests, the last got its 504 60 ms late (host log 1,535 ms for a deadline at 1,475) and its client had left. Requests are now cancelled at the end of the turn.

What an upstream sends until then is ignored, as a response that has ended takes nothing more.

--- a/src/node/gateway/ingress/clientResponse.ts
+++ b/src/node/gateway/ingress/clientResponse.ts
@@ -75,6 +75,7 @@
    * too.
    */
   startStream ({ status, forwardedHeaders }: UpstreamResponseHead): void {
+    if (this.isEnded) return
     this.hasStarted = true
     this.writeHead(status, [...forwardedHeaders], true)
   }
--- a/src/node/gateway/ingress/requestRun.ts
+++ b/src/node/gateway/ingress/requestRun.ts
@@ -96,7 +96,8 @@
     if (response.hasStarted) response.closeIncomplete(reason)
     else if (this.mayHaveRun) response.writeError(504, 'deadline_exceeded', 'no answer before the deadline')
     else this.refuse('no upstream before the deadline', ingressConstants.busyRetryAfterMs)
-    this.controller.abort()
+    // To cancel takes longer than to answer, and the deadlines of requests that arrive together are the same.
+    setImmediate(() => { this.controller.abort() })
   }
 
   /** Resolves to whether the request may be sent after upstreams have ended under it; refuses it otherwise. */
