fix(stages): admit jobs by what holds upstreams back now, not at the last planning

A job was refused with `stage queues are too long` when all upstreams of a service had been held back at the last planning, also after the conditions had ended. A refusal starts no planning, and without waiting work nothing else does, so each further job was refused until the hold that was read then was over, or for good when its end was not known.

Before a job is admitted, holds that conditions have ended are shortened. They are never extended there, so that no job is refused that was accepted before. `guards against refusing jobs for a condition that ended while no work was waiting` fails without it (no call is sent for the second job).

--- a/src/node/gateway/stages/__tests__/stageDispatcher.test.ts
+++ b/src/node/gateway/stages/__tests__/stageDispatcher.test.ts
@@ -71,6 +71,39 @@
   dispatcher.stop()
 })
 
+t.test('guards against refusing jobs for a condition that ended while no work was waiting', async t => {
+  const { scheduler, buildJob } = createTestScheduler([{ name: 'a', domains: ['x', 'x'] }])
+  const clock = new VirtualClock()
+  const sentTo: string[] = []
+  let waitMs = Infinity
+  const dispatcher = new StageDispatcher({
+    recentAnswers: new RecentAnswers(),
+    scheduler,
+    findPool: upstreamId => ({
+      send: () => {
+        sentTo.push(upstreamId)
+        return () => {}
+      }
+    }),
+    findDemands: () => ({ backoffUntilMs: 0, waitMs }),
+    engines: new EnginePlanner(() => []),
+    codec: memoryCallCodec,
+    clock,
+    timers: clock,
+    logger: createSilentLogger(),
+    metrics: createMemoryMetrics()
+  })
+  dispatcher.onUpstreamsChanged()
+  await clock.runFor(10)
+  const refused = await dispatcher.runJob(buildJob('p', [{}]), new AbortController().signal)
+  t.equal(refused.type, 'refused')
+  waitMs = 0
+  dispatcher.runJob(buildJob('q', [{}]), new AbortController().signal).catch(() => {})
+  await clock.runFor(100)
+  t.same(sentTo, ['a-0'])
+  dispatcher.stop()
+})
+
 t.test('guards against more calls at a stage upstream than a condition allows', async t => {
   const { scheduler, buildJob } = createTestScheduler([{ name: 'a', domains: ['x'] }])
   scheduler.addJob(buildJob('p', [{}]), 0)
--- a/src/node/gateway/stages/stageDispatcher.ts
+++ b/src/node/gateway/stages/stageDispatcher.ts
@@ -44,9 +44,10 @@
 
   /** Runs the stages of a job. The results of a completed job must be released with `releaseJob`. */
   async runJob (job: StageJob, signal: AbortSignal): Promise<StageOutcome> {
-    const { scheduler, engines, clock, logger, metrics } = this.options
+    const { scheduler, findDemands, engines, clock, logger, metrics } = this.options
     const nowMs = clock.readMonotonicMs()
     const { engineService, prompt } = job
+    scheduler.updateHolds(findDemands, nowMs)
     // The queues as they are when the decision is made.
     const queues = scheduler.listLoads(nowMs).map(load => `${load.service}=${load.queuedPieces}+${load.latePieces}/${load.idle}of${load.upstreams}`).join(' ')
     const aimLeftMs = Math.round(job.targetAtMs - nowMs)
--- a/src/node/gateway/stages/stageScheduler.ts
+++ b/src/node/gateway/stages/stageScheduler.ts
@@ -134,6 +134,11 @@
     for (const service of this.services.values()) service.applyHolds(findDemands, nowMs)
   }
 
+  /** Ends holds whose conditions have ended since `applyHolds`: without waiting work, there is no planning to apply them. */
+  updateHolds (findDemands: (upstreamId: string) => UpstreamDemands | undefined, nowMs: number): void {
+    for (const service of this.services.values()) service.updateHolds(findDemands, nowMs)
+  }
+
   /** Handles the answer to a call; `results` are in the order of its pieces. */
   onCallAnswered (call: StageCall, results: readonly StagePieceResult[], nowMs: number): void {
     const service = this.services.get(call.service)!
--- a/src/node/gateway/stages/stageService.ts
+++ b/src/node/gateway/stages/stageService.ts
@@ -116,6 +116,14 @@
     }
   }
 
+  /** Ends holds whose conditions have ended since the last planning. */
+  updateHolds (findDemands: (upstreamId: string) => UpstreamDemands | undefined, nowMs: number): void {
+    for (const upstream of this.upstreams.values()) {
+      if (upstream.heldUntilMs <= nowMs) continue
+      upstream.heldUntilMs = Math.min(upstream.heldUntilMs, nowMs + (findDemands(upstream.id)?.waitMs ?? 0))
+    }
+  }
+
   /** Records the wait of a task until its first call. */
   observeWait (waitMs: number): void {
     this.recentWaitMs += stageConstants.waitWeight * (waitMs - this.recentWaitMs)
