fix(relays): read a relayed answer no faster than it is sent to the other host

What callers saw: while a host is cut off and a faulty upstream answers without end, the host that relays for it grows to several times its memory, and requests of both hosts' other callers end with 503 or 504.

Cause: the relaying host read each answer as fast as the upstream sent it and queued it in the session. `AnswerMemory` evicted the largest answers, but what was queued of them stayed in memory and was no longer counted; the same holds for answers that were complete. Answers of other exchanges waited behind it.

Fix: reading of an answer pauses while more than 32 KB of it wait to be sent (16 MB for the 512 exchanges of a host). Exchanges hand their flow control to the handler for this.

Interim responses and header lines were bounded before.

--- a/src/node/gateway/relays/constants.ts
+++ b/src/node/gateway/relays/constants.ts
@@ -23,5 +23,7 @@
   /** Interval at which requests that wait for a relaying host look for one. */
   hostPollMs: 10,
   /** Requests that a host relays at the same time for all others. */
-  maxRelayed: 512
+  maxRelayed: 512,
+  /** Bytes of a relayed answer that wait to be sent, above which no more of it is read. */
+  maxUnsentBytes: 32_768
 } as const
--- a/src/node/gateway/relays/relayServer.ts
+++ b/src/node/gateway/relays/relayServer.ts
@@ -4,6 +4,7 @@
 import { relayHeadCodec } from './relayHeadCodec.js'
 import type { AnswerMemory } from '../answers/answerMemory.js'
 import type { ExchangeFailure } from '../upstreams/exchangeFailure.js'
+import type { ExchangeFlow } from '../upstreams/exchangeFlow.js'
 import type { lycheetrack as messages } from '../../peers/generated/peer.js'
 import type { Logger } from '../../../types/logger.js'
 import type { Metrics } from '../../../types/metrics.js'
@@ -125,6 +126,15 @@
     }
     let hasHead = false
     let unsentBytes = 0
+    let flow: ExchangeFlow | undefined
+    let isPaused = false
+    const onSent = (bytes: number): void => {
+      unsentBytes -= bytes
+      if (!isPaused || unsentBytes > relayConstants.maxUnsentBytes) return
+      isPaused = false
+      // Messages may be sent while an answer is parsed.
+      setImmediate(() => { if (cancels.has(exchangeId)) flow?.resume() })
+    }
     const held = {
       upstreamId: state.entry.id,
       countBytes: () => unsentBytes,
@@ -144,14 +154,19 @@
       body,
       requestId: exchange.requestId ? exchange.requestId : undefined
     }, {
+      onStarted: started => { flow = started },
       onHead: head => {
         hasHead = true
         session.send({ exchangeId, head: relayHeadCodec.encode(head).toString('utf8') })
       },
       onData: data => {
         unsentBytes += data.length
-        session.send({ exchangeId, data }, () => { unsentBytes -= data.length })
-        if (cancels.has(exchangeId)) answerMemory.update(held, unsentBytes)
+        session.send({ exchangeId, data }, () => { onSent(data.length) })
+        if (!cancels.has(exchangeId)) return
+        answerMemory.update(held, unsentBytes)
+        if (unsentBytes <= relayConstants.maxUnsentBytes) return
+        isPaused = true
+        flow?.pause()
       },
       onEnd: () => { end('complete', { exchangeId, isComplete: true }) },
       onFailure: failure => {
--- a/src/node/gateway/upstreams/upstreamExchange.ts
+++ b/src/node/gateway/upstreams/upstreamExchange.ts
@@ -49,6 +49,7 @@
     }
     this.controller = controller
     if (this.isAborted) controller.abort(new UpstreamConnectError('cancelled by the caller'))
+    else this.options.handler.onStarted?.(controller)
   }
 
   onResponseStart (
--- a/src/node/gateway/upstreams/upstreamPool.ts
+++ b/src/node/gateway/upstreams/upstreamPool.ts
@@ -93,6 +93,7 @@
     let mustClose = false
     traffic.onExchangeStarted()
     return connection.send(request, {
+      onStarted: flow => { handler.onStarted?.(flow) },
       onHead: head => {
         traffic.onBytes()
         mustClose = head.closesConnection || isUnshared
