fix(serve): pause upstreams that break the protocol

Each request of a service whose upstream answers without end went to it, twice, for as long as the fault lasted: 886 to 1,075 calls in 2.5 s of 64 callers, for a 502 each, while a part of the memory was garbage of such answers.

Cause: nothing in the router of `serve` leaves a faulty upstream out. A failed one is slow, which only prefers others; a pool with one upstream has no other.

Change: an attempt whose upstream sent more than an answer may have ends as `invalid`. Three in a row pause the upstream for 1 s (OversizePause of the gateway, with a maximum of its own: callers wait no longer for one that is well again), then it gets one attempt at a time until one is complete. While all upstreams of a pool are paused, requests are refused at once as no_upstream_available with retryAfterMs and Retry-After; generations do not wait for capacity then. Answers that give way in the memory for answers count too, as in the gateway.

Interim responses and bytes that are no answer do not count yet: UpstreamExchange does not report them as such.

--- a/playground/bench/baselineRouter.ts
+++ b/playground/bench/baselineRouter.ts
@@ -24,6 +24,8 @@
     return chosen && { upstreamId: chosen.id, predictedMs: 0 }
   }
 
+  computePauseMs (): undefined {}
+
   onSent (upstreamId: string): void {
     this.outstanding.set(upstreamId, this.getOutstanding(upstreamId) + 1)
   }
--- a/playground/fakes/fixedStageRouter.ts
+++ b/playground/fakes/fixedStageRouter.ts
@@ -16,6 +16,8 @@
   progressCount = 0
   hedgeAfterMs: number | undefined
   isRetryAdmitted = true
+  /** Time for which the upstreams of all pools are paused. */
+  pauseMs: number | undefined
   /** Number of next calls of `route` that return no upstream, as if all were full. */
   routeCallsToRefuse = 0
   /** Number of next calls of `admitHedge` that are refused. */
@@ -34,6 +36,10 @@
     return found === undefined ? undefined : { upstreamId: found.id, predictedMs: 10, hedgeAfterMs: work.idempotent ? this.hedgeAfterMs : undefined }
   }
 
+  computePauseMs (): number | undefined {
+    return this.pauseMs
+  }
+
   onSent (): void {
     this.sentCount++
   }
--- a/src/node/app/createDemandRecordingRouter.ts
+++ b/src/node/app/createDemandRecordingRouter.ts
@@ -7,6 +7,7 @@
   return {
     applyUpstreams: (upstreams, nowMs) => router.applyUpstreams(upstreams, nowMs),
     route: (work, excluded, nowMs) => router.route(work, excluded, nowMs),
+    computePauseMs: (pool, nowMs) => router.computePauseMs(pool, nowMs),
     onSent: (upstreamId: string, work: StageWork, nowMs: number) => {
       if (work.model !== undefined) demand.observe(work.model, work.cost, nowMs)
       router.onSent(upstreamId, work, nowMs)
--- a/src/node/app/createEntryHost.ts
+++ b/src/node/app/createEntryHost.ts
@@ -69,7 +69,11 @@
   const router = createStageRouter({
     random,
     wallOffsetMs: clock.readWallMs() - clock.readMonotonicMs(),
-    countHosts: () => membership.listHosts().length
+    countHosts: () => membership.listHosts().length,
+    onPaused: ({ id, pool }, pauseMs) => {
+      metrics.addCount('upstream_protocol_error_pauses', { service: pool })
+      logger.recordWarning('upstream paused', { upstream: id, service: pool, pauseMs })
+    }
   })
   const admission = createAdmissionController({ limiter, estimator: router, contracts: contracts.store })
   const answerMemory = new AnswerMemory({ limitBytes: upstreamConstants.answerMemoryBytes, logger, metrics })
--- a/src/node/gateway/upstreams/protocolErrorPause.ts
+++ b/src/node/gateway/upstreams/protocolErrorPause.ts
@@ -11,7 +11,11 @@
   private pauses = 0
 
   /** `onChanged` is called when the pause may have begun or ended. */
-  constructor (onChanged: () => void = () => {}) {
+  constructor (
+    onChanged: () => void = () => {},
+    /** Longest pause. */
+    private readonly maxPauseMs: number = upstreamConstants.maxProtocolErrorPauseMs
+  ) {
     this.backoff = new UpstreamBackoff(onChanged)
   }
 
@@ -43,8 +47,7 @@
     this.protocolErrors++
     const isAfterPause = !this.backoff.isOver(1, nowMs)
     if (!isAfterPause && this.protocolErrors < upstreamConstants.protocolErrorsToPause) return undefined
-    const { protocolErrorPauseMs, maxProtocolErrorPauseMs } = upstreamConstants
-    const pauseMs = Math.min(protocolErrorPauseMs * 2 ** this.pauses, maxProtocolErrorPauseMs)
+    const pauseMs = Math.min(upstreamConstants.protocolErrorPauseMs * 2 ** this.pauses, this.maxPauseMs)
     this.pauses++
     this.protocolErrors = 0
     this.backoff.observeAnswer(pauseMs, nowMs)
--- a/src/node/requests/__tests__/stageExecution.test.ts
+++ b/src/node/requests/__tests__/stageExecution.test.ts
@@ -171,6 +171,17 @@
   t.match(answer.value.error, { code: 'no_upstream_available', ran: 'not_run' })
 })
 
+t.test('guards against requests that wait for upstreams that are paused', async t => {
+  const { host, post } = await openFleet(t)
+  host.router.routeCallsToRefuse = 1000
+  host.router.pauseMs = 700
+  for (const kind of ['query', 'tag']) {
+    const answer = await post({ kind, input: { text: 'x' } })
+    t.equal(answer.status, 503, kind)
+    t.match(answer.value.error, { code: 'no_upstream_available', ran: 'not_run', retryAfterMs: 700 })
+  }
+})
+
 t.test('a generation without free capacity waits instead of being refused', async t => {
   const { host, post } = await openFleet(t)
   host.router.routeCallsToRefuse = 4
--- a/src/node/requests/stageRun.ts
+++ b/src/node/requests/stageRun.ts
@@ -88,7 +88,8 @@
    * until the request's deadline. Other work is refused immediately.
    */
   private waitForCapacity (error: UpstreamError | undefined): void {
-    const canWait = this.options.work.operation === 'generate' && this.startedAttemptCount < requestConstants.maxAttemptsPerStage
+    const hasAttempts = this.startedAttemptCount < requestConstants.maxAttemptsPerStage
+    const canWait = this.options.work.operation === 'generate' && hasAttempts && this.computePauseMs() === undefined
     if (!canWait) return this.settleWithError(error)
     this.schedule(requestConstants.capacityPollMs, () => {
       if (!this.startNextAttempt()) this.waitForCapacity(error)
@@ -149,9 +150,10 @@
   private handleFailure (attempt: ActiveAttempt, error: UpstreamError): void {
     if (!this.active.has(attempt)) return
     const hasNotRun = error.ran === 'not_run'
+    const hasFailed = error.isProtocolError ? 'invalid' : 'failed'
     if (hasNotRun) this.refusingUpstreams.add(attempt.upstreamId)
     else this.mayHaveRun = true
-    this.closeAttempt(attempt, hasNotRun ? 'refused' : 'failed')
+    this.closeAttempt(attempt, hasNotRun ? 'refused' : hasFailed)
     if (this.isSettled || this.active.size > 0) return
     this.stopTimers()
     this.chosenAttempt = undefined
@@ -176,11 +178,18 @@
     const ran = this.mayHaveRun ? 'unknown' : 'not_run'
     const pool = this.options.work.pool
     const failure = error === undefined || !this.mayHaveRun
-      ? new RequestError('no_upstream_available', `no upstream of ${pool} takes the work`, 503, ran)
+      ? new RequestError('no_upstream_available', `no upstream of ${pool} takes the work`, 503, ran, {
+        retryAfterMs: this.computePauseMs()
+      })
       : new RequestError('upstream_failed', `${pool}: ${error.message}`, 502, ran)
     this.settle(() => this.reject(failure))
   }
 
+  /** Time until an upstream takes work again while all are paused; undefined while one takes it. */
+  private computePauseMs (): number | undefined {
+    return this.options.router.computePauseMs(this.options.work.pool, this.options.clock.readMonotonicMs())
+  }
+
   /** With `isTakenOver`, the work on the upstream continues, because the request's new owner resumes its stream. */
   private cancelAttempt (attempt: ActiveAttempt, isTakenOver: boolean): void {
     if (isTakenOver) attempt.handle?.close()
--- a/src/node/routing/__tests__/createStageRouter.test.ts
+++ b/src/node/routing/__tests__/createStageRouter.test.ts
@@ -70,3 +70,40 @@
   t.same([...chosen], ['api-2'])
   t.end()
 })
+
+t.test('guards against a pool whose upstreams all break the protocol and get every request', t => {
+  const pauses: Array<readonly [string, number]> = []
+  const router = createStageRouter({
+    random: createSeededRandom(1),
+    onPaused: ({ id }, pauseMs) => { pauses.push([id, pauseMs]) }
+  })
+  router.applyUpstreams(buildUpstreams(2), 0)
+  let id = 0
+  const run = (outcome: 'completed' | 'invalid', nowMs: number): string | undefined => {
+    const work = buildWork(++id, false)
+    const upstreamId = router.route(work, none, nowMs)?.upstreamId
+    if (upstreamId === undefined) return undefined
+    router.onSent(upstreamId, work, nowMs)
+    router.onEnded(upstreamId, work, outcome, 1, nowMs)
+    return upstreamId
+  }
+  for (let i = 0; i < 6; i++) t.ok(run('invalid', 10))
+  t.same(pauses.map(([, pauseMs]) => pauseMs), [1000, 1000])
+  t.equal(new Set(pauses.map(([paused]) => paused)).size, 2)
+  t.equal(run('completed', 500), undefined)
+  t.equal(router.computePauseMs('api', 500), 510)
+  t.equal(router.computePauseMs('other', 500), undefined)
+
+  const first = buildWork(100)
+  const second = buildWork(101)
+  for (const work of [first, second]) router.onSent(router.route(work, none, 1010)!.upstreamId, work, 1010)
+  t.equal(run('completed', 1010), undefined, 'one attempt at a time after the pause')
+  router.onEnded('api-0', first, 'completed', 1, 1020)
+  router.onEnded('api-0', second, 'completed', 1, 1020)
+  router.onEnded('api-1', first, 'invalid', 1, 1020)
+  router.onEnded('api-1', second, 'invalid', 1, 1020)
+  t.equal(run('completed', 1030), 'api-0')
+  t.same(pauses.slice(2), [['api-1', 1000]], 'the pause does not grow')
+  t.equal(router.computePauseMs('api', 1030), undefined)
+  t.end()
+})
--- a/src/node/routing/attemptObserver.ts
+++ b/src/node/routing/attemptObserver.ts
@@ -41,7 +41,7 @@
     if (outcome === 'cancelled') return
     view.consecutiveFailures++
     // A refused attempt shows at once that the upstream is unavailable. A single failure may be caused by the request.
-    if (outcome === 'failed' && view.consecutiveFailures < 2) return
+    if (outcome !== 'refused' && view.consecutiveFailures < 2) return
     view.speed.setSlow(nowMs)
     pool.addSlow(view)
   }
--- a/src/node/routing/constants.ts
+++ b/src/node/routing/constants.ts
@@ -49,5 +49,7 @@
    * before `minStallMs`.
    */
   stallRatio: 3,
-  minStallMs: 60
+  minStallMs: 60,
+  /** Longest pause of an upstream that broke the protocol; callers wait no longer for one that is well again. */
+  maxProtocolPauseMs: 1000
 } as const
--- a/src/node/routing/stageRouterCore.ts
+++ b/src/node/routing/stageRouterCore.ts
@@ -35,11 +35,13 @@
   private readonly wallOffsetMs: number
   private readonly countHosts: () => number
   private readonly random: Random
+  private readonly onPaused: (upstream: Upstream, pauseMs: number) => void
 
   constructor (options: RoutingOptions) {
     this.random = options.random
     this.table = new UpstreamTable(options.random)
     this.countHosts = options.countHosts ?? (() => 1)
+    this.onPaused = options.onPaused ?? (() => {})
     this.wallOffsetMs = options.wallOffsetMs ?? 0
     this.chooser = new UpstreamChooser(options.random, this.countHosts)
   }
@@ -66,6 +68,12 @@
     return chosen && buildChoice(chosen, latency, work, long)
   }
 
+  computePauseMs (poolName: string, nowMs: number): number | undefined {
+    const views = this.table.findPool(poolName)?.selectable ?? []
+    if (views.length === 0 || views.some(view => !view.isPaused(nowMs))) return undefined
+    return Math.max(Math.min(...views.map(view => view.protocolPause.untilMs)) - nowMs, 0)
+  }
+
   onSent (upstreamId: string, work: StageWork, nowMs: number): void {
     const view = this.table.find(upstreamId)
     const pool = this.table.findPool(work.pool)
@@ -100,6 +108,7 @@
     this.workTable.onEnded(work.workId, view, outcome)
     const latency = pool.getOperationLatency(work.operation, work.model)
     if (outcome === 'cancelled') this.budget.addUnused(attempt.budgetTakenMs * computeRemainingShare(attempt, latency, elapsedMs))
+    this.updatePause(view, outcome, nowMs)
     this.observer.observeEnd(pool, view, attempt, latency, outcome, elapsedMs, nowMs)
     pool.getClassLoad(attempt.long).onEnded(attempt.firstTokenMs > 0, nowMs)
     this.table.removeIfGone(view)
@@ -152,6 +161,13 @@
     return { serviceMs, waitMs: pool.longLoad.computeWaitMs(startMs, nowMs) + pool.deferred.computeServiceMs(nowMs) / limit }
   }
 
+  private updatePause (view: UpstreamView, outcome: AttemptOutcome, nowMs: number): void {
+    if (outcome === 'completed') view.protocolPause.onWholeAnswer(nowMs)
+    if (outcome !== 'invalid') return
+    const pauseMs = view.protocolPause.onProtocolError(nowMs)
+    if (pauseMs !== undefined) this.onPaused(view.upstream, pauseMs)
+  }
+
   private computeWorkMs (work: StageWork): number {
     return this.table.findPool(work.pool)?.getOperationLatency(work.operation, work.model).computeServiceMs(work.cost) ?? 0
   }
@@ -162,7 +178,7 @@
     const slowViews = pool.listSlow(nowMs)
     if (slowViews.length === 0) return undefined
     const isHedgeBudgeted = this.budget.hasHeadroom(latency.computeServiceMs(work.cost))
-    const isDue = (slow: UpstreamView) => slow.isSelectable() && slow.attempts.size === 0 && slow.speed.isProbeDue(isHedgeBudgeted, nowMs) && !excluded.has(slow.upstream.id)
+    const isDue = (slow: UpstreamView) => slow.isSelectable() && !slow.isPaused(nowMs) && slow.attempts.size === 0 && slow.speed.isProbeDue(isHedgeBudgeted, nowMs) && !excluded.has(slow.upstream.id)
     const view = this.findSampled(slowViews, isDue)
     if (view === undefined) return undefined
     view.speed.onProbeSent(nowMs)
--- a/src/node/routing/upstreamChooser.ts
+++ b/src/node/routing/upstreamChooser.ts
@@ -72,7 +72,7 @@
     if (long && pool.selectable.some(view => !view.speed.isSlow())) return undefined
     let best: Candidate | undefined
     for (const view of pool.selectable) {
-      if (excluded.has(view.upstream.id) || !view.isServing(work.model)) continue
+      if (excluded.has(view.upstream.id) || !view.isServing(work.model) || view.isPaused(nowMs)) continue
       const candidate = this.computeCandidate(pool, latency, work, view, nowMs)
       if (isBetter(candidate, best)) best = candidate
     }
@@ -80,7 +80,7 @@
   }
 
   private chooseBetter (best: Candidate | undefined, view: UpstreamView | undefined, pool: UpstreamPool, latency: OperationLatency, work: StageWork, long: boolean, excluded: ReadonlySet<string>, nowMs: number): Candidate | undefined {
-    if (view === undefined || !view.isSelectable() || !view.isServing(work.model) || excluded.has(view.upstream.id)) return best
+    if (view === undefined || !view.isSelectable() || view.isPaused(nowMs) || !view.isServing(work.model) || excluded.has(view.upstream.id)) return best
     this.checkStall(view, pool, latency, nowMs)
     if (!view.speed.hasCapacity(view.attempts.size)) return best
     if (long && !this.hasLongCapacity(view, pool, nowMs)) return best
--- a/src/node/routing/upstreamView.ts
+++ b/src/node/routing/upstreamView.ts
@@ -1,3 +1,4 @@
+import { ProtocolErrorPause } from '../gateway/upstreams/protocolErrorPause.js'
 import { SpeedEstimate } from '../health/speedEstimate.js'
 import type { LoadReport } from '../../types/loadReport.js'
 import type { Upstream } from '../../types/upstream.js'
@@ -7,6 +8,7 @@
 /** State of one upstream as this host sees it: the host's own attempts, their latency and the last load report. */
 export class UpstreamView {
   readonly speed = new SpeedEstimate()
+  readonly protocolPause = new ProtocolErrorPause(() => {}, routingConstants.maxProtocolPauseMs)
   readonly attempts = new Map<string, AttemptRecord>()
   longAttempts = 0
   /** Own attempts in flight that have received no token or response. */
@@ -34,6 +36,11 @@
     return !this.leaving && !this.gone
   }
 
+  /** Whether the upstream has broken the protocol and gets nothing now; after the pause, one attempt at a time. */
+  isPaused (nowMs: number): boolean {
+    return !this.protocolPause.isOver(this.attempts.size, nowMs)
+  }
+
   /** Whether the upstream has loaded `model`; true if it does not report its models. */
   isServing (model: string | undefined): boolean {
     return model === undefined || this.models === undefined || this.models.has(model)
--- a/src/node/upstreams/httpEngineStream.ts
+++ b/src/node/upstreams/httpEngineStream.ts
@@ -98,7 +98,7 @@
         this.reportTokens()
         if (isCurrent()) this.held.update(parser.countPartialBytes() + this.outOfOrderBytes)
         if (!isCurrent()) return
-        if (!isWithinLimit) this.closeWithError(new UpstreamError('upstream_failed', 'a line of the stream is too long', 'unknown', true))
+        if (!isWithinLimit) this.closeWithError(new UpstreamError('upstream_failed', 'a line of the stream is too long', 'unknown', true, { isProtocolError: true }))
         else this.checkCompletion()
       },
       onEnd: () => {
@@ -188,7 +188,7 @@
     const isExecutionStateReliable = error.ran !== 'not_run' || !this.mayHaveRun
     // When the engine refuses the connection that should resume the stream, the engine is gone and the stream with it.
     const code = error.code === 'upstream_refused' ? 'upstream_gone' : 'upstream_failed'
-    this.options.handler.onError(isExecutionStateReliable ? error : new UpstreamError(code, error.message, 'unknown', true, { cause: error }))
+    this.options.handler.onError(isExecutionStateReliable ? error : new UpstreamError(code, error.message, 'unknown', true, { cause: error, isProtocolError: error.isProtocolError }))
   }
 
   private buildStreamPath (): string {
--- a/src/node/upstreams/upstreamClient.ts
+++ b/src/node/upstreams/upstreamClient.ts
@@ -112,7 +112,7 @@
         onData: chunk => {
           const { maxResponseBytes } = upstreamConstants
           if (body.byteLength + chunk.length > maxResponseBytes) {
-            return abort(new UpstreamError('upstream_failed', `an answer of more than ${maxResponseBytes} bytes`, 'unknown', true))
+            return abort(buildOversizedError(`an answer of more than ${maxResponseBytes} bytes`))
           }
           body.add(chunk)
           held.update(body.byteLength)
@@ -139,7 +139,7 @@
   createHeldBytes (abort: (reason: UpstreamError) => void): HeldBytes {
     const { answerMemory, upstreamId } = this.options
     return new HeldBytes(answerMemory, upstreamId, () => {
-      abort(new UpstreamError('upstream_failed', 'the memory for answers is used up', 'unknown', true))
+      abort(buildOversizedError('the memory for answers is used up'))
     })
   }
 
@@ -197,12 +197,20 @@
     return new UpstreamError('upstream_busy', message, 'not_run', false)
   }
 
-  private buildError ({ kind, detail }: ExchangeFailure, sent: boolean, isHeldBack: boolean): UpstreamError {
+  private buildError (failure: ExchangeFailure, sent: boolean, isHeldBack: boolean): UpstreamError {
+    const { kind, detail, isProtocolError } = failure
     const { address } = this.options
     const ran = sent ? 'unknown' : 'not_run'
     if (isHeldBack) return new UpstreamError('upstream_not_sent', 'the call may not be sent any more', ran, sent)
-    if (sent) return new UpstreamError('upstream_failed', `call to ${address} failed: ${detail}`, ran, true)
+    if (sent) {
+      const message = `call to ${address} failed: ${detail}`
+      return new UpstreamError('upstream_failed', message, ran, true, { isProtocolError })
+    }
     const code = kind === 'no-connection' ? 'upstream_busy' : 'upstream_refused'
     return new UpstreamError(code, `no connection to ${address}: ${detail}`, ran, false)
   }
 }
+
+function buildOversizedError (message: string): UpstreamError {
+  return new UpstreamError('upstream_failed', message, 'unknown', true, { isProtocolError: true })
+}
--- a/src/types/routingOptions.ts
+++ b/src/types/routingOptions.ts
@@ -1,4 +1,5 @@
 import type { Random } from './random.js'
+import type { Upstream } from './upstream.js'
 
 /** Options of the routing core. */
 export interface RoutingOptions {
@@ -13,4 +14,6 @@
    * @default () => 1
    */
   readonly countHosts?: () => number
+  /** Called when an upstream that broke the protocol several times in a row is paused. */
+  readonly onPaused?: (upstream: Upstream, pauseMs: number) => void
 }
--- a/src/types/stageRouter.ts
+++ b/src/types/stageRouter.ts
@@ -13,6 +13,11 @@
   applyUpstreams (upstreams: readonly Upstream[], nowMs: number): void
   /** Chooses an upstream; undefined if no upstream of the pool may take the work. `excluded` holds upstreams already tried. */
   route (work: StageWork, excluded: ReadonlySet<string>, nowMs: number): UpstreamChoice | undefined
+  /**
+   * Time until an upstream of the pool takes work again, in milliseconds, while all of them are paused because they
+   * broke the protocol; undefined while one takes work.
+   */
+  computePauseMs (pool: string, nowMs: number): number | undefined
   /** Must be called once for each attempt that was sent. */
   onSent (upstreamId: string, work: StageWork, nowMs: number): void
   /** Reports the progress of a streaming attempt, as the number of tokens received so far. Optional. */
