test(serve): unfinished lines of streams count in the memory for answers

Two streams with 60 KB of an unfinished line each, and a memory of 100 KB: one ends as upstream_failed. Without HeldBytes.update in HttpEngineStream both stay open until they are silent for 2 s, and the test fails.

--- a/src/node/upstreams/__tests__/upstreamSet.test.ts
+++ b/src/node/upstreams/__tests__/upstreamSet.test.ts
@@ -85,3 +85,17 @@
   t.equal(await openTokens(set, 'x').ended, 'upstream_busy not_run')
   t.equal(await first.ended, 'ended')
 })
+
+t.test('guards against unfinished lines of streams that hold more than the memory for answers', async t => {
+  const { engine, set } = await openSet(t, { answerMemory: createAnswerMemory(100_000) })
+  engine.onCall = (call, response) => {
+    if (call.path !== '/v1/completions') return false
+    response.writeHead(200, { 'content-type': 'text/event-stream' })
+    response.write(`data: ${'x'.repeat(60_000)}`)
+    return true
+  }
+  const outcomes: string[] = []
+  for (const prompt of ['a', 'b']) void openTokens(set, prompt).ended.then(outcome => { outcomes.push(outcome) })
+  await waitUntil(() => outcomes.length > 0)
+  t.same(outcomes, ['upstream_failed unknown'])
+})
