fix(memory): collect garbage for a share of the time before requests are refused for it

Garbage was collected once in 2 s at most, and refused requests allocate too little for the runtime to collect by itself.

Collections now take a fifth of the time at most, at least 100 ms apart, so that one of 50 ms may be followed by the next after 250 ms.

--- a/src/node/gateway/memory/constants.ts
+++ b/src/node/gateway/memory/constants.ts
@@ -23,8 +23,10 @@
   heapFullShare: 0.5,
   /** Share at which requests are taken again. */
   heapResumeShare: 0.42,
-  /** Interval at which garbage is collected to measure what is live; one collection takes up to 0.15 s. */
-  collectIntervalMs: 2000,
+  /** Share of the time in which garbage is collected to measure what is live; one collection takes up to 0.15 s. */
+  collectShare: 0.2,
+  /** Least time between two of these collections. */
+  minCollectIntervalMs: 100,
   /** Bytes of a head that a connection may always send; with the fields of most requests, a head is shorter. */
   maxUnfinishedHeadBytes: 1024,
   /** Heads are checked as they come in while the open connections together may send more than this. */
--- a/src/node/gateway/memory/heapGuard.ts
+++ b/src/node/gateway/memory/heapGuard.ts
@@ -18,7 +18,7 @@
 /** Admits nothing that takes heap while the heap is nearly full: the runtime ends a process whose heap is full. */
 export class HeapGuard {
   private isFull = false
-  private collectedAtMs = -Infinity
+  private nextCollectionAtMs = -Infinity
 
   constructor (private readonly options: GuardOptions) {}
 
@@ -39,13 +39,15 @@
     return !this.isFull
   }
 
-  /** Collects garbage, which stops the process for a moment, once in an interval; returns whether it did. */
+  /** Collects garbage, which stops the process, for a bounded share of the time; returns whether it did. */
   private releaseGarbage (): boolean {
     const { collectGarbage, clock } = this.options
-    const nowMs = clock.readMonotonicMs()
-    if (collectGarbage === undefined || nowMs - this.collectedAtMs < memoryConstants.collectIntervalMs) return false
-    this.collectedAtMs = nowMs
+    const startMs = clock.readMonotonicMs()
+    if (collectGarbage === undefined || startMs < this.nextCollectionAtMs) return false
     collectGarbage()
+    const endMs = clock.readMonotonicMs()
+    const { collectShare, minCollectIntervalMs } = memoryConstants
+    this.nextCollectionAtMs = endMs + Math.max((endMs - startMs) / collectShare, minCollectIntervalMs)
     return true
   }
 }
