--- a/src/node/upstreams/constants.ts
+++ b/src/node/upstreams/constants.ts
@@ -25,7 +25,7 @@
   maxLineBytes: 65536,
   maxResponseBytes: 4 * 1024 * 1024,
   /** Memory for all answers that are being collected, with the lines of streams that are not complete. */
-  answerMemoryBytes: 12 * 1024 * 1024,
+  answerMemoryBytes: 8 * 1024 * 1024,
   probeIntervalMs: 1000,
   probeTimeoutMs: 900
 } as const
