fix(cli): bound the time and the size of a host's responses

What callers saw: a command such as `contract apply` waits for good, and grows, while the host at its address answers without end or byte by byte.

Cause: the timeouts of the HTTP client restart with each part of a body and each interim response, and nothing limited a body or a line of a watch.

Fix: a whole response must arrive within `responseTimeoutMs` (10 s) and has at most 64 MB, a line of a watch 4 million characters; framing is limited as for the other services.

--- a/src/node/cli/constants.ts
+++ b/src/node/cli/constants.ts
@@ -10,8 +10,12 @@
   settingsRetryMs: 100,
   /** Error codes with which a server reports that a change may have been accepted. */
   uncertainErrorCodes: ['contract_change_uncertain', 'key_value_uncertain', 'internal_error'] as readonly string[],
-  /** Time within which a server must begin to respond. */
+  /** Time within which a server must respond, or begin a stream. */
   responseTimeoutMs: 10_000,
+  /** Largest response. */
+  maxAnswerBytes: 67_108_864,
+  /** Longest line of a stream, in characters. */
+  maxLineLength: 4_194_304,
   /** A watch that stays silent for this time is reopened. */
   watchSilenceTimeoutMs: 15_000,
   /** Delay before a broken watch is reopened. */
--- a/src/node/cli/serverConnection.ts
+++ b/src/node/cli/serverConnection.ts
@@ -1,10 +1,13 @@
-import { request } from 'undici'
+import { AnswerAllowance } from '../connections/answerAllowance.js'
 import { cliConstants } from './constants.js'
 import { LycheetrackError } from '../../shared/lycheetrackError.js'
 import { InvalidServerResponseError } from './invalidServerResponseError.js'
 import { ServerResponseError } from './serverResponseError.js'
+import { OversizedAnswerError } from '../gateway/upstreams/oversizedAnswerError.js'
+import { sendServiceCall } from '../connections/sendServiceCall.js'
 import { ServerUnreachableError } from './serverUnreachableError.js'
-import type { Dispatcher } from 'undici'
+import { ServiceClient } from '../connections/serviceClient.js'
+import type { ServiceAnswer } from '../connections/serviceAnswer.js'
 
 interface CallOptions {
   readonly method?: 'GET' | 'PUT' | 'POST' | 'DELETE'
@@ -14,52 +17,95 @@
 
 /** Sends HTTP calls to one entry host with a bearer token. */
 export class ServerConnection {
-  constructor (readonly server: string, private readonly token: string) {}
+  /** `responseTimeoutMs`: time within which a whole response, or the head of a stream, must arrive. */
+  constructor (
+    readonly server: string,
+    private readonly token: string,
+    private readonly responseTimeoutMs: number = cliConstants.responseTimeoutMs
+  ) {}
 
   /**
    * Sends a call and reads its JSON response. Rejects with `ServerUnreachableError`, `ServerResponseError`
    * or `InvalidServerResponseError`.
    */
   async send (path: string, options: CallOptions = {}): Promise<unknown> {
-    const { statusCode, body } = await this.open(path, options, cliConstants.responseTimeoutMs)
-    const text = await this.runCall(() => body.text())
-    if (statusCode < 400) return text === '' ? {} : this.parseJson(text, statusCode)
-    throw this.buildResponseError(text, statusCode)
+    const { status, text } = await this.runCall(async () => await this.readAnswer(path, options))
+    if (status < 400) return text === '' ? {} : this.parseJson(text, status)
+    throw this.buildResponseError(text, status)
   }
 
-  /** Reads an NDJSON stream until it ends; blank lines are heartbeats. Rejects like `send`, also after `silenceMs` without data. */
+  /**
+   * Reads an NDJSON stream until it ends; blank lines are heartbeats. Rejects like `send`, also after `silenceMs`
+   * without data and when a line has no end.
+   */
   async * openJsonLines (path: string, silenceMs: number, signal: AbortSignal): AsyncGenerator<unknown> {
-    const { statusCode, body } = await this.open(path, {}, silenceMs, signal)
-    if (statusCode >= 400) throw this.buildResponseError(await this.runCall(() => body.text()), statusCode)
-    let partialLine = ''
-    const chunks = body.setEncoding('utf8')[Symbol.asyncIterator]()
-    while (true) {
-      const chunk = await this.runCall(() => chunks.next())
-      if (chunk.done === true) return
-      const lines = (partialLine + String(chunk.value)).split('\n')
-      partialLine = lines.pop()!
-      for (const line of lines) if (line.trim() !== '') yield this.parseJson(line, statusCode)
+    const client = this.createClient()
+    try {
+      const { statusCode, body } = await this.runCall(() => client.request({
+        method: 'GET',
+        path,
+        headers: { authorization: `Bearer ${this.token}` },
+        headersTimeout: this.responseTimeoutMs,
+        bodyTimeout: silenceMs,
+        signal
+      }))
+      if (statusCode >= 400) throw this.buildResponseError(await this.runCall(() => body.text()), statusCode)
+      let partialLine = ''
+      const chunks = body.setEncoding('utf8')[Symbol.asyncIterator]()
+      while (true) {
+        const chunk = await this.runCall(() => chunks.next())
+        if (chunk.done === true) return
+        const lines = (partialLine + String(chunk.value)).split('\n')
+        partialLine = lines.pop()!
+        if (partialLine.length > cliConstants.maxLineLength) {
+          throw new InvalidServerResponseError(`${this.server} sent a line of more than ${cliConstants.maxLineLength} characters`)
+        }
+        for (const line of lines) if (line.trim() !== '') yield this.parseJson(line, statusCode)
+      }
+    } finally {
+      client.destroy().catch(() => {})
+    }
+  }
+
+  private async readAnswer (path: string, { method = 'GET', headers = {}, body }: CallOptions): Promise<ServiceAnswer> {
+    const client = this.createClient()
+    const controller = new AbortController()
+    const timer = setTimeout(() => {
+      controller.abort(new Error(`no whole response within ${this.responseTimeoutMs} ms`))
+    }, this.responseTimeoutMs)
+    const { maxAnswerBytes } = cliConstants
+    try {
+      return await sendServiceCall(client, {
+        method,
+        path,
+        headers: {
+          ...headers,
+          authorization: `Bearer ${this.token}`,
+          ...body === undefined ? {} : { 'content-type': 'application/json' }
+        },
+        body: body === undefined ? undefined : JSON.stringify(body),
+        maxAnswerBytes,
+        allowance: new AnswerAllowance(maxAnswerBytes),
+        signal: controller.signal
+      })
+    } finally {
+      clearTimeout(timer)
+      client.destroy().catch(() => {})
     }
   }
 
-  private async open (path: string, options: CallOptions, bodyTimeout: number, signal?: AbortSignal): Promise<Dispatcher.ResponseData> {
-    const headers: Record<string, string> = { ...options.headers, authorization: `Bearer ${this.token}` }
-    if (options.body !== undefined) headers['content-type'] = 'application/json'
-    return await this.runCall(() => request(`http://${this.server}${path}`, {
-      method: options.method ?? 'GET',
-      headers,
-      body: options.body === undefined ? null : JSON.stringify(options.body),
-      headersTimeout: cliConstants.responseTimeoutMs,
-      bodyTimeout,
-      signal
-    }))
+  private createClient (): ServiceClient {
+    return new ServiceClient(`http://${this.server}`, {
+      connectTimeoutMs: this.responseTimeoutMs,
+      createError: (message, cause) => cause ?? new Error(message)
+    })
   }
 
   private async runCall<Result> (call: () => Promise<Result>): Promise<Result> {
     try {
       return await call()
     } catch (error) {
-      if (error instanceof LycheetrackError) throw error
+      if (error instanceof LycheetrackError && !(error instanceof OversizedAnswerError)) throw error
       const { message, code } = error as Error & { code?: string }
       throw new ServerUnreachableError(`no response from ${this.server}: ${message !== '' ? message : code}`, { cause: error })
     }
