fix(gateway): end a read of the store whose pages have no end

Cause: a read of all items goes on while the store states that a page is not the last one, and keeps all of them; a store that answers the same page again and again fills the host and gets calls without a pause.

Fix: a read fails when its items have more than 32 MB, and is repeated after the usual pauses of a lost store.

--- a/src/node/platform/__tests__/platformStore.test.ts
+++ b/src/node/platform/__tests__/platformStore.test.ts
@@ -8,6 +8,7 @@
 import { StoreStandIn } from '../../../../playground/platform/storeStandIn.js'
 import { StoreUnavailableError } from '../../../shared/storeUnavailableError.js'
 import { StoreUncertainError } from '../../../shared/storeUncertainError.js'
+import { UpstreamStandIn } from '../../../../playground/platform/upstreamStandIn.js'
 
 t.test('the client of the platform\'s store', async t => {
   const standIn = await new StoreStandIn().start()
@@ -123,3 +124,18 @@
     t.match(await store.readItem('a/1'), { key: 'a/1' }, 'other connections work at once')
   })
 })
+
+t.test('guards against pages without end that a read of the store collects', { timeout: 20_000 }, async t => {
+  const item = { key: 'a/1', value: 'x'.repeat(100_000), revision: 1 }
+  const body = JSON.stringify({ items: [item], truncated: true, storeRevision: 1 })
+  const standIn = await new UpstreamStandIn('i-store', (_, socket) => {
+    socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`)
+  }).start()
+  const storeEra = new StoreEra(createSilentLogger(), createMemoryMetrics())
+  const link = new StoreHttpClient(standIn.address, createMemoryMetrics(), storeEra)
+  t.teardown(() => {
+    link.close()
+    standIn.stop()
+  })
+  await t.rejects(new PlatformStore(link, storeEra).readPrefix('a/'), StoreUnavailableError)
+})
--- a/src/node/platform/constants.ts
+++ b/src/node/platform/constants.ts
@@ -32,5 +32,9 @@
   /** Responses of the store hold at most about 1 MB of values, which are a third larger in base64. */
   maxStoreResponseBytes: 4_194_304,
   /** Bytes of all responses of the store that are being received. */
-  maxHeldStoreBytes: 12_582_912
+  maxHeldStoreBytes: 12_582_912,
+  /** Bytes of all pages of a read of the store. */
+  maxSnapshotBytes: 33_554_432,
+  /** Memory of an item besides its key and its value. */
+  itemOverheadBytes: 128
 } as const
--- a/src/node/platform/platformStore.ts
+++ b/src/node/platform/platformStore.ts
@@ -43,6 +43,7 @@
   async readPrefix (prefix: string): Promise<{ readonly items: readonly StoreItem[], readonly position: StorePosition }> {
     const items: StoreItem[] = []
     let position: StorePosition | undefined
+    let bytes = 0
     for (let after = ''; ;) {
       const query = `${paths.range}?pathPrefix=${encodeURIComponent(prefix)}${after === '' ? '' : `&after=${encodeURIComponent(after)}`}`
       const { status, body, era } = await this.sendRead(query)
@@ -51,6 +52,10 @@
       // Pages are read at different revisions. A watch from the first one returns what changed in the meantime.
       position ??= { era, revision: page.storeRevision }
       if (era !== position.era) throw new StoreHistoryLostError(`the pages are of eras ${position.era} and ${era}`)
+      for (const item of page.items) bytes += item.key.length + item.value.length + platformConstants.itemOverheadBytes
+      if (bytes > platformConstants.maxSnapshotBytes) {
+        throw new StoreUnavailableError(`the store has more than ${platformConstants.maxSnapshotBytes} bytes of items`)
+      }
       items.push(...page.items.map(decodeItem))
       const last = page.items.at(-1)
       if (!page.truncated || last === undefined) return { items, position }
