--- a/src/node/keyValue/__tests__/httpKeyValueService.test.ts
+++ b/src/node/keyValue/__tests__/httpKeyValueService.test.ts
@@ -142,3 +142,14 @@
     controller.abort()
   })
 }
+
+t.test('guards against answers that fill the host together while each is within its limit', async t => {
+  const part = 'x'.repeat(4_194_304)
+  const service = createService(t, await startService(t, (_request, response) => { response.write(part) }))
+  const outcomes = await Promise.all(Array.from({ length: 8 }, async () => {
+    return await service.compareAndSwap('a', 0, 'x').then(() => undefined, error => (error as { cause?: unknown }).cause)
+  }))
+  // The service does not end its answers, so a call that has room for its part fails by its timeout.
+  const refused = outcomes.filter(cause => (cause as { isTimeout?: boolean }).isTimeout === false)
+  t.ok(refused.length >= 3, `${refused.length} of 8 calls were ended`)
+})
