fix(gateway): accept 304 answers that state the length of the representation

Callers got 502 for each conditional request whose 304 answer has a Content-Length, which RFC 9110 (8.6) allows: undici reports ResponseContentLengthMismatchError.

The new test failed before, with 'broken: Response body length does not match content-length header' and isProtocolError true for both 304 shapes. The exchange now ends with the head, as such an answer does.

--- a/src/node/gateway/upstreams/__tests__/protocolErrors.test.ts
+++ b/src/node/gateway/upstreams/__tests__/protocolErrors.test.ts
@@ -58,6 +58,14 @@
   }
 }
 
+const soundAnswers: Readonly<Record<string, string>> = {
+  'not modified, with the length of the representation': 'HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n',
+  'not modified, with a length, and a close': 'HTTP/1.1 304 Not Modified\r\nConnection: close\r\nContent-Length: 5\r\n\r\n',
+  'an answer without content': 'HTTP/1.1 204 No Content\r\n\r\n',
+  'a chunked answer with an extension and a trailer': `${ok}Transfer-Encoding: chunked\r\nTrailer: a\r\n\r\n1;x=y\r\na\r\n0\r\na: b\r\n\r\n`,
+  'an interim response and an empty answer': `HTTP/1.1 103 Early Hints\r\n\r\n${ok}Content-Length: 0\r\n\r\n`
+}
+
 /** Resolves to the conditions that hold back the upstream after as many answers as are enough for a pause. */
 async function listConditions (send: Send, answer: (socket: Socket) => void): Promise<readonly string[]> {
   const upstream = await new UpstreamStandIn('i-a', (_, socket) => { answer(socket) }).start()
@@ -92,6 +100,15 @@
   })
 }
 
+t.test('guards against a sound upstream that is paused', async t => {
+  for (const [shape, bytes] of Object.entries(soundAnswers)) {
+    const failures: unknown[] = []
+    const send: Send = async pool => { failures.push(await senders['a request']!(pool)) }
+    t.same(await listConditions(send, socket => { socket.write(bytes) }), [], shape)
+    t.same(failures, ['complete', 'complete', 'complete'], shape)
+  }
+})
+
 t.test('guards against bodies over the limit of stage calls and releases that teach nothing', async t => {
   const body = `${ok}\r\n${'x'.repeat(1_048_576)}`
   for (const name of ['a stage call', 'a release']) {
--- a/src/node/gateway/upstreams/upstreamExchange.ts
+++ b/src/node/gateway/upstreams/upstreamExchange.ts
@@ -1,3 +1,4 @@
+import { errors } from 'undici'
 import { describeAnswerError } from '../../../shared/describeAnswerError.js'
 import { isAnswerStatus } from '../../../shared/isAnswerStatus.js'
 import { isProtocolError } from './isProtocolError.js'
@@ -29,6 +30,7 @@
   private isAborted = false
   private protocolError: string | undefined
   private interimResponses = 0
+  private isNotModified = false
 
   constructor (private readonly options: UpstreamExchangeOptions) {}
 
@@ -63,6 +65,7 @@
     if (status < 200) return this.countInterimResponse(controller)
     const { requestId, decodeResponse, handler, onProgress } = this.options
     onProgress()
+    this.isNotModified = status === 304
     const head = decodeResponse(status, headers)
     // A surplus response to an earlier request may arrive where this request's response is expected. Upstreams echo the
     // id in every response of their own, so one without an id cannot be attributed to this request either.
@@ -86,11 +89,12 @@
   onResponseEnd (): void {
     if (this.hasEnded) return
     if (this.options.wasReset()) return this.endFailed('broken', 'reset before the end of the answer')
-    this.hasEnded = true
-    this.options.handler.onEnd()
+    this.endComplete()
   }
 
   onResponseError (_: Dispatcher.DispatchController, error: Error): void {
+    // Such an answer may state the length of the body that it leaves out, which undici waits for.
+    if (this.isNotModified && error instanceof errors.ResponseContentLengthMismatchError) return this.endComplete()
     const kind = this.controller === undefined ? 'connect' : 'broken'
     this.endFailed(kind, describeAnswerError(error), isProtocolError(error, this.options.wasClosed()))
   }
@@ -102,6 +106,12 @@
     this.endInvalid(controller, `more than ${upstreamConstants.maxInterimResponses} interim responses`)
   }
 
+  private endComplete (): void {
+    if (this.hasEnded) return
+    this.hasEnded = true
+    this.options.handler.onEnd()
+  }
+
   private endInvalid (controller: Dispatcher.DispatchController, detail: string): void {
     this.endFailed('broken', detail, true)
     controller.abort(new UpstreamResponseMismatchError(detail))
