fix(serve): bound the tokens of a stream and what comes without one

A model engine that sends valid token events without end filled the process: tokens went into the answer log however many were asked for, and neither one stream nor the sum was bounded. Repeated tokens and comments without end took processor time until the deadline, since every byte counts as a sign of life.

A stream now ends, as a protocol error, after more tokens than asked for, 4 MB of tokens or 256 KB without a new token; its tokens count in the memory for answers while it is open.

--- a/playground/platform/servedHost.ts
+++ b/playground/platform/servedHost.ts
@@ -29,6 +29,7 @@
   objective: { attainment: 0.9, latencyMs: 1000 }
 }
 const rawStages = [{ ...status.stages[0]!, pool: 'raw' }]
+const generation = { name: 'generation', operation: 'generate' as const, pool: 'raw', after: [], model: 'm', maxTokens: 16 }
 const contract = {
   account: 'shop',
   tokenDigests: [createHash('sha256').update(token).digest('hex')],
@@ -38,7 +39,8 @@
     status,
     slow: { ...status, deadlineMs: 60_000 },
     raw: { ...status, stages: rawStages },
-    rawSlow: { ...status, stages: rawStages, deadlineMs: 60_000 }
+    rawSlow: { ...status, stages: rawStages, deadlineMs: 60_000 },
+    generation: { ...status, stages: [generation], deadlineMs: 60_000 }
   }
 }
 
@@ -48,7 +50,7 @@
   /** Header lines with the token of the account. */
   static readonly fields = `authorization: Bearer ${token}\r\n`
   static readonly headers = { authorization: `Bearer ${token}` }
-  /** Upstream of the kinds `raw` and `rawSlow`, whose answers a test can replace. */
+  /** Upstream of the kinds `raw`, `rawSlow` and `generation`, whose answers a test can replace. */
   readonly raw = new UpstreamStandIn('raw-1', (request, socket) => { socket.write(buildCallAnswer(request)) })
   address = ''
   host!: EntryHostProcess
--- a/src/node/upstreams/constants.ts
+++ b/src/node/upstreams/constants.ts
@@ -23,8 +23,10 @@
   maxOutOfOrderTokens: 256,
   /** Maximum size of an unterminated SSE line; a longer one is a protocol error. */
   maxLineBytes: 65536,
+  /** Bytes of comments and repeated tokens of a stream after which it is given up; engines send a comment each 500 ms. */
+  maxBytesWithoutToken: 262_144,
   maxResponseBytes: 4 * 1024 * 1024,
-  /** Memory for all answers that are being collected, with the lines of streams that are not complete. */
+  /** Memory for all answers that are being collected, with the tokens of open streams. */
   answerMemoryBytes: 8 * 1024 * 1024,
   probeIntervalMs: 1000,
   probeTimeoutMs: 900
--- a/src/node/upstreams/httpEngineStream.ts
+++ b/src/node/upstreams/httpEngineStream.ts
@@ -38,9 +38,12 @@
   private mayHaveRun = false
   private isClosed = false
   private abort: () => void = () => {}
-  /** The line that is not complete, and the tokens that wait for missing ones. */
+  /** The tokens received, the line that is not complete, and the tokens that wait for missing ones. */
   private readonly held: HeldBytes
   private outOfOrderBytes = 0
+  private tokenBytes = 0
+  private bytesWithoutToken = 0
+  private hasSurplusToken = false
 
   constructor (private readonly options: HttpEngineStreamOptions) {
     this.isAccepted = options.call.resumeOffset !== undefined
@@ -94,12 +97,14 @@
       onData: chunk => {
         if (!isCurrent() || status !== 200) return
         this.lastDataMs = clock.readMonotonicMs()
+        this.bytesWithoutToken += chunk.length
         const isWithinLimit = parser.receive(chunk)
         this.reportTokens()
-        if (isCurrent()) this.held.update(parser.countPartialBytes() + this.outOfOrderBytes)
+        if (isCurrent()) this.held.update(parser.countPartialBytes() + this.outOfOrderBytes + this.tokenBytes)
         if (!isCurrent()) return
-        if (!isWithinLimit) this.closeWithError(new UpstreamError('upstream_failed', 'a line of the stream is too long', 'unknown', true, { isProtocolError: true }))
-        else this.checkCompletion()
+        const excess = isWithinLimit ? this.findExcess() : 'a line of the stream is too long'
+        if (excess === undefined) this.checkCompletion()
+        else this.closeWithError(new UpstreamError('upstream_failed', excess, 'unknown', true, { isProtocolError: true }))
       },
       onEnd: () => {
         if (isCurrent()) this.retryOnNewConnection(new UpstreamError('upstream_failed', 'the stream ended early', 'unknown', true))
@@ -118,7 +123,20 @@
     else this.closeWithError(new UpstreamError('upstream_failed', `the engine answered with status ${status}`, 'unknown', true))
   }
 
+  /** What the stream has more of than a correct engine sends. */
+  private findExcess (): string | undefined {
+    const { maxResponseBytes, maxBytesWithoutToken } = upstreamConstants
+    if (this.hasSurplusToken) return `more than ${this.options.call.maxTokens} tokens`
+    if (this.tokenBytes > maxResponseBytes) return `tokens of more than ${maxResponseBytes} bytes`
+    if (this.bytesWithoutToken > maxBytesWithoutToken) return `more than ${maxBytesWithoutToken} bytes without a token`
+    return undefined
+  }
+
   private receiveToken (offset: number, literal: string): void {
+    if (offset >= this.options.call.maxTokens) {
+      this.hasSurplusToken = true
+      return
+    }
     if (offset > this.nextOffset) {
       if (this.outOfOrderTokens.size >= upstreamConstants.maxOutOfOrderTokens) return
       this.outOfOrderBytes += literal.length - (this.outOfOrderTokens.get(offset)?.length ?? 0)
@@ -126,8 +144,7 @@
       return
     }
     if (offset < this.nextOffset) return
-    this.receivedTokens.push(literal)
-    this.nextOffset++
+    this.addToken(literal)
     if (this.outOfOrderTokens.size > 0) this.takeConsecutiveTokens()
   }
 
@@ -135,11 +152,17 @@
     for (let literal = this.outOfOrderTokens.get(this.nextOffset); literal !== undefined; literal = this.outOfOrderTokens.get(this.nextOffset)) {
       this.outOfOrderTokens.delete(this.nextOffset)
       this.outOfOrderBytes -= literal.length
-      this.receivedTokens.push(literal)
-      this.nextOffset++
+      this.addToken(literal)
     }
   }
 
+  private addToken (literal: string): void {
+    this.receivedTokens.push(literal)
+    this.nextOffset++
+    this.tokenBytes += literal.length
+    this.bytesWithoutToken = 0
+  }
+
   private reportTokens (): void {
     if (this.receivedTokens.length === 0) return
     const tokens = this.receivedTokens
@@ -176,7 +199,7 @@
     this.abort()
     this.outOfOrderTokens.clear()
     this.outOfOrderBytes = 0
-    this.held.update(0)
+    this.held.update(this.tokenBytes)
     this.announcedTokenCount = undefined
     if (++this.resumesWithoutProgress > upstreamConstants.maxResumesWithoutProgress) this.closeWithError(cause)
     else this.openConnection(true)
