fix(gateway): use no connection whose socket is closed already

Callers of an upstream that sends bytes after each whole answer were refused with 503 `connect: The client is destroyed` in 2 to 6 of 100 requests, though the upstream answered all that it got. The bytes close the socket, but the HTTP client reports the end of the connection some steps later; until then it was the idle connection that was used last, and so the first one to be taken. Each such attempt also counted as a failure of the upstream (1,200 lines `upstream ejected`).

The pool asks the connection whether its socket is open before it takes it.

upstreamPool.test.ts has a test that failed before: two of five requests got `connect: The client is destroyed`.

--- a/src/node/gateway/upstreams/__tests__/upstreamPool.test.ts
+++ b/src/node/gateway/upstreams/__tests__/upstreamPool.test.ts
@@ -7,6 +7,45 @@
 
 const connectionLimit = 2
 
+const noTraffic = {
+  onExchangeStarted () {},
+  onExchangeEnded () {},
+  onBytes () {},
+  onConnected () {},
+  onConnectFailed () {}
+}
+
+t.test('guards against requests on connections that are closed because of bytes after a whole answer', async t => {
+  const upstream = await new UpstreamStandIn('i-a', (request, socket) => {
+    socket.write(`${buildStandInAnswer(request)}bytes that are no answer`)
+  }).start()
+  const pool = new UpstreamPool({
+    address: upstream.address,
+    decodeResponse: decodeUpstreamResponse,
+    getConnectionLimit: () => connectionLimit,
+    onOpened: () => {},
+    onHead: () => {},
+    upstreamId: 'i-a',
+    traffic: noTraffic,
+    findRelay: () => undefined
+  })
+  t.teardown(() => {
+    pool.close()
+    upstream.stop()
+  })
+  for (let i = 0; i < 5; i++) {
+    const outcome = await new Promise<string>(resolve => {
+      pool.send({ method: 'GET', path: '/', headers: [] }, {
+        onHead: () => {},
+        onData: () => {},
+        onEnd: () => { resolve('answered') },
+        onFailure: ({ kind, detail }) => { resolve(`${kind}: ${detail}`) }
+      })
+    })
+    t.equal(outcome, 'answered')
+  }
+})
+
 t.test('guards against connections of unshared requests beyond the limit, beside idle ones', async t => {
   const openSockets = new Set<unknown>()
   let mostOpen = 0
@@ -16,13 +55,6 @@
     mostOpen = Math.max(mostOpen, openSockets.size)
     setTimeout(() => { socket.write(buildStandInAnswer(request)) }, 20)
   }).start()
-  const noTraffic = {
-    onExchangeStarted () {},
-    onExchangeEnded () {},
-    onBytes () {},
-    onConnected () {},
-    onConnectFailed () {}
-  }
   const pool = new UpstreamPool({
     address: upstream.address,
     decodeResponse: decodeUpstreamResponse,
--- a/src/node/gateway/upstreams/upstreamConnection.ts
+++ b/src/node/gateway/upstreams/upstreamConnection.ts
@@ -83,6 +83,11 @@
     }
   }
 
+  /** Whether another request may be sent; false once the socket is closed, which `isClosed` tells only later. */
+  isUsable (): boolean {
+    return !this.isClosed && this.socket?.destroyed === false
+  }
+
   addRefusedRequest (requestId: string): void {
     this.refusedRequestIds = [...this.refusedRequestIds, requestId].slice(-upstreamConstants.maxRefusedRequests)
   }
--- a/src/node/gateway/upstreams/upstreamPool.ts
+++ b/src/node/gateway/upstreams/upstreamPool.ts
@@ -138,7 +138,9 @@
 
   /** A second copy of a refusal would be taken for the answer if the request came again on the same connection. */
   private takeConnection (requestId: string | undefined): UpstreamConnection | undefined {
-    const index = this.idle.findLastIndex(connection => requestId === undefined || !connection.hasRefused(requestId))
+    const index = this.idle.findLastIndex(connection => {
+      return connection.isUsable() && (requestId === undefined || !connection.hasRefused(requestId))
+    })
     const [reused] = index < 0 ? [] : this.idle.splice(index, 1)
     if (reused !== undefined) {
       this.busy.add(reused)
