fix(ingress): a request counts as queued for a fifth of its client's time at most

While connections are accepted in each turn of the event loop, the earliest time at which one may have been opened lies up to a second back, although it may have waited for a few turns only. Requests with 600 ms were then answered 504, or refused, as they came, and targets moved with the deadline.

--- a/src/node/gateway/ingress/admitRequest.ts
+++ b/src/node/gateway/ingress/admitRequest.ts
@@ -1,3 +1,4 @@
+import { computeArrivalMs } from './computeArrivalMs.js'
 import { ingressConstants } from './constants.js'
 import { ingressRefusals } from './ingressRefusals.js'
 import type { Admission } from './admission.js'
@@ -16,10 +17,11 @@
  * stops, `Infinity` while it does not.
  */
 export function admitRequest (
-  { request, message, hasHost, arrivedAtMs }: ClientExchange,
+  exchange: ClientExchange,
   stopsAtMs: number,
   { configuration, dependencies: { clock, directory } }: AdmissionOptions
 ): Admission | IngressRefusal {
+  const { request, message, hasHost } = exchange
   const current = configuration.getCurrent()
   if (current === undefined) return ingressRefusals.notReady
   if (message.httpVersion === '1.1' && !hasHost) return ingressRefusals.hostMissing
@@ -30,10 +32,12 @@
   if (account === undefined) return ingressRefusals.unauthorized
   const nowMs = clock.readMonotonicMs()
   if (stopsAtMs - nowMs < computeServingMs(route, directory)) return ingressRefusals.stopping
-  const timeLeftMs = (request.timeLeftMs ?? route.timeoutMs) - ingressConstants.responseMarginMs
+  const clientTimeMs = request.timeLeftMs ?? route.timeoutMs
+  const arrivedAtMs = computeArrivalMs(exchange, clientTimeMs)
+  const timeLeftMs = clientTimeMs - ingressConstants.responseMarginMs
   const deadlineAtMs = Math.min(stopsAtMs, arrivedAtMs + Math.min(timeLeftMs, route.timeoutMs))
   if (deadlineAtMs <= nowMs) return ingressRefusals.deadlinePassed
-  return { route, account, configurationVersion: current.version, deadlineAtMs }
+  return { route, account, configurationVersion: current.version, arrivedAtMs, deadlineAtMs }
 }
 
 /** Time in which requests of a route usually get their whole answer. */
--- a/src/node/gateway/ingress/clientConnection.ts
+++ b/src/node/gateway/ingress/clientConnection.ts
@@ -87,7 +87,7 @@
       this.bytesBeforeAnswers = this.options.socket.bytesWritten
       this.hasLongAnswer = false
     }
-    const exchange = new ClientExchange(message, response, this.inputAtMs)
+    const exchange = new ClientExchange(message, response, this.inputAtMs, this.options.clock.readMonotonicMs())
     this.exchanges.push(exchange)
     const updateBytes = (): void => { this.requestBytes = this.options.socket.bytesRead }
     updateBytes()
--- a/src/node/gateway/ingress/clientExchange.ts
+++ b/src/node/gateway/ingress/clientExchange.ts
@@ -22,7 +22,14 @@
   private readonly turn: Promise<boolean>
   private resolveTurn!: (hasTurn: boolean) => void
 
-  constructor (readonly message: IncomingMessage, readonly response: ServerResponse, readonly arrivedAtMs: number) {
+  constructor (
+    readonly message: IncomingMessage,
+    readonly response: ServerResponse,
+    /** Earliest monotonic time at which the request may have arrived at the kernel. */
+    readonly arrivedAtMs: number,
+    /** Monotonic time at which its head was parsed. */
+    readonly receivedAtMs: number
+  ) {
     this.size = computeRequestSize(message)
     this.hasHost = message.headers.host !== undefined
     this.expectation = message.headers.expect ?? ''
--- a/src/node/gateway/ingress/constants.ts
+++ b/src/node/gateway/ingress/constants.ts
@@ -7,6 +7,8 @@
   responseMarginMs: 25,
   /** Longest time for which a connection counts as queued: clients give up one that takes longer. */
   maxQueuedMs: 1000,
+  /** Largest share of the client's time that a request counts as queued. */
+  maxQueuedShare: 0.2,
   /** Backlog of the listening socket: after an outage, a burst of clients connects at once. */
   listenBacklog: 2048,
   /**
--- a/src/node/gateway/ingress/requestHandler.ts
+++ b/src/node/gateway/ingress/requestHandler.ts
@@ -96,7 +96,7 @@
   private async serveAdmitted (intake: Intake, admission: Admission, isChunked: boolean): Promise<void> {
     const { configuration, dependencies } = this.options
     const { exchange, clientResponse, held } = intake
-    const { message, response, arrivedAtMs } = exchange
+    const { message, response } = exchange
     if (/(?:^|\W)100-continue(?:$|\W)/i.test(exchange.expectation)) response.writeContinue()
     let body: BodyOutcome | undefined = await this.readBody(exchange, new RequestBodyReader(message, {
       maxBytes: configuration.getCurrent()!.limits.maxBodyBytes,
@@ -120,7 +120,7 @@
     // The newest configuration applies, even if it arrived while the body was read or the request waited for its turn.
     const current = this.admit(exchange)
     if ('status' in current) return await this.refuser.refuse(intake, current)
-    const { route, account, configurationVersion, deadlineAtMs } = current
+    const { route, account, configurationVersion, arrivedAtMs, deadlineAtMs } = current
     const request = exchange.request!
     const run = new RequestRun({
       request,
