fix(upstreams): do not pause sound upstreams whose answers use up the memory together

An answer that gave way because the memory for answers was used up counted as a protocol error of its upstream, three of them as a pause of the whole service. Sound answers do the same: on a host of 210 MB, 16 callers of a service with answers of 2 MB got 8 times 200 and 8 times 502, and the next ordinary request 503; at serve, 32 callers of answers of 1 MB got 17 times 200, 3 times 502 and 12 times 503, and the next request 503.

An answer with a stated length within the limit has an end, so its eviction shows nothing of the upstream. Those without one still count. The new tests failed before; the checks of endless answers (crowdsAtEndlessAnswers, endlessService) hold.

--- a/src/node/gateway/ingress/sendAttempt.ts
+++ b/src/node/gateway/ingress/sendAttempt.ts
@@ -73,7 +73,11 @@
   }
 
   onEvicted (): void {
-    this.endOversized('the memory for answers is used up')
+    const reason = 'the memory for answers is used up'
+    const { contentLength = Infinity } = this.head ?? {}
+    // Answers that state an end may use it up together; others may have none.
+    if (contentLength <= upstreamConstants.maxResponseBytes) this.end({ type: 'uncertain', reason }, true)
+    else this.endOversized(reason)
   }
 
   start (): void {
--- a/src/node/platform/decodeCallResponse.ts
+++ b/src/node/platform/decodeCallResponse.ts
@@ -6,6 +6,7 @@
   headers: Readonly<Record<string, string | string[] | undefined>>
 ): UpstreamResponseHead {
   const connection = [headers['connection']].flat().join()
+  const length = headers['content-length']
   return {
     status,
     isNotRun: false,
@@ -14,7 +15,8 @@
     closesConnection: connection.toLowerCase().includes('close'),
     isLeaving: headers['x-upstream-state'] === 'leaving',
     isSigned: false,
-    isFramed: headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined,
+    isFramed: length !== undefined || headers['transfer-encoding'] !== undefined,
+    contentLength: typeof length === 'string' ? Number(length) : undefined,
     forwardedHeaders: []
   }
 }
--- a/src/node/upstreams/__tests__/upstreamClient.test.ts
+++ b/src/node/upstreams/__tests__/upstreamClient.test.ts
@@ -83,3 +83,15 @@
   await Promise.all(sent)
   t.same(outcomes, ['the memory for answers is used up', 'the memory for answers is used up', '80000'])
 })
+
+t.test('guards against answers with a stated length that pass for answers without end', async t => {
+  const part = 'x'.repeat(60_000)
+  const heads = { 'Content-Length: 80000': false, 'Content-Length: 80000000': true, 'Connection: close': true }
+  for (const [field, isProtocolError] of Object.entries(heads)) {
+    const { client } = await openClient(t, (_, socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\n${field}\r\n\r\n${part}`)
+    }, 4, 100_000)
+    const failure = await Promise.race([client.send(call), client.send(call)]).catch((error: UpstreamError) => error)
+    t.match(failure, { message: 'the memory for answers is used up', isProtocolError }, field)
+  }
+})
--- a/src/node/upstreams/upstreamCallHandler.ts
+++ b/src/node/upstreams/upstreamCallHandler.ts
@@ -2,8 +2,10 @@
 
 /** Callbacks of an HTTP call to an upstream. The last call is either `onEnd` or `onError`. */
 export interface UpstreamCallHandler {
-  /** The head of the response; `isLeaving` when the upstream marks itself as leaving. */
-  onStart? (status: number, isLeaving: boolean): void
+  /**
+   * The head of the response; `isLeaving` when the upstream marks itself as leaving. `contentLength` in bytes, if stated.
+   */
+  onStart? (status: number, isLeaving: boolean, contentLength?: number): void
   onData (chunk: Buffer): void
   onEnd (): void
   onError (error: UpstreamError): void
--- a/src/node/upstreams/upstreamClient.ts
+++ b/src/node/upstreams/upstreamClient.ts
@@ -87,7 +87,7 @@
       onHead: head => {
         if (isSettled) return
         if (head.isLeaving) this.options.onLeaving?.()
-        handler.onStart?.(head.status, head.isLeaving)
+        handler.onStart?.(head.status, head.isLeaving, head.contentLength)
       },
       onData: chunk => { if (!isSettled) handler.onData(chunk) },
       onEnd: () => { settleCall() },
@@ -103,11 +103,17 @@
       const body = new ByteList()
       let status = 0
       let leaving = false
-      const held = this.createHeldBytes(reason => { abort(reason) })
+      let statedBytes = Infinity
+      const held = this.createHeldBytes(reason => {
+        // Answers that state an end may use up the memory together; others may have none.
+        const isSound = statedBytes <= upstreamConstants.maxResponseBytes
+        abort(isSound ? new UpstreamError(reason.code, reason.message, reason.ran, reason.sent) : reason)
+      })
       const abort = this.open(call, {
-        onStart: (code, isLeaving) => {
+        onStart: (code, isLeaving, contentLength = Infinity) => {
           status = code
           leaving = isLeaving
+          statedBytes = contentLength
         },
         onData: chunk => {
           const { maxResponseBytes } = upstreamConstants
