--- a/src/node/cli/serverConnection.ts
+++ b/src/node/cli/serverConnection.ts
@@ -58,7 +58,8 @@
         const lines = (partialLine + String(chunk.value)).split('\n')
         partialLine = lines.pop()!
         if (partialLine.length > cliConstants.maxLineLength) {
-          throw new InvalidServerResponseError(`${this.server} sent a line of more than ${cliConstants.maxLineLength} characters`)
+          const limit = `${cliConstants.maxLineLength} characters`
+          throw new InvalidServerResponseError(`${this.server} sent a line of more than ${limit}`)
         }
         for (const line of lines) if (line.trim() !== '') yield this.parseJson(line, statusCode)
       }
--- a/src/node/gateway/relays/relaySession.ts
+++ b/src/node/gateway/relays/relaySession.ts
@@ -132,7 +132,8 @@
   }
 }
 
-function decodeFailure ({ kind, detail, wasSent, hasUpstreamEnded, isProtocolError }: messages.IRelayFailure): ExchangeFailure {
+function decodeFailure (failure: messages.IRelayFailure): ExchangeFailure {
+  const { kind, detail, wasSent, hasUpstreamEnded, isProtocolError } = failure
   const knownKind = failureKinds.find(known => known === kind)
   return {
     kind: knownKind ?? 'broken',
--- a/src/node/gateway/stages/stageScheduler.ts
+++ b/src/node/gateway/stages/stageScheduler.ts
@@ -134,7 +134,9 @@
     for (const service of this.services.values()) service.applyHolds(findDemands, nowMs)
   }
 
-  /** Ends holds whose conditions have ended since `applyHolds`: without waiting work, there is no planning to apply them. */
+  /**
+   * Ends holds whose conditions have ended since `applyHolds`: without waiting work, there is no planning to apply them.
+   */
   updateHolds (findDemands: (upstreamId: string) => UpstreamDemands | undefined, nowMs: number): void {
     for (const service of this.services.values()) service.updateHolds(findDemands, nowMs)
   }
--- a/src/node/keyValue/httpClient.ts
+++ b/src/node/keyValue/httpClient.ts
@@ -36,7 +36,8 @@
     const payload = body === undefined ? undefined : JSON.stringify(body)
     const { allowance } = this
     try {
-      const answer = await sendServiceCall(pool, { method, path, headers, body: payload, maxAnswerBytes, allowance, signal })
+      const call = { method, path, headers, body: payload, maxAnswerBytes, allowance, signal }
+      const answer = await sendServiceCall(pool, call)
       return { status: answer.status, body: answer.text }
     } catch (error) {
       if (signal.aborted) {
--- a/src/node/metrics/metricHelp.ts
+++ b/src/node/metrics/metricHelp.ts
@@ -3,8 +3,9 @@
   lycheetrack_requests_total: 'Finished and refused requests by outcome: completed or an error code.',
   lycheetrack_request_duration_seconds: 'Time from the arrival of a request to its last byte.',
   lycheetrack_answers_dropped_total: 'Late answers of abandoned stage attempts.',
-  lycheetrack_answers_evicted_total: 'Answers of upstreams that were ended because all together held more memory than they may.',
-  lycheetrack_upstream_protocol_error_pauses_total: 'Pauses of upstreams whose answers broke the protocol, by service or pool.',
+  lycheetrack_answers_evicted_total: 'Answers of upstreams that were ended because all together held too much memory.',
+  lycheetrack_upstream_protocol_error_pauses_total:
+    'Pauses of upstreams whose answers broke the protocol, by service or pool.',
   lycheetrack_takeovers_total: 'Requests taken over from a host that died or did not answer.',
   lycheetrack_runs_superseded_total: 'Runs that this host stopped because another host had taken the request over.',
   lycheetrack_membership_hosts: 'Entry hosts that this host knows and does not hold for dead, itself included.',
--- a/src/node/routing/stageRouterCore.ts
+++ b/src/node/routing/stageRouterCore.ts
@@ -178,7 +178,10 @@
     const slowViews = pool.listSlow(nowMs)
     if (slowViews.length === 0) return undefined
     const isHedgeBudgeted = this.budget.hasHeadroom(latency.computeServiceMs(work.cost))
-    const isDue = (slow: UpstreamView) => slow.isSelectable() && !slow.isPaused(nowMs) && slow.attempts.size === 0 && slow.speed.isProbeDue(isHedgeBudgeted, nowMs) && !excluded.has(slow.upstream.id)
+    const isDue = (slow: UpstreamView): boolean => {
+      const isFree = slow.isSelectable() && !slow.isPaused(nowMs) && slow.attempts.size === 0
+      return isFree && slow.speed.isProbeDue(isHedgeBudgeted, nowMs) && !excluded.has(slow.upstream.id)
+    }
     const view = this.findSampled(slowViews, isDue)
     if (view === undefined) return undefined
     view.speed.onProbeSent(nowMs)
--- a/src/node/routing/upstreamChooser.ts
+++ b/src/node/routing/upstreamChooser.ts
@@ -80,7 +80,8 @@
   }
 
   private chooseBetter (best: Candidate | undefined, view: UpstreamView | undefined, pool: UpstreamPool, latency: OperationLatency, work: StageWork, long: boolean, excluded: ReadonlySet<string>, nowMs: number): Candidate | undefined {
-    if (view === undefined || !view.isSelectable() || view.isPaused(nowMs) || !view.isServing(work.model) || excluded.has(view.upstream.id)) return best
+    if (view === undefined || !view.isSelectable() || view.isPaused(nowMs)) return best
+    if (!view.isServing(work.model) || excluded.has(view.upstream.id)) return best
     this.checkStall(view, pool, latency, nowMs)
     if (!view.speed.hasCapacity(view.attempts.size)) return best
     if (long && !this.hasLongCapacity(view, pool, nowMs)) return best
--- a/src/node/upstreams/constants.ts
+++ b/src/node/upstreams/constants.ts
@@ -23,7 +23,7 @@
   maxOutOfOrderTokens: 256,
   /** Maximum size of an unterminated SSE line; a longer one is a protocol error. */
   maxLineBytes: 65536,
-  /** Bytes of comments and repeated tokens of a stream after which it is given up; engines send a comment each 500 ms. */
+  /** Bytes of comments and repeated tokens after which a stream is given up; engines send a comment each 500 ms. */
   maxBytesWithoutToken: 262_144,
   maxResponseBytes: 4 * 1024 * 1024,
   /** Memory for all answers that are being collected, with the tokens of open streams. */
