--- a/src/node/upstreams/__tests__/upstreamSet.test.ts
+++ b/src/node/upstreams/__tests__/upstreamSet.test.ts
@@ -1,4 +1,5 @@
 import t from 'tap'
+import type { ServerResponse } from 'node:http'
 import type { Test } from 'tap'
 import { createAnswerMemory } from '../../../../playground/fakes/createAnswerMemory.js'
 import { FixedStageRouter } from '../../../../playground/fakes/fixedStageRouter.js'
@@ -99,3 +100,21 @@
   await waitUntil(() => outcomes.length > 0)
   t.same(outcomes, ['upstream_failed unknown'])
 })
+
+t.test('guards against sound streams that evict each other from the memory for answers', async t => {
+  const { engine, set } = await openSet(t, { answerMemory: createAnswerMemory(100_000) })
+  const responses: ServerResponse[] = []
+  engine.onCall = (call, response) => {
+    if (call.path !== '/v1/completions') return false
+    response.writeHead(200, { 'content-type': 'text/event-stream' })
+    response.write(`data: {"o":0,"t":"${'x'.repeat(60_000)}"}\n\n`)
+    responses.push(response)
+    return true
+  }
+  const outcomes: string[] = []
+  for (const prompt of ['a', 'b', 'c']) void openTokens(set, prompt).ended.then(outcome => { outcomes.push(outcome) })
+  await waitUntil(() => responses.length === 3)
+  for (const response of responses) response.end('data: {"done":true,"count":1}\n\n')
+  await waitUntil(() => outcomes.length === 3)
+  t.same(outcomes, ['ended', 'ended', 'ended'])
+})
--- a/src/node/upstreams/constants.ts
+++ b/src/node/upstreams/constants.ts
@@ -25,6 +25,8 @@
   maxLineBytes: 65536,
   /** Bytes of comments and repeated tokens after which a stream is given up; engines send a comment each 500 ms. */
   maxBytesWithoutToken: 262_144,
+  /** Tokens of each stream that do not count in the memory for answers: many sound streams must not evict each other. */
+  uncountedTokenBytes: 65_536,
   maxResponseBytes: 4 * 1024 * 1024,
   /** Memory for all answers that are being collected, with the tokens of open streams. */
   answerMemoryBytes: 8 * 1024 * 1024,
--- a/src/node/upstreams/httpEngineStream.ts
+++ b/src/node/upstreams/httpEngineStream.ts
@@ -38,7 +38,7 @@
   private mayHaveRun = false
   private isClosed = false
   private abort: () => void = () => {}
-  /** The tokens received, the line that is not complete, and the tokens that wait for missing ones. */
+  /** The tokens received beyond those that do not count, the line that is not complete, and the tokens that wait for missing ones. */
   private readonly held: HeldBytes
   private outOfOrderBytes = 0
   private tokenBytes = 0
@@ -100,11 +100,14 @@
         this.bytesWithoutToken += chunk.length
         const isWithinLimit = parser.receive(chunk)
         this.reportTokens()
-        if (isCurrent()) this.held.update(parser.countPartialBytes() + this.outOfOrderBytes + this.tokenBytes)
+        if (isCurrent()) this.updateHeldBytes(parser.countPartialBytes() + this.outOfOrderBytes)
         if (!isCurrent()) return
         const excess = isWithinLimit ? this.findExcess() : 'a line of the stream is too long'
         if (excess === undefined) this.checkCompletion()
-        else this.closeWithError(new UpstreamError('upstream_failed', excess, 'unknown', true, { isProtocolError: true }))
+        else {
+          const options = { isProtocolError: true }
+          this.closeWithError(new UpstreamError('upstream_failed', excess, 'unknown', true, options))
+        }
       },
       onEnd: () => {
         if (isCurrent()) this.retryOnNewConnection(new UpstreamError('upstream_failed', 'the stream ended early', 'unknown', true))
@@ -123,6 +126,11 @@
     else this.closeWithError(new UpstreamError('upstream_failed', `the engine answered with status ${status}`, 'unknown', true))
   }
 
+  private updateHeldBytes (unreportedBytes: number): void {
+    const countedBytes = Math.max(this.tokenBytes - upstreamConstants.uncountedTokenBytes, 0)
+    this.held.update(unreportedBytes + countedBytes)
+  }
+
   /** What the stream has more of than a correct engine sends. */
   private findExcess (): string | undefined {
     const { maxResponseBytes, maxBytesWithoutToken } = upstreamConstants
@@ -199,7 +207,7 @@
     this.abort()
     this.outOfOrderTokens.clear()
     this.outOfOrderBytes = 0
-    this.held.update(this.tokenBytes)
+    this.updateHeldBytes(0)
     this.announcedTokenCount = undefined
     if (++this.resumesWithoutProgress > upstreamConstants.maxResumesWithoutProgress) this.closeWithError(cause)
     else this.openConnection(true)
@@ -211,7 +219,9 @@
     const isExecutionStateReliable = error.ran !== 'not_run' || !this.mayHaveRun
     // When the engine refuses the connection that should resume the stream, the engine is gone and the stream with it.
     const code = error.code === 'upstream_refused' ? 'upstream_gone' : 'upstream_failed'
-    this.options.handler.onError(isExecutionStateReliable ? error : new UpstreamError(code, error.message, 'unknown', true, { cause: error, isProtocolError: error.isProtocolError }))
+    if (isExecutionStateReliable) return this.options.handler.onError(error)
+    const options = { cause: error, isProtocolError: error.isProtocolError }
+    this.options.handler.onError(new UpstreamError(code, error.message, 'unknown', true, options))
   }
 
   private buildStreamPath (): string {
