--- a/playground/soak/soakUpstream.ts
+++ b/playground/soak/soakUpstream.ts
@@ -122,14 +122,17 @@
     let eventId = Number(request.headers['last-event-id'] ?? 0)
     const timer = setInterval(() => {
       if (socket.destroyed) return clearInterval(timer)
-      eventId++
-      const event = `id: ${eventId}\ndata: ${execution.requestId}:${eventId}:${this.options.version}\n\n`
-      if (this.fault === 'torn' && eventId > 3) {
-        socket.write(encode(event).slice(0, 7))
-        socket.destroy()
-        return
+      // A stream may be resumed after its last event, when only its end was lost.
+      if (eventId < soakConstants.eventCount) {
+        eventId++
+        const event = `id: ${eventId}\ndata: ${execution.requestId}:${eventId}:${this.options.version}\n\n`
+        if (this.fault === 'torn' && eventId > 3) {
+          socket.write(encode(event).slice(0, 7))
+          socket.destroy()
+          return
+        }
+        socket.write(encode(event))
       }
-      socket.write(encode(event))
       if (eventId < soakConstants.eventCount) return
       clearInterval(timer)
       this.options.onExecutionEnd(execution.signature)
