Review case 6: seven freezes at most, 4.5 s apart

Cause: about two of five freezes show the fault, so six at most leave some runs without it.

Change: seven freezes at most with shorter pauses; the wait for a request that is partly done ends after 3 s.

--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -10,10 +10,10 @@
 const hostCount = 4
 const clientCount = 40
 const freezeMs = 5000
-const freezes = 6
-const betweenMs = 5500
+const freezes = 7
+const betweenMs = 4500
 /** The longest wait for the state in which a machine is to freeze. */
-const stateMs = 5000
+const stateMs = 3000
 const timeLeftMs = 20_000
 /** Clients abandon an attempt that a machine has not read for so long. */
 const unreadMs = 1000
