feat(stages): log and count stages that are sent without results of their input stages

Pieces that are sent without inputs showed at the runners only. The logs could not tell a stage whose inputs run again from one whose inputs are released or were never there.

`stage inputs missing` names the request, the stage and the state of its input stages; `stage_inputs_missing_total` counts. No call is changed.

--- a/src/node/gateway/stages/stageDispatcher.ts
+++ b/src/node/gateway/stages/stageDispatcher.ts
@@ -160,6 +160,7 @@
     scheduler.applyHolds(this.options.findDemands, nowMs)
     for (const call of scheduler.planCalls(nowMs)) this.sendCall(call)
     this.recordLostResults()
+    this.recordMissingInputs()
     this.endJobs()
     this.scheduleRelease()
     const nextPlanAtMs = scheduler.findNextPlanAtMs(nowMs)
@@ -225,6 +226,14 @@
     this.options.logger.recordWarning('stage results lost', { results })
   }
 
+  private recordMissingInputs (): void {
+    const { scheduler, logger, metrics } = this.options
+    for (const missingInputs of scheduler.takeMissingInputs()) {
+      metrics.addCount('stage_inputs_missing', { service: missingInputs.service })
+      logger.recordError('stage inputs missing', { ...missingInputs })
+    }
+  }
+
   private onCallFailed (call: StageCall, reason: string, mayHaveRun: boolean): void {
     const { scheduler, clock, logger, metrics } = this.options
     metrics.addCount('stage_calls_failed', { service: call.service })
--- a/src/node/gateway/stages/stageScheduler.ts
+++ b/src/node/gateway/stages/stageScheduler.ts
@@ -4,6 +4,7 @@
 import { EstimateMargin } from './estimateMargin.js'
 import { JobState } from './jobState.js'
 import { findLargestDomain } from './findLargestDomain.js'
+import { findMissingInputs } from './findMissingInputs.js'
 import { hasOldResults } from './hasOldResults.js'
 import { isStartAllowed } from './isStartAllowed.js'
 import { listRankedTasks } from './listRankedTasks.js'
@@ -17,6 +18,7 @@
 import { updateBacklogs } from './updateBacklogs.js'
 import { updateReadyTasks } from './updateReadyTasks.js'
 import { updateStageUpstreams } from './updateStageUpstreams.js'
+import type { MissingInputs } from './missingInputs.js'
 import type { ServiceSpec } from '../model/serviceSpec.js'
 import type { StageAdmission } from './stageAdmission.js'
 import type { StageCall } from './stageCall.js'
@@ -42,6 +44,7 @@
   private nextCallId = 1
   private hasLostUpstreams = false
   private lostResults = 0
+  private readonly missingInputs: MissingInputs[] = []
   /** Time of the last change of the jobs that the backlogs do not contain yet. */
   private uncountedChangeAtMs: number | undefined
 
@@ -107,6 +110,7 @@
         const call = buildStageCall({ service, rankedTasks, nowMs, callId: this.nextCallId })
         if (call === undefined) break
         this.nextCallId++
+        this.addMissingInputs(call)
         this.onCallSent(service, call)
         calls.push(call)
       }
@@ -198,6 +202,11 @@
     return count
   }
 
+  /** Returns what stages lacked whose pieces were next to be sent, since the last invocation. */
+  takeMissingInputs (): readonly MissingInputs[] {
+    return this.missingInputs.splice(0)
+  }
+
   /** Share of the memory for results of a service that calls may fill. */
   getUsableRoomShare (service: string): number {
     return this.services.get(service)?.room.usableShare ?? 1
@@ -242,6 +251,13 @@
     this.uncountedChangeAtMs = undefined
   }
 
+  private addMissingInputs ({ pieceRefs }: StageCall): void {
+    for (const task of new Set(pieceRefs.map(({ task }) => task))) {
+      const missingInputs = findMissingInputs(task)
+      if (missingInputs !== undefined) this.missingInputs.push(missingInputs)
+    }
+  }
+
   private onCallSent (service: StageService, call: StageCall): void {
     const upstream = service.upstreams.get(call.upstreamId)!
     upstream.callsInFlight++
--- a/src/node/metrics/metricHelp.ts
+++ b/src/node/metrics/metricHelp.ts
@@ -27,6 +27,7 @@
   lycheetrack_engine_share_refusals_total: 'Requests refused at arrival because the engines are busy and the share of their priority and account is used up.',
   lycheetrack_engine_condition_changes_total: 'Changes of the speed of engines relative to their service: usual, slow, or slow under load.',
   lycheetrack_waiting_requests_evicted_total: 'Requests refused behind others of their connection, which held the most memory for heads.',
+  lycheetrack_stage_inputs_missing_total: 'Stages whose next pieces lacked results of their input stages.',
   lycheetrack_stage_results_lost_total: 'Stage results that expired or were lost with their upstream while they were needed; they are produced again.',
   lycheetrack_stage_usable_room_share: 'Share of the memory for results of a stage service that calls may fill; it falls when upstreams lack memory.',
   lycheetrack_placements_explained_total: 'Answers to the command `placement`, by outcome.',
