fix(stages): keep a task out of its queue while results of its input stages are missing

Callers saw requests fail because runners were asked for pieces of a stage without their inputs (`inputs` [null,null]) after the host that schedules the stages had been frozen for 5 s.

Cause: whether a task can be sent was kept twice, as a flag and as its place in the queue, and six files changed one or both. retryLostResults reset the flag of a half-done task whose results had expired and left it in the queue, and the step that empties the queues passed over tasks without the flag.

StageTask now owns its pieces, its results and its place in the queue, and ends the turn of its dependents in the step in which one of its results is lost or released. A piece has one result object or none, so the casts of handles are gone. A queued task without its inputs would be taken out and reported before calls are planned; no call is built.

--- a/src/node/gateway/stages/buildStageCall.ts
+++ b/src/node/gateway/stages/buildStageCall.ts
@@ -134,7 +134,7 @@
     const { job } = task.jobState
     const piece = { requestId: job.requestId, stageIndex: task.work.index, pieceIndex, timeLeftMs: job.deadlineAtMs - nowMs }
     if (task.work.after.length === 0) return { ...piece, pieceKey: job.pieceKey }
-    const inputs = inputsByTask.get(task) ?? task.jobState.listInputTasks(task).flatMap(input => input.handles as string[])
+    const inputs = inputsByTask.get(task) ?? task.jobState.listInputTasks(task).flatMap(input => input.listHandles())
     inputsByTask.set(task, inputs)
     return { ...piece, inputs }
   })
@@ -147,7 +147,7 @@
 
 /** Failure domain of most inputs; for a first stage with large results, the domain preferred for the engine. Empty for no preference. */
 function findPreferredDomain (task: StageTask): string {
-  const domains = task.jobState.listInputTasks(task).flatMap(input => input.resultDomains).filter(domain => domain !== undefined)
+  const domains = task.jobState.listInputTasks(task).flatMap(input => input.listDomains())
   if (domains.length === 0) return task.work.resultBytes >= stageConstants.largeResultBytes ? task.jobState.job.preferredDomain : ''
   const counts = new Map<string, number>()
   for (const domain of domains) counts.set(domain, (counts.get(domain) ?? 0) + 1)
--- a/src/node/gateway/stages/findLargestDomain.ts
+++ b/src/node/gateway/stages/findLargestDomain.ts
@@ -5,8 +5,8 @@
 export function findLargestDomain (tasks: readonly StageTask[], services: ReadonlyMap<string, StageService>): string {
   const bytes = new Map<string, number>()
   for (const task of tasks) {
-    for (const upstreamId of task.resultUpstreamIds) {
-      const domain = services.get(task.work.service)?.upstreams.get(upstreamId ?? '')?.failureDomain ?? ''
+    for (const { upstreamId } of task.listResults()) {
+      const domain = services.get(task.work.service)?.upstreams.get(upstreamId)?.failureDomain ?? ''
       bytes.set(domain, (bytes.get(domain) ?? 0) + task.work.resultBytes)
     }
   }
--- a/src/node/gateway/stages/jobState.ts
+++ b/src/node/gateway/stages/jobState.ts
@@ -1,5 +1,15 @@
 import { StageTask } from './stageTask.js'
 import type { StageJob } from './stageJob.js'
+import type { StageService } from './stageService.js'
+
+interface StateOptions {
+  readonly nowMs: number
+  /** Expected duration of the job; undefined for a job that was accepted as late. */
+  readonly expectedMs: number | undefined
+  /** Place of the job in the order of the queues. */
+  readonly sortKeyMs: number
+  readonly services: ReadonlyMap<string, StageService>
+}
 
 /** A job in progress. Mutable; owned by the scheduler. */
 export class JobState {
@@ -20,19 +30,16 @@
   }
 
   readonly startedAtMs: number
+  readonly expectedMs: number | undefined
+  readonly sortKeyMs: number
 
-  /**
-   * `expectedMs` is the expected duration of the job; undefined for a job that was accepted as late. `sortKeyMs` is its
-   * place in the order of the queues.
-   */
-  constructor (
-    readonly job: StageJob,
-    nowMs: number,
-    readonly expectedMs: number | undefined,
-    readonly sortKeyMs: number
-  ) {
+  constructor (readonly job: StageJob, { nowMs, expectedMs, sortKeyMs, services }: StateOptions) {
     this.startedAtMs = nowMs
-    this.tasks = new Map(job.stages.map(stage => [stage.index, new StageTask(this, stage)]))
+    this.expectedMs = expectedMs
+    this.sortKeyMs = sortKeyMs
+    this.tasks = new Map(job.stages.map(stage => {
+      return [stage.index, new StageTask(this, stage, services.get(stage.service)?.readyTasks)]
+    }))
   }
 
   /** Tasks whose results are inputs of the task. */
--- a/src/node/gateway/stages/missingInputs.ts
+++ b/src/node/gateway/stages/missingInputs.ts
@@ -1,4 +1,4 @@
-/** What a stage of a request lacks whose pieces are next to be sent. */
+/** What a stage of a request lacks whose pieces were queued. */
 export interface MissingInputs {
   readonly requestId: string
   readonly service: string
--- a/src/node/gateway/stages/resultTracker.ts
+++ b/src/node/gateway/stages/resultTracker.ts
@@ -14,16 +14,17 @@
 
   /** Marks all results of a task for release. */
   releaseTask (task: StageTask): void {
-    task.isReleased = true
-    for (let i = 0; i < task.handles.length; i++) this.releasePiece(task, i)
+    if (task.isReleased) return
+    task.releaseResults()
+    for (const { pieceIndex } of task.listResults()) this.releasePiece(task, pieceIndex)
   }
 
   /** Marks the result of a piece for release. */
   releasePiece (task: StageTask, pieceIndex: number): void {
-    const handle = task.handles[pieceIndex]
-    const upstreamId = task.resultUpstreamIds[pieceIndex]
-    if (handle !== undefined && upstreamId !== undefined) this.addRelease(task.work.service, upstreamId, handle, task.work.resultBytes)
-    task.resultUpstreamIds[pieceIndex] = undefined
+    const result = task.findResult(pieceIndex)
+    if (result === undefined) return
+    const { service, resultBytes } = task.work
+    this.addRelease(service, result.upstreamId, result.handle, resultBytes)
   }
 
   addRelease (service: string, upstreamId: string, handle: string, bytes: number): void {
@@ -91,11 +92,14 @@
    * until the call ends, because a failed call needs them again.
    */
   private isMemoryScarce (task: StageTask): boolean {
-    return task.jobState.listInputTasks(task).some(({ work, resultUpstreamIds }) => {
-      const service = this.services.get(work.service)
-      if (service === undefined) return false
-      const neededBytes = service.spec.batchSize * work.resultBytes
-      return resultUpstreamIds.some(upstreamId => (service.upstreams.get(upstreamId ?? '')?.reservedResultBytes ?? 0) + neededBytes > service.usableRoomBytes)
+    return task.jobState.listInputTasks(task).some(input => {
+      const service = this.services.get(input.work.service)
+      if (service === undefined || input.isReleased) return false
+      const neededBytes = service.spec.batchSize * input.work.resultBytes
+      return input.listResults().some(({ upstreamId }) => {
+        const reservedBytes = service.upstreams.get(upstreamId)?.reservedResultBytes ?? 0
+        return reservedBytes + neededBytes > service.usableRoomBytes
+      })
     })
   }
 }
--- a/src/node/gateway/stages/retryLostResults.ts
+++ b/src/node/gateway/stages/retryLostResults.ts
@@ -23,17 +23,16 @@
     if (task.isReleased || !isNeeded(state, task)) continue
     const service = services.get(task.work.service)
     const expiresAfterMs = (service?.spec.resultLifetimeMs ?? Infinity) - stageConstants.resultExpiryMarginMs
-    task.handles.forEach((handle, i) => {
-      if (handle === undefined) return
-      const isLost = service?.upstreams.has(task.resultUpstreamIds[i] ?? '') !== true || nowMs - task.madeAtMs[i]! >= expiresAfterMs
-      if (!isLost) return
-      resultTracker.releasePiece(task, i)
-      task.addPendingPiece(i)
-      task.isReady = false
+    for (const { pieceIndex, upstreamId, madeAtMs } of task.listResults()) {
+      const isLost = service?.upstreams.has(upstreamId) !== true || nowMs - madeAtMs >= expiresAfterMs
+      if (!isLost) continue
+      resultTracker.releasePiece(task, pieceIndex)
+      task.endTurn()
+      task.retryPiece(pieceIndex)
       count++
-    })
+    }
   }
-  if (count > 0) retryInputs(state, services)
+  if (count > 0) retryInputs(state)
   return count
 }
 
--- a/src/node/gateway/stages/stageScheduler.ts
+++ b/src/node/gateway/stages/stageScheduler.ts
@@ -1,10 +1,10 @@
 import { admitStageJob } from './admitStageJob.js'
 import { buildStageCall } from './buildStageCall.js'
 import { computeSortKeyMs } from './computeSortKeyMs.js'
+import { endIncompleteTurns } from './endIncompleteTurns.js'
 import { EstimateMargin } from './estimateMargin.js'
 import { JobState } from './jobState.js'
 import { findLargestDomain } from './findLargestDomain.js'
-import { findMissingInputs } from './findMissingInputs.js'
 import { hasOldResults } from './hasOldResults.js'
 import { isStartAllowed } from './isStartAllowed.js'
 import { listRankedTasks } from './listRankedTasks.js'
@@ -73,7 +73,8 @@
     if (!admission.isAccepted) return admission
     const expectedMs = admission.isLate ? undefined : admission.finishInMs
     const sortKeyMs = computeSortKeyMs(job, this.services, nowMs)
-    const state = new JobState({ ...job, preferredDomain: findDomain() }, nowMs, expectedMs, sortKeyMs)
+    const options = { nowMs, expectedMs, sortKeyMs, services: this.services }
+    const state = new JobState({ ...job, preferredDomain: findDomain() }, options)
     this.jobs.set(job.id, state)
     updateReadyTasks(state, this.services, nowMs)
     this.uncountedChangeAtMs = nowMs
@@ -103,6 +104,7 @@
     const calls: StageCall[] = []
     for (const service of this.services.values()) {
       for (const upstream of service.upstreams.values()) upstream.releaseLostResults(nowMs)
+      this.missingInputs.push(...endIncompleteTurns(service))
       while (service.readyTasks.size > 0) {
         const rankedTasks = listRankedTasks(service, nowMs, (task, schedulingClass) => {
           return isStartAllowed(task.jobState, schedulingClass, this.services, nowMs)
@@ -110,7 +112,6 @@
         const call = buildStageCall({ service, rankedTasks, nowMs, callId: this.nextCallId })
         if (call === undefined) break
         this.nextCallId++
-        this.addMissingInputs(call)
         this.onCallSent(service, call)
         calls.push(call)
       }
@@ -158,7 +159,7 @@
     const tasks = new Set<StageTask>()
     results.forEach((result, i) => {
       const { task, pieceIndex } = call.pieceRefs[i]!
-      task.piecesInFlight--
+      task.endPiece()
       tasks.add(task)
       this.onPieceResult(call, task, pieceIndex, result, nowMs)
     })
@@ -181,7 +182,7 @@
       upstream.onFailure(nowMs)
     }
     for (const { task, pieceIndex } of call.pieceRefs) {
-      task.piecesInFlight--
+      task.endPiece()
       task.jobState.hasFailedCall = true
       if (mayHaveRun) upstream?.addLostResults(task.work.resultBytes, nowMs + spec.resultLifetimeMs)
       else this.resultTracker.releaseMemory(call.service, call.upstreamId, task.work.resultBytes)
@@ -202,7 +203,7 @@
     return count
   }
 
-  /** Returns what stages lacked whose pieces were next to be sent, since the last invocation. */
+  /** Returns what stages lacked that were queued without their inputs, since the last invocation. */
   takeMissingInputs (): readonly MissingInputs[] {
     return this.missingInputs.splice(0)
   }
@@ -251,13 +252,6 @@
     this.uncountedChangeAtMs = undefined
   }
 
-  private addMissingInputs ({ pieceRefs }: StageCall): void {
-    for (const task of new Set(pieceRefs.map(({ task }) => task))) {
-      const missingInputs = findMissingInputs(task)
-      if (missingInputs !== undefined) this.missingInputs.push(missingInputs)
-    }
-  }
-
   private onCallSent (service: StageService, call: StageCall): void {
     const upstream = service.upstreams.get(call.upstreamId)!
     upstream.callsInFlight++
@@ -268,14 +262,11 @@
     const states = new Set<JobState>()
     for (const { task, pieceIndex } of call.pieceRefs) {
       if (task.pendingPieces.length === task.work.pieceCount && task.jobState.job.targetAtMs > call.sentAtMs) service.observeWait(call.sentAtMs - task.readyAtMs)
-      task.pendingPieces.splice(task.pendingPieces.indexOf(pieceIndex), 1)
-      task.piecesInFlight++
+      task.startPiece(pieceIndex, call.sentAtMs)
       if (!task.jobState.hasStarted) recordJobStart(task.jobState, this.services)
       this.services.get(task.work.service)!.backlog.started--
-      task.sentAtMs = call.sentAtMs
       if (task.work.after.length > 0) this.resultTracker.addFetchingTask(task)
       upstream.reservedResultBytes += task.work.resultBytes
-      if (task.pendingPieces.length === 0) service.readyTasks.delete(task)
       states.add(task.jobState)
     }
     for (const state of states) updateReadyTasks(state, this.services, call.sentAtMs)
@@ -285,7 +276,7 @@
     if ('handle' in result) {
       if (task.jobState.isEnded) return this.resultTracker.addRelease(call.service, call.upstreamId, result.handle, task.work.resultBytes)
       const failureDomain = this.services.get(call.service)!.upstreams.get(call.upstreamId)?.failureDomain
-      task.addResult(pieceIndex, result.handle, call.upstreamId, failureDomain, nowMs)
+      task.addResult({ pieceIndex, handle: result.handle, upstreamId: call.upstreamId, failureDomain, madeAtMs: nowMs })
       return
     }
     this.resultTracker.releaseMemory(call.service, call.upstreamId, task.work.resultBytes)
@@ -306,9 +297,10 @@
     if (jobState.isEnded) return
     jobState.pieceFailures++
     if (jobState.pieceFailures > stageConstants.maxPieceFailures * task.work.pieceCount) return this.endJob(jobState, { type: 'failed', reason: `stage ${task.work.service} failed` })
-    task.addPendingPiece(pieceIndex)
-    if (retryInputs(jobState, this.services)) this.onInputsRetried(jobState, nowMs)
-    else if (task.isReady) this.services.get(task.work.service)!.readyTasks.add(task)
+    task.retryPiece(pieceIndex)
+    if (retryInputs(jobState)) this.onInputsRetried(jobState, nowMs)
+    // The results of its input stages may have come back while all its pieces were in calls.
+    else if (!task.isReady) updateReadyTasks(jobState, this.services, nowMs)
   }
 
   /**
@@ -350,7 +342,7 @@
       jobId: state.job.id,
       outcome: {
         type: 'completed',
-        outputs: outputs.map(task => ({ index: task.work.index, handles: task.handles as string[] })),
+        outputs: outputs.map(task => ({ index: task.work.index, handles: task.listHandles() })),
         outputDomain: findLargestDomain(outputs, this.services)
       }
     })
@@ -384,7 +376,7 @@
     state.isEnded = true
     if (this.jobs.get(state.job.id) === state) this.jobs.delete(state.job.id)
     for (const task of state.tasks.values()) {
-      this.services.get(task.work.service)?.readyTasks.delete(task)
+      task.endTurn()
       this.resultTracker.releaseTask(task)
     }
   }
--- a/src/node/gateway/stages/updateReadyTasks.ts
+++ b/src/node/gateway/stages/updateReadyTasks.ts
@@ -9,15 +9,13 @@
   const isPathUnsent = criticalPath.some(task => task.pendingPieces.length > 0)
   for (const task of state.tasks.values()) {
     if (task.isReady || task.pendingPieces.length === 0) continue
-    if (!state.listInputTasks(task).every(input => input.isDone())) continue
+    if (!task.hasInputs()) continue
     // A first stage off the critical path runs alongside the last stage of that path, because its results occupy memory
     // until both are done.
     const isOffCriticalPath = task.work.after.length === 0 && !criticalPath.includes(task)
     if (isOffCriticalPath && isPathUnsent) continue
-    task.isReady = true
-    task.readyAtMs = nowMs
     task.remainingMs = computeRemainingMs(task, services)
     task.remainingAfterMs = Math.max(0, ...state.listDependents(task).map(follower => computeRemainingMs(follower, services)))
-    services.get(task.work.service)?.readyTasks.add(task)
+    task.startTurn(nowMs)
   }
 }
