fix(stages): begin late work in quiet times

Cause: late work begins only while accepted work leaves capacity, and the counts of that work were renewed after some changes only. A job that became late still counted as on time, so it waited for its own pieces; a job that ended at its deadline within a planning still counted.

The backlogs are counted again once a job has ended, results are queued again, or the earliest target of on-time work has passed, as of the time at which they are read.

Two tests in lateAdmission.test.ts failed before.

--- a/src/node/gateway/stages/__tests__/lateAdmission.test.ts
+++ b/src/node/gateway/stages/__tests__/lateAdmission.test.ts
@@ -17,3 +17,20 @@
   }
   t.match(scheduler.addJob(buildJob('last', [{}], { targetAtMs: 9000, deadlineAtMs: 60_000 }), 9000), { isAccepted: true, isLate: true }, 'the queue is empty again')
 })
+
+t.test('guards against a job that is never begun because its own pieces count as on-time work after its target', async t => {
+  const { scheduler, buildJob } = createTestScheduler([{ name: 'a', domains: ['x', 'y'], batchSize: 1 }])
+  scheduler.addJob(buildJob('p', [{ pieceCount: 5 }], { targetAtMs: 2000, deadlineAtMs: 60_000 }), 0)
+  scheduler.listLoads(0)
+  t.equal(scheduler.planCalls(2100).length, 2, 'a call to each upstream, 100 ms after the target')
+})
+
+t.test('guards against late work that is never begun because pieces of a job that has ended still count', async t => {
+  const { scheduler, buildJob, answerCall } = createTestScheduler([{ name: 'a', domains: ['x', 'y'], batchSize: 1 }])
+  scheduler.addJob(buildJob('ended', [{ pieceCount: 5 }], { targetAtMs: 50_000, deadlineAtMs: 3000 }), 0)
+  scheduler.addJob(buildJob('late', [{}], { targetAtMs: 100, deadlineAtMs: 60_000 }), 0)
+  for (const call of scheduler.planCalls(0)) answerCall(call, 2900)
+  t.same(scheduler.planCalls(3100), [])
+  t.match(scheduler.takeEndedJobs(), [{ jobId: 'ended' }])
+  t.same(scheduler.planCalls(3200).flatMap(({ pieces }) => pieces.map(({ requestId }) => requestId)), ['late'])
+})
--- a/src/node/gateway/stages/__tests__/runRandomStages.ts
+++ b/src/node/gateway/stages/__tests__/runRandomStages.ts
@@ -7,7 +7,7 @@
 
 interface StagesRun {
   readonly calls: number
-  /** What was wrong with the inputs of a piece or of a completed job. */
+  /** What was wrong with the inputs of a piece or of a completed job, and jobs that stood still. */
   readonly faults: readonly string[]
 }
 
@@ -17,7 +17,7 @@
   readonly pieceIndex: number
 }
 
-/** Time for which the calls are answered at last, with all upstreams in service. */
+/** Time in which all jobs are to end once all upstreams serve. */
 const drainMs = 20_000
 const drainStepMs = 260
 const domains = ['x', 'y', 'z']
@@ -44,6 +44,7 @@
   const jobs = new Map<string, StageJob>()
   const results = new Map<string, MadeResult>()
   const inFlight: StageCall[] = []
+  const ended = new Set<string>()
   const faults: string[] = []
   const isServed = services.map(service => service.domains.map(() => true))
   let nowMs = 0
@@ -68,6 +69,7 @@
     }
     faults.push(...scheduler.takeMissingInputs().map(missing => `queued without inputs: ${JSON.stringify(missing)}`))
     for (const { jobId, outcome } of scheduler.takeEndedJobs()) {
+      ended.add(jobId)
       if (outcome.type !== 'completed') continue
       for (const { index, handles } of outcome.outputs) checkInputs(`the request of ${jobId}`, jobId, [index], handles)
       scheduler.releaseJob(jobId)
@@ -87,7 +89,7 @@
       const times = { targetAtMs: nowMs + step.targetInMs, deadlineAtMs: nowMs + step.deadlineInMs }
       const job = buildJob(id, shapes[step.shape % shapes.length]!, times)
       jobs.set(id, job)
-      scheduler.addJob(job, nowMs)
+      if (!scheduler.addJob(job, nowMs).isAccepted) ended.add(id)
     } else if (step.type === 'plan') {
       nowMs += step.afterMs
       plan()
@@ -111,7 +113,11 @@
         const index = services.findIndex(service => service.name === name)
         return services[index]!.domains.filter((_, i) => isServed[index]![i])
       })
-    } else scheduler.cancelJob(`job${step.pick % Math.max(jobs.size, 1)}`, nowMs)
+    } else {
+      const id = `job${step.pick % Math.max(jobs.size, 1)}`
+      scheduler.cancelJob(id)
+      ended.add(id)
+    }
   }
   // From here on all upstreams serve.
   applyDomains(name => services.find(service => service.name === name)!.domains)
@@ -122,5 +128,8 @@
     for (const call of inFlight.splice(0)) scheduler.onCallAnswered(call, call.pieces.map(buildResult), nowMs)
   }
   plan()
+  for (const [id, { deadlineAtMs }] of jobs) {
+    if (!ended.has(id) && deadlineAtMs > nowMs) faults.push(`${id} stands still`)
+  }
   return { calls, faults }
 }
--- a/src/node/gateway/stages/__tests__/stageInputs.test.ts
+++ b/src/node/gateway/stages/__tests__/stageInputs.test.ts
@@ -17,7 +17,7 @@
   t.same(listInputs(), [{ stageIndex: 0 }, { stageIndex: 0 }], 'the first stage runs again, the second one waits for it')
 })
 
-t.test('guards against calls with inputs that are missing, foreign or given twice', async t => {
+t.test('guards against calls with inputs that are missing, foreign or given twice, and jobs that stand still', async t => {
   const { seed, numRuns } = { seed: 57, numRuns: 400 }
   let calls = 0
   fc.assert(fc.property(stageSteps, steps => {
--- a/src/node/gateway/stages/__tests__/stageScheduler.test.ts
+++ b/src/node/gateway/stages/__tests__/stageScheduler.test.ts
@@ -149,7 +149,7 @@
   const { scheduler, buildJob, answerCall } = createTestScheduler([{ name: 'a', domains: ['x'] }])
   scheduler.addJob(buildJob('p', [{}]), 0)
   const [call] = scheduler.planCalls(0)
-  scheduler.cancelJob('p', 100)
+  scheduler.cancelJob('p')
   answerCall(call!, 250)
   t.same(scheduler.takeEndedJobs(), [])
   t.same(scheduler.takeReleases().map(release => release.handles), [['a-0/p.0.0']])
--- a/src/node/gateway/stages/__tests__/stageSpace.test.ts
+++ b/src/node/gateway/stages/__tests__/stageSpace.test.ts
@@ -26,7 +26,7 @@
     scheduler.addJob(buildJob(id, [{ pieceCount: 100 }], times), nowMs)
     const [call] = scheduler.planCalls(nowMs)
     answerCall(call!, nowMs + 1240, isFull ? call!.pieces.map(() => ({ failure: 'no-room' })) : undefined)
-    scheduler.cancelJob(id, nowMs + 1240)
+    scheduler.cancelJob(id)
     for (const release of scheduler.takeReleases()) scheduler.onReleased(release)
     return call!.pieces.length
   }
--- a/src/node/gateway/stages/stageDispatcher.ts
+++ b/src/node/gateway/stages/stageDispatcher.ts
@@ -90,7 +90,7 @@
     })
     return await new Promise(resolve => {
       const onAbort = (): void => {
-        scheduler.cancelJob(job.id, clock.readMonotonicMs())
+        scheduler.cancelJob(job.id)
         this.endJob(job.id, { type: 'failed', reason: 'the client left' })
         this.schedulePlanning(0)
       }
--- a/src/node/gateway/stages/stageScheduler.ts
+++ b/src/node/gateway/stages/stageScheduler.ts
@@ -45,8 +45,10 @@
   private hasLostUpstreams = false
   private lostResults = 0
   private readonly missingInputs: MissingInputs[] = []
-  /** Time of the last change of the jobs that the backlogs do not contain yet. */
-  private uncountedChangeAtMs: number | undefined
+  /** Whether the jobs have changed since the backlogs were counted. */
+  private hasUncountedChanges = false
+  /** Time after which the next on-time job counts as late in the backlogs. */
+  private nextLateAtMs = Infinity
 
   /** Applies the stage services of a configuration and the upstreams that serve them. */
   applyUpstreams (specs: ReadonlyMap<string, ServiceSpec>, listUpstreams: (service: string) => readonly UpstreamEntry[]): void {
@@ -68,7 +70,7 @@
    * preferred for its engine; it is called for accepted jobs only.
    */
   addJob (job: StageJob, nowMs: number, findDomain = () => job.preferredDomain): StageAdmission {
-    this.countBacklogs()
+    this.countBacklogs(nowMs)
     const admission = admitStageJob(job, this.services, nowMs, this.margin.computeMs(nowMs))
     if (!admission.isAccepted) return admission
     const expectedMs = admission.isLate ? undefined : admission.finishInMs
@@ -77,16 +79,14 @@
     const state = new JobState({ ...job, preferredDomain: findDomain() }, options)
     this.jobs.set(job.id, state)
     updateReadyTasks(state, this.services, nowMs)
-    this.uncountedChangeAtMs = nowMs
+    this.hasUncountedChanges = true
     return admission
   }
 
   /** Removes a job and releases its results; pieces that are in a call run to completion. */
-  cancelJob (jobId: string, nowMs: number): void {
+  cancelJob (jobId: string): void {
     const state = this.jobs.get(jobId)
-    if (state === undefined) return
-    this.removeJob(state)
-    this.uncountedChangeAtMs = nowMs
+    if (state !== undefined) this.removeJob(state)
   }
 
   /** Releases the results of a completed job. */
@@ -97,7 +97,7 @@
 
   /** Plans the calls to send now. */
   planCalls (nowMs: number): readonly StageCall[] {
-    this.countBacklogs()
+    this.countBacklogs(nowMs)
     this.endExpiredJobs(nowMs)
     this.retryLostJobs(nowMs)
     this.resultTracker.releaseFetchedInputs(nowMs)
@@ -167,7 +167,7 @@
       this.resultTracker.releaseUsedInputs(task)
       this.updateJob(task.jobState, nowMs)
     }
-    this.uncountedChangeAtMs = nowMs
+    this.hasUncountedChanges = true
   }
 
   /**
@@ -188,7 +188,7 @@
       else this.resultTracker.releaseMemory(call.service, call.upstreamId, task.work.resultBytes)
       this.retryPiece(task, pieceIndex, nowMs)
     }
-    this.uncountedChangeAtMs = nowMs
+    this.hasUncountedChanges = true
   }
 
   /** Returns the jobs that have ended since the last invocation. */
@@ -241,15 +241,18 @@
 
   /** Queue lengths and idle upstreams by service, for logs and measurements. */
   listLoads (nowMs: number): readonly StageLoad[] {
-    this.countBacklogs()
+    this.countBacklogs(nowMs)
     return [...this.services.values()].map(service => service.computeLoad(nowMs))
   }
 
-  /** Counts the backlogs when they are read after a change: counting them at each change would cost more than the scheduling. */
-  private countBacklogs (): void {
-    if (this.uncountedChangeAtMs === undefined) return
-    updateBacklogs(this.services, this.jobs.values(), this.uncountedChangeAtMs)
-    this.uncountedChangeAtMs = undefined
+  /**
+   * Counts the backlogs when they are read after a change, or after a job has become late: counting them at each change
+   * would cost more than the scheduling.
+   */
+  private countBacklogs (nowMs: number): void {
+    if (!this.hasUncountedChanges && nowMs <= this.nextLateAtMs) return
+    this.nextLateAtMs = updateBacklogs(this.services, this.jobs.values(), nowMs)
+    this.hasUncountedChanges = false
   }
 
   private onCallSent (service: StageService, call: StageCall): void {
@@ -258,7 +261,7 @@
     upstream.busyUntilMs = call.sentAtMs + call.expectedMs
     upstream.lastCallAtMs = call.sentAtMs
     service.recordSentPieces(call.pieceRefs.length, call.sentAtMs)
-    this.uncountedChangeAtMs = call.sentAtMs
+    this.hasUncountedChanges = true
     const states = new Set<JobState>()
     for (const { task, pieceIndex } of call.pieceRefs) {
       if (task.pendingPieces.length === task.work.pieceCount && task.jobState.job.targetAtMs > call.sentAtMs) service.observeWait(call.sentAtMs - task.readyAtMs)
@@ -318,6 +321,7 @@
     const count = retryLostResults(state, { services: this.services, resultTracker: this.resultTracker, nowMs })
     if (count === 0) return 0
     this.lostResults += count
+    this.hasUncountedChanges = true
     this.onInputsRetried(state, nowMs)
     return count
   }
@@ -374,6 +378,7 @@
 
   private removeJob (state: JobState): void {
     state.isEnded = true
+    this.hasUncountedChanges = true
     if (this.jobs.get(state.job.id) === state) this.jobs.delete(state.job.id)
     for (const task of state.tasks.values()) {
       task.endTurn()
--- a/src/node/gateway/stages/updateBacklogs.ts
+++ b/src/node/gateway/stages/updateBacklogs.ts
@@ -1,8 +1,12 @@
 import type { JobState } from './jobState.js'
 import type { StageService } from './stageService.js'
 
-/** Counts the accepted pieces that wait at each service, including pieces of stages that are not ready yet. */
-export function updateBacklogs (services: ReadonlyMap<string, StageService>, jobs: Iterable<JobState>, nowMs: number): void {
+/**
+ * Counts the accepted pieces that wait at each service, including pieces of stages that are not ready yet. Returns the time
+ * after which the next on-time job counts as late.
+ */
+export function updateBacklogs (services: ReadonlyMap<string, StageService>, jobs: Iterable<JobState>, nowMs: number): number {
+  let nextLateAtMs = Infinity
   for (const { backlog } of services.values()) {
     backlog.onTime = 0
     backlog.late = 0
@@ -15,6 +19,7 @@
     if (state.isEnded) continue
     const { targetAtMs } = state.job
     const isLate = state.isLate || targetAtMs < nowMs
+    if (!isLate) nextLateAtMs = Math.min(nextLateAtMs, targetAtMs)
     for (const task of state.tasks.values()) {
       const backlog = services.get(task.work.service)?.backlog
       const pieces = task.pendingPieces.length
@@ -26,4 +31,5 @@
       if (!isLate) backlog.jobs.push({ sortKeyMs: state.sortKeyMs, pieces })
     }
   }
+  return nextLateAtMs
 }
