feat(versions): log what a host knew of streams before a restore of the store

A stream that went on at the base version after a restore looked the same in the logs whether its record was lost, was dropped by the host that was asked, or had never been written.

`stream records after a restore` tells how many streams with a record the host knew and how many are its own; `stream resumed` with `source=base` tells the time since the restore. Nothing is decided otherwise.

--- a/src/node/gateway/versions/streamOrigin.ts
+++ b/src/node/gateway/versions/streamOrigin.ts
@@ -5,6 +5,8 @@
     /** Software version of the upstream that began the stream. */
     readonly version: string
     /** `own`: began at this host; `record`: recorded in the store; `base`: not recorded, so at the base version. */
-    readonly source: 'own' | 'record' | 'base'
+    readonly source: 'own' | 'record' | 'base',
+    /** Time since the store was restored, as far as this host knows; undefined without a restore. */
+    readonly sinceRestoreMs?: number
   }
   | { readonly type: 'unknown', readonly reason: string }
--- a/src/node/gateway/versions/streamRecordIndex.ts
+++ b/src/node/gateway/versions/streamRecordIndex.ts
@@ -34,6 +34,13 @@
     return item?.baseVersion === undefined ? undefined : { version: item.baseVersion, revision: item.revision }
   }
 
+  /** Number of streams with a record. */
+  countStreams (): number {
+    let count = 0
+    for (const { versions } of this.items.values()) count += versions.size
+    return count
+  }
+
   listServicesWithBase (): readonly string[] {
     const { base } = this.prefixes
     return [...this.items.keys()].filter(key => key.startsWith(base)).map(key => key.slice(base.length))
--- a/src/node/gateway/versions/streamVersions.ts
+++ b/src/node/gateway/versions/streamVersions.ts
@@ -149,10 +149,12 @@
   private decideUnrecorded (service: string): StreamOrigin {
     const base = this.index.findBase(service)
     if (base === undefined) return { type: 'unknown', reason: 'the service has no base version' }
-    if (this.options.clock.readMonotonicMs() < this.restoredAtMs + versionConstants.restoreMs) {
+    const sinceRestoreMs = this.options.clock.readMonotonicMs() - this.restoredAtMs
+    if (sinceRestoreMs < versionConstants.restoreMs) {
       return { type: 'unknown', reason: 'records of a restored store are being written again' }
     }
-    return { type: 'known', version: base.version, source: 'base' }
+    const origin = { type: 'known', version: base.version, source: 'base' } as const
+    return sinceRestoreMs === Infinity ? origin : { ...origin, sinceRestoreMs: Math.round(sinceRestoreMs) }
   }
 
   /** Reads all items from the store, beginning after this call; calls that wait meanwhile share the next read. */
@@ -239,8 +241,11 @@
 
   /** The store may have lost the newest records; streams of hosts that are lost, too, stay unknown. */
   private onRestored (): void {
+    const known = this.index.countStreams()
     this.index.removeAll()
     this.restoredAtMs = this.options.clock.readMonotonicMs()
-    for (const record of this.started.listRecorded()) this.writer.addRecord(record)
+    const own = this.started.listRecorded()
+    for (const record of own) this.writer.addRecord(record)
+    this.options.logger.recordInfo('stream records after a restore', { known, own: own.length })
   }
 }
