fix(versions): keep what is known of streams over a restore of the store

Cause: hosts dropped the records that they had read, because their revisions were no longer valid, nobody wrote those of the lost host again, and after 2 s a missing record counted as proof that the stream had begun at the base version. A host that started after the restore did not even wait.

What a host has read stays known, and items that stay missing are written again by other hosts, one after the other. A missing record proves nothing until no stream from before the restore can be resumed any more; the store names the newest era whose records are complete, so hosts that start meanwhile know, too.

--- a/playground/fakes/memoryStore.ts
+++ b/playground/fakes/memoryStore.ts
@@ -46,10 +46,11 @@
     for (const write of this.lateWrites.splice(0)) this.applyWrite(write)
   }
 
-  private applyWrite ({ conditions, writes }: StoreWrite): boolean {
+  private applyWrite ({ conditions, writes, removals }: StoreWrite): boolean {
     if (conditions.some(({ key, revision }) => (this.items.get(key)?.revision ?? 0) !== revision)) return false
     this.writeCount++
     for (const { key, value } of writes) this.items.set(key, { key, value, revision: ++this.revision })
+    for (const key of removals) this.items.delete(key)
     return true
   }
 
@@ -76,6 +77,14 @@
     }
   }
 
+  /** Goes back to the items of an earlier time; revisions are given out again. */
+  applyCopy (items: readonly StoreItem[]): void {
+    this.era++
+    this.items.clear()
+    for (const item of items) this.items.set(item.key, item)
+    this.revision = Math.max(1, ...items.map(({ revision }) => revision))
+  }
+
   private checkUp (): void {
     if (this.isDown) throw new StoreUnavailableError('the store is down')
   }
--- a/playground/platform/versionedFleet.ts
+++ b/playground/platform/versionedFleet.ts
@@ -47,6 +47,11 @@
     return host
   }
 
+  async stopHost (host: GatewayTestHarness): Promise<void> {
+    this.hosts.splice(this.hosts.indexOf(host), 1)
+    await host.stop()
+  }
+
   async stopHosts (): Promise<void> {
     await Promise.all(this.hosts.splice(0).map(async host => { await host.stop() }))
   }
--- a/src/node/app/__tests__/resumedStreams.test.ts
+++ b/src/node/app/__tests__/resumedStreams.test.ts
@@ -1,5 +1,7 @@
+import { setTimeout as delay } from 'node:timers/promises'
 import t from 'tap'
 import { VersionedFleet } from '../../../../playground/platform/versionedFleet.js'
+import { versionConstants } from '../../gateway/versions/constants.js'
 
 const streamCount = 20
 const twoVersions = { 'i-old': 'v1', 'i-new': 'v2' }
@@ -43,3 +45,27 @@
     t.same(await fleet.resumeAll(host, streams), { wentOn: streamCount - oldCount, joined: 0, refused: oldCount })
   })
 })
+
+t.test('streams of two software versions after a restore of the store', { timeout: 60_000 }, async t => {
+  const fleet = await new VersionedFleet().start(2, twoVersions)
+  t.teardown(async () => { await fleet.stop() })
+  const [first, second] = fleet.hosts
+  const copy = fleet.store.createCopy()
+  const streams = await fleet.startBrokenStreams(first!, streamCount, 'restored')
+  t.same(new Set(streams.map(stream => stream.version)), new Set(['v1', 'v2']))
+  // By then the other host has the records of both versions.
+  await delay(1500)
+  await fleet.stopHost(first!)
+  fleet.store.applyCopy(copy)
+
+  t.test('guards against a stream of a lost host that goes on at another version', async t => {
+    t.same(await fleet.resumeAll(second!, streams), allWentOn)
+  })
+
+  t.test('guards against a stream that goes on at another version at a host that starts later', async t => {
+    const late = await fleet.startHost()
+    await second!.waitForLogLine('lost stream records written')
+    await delay(versionConstants.restoreMs)
+    t.same(await fleet.resumeAll(late, streams), allWentOn)
+  })
+})
--- a/src/node/app/createStoreRecords.ts
+++ b/src/node/app/createStoreRecords.ts
@@ -55,6 +55,8 @@
       return entry.isDraining || evacuated.has(entry.failureDomain) ? [] : [entry.version]
     }),
     countHosts: () => hosts.countHosts(),
+    hostId: hosts.getSelf().id,
+    listHostIds: () => hosts.listReady().map(host => host.id),
     clock,
     timers,
     logger,
--- a/src/node/gateway/versions/__tests__/streamVersions.test.ts
+++ b/src/node/gateway/versions/__tests__/streamVersions.test.ts
@@ -17,11 +17,12 @@
   const store = new MemoryStore()
   const clock = new VirtualClock()
   const state = { served: ['v1', 'v1', 'v2'] }
-  const hosts = Array.from({ length: count }, () => {
+  const hostIds = Array.from({ length: count }, (_, i) => `host-${i}`)
+  const hosts = hostIds.map(hostId => {
     const storeEra = new StoreEra(logger, metrics)
     storeEra.observeAnswer(store.era, undefined)
     const options = { store, storeEra, prefix: 'streams/', clock, timers: clock, logger, metrics }
-    const versions = new StreamVersions({ ...options, listVersions: () => state.served, countHosts: () => count })
+    const versions = new StreamVersions({ ...options, listVersions: () => state.served, countHosts: () => count, hostId, listHostIds: () => hostIds })
     versions.start()
     return { versions, storeEra }
   })
@@ -41,7 +42,7 @@
   t.ok(await start(0, 'b', 'v2'))
   const writesBefore = store.writeCount
   t.ok(await start(1, 'c', 'v1'))
-  t.equal(store.writeCount, writesBefore, 'the base version needs no record')
+  t.equal(store.writeCount, writesBefore, 'streams of the base version do not wait for a record')
   t.matchSnapshot([await resume(0, 'b'), await resume(1, 'a'), await resume(1, 'b'), await resume(0, 'c')])
   t.ok(await start(0, 'b', 'v1'), 'a second attempt at another version, before the first event')
   t.matchSnapshot(await resume(1, 'b'))
@@ -67,12 +68,17 @@
 t.test('guards against streams whose records a restore of the store has lost', async t => {
   const { store, clock, hosts, start, resume } = createHosts(2)
   await start(0, 'a', 'v2')
+  await start(0, 'b', 'v1')
+  await clock.runFor(versionConstants.baseRecordDelayMs)
   store.applyRestore('streams/base/')
   for (const { storeEra } of hosts) storeEra.observeAnswer(store.era, undefined)
   t.equal((await resume(1, 'a')).type, 'unknown')
   await clock.runFor(versionConstants.restoreMs)
   t.match(await resume(1, 'a'), { version: 'v2', source: 'record' })
-  t.match(await resume(1, 'never recorded'), { version: 'v1', source: 'base' })
+  t.match(await resume(1, 'b'), { version: 'v1', source: 'record' })
+  t.equal((await resume(1, 'never recorded')).type, 'unknown', 'its host may be lost with its record')
+  await clock.runFor(versionConstants.streamLifetimeMs)
+  t.match(await resume(1, 'never recorded'), { version: 'v1', source: 'base' }, 'nothing from before the restore is left')
 })
 
 t.test('guards against a refusal of a stream whose record is known while the store cannot be read', async t => {
@@ -121,7 +127,7 @@
   await clock.runFor(versionConstants.streamLifetimeMs)
   t.match(await resume(1, 'b'), { version: 'v1' })
   for (const { versions } of hosts) versions.applySnapshot(store.listItems())
-  await clock.runFor(2 * versionConstants.baseCheckMs)
+  await clock.runFor(2 * versionConstants.checkMs)
   t.match(await resume(1, 'b'), { version: 'v1' }, 'not known while the store was not followed')
   await clock.runFor(versionConstants.streamLifetimeMs)
   t.match(await resume(1, 'b'), { version: 'v2' })
--- a/src/node/gateway/versions/__tests__/unwrittenRecords.test.ts
+++ b/src/node/gateway/versions/__tests__/unwrittenRecords.test.ts
@@ -63,12 +63,13 @@
 function createHosts () {
   const store = new MemoryStore()
   const clock = new VirtualClock()
-  const hosts = [0, 1].map(() => {
+  const hosts = [0, 1].map(i => {
     const storeEra = new StoreEra(logger, metrics)
     storeEra.observeAnswer(store.era, undefined)
     const path = new StorePath(store, clock)
     const listVersions = (): readonly string[] => ['v1', 'v1', 'v2']
-    const versions = new StreamVersions({ store: path, storeEra, prefix, clock, timers: clock, logger, metrics, listVersions, countHosts: () => 2 })
+    const ranks = { hostId: `host-${i}`, listHostIds: () => ['host-0', 'host-1'] }
+    const versions = new StreamVersions({ ...ranks, store: path, storeEra, prefix, clock, timers: clock, logger, metrics, listVersions, countHosts: () => 2 })
     versions.start()
     return { versions, storeEra, path }
   })
--- a/src/node/gateway/versions/constants.ts
+++ b/src/node/gateway/versions/constants.ts
@@ -21,12 +21,25 @@
   /** Attempts to read the records for a request that resumes a stream, and the pause between them. */
   readAttempts: 3,
   readRetryMs: 100,
-  /** After a restore of the store, the hosts write their records again within this time. */
+  /** After a restore of the store, the hosts write lost records again within this time. */
   restoreMs: 2000,
+  /** Turns in which the hosts write the lost records of others, one host of each item in a turn, all in the last one. */
+  restoreTurnMs: 400,
+  restoreTurns: 4,
+  /** Lost items that one call writes; an item has some kilobytes. */
+  maxRestoredItems: 16,
+  /** Records of streams at the base version that all hosts together write in a second; all hosts keep them. */
+  fleetBaseRecordsPerS: 500,
+  /** Time whose share of these records may be written at once, when a service gets its second version. */
+  baseRecordBurstMs: 10_000,
+  /** Longest time until such a record is written; no stream waits for it. */
+  baseRecordDelayMs: 500,
+  /** Time for which it is kept whether a service has records at other versions than its base version. */
+  otherVersionsMs: 1000,
   /** Streams that a host remembers; the oldest are dropped. */
   maxStartedStreams: 16_384,
-  /** Interval at which a service is checked for a base version that serves no more. */
-  baseCheckMs: 5000,
+  /** Interval of checks: base versions that serve no more, streams without a record, records in doubt. */
+  checkMs: 5000,
   /** Length of the digest of a request id, in characters of six bits each. */
   streamHashLength: 11
 } as const
--- a/src/node/gateway/versions/streamRecordWriter.ts
+++ b/src/node/gateway/versions/streamRecordWriter.ts
@@ -5,12 +5,13 @@
 import type { Logger } from '../../../types/logger.js'
 import type { Metrics } from '../../../types/metrics.js'
 import type { Scheduler } from '../../../types/scheduler.js'
+import type { RecordLease } from './recordLease.js'
 import type { StoreClient } from '../model/storeClient.js'
-import type { StoreLease } from '../model/storeLease.js'
 import type { StreamRecord } from './streamRecord.js'
 
 interface WriterOptions {
   readonly store: StoreClient
+  readonly lease: RecordLease
   /** Prefix of the keys of the items. */
   readonly prefix: string
   readonly countHosts: () => number
@@ -44,8 +45,7 @@
   private slice: Slice | undefined
   private hasUnwritten = false
   private readonly waiters = new Set<Waiter>()
-  private lease: { readonly value: StoreLease, readonly createdAtMs: number } | undefined
-  private cancelTimer: (() => void) | undefined
+  private scheduled: { readonly atMs: number, readonly cancel: () => void } | undefined
   private isWriting = false
   private isStopped = false
   private lastWriteAtMs = -Infinity
@@ -60,14 +60,14 @@
     return this.hasFailed
   }
 
-  /** Adds a record; it is written later, also after failures. */
-  addRecord (record: StreamRecord): void {
+  /** Adds a record; it is written within `delayMs` and the pause between writes, or later after failures. */
+  addRecord (record: StreamRecord, delayMs = 0): void {
     const { records } = this.getSlice()
     records.set(record.streamHash, record)
     // In a long outage of the store, the oldest streams are the first that nobody resumes any more.
     if (records.size > versionConstants.maxStartedStreams) records.delete(records.keys().next().value!)
     this.hasUnwritten = true
-    this.scheduleWrite(this.isFailing() ? versionConstants.writeRetryMs : 0)
+    this.scheduleWrite(this.isFailing() ? Math.max(versionConstants.writeRetryMs, delayMs) : delayMs)
   }
 
   /** Adds a record; resolves to whether the store has acknowledged it in time. */
@@ -84,9 +84,19 @@
     })
   }
 
+  /**
+   * Begins a new item after a restore of the store: other hosts may write the lost ones again as they have read them. All
+   * records that are still needed have to be added again.
+   */
+  applyRestore (): void {
+    this.options.lease.removeLease()
+    if (this.slice !== undefined) this.createSlice()
+    this.hasUnwritten = false
+  }
+
   stop (): void {
     this.isStopped = true
-    this.cancelTimer?.()
+    this.scheduled?.cancel()
     this.endWaiters([...this.waiters], false)
   }
 
@@ -112,14 +122,20 @@
   }
 
   private scheduleWrite (delayMs: number): void {
-    if (this.isStopped || this.isWriting || this.cancelTimer !== undefined) return
-    const pauseMs = this.lastWriteAtMs + this.computePauseMs() - this.options.clock.readMonotonicMs()
-    this.cancelTimer = this.options.timers.schedule(Math.max(delayMs, pauseMs, 0), () => {
-      this.cancelTimer = undefined
+    if (this.isStopped || this.isWriting) return
+    const { clock, timers, logger } = this.options
+    const nowMs = clock.readMonotonicMs()
+    const atMs = Math.max(nowMs + delayMs, this.lastWriteAtMs + this.computePauseMs())
+    if (this.scheduled !== undefined && this.scheduled.atMs <= atMs) return
+    this.scheduled?.cancel()
+    const cancel = timers.schedule(atMs - nowMs, () => {
+      this.scheduled = undefined
+      if (!this.hasUnwritten) return
       this.writeSlice(this.slice!).catch(error => {
-        this.options.logger.recordError('stream records failed unexpectedly', { reason: (error as Error).message })
+        logger.recordError('stream records failed unexpectedly', { reason: (error as Error).message })
       })
     })
+    this.scheduled = { atMs, cancel }
   }
 
   private async writeSlice (slice: Slice): Promise<void> {
@@ -138,13 +154,13 @@
 
   /** Sends a write; an answer that comes late still counts for those that wait. */
   private async sendSlice ({ key, records }: Slice, waiters: readonly Waiter[]): Promise<WriteOutcome> {
-    const { store, clock } = this.options
+    const { store, lease, clock } = this.options
     const sentAtMs = clock.readMonotonicMs()
     try {
-      const writes = [{ key, value: streamRecordCodec.encode([...records.values()]), lease: await this.getLease() }]
+      const writes = [{ key, value: streamRecordCodec.encode([...records.values()]), lease: await lease.getLease() }]
       // Without conditions, the store refuses a write only because its lease has ended.
       if (!await store.writeConditionally({ conditions: [], writes, removals: [] })) {
-        this.lease = undefined
+        lease.removeLease()
         return 'failed'
       }
     } catch (error) {
@@ -164,17 +180,6 @@
     })
   }
 
-  /** The lease of the items, which ends when no stream of them can be resumed any more. */
-  private async getLease (): Promise<StoreLease> {
-    const { store, clock } = this.options
-    const { leaseUseMs, sliceMs, streamLifetimeMs } = versionConstants
-    const createdAtMs = clock.readMonotonicMs()
-    if (this.lease !== undefined && createdAtMs - this.lease.createdAtMs < leaseUseMs) return this.lease.value
-    const value = await store.createLease(leaseUseMs + sliceMs + streamLifetimeMs)
-    this.lease = { value, createdAtMs }
-    return value
-  }
-
   /** Writes the records under another key: a write without an answer may be done late, and must not undo later ones. */
   private retrySlice (slice: Slice): void {
     const { records } = this.slice === slice ? this.createSlice() : this.slice!
--- a/src/node/gateway/versions/streamVersions.ts
+++ b/src/node/gateway/versions/streamVersions.ts
@@ -1,12 +1,18 @@
 import { chooseBaseVersion } from './chooseBaseVersion.js'
+import { BaseRecordAllowance } from './baseRecordAllowance.js'
 import { baseVersionCodec } from './baseVersionCodec.js'
 import { hashStreamId } from './hashStreamId.js'
+import { RecordDoubt } from './recordDoubt.js'
+import { RecordLease } from './recordLease.js'
+import { RecordRestorer } from './recordRestorer.js'
+import { ServiceVersions } from './serviceVersions.js'
 import { StartedStreams } from './startedStreams.js'
 import { StreamRecordIndex } from './streamRecordIndex.js'
 import { StreamRecordWriter } from './streamRecordWriter.js'
 import { versionConstants } from './constants.js'
 import { waitForDelay } from '../../../shared/waitForDelay.js'
 import type { Clock } from '../../../types/clock.js'
+import type { HostRanks } from './hostRanks.js'
 import type { Logger } from '../../../types/logger.js'
 import type { Metrics } from '../../../types/metrics.js'
 import type { Scheduler } from '../../../types/scheduler.js'
@@ -17,7 +23,7 @@
 import type { StreamOrigin } from './streamOrigin.js'
 import type { StreamRecord } from './streamRecord.js'
 
-interface VersionsOptions {
+interface VersionsOptions extends HostRanks {
   readonly store: StoreClient
   readonly storeEra: StoreEra
   /** Prefix of all keys of stream records and base versions. */
@@ -34,13 +40,18 @@
 /**
  * Knows at which software version of a service a stream began, for requests that resume it at any host, also after the
  * loss of all hosts. Each service has a base version in the store. A stream that begins at another version is recorded
- * there before it begins, so a stream without a record began at the base version. Services with one version need no
- * records.
+ * there before it begins, so a stream without a record began at the base version. Only after a restore of the store, a
+ * missing record tells nothing: for this, streams of the base version are recorded, too, while a service has several
+ * versions, but do not wait for it. Services with one version need no records.
  */
 export class StreamVersions {
   private readonly index: StreamRecordIndex
   private readonly writer: StreamRecordWriter
   private readonly started = new StartedStreams()
+  private readonly doubt: RecordDoubt
+  private readonly restorer: RecordRestorer
+  private readonly allowance: BaseRecordAllowance
+  private readonly serviceVersions: ServiceVersions
   private readonly basePrefix: string
   private readonly recordPrefix: string
   /** Creations of base versions in progress, by service. */
@@ -49,26 +60,39 @@
   private readonly absentSinceMs = new Map<string, number>()
   private readInProgress: Promise<void> | undefined
   private nextRead: Promise<void> | undefined
-  private restoredAtMs = -Infinity
   private cancelCheck: (() => void) | undefined
   private removeEraListener = (): void => {}
 
   constructor (private readonly options: VersionsOptions) {
     this.basePrefix = `${options.prefix}base/`
     this.recordPrefix = `${options.prefix}records/`
-    this.index = new StreamRecordIndex({ base: this.basePrefix, records: this.recordPrefix })
-    this.writer = new StreamRecordWriter({ ...options, prefix: this.recordPrefix })
+    const completeEras = `${options.prefix}complete-eras/`
+    this.index = new StreamRecordIndex({ base: this.basePrefix, completeEras })
+    const { index } = this
+    const lease = new RecordLease(options.store, options.clock)
+    this.writer = new StreamRecordWriter({ ...options, lease, prefix: this.recordPrefix })
+    this.serviceVersions = new ServiceVersions({ ...options, index })
+    this.allowance = new BaseRecordAllowance(options.countHosts, options.clock)
+    this.doubt = new RecordDoubt({ ...options, index, prefix: completeEras })
+    this.restorer = new RecordRestorer({
+      ...options,
+      index,
+      lease,
+      isRead: () => this.doubt.isRead(),
+      isNeeded: () => this.doubt.isInDoubt()
+    })
   }
 
   start (): void {
     this.removeEraListener = this.options.storeEra.addListener(() => { this.onRestored() })
-    this.scheduleBaseCheck()
+    this.scheduleCheck()
   }
 
   stop (): void {
     this.removeEraListener()
     this.cancelCheck?.()
     this.writer.stop()
+    this.restorer.stop()
   }
 
   applySnapshot (items: readonly StoreItem[]): void {
@@ -76,11 +100,15 @@
     this.absentSinceMs.clear()
     this.index.removeOthers(new Set(items.map(item => item.key)), Math.max(0, ...items.map(item => item.revision)))
     for (const item of items) this.applyItem(item)
+    this.doubt.onRead()
+    // Hosts that start now learn of the restore from this.
+    if (this.doubt.isInDoubt()) void this.doubt.writeCompleteEra()
   }
 
   applyChange (change: StoreChange): void {
-    if (change.type === 'written') this.applyItem(change.item)
-    else this.index.removeItem(change.key)
+    if (change.type === 'removed') return this.index.removeItem(change.key)
+    this.applyItem(change.item)
+    this.doubt.update()
   }
 
   /**
@@ -101,9 +129,13 @@
     const streamHash = hashStreamId(requestId)
     const known = this.started.find(service, streamHash)
     const base = this.index.findBase(service)?.version ?? await this.createBase(service)
-    const isRecorded = version !== base || known?.isRecorded === true
+    const isAtOtherVersion = version !== base || (known?.isRecorded === true && known.version !== version)
+    const isRecorded = isAtOtherVersion || known?.isRecorded === true
     this.started.add({ service, streamHash, version, startedAtMs: this.options.clock.readMonotonicMs(), isRecorded })
-    if (!isRecorded) return true
+    if (!isAtOtherVersion) {
+      this.recordBaseStreams(service)
+      return true
+    }
     const record = { service, streamHash, version }
     const canResumeElsewhere = this.listOtherVersions(service, base, known).some(other => {
       return other !== version && this.isServed(service, other)
@@ -133,8 +165,7 @@
         const reason = (error as Error).message
         this.options.logger.recordWarning('stream records not read', { reason, attempt })
         if (attempt >= versionConstants.readAttempts || signal.aborted) {
-          // A record that the watch has brought holds; one that is missing may have been written since.
-          return this.findRecorded(service, streamHash) ?? { type: 'unknown', reason: `the records cannot be read: ${reason}` }
+          return this.findOther(service, streamHash) ?? { type: 'unknown', reason: `the records cannot be read: ${reason}` }
         }
         await waitForDelay(versionConstants.readRetryMs, signal)
       }
@@ -146,15 +177,33 @@
     return version === undefined ? undefined : { type: 'known', version, source: 'record' }
   }
 
+  /**
+   * What an earlier read tells while the store cannot be read: that a stream began at another version than the base version
+   * holds. One at the base version, or without a record, may have begun at another version since.
+   */
+  private findOther (service: string, streamHash: string): StreamOrigin | undefined {
+    const version = this.index.findVersion(service, streamHash)
+    return version === this.index.findBase(service)?.version ? undefined : this.findRecorded(service, streamHash)
+  }
+
   private decideUnrecorded (service: string): StreamOrigin {
     const base = this.index.findBase(service)
     if (base === undefined) return { type: 'unknown', reason: 'the service has no base version' }
-    const sinceRestoreMs = this.options.clock.readMonotonicMs() - this.restoredAtMs
-    if (sinceRestoreMs < versionConstants.restoreMs) {
-      return { type: 'unknown', reason: 'records of a restored store are being written again' }
+    if (this.doubt.isSettling()) return { type: 'unknown', reason: 'records of a restored store are being written again' }
+    if (this.doubt.isInDoubt() && this.serviceVersions.hasSeveral(service)) {
+      return { type: 'unknown', reason: 'a restore of the store may have lost the record' }
     }
     const origin = { type: 'known', version: base.version, source: 'base' } as const
-    return sinceRestoreMs === Infinity ? origin : { ...origin, sinceRestoreMs: Math.round(sinceRestoreMs) }
+    const sinceRestoreMs = this.doubt.getAgeMs()
+    return sinceRestoreMs === undefined ? origin : { ...origin, sinceRestoreMs: Math.round(sinceRestoreMs) }
+  }
+
+  /** Records the streams of this host that began at the base version, while the service has several versions. */
+  private recordBaseStreams (service: string): void {
+    if (!this.serviceVersions.hasSeveral(service)) return
+    while (this.started.hasUnrecorded(service) && this.allowance.takeRecord()) {
+      this.writer.addRecord(this.started.takeUnrecorded(service)!, versionConstants.baseRecordDelayMs)
+    }
   }
 
   /** Reads all items from the store, beginning after this call; calls that wait meanwhile share the next read. */
@@ -172,6 +221,7 @@
     const read = this.options.store.readPrefix(this.options.prefix).then(({ items, position }) => {
       for (const item of items) this.applyItem(item)
       this.index.removeOthers(new Set(items.map(item => item.key)), position.revision)
+      this.doubt.onRead()
     })
     this.readInProgress = read
     try {
@@ -215,10 +265,13 @@
     }
   }
 
-  private scheduleBaseCheck (): void {
-    this.cancelCheck = this.options.timers.schedule(versionConstants.baseCheckMs, () => {
+  private scheduleCheck (): void {
+    this.cancelCheck = this.options.timers.schedule(versionConstants.checkMs, () => {
       this.updateBases()
-      this.scheduleBaseCheck()
+      for (const service of this.started.listUnrecordedServices()) this.recordBaseStreams(service)
+      if (!this.doubt.isInDoubt()) this.index.removeEarlier()
+      void this.doubt.writeCompleteEra()
+      this.scheduleCheck()
     })
   }
 
@@ -239,13 +292,18 @@
     }
   }
 
-  /** The store may have lost the newest records; streams of hosts that are lost, too, stay unknown. */
+  /**
+   * The store may have lost the newest records. This host writes those of its own streams again, and those of other hosts
+   * that do not do so themselves.
+   */
   private onRestored (): void {
     const known = this.index.countStreams()
-    this.index.removeAll()
-    this.restoredAtMs = this.options.clock.readMonotonicMs()
+    this.index.applyRestore()
+    this.doubt.onRestored()
+    this.writer.applyRestore()
     const own = this.started.listRecorded()
     for (const record of own) this.writer.addRecord(record)
+    this.restorer.start()
     this.options.logger.recordInfo('stream records after a restore', { known, own: own.length })
   }
 }
--- a/tap-snapshots/src/node/gateway/versions/__tests__/streamVersions.test.ts.test.cjs
+++ b/tap-snapshots/src/node/gateway/versions/__tests__/streamVersions.test.ts.test.cjs
@@ -13,7 +13,7 @@
     "version": "v2",
   },
   Object {
-    "source": "base",
+    "source": "record",
     "type": "known",
     "version": "v1",
   },
