refactor(versions): one chain of turns for each restore, shorter lines, a test of hosts that were cut off

A second restore within the turns of the first one could leave two chains of turns running, which wrote the same items twice (by reading). A turn that ends after a later start begins no further one.

restoredRecords.test.ts has a case of a host that was frozen or cut off over the restore.

--- a/src/node/gateway/stages/__tests__/endIncompleteTurns.test.ts
+++ b/src/node/gateway/stages/__tests__/endIncompleteTurns.test.ts
@@ -5,7 +5,8 @@
 import { endIncompleteTurns } from '../endIncompleteTurns.js'
 
 t.test('guards against a call for a task that is queued although its inputs are not there', async t => {
-  const spec = { concurrentCalls: 1, batchSize: 10, callMs: 240, pieceMs: 10, resultRoomBytes: 1e9, resultLifetimeMs: 4000 }
+  const sizes = { concurrentCalls: 1, batchSize: 10, resultRoomBytes: 1e9 }
+  const spec = { ...sizes, callMs: 240, pieceMs: 10, resultLifetimeMs: 4000 }
   const services = new Map(['a', 'b'].map(name => [name, new StageService(name, spec)]))
   const { buildJob } = createTestScheduler([])
   const job = buildJob('p', [{ pieceCount: 2 }, { service: 'b', after: [0] }])
--- a/src/node/gateway/stages/__tests__/lateAdmission.test.ts
+++ b/src/node/gateway/stages/__tests__/lateAdmission.test.ts
@@ -18,7 +18,7 @@
   t.match(scheduler.addJob(buildJob('last', [{}], { targetAtMs: 9000, deadlineAtMs: 60_000 }), 9000), { isAccepted: true, isLate: true }, 'the queue is empty again')
 })
 
-t.test('guards against a job that is never begun because its own pieces count as on-time work after its target', async t => {
+t.test('guards against a job that is never begun because its own pieces still count as on-time work', async t => {
   const { scheduler, buildJob } = createTestScheduler([{ name: 'a', domains: ['x', 'y'], batchSize: 1 }])
   scheduler.addJob(buildJob('p', [{ pieceCount: 5 }], { targetAtMs: 2000, deadlineAtMs: 60_000 }), 0)
   scheduler.listLoads(0)
--- a/src/node/gateway/stages/__tests__/runRandomStages.ts
+++ b/src/node/gateway/stages/__tests__/runRandomStages.ts
@@ -35,7 +35,12 @@
   [{ pieceCount: 3 }, { service: 'd', pieceCount: 2 }, { service: 'c', after: [0, 1], pieceCount: 4 }],
   [{ pieceCount: 1 }, { after: [0], pieceCount: 5 }, { after: [1], pieceCount: 3 }],
   [{ service: 'd', pieceCount: 3 }],
-  [{ pieceCount: 2 }, { service: 'b', after: [0], pieceCount: 2 }, { service: 'c', after: [0], pieceCount: 3 }, { service: 'd', after: [1, 2], pieceCount: 3 }]
+  [
+    { pieceCount: 2 },
+    { service: 'b', after: [0], pieceCount: 2 },
+    { service: 'c', after: [0], pieceCount: 3 },
+    { service: 'd', after: [1, 2], pieceCount: 3 }
+  ]
 ]
 
 /** Drives a scheduler through events and checks each call: all inputs of the piece, each once, of its own job. */
@@ -51,12 +56,16 @@
   let calls = 0
 
   const checkInputs = (where: string, jobId: string, after: readonly number[], inputs: readonly unknown[]): void => {
-    const expected = after.flatMap(index => Array.from({ length: jobs.get(jobId)!.stages[index]!.pieceCount }, (_, piece) => `${jobId}.${index}.${piece}`))
+    const { stages } = jobs.get(jobId)!
+    const expected = after.flatMap(index => {
+      return Array.from({ length: stages[index]!.pieceCount }, (_, piece) => `${jobId}.${index}.${piece}`)
+    })
     const found = inputs.map(input => {
       const made = typeof input === 'string' ? results.get(input) : undefined
       return made === undefined ? String(input) : `${made.jobId}.${made.stageIndex}.${made.pieceIndex}`
     })
-    if (JSON.stringify([...found].sort()) !== JSON.stringify([...expected].sort())) faults.push(`${where} gets ${found.join(' ')}`)
+    const isRight = [...found].sort().join() === expected.sort().join()
+    if (!isRight) faults.push(`${where} gets ${found.join(' ')}`)
   }
   const plan = (): void => {
     for (const call of scheduler.planCalls(nowMs)) {
--- a/src/node/gateway/stages/stageTask.ts
+++ b/src/node/gateway/stages/stageTask.ts
@@ -3,9 +3,10 @@
 import type { StageWork } from './stageWork.js'
 
 /**
- * One stage of one job in the scheduler. Mutable; owned by the scheduler. Each piece waits, is in a call or has a result.
- * The task is in the queue of its service exactly while it is ready and has waiting pieces, and it is ready only while all
- * results of its input stages are there: it ends the turn of its dependents when one of its own is lost or released.
+ * One stage of one job in the scheduler. Mutable; owned by the scheduler. Each piece waits, is in a call or has a
+ * result. The task is in the queue of its service exactly while it is ready and has waiting pieces, and it is ready
+ * only while all results of its input stages are there: when one of its own results is lost or released, the task ends
+ * the turn of the tasks that depend on it.
  */
 export class StageTask {
   /** Time at which the task became ready to be sent. */
@@ -26,7 +27,11 @@
   private areResultsReleased = false
 
   /** `queue` holds the tasks of the service that can be sent; undefined when the service is unknown. */
-  constructor (readonly jobState: JobState, readonly work: StageWork, private readonly queue: Set<StageTask> | undefined) {
+  constructor (
+    readonly jobState: JobState,
+    readonly work: StageWork,
+    private readonly queue: Set<StageTask> | undefined
+  ) {
     this.results = new Array(work.pieceCount)
     this.waitingPieces = Array.from({ length: work.pieceCount }, (_, i) => i)
   }
@@ -129,7 +134,7 @@
   retryPiece (pieceIndex: number): void {
     if (this.results[pieceIndex] !== undefined) this.resultCount--
     this.results[pieceIndex] = undefined
-    this.oldestResultAtMs = this.results.reduce((oldest, result) => Math.min(oldest, result?.madeAtMs ?? Infinity), Infinity)
+    this.oldestResultAtMs = Math.min(Infinity, ...this.listResults().map(({ madeAtMs }) => madeAtMs))
     this.waitingPieces.push(pieceIndex)
     this.updateQueue()
     this.endTurnsOfDependents()
--- a/src/node/gateway/stages/updateBacklogs.ts
+++ b/src/node/gateway/stages/updateBacklogs.ts
@@ -2,10 +2,14 @@
 import type { StageService } from './stageService.js'
 
 /**
- * Counts the accepted pieces that wait at each service, including pieces of stages that are not ready yet. Returns the time
- * after which the next on-time job counts as late.
+ * Counts the accepted pieces that wait at each service, including pieces of stages that are not ready yet. Returns the
+ * time after which the next on-time job counts as late.
  */
-export function updateBacklogs (services: ReadonlyMap<string, StageService>, jobs: Iterable<JobState>, nowMs: number): number {
+export function updateBacklogs (
+  services: ReadonlyMap<string, StageService>,
+  jobs: Iterable<JobState>,
+  nowMs: number
+): number {
   let nextLateAtMs = Infinity
   for (const { backlog } of services.values()) {
     backlog.onTime = 0
--- a/src/node/gateway/versions/__tests__/createTestFleet.ts
+++ b/src/node/gateway/versions/__tests__/createTestFleet.ts
@@ -19,6 +19,7 @@
   /** Versions of the upstreams of the service. */
   const state = { served: ['v1', 'v1', 'v2'] }
   const hosts = new Map<string, { readonly versions: StreamVersions, readonly storeEra: StoreEra }>()
+  const cutOffIds = new Set<string>()
 
   const addHost = (hostId: string): void => {
     const storeEra = new StoreEra(logger, metrics)
@@ -46,7 +47,8 @@
   }
   /** Lets all hosts read the store, as their watches do. */
   const readAll = (): void => {
-    for (const { versions, storeEra } of hosts.values()) {
+    for (const [hostId, { versions, storeEra }] of hosts) {
+      if (cutOffIds.has(hostId)) continue
       storeEra.observeAnswer(store.era, undefined)
       versions.applySnapshot(store.listItems())
     }
@@ -71,6 +73,12 @@
     store.applyCopy(copy)
     readAll()
   }
+  /** The host does not follow the store until it is reached again. */
+  const cutOff = (hostId: string): void => { cutOffIds.add(hostId) }
+  const reachAgain = (hostId: string): void => {
+    cutOffIds.delete(hostId)
+    readAll()
+  }
   const stop = (): void => { for (const hostId of [...hosts.keys()]) killHost(hostId) }
-  return { store, state, addHost, killHost, runFor, start, resume, restore, stop }
+  return { store, state, addHost, killHost, cutOff, reachAgain, runFor, start, resume, restore, stop }
 }
--- a/src/node/gateway/versions/__tests__/restoredRecords.test.ts
+++ b/src/node/gateway/versions/__tests__/restoredRecords.test.ts
@@ -5,8 +5,13 @@
 /** Time until the hosts have written lost records again, and a little more. */
 const settleMs = versionConstants.restoreMs + 500
 
-/** Three hosts; one stream of each version begins at the first of them after the copy of the store is taken. */
-async function startFleet (t: { readonly teardown: (end: () => void) => void, readonly ok: (isTrue: boolean) => void }, hostIds = ['a', 'b', 'c']) {
+interface Checks {
+  teardown (end: () => void): void
+  ok (isTrue: boolean): void
+}
+
+/** Starts hosts, at the first of which a stream of each version begins after the copy of the store is taken. */
+async function startFleet (t: Checks, hostIds = ['a', 'b', 'c']) {
   const fleet = createTestFleet()
   t.teardown(() => { fleet.stop() })
   for (const hostId of hostIds) fleet.addHost(hostId)
@@ -24,7 +29,7 @@
   const { copy, killHost, restore, runFor, resume } = await startFleet(t)
   killHost('a')
   restore(copy)
-  t.same([await resume('b', 'base'), await resume('b', 'other')], ['v1', 'v2'], 'at once, as the others have read the records')
+  t.same([await resume('b', 'base'), await resume('b', 'other')], ['v1', 'v2'], 'at once, from what it has read')
   await runFor(settleMs)
   t.same([await resume('c', 'base'), await resume('c', 'other')], ['v1', 'v2'])
 })
@@ -70,6 +75,21 @@
   t.same([await resume('late', 'base'), await resume('late', 'other')], ['v1', 'v2'])
 })
 
+t.test('guards against another version at a host that was frozen or cut off over a restore', async t => {
+  const { copy, cutOff, reachAgain, killHost, restore, runFor, start, resume } = await startFleet(t)
+  cutOff('c')
+  await start('a', 'unseen', 'v2')
+  await runFor(1000)
+  killHost('a')
+  restore(copy)
+  await runFor(settleMs)
+  killHost('b')
+  reachAgain('c')
+  t.same([await resume('c', 'base'), await resume('c', 'other')], ['v1', 'v2'], 'from what it had read before')
+  t.equal(await resume('c', 'unseen'), 'v2', 'written again by another host')
+  t.equal(await resume('c', 'never recorded'), undefined)
+})
+
 t.test('guards against another version after two restores in a row', async t => {
   const { copy, addHost, killHost, restore, runFor, resume } = await startFleet(t)
   killHost('a')
--- a/src/node/gateway/versions/__tests__/streamVersions.test.ts
+++ b/src/node/gateway/versions/__tests__/streamVersions.test.ts
@@ -22,7 +22,8 @@
     const storeEra = new StoreEra(logger, metrics)
     storeEra.observeAnswer(store.era, undefined)
     const options = { store, storeEra, prefix: 'streams/', clock, timers: clock, logger, metrics }
-    const versions = new StreamVersions({ ...options, listVersions: () => state.served, countHosts: () => count, hostId, listHostIds: () => hostIds })
+    const fleet = { countHosts: () => count, hostId, listHostIds: () => hostIds }
+    const versions = new StreamVersions({ ...options, ...fleet, listVersions: () => state.served })
     versions.start()
     return { versions, storeEra }
   })
@@ -78,7 +79,7 @@
   t.match(await resume(1, 'b'), { version: 'v1', source: 'record' })
   t.equal((await resume(1, 'never recorded')).type, 'unknown', 'its host may be lost with its record')
   await clock.runFor(versionConstants.streamLifetimeMs)
-  t.match(await resume(1, 'never recorded'), { version: 'v1', source: 'base' }, 'nothing from before the restore is left')
+  t.match(await resume(1, 'never recorded'), { version: 'v1', source: 'base' }, 'no older stream is left')
 })
 
 t.test('guards against a refusal of a stream whose record is known while the store cannot be read', async t => {
--- a/src/node/gateway/versions/__tests__/unwrittenRecords.test.ts
+++ b/src/node/gateway/versions/__tests__/unwrittenRecords.test.ts
@@ -68,8 +68,9 @@
     storeEra.observeAnswer(store.era, undefined)
     const path = new StorePath(store, clock)
     const listVersions = (): readonly string[] => ['v1', 'v1', 'v2']
-    const ranks = { hostId: `host-${i}`, listHostIds: () => ['host-0', 'host-1'] }
-    const versions = new StreamVersions({ ...ranks, store: path, storeEra, prefix, clock, timers: clock, logger, metrics, listVersions, countHosts: () => 2 })
+    const fleet = { countHosts: () => 2, hostId: `host-${i}`, listHostIds: () => ['host-0', 'host-1'] }
+    const options = { store: path, storeEra, prefix, clock, timers: clock, logger, metrics }
+    const versions = new StreamVersions({ ...options, ...fleet, listVersions })
     versions.start()
     return { versions, storeEra, path }
   })
--- a/src/node/gateway/versions/constants.ts
+++ b/src/node/gateway/versions/constants.ts
@@ -23,7 +23,7 @@
   readRetryMs: 100,
   /** After a restore of the store, the hosts write lost records again within this time. */
   restoreMs: 2000,
-  /** Turns in which the hosts write the lost records of others, one host of each item in a turn, all in the last one. */
+  /** Turns in which the hosts write lost records of others: one host of each item in a turn, all in the last one. */
   restoreTurnMs: 400,
   restoreTurns: 4,
   /** Lost items that one call writes; an item has some kilobytes. */
--- a/src/node/gateway/versions/recordDoubt.ts
+++ b/src/node/gateway/versions/recordDoubt.ts
@@ -83,8 +83,8 @@
   }
 
   /**
-   * Writes which era is complete: the current one when it is not in doubt any more. When a restore has lost all that was
-   * written of it, the era before, so that hosts that start now know of the restore.
+   * Writes which era is complete: the current one when it is not in doubt any more. When a restore has lost all that
+   * was written of it, the era before, so that hosts that start now know of the restore.
    */
   async writeCompleteEra (): Promise<void> {
     const { store, index, storeEra, prefix, logger } = this.options
--- a/src/node/gateway/versions/recordRestorer.ts
+++ b/src/node/gateway/versions/recordRestorer.ts
@@ -29,7 +29,8 @@
  */
 export class RecordRestorer {
   private cancelTimer: (() => void) | undefined
-  private isStopped = false
+  /** Number of the last start or stop; turns of earlier starts end. */
+  private startNumber = 0
   /** Keys that this host has written since the restore; the watch brings them later. */
   private readonly writtenKeys = new Set<string>()
 
@@ -37,32 +38,31 @@
 
   /** Starts after a restore; the hosts that wrote the items come first. */
   start (): void {
-    this.cancelTimer?.()
-    this.isStopped = false
+    this.stop()
     this.writtenKeys.clear()
     this.scheduleTurn(0)
   }
 
   stop (): void {
-    this.isStopped = true
+    this.startNumber++
     this.cancelTimer?.()
   }
 
   private scheduleTurn (turn: number): void {
     const { timers, isRead, isNeeded, logger } = this.options
+    const { startNumber } = this
     this.cancelTimer = timers.schedule(versionConstants.restoreTurnMs, () => {
       if (!isNeeded()) return
       if (!isRead()) return this.scheduleTurn(turn)
       this.writeLost(turn).catch(error => {
         logger.recordWarning('lost stream records not written', { reason: (error as Error).message })
-      }).finally(() => { this.onTurnEnded(turn) })
+      }).finally(() => { if (startNumber === this.startNumber) this.onTurnEnded(turn) })
     })
   }
 
   /** The last turn comes again until nothing is lost any more. */
   private onTurnEnded (turn: number): void {
     const { restoreTurns } = versionConstants
-    if (this.isStopped) return
     if (turn < restoreTurns) this.scheduleTurn(turn + 1)
     else if (this.options.index.listLost(key => !this.writtenKeys.has(key)).length > 0) this.scheduleTurn(turn)
   }
--- a/src/node/gateway/versions/serviceVersions.ts
+++ b/src/node/gateway/versions/serviceVersions.ts
@@ -16,7 +16,7 @@
 
   constructor (private readonly options: VersionsOptions) {}
 
-  /** Whether streams of a service begin at several versions now, or did within the time in which they can be resumed. */
+  /** Whether streams of a service begin at several versions, or did within the time in which they can be resumed. */
   hasSeveral (service: string): boolean {
     const base = this.options.index.findBase(service)?.version
     return this.options.listVersions(service).some(version => version !== base) || this.hasOtherRecords(service, base)
--- a/src/node/gateway/versions/streamRecordIndex.ts
+++ b/src/node/gateway/versions/streamRecordIndex.ts
@@ -17,8 +17,9 @@
 }
 
 /**
- * The stream records and base versions that the store holds, as far as they are read. The version at which a stream began
- * does not change, so what was known before a restore of the store stays known after it; only the revisions are invalid.
+ * The stream records and base versions that the store holds, as far as they are read. The version at which a stream
+ * began does not change, so what was known before a restore of the store stays known after it; only the revisions are
+ * invalid.
  */
 export class StreamRecordIndex {
   private readonly items = new Map<string, IndexedItem>()
@@ -49,8 +50,8 @@
   }
 
   /**
-   * Version at which streams of a service began that are not recorded; undefined when none is known. `revision` is 0 when
-   * the restored store does not hold it.
+   * Version at which streams of a service began that are not recorded; undefined when none is known. `revision` is 0
+   * when the restored store does not hold it.
    */
   findBase (service: string): { readonly version: string, readonly revision: number } | undefined {
     const key = this.prefixes.base + service
@@ -146,7 +147,8 @@
       const present = this.items.get(key)
       const revision = present?.revision ?? 0
       if (earlier.baseVersion !== undefined) {
-        if (present === undefined) lost.push({ key, revision, value: baseVersionCodec.encode({ version: earlier.baseVersion }), streams: 0 })
+        const value = baseVersionCodec.encode({ version: earlier.baseVersion })
+        if (present === undefined) lost.push({ key, revision, value, streams: 0 })
         continue
       }
       const records = listRecords(earlier.versions)
--- a/src/node/gateway/versions/streamRecordWriter.ts
+++ b/src/node/gateway/versions/streamRecordWriter.ts
@@ -85,8 +85,8 @@
   }
 
   /**
-   * Begins a new item after a restore of the store: other hosts may write the lost ones again as they have read them. All
-   * records that are still needed have to be added again.
+   * Begins a new item after a restore of the store: other hosts may write the lost ones again as they have read them.
+   * All records that are still needed have to be added again.
    */
   applyRestore (): void {
     this.options.lease.removeLease()
--- a/src/node/gateway/versions/streamVersions.ts
+++ b/src/node/gateway/versions/streamVersions.ts
@@ -165,7 +165,8 @@
         const reason = (error as Error).message
         this.options.logger.recordWarning('stream records not read', { reason, attempt })
         if (attempt >= versionConstants.readAttempts || signal.aborted) {
-          return this.findOther(service, streamHash) ?? { type: 'unknown', reason: `the records cannot be read: ${reason}` }
+          const unknown = { type: 'unknown', reason: `the records cannot be read: ${reason}` } as const
+          return this.findOther(service, streamHash) ?? unknown
         }
         await waitForDelay(versionConstants.readRetryMs, signal)
       }
@@ -178,8 +179,8 @@
   }
 
   /**
-   * What an earlier read tells while the store cannot be read: that a stream began at another version than the base version
-   * holds. One at the base version, or without a record, may have begun at another version since.
+   * What an earlier read tells while the store cannot be read: a record at another version than the base version holds.
+   * A stream at the base version, or without a record, may have begun at another version since.
    */
   private findOther (service: string, streamHash: string): StreamOrigin | undefined {
     const version = this.index.findVersion(service, streamHash)
@@ -189,7 +190,9 @@
   private decideUnrecorded (service: string): StreamOrigin {
     const base = this.index.findBase(service)
     if (base === undefined) return { type: 'unknown', reason: 'the service has no base version' }
-    if (this.doubt.isSettling()) return { type: 'unknown', reason: 'records of a restored store are being written again' }
+    if (this.doubt.isSettling()) {
+      return { type: 'unknown', reason: 'records of a restored store are being written again' }
+    }
     if (this.doubt.isInDoubt() && this.serviceVersions.hasSeveral(service)) {
       return { type: 'unknown', reason: 'a restore of the store may have lost the record' }
     }
@@ -293,8 +296,8 @@
   }
 
   /**
-   * The store may have lost the newest records. This host writes those of its own streams again, and those of other hosts
-   * that do not do so themselves.
+   * The store may have lost the newest records. This host writes those of its own streams again, and those of other
+   * hosts that do not do so themselves.
    */
   private onRestored (): void {
     const known = this.index.countStreams()
--- a/src/node/metrics/metricHelp.ts
+++ b/src/node/metrics/metricHelp.ts
@@ -31,7 +31,7 @@
   lycheetrack_stage_results_lost_total: 'Stage results that expired or were lost with their upstream while they were needed; they are produced again.',
   lycheetrack_stage_usable_room_share: 'Share of the memory for results of a stage service that calls may fill; it falls when upstreams lack memory.',
   lycheetrack_placements_explained_total: 'Answers to the command `placement`, by outcome.',
-  lycheetrack_stream_records_in_doubt: '1 while a restore of the store may have lost records of streams that can still be resumed.',
+  lycheetrack_stream_records_in_doubt: '1 while a restore of the store may have lost records of streams.',
   lycheetrack_stream_records_restored_total: 'Lost records of streams that this host has written again, by outcome.',
   lycheetrack_store_collect_ms: 'Time for which changes of the store are collected into one call, which grows with the number of hosts.',
   process_cpu_seconds_total: 'Processor time of the process.',
