fix(versions): name the complete era before the first stream begins

Cause: hosts wrote the first complete era up to five seconds after their start, so streams could begin before. A host that found none could not tell a new system from a restored one.

The key is written together with the first base version, in one write, before any stream begins. Without a base version no stream is resumed; one that is chosen in a later era than the first makes all streams before it doubtful.

restoredRecords.test.ts: a loss of all hosts in the first seconds failed before (v1 for a stream of v2).

--- a/src/node/gateway/versions/__tests__/restoredRecords.test.ts
+++ b/src/node/gateway/versions/__tests__/restoredRecords.test.ts
@@ -103,13 +103,31 @@
 })
 
 t.test('guards against another version after a restore from before the first record of the fleet', async t => {
-  const { addHost, killHost, restore, runFor, resume } = await startFleet(t, ['a', 'b'])
+  const { addHost, killHost, restore, runFor, start, resume } = await startFleet(t, ['a', 'b'])
   killHost('a')
   restore([])
   killHost('b')
   addHost('late')
   await runFor(settleMs)
   t.equal(await resume('late', 'other'), undefined)
+  await start('late', 'new', 'v1')
+  await runFor(settleMs)
+  t.equal(await resume('late', 'other'), undefined, 'also when it chooses the base version')
+})
+
+t.test('guards against another version when all hosts are lost with a restore in the first seconds', async t => {
+  const fleet = createTestFleet()
+  t.teardown(() => { fleet.stop() })
+  fleet.addHost('a')
+  await fleet.start('a', 'first', 'v1')
+  const copy = fleet.store.listItems()
+  await fleet.start('a', 'other', 'v2')
+  fleet.killHost('a')
+  fleet.restore(copy)
+  fleet.addHost('late')
+  t.equal(await fleet.resume('late', 'other'), undefined)
+  await fleet.runFor(settleMs)
+  t.equal(await fleet.resume('late', 'other'), undefined)
 })
 
 t.test('guards against another version when the base version is chosen anew after a restore', async t => {
--- a/src/node/gateway/versions/constants.ts
+++ b/src/node/gateway/versions/constants.ts
@@ -23,6 +23,8 @@
   readRetryMs: 100,
   /** After a restore of the store, the hosts write lost records again within this time. */
   restoreMs: 2000,
+  /** Era of a store that has never been restored; it rises by one with each restore. */
+  firstEra: 1,
   /** Turns in which the hosts write lost records of others: one host of each item in a turn, all in the last one. */
   restoreTurnMs: 400,
   restoreTurns: 4,
--- a/src/node/gateway/versions/recordDoubt.ts
+++ b/src/node/gateway/versions/recordDoubt.ts
@@ -4,6 +4,7 @@
 import type { Metrics } from '../../../types/metrics.js'
 import type { StoreClient } from '../model/storeClient.js'
 import type { StoreEra } from '../store/storeEra.js'
+import type { StoreWrite } from '../model/storeWrite.js'
 import type { StreamRecordIndex } from './streamRecordIndex.js'
 
 interface DoubtOptions {
@@ -82,6 +83,16 @@
     return this.doubt === undefined ? undefined : this.options.clock.readMonotonicMs() - this.doubt.sinceMs
   }
 
+  /**
+   * Lists what is to be written together with the first base version of a store, before the first stream begins. A store
+   * without a base version in a later era than the first one may have come back from a copy older than all streams.
+   */
+  listFirstWrites (): StoreWrite['writes'] {
+    const era = this.options.storeEra.getCurrent()
+    if (era === 0 || this.options.index.findCompleteEra() !== undefined) return []
+    return [this.buildWrite(era === versionConstants.firstEra ? era : era - 1)]
+  }
+
   /**
    * Writes which era is complete: the current one when it is not in doubt any more. When a restore has lost all that
    * was written of it, the era before, so that hosts that start now know of the restore.
@@ -91,15 +102,19 @@
     const era = storeEra.getCurrent()
     const known = index.findCompleteEra()
     const isOver = !this.isInDoubt()
-    if (era === 0 || !this.isRead() || known === era || (!isOver && known !== undefined)) return
-    const key = `${prefix}${isOver ? era : era - 1}`
+    const isNeeded = isOver ? index.listServicesWithBase().length > 0 : known === undefined
+    if (era === 0 || !this.isRead() || known === era || !isNeeded) return
+    const write = this.buildWrite(isOver ? era : era - 1)
     try {
-      // The value is readable as records without a stream, for hosts of an earlier version of this program.
-      const writes = [{ key, value: Buffer.from('{}') }]
       const removals = known === undefined ? [] : [`${prefix}${known}`]
-      await store.writeConditionally({ conditions: [{ key, revision: 0 }], writes, removals })
+      await store.writeConditionally({ conditions: [{ key: write.key, revision: 0 }], writes: [write], removals })
     } catch (error) {
       logger.recordWarning('complete era not written', { era, reason: (error as Error).message })
     }
   }
+
+  /** The value is readable as records without a stream, for hosts of an earlier version of this program. */
+  private buildWrite (era: number): StoreWrite['writes'][number] {
+    return { key: `${this.options.prefix}${era}`, value: Buffer.from('{}') }
+  }
 }
--- a/src/node/gateway/versions/streamVersions.ts
+++ b/src/node/gateway/versions/streamVersions.ts
@@ -259,7 +259,7 @@
     if (version === undefined) return
     const key = this.basePrefix + service
     try {
-      const writes = [{ key, value: baseVersionCodec.encode({ version }) }]
+      const writes = [{ key, value: baseVersionCodec.encode({ version }) }, ...this.doubt.listFirstWrites()]
       const isWritten = await store.writeConditionally({ conditions: [{ key, revision }], writes, removals: [] })
       logger.recordInfo('base version chosen', { service, version, isWritten })
       await this.readCurrent()
