--- a/playground/soak/constants.ts
+++ b/playground/soak/constants.ts
@@ -16,6 +16,10 @@
   evacuationMs: 1500,
   /** Time for which a draining upstream serves beyond `drainMs`. */
   leaveMarginMs: 1000,
+  /** Time for which the store is away before it comes back from a copy, and until lost hosts start again. */
+  storeAwayMs: 500,
+  /** Time after the return of the store within which hosts have written again what is theirs. */
+  storeReturnMs: 2000,
   lossSlackMs: 200,
   /** Time after which a process that ended by itself is started again. */
   restartDelayMs: 1000,
--- a/playground/soak/main.ts
+++ b/playground/soak/main.ts
@@ -36,6 +36,7 @@
       changes: Number(flags['changes']),
       evacuations: Number(flags['evacuations']),
       pourings: Number(flags['pourings']),
+      restores: Number(flags['restores']),
       faultMs: Number(flags['seconds']) * 1000
     })
     const outcome = result.violations.length === 0 ? 'ok' : 'FAILED'
@@ -70,6 +71,7 @@
   .option('--changes', 'Number of releases of engines, losses of all hosts, and starts beside taken ports and builds', 0)
   .option('--evacuations', 'Number of failure domains that the operator evacuates for a time', 0)
   .option('--pourings', 'Number of services whose upstreams send bytes without end for a time', 0)
+  .option('--restores', 'Number of returns of the store from an older copy, alone and beside lost hosts', 0)
   .option('--program', 'Bundle of the product that the hosts run', 'dist/lycheetrack.cjs')
   .option('--replaced-program', 'Bundle of another version, which the hosts run until they are replaced in turn')
   .option('--seconds', 'Length of the part of a run in which faults are injected', 12)
--- a/playground/soak/runFault.ts
+++ b/playground/soak/runFault.ts
@@ -1,8 +1,10 @@
 import { setTimeout as waitMs } from 'node:timers/promises'
 import { changeFaultTypes } from './changeFaultTypes.js'
 import { pouringFaultTypes } from './pouringFaultTypes.js'
+import { restoreFaultTypes } from './restoreFaultTypes.js'
 import { runChangeFault } from './runChangeFault.js'
 import { runPouringFault } from './runPouringFault.js'
+import { runRestoreFault } from './runRestoreFault.js'
 import { runSignalFault } from './runSignalFault.js'
 import { signalFaultTypes } from './signalFaultTypes.js'
 import { soakConstants } from './constants.js'
@@ -26,6 +28,7 @@
   if (type === 'domain-evacuated') return await runEvacuation(upstream.options.domain, forMs, deployment)
   if (isPouringFault(type)) return await runPouringFault(type, upstream.options.service, forMs, deployment)
   if (isChangeFault(type)) return await runChangeFault(fault, host, deployment)
+  if (isRestoreFault(type)) return await runRestoreFault(fault, host, deployment)
   if (isSignalFault(type)) return await runSignalFault(fault, host, deployment)
   if (type.startsWith('host-')) return await runHostFault(type.slice('host-'.length), host, forMs)
   if (type === 'store-history') {
@@ -56,6 +59,10 @@
   return (signalFaultTypes as ReadonlyArray<SoakFault['type']>).includes(type)
 }
 
+function isRestoreFault (type: SoakFault['type']): boolean {
+  return (restoreFaultTypes as ReadonlyArray<SoakFault['type']>).includes(type)
+}
+
 function isPouringFault (type: SoakFault['type']): type is typeof pouringFaultTypes[number] {
   return (pouringFaultTypes as ReadonlyArray<SoakFault['type']>).includes(type)
 }
--- a/playground/soak/runSoak.ts
+++ b/playground/soak/runSoak.ts
@@ -5,6 +5,7 @@
 import { createSeededRandom } from '../../src/shared/createSeededRandom.js'
 import { domainFaultTypes } from './domainFaultTypes.js'
 import { pouringFaultTypes } from './pouringFaultTypes.js'
+import { restoreFaultTypes } from './restoreFaultTypes.js'
 import { runFault } from './runFault.js'
 import { soakConstants } from './constants.js'
 import { signalFaultTypes } from './signalFaultTypes.js'
@@ -23,6 +24,7 @@
 const changeSeedOffset = 2_000_000
 const domainSeedOffset = 3_000_000
 const pouringSeedOffset = 4_000_000
+const restoreSeedOffset = 5_000_000
 
 /** Runs host processes under the faults that follow from a seed, and checks what clients and upstreams recorded. */
 export async function runSoak (options: SoakOptions): Promise<SoakResult> {
@@ -33,7 +35,8 @@
     ...buildFaultPlan(seed + signalSeedOffset, faultMs, options.signals, signalFaultTypes),
     ...buildFaultPlan(seed + changeSeedOffset, faultMs, options.changes, changeFaultTypes),
     ...buildFaultPlan(seed + domainSeedOffset, faultMs, options.evacuations ?? 0, domainFaultTypes),
-    ...buildFaultPlan(seed + pouringSeedOffset, faultMs, options.pourings ?? 0, pouringFaultTypes)
+    ...buildFaultPlan(seed + pouringSeedOffset, faultMs, options.pourings ?? 0, pouringFaultTypes),
+    ...buildFaultPlan(seed + restoreSeedOffset, faultMs, options.restores ?? 0, restoreFaultTypes)
   ].sort((a, b) => a.atMs - b.atMs)
   try {
     await deployment.start(options, seed % networkCount)
@@ -44,7 +47,7 @@
         name: `s${seed}c${i}`,
         directories: deployment.hosts.map(host => host.directoryAddress),
         random: createSeededRandom(seed * 1000 + i),
-        resumesStreams: options.changes > 0,
+        resumesStreams: options.changes + (options.restores ?? 0) > 0,
         onRequest: request => { deployment.requests.push(request) }
       })
     })
--- a/playground/soak/soakDeployment.ts
+++ b/playground/soak/soakDeployment.ts
@@ -49,6 +49,9 @@
   private upstreamCount = 0
   private versionCount = 2
   private sequence = 0
+  private configuredService: 'shop' | 'shop-b' = 'shop'
+  /** State by id of each upstream that has an entry. */
+  private readonly entryStates = new Map<string, 'ready' | 'draining'>()
 
   async start ({ program, replacedProgram, hosts }: SoakOptions, network: number): Promise<void> {
     const builds = new SoakBuilds(program, join(this.folder, 'product'))
@@ -121,12 +124,23 @@
 
   writeEntry (upstream: SoakUpstream, state: 'ready' | 'draining'): void {
     if (state === 'draining') this.recordLeaving(upstream)
+    this.entryStates.set(upstream.options.id, state)
     this.store.write(`servers/${upstream.options.id}`, upstream.buildEntry(state, ++this.sequence))
   }
 
+  /** Writes the entries of all upstreams and the configuration again, after the store has come back from an older copy. */
+  writeAgain (): void {
+    for (const key of this.store.listKeys()) {
+      if (key.startsWith('servers/') && !this.entryStates.has(key.slice('servers/'.length))) this.store.remove(key)
+    }
+    for (const upstream of this.upstreams) this.writeEntry(upstream, this.entryStates.get(upstream.options.id) ?? 'ready')
+    this.writeConfiguration(this.configuredService)
+  }
+
   removeUpstream (upstream: SoakUpstream): void {
     this.recordLeaving(upstream)
     this.recordDisruption('upstream', upstream.options.id)
+    this.entryStates.delete(upstream.options.id)
     this.store.remove(`servers/${upstream.options.id}`)
     this.upstreams.splice(this.upstreams.indexOf(upstream), 1)
     upstream.stop()
@@ -135,6 +149,7 @@
   /** Writes the next version of the configuration; the routes `safe` and `once` lead to `service`. */
   writeConfiguration (service: 'shop' | 'shop-b'): void {
     this.version += 3
+    this.configuredService = service
     this.recordDisruption('configuration', service)()
     const route = { host: 'soak.example', timeoutMs: 2500, targetLatencyMs: 500, priority: 1, maxAttempts: 2 }
     const stages = [{ service: 'first', after: [], bytes: 1000 }, { service: 'second', after: [0], bytes: 1000 }]
--- a/playground/soak/soakFault.ts
+++ b/playground/soak/soakFault.ts
@@ -1,6 +1,7 @@
 import type { changeFaultTypes } from './changeFaultTypes.js'
 import type { domainFaultTypes } from './domainFaultTypes.js'
 import type { pouringFaultTypes } from './pouringFaultTypes.js'
+import type { restoreFaultTypes } from './restoreFaultTypes.js'
 import type { signalFaultTypes } from './signalFaultTypes.js'
 import type { soakFaultTypes } from './soakFaultTypes.js'
 
@@ -11,7 +12,8 @@
     typeof signalFaultTypes[number] |
     typeof changeFaultTypes[number] |
     typeof domainFaultTypes[number] |
-    typeof pouringFaultTypes[number]
+    typeof pouringFaultTypes[number] |
+    typeof restoreFaultTypes[number]
   /** Start, counted from the start of the clients. */
   readonly atMs: number
   /** Duration. */
--- a/playground/soak/soakOptions.ts
+++ b/playground/soak/soakOptions.ts
@@ -17,6 +17,8 @@
   readonly evacuations?: number
   /** Number of faults of `pouringFaultTypes`; 0 when absent. */
   readonly pourings?: number
+  /** Number of faults of `restoreFaultTypes`; 0 when absent. */
+  readonly restores?: number
   /** Time in which all faults begin and end; the recovery time follows. */
   readonly faultMs: number
 }
